--- a/bench/child.ts
+++ b/bench/child.ts
@@ -26,17 +26,20 @@
 /** A started process that has reported its ports. */
 export class Child {
   readonly #process: ChildProcess;
+  readonly #stdout: string[];
   readonly #stderr: string[];
   readonly #exited: Promise<number | null>;
   readonly ports: Readonly<Record<string, number>>;
 
   private constructor(started: {
     readonly process: ChildProcess;
+    readonly stdout: string[];
     readonly stderr: string[];
     readonly exited: Promise<number | null>;
     readonly ports: Readonly<Record<string, number>>;
   }) {
     this.#process = started.process;
+    this.#stdout = started.stdout;
     this.#stderr = started.stderr;
     this.#exited = started.exited;
     this.ports = started.ports;
@@ -50,14 +53,17 @@
       [...options.nodeOptions ?? [], module, ...options.args],
       { stdio: ["ignore", "pipe", "pipe"] },
     );
+    const stdout: string[] = [];
     const stderr: string[] = [];
+    child.stdout.setEncoding("utf8");
+    child.stdout.on("data", (text: string) => stdout.push(text));
     child.stderr.setEncoding("utf8");
     child.stderr.on("data", (text: string) => stderr.push(text));
     const exited = new Promise<number | null>((resolve) => {
       child.once("exit", (code) => resolve(code));
     });
-    const ports = await readPorts(child, stderr);
-    return new Child({ process: child, stderr, exited, ports });
+    const ports = await readPorts(child, { stdout, stderr });
+    return new Child({ process: child, stdout, stderr, exited, ports });
   }
 
   /** Address of the first port. */
@@ -85,6 +91,13 @@
     return this.#stderr.join("");
   }
 
+  /** Keys of the runs that a stand-in announced, also before a kill. */
+  runs(): string[] {
+    return this.#stdout.join("").split("\n")
+      .filter((line) => line.startsWith('{"run"'))
+      .map((line) => (JSON.parse(line) as { readonly run: string }).run);
+  }
+
   /** Log lines written so far. */
   logLines(): LogLine[] {
     return this.stderr.split("\n")
@@ -143,10 +156,12 @@
 
 function readPorts(
   child: ChildProcess,
-  stderr: readonly string[],
+  { stdout, stderr }: {
+    readonly stdout: readonly string[];
+    readonly stderr: readonly string[];
+  },
 ): Promise<Record<string, number>> {
   return new Promise((resolve, reject) => {
-    let text = "";
     const timer = setTimeout(
       () => reject(new Error("process did not start in time")),
       START_LIMIT_MS,
@@ -155,9 +170,8 @@
       clearTimeout(timer);
       reject(new Error(`process ended with ${code}: ${stderr.join("")}`));
     });
-    child.stdout?.setEncoding("utf8");
-    child.stdout?.on("data", (part: string) => {
-      text += part;
+    child.stdout?.on("data", () => {
+      const text = stdout.join("");
       const end = text.indexOf("\n");
       if (end < 0) return;
       clearTimeout(timer);
--- a/bench/local_cluster.ts
+++ b/bench/local_cluster.ts
@@ -139,6 +139,26 @@
     return LocalCaller.create({ address: entry.address, customer, ...rest });
   }
 
+  /** Asks for a completion that is not streamed. */
+  async completeWhole(
+    ask: { readonly prompt: string; readonly maxTokens: number },
+  ): Promise<{ readonly status: number; readonly text: string }> {
+    const answer = await callHttp({
+      address: this.entry().address,
+      method: "POST",
+      path: "/v1/completions",
+      headers: { authorization: `Bearer ${bearerKey("alpha")}` },
+      body: JSON.stringify({
+        model: GENERATION_SERVICE,
+        prompt: ask.prompt,
+        max_tokens: ask.maxTokens,
+      }),
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+    const body = JSON.parse(answer.body.toString());
+    return { status: answer.status, text: body.choices?.[0].text ?? "" };
+  }
+
   /** Calls a plain service. */
   callService(ask: ServiceAsk): Promise<HttpAnswer> {
     return callHttp({
--- /dev/null
+++ b/src/bin/gypsumridge_steward.ts
@@ -0,0 +1,42 @@
+#!/usr/bin/env node
+/** The steward daemon. */
+
+import { createServer } from "node:http";
+import process from "node:process";
+import { collectDefaultMetrics, Gauge, Registry } from "prom-client";
+import { listen, sendJson } from "../connection/http_server.ts";
+import { EVENTS } from "../process/event_catalog.ts";
+import { createLog } from "../process/log.ts";
+import { ExitCode, loadSettings, PROGRAM_VERSION } from "../process/program.ts";
+import { readStewardSettings } from "../process/settings.ts";
+import { Steward } from "../process/steward.ts";
+
+const settings = await loadSettings("gypsumridge-steward", readStewardSettings);
+const log = createLog(settings.id, settings.logLevel);
+const steward = Steward.create(settings, log);
+const registry = new Registry();
+collectDefaultMetrics({ register: registry });
+const holder = new Gauge({
+  name: "gypsumridge_steward_holder",
+  help: "Whether this steward holds the lease",
+  registers: [registry],
+});
+
+const server = createServer(async (request, response) => {
+  if (request.url !== "/metrics") {
+    return sendJson(response, 200, { status: "ok" });
+  }
+  holder.set(steward.isHolder ? 1 : 0);
+  response.writeHead(200, { "content-type": registry.contentType });
+  response.end(await registry.metrics());
+});
+const port = await listen(server, settings.host, settings.port);
+log(EVENTS.started, { version: PROGRAM_VERSION });
+process.stdout.write(`${JSON.stringify({ port })}\n`);
+
+process.once("SIGTERM", () => {
+  steward.close();
+  log(EVENTS.stopped);
+  process.exit(ExitCode.Success);
+});
+await steward.run();
--- a/src/connection/platform_client.ts
+++ b/src/connection/platform_client.ts
@@ -20,9 +20,10 @@
   readonly value: string;
 }
 
-/** One row of a listing. */
-export interface ListedObject extends StoredObject {
+/** One row of a listing, without the value. */
+export interface ListedObject {
   readonly name: string;
+  readonly version: ObjectVersion;
   /** Platform's time of the last write, ms since the epoch. */
   readonly updatedMs: number;
 }
--- a/src/process/commands/status.ts
+++ b/src/process/commands/status.ts
@@ -36,8 +36,12 @@
 async function readStatuses(client: PlatformClient): Promise<EntryStatus[]> {
   const listed = await client.list(ENTRY_STATUS_PREFIX);
   const newest = Math.max(...listed.map(({ updatedMs }) => updatedMs));
-  return listed
-    .filter(({ updatedMs }) => newest - updatedMs < SILENT_MS)
+  const heard = listed.filter(({ updatedMs }) =>
+    newest - updatedMs < SILENT_MS
+  );
+  const stored = await Promise.all(heard.map(({ name }) => client.read(name)));
+  return stored
+    .filter((object) => object !== undefined)
     .map(({ value }) => JSON.parse(value) as EntryStatus)
     .sort((a, b) => (a.entry < b.entry ? -1 : 1));
 }
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -59,6 +59,8 @@
   readonly actionKeepMs: number;
   /** Revisions that are kept besides the one in force. */
   readonly revisionsKept: number;
+  /** Unused chunks stay for so long after their last write, in ms. */
+  readonly chunkKeepMs: number;
   readonly logLevel: string;
 }
 
@@ -141,6 +143,7 @@
     integer("interval_ms", "1000", { min: 100, max: HOUR_MS }),
     integer("action_keep_ms", "604800000", { min: 1_000, max: 90 * DAY_MS }),
     integer("revisions_kept", "100", { min: 1, max: 10_000 }),
+    integer("chunk_keep_ms", "3600000", { min: 1_000, max: 90 * DAY_MS }),
   ],
   listen: LISTEN_FIELDS,
   platform: PLATFORM_FIELDS,
@@ -188,6 +191,7 @@
     intervalMs: values.steward.integer("interval_ms"),
     actionKeepMs: values.steward.integer("action_keep_ms"),
     revisionsKept: values.steward.integer("revisions_kept"),
+    chunkKeepMs: values.steward.integer("chunk_keep_ms"),
     logLevel: values.log.text("level"),
   };
 }
--- a/src/request/generation.ts
+++ b/src/request/generation.ts
@@ -322,9 +322,12 @@
         },
         () => this.#noteServerLost(attempt),
       )
-      .with({ lossCause: LossCause.Refused }, () => undefined)
+      .with(
+        { lossCause: P.union(LossCause.Refused, LossCause.WrongVersion) },
+        () => undefined,
+      )
       .otherwise(() => this.#abandon(attempt));
-    if (lossCause === LossCause.Refused) await sleep(REFUSED_PAUSE_MS);
+    if (!loss.mayHaveRun) await sleep(REFUSED_PAUSE_MS);
     return next;
   }
 
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -20,9 +20,9 @@
   STREAMS_PATH,
 } from "../src/connection/engine_protocol.ts";
 import { readBody, sendJson } from "../src/connection/http_server.ts";
-import { runStandin, writeStandinError } from "./standin.ts";
+import { announceRun, runStandin, writeStandinError } from "./standin.ts";
 import { PrefixCache } from "./prefix_cache.ts";
-import { tokenAt } from "./text.ts";
+import { type TextSeed, tokenAt } from "./text.ts";
 
 enum Phase {
   Queued,
@@ -57,6 +57,10 @@
   cut: boolean;
   /** The engine crashes before it sends this token position; -1 is never. */
   crashAtPosition: number;
+  /** Each stream has a text of its own, as with sampling. */
+  sampled: boolean;
+  /** Prints a line for each run, so that counts outlive a kill. */
+  announceRuns: boolean;
 }
 
 const TICK_MS = 2;
@@ -75,9 +79,11 @@
   crashMarker: "",
   cut: false,
   crashAtPosition: -1,
+  sampled: false,
+  announceRuns: true,
 };
 const counts = {
-  runs: {} as Record<string, number>,
+  arrivals: 0,
   accepted: 0,
   refused: 0,
   prefillTokens: 0,
@@ -86,6 +92,8 @@
 const streams = new Map<string, Stream>();
 const running = new Set<Stream>();
 const queue: Stream[] = [];
+/** The orders of all streams that were accepted. */
+const history: StreamOrder[] = [];
 const cache = PrefixCache.create(4_096);
 let report = currentReport();
 
@@ -108,6 +116,9 @@
   if (url.pathname === "/standin/counts") {
     return sendJson(response, 200, counts);
   }
+  if (url.pathname === "/standin/streams") {
+    return sendJson(response, 200, history);
+  }
   if (url.pathname === "/standin/control") {
     return await control(request, response);
   }
@@ -142,6 +153,7 @@
 ): Promise<void> {
   const body = await readBody(request, BODY_MAX_BYTES);
   const order = JSON.parse(body.toString()) as StreamOrder;
+  counts.arrivals++;
   if (switches.leaving) return refuse(response, 503, "leaving");
   if (order.modelVersion !== switches.modelVersion) {
     return refuse(response, 409, `carries ${switches.modelVersion}`);
@@ -158,6 +170,7 @@
     nextDueMs: 0,
   };
   streams.set(order.stream, stream);
+  if (switches.sampled) history.push(order);
   attach(stream, order.position, response);
   queue.push(stream);
   queue.sort((a, b) => a.order.priority - b.order.priority);
@@ -183,8 +196,7 @@
 
 function run(stream: Stream): void {
   const { order } = stream;
-  const runs = counts.runs[order.request] ?? 0;
-  counts.runs[order.request] = runs + 1;
+  if (switches.announceRuns) announceRun(order.request);
   const isMarked = switches.crashMarker !== "" &&
     order.prompt.includes(switches.crashMarker);
   if (isMarked) process.exit(70);
@@ -240,6 +252,11 @@
   return formatEvent({ p: position, end: FinishReason.Length });
 }
 
+function seedOf({ order }: Stream): TextSeed {
+  if (!switches.sampled) return order;
+  return { prompt: order.stream, modelVersion: order.modelVersion };
+}
+
 function formatEvent(event: StreamEvent): string {
   return `data: ${JSON.stringify(event)}\n\n`;
 }
@@ -249,7 +266,7 @@
     const position = stream.order.position + stream.tokens.length;
     if (position >= stream.order.maxTokens) return finish(stream);
     if (position === switches.crashAtPosition) process.exit(70);
-    const text = tokenAt(stream.order, position);
+    const text = tokenAt(seedOf(stream), position);
     stream.tokens.push(text);
     counts.decodedTokens++;
     const event = formatEvent({ p: position, t: text });
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -27,10 +27,10 @@
   outage: boolean;
   /** Delay of each answer, in ms. */
   delayMs: number;
-  /** So many writes under the prefix take effect without an answer. */
-  loseAnswers: { prefix: string; count: number };
-  /** So many writes under the prefix wait before they take effect. */
-  slowWrites: { prefix: string; count: number; delayMs: number };
+  /** After some writes under the prefix, so many get no answer. */
+  loseAnswers: { prefix: string; skip: number; count: number };
+  /** After some writes under the prefix, so many wait before they take effect. */
+  slowWrites: { prefix: string; skip: number; count: number; delayMs: number };
   /** How late changes of the instance list are shown, in ms. */
   listLagMs: number;
   /** Calls of each sort that are answered in one second. */
@@ -49,8 +49,8 @@
 const switches: Switches = {
   outage: false,
   delayMs: 0,
-  loseAnswers: { prefix: "", count: 0 },
-  slowWrites: { prefix: "", count: 0, delayMs: 0 },
+  loseAnswers: { prefix: "", skip: 0, count: 0 },
+  slowWrites: { prefix: "", skip: 0, count: 0, delayMs: 0 },
   listLagMs: 0,
   readsPerSecond: 2_000,
   writesPerSecond: 400,
@@ -107,7 +107,7 @@
 function list(prefix: string, response: ServerResponse): void {
   const rows = [...objects]
     .filter(([name]) => name.startsWith(prefix))
-    .map(([name, stored]) => ({ name, ...stored }));
+    .map(([name, { version, updatedMs }]) => ({ name, version, updatedMs }));
   sendJson(response, 200, rows);
 }
 
@@ -118,10 +118,7 @@
 ): Promise<void> {
   const body = (await readBody(request, PLATFORM_VALUE_MAX_BYTES)).toString();
   const slow = switches.slowWrites;
-  if (slow.count > 0 && name.startsWith(slow.prefix)) {
-    slow.count--;
-    await sleep(slow.delayMs);
-  }
+  if (applies(slow, name)) await sleep(slow.delayMs);
   counts.writes++;
   const stored = objects.get(name);
   const expected = request.headers["if-match"];
@@ -137,14 +134,24 @@
   if (request.method === "DELETE") objects.delete(name);
   else objects.set(name, { version, value: body, updatedMs: Date.now() });
   for (const wake of waiting.get(name) ?? []) wake();
-  const lost = switches.loseAnswers;
-  if (lost.count > 0 && name.startsWith(lost.prefix)) {
-    lost.count--;
-    return void response.destroy();
-  }
+  if (applies(switches.loseAnswers, name)) return void response.destroy();
   sendJson(response, 200, { version });
 }
 
+/** Counts a write down; says whether the failure is its turn. */
+function applies(
+  failure: { readonly prefix: string; skip: number; count: number },
+  name: string,
+): boolean {
+  if (failure.count === 0 || !name.startsWith(failure.prefix)) return false;
+  if (failure.skip > 0) {
+    failure.skip--;
+    return false;
+  }
+  failure.count--;
+  return true;
+}
+
 function watch(name: string, url: URL, response: ServerResponse): void {
   counts.watches++;
   const after = Number(url.searchParams.get("after"));
--- a/standins/service.ts
+++ b/standins/service.ts
@@ -11,12 +11,14 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { LOAD_PATH } from "../src/connection/engine_protocol.ts";
 import { readBody, sendJson } from "../src/connection/http_server.ts";
-import { runStandin, writeStandinError } from "./standin.ts";
+import { announceRun, runStandin, writeStandinError } from "./standin.ts";
 
 /** Switches of the stand-in, set by `POST /standin/control`. */
 interface Switches {
   /** Delay of each answer after the call has run, in ms. */
   delayMs: number;
+  /** Random part of that delay, in ms. */
+  jitterMs: number;
   leaving: boolean;
   /** Length of padding in each answer, in bytes. */
   paddingBytes: number;
@@ -25,6 +27,7 @@
 const BODY_MAX_BYTES = 4_000_000;
 const switches: Switches = {
   delayMs: 0,
+  jitterMs: 0,
   leaving: false,
   paddingBytes: 0,
 };
@@ -57,7 +60,8 @@
   calls++;
   const key = request.method === "GET" ? path : JSON.parse(body).key;
   runs[key] = (runs[key] ?? 0) + 1;
-  await sleep(switches.delayMs);
+  if (request.method !== "GET") announceRun(key);
+  await sleep(switches.delayMs + Math.random() * switches.jitterMs);
   sendJson(response, 200, {
     path,
     key,
--- a/standins/standin.ts
+++ b/standins/standin.ts
@@ -28,3 +28,8 @@
     response.destroy();
   };
 }
+
+/** Prints that something ran; the line outlives the process. */
+export function announceRun(key: string): void {
+  process.stdout.write(`${JSON.stringify({ run: key })}\n`);
+}
--- /dev/null
+++ b/tests/no_token_lost_test.ts
@@ -0,0 +1,217 @@
+/**
+ * Promise 1: no token of an answer is missing or repeated, even after its
+ * engine died. Each case causes one failure to real processes.
+ */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect, test } from "vitest";
+import type { LocalCaller } from "../bench/local_caller.ts";
+import {
+  type ClusterOptions,
+  LocalCluster,
+  waitFor,
+} from "../bench/local_cluster.ts";
+import { Session } from "./session.ts";
+
+const ASKED = { prompt: "log of lock 12, winter inspection", maxTokens: 80 };
+const ENGINE = { tokenMs: 15 };
+
+interface Failure {
+  readonly name: string;
+  readonly options?: ClusterOptions;
+  readonly cause: (
+    cluster: LocalCluster,
+    caller: LocalCaller,
+  ) => Promise<LocalCaller | void>;
+}
+
+const FAILURES: readonly Failure[] = [
+  {
+    name: "engine killed mid-generation",
+    cause: async (cluster, caller) => {
+      await caller.received(20);
+      await (await serving(cluster)).kill();
+    },
+  },
+  {
+    name: "engine killed twice in a row",
+    options: { engines: 3 },
+    cause: async (cluster, caller) => {
+      await caller.received(20);
+      await (await serving(cluster)).kill();
+      await caller.received(50);
+      await (await serving(cluster)).kill();
+    },
+  },
+  {
+    name: "engine frozen, thawed when another has taken over",
+    cause: async (cluster, caller) => {
+      await caller.received(20);
+      const engine = await serving(cluster);
+      engine.freeze();
+      await caller.received(40);
+      engine.thaw();
+    },
+  },
+  {
+    name: "connection to the engine cut",
+    cause: async (cluster, caller) => {
+      await caller.received(20);
+      for (const engine of cluster.engines) await engine.control({ cut: true });
+    },
+  },
+  {
+    name: "engine killed during prefill",
+    options: { engineSwitches: { ...ENGINE, prefillUs: 100_000 } },
+    cause: async (cluster) => {
+      await (await serving(cluster)).kill();
+    },
+  },
+  {
+    name: "engine crashes before its last token",
+    options: { engineSwitches: { ...ENGINE, crashAtPosition: 79 } },
+    cause: async (cluster, caller) => {
+      await caller.received(30);
+      for (const engine of await idle(cluster)) {
+        await engine.control({ crashAtPosition: -1 });
+      }
+    },
+  },
+  {
+    name: "engine killed, no other carries the model version",
+    options: { engines: 2, limits: ["resume_limit_ms = 1500"] },
+    cause: async (cluster, caller) => {
+      await caller.received(20);
+      for (const engine of await idle(cluster)) {
+        await engine.control({ modelVersion: "2" });
+      }
+      await (await serving(cluster)).kill();
+    },
+  },
+  {
+    name: "entry killed, the caller repeats to another with the cursor",
+    options: { entries: 2 },
+    cause: async (cluster, caller) => {
+      await caller.received(20);
+      await cluster.entry(0).kill();
+      await caller.ended;
+      return repeat(cluster, { caller, withText: false });
+    },
+  },
+  {
+    name: "entry and engine killed, the caller repeats with its text",
+    options: { entries: 2 },
+    cause: async (cluster, caller) => {
+      await caller.received(20);
+      await (await serving(cluster)).kill();
+      await cluster.entry(0).kill();
+      await caller.ended;
+      return repeat(cluster, { caller, withText: true });
+    },
+  },
+  {
+    name: "entry and engine killed, the caller repeats without its text",
+    options: { entries: 2 },
+    cause: async (cluster, caller) => {
+      await caller.received(20);
+      await (await serving(cluster)).kill();
+      await cluster.entry(0).kill();
+      await caller.ended;
+      return repeat(cluster, { caller, withText: false });
+    },
+  },
+  {
+    name: "engine killed, then entry killed, the caller repeats with its text",
+    options: { entries: 2, engines: 2 },
+    cause: async (cluster, caller) => {
+      await caller.received(20);
+      await (await serving(cluster)).kill();
+      await caller.received(40);
+      await cluster.entry(0).kill();
+      await caller.ended;
+      return repeat(cluster, { caller, withText: true });
+    },
+  },
+];
+
+test.for(FAILURES)("$name", async ({ name, options, cause }) => {
+  const cluster = await LocalCluster.create({
+    engineSwitches: ENGINE,
+    ...options,
+  });
+  try {
+    const session = Session.create(name);
+    const caller = cluster.complete(ASKED);
+    const repeated = await cause(cluster, caller);
+    await session.noteAnswer("caller", caller, ASKED);
+    if (repeated !== undefined) {
+      const { status, outcome } = await repeated.ended;
+      session.note(`repeat: ${status} ${outcome}`);
+      session.noteJoined([caller.text, repeated.text], ASKED);
+    }
+    session.noteFirstLoss(cluster.entries);
+    await session.match(`no_token_lost/${name.replaceAll(/[ ,-]+/g, "_")}`);
+  } finally {
+    await cluster.close();
+  }
+});
+
+test("a whole answer is one answer without streaming too", async () => {
+  const cluster = await LocalCluster.create({ engineSwitches: ENGINE });
+  try {
+    const answer = cluster.completeWhole(ASKED);
+    const engine = await serving(cluster);
+    await sleep(300);
+    await engine.kill();
+    const { text } = await answer;
+    const session = Session.create("whole answer, engine killed");
+    session.noteJoined([text], ASKED);
+    await session.match("no_token_lost/whole_answer");
+  } finally {
+    await cluster.close();
+  }
+});
+
+function repeat(
+  cluster: LocalCluster,
+  { caller, withText }: {
+    readonly caller: LocalCaller;
+    readonly withText: boolean;
+  },
+): LocalCaller {
+  return cluster.complete({
+    ...ASKED,
+    entry: cluster.entry(1),
+    lastEventId: caller.cursor,
+    resumeText: withText ? caller.text : undefined,
+  });
+}
+
+/** The engine that runs the one stream of the session. */
+async function serving(cluster: LocalCluster) {
+  return (await split(cluster)).running;
+}
+
+async function idle(cluster: LocalCluster) {
+  return (await split(cluster)).others;
+}
+
+async function split(cluster: LocalCluster) {
+  let found = -1;
+  await waitFor("one engine runs the stream", async () => {
+    const running = await Promise.all(
+      cluster.engines.map((engine) =>
+        engine.get<{ running: number }>("/v1/load")
+          .then((report) => report.running)
+          .catch(() => 0)
+      ),
+    );
+    found = running.findIndex((count) => count > 0);
+    return found >= 0;
+  });
+  expect(found).toBeGreaterThanOrEqual(0);
+  return {
+    running: cluster.engine(found),
+    others: cluster.engines.filter((_, index) => index !== found),
+  };
+}
--- a/tests/session.ts
+++ b/tests/session.ts
@@ -1,7 +1,9 @@
 /** Records what a session showed, line by line, for a golden file. */
 
 import { expect } from "vitest";
+import type { Child } from "../bench/child.ts";
 import type { LocalCaller } from "../bench/local_caller.ts";
+import { EVENTS } from "../src/process/event_catalog.ts";
 import { expectedText } from "../standins/text.ts";
 
 /** The lines of one session. */
@@ -45,6 +47,29 @@
     this.note(`${who}: ${status} ${outcome}${detail}, text ${comparison}`);
   }
 
+  /** Adds how parts of an answer, put together, compare with the one expected. */
+  noteJoined(
+    parts: readonly string[],
+    asked: { readonly prompt: string; readonly maxTokens: number },
+  ): void {
+    const seed = { prompt: asked.prompt, modelVersion: "1" };
+    const expected = expectedText(seed, asked.maxTokens);
+    this.note(`joined text: ${compareText(parts.join(""), expected)}`);
+  }
+
+  /** Adds what each entry logged as the cause of its first loss. */
+  noteFirstLoss(entries: readonly Child[]): void {
+    for (const [index, entry] of entries.entries()) {
+      const loss = entry.logLines().find(({ event }) =>
+        event === EVENTS.attemptLost.number
+      );
+      if (loss === undefined) continue;
+      this.note(
+        `entry ${index} log: ${loss.event} attempt lost: ${loss.cause}`,
+      );
+    }
+  }
+
   /** Compares the session with its golden file. */
   async match(name: string): Promise<void> {
     await expect(`${this.#lines.join("\n")}\n`).toMatchFileSnapshot(
