Withdraw a stream that gives no first token, and learn whether it ran

Ruled out: a shorter stall limit, since comments refresh that too.

Change: a limit on the time to the first token that comments do not refresh; the stream is then cancelled, and the engine's answer says whether it ran, so that the refusal is not_run only when it did not.

--- a/bench/local_cluster.ts
+++ b/bench/local_cluster.ts
@@ -304,6 +304,11 @@
     await this.platform.control({ instances: [...entries, ...engines] });
   }
 
+  /** Keys of all runs that stand-ins announced, ended ones included. */
+  allRuns(): string[] {
+    return this.#children.flatMap((child) => child.runs());
+  }
+
   /** Revision that an entry has adopted. */
   async revisionOf(entry: Child): Promise<number> {
     const ready = await entry.get<{ readonly revision: number }>("/readyz");
--- a/src/connection/engine_protocol.ts
+++ b/src/connection/engine_protocol.ts
@@ -42,6 +42,12 @@
   readonly modelVersion: string;
 }
 
+/** Answer of `DELETE /v1/streams/ID`, which cancels a stream. */
+export interface StreamCancelled {
+  /** Whether any part of the stream has run. */
+  readonly ran: boolean;
+}
+
 /** Header that names the model version of a stream. */
 export const MODEL_VERSION_HEADER = "x-model-version";
 /** Path of the load report, on every kind of backend server. */
--- a/src/connection/engine_stream.ts
+++ b/src/connection/engine_stream.ts
@@ -7,6 +7,7 @@
 import type { StreamId } from "../ids.ts";
 import {
   MODEL_VERSION_HEADER,
+  type StreamCancelled,
   type StreamEvent,
   type StreamOrder,
   STREAMS_PATH,
@@ -32,12 +33,16 @@
   readonly address: string;
   readonly modelVersion: string;
   readonly source: StreamStart | StreamReattach;
+  /** Silence before the first token that is borne, in ms. */
   readonly firstTokenStallMs: number;
+  /** Time to the first token that is borne without silence, in ms. */
+  readonly firstTokenLimitMs: number;
+  /** Silence between tokens that is borne, in ms. */
   readonly tokenStallMs: number;
   readonly signal: AbortSignal;
 }
 
-const CANCEL_TIMEOUT_MS = 1_000;
+const CANCEL_TIMEOUT_MS = 300;
 
 /**
  * Yields the events of a stream, as many at a time as arrived together.
@@ -57,6 +62,10 @@
     read.firstTokenStallMs,
     () => lose(LossCause.Stalled, "silence"),
   );
+  const firstToken = setTimeout(
+    () => lose(LossCause.Stalled, "no first token"),
+    read.firstTokenLimitMs,
+  );
   const onAbort = () => lose(LossCause.Closed, "reader has gone");
   read.signal.addEventListener("abort", onAbort);
   if (read.signal.aborted) onAbort();
@@ -69,6 +78,7 @@
       stall.hear();
       const events = parsed.feed(text as string);
       if (events.length === 0) continue;
+      clearTimeout(firstToken);
       stall.setLimit(read.tokenStallMs);
       stall.hold();
       yield events;
@@ -81,25 +91,37 @@
     throw new AttemptLoss(LossCause.Closed, messageOf(error));
   } finally {
     stall.close();
+    clearTimeout(firstToken);
     read.signal.removeEventListener("abort", onAbort);
     outgoing.destroy();
   }
 }
 
-/** Cancels a stream that nobody else reads; failures are of no consequence. */
+/** What is known of a stream after its cancellation. */
+export enum CancelResult {
+  /** The engine says that no part of it ran. */
+  NeverRan = "never_ran",
+  Cancelled = "cancelled",
+  Unanswered = "unanswered",
+}
+
+/** Cancels a stream unless somebody else reads it. */
 export async function cancelStream(
   address: string,
   stream: StreamId,
-): Promise<void> {
+): Promise<CancelResult> {
   try {
-    await callHttp({
+    const answer = await callHttp({
       address,
       method: "DELETE",
       path: `${STREAMS_PATH}/${stream}`,
       timeoutMs: CANCEL_TIMEOUT_MS,
     });
+    if (answer.status !== 200) return CancelResult.Cancelled;
+    const { ran } = JSON.parse(answer.body.toString()) as StreamCancelled;
+    return ran ? CancelResult.Cancelled : CancelResult.NeverRan;
   } catch {
-    return;
+    return CancelResult.Unanswered;
   }
 }
 
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -35,6 +35,8 @@
   readonly queueLength: number;
   /** Silence before the first token after which an attempt is lost, in ms. */
   readonly firstTokenStallMs: number;
+  /** Time to the first token after which an attempt is lost, in ms. */
+  readonly firstTokenLimitMs: number;
   /** Silence between tokens after which an attempt is lost, in ms. */
   readonly tokenStallMs: number;
   /** Time for an interrupted generation to find another server, in ms. */
@@ -125,6 +127,7 @@
     integer("body_bytes", "2000000", { min: 1_000, max: 50_000_000 }),
     integer("queue_length", "1000", { min: 1, max: 100_000 }),
     integer("first_token_stall_ms", "3000", { min: 100, max: HOUR_MS }),
+    integer("first_token_limit_ms", "10000", { min: 100, max: HOUR_MS }),
     integer("token_stall_ms", "1500", { min: 100, max: HOUR_MS }),
     integer("resume_limit_ms", "10000", { min: 100, max: HOUR_MS }),
   ],
@@ -167,6 +170,7 @@
     bodyMaxBytes: values.limits.integer("body_bytes"),
     queueLength: values.limits.integer("queue_length"),
     firstTokenStallMs: values.limits.integer("first_token_stall_ms"),
+    firstTokenLimitMs: values.limits.integer("first_token_limit_ms"),
     tokenStallMs: values.limits.integer("token_stall_ms"),
     resumeLimitMs: values.limits.integer("resume_limit_ms"),
     stopNoticeMs: values.stop.integer("notice_ms"),
--- a/src/request/generation.ts
+++ b/src/request/generation.ts
@@ -11,6 +11,7 @@
   StreamEvent,
 } from "../connection/engine_protocol.ts";
 import {
+  CancelResult,
   cancelStream,
   readStream,
   type StreamReattach,
@@ -136,6 +137,7 @@
         modelVersion: this.#modelVersion,
         source: attempt.source,
         firstTokenStallMs: settings.firstTokenStallMs,
+        firstTokenLimitMs: settings.firstTokenLimitMs,
         tokenStallMs: settings.tokenStallMs,
         signal: this.#options.signal,
       });
@@ -307,34 +309,34 @@
     if (wasReattached && this.#journal.position < this.#deliverFrom) {
       throw interrupted("the stream is gone; repeat without a cursor");
     }
-    const next = match({ lossCause, wasReattached })
+    const isSilent = this.#journal.position === attempt.streamStart;
+    const step = match({ lossCause, wasReattached, isSilent })
+      .with({
+        lossCause: P.union(LossCause.Closed, LossCause.Gap),
+        wasReattached: false,
+      }, () => this.#reattach(attempt))
+      .with({
+        lossCause: P.union(LossCause.Unreachable, LossCause.Refused),
+        wasReattached: true,
+      }, () => this.#noteServerLost(attempt))
       .with(
-        {
-          lossCause: P.union(LossCause.Closed, LossCause.Gap),
-          wasReattached: false,
-        },
-        () => this.#reattach(attempt),
+        { lossCause: P.union(LossCause.Refused, LossCause.WrongVersion) },
+        () => sleep(REFUSED_PAUSE_MS),
       )
       .with(
-        {
-          lossCause: P.union(LossCause.Unreachable, LossCause.Refused),
-          wasReattached: true,
-        },
-        () => this.#noteServerLost(attempt),
-      )
-      .with(
-        { lossCause: P.union(LossCause.Refused, LossCause.WrongVersion) },
-        () => undefined,
+        { lossCause: LossCause.Stalled, isSilent: true },
+        () => this.#withdraw(attempt),
       )
       .otherwise(() => this.#abandon(attempt));
-    if (!loss.mayHaveRun) await sleep(REFUSED_PAUSE_MS);
-    return next;
+    return await step ?? undefined;
   }
 
   #noteLoss(attempt: Attempt, loss: AttemptLoss): void {
     const { log, metrics, now } = this.#context;
-    this.#mayHaveRun ||= loss.mayHaveRun;
     if (loss.mayHaveRun) this.#lostAtMs ??= now();
+    const isSilent = this.#journal.position === attempt.streamStart;
+    const mayBeWithdrawn = loss.lossCause === LossCause.Stalled && isSilent;
+    if (loss.mayHaveRun && !mayBeWithdrawn) this.#mayHaveRun = true;
     this.#lostServers.add(attempt.server);
     metrics.losses.inc({ cause: loss.lossCause });
     log(EVENTS.attemptLost, {
@@ -348,7 +350,7 @@
   }
 
   /** The server no longer knows the stream: it died under this request. */
-  #noteServerLost(attempt: Attempt): undefined {
+  #noteServerLost(attempt: Attempt): void {
     const { log, suspicions } = this.#context;
     const { fingerprint } = this.#options.order;
     this.#abandon(attempt);
@@ -358,14 +360,20 @@
     suspicions.record(fingerprint, losses);
     log(EVENTS.requestSuspected, { fingerprint, losses });
     this.#requireUnsuspected();
-    return undefined;
+  }
+
+  /** Takes back a stream that gave no token, and learns whether it ran. */
+  async #withdraw(attempt: Attempt): Promise<void> {
+    const result = await cancelStream(attempt.address, attempt.stream);
+    if (result !== CancelResult.NeverRan) this.#mayHaveRun = true;
+    if (result !== CancelResult.Unanswered) return;
+    this.#context.fleet.eject(attempt.server);
   }
 
   /** Gives a server up that can no longer be used for this generation. */
-  #abandon(attempt: Attempt): undefined {
+  #abandon(attempt: Attempt): void {
     this.#context.fleet.eject(attempt.server);
     cancelStream(attempt.address, attempt.stream);
-    return undefined;
   }
 
   #requireUnsuspected(): void {
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -15,6 +15,7 @@
   LOAD_PATH,
   type LoadReport,
   MODEL_VERSION_HEADER,
+  type StreamCancelled,
   type StreamEvent,
   type StreamOrder,
   STREAMS_PATH,
@@ -232,7 +233,8 @@
 /** Ends a stream unless somebody else still reads it. */
 function cancel(stream: Stream, response: ServerResponse): void {
   if (stream.readers.size <= 1) finish(stream);
-  sendJson(response, 200, {});
+  const cancelled: StreamCancelled = { ran: stream.nextDueMs > 0 };
+  sendJson(response, 200, cancelled);
 }
 
 function finish(stream: Stream): void {
