Make outcome_unknown final before anybody is told so

Cause: the golden file of 'entry frozen between claim and send' showed a repeat told outcome_unknown, while the thawed holder then retracted its claim and a later repeat ran the action: whoever had acted on 'unknown' could double it.

Ruled out: forbidding the holder to retract, since a claim that was never sent would then stay unknown although the platform can tell.

Change: a repeat waits until the holder's send and call limits must be over, then marks the record as unknown by conditional update before it says so; a holder's answer still replaces unknown; if the mark can't be written, the repeat says not_sent. A call whose answer arrived during a pause of the process reads it before its time limit counts.

Before: unknown, then not_run, then a run.

--- a/bench/local_deployment.ts
+++ b/bench/local_deployment.ts
@@ -83,6 +83,7 @@
 [service ${PLAIN_SERVICE}]
 form = plain
 rank = urgent
-non_idempotent = POST /bookings, POST /payments`;
+non_idempotent = POST /bookings, POST /payments
+call_limit_ms = 2000`;
   return [fixed, ...zones, ...customers, ...servers, ""].join("\n\n");
 }
--- a/src/connection/http_call.ts
+++ b/src/connection/http_call.ts
@@ -46,11 +46,19 @@
       headers: call.headers,
       agent: call.agent ?? false,
     });
-    const timer = setTimeout(() => {
+    const expire = () => {
       outgoing.destroy(new Error(`no answer within ${call.timeoutMs} ms`));
+    };
+    // An answer that arrived while this process stood still is read first.
+    let timer: NodeJS.Timeout | NodeJS.Immediate = setTimeout(() => {
+      timer = setImmediate(expire);
     }, call.timeoutMs);
+    const stopTimer = () => {
+      clearTimeout(timer as NodeJS.Timeout);
+      clearImmediate(timer as NodeJS.Immediate);
+    };
     const fail = (error: Error) => {
-      clearTimeout(timer);
+      stopTimer();
       reject(error);
     };
     outgoing.once("error", fail);
@@ -63,7 +71,7 @@
       incoming.on("data", (part: Buffer) => parts.push(part));
       incoming.once("error", fail);
       incoming.once("end", () => {
-        clearTimeout(timer);
+        stopTimer();
         if (!incoming.complete) {
           return reject(new Error("connection closed before the answer ended"));
         }
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -40,8 +40,8 @@
 export const EJECTION_MAX_SHARE = 0.5;
 /** Largest answer of an action that is kept for repeats, in bytes. */
 export const ACTION_ANSWER_MAX_BYTES = 512_000;
-/** How long a repeat waits for the outcome of an action under way, in ms. */
-export const ACTION_WAIT_MS = 5_000;
+/** Allowance for a claim's holder to store the outcome of its call, in ms. */
+export const ACTION_SETTLE_MS = 1_000;
 /** How often a waiting repeat reads the action's record, in ms. */
 export const ACTION_POLL_MS = 100;
 /** An action is not sent once its claim is older than this, in ms. */
--- a/src/process/ledger.ts
+++ b/src/process/ledger.ts
@@ -9,11 +9,7 @@
   ObjectVersion,
   PlatformClient,
 } from "../connection/platform_client.ts";
-import {
-  ACTION_FOLLOW_UP_MS,
-  ACTION_POLL_MS,
-  ACTION_WAIT_MS,
-} from "../constants.ts";
+import { ACTION_FOLLOW_UP_MS, ACTION_POLL_MS } from "../constants.ts";
 import { PlatformUnavailable, VersionConflict } from "../errors.ts";
 import type { AttemptId, Fingerprint } from "../ids.ts";
 import { type ActionRecord, ActionState } from "../request/action_record.ts";
@@ -91,18 +87,32 @@
     }
   }
 
-  /** Waits a while for the end of an action that another attempt has. */
-  async awaitEnd(key: Fingerprint): Promise<ActionRecord | undefined> {
-    const deadline = this.#options.now() + ACTION_WAIT_MS;
-    let record: ActionRecord | undefined;
-    while (this.#options.now() < deadline) {
-      const stored = await this.#options.platform.read(actionName(key));
+  /**
+   * Waits for the end of an action that another attempt has claimed. A claim
+   * that outlasts `waitMs` is marked as unknown for good, before anybody is told
+   * so. Resolves with `undefined` when the claim was retracted unsent.
+   *
+   * Errors: `PlatformUnavailable`, `VersionConflict`; nothing is decided then.
+   */
+  async awaitEnd(
+    key: Fingerprint,
+    waitMs: number,
+  ): Promise<ActionRecord | undefined> {
+    const { platform, now } = this.#options;
+    const name = actionName(key);
+    const deadline = now() + waitMs;
+    while (true) {
+      const stored = await platform.read(name);
       if (stored === undefined) return undefined;
-      record = JSON.parse(stored.value) as ActionRecord;
+      const record = JSON.parse(stored.value) as ActionRecord;
       if (record.state !== ActionState.Claimed) return record;
+      if (now() >= deadline) {
+        const unknown = { ...record, state: ActionState.Unknown };
+        await platform.update(name, stored.version, JSON.stringify(unknown));
+        return unknown;
+      }
       await sleep(ACTION_POLL_MS);
     }
-    return record;
   }
 
   /**
@@ -152,11 +162,29 @@
       await platform.update(name, version, JSON.stringify(record));
     } catch (error) {
       if (!(error instanceof VersionConflict)) throw error;
-      // An earlier try of this same write may have taken effect.
-      await platform.read(name);
+      await this.#writeEndOverUnknown(key, record);
     }
   }
 
+  /**
+   * The record changed since the claim: an earlier try of this write took
+   * effect, or a repeat marked the claim as unknown, which the answer replaces.
+   */
+  async #writeEndOverUnknown(
+    key: Fingerprint,
+    record: ActionRecord,
+  ): Promise<void> {
+    const { platform } = this.#options;
+    const name = actionName(key);
+    const stored = await platform.read(name);
+    if (stored === undefined) return;
+    const held = JSON.parse(stored.value) as ActionRecord;
+    const isOwnUnknown = held.attempt === record.attempt &&
+      held.state === ActionState.Unknown;
+    if (!isOwnUnknown) return;
+    await platform.update(name, stored.version, JSON.stringify(record));
+  }
+
   async #removeOwn(key: Fingerprint, attempt: AttemptId): Promise<boolean> {
     const { platform, log } = this.#options;
     const name = actionName(key);
--- a/src/request/perform_action.ts
+++ b/src/request/perform_action.ts
@@ -4,8 +4,12 @@
 import { match } from "ts-pattern";
 import type { HttpAnswer } from "../connection/http_call.ts";
 import type { ObjectVersion } from "../connection/platform_client.ts";
-import { ACTION_ANSWER_MAX_BYTES, ACTION_SEND_LIMIT_MS } from "../constants.ts";
-import { Refusal, RefusalType } from "../errors.ts";
+import {
+  ACTION_ANSWER_MAX_BYTES,
+  ACTION_SEND_LIMIT_MS,
+  ACTION_SETTLE_MS,
+} from "../constants.ts";
+import { messageOf, Refusal, RefusalType } from "../errors.ts";
 import { hashParts, hashText } from "../hashing.ts";
 import type { AttemptId, Fingerprint } from "../ids.ts";
 import type { Place } from "../process/dispatcher.ts";
@@ -114,7 +118,7 @@
     context.fleet.eject(place.server.name);
     if (mayHaveRun) return await endUnknown(context, action);
     await context.ledger.retract(action.key, action.record.attempt);
-    throw refuse(RefusalType.NotRun, (error as Error).message);
+    throw refuse(RefusalType.NotRun, messageOf(error));
   } finally {
     place.close();
   }
@@ -188,7 +192,7 @@
     );
   }
   const record = held.taken.state === ActionState.Claimed
-    ? await awaitEnd(context, held.key)
+    ? await awaitEnd(context, held)
     : held.taken;
   const { answer } = record;
   if (answer === undefined) throw unknownOutcome();
@@ -206,15 +210,18 @@
   });
 }
 
+/** Waits until the claim's holder must have ended, if it still runs. */
 async function awaitEnd(
   context: EntryContext,
-  key: Fingerprint,
+  { key, order }: { readonly key: Fingerprint; readonly order: ActionOrder },
 ): Promise<ActionRecord> {
+  const waitMs = ACTION_SEND_LIMIT_MS + order.call.service.callLimitMs +
+    ACTION_SETTLE_MS;
   let record: ActionRecord | undefined;
   try {
-    record = await context.ledger.awaitEnd(key);
-  } catch {
-    throw unknownOutcome();
+    record = await context.ledger.awaitEnd(key, waitMs);
+  } catch (error) {
+    throw refuse(RefusalType.NotSent, messageOf(error));
   }
   if (record === undefined) {
     throw refuse(RefusalType.NotRun, "the other attempt was not sent");
@@ -225,7 +232,7 @@
 function unknownOutcome(): Refusal {
   return new Refusal(
     RefusalType.OutcomeUnknown,
-    "the action was sent and its end was not seen; it is never sent again",
+    "the action may have run and its end was not seen; it is not sent again",
   );
 }
 
