--- a/bench/local_cluster.ts
+++ b/bench/local_cluster.ts
@@ -309,6 +309,17 @@
     return this.#children.flatMap((child) => child.runs());
   }
 
+  /** Writes an object of the platform whatever its version. */
+  async putObject(name: string, value: string): Promise<void> {
+    await callHttp({
+      address: this.platform.address,
+      method: "PUT",
+      path: `/objects/${encodeURIComponent(name)}`,
+      body: value,
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+  }
+
   /** Revision that an entry has adopted. */
   async revisionOf(entry: Child): Promise<number> {
     const ready = await entry.get<{ readonly revision: number }>("/readyz");
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -51,7 +51,10 @@
   prefillUs: number;
   /** Age of the load report, in ms. */
   reportLagMs: number;
+  /** New streams are refused, and the report says so. */
   leaving: boolean;
+  /** The report says that the engine leaves, but it refuses nothing. */
+  reportsLeaving: boolean;
   /** A prompt that holds this text crashes the engine when it runs. */
   crashMarker: string;
   /** Closes every open connection once. */
@@ -77,6 +80,7 @@
   prefillUs: 20,
   reportLagMs: 100,
   leaving: false,
+  reportsLeaving: false,
   crashMarker: "",
   cut: false,
   crashAtPosition: -1,
@@ -103,7 +107,7 @@
     slots: switches.slots,
     running: running.size,
     queued: queue.length,
-    leaving: switches.leaving,
+    leaving: switches.leaving || switches.reportsLeaving,
     modelVersion: switches.modelVersion,
   };
 }
