Isolate suspected requests; bound attempts by time instead of count

Cause: a request that crashes its servers took innocent requests with it.

Ruled out: a higher limit of losses (three servers lost); refusing nobody.

Change: a suspected request waits in a queue of its own for a server without another unproven suspect; each entry keeps its suspects to its own slice of the servers; it proves harmless after 8 tokens. Attempts are bounded by the time to find a server, since six quick refusals ended a request that could still wait.

Conclusion: holds while entries agree on who is live; right after a start, before the first instance list, slices may overlap.

--- a/bench/local_cluster.ts
+++ b/bench/local_cluster.ts
@@ -344,7 +344,7 @@
     await this.waitServing();
   }
 
-  /** Resolves once every entry takes work for every live server. */
+  /** Resolves once every entry serves on all servers and knows its peers. */
   async waitServing(): Promise<void> {
     for (const entry of this.entries) {
       await waitFor("entry serves", async () => {
@@ -357,7 +357,9 @@
           timeoutMs: CALL_TIMEOUT_MS,
         })).body.toString();
         const total = this.engines.length + this.services.length;
-        return text.includes(`gypsumridge_serving_servers ${total}\n`);
+        const count = this.entries.length;
+        return text.includes(`gypsumridge_serving_servers ${total}\n`) &&
+          text.includes(`gypsumridge_live_entries ${count}\n`);
       });
     }
   }
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -32,8 +32,8 @@
 export const SUSPICION_LIMIT = 2;
 /** A stream that delivered this many tokens is not blamed together with its earlier loss. */
 export const SUSPICION_PROGRESS_TOKENS = 8;
-/** Attempts that one generation may use in all. */
-export const ATTEMPTS_MAX = 6;
+/** Lost attempts, reattachments included, that one generation survives. */
+export const LOSSES_MAX = 12;
 /** How long a failed backend server is kept out of new work, in ms. */
 export const EJECTION_MS = 3_000;
 /** Largest part of a service's backend servers that may be ejected at once. */
--- a/src/process/dispatcher.ts
+++ b/src/process/dispatcher.ts
@@ -59,7 +59,7 @@
 
   /** Waits for a place. Errors: a `Refusal` of type not run. */
   place(order: PlaceOrder): Promise<Place> {
-    const queue = this.#queue(order.service);
+    const queue = this.#queue(queueName(order));
     const isFull = queue.lengthOf(order.rank.name) >= this.#options.queueLength;
     if (isFull && !order.isResumed) {
       return Promise.reject(refuse(`queue of rank ${order.rank.name} is full`));
@@ -72,7 +72,7 @@
       };
       const onAbort = () => stopWaiting(refuse("caller has gone"));
       const timer = setTimeout(() => {
-        stopWaiting(refuse(`no backend server within ${order.waitMs} ms`));
+        stopWaiting(refuse("no backend server had room in time"));
       }, order.waitMs);
       const settle = () => {
         clearTimeout(timer);
@@ -134,14 +134,19 @@
     };
   }
 
-  #queue(service: string): FairQueue<Waiting> {
-    const queue = this.#queues.get(service) ??
+  #queue(name: string): FairQueue<Waiting> {
+    const queue = this.#queues.get(name) ??
       FairQueue.create<Waiting>(this.#options.now);
-    this.#queues.set(service, queue);
+    this.#queues.set(name, queue);
     return queue;
   }
 }
 
+/** Suspected requests wait apart, so that they hold up no others. */
+function queueName({ service, isSuspect }: ServerWish): string {
+  return isSuspect ? `${service} suspects` : service;
+}
+
 function refuse(message: string): Refusal {
   return new Refusal(RefusalType.NotRun, message, RETRY_AFTER_S);
 }
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -136,7 +136,7 @@
       now,
       random: Math.random,
       log,
-      entryCount: () => this.#peers.liveCount,
+      standing: () => this.#peers.standing,
       onRoom: () => dispatcher.pump(),
     });
     const dispatcher = Dispatcher.create({
@@ -161,7 +161,10 @@
       fleet,
       dispatcher,
       ledger: Ledger.create({ platform: this.#platform, log, now }),
-      suspicions: Suspicions.create(now),
+      suspicions: Suspicions.create({
+        now,
+        onRecord: () => this.#status.write(),
+      }),
       guard: PauseGuard.create({
         now,
         refresh: (pausedMs) => this.#refresh(pausedMs),
@@ -211,6 +214,8 @@
         const instances = await this.#platform.instances();
         this.#context.fleet.setInstances(instances);
         this.#peers.setInstances(instances);
+        const { count } = this.#peers.standing;
+        this.#context.metrics.liveEntries.set(count);
       } catch {
         // The last list stays in use; servers report their leaving themselves.
       }
--- a/src/process/fleet.ts
+++ b/src/process/fleet.ts
@@ -34,12 +34,18 @@
   /** Number from 0 up to 1. */
   readonly random: () => number;
   readonly log: Log;
-  /** Count of live entries, which share the slots. */
-  readonly entryCount: () => number;
+  /** Where this entry stands among the live ones, which share the slots. */
+  readonly standing: () => Standing;
   /** Called when a server may have become free. */
   readonly onRoom: () => void;
 }
 
+/** Place of an entry in the sorted list of live entries. */
+export interface Standing {
+  readonly index: number;
+  readonly count: number;
+}
+
 /** Which server is wanted. */
 export interface ServerWish {
   readonly service: string;
@@ -49,6 +55,8 @@
   readonly excluded: ReadonlySet<string>;
   /** Name of the server to prefer while it has room, or empty. */
   readonly preferred: string;
+  /** Whether the request must be alone among suspected ones. */
+  readonly isSuspect: boolean;
 }
 
 /** All backend servers of the adopted deployment. */
@@ -119,10 +127,11 @@
 
   /** Returns the server that a request goes to now, if one has room. */
   choose(wish: ServerWish): BackendServer | undefined {
-    const entryCount = this.#options.entryCount();
-    const candidates = this.#serving(wish).filter((view) =>
-      hasRoom(view, entryCount)
-    );
+    const { count } = this.#options.standing();
+    const serving = wish.isSuspect
+      ? this.#isolated(wish.service, this.#serving(wish))
+      : this.#serving(wish);
+    const candidates = serving.filter((view) => hasRoom(view, count));
     const preferred = candidates.find(({ server }) =>
       server.name === wish.preferred
     );
@@ -145,6 +154,20 @@
     });
   }
 
+  /** Notes that a suspected request must prove harmless on a server. */
+  beginProof(name: string): void {
+    const view = this.#views.get(name);
+    if (view !== undefined) this.#change(name, { unproven: view.unproven + 1 });
+  }
+
+  /** Notes that a suspected request proved harmless or has left. */
+  endProof(name: string): void {
+    const view = this.#views.get(name);
+    if (view === undefined) return;
+    this.#change(name, { unproven: Math.max(0, view.unproven - 1) });
+    this.#options.onRoom();
+  }
+
   /** Notes that a request has left a server. */
   end(name: string): void {
     const view = this.#views.get(name);
@@ -172,6 +195,23 @@
     );
   }
 
+  /**
+   * Servers on which a suspected request is alone: none that holds another one
+   * of this entry, and each entry keeps to its own slice while it has servers.
+   * Slices go by the deployment, which entries share, not by health.
+   */
+  #isolated(service: string, serving: readonly ServerView[]): ServerView[] {
+    const { index, count } = this.#options.standing();
+    const names = this.views()
+      .filter(({ server }) => server.service === service)
+      .map(({ server }) => server.name)
+      .sort();
+    const own = new Set(names.filter((_, at) => at % count === index));
+    const slice = serving.filter(({ server }) => own.has(server.name));
+    const usable = slice.length > 0 ? slice : serving;
+    return usable.filter(({ unproven }) => unproven === 0);
+  }
+
   #leastLoaded(candidates: readonly ServerView[]): ServerView | undefined {
     let best: ServerView | undefined;
     let bestLoad = Number.POSITIVE_INFINITY;
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -60,6 +60,12 @@
     registers: [this.registry],
   });
 
+  readonly liveEntries = new Gauge({
+    name: "gypsumridge_live_entries",
+    help: "Live entries by the platform's list, this one included",
+    registers: [this.registry],
+  });
+
   private constructor() {
     collectDefaultMetrics({ register: this.registry });
   }
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -18,6 +18,7 @@
 import { hashParts } from "../hashing.ts";
 import type { ContentHash, EntryId } from "../ids.ts";
 import { EVENTS } from "./event_catalog.ts";
+import type { Standing } from "./fleet.ts";
 import type { Log } from "./log.ts";
 
 /** What the exchange needs of its entry. */
@@ -78,9 +79,11 @@
     this.#dialChosen();
   }
 
-  /** Count of live entries, this one included. */
-  get liveCount(): number {
-    return this.#others().length + 1;
+  /** Where this entry stands among the live ones, itself included. */
+  get standing(): Standing {
+    const names = this.#others().map(({ name }) => name);
+    const before = names.filter((name) => name < this.#options.entry);
+    return { index: before.length, count: names.length + 1 };
   }
 
   /** Asks the open links, one after the other, for a chunk. */
--- a/src/process/server_view.ts
+++ b/src/process/server_view.ts
@@ -16,6 +16,8 @@
   readonly ejectedUntilMs: number;
   /** Requests of this entry that it runs now. */
   readonly inFlight: number;
+  /** Suspected requests of this entry that have not proved harmless on it. */
+  readonly unproven: number;
   /** Requests sent since the latest report was asked for. */
   readonly sentSinceReport: number;
 }
@@ -37,6 +39,7 @@
     isListedLeaving: false,
     ejectedUntilMs: Number.NEGATIVE_INFINITY,
     inFlight: 0,
+    unproven: 0,
     sentSinceReport: 0,
   };
 }
--- a/src/process/suspicions.ts
+++ b/src/process/suspicions.ts
@@ -7,6 +7,14 @@
 import { SUSPICION_LIMIT, SUSPICION_TTL_MS } from "../constants.ts";
 import type { Fingerprint } from "../ids.ts";
 
+/** What suspicions need of their process. */
+export interface SuspicionsOptions {
+  /** Monotonic clock, in ms. */
+  readonly now: () => number;
+  /** Called when this entry has recorded a loss. */
+  readonly onRecord: () => void;
+}
+
 interface Held {
   readonly losses: number;
   readonly expiresMs: number;
@@ -18,15 +26,17 @@
 /** Suspicions by request fingerprint, with expiry. */
 export class Suspicions {
   readonly #now: () => number;
+  readonly #onRecord: () => void;
   readonly #held = new Map<Fingerprint, Held>();
 
-  private constructor(now: () => number) {
+  private constructor({ now, onRecord }: SuspicionsOptions) {
     this.#now = now;
+    this.#onRecord = onRecord;
   }
 
-  /** Starts empty; `now` is a monotonic clock in ms. */
-  static create(now: () => number): Suspicions {
-    return new Suspicions(now);
+  /** Starts empty. */
+  static create(options: SuspicionsOptions): Suspicions {
+    return new Suspicions(options);
   }
 
   /** Sets the losses of a request that this entry saw. */
@@ -35,6 +45,7 @@
       losses,
       expiresMs: this.#now() + SUSPICION_TTL_MS,
     });
+    this.#onRecord();
   }
 
   /** Returns the losses that still count against a request. */
--- a/src/request/call_service.ts
+++ b/src/request/call_service.ts
@@ -59,6 +59,7 @@
     modelVersion: "",
     excluded: wait.excluded,
     preferred: "",
+    isSuspect: false,
     waitMs: wait.waitMs,
     signal: call.signal,
     isResumed: false,
--- a/src/request/generation.ts
+++ b/src/request/generation.ts
@@ -17,7 +17,7 @@
   type StreamReattach,
   type StreamStart,
 } from "../connection/engine_stream.ts";
-import { ATTEMPTS_MAX, SUSPICION_PROGRESS_TOKENS } from "../constants.ts";
+import { LOSSES_MAX, SUSPICION_PROGRESS_TOKENS } from "../constants.ts";
 import { AttemptLoss, LossCause, Refusal, RefusalType } from "../errors.ts";
 import type { GenerationId, RequestId, StreamId } from "../ids.ts";
 import type { EntryContext } from "../process/entry_context.ts";
@@ -49,6 +49,8 @@
   readonly stream: StreamId;
   readonly streamStart: number;
   readonly source: StreamStart | StreamReattach;
+  /** Ends the isolation of a suspected request. */
+  readonly prove: () => void;
   /** Gives the place on the server back. */
   readonly close: () => void;
 }
@@ -67,12 +69,14 @@
   readonly #lostServers = new Set<string>();
   #writeCursor: CursorWriter = () => "";
   #mayHaveRun: boolean;
-  #attempts = 0;
+  readonly #startMs: number;
+  #losses = 0;
   #lostAtMs: number | undefined;
 
   private constructor(context: EntryContext, options: GenerationOptions) {
     this.#context = context;
     this.#options = options;
+    this.#startMs = context.now();
     const { model, maxTokens, resumption } = options.order;
     this.#id = resumption?.cursor.generation ??
       randomUUID() as string as GenerationId;
@@ -146,6 +150,8 @@
           isEnded = addition.finish !== undefined;
           if (addition.text !== "" || isEnded) yield this.#pieceOf(addition);
           if (isEnded) return;
+          const progress = addition.position - attempt.streamStart;
+          if (progress >= SUSPICION_PROGRESS_TOKENS) attempt.prove();
           if (addition.gap !== undefined) {
             throw new AttemptLoss(LossCause.Gap, addition.gap);
           }
@@ -155,6 +161,7 @@
       isLost = true;
       throw error;
     } finally {
+      attempt.prove();
       attempt.close();
       const isAbandoned = !isEnded && !isLost || this.#options.signal.aborted;
       if (isAbandoned) cancelStream(attempt.address, attempt.stream);
@@ -230,6 +237,7 @@
     return {
       ...held,
       source: { stream: held.stream, from: this.#journal.position },
+      prove: () => undefined,
       close: () => fleet.end(held.server),
     };
   }
@@ -237,13 +245,11 @@
   /** Starts a stream on a server that has a place, in the queue's order. */
   async #start(): Promise<Attempt> {
     const { order, signal, request } = this.#options;
-    const { dispatcher, guard, settings } = this.#context;
+    const { dispatcher, guard } = this.#context;
     await guard.ready();
-    this.#attempts++;
-    if (this.#attempts > ATTEMPTS_MAX) {
-      throw this.#refuse(`no success in ${ATTEMPTS_MAX} attempts`);
-    }
     this.#allowLostServers();
+    const waitMs = this.#remainingMs();
+    if (waitMs === 0) throw this.#refuse("no backend server took it in time");
     try {
       const place = await dispatcher.place({
         rank: order.rank,
@@ -251,7 +257,7 @@
         weight: order.customer.weight,
         cost: estimateCost(order),
         ...this.#wish(),
-        waitMs: this.#mayHaveRun ? settings.resumeLimitMs : order.rank.targetMs,
+        waitMs,
         signal,
         isResumed: this.#mayHaveRun,
       });
@@ -275,6 +281,7 @@
             priority: order.rank.order,
           },
         },
+        prove: this.#isolate(place.server.name),
         close: place.close,
       };
     } catch (error) {
@@ -282,12 +289,39 @@
     }
   }
 
+  /** Time left to find a server, in ms; refused servers count against it. */
+  #remainingMs(): number {
+    const { now, settings } = this.#context;
+    const limitMs = this.#mayHaveRun
+      ? settings.resumeLimitMs
+      : this.#options.order.rank.targetMs;
+    const sinceMs = this.#lostAtMs ?? this.#startMs;
+    return Math.max(0, sinceMs + limitMs - now());
+  }
+
   #wish() {
     return {
       service: this.#options.order.service.name,
       modelVersion: this.#modelVersion,
       excluded: this.#lostServers,
       preferred: "",
+      isSuspect: this.#isSuspect(),
+    };
+  }
+
+  #isSuspect(): boolean {
+    const { suspicions } = this.#context;
+    return suspicions.losses(this.#options.order.fingerprint) > 0;
+  }
+
+  /** Keeps other suspected requests away; returns what ends that. */
+  #isolate(server: string): () => void {
+    const { fleet } = this.#context;
+    let isUnproven = this.#isSuspect();
+    if (isUnproven) fleet.beginProof(server);
+    return () => {
+      if (isUnproven) fleet.endProof(server);
+      isUnproven = false;
     };
   }
 
@@ -305,6 +339,9 @@
     const { lossCause } = loss;
     this.#noteLoss(attempt, loss);
     if (this.#options.signal.aborted) throw this.#refuse("caller has gone");
+    if (this.#losses > LOSSES_MAX) {
+      throw this.#refuse(`more than ${LOSSES_MAX} attempts were lost`);
+    }
     const wasReattached = "stream" in attempt.source;
     if (wasReattached && this.#journal.position < this.#deliverFrom) {
       throw interrupted("the stream is gone; repeat without a cursor");
@@ -333,7 +370,10 @@
 
   #noteLoss(attempt: Attempt, loss: AttemptLoss): void {
     const { log, metrics, now } = this.#context;
-    if (loss.mayHaveRun) this.#lostAtMs ??= now();
+    if (loss.mayHaveRun) {
+      this.#lostAtMs ??= now();
+      this.#losses++;
+    }
     const isSilent = this.#journal.position === attempt.streamStart;
     const mayBeWithdrawn = loss.lossCause === LossCause.Stalled && isSilent;
     if (loss.mayHaveRun && !mayBeWithdrawn) this.#mayHaveRun = true;
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,10 +1,10 @@
-/** Test runner settings: whole sessions start real processes, so files run one at a time. */
+/** Test runner settings: whole sessions start real processes, so few files run together. */
 import { defineConfig } from "vitest/config";
 
 export default defineConfig({
   test: {
     include: ["src/**/*_test.ts", "tests/**/*_test.ts"],
-    fileParallelism: false,
+    maxWorkers: 3,
     testTimeout: 60_000,
     hookTimeout: 60_000,
   },
