Carry more tokens on one core; measure the path

Cause: an entry saturated at 400 streams x 16.7 tokens/s using 0.50 core, 75 us a token.

Ruled out: fewer cursors (a caller could then not resume at each event).

Conclusion: bursts make it cheap; sparse events cost a read and a write each.

--- a/bench/local_caller.ts
+++ b/bench/local_caller.ts
@@ -37,7 +37,7 @@
   #eventCount = 0;
   #firstMs = Number.NaN;
   #lastMs = 0;
-  #longestPauseMs = 0;
+  readonly #pausesMs: number[] = [];
   #end: AnswerEnd | undefined;
 
   private constructor(ask: Ask) {
@@ -93,9 +93,14 @@
     return this.#firstMs;
   }
 
+  /** Times between one event and the next, in ms. */
+  get pausesMs(): readonly number[] {
+    return this.#pausesMs;
+  }
+
   /** Longest time between two events, in ms. */
   get longestPauseMs(): number {
-    return this.#longestPauseMs;
+    return Math.max(0, ...this.#pausesMs);
   }
 
   /** Time from the request to its last event, in ms. */
@@ -156,10 +161,7 @@
   #take(text: string, cursor: string): void {
     const now = performance.now();
     if (this.#eventCount === 0) this.#firstMs = now - this.#startMs;
-    else {
-      const pauseMs = now - this.#lastMs;
-      this.#longestPauseMs = Math.max(this.#longestPauseMs, pauseMs);
-    }
+    else this.#pausesMs.push(now - this.#lastMs);
     this.#eventCount++;
     this.#lastMs = now;
     this.#text += text;
--- a/bench/local_cluster.ts
+++ b/bench/local_cluster.ts
@@ -387,6 +387,20 @@
 `;
   }
 
+  /** Starts a process that drains streams from entries or engines. */
+  startDrain(options: {
+    readonly from: readonly Child[];
+    readonly isDirect: boolean;
+    readonly streams: number;
+  }): Promise<Child> {
+    return this.#start("bench/drain_main.js", [
+      ...options.from.flatMap(({ address }) => ["--address", address]),
+      ...(options.isDirect ? ["--direct"] : []),
+      "--streams",
+      String(options.streams),
+    ]);
+  }
+
   async #start(
     module: string,
     args: readonly string[],
--- a/src/connection/engine_stream.ts
+++ b/src/connection/engine_stream.ts
@@ -13,6 +13,7 @@
   STREAMS_PATH,
 } from "./engine_protocol.ts";
 import { callHttp, splitAddress } from "./http_call.ts";
+import { Inbox } from "./inbox.ts";
 import { StallTimer } from "./stall_timer.ts";
 
 /** Starts a stream. */
@@ -72,12 +73,10 @@
   try {
     const response = await receiveResponse(outgoing);
     requireAccepted(response, read.modelVersion);
-    response.setEncoding("utf8");
-    const parsed = createEventBuffer();
-    for await (const text of response) {
-      stall.hear();
-      const events = parsed.feed(text as string);
-      if (events.length === 0) continue;
+    const inbox = receiveEvents(response, () => stall.hear());
+    while (true) {
+      const events = await inbox.take();
+      if (events.length === 0) break;
       clearTimeout(firstToken);
       stall.setLimit(read.tokenStallMs);
       stall.hold();
@@ -180,21 +179,23 @@
   }
 }
 
-interface EventBuffer {
-  /** Takes text in; returns the events that are complete. */
-  readonly feed: (text: string) => readonly StreamEvent[];
-}
-
-function createEventBuffer(): EventBuffer {
+function receiveEvents(
+  response: IncomingMessage,
+  onText: () => void,
+): Inbox<StreamEvent> {
+  const inbox = Inbox.create<StreamEvent>(response);
   let events: StreamEvent[] = [];
   const parser = createParser({
     onEvent: ({ data }) => events.push(JSON.parse(data) as StreamEvent),
   });
-  return {
-    feed: (text) => {
-      events = [];
-      parser.feed(text);
-      return events;
-    },
-  };
+  response.setEncoding("utf8");
+  response.on("data", (text: string) => {
+    onText();
+    events = [];
+    parser.feed(text);
+    inbox.push(events);
+  });
+  response.once("error", () => inbox.end());
+  response.once("close", () => inbox.end());
+  return inbox;
 }
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -19,9 +19,9 @@
     labelNames: ["service", "rank", "outcome"],
     registers: [this.registry],
   });
-  readonly tokens = new Counter({
-    name: "gypsumridge_tokens_total",
-    help: "Tokens delivered to callers",
+  readonly pieces = new Counter({
+    name: "gypsumridge_pieces_total",
+    help: "Events with text delivered to callers",
     registers: [this.registry],
   });
   readonly firstToken = new Histogram({
--- a/src/request/complete.ts
+++ b/src/request/complete.ts
@@ -33,13 +33,13 @@
     order,
     signal,
   });
-  const pieces = measure(context, { order, pieces: generation.run() });
+  const sending = { context, exchange, generation, order };
   let outcome = "complete";
   try {
     if (order.isStreamed) {
-      await sendStream({ context, exchange, generation, order }, pieces);
+      await sendStream(sending);
     } else {
-      await sendWhole({ context, exchange, generation, order }, pieces);
+      await sendWhole(sending);
     }
   } catch (error) {
     outcome = error instanceof Refusal ? error.type : "error";
@@ -78,8 +78,8 @@
 
 async function sendStream(
   { context, exchange, generation, order }: Sending,
-  pieces: AsyncGenerator<Piece>,
 ): Promise<void> {
+  const observe = createObserver(context, order);
   let stream: AnswerStream | undefined;
   const open = () =>
     stream ??= AnswerStream.create(exchange.response, {
@@ -88,7 +88,8 @@
       model: order.service.name,
     });
   try {
-    for await (const piece of pieces) {
+    for await (const piece of generation.run()) {
+      observe();
       const written = open().write(piece);
       if (written !== undefined) await written;
     }
@@ -106,12 +107,13 @@
 }
 
 async function sendWhole(
-  { exchange, generation, order }: Sending,
-  pieces: AsyncGenerator<Piece>,
+  { context, exchange, generation, order }: Sending,
 ): Promise<void> {
+  const observe = createObserver(context, order);
   let text = "";
   let finish: Piece["finish"];
-  for await (const piece of pieces) {
+  for await (const piece of generation.run()) {
+    observe();
     text += piece.text;
     finish = piece.finish ?? finish;
   }
@@ -126,23 +128,19 @@
   });
 }
 
-/** Passes pieces on and observes the time to the first one. */
-async function* measure(
+/** Returns what observes each piece: the time to the first, and the count. */
+function createObserver(
   { metrics, now }: EntryContext,
-  { order, pieces }: {
-    readonly order: CompletionOrder;
-    readonly pieces: AsyncGenerator<Piece>;
-  },
-): AsyncGenerator<Piece> {
+  { rank }: CompletionOrder,
+): () => void {
   const startMs = now();
   let isFirst = true;
-  for await (const piece of pieces) {
+  return () => {
     if (isFirst) {
-      const rank = order.rank.name;
-      metrics.firstToken.observe({ rank }, (now() - startMs) / 1_000);
+      const seconds = (now() - startMs) / 1_000;
+      metrics.firstToken.observe({ rank: rank.name }, seconds);
     }
     isFirst = false;
-    metrics.tokens.inc();
-    yield piece;
-  }
+    metrics.pieces.inc();
+  };
 }
--- a/src/request/completion_order.ts
+++ b/src/request/completion_order.ts
@@ -1,6 +1,5 @@
 /** Restores a completion request from an untrusted body. */
 
-import { createHash } from "node:crypto";
 import { PROMPT_MAX_CHARACTERS } from "../constants.ts";
 import { Refusal, RefusalType } from "../errors.ts";
 import { hashParts } from "../hashing.ts";
@@ -14,6 +13,7 @@
   ServiceForm,
 } from "../version/types.ts";
 import { type Cursor, readCursor } from "./cursor.ts";
+import { hashAnswer } from "./text_hash.ts";
 
 /** A checked completion request. */
 export interface CompletionOrder {
@@ -182,8 +182,3 @@
   }
   return { cursor, text: held.text };
 }
-
-/** Returns the hash of an answer's text, as cursors carry it. */
-function hashAnswer(text: string): string {
-  return createHash("sha256").update(text).digest("base64url");
-}
--- a/src/request/cursor.ts
+++ b/src/request/cursor.ts
@@ -3,7 +3,7 @@
  * on which stream, authenticated with a key that all entries share.
  */
 
-import { createHmac, timingSafeEqual } from "node:crypto";
+import { createHmac, hash, timingSafeEqual } from "node:crypto";
 import { Refusal, RefusalType } from "../errors.ts";
 import type { Fingerprint, GenerationId, StreamId } from "../ids.ts";
 
@@ -38,9 +38,10 @@
   base: CursorBase,
 ): CursorWriter {
   const encoded = Buffer.from(JSON.stringify(base)).toString("base64url");
+  const baseKey = deriveKey(key, encoded);
   return (position, textHash) => {
-    const signed = `${encoded}.${position}.${textHash}`;
-    return `${signed}.${sign(key, signed)}`;
+    const mac = sign(baseKey, `${position}.${textHash}`);
+    return `${encoded}.${position}.${textHash}.${mac}`;
   };
 }
 
@@ -52,7 +53,8 @@
 export function readCursor(key: string, text: string): Cursor {
   const parts = text.split(".");
   const [encoded = "", position = "", textHash = "", mac = ""] = parts;
-  const expected = Buffer.from(sign(key, `${encoded}.${position}.${textHash}`));
+  const baseKey = deriveKey(key, encoded);
+  const expected = Buffer.from(sign(baseKey, `${position}.${textHash}`));
   const given = Buffer.from(mac);
   const isGenuine = parts.length === PART_COUNT &&
     given.length === expected.length && timingSafeEqual(given, expected);
@@ -68,6 +70,12 @@
   return { ...base, position: Number(position), textHash };
 }
 
-function sign(key: string, text: string): string {
-  return createHmac("sha256", key).update(text).digest("base64url");
+/** A key for one attempt, so that each cursor costs one short hash. */
+function deriveKey(key: string, encoded: string): string {
+  return createHmac("sha256", key).update(encoded).digest("hex");
+}
+
+/** BLAKE2s can't be extended, so that a leading key authenticates. */
+function sign(baseKey: string, text: string): string {
+  return hash("blake2s256", `${baseKey}.${text}`, "base64url");
 }
--- a/src/request/generation.ts
+++ b/src/request/generation.ts
@@ -51,10 +51,18 @@
   readonly source: StreamStart | StreamReattach;
   /** Ends the isolation of a suspected request. */
   readonly prove: () => void;
-  /** Gives the place on the server back. */
+  /** Gives the place on the server back, and ends the isolation. */
   readonly close: () => void;
 }
 
+/** How reading an attempt ended. */
+enum Ending {
+  Whole,
+  Lost,
+  /** The caller has gone or the answer was refused. */
+  Abandoned,
+}
+
 const REFUSED_PAUSE_MS = 50;
 
 /** Produces the answer to one request. */
@@ -119,53 +127,63 @@
     let attempt = this.#reattachToCursor();
     while (!this.#journal.isFull) {
       attempt ??= await this.#start();
+      let ending = Ending.Abandoned;
       try {
-        yield* this.#read(attempt);
-        this.#context.suspicions.clear(this.#options.order.fingerprint);
-        return;
+        for await (const events of this.#read(attempt)) {
+          for (const addition of this.#accept(events)) {
+            const isWhole = addition.finish !== undefined;
+            if (isWhole) ending = Ending.Whole;
+            if (addition.text !== "" || isWhole) yield this.#pieceOf(addition);
+            if (isWhole) return this.#proveHarmless(attempt);
+            this.#requireNoGap(addition);
+          }
+          this.#proveByProgress(attempt);
+        }
       } catch (error) {
+        ending = Ending.Lost;
         if (!(error instanceof AttemptLoss)) throw error;
+        attempt.close();
         attempt = await this.#recover(attempt, error);
+      } finally {
+        if (ending !== Ending.Lost) this.#leave(attempt, ending);
       }
     }
   }
 
-  async *#read(attempt: Attempt): AsyncGenerator<Piece> {
+  #read(attempt: Attempt): AsyncGenerator<readonly StreamEvent[]> {
     const { settings } = this.#context;
     this.#beginCursors(attempt);
-    let isEnded = false;
-    let isLost = false;
-    try {
-      const batches = readStream({
-        address: attempt.address,
-        modelVersion: this.#modelVersion,
-        source: attempt.source,
-        firstTokenStallMs: settings.firstTokenStallMs,
-        firstTokenLimitMs: settings.firstTokenLimitMs,
-        tokenStallMs: settings.tokenStallMs,
-        signal: this.#options.signal,
-      });
-      for await (const events of batches) {
-        for (const addition of this.#accept(events)) {
-          isEnded = addition.finish !== undefined;
-          if (addition.text !== "" || isEnded) yield this.#pieceOf(addition);
-          if (isEnded) return;
-          const progress = addition.position - attempt.streamStart;
-          if (progress >= SUSPICION_PROGRESS_TOKENS) attempt.prove();
-          if (addition.gap !== undefined) {
-            throw new AttemptLoss(LossCause.Gap, addition.gap);
-          }
-        }
-      }
-    } catch (error) {
-      isLost = true;
-      throw error;
-    } finally {
-      attempt.prove();
-      attempt.close();
-      const isAbandoned = !isEnded && !isLost || this.#options.signal.aborted;
-      if (isAbandoned) cancelStream(attempt.address, attempt.stream);
-    }
+    return readStream({
+      address: attempt.address,
+      modelVersion: this.#modelVersion,
+      source: attempt.source,
+      firstTokenStallMs: settings.firstTokenStallMs,
+      firstTokenLimitMs: settings.firstTokenLimitMs,
+      tokenStallMs: settings.tokenStallMs,
+      signal: this.#options.signal,
+    });
+  }
+
+  /** Gives the place back; a stream that is not whole is cancelled. */
+  #leave(attempt: Attempt | undefined, ending: Ending): void {
+    if (attempt === undefined) return;
+    attempt.close();
+    if (ending === Ending.Whole) return;
+    cancelStream(attempt.address, attempt.stream);
+  }
+
+  #requireNoGap({ gap }: Addition): void {
+    if (gap !== undefined) throw new AttemptLoss(LossCause.Gap, gap);
+  }
+
+  #proveByProgress(attempt: Attempt): void {
+    const progress = this.#journal.position - attempt.streamStart;
+    if (progress >= SUSPICION_PROGRESS_TOKENS) attempt.prove();
+  }
+
+  #proveHarmless(attempt: Attempt): void {
+    attempt.prove();
+    this.#context.suspicions.clear(this.#options.order.fingerprint);
   }
 
   /** Takes events in; parts that the caller holds are not given out again. */
@@ -263,6 +281,7 @@
       });
       const stream = randomUUID() as string as StreamId;
       const position = this.#journal.position;
+      const prove = this.#isolate(place.server.name);
       return {
         server: place.server.name,
         address: place.server.address,
@@ -281,8 +300,11 @@
             priority: order.rank.order,
           },
         },
-        prove: this.#isolate(place.server.name),
-        close: place.close,
+        prove,
+        close: () => {
+          prove();
+          place.close();
+        },
       };
     } catch (error) {
       throw error instanceof Refusal ? this.#refuse(error.message) : error;
@@ -337,8 +359,11 @@
     loss: AttemptLoss,
   ): Promise<Attempt | undefined> {
     const { lossCause } = loss;
+    if (this.#options.signal.aborted) {
+      cancelStream(attempt.address, attempt.stream);
+      throw this.#refuse("caller has gone");
+    }
     this.#noteLoss(attempt, loss);
-    if (this.#options.signal.aborted) throw this.#refuse("caller has gone");
     if (this.#losses > LOSSES_MAX) {
       throw this.#refuse(`more than ${LOSSES_MAX} attempts were lost`);
     }
--- a/src/request/journal.ts
+++ b/src/request/journal.ts
@@ -3,11 +3,11 @@
  * position, whichever attempt it comes from.
  */
 
-import { createHash, type Hash } from "node:crypto";
 import {
   FinishReason,
   type StreamEvent,
 } from "../connection/engine_protocol.ts";
+import { TextHash } from "./text_hash.ts";
 
 /** What a batch of events added to a journal. */
 export interface Addition {
@@ -23,11 +23,15 @@
   readonly gap: string | undefined;
 }
 
+const PARTS_MAX = 64;
+
 /** Text and position of one generation; only grows. */
 export class Journal {
   readonly #maxTokens: number;
-  readonly #hash: Hash = createHash("sha256");
+  readonly #hash = TextHash.create();
   #text = "";
+  /** Parts not joined to the text yet; joined text takes the least memory. */
+  #parts: string[] = [];
   #position = 0;
 
   private constructor(maxTokens: number) {
@@ -52,6 +56,7 @@
 
   /** The text of all accepted tokens. */
   get text(): string {
+    this.#join();
     return this.#text;
   }
 
@@ -62,7 +67,7 @@
 
   /** Hash of the text of all accepted tokens. */
   get textHash(): string {
-    return this.#hash.copy().digest("base64url");
+    return this.#hash.digest();
   }
 
   /** Whether the text has its full length, even if no end was seen. */
@@ -95,7 +100,14 @@
   }
 
   #append(text: string): void {
-    this.#text += text;
+    this.#parts.push(text);
+    if (this.#parts.length >= PARTS_MAX) this.#join();
     this.#hash.update(text);
   }
+
+  #join(): void {
+    if (this.#parts.length === 0) return;
+    this.#text = [this.#text, ...this.#parts].join("");
+    this.#parts = [];
+  }
 }
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -63,6 +63,8 @@
   crashAtPosition: number;
   /** Each stream has a text of its own, as with sampling. */
   sampled: boolean;
+  /** The text of each token is the time of its sending, in µs. */
+  stamped: boolean;
   /** Prints a line for each run, so that counts outlive a kill. */
   announceRuns: boolean;
 }
@@ -85,6 +87,7 @@
   cut: false,
   crashAtPosition: -1,
   sampled: false,
+  stamped: false,
   announceRuns: true,
 };
 const counts = {
@@ -272,7 +275,9 @@
     const position = stream.order.position + stream.tokens.length;
     if (position >= stream.order.maxTokens) return finish(stream);
     if (position === switches.crashAtPosition) process.exit(70);
-    const text = tokenAt(seedOf(stream), position);
+    const text = switches.stamped
+      ? ` ${process.hrtime.bigint() / 1_000n}`
+      : tokenAt(seedOf(stream), position);
     stream.tokens.push(text);
     counts.decodedTokens++;
     const event = formatEvent({ p: position, t: text });
