--- a/bench/drain.ts
+++ b/bench/drain.ts
@@ -8,7 +8,7 @@
   STREAMS_PATH,
 } from "../src/connection/engine_protocol.ts";
 import { splitAddress } from "../src/connection/http_call.ts";
-import { Durations, type Percentiles } from "./figures.ts";
+import { Durations, type Percentiles } from "../src/process/durations.ts";
 import { bearerKey, GENERATION_SERVICE } from "./local_deployment.ts";
 
 /** Where streams are drained from. */
--- a/bench/local_cluster.ts
+++ b/bench/local_cluster.ts
@@ -15,7 +15,10 @@
   InstanceState,
 } from "../src/connection/platform_client.ts";
 import { Child } from "./child.ts";
-import { type Ask, LocalCaller } from "./local_caller.ts";
+import {
+  type Ask,
+  CompletionCaller,
+} from "../src/connection/completion_caller.ts";
 import {
   bearerKey,
   formatLocalDeployment,
@@ -37,6 +40,8 @@
   /** Lines of the entries' `[limits]` and `[stop]` sections. */
   readonly limits?: readonly string[];
   readonly stop?: readonly string[];
+  /** Lines of the entries' `[policy]` section. */
+  readonly policy?: readonly string[];
   readonly urgentTargetMs?: number;
   readonly patientTargetMs?: number;
   /** Options of Node for the entries. */
@@ -130,13 +135,18 @@
 
   /** Asks for a streamed completion. */
   complete(
-    ask: Omit<Ask, "address" | "customer"> & {
+    ask: Omit<Ask, "address" | "key" | "service"> & {
       readonly entry?: Child;
       readonly customer?: string;
     },
-  ): LocalCaller {
+  ): CompletionCaller {
     const { entry = this.entry(), customer = "alpha", ...rest } = ask;
-    return LocalCaller.create({ address: entry.address, customer, ...rest });
+    return CompletionCaller.create({
+      address: entry.address,
+      key: bearerKey(customer),
+      service: GENERATION_SERVICE,
+      ...rest,
+    });
   }
 
   /** Asks for a completion that is not streamed. */
@@ -271,6 +281,11 @@
     return engine;
   }
 
+  /** Starts an engine that answers on many ports, as if it were many. */
+  startManyEngines(count: number): Promise<Child> {
+    return this.#start("standins/engine.js", ["--extra-ports", String(count)]);
+  }
+
   /** Starts a plain service again on the port it had. */
   async restartService(index: number): Promise<Child> {
     const port = String(this.service(index).port);
@@ -384,6 +399,9 @@
 
 [stop]
 ${(this.#options.stop ?? ["notice_ms = 300"]).join("\n")}
+
+[policy]
+${(this.#options.policy ?? []).join("\n")}
 `;
   }
 
--- a/bench/measure.ts
+++ b/bench/measure.ts
@@ -5,13 +5,23 @@
 import { hideBin } from "yargs/helpers";
 import { printReport, type Report } from "./figures.ts";
 import { measurePath } from "./measure_path.ts";
+import {
+  measureCustomers,
+  measureFlood,
+  measureRanks,
+} from "./measure_policy.ts";
 import { measureResume } from "./measure_resume.ts";
+import { measureSlopes } from "./measure_slopes.ts";
 
 const MEASUREMENTS: Readonly<
   Record<string, (seed: number) => Promise<Report>>
 > = {
   path: measurePath,
+  customers: measureCustomers,
+  flood: measureFlood,
+  ranks: measureRanks,
   resume: measureResume,
+  slopes: measureSlopes,
 };
 
 const DEFAULT_SEED = 20_261_204;
--- a/bench/measure_resume.ts
+++ b/bench/measure_resume.ts
@@ -10,8 +10,9 @@
 import { readStream } from "../src/connection/engine_stream.ts";
 import { expectedText } from "../standins/text.ts";
 import type { Child } from "./child.ts";
-import { Durations, type Report, round } from "./figures.ts";
-import type { LocalCaller } from "./local_caller.ts";
+import { Durations } from "../src/process/durations.ts";
+import { type Report, round } from "./figures.ts";
+import type { CompletionCaller } from "../src/connection/completion_caller.ts";
 import { LocalCluster } from "./local_cluster.ts";
 
 /** The brief's pace of tokens. */
@@ -135,8 +136,8 @@
     pause: pause.percentiles(),
     wrongAnswers,
     extraDecodeRatio: round(spent.decodedTokens / usefulTokens - 1),
-    extraPrefillRatio: round(
-      spent.prefillTokens / (answers * promptTokens) - 1,
+    extraPrefillTokensPerInterruption: round(
+      (spent.prefillTokens - answers * promptTokens) / interruptions,
     ),
   };
 }
@@ -147,7 +148,7 @@
 }
 
 /** Pauses that no pace of tokens explains. */
-function longPauses(caller: LocalCaller): readonly number[] {
+function longPauses(caller: CompletionCaller): readonly number[] {
   return caller.pausesMs.filter((pauseMs) => pauseMs > 1.5 * TOKEN_MS);
 }
 
--- /dev/null
+++ b/src/bin/gypsumridge_load.ts
@@ -0,0 +1,60 @@
+#!/usr/bin/env node
+/** The load tool: one class of seeded open-loop load, one JSON line of figures. */
+
+import process from "node:process";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { ExitCode, PROGRAM_VERSION } from "../process/program.ts";
+import { runLoad } from "../process/load.ts";
+
+const args = await yargs(hideBin(process.argv))
+  .scriptName("gypsumridge-load")
+  .version(PROGRAM_VERSION)
+  .option("entry", {
+    type: "string",
+    array: true,
+    demandOption: true,
+    describe: "IP:port of an entry; may stand several times",
+  })
+  .option("key", { type: "string", demandOption: true, describe: "bearer key" })
+  .option("service", { type: "string", demandOption: true })
+  .option("rank", { type: "string", demandOption: true })
+  .option("rate", {
+    type: "number",
+    default: 10,
+    describe: "requests a second",
+  })
+  .option("duration", { type: "number", default: 10, describe: "in seconds" })
+  .option("tokens", { type: "number", default: 50, describe: "of an answer" })
+  .option("prompt", { type: "number", default: 200, describe: "in characters" })
+  .option("target", { type: "number", default: 880, describe: "in ms" })
+  .option("seed", { type: "number", default: 1 })
+  .check(({ rate, duration }) => {
+    if (rate > 0 && duration > 0) return true;
+    throw new Error("--rate and --duration must be above 0");
+  })
+  .strict()
+  .fail((message, error, usage) => {
+    process.stderr.write(`gypsumridge-load: ${message ?? error.message}\n`);
+    usage.showHelp("error");
+    process.exit(ExitCode.InvalidInput);
+  })
+  .parse();
+
+const [figures] = await runLoad({
+  entries: args.entry,
+  seed: args.seed,
+  classes: [{
+    name: args.rank,
+    key: args.key,
+    service: args.service,
+    rank: args.rank,
+    ratePerS: args.rate,
+    startS: 0,
+    endS: args.duration,
+    promptCharacters: args.prompt,
+    maxTokens: args.tokens,
+    targetMs: args.target,
+  }],
+});
+process.stdout.write(`${JSON.stringify({ seed: args.seed, ...figures })}\n`);
--- a/bench/local_caller.ts
+++ b/src/connection/completion_caller.ts
@@ -1,15 +1,17 @@
-/** A caller of the system: asks for completions and keeps what it received. */
+/** A caller of the system: asks for a completion and keeps what it receives. */
 
 import { type ClientRequest, request } from "node:http";
 import { performance } from "node:perf_hooks";
 import { createParser } from "eventsource-parser";
-import { splitAddress } from "../src/connection/http_call.ts";
-import { bearerKey, GENERATION_SERVICE } from "./local_deployment.ts";
+import { splitAddress } from "./http_call.ts";
 
 /** What a caller asks for. */
 export interface Ask {
+  /** IP and port of an entry. */
   readonly address: string;
-  readonly customer: string;
+  /** Bearer key of the customer. */
+  readonly key: string;
+  readonly service: string;
   readonly prompt: string;
   readonly maxTokens: number;
   readonly rank?: string;
@@ -27,7 +29,7 @@
 }
 
 /** A streamed answer that grows as its events arrive. */
-export class LocalCaller {
+export class CompletionCaller {
   readonly #outgoing: ClientRequest;
   readonly #startMs = performance.now();
   readonly #waiters = new Set<() => void>();
@@ -43,7 +45,7 @@
   private constructor(ask: Ask) {
     const { host, port } = splitAddress(ask.address);
     const body = JSON.stringify({
-      model: GENERATION_SERVICE,
+      model: ask.service,
       prompt: ask.prompt,
       max_tokens: ask.maxTokens,
       stream: true,
@@ -57,7 +59,7 @@
       path: "/v1/completions",
       agent: false,
       headers: {
-        authorization: `Bearer ${bearerKey(ask.customer)}`,
+        authorization: `Bearer ${ask.key}`,
         "content-type": "application/json",
         ...(ask.lastEventId === undefined
           ? {}
@@ -69,8 +71,13 @@
   }
 
   /** Sends the request. */
-  static create(ask: Ask): LocalCaller {
-    return new LocalCaller(ask);
+  static create(ask: Ask): CompletionCaller {
+    return new CompletionCaller(ask);
+  }
+
+  /** Count of events received. */
+  get eventCount(): number {
+    return this.#eventCount;
   }
 
   /** The text received so far. */
--- a/src/connection/engine_stream.ts
+++ b/src/connection/engine_stream.ts
@@ -40,6 +40,7 @@
   readonly firstTokenLimitMs: number;
   /** Silence between tokens that is borne, in ms. */
   readonly tokenStallMs: number;
+  /** Ends the reading; an `AttemptLoss` as its reason says how it counts. */
   readonly signal: AbortSignal;
 }
 
@@ -67,7 +68,13 @@
     () => lose(LossCause.Stalled, "no first token"),
     read.firstTokenLimitMs,
   );
-  const onAbort = () => lose(LossCause.Closed, "reader has gone");
+  const onAbort = () => {
+    const { reason } = read.signal;
+    const cause = reason instanceof AttemptLoss
+      ? reason.lossCause
+      : LossCause.Closed;
+    lose(cause, "reader has gone");
+  };
   read.signal.addEventListener("abort", onAbort);
   if (read.signal.aborted) onAbort();
   try {
--- /dev/null
+++ b/src/connection/peer_link_test.ts
@@ -0,0 +1,62 @@
+/** Links between entries, over real sockets. */
+
+import { createServer } from "node:http";
+import { pack, unpack } from "msgpackr";
+import { afterEach, expect, test } from "vitest";
+import { WebSocketServer } from "ws";
+import { hashText } from "../hashing.ts";
+import { listen } from "./http_server.ts";
+import { PeerLink, type PeerLinkHandlers } from "./peer_link.ts";
+import { type ChunkRequest, PeerMessageKind } from "./peer_protocol.ts";
+
+const server = createServer();
+const acceptor = new WebSocketServer({ server });
+const HANDLERS: PeerLinkHandlers = {
+  onDigest: () => undefined,
+  readChunk: () => undefined,
+  onClose: () => undefined,
+};
+
+afterEach(() => {
+  acceptor.close();
+  server.close();
+});
+
+test("answers out of order reach the request they belong to", async () => {
+  const port = await listen(server, "127.0.0.1", 0);
+  const requests: ChunkRequest[] = [];
+  acceptor.on("connection", (socket) => {
+    socket.on("message", (data) => {
+      requests.push(unpack(data as Buffer) as ChunkRequest);
+      if (requests.length < 3) return;
+      for (const { correlation, hash } of requests.toReversed()) {
+        const text = `chunk ${hash}`;
+        const kind = PeerMessageKind.ChunkAnswer;
+        socket.send(pack({ kind, correlation, text }));
+        socket.send(pack({ kind, correlation, text: "late copy" }));
+      }
+    });
+  });
+  const link = PeerLink.dial(`127.0.0.1:${port}`, {
+    key: "key",
+    handlers: HANDLERS,
+  });
+  await expect.poll(() => link.isOpen).toBe(true);
+  const hashes = ["a", "b", "c"].map(hashText);
+  const texts = await Promise.all(
+    hashes.map((hash) => link.requestChunk(hash)),
+  );
+  expect(texts).toEqual(hashes.map((hash) => `chunk ${hash}`));
+  link.close();
+});
+
+test("a link that closes leaves no request waiting", async () => {
+  const port = await listen(server, "127.0.0.1", 0).catch(() => 0);
+  const closed = PeerLink.dial(`127.0.0.1:${port}`, {
+    key: "key",
+    handlers: HANDLERS,
+  });
+  const asked = closed.requestChunk(hashText("a"));
+  closed.close();
+  expect(await asked).toBeUndefined();
+});
--- a/src/connection/peer_protocol.ts
+++ b/src/connection/peer_protocol.ts
@@ -10,10 +10,10 @@
   ChunkAnswer = "chunk_answer",
 }
 
-/** How often a request was running where a backend server was lost. */
+/** How much a request is to blame for losses of backend servers. */
 export interface Suspicion {
   readonly fingerprint: Fingerprint;
-  readonly losses: number;
+  readonly blame: number;
   /** Time until it expires, in ms, so that clocks need not agree. */
   readonly remainingMs: number;
 }
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -23,15 +23,19 @@
 /** How often an entry writes its status object when nothing changed, in ms. */
 export const STATUS_INTERVAL_MS = 10_000;
 /** Customers are spread over this many chunks of a revision. */
-export const CUSTOMER_BUCKETS = 64;
+export const CUSTOMER_BUCKETS = 256;
 /** Backend servers are spread over this many chunks of a revision. */
 export const BACKEND_SERVER_BUCKETS = 16;
 /** How long a suspicion lasts after the last loss it is based on, in ms. */
 export const SUSPICION_TTL_MS = 600_000;
-/** Losses of a backend server after which a request is refused. */
+/** Blame at which a request is refused; the first loss counts 1. */
 export const SUSPICION_LIMIT = 2;
-/** A stream that delivered this many tokens is not blamed together with its earlier loss. */
-export const SUSPICION_PROGRESS_TOKENS = 8;
+/** Blame of a later loss that came before the request had proved harmless. */
+export const SUSPICION_UNPROVEN_BLAME = 1;
+/** Blame of a later loss that came after it. */
+export const SUSPICION_PROVEN_BLAME = 0.5;
+/** A stream that delivered this many tokens has proved harmless for now. */
+export const SUSPICION_PROOF_TOKENS = 2;
 /** Lost attempts, reattachments included, that one generation survives. */
 export const LOSSES_MAX = 12;
 /** How long a failed backend server is kept out of new work, in ms. */
--- a/src/errors.ts
+++ b/src/errors.ts
@@ -95,6 +95,8 @@
   Stalled = "stalled",
   /** A token arrived beyond the next position. */
   Gap = "gap",
+  /** Taken back to make place for more urgent work. */
+  Preempted = "preempted",
   /** The server carries another model version. */
   WrongVersion = "wrong_version",
 }
--- a/src/process/commands/status.ts
+++ b/src/process/commands/status.ts
@@ -63,9 +63,9 @@
     for (const { name, service, condition, inFlight } of status.servers) {
       print(`  ${service}/${name}: ${condition}, ${inFlight} in flight`);
     }
-    for (const { fingerprint, losses, expiresInS } of status.suspicions) {
+    for (const { fingerprint, blame, expiresInS } of status.suspicions) {
       print(
-        `  suspected request ${fingerprint}: ${losses} losses, expires in ${expiresInS} s`,
+        `  suspected request ${fingerprint}: ${blame} blame, expires in ${expiresInS} s`,
       );
     }
   }
--- a/src/process/dispatcher.ts
+++ b/src/process/dispatcher.ts
@@ -6,8 +6,11 @@
 import { RETRY_AFTER_S } from "../constants.ts";
 import { Refusal, RefusalType } from "../errors.ts";
 import type { BackendServer } from "../version/types.ts";
+import { EVENTS } from "./event_catalog.ts";
 import { FairQueue, type Ticket } from "./fair_queue.ts";
 import type { Fleet, ServerWish } from "./fleet.ts";
+import type { Log } from "./log.ts";
+import type { Policy } from "./settings.ts";
 
 /** What a request asks of the dispatcher. */
 export interface PlaceOrder extends Ticket, ServerWish {
@@ -17,6 +20,8 @@
   readonly signal: AbortSignal;
   /** A resumed generation is served before those that have not begun. */
   readonly isResumed: boolean;
+  /** Takes the place back for more urgent work; absent where that can't be. */
+  readonly onPreempt?: () => void;
 }
 
 /** A place on a backend server, held until `close`. */
@@ -33,20 +38,37 @@
   readonly fleet: Fleet;
   /** Requests that may wait in one rank of a service. */
   readonly queueLength: number;
+  readonly policy: Policy;
+  readonly log: Log;
+}
+
+/** A request that holds a place. */
+interface Running {
+  readonly order: PlaceOrder;
+  readonly server: BackendServer;
+  isPreempted: boolean;
+}
+
+/** The waiting and running requests of one service. */
+interface ServiceQueue {
+  readonly waiting: FairQueue<Waiting>;
+  /** In the order in which they got their places. */
+  readonly running: Set<Running>;
 }
 
 interface Waiting extends PlaceOrder {
   readonly resolve: (place: Place) => void;
-  readonly reject: (refusal: Refusal) => void;
 }
 
 /** Heads of the queue that are tried when the first finds no server. */
 const CANDIDATES_TRIED = 16;
+/** Shorter queues are not judged by their estimated wait. */
+const ESTIMATE_MIN_LENGTH = 8;
 
 /** The waiting requests of an entry, by service. */
 export class Dispatcher {
   readonly #options: DispatcherOptions;
-  readonly #queues = new Map<string, FairQueue<Waiting>>();
+  readonly #queues = new Map<string, ServiceQueue>();
 
   private constructor(options: DispatcherOptions) {
     this.#options = options;
@@ -60,14 +82,12 @@
   /** Waits for a place. Errors: a `Refusal` of type not run. */
   place(order: PlaceOrder): Promise<Place> {
     const queue = this.#queue(queueName(order));
-    const isFull = queue.lengthOf(order.rank.name) >= this.#options.queueLength;
-    if (isFull && !order.isResumed) {
-      return Promise.reject(refuse(`queue of rank ${order.rank.name} is full`));
-    }
+    const refusal = this.#refuseEarly(queue, order);
+    if (refusal !== undefined) return Promise.reject(refusal);
     return new Promise((resolve, reject) => {
       const stopWaiting = (refusal: Refusal) => {
         settle();
-        queue.remove(waiting);
+        queue.waiting.remove(waiting);
         reject(refusal);
       };
       const onAbort = () => stopWaiting(refuse("caller has gone"));
@@ -80,14 +100,13 @@
       };
       const waiting: Waiting = {
         ...order,
-        reject,
         resolve: (place) => {
           settle();
           resolve(place);
         },
       };
       order.signal.addEventListener("abort", onAbort);
-      queue.push(waiting, order.isResumed);
+      queue.waiting.push(waiting, order.isResumed);
       if (order.signal.aborted) return onAbort();
       this.#pumpService(queue);
     });
@@ -98,22 +117,36 @@
     for (const queue of this.#queues.values()) this.#pumpService(queue);
   }
 
-  /** Count of requests that wait in a rank of a service. */
-  lengthOf(service: string, rank: string): number {
-    return this.#queues.get(service)?.lengthOf(rank) ?? 0;
+  /** Refuses what can't wait, or would wait in vain. */
+  #refuseEarly(
+    { waiting }: ServiceQueue,
+    { rank, waitMs, isResumed }: PlaceOrder,
+  ): Refusal | undefined {
+    if (isResumed) return undefined;
+    const { queueLength, policy } = this.#options;
+    const length = waiting.lengthOf(rank.name);
+    if (length >= queueLength) {
+      return refuse(`queue of rank ${rank.name} is full`);
+    }
+    if (!policy.refusesEarly || length < ESTIMATE_MIN_LENGTH) return undefined;
+    const excessMs = waiting.estimateWaitMs(rank) - waitMs;
+    if (excessMs <= 0) return undefined;
+    const retryAfterS = Math.ceil(excessMs / 1_000);
+    return refuse(`rank ${rank.name} can't be served in time`, retryAfterS);
   }
 
-  #pumpService(queue: FairQueue<Waiting>): void {
+  #pumpService(queue: ServiceQueue): void {
     while (this.#serveOne(queue)) continue;
+    if (this.#options.policy.preempts) this.#preemptOne(queue);
   }
 
-  #serveOne(queue: FairQueue<Waiting>): boolean {
+  #serveOne(queue: ServiceQueue): boolean {
     let tried = 0;
-    for (const waiting of queue.candidates()) {
+    for (const waiting of queue.waiting.candidates()) {
       const server = this.#options.fleet.choose(waiting);
       if (server !== undefined) {
-        queue.take(waiting);
-        waiting.resolve(this.#occupy(server));
+        queue.waiting.take(waiting);
+        waiting.resolve(this.#occupy(queue, { order: waiting, server }));
         return true;
       }
       if (++tried === CANDIDATES_TRIED) return false;
@@ -121,22 +154,56 @@
     return false;
   }
 
-  #occupy(server: BackendServer): Place {
+  /** Asks one less urgent request to give its place to the first that waits. */
+  #preemptOne({ waiting, running }: ServiceQueue): void {
+    const [first] = waiting.candidates();
+    if (first === undefined) return;
+    const asked = [...running].filter(({ isPreempted }) => isPreempted);
+    if (asked.length >= waiting.lengthOf(first.rank.name)) return;
+    const victim = [...running]
+      .filter(({ order, server, isPreempted }) =>
+        !isPreempted && order.onPreempt !== undefined &&
+        order.rank.order > first.rank.order &&
+        !waiting.isBelowFloor(order.rank) &&
+        !first.excluded.has(server.name)
+      )
+      .sort((a, b) => a.order.rank.order - b.order.rank.order)
+      .at(-1);
+    if (victim === undefined) return;
+    victim.isPreempted = true;
+    this.#options.log(EVENTS.generationPreempted, {
+      server: victim.server.name,
+      rank: victim.order.rank.name,
+      for: first.rank.name,
+    });
+    victim.order.onPreempt?.();
+  }
+
+  #occupy(
+    queue: ServiceQueue,
+    { order, server }: {
+      readonly order: PlaceOrder;
+      readonly server: BackendServer;
+    },
+  ): Place {
     const { fleet } = this.#options;
-    let isHeld = true;
+    const running: Running = { order, server, isPreempted: false };
+    queue.running.add(running);
     fleet.begin(server.name);
     return {
       server,
       close: () => {
-        if (isHeld) fleet.end(server.name);
-        isHeld = false;
+        if (queue.running.delete(running)) fleet.end(server.name);
       },
     };
   }
 
-  #queue(name: string): FairQueue<Waiting> {
-    const queue = this.#queues.get(name) ??
-      FairQueue.create<Waiting>(this.#options.now);
+  #queue(name: string): ServiceQueue {
+    const { now, policy } = this.#options;
+    const queue = this.#queues.get(name) ?? {
+      waiting: FairQueue.create<Waiting>({ now, order: policy.queueOrder }),
+      running: new Set<Running>(),
+    };
     this.#queues.set(name, queue);
     return queue;
   }
@@ -147,6 +214,6 @@
   return isSuspect ? `${service} suspects` : service;
 }
 
-function refuse(message: string): Refusal {
-  return new Refusal(RefusalType.NotRun, message, RETRY_AFTER_S);
+function refuse(message: string, retryAfterS = RETRY_AFTER_S): Refusal {
+  return new Refusal(RefusalType.NotRun, message, retryAfterS);
 }
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -136,6 +136,7 @@
       now,
       random: Math.random,
       log,
+      routing: this.#settings.policy.routing,
       standing: () => this.#peers.standing,
       onRoom: () => dispatcher.pump(),
     });
@@ -143,6 +144,8 @@
       now,
       fleet,
       queueLength: this.#settings.queueLength,
+      policy: this.#settings.policy,
+      log,
     });
     const metrics = Metrics.create();
     const store = RevisionStore.create((hash) => this.#fetchChunk(hash));
--- a/src/process/entry_status.ts
+++ b/src/process/entry_status.ts
@@ -29,7 +29,7 @@
 /** A request that an entry suspects. */
 export interface SuspicionStatus {
   readonly fingerprint: Fingerprint;
-  readonly losses: number;
+  readonly blame: number;
   readonly expiresInS: number;
 }
 
@@ -89,7 +89,7 @@
     })),
     suspicions: suspicions.snapshot().map((suspicion) => ({
       fingerprint: suspicion.fingerprint,
-      losses: suspicion.losses,
+      blame: suspicion.blame,
       expiresInS: Math.round(suspicion.remainingMs / 1_000),
     })),
   };
--- a/src/process/fair_queue.ts
+++ b/src/process/fair_queue.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Rank } from "../version/types.ts";
+import { QueueOrder } from "./settings.ts";
 
 /** What the order of a request depends on. */
 export interface Ticket {
@@ -15,6 +16,13 @@
   readonly cost: number;
 }
 
+/** What a queue needs of its process. */
+export interface FairQueueOptions {
+  /** Monotonic clock, in ms. */
+  readonly now: () => number;
+  readonly order: QueueOrder;
+}
+
 /** A customer's place in its rank; grows with the work it was given. */
 interface CustomerQueue<Waiting extends Ticket> {
   virtualTime: number;
@@ -39,19 +47,23 @@
 /** The waiting requests of one service. */
 export class FairQueue<Waiting extends Ticket> {
   readonly #now: () => number;
+  readonly #order: QueueOrder;
+  /** All waiting requests in the order of their coming. */
+  readonly #arrivals = new Set<Waiting>();
   readonly #ranks = new Map<string, RankQueue<Waiting>>();
   #decayedMs: number;
 
-  private constructor(now: () => number) {
+  private constructor({ now, order }: FairQueueOptions) {
     this.#now = now;
+    this.#order = order;
     this.#decayedMs = now();
   }
 
-  /** Makes an empty queue; `now` is a monotonic clock in ms. */
+  /** Makes an empty queue. */
   static create<Waiting extends Ticket>(
-    now: () => number,
+    options: FairQueueOptions,
   ): FairQueue<Waiting> {
-    return new FairQueue<Waiting>(now);
+    return new FairQueue<Waiting>(options);
   }
 
   /** Count of requests that wait in a rank. */
@@ -79,6 +91,7 @@
     }
     if (atFront) customer.tickets.unshift(ticket);
     else customer.tickets.push(ticket);
+    this.#arrivals.add(ticket);
     queue.length++;
     queue.work += ticket.cost;
   }
@@ -90,21 +103,18 @@
     const index = tickets?.indexOf(ticket) ?? -1;
     if (queue === undefined || tickets === undefined || index < 0) return;
     tickets.splice(index, 1);
+    this.#arrivals.delete(ticket);
     queue.length--;
     queue.work -= ticket.cost;
   }
 
   /** Yields waiting requests, the one to serve next first. */
   *candidates(): Generator<Waiting> {
-    for (const queue of this.#rankOrder()) {
-      const customers = [...queue.customers.values()]
-        .filter(({ tickets }) => tickets.length > 0)
-        .sort((a, b) => a.virtualTime - b.virtualTime);
-      for (const { tickets } of customers) {
-        const [first] = tickets;
-        if (first !== undefined) yield first;
-      }
+    if (this.#order === QueueOrder.Arrival) {
+      yield* this.#arrivals;
+      return;
     }
+    for (const queue of this.#rankOrder()) yield* inOrder(queue.customers);
   }
 
   /** Takes a request out because it is served now, and charges its cost. */
@@ -125,10 +135,7 @@
     const waiting = [...this.#ranks.values()].filter(({ length }) =>
       length > 0
     );
-    const total = [...this.#ranks.values()].reduce(
-      (sum, { served }) => sum + served,
-      0,
-    );
+    const total = this.#totalServed();
     const lack = (queue: RankQueue<Waiting>) =>
       Math.max(0, queue.rank.floorPercent / PERCENT * total - queue.served);
     return waiting.sort((a, b) =>
@@ -136,6 +143,33 @@
     );
   }
 
+  /**
+   * Estimated time until work that comes now in a rank is served, in ms; 0 while
+   * too little was served to tell.
+   */
+  estimateWaitMs(rank: Rank): number {
+    this.#decay();
+    const perMs = this.#totalServed() * Math.LN2 / SERVED_HALF_LIFE_MS;
+    if (perMs === 0) return 0;
+    const all = this.workBefore(rank) / perMs;
+    const floorPerMs = perMs * rank.floorPercent / PERCENT;
+    const own = (this.#ranks.get(rank.name)?.work ?? 0) / floorPerMs;
+    return floorPerMs > 0 ? Math.min(all, own) : all;
+  }
+
+  /** Whether a rank got less than its floor lately. */
+  isBelowFloor({ name, floorPercent }: Rank): boolean {
+    this.#decay();
+    const floor = floorPercent / PERCENT * this.#totalServed();
+    return (this.#ranks.get(name)?.served ?? 0) < floor;
+  }
+
+  #totalServed(): number {
+    let total = 0;
+    for (const { served } of this.#ranks.values()) total += served;
+    return total;
+  }
+
   #decay(): void {
     const now = this.#now();
     const factor = 0.5 ** ((now - this.#decayedMs) / SERVED_HALF_LIFE_MS);
@@ -162,6 +196,27 @@
   }
 }
 
+/** Yields the first ticket of each customer, the least served first. */
+function* inOrder<Waiting extends Ticket>(
+  customers: ReadonlyMap<string, CustomerQueue<Waiting>>,
+): Generator<Waiting> {
+  const waiting = new Set(
+    [...customers.values()].filter(({ tickets }) => tickets.length > 0),
+  );
+  while (waiting.size > 0) {
+    let least: CustomerQueue<Waiting> | undefined;
+    for (const customer of waiting) {
+      if (least === undefined || customer.virtualTime < least.virtualTime) {
+        least = customer;
+      }
+    }
+    const [first] = least?.tickets ?? [];
+    if (least === undefined || first === undefined) return;
+    waiting.delete(least);
+    yield first;
+  }
+}
+
 function dropIdle<Waiting extends Ticket>(queue: RankQueue<Waiting>): void {
   for (const [name, { tickets, virtualTime }] of queue.customers) {
     const isIdle = tickets.length === 0 && virtualTime <= queue.virtualTime;
--- /dev/null
+++ b/src/process/fair_queue_test.ts
@@ -0,0 +1,84 @@
+/** The order in which waiting requests are served. */
+
+import { expect, test } from "vitest";
+import { ObjectKind, type Rank } from "../version/types.ts";
+import { FairQueue, type Ticket } from "./fair_queue.ts";
+import { QueueOrder } from "./settings.ts";
+
+const URGENT = createRank("urgent", 0, 50);
+const PATIENT = createRank("patient", 1, 20);
+
+test("urgent work is served before patient work that came first", () => {
+  const queue = createQueue();
+  queue.push(ticket(PATIENT, "a"));
+  queue.push(ticket(URGENT, "b"));
+  expect(serve(queue, 2)).toEqual(["urgent b", "patient a"]);
+});
+
+test("a rank below its floor is served under an urgent flood", () => {
+  const queue = createQueue();
+  for (let at = 0; at < 200; at++) {
+    queue.push(ticket(URGENT, "a"));
+    queue.push(ticket(PATIENT, "b"));
+  }
+  const served = serve(queue, 100).filter((name) => name === "patient b");
+  expect(served.length).toBeGreaterThanOrEqual(18);
+  expect(served.length).toBeLessThanOrEqual(22);
+});
+
+test("customers of a rank share by weight and cost, not by requests", () => {
+  const queue = createQueue();
+  for (let at = 0; at < 100; at++) {
+    queue.push({ ...ticket(PATIENT, "large"), cost: 400 });
+    queue.push({ ...ticket(PATIENT, "small"), cost: 100 });
+    queue.push({ ...ticket(PATIENT, "double"), cost: 100, weight: 2 });
+  }
+  const served = serve(queue, 65);
+  const count = (customer: string) =>
+    served.filter((name) => name === `patient ${customer}`).length;
+  expect(Math.abs(count("large") - 5)).toBeLessThanOrEqual(1);
+  expect(Math.abs(count("small") - 20)).toBeLessThanOrEqual(1);
+  expect(Math.abs(count("double") - 40)).toBeLessThanOrEqual(1);
+});
+
+test("a customer that was idle gets no credit for it", () => {
+  const queue = createQueue();
+  for (let at = 0; at < 50; at++) queue.push(ticket(PATIENT, "busy"));
+  serve(queue, 40);
+  for (let at = 0; at < 50; at++) queue.push(ticket(PATIENT, "idle"));
+  const next = serve(queue, 10).filter((name) => name === "patient idle");
+  expect(next.length).toBeLessThanOrEqual(6);
+});
+
+test("a removed request is not served", () => {
+  const queue = createQueue();
+  const gone = ticket(URGENT, "gone");
+  queue.push(gone);
+  queue.push(ticket(URGENT, "stays"));
+  queue.remove(gone);
+  expect(serve(queue, 2)).toEqual(["urgent stays"]);
+  expect(queue.workBefore(URGENT)).toBe(0);
+});
+
+function createQueue(): FairQueue<Ticket> {
+  return FairQueue.create<Ticket>({ now: () => 0, order: QueueOrder.Fair });
+}
+
+function createRank(name: string, order: number, floorPercent: number): Rank {
+  return { kind: ObjectKind.Rank, name, order, targetMs: 1_000, floorPercent };
+}
+
+function ticket(rank: Rank, customer: string): Ticket {
+  return { rank, customer, weight: 1, cost: 100 };
+}
+
+function serve(queue: FairQueue<Ticket>, count: number): string[] {
+  const served: string[] = [];
+  while (served.length < count) {
+    const [first] = queue.candidates();
+    if (first === undefined) break;
+    queue.take(first);
+    served.push(`${first.rank.name} ${first.customer}`);
+  }
+  return served;
+}
--- a/src/process/fleet.ts
+++ b/src/process/fleet.ts
@@ -18,6 +18,7 @@
 import type { BackendServer } from "../version/types.ts";
 import { EVENTS } from "./event_catalog.ts";
 import type { Log } from "./log.ts";
+import { Routing } from "./settings.ts";
 import {
   conditionOf,
   createServerView,
@@ -34,6 +35,7 @@
   /** Number from 0 up to 1. */
   readonly random: () => number;
   readonly log: Log;
+  readonly routing: Routing;
   /** Where this entry stands among the live ones, which share the slots. */
   readonly standing: () => Standing;
   /** Called when a server may have become free. */
@@ -136,7 +138,10 @@
       server.name === wish.preferred
     );
     if (preferred !== undefined) return preferred.server;
-    return this.#leastLoaded(candidates)?.server;
+    const chosen = this.#options.routing === Routing.Random
+      ? candidates[Math.floor(this.#options.random() * candidates.length)]
+      : this.#leastLoaded(candidates);
+    return chosen?.server;
   }
 
   /** Whether any server could take the request now or after a wait. */
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -15,6 +15,31 @@
   sectionPlace,
 } from "../version/ini_source.ts";
 
+/** In which order waiting requests are served. */
+export enum QueueOrder {
+  /** By rank with floors, fair between customers. */
+  Fair = "fair",
+  /** By arrival, as a baseline to compare with. */
+  Arrival = "arrival",
+}
+
+/** How a server is chosen among those with room. */
+export enum Routing {
+  LeastLoaded = "least_loaded",
+  /** Any, as a baseline to compare with. */
+  Random = "random",
+}
+
+/** Decisions that an operator can change. */
+export interface Policy {
+  readonly queueOrder: QueueOrder;
+  readonly routing: Routing;
+  /** Whether urgent work takes the place of running patient work. */
+  readonly preempts: boolean;
+  /** Whether requests that will miss their target are refused at once. */
+  readonly refusesEarly: boolean;
+}
+
 /** Settings of an entry. */
 export interface EntrySettings {
   readonly id: EntryId;
@@ -22,8 +47,6 @@
   readonly host: string;
   readonly port: number;
   readonly peerPort: number;
-  /** IP and port under which peers reach this entry; empty for the bound one. */
-  readonly peerAddress: string;
   /** Key that authenticates cursors; the same on every entry. */
   readonly cursorKey: string;
   /** Key that peers show to each other; the same on every entry. */
@@ -45,6 +68,7 @@
   readonly stopNoticeMs: number;
   /** Requests are cut off so long after SIGTERM, in ms. */
   readonly stopDeadlineMs: number;
+  readonly policy: Policy;
   readonly logLevel: string;
 }
 
@@ -100,6 +124,27 @@
   integer("timeout_ms", "1000", { min: 50, max: 30_000 }),
 ];
 
+function onOff(key: string, fallback: "on" | "off"): Field {
+  return { key, form: FieldForm.Choice, choices: ["on", "off"], fallback };
+}
+
+const POLICY_FIELDS: readonly Field[] = [
+  {
+    key: "queue_order",
+    form: FieldForm.Choice,
+    choices: Object.values(QueueOrder),
+    fallback: QueueOrder.Fair,
+  },
+  {
+    key: "routing",
+    form: FieldForm.Choice,
+    choices: Object.values(Routing),
+    fallback: Routing.LeastLoaded,
+  },
+  onOff("preempt", "on"),
+  onOff("refuse_early", "on"),
+];
+
 const LOG_FIELDS: readonly Field[] = [
   {
     key: "level",
@@ -120,7 +165,6 @@
   listen: [
     ...LISTEN_FIELDS,
     integer("peer_port", "0", { min: 0, max: PORT_MAX }),
-    { key: "peer_address", form: FieldForm.Address, fallback: "" },
   ],
   platform: PLATFORM_FIELDS,
   limits: [
@@ -135,6 +179,7 @@
     integer("notice_ms", "3000", { min: 0, max: HOUR_MS }),
     integer("deadline_ms", "900000", { min: 0, max: DAY_MS }),
   ],
+  policy: POLICY_FIELDS,
   log: LOG_FIELDS,
 };
 
@@ -162,7 +207,6 @@
     host: values.listen.text("host"),
     port: values.listen.integer("port"),
     peerPort: values.listen.integer("peer_port"),
-    peerAddress: values.listen.text("peer_address"),
     cursorKey: values.entry.text("cursor_key"),
     peerKey: values.entry.text("peer_key"),
     platformAddress: values.platform.text("address"),
@@ -175,6 +219,12 @@
     resumeLimitMs: values.limits.integer("resume_limit_ms"),
     stopNoticeMs: values.stop.integer("notice_ms"),
     stopDeadlineMs: values.stop.integer("deadline_ms"),
+    policy: {
+      queueOrder: values.policy.text("queue_order") as QueueOrder,
+      routing: values.policy.text("routing") as Routing,
+      preempts: values.policy.text("preempt") === "on",
+      refusesEarly: values.policy.text("refuse_early") === "on",
+    },
     logLevel: values.log.text("level"),
   };
 }
@@ -217,6 +267,7 @@
   readonly platform: FieldValues;
   readonly limits: FieldValues;
   readonly stop: FieldValues;
+  readonly policy: FieldValues;
   readonly log: FieldValues;
 };
 
--- a/src/process/suspicions.ts
+++ b/src/process/suspicions.ts
@@ -16,7 +16,7 @@
 }
 
 interface Held {
-  readonly losses: number;
+  readonly blame: number;
   readonly expiresMs: number;
 }
 
@@ -39,27 +39,27 @@
     return new Suspicions(options);
   }
 
-  /** Sets the losses of a request that this entry saw. */
-  record(fingerprint: Fingerprint, losses: number): void {
+  /** Sets the blame of a request after a loss that this entry saw. */
+  record(fingerprint: Fingerprint, blame: number): void {
     this.#store(fingerprint, {
-      losses,
+      blame,
       expiresMs: this.#now() + SUSPICION_TTL_MS,
     });
     this.#onRecord();
   }
 
-  /** Returns the losses that still count against a request. */
-  losses(fingerprint: Fingerprint): number {
+  /** Returns the blame that still counts against a request. */
+  blame(fingerprint: Fingerprint): number {
     const held = this.#held.get(fingerprint);
     if (held === undefined) return 0;
-    if (held.expiresMs > this.#now()) return held.losses;
+    if (held.expiresMs > this.#now()) return held.blame;
     this.#held.delete(fingerprint);
     return 0;
   }
 
   /** Whether a request must not run. */
   isRefused(fingerprint: Fingerprint): boolean {
-    return this.losses(fingerprint) >= SUSPICION_LIMIT;
+    return this.blame(fingerprint) >= SUSPICION_LIMIT;
   }
 
   /** Forgets a request that ended well. */
@@ -69,12 +69,12 @@
 
   /** Takes over what a peer knows; the higher count and later end win. */
   merge(suspicions: readonly Suspicion[]): void {
-    for (const { fingerprint, losses, remainingMs } of suspicions) {
+    for (const { fingerprint, blame, remainingMs } of suspicions) {
       const held = this.#held.get(fingerprint);
       const ttlMs = Math.min(remainingMs, SUSPICION_TTL_MS);
       const expiresMs = this.#now() + ttlMs;
       this.#store(fingerprint, {
-        losses: Math.max(losses, held?.losses ?? 0),
+        blame: Math.max(blame, held?.blame ?? 0),
         expiresMs: Math.max(expiresMs, held?.expiresMs ?? 0),
       });
     }
@@ -86,9 +86,9 @@
     return [...this.#held]
       .filter(([, held]) => held.expiresMs > now)
       .slice(-EXCHANGED_MAX)
-      .map(([fingerprint, { losses, expiresMs }]) => ({
+      .map(([fingerprint, { blame, expiresMs }]) => ({
         fingerprint,
-        losses,
+        blame,
         remainingMs: expiresMs - now,
       }));
   }
--- /dev/null
+++ b/src/request/attempt.ts
@@ -0,0 +1,172 @@
+/** One attempt of a generation: a stream on one backend server. */
+
+import { randomUUID } from "node:crypto";
+import type { StreamEvent } from "../connection/engine_protocol.ts";
+import {
+  readStream,
+  type StreamReattach,
+  type StreamStart,
+} from "../connection/engine_stream.ts";
+import { AttemptLoss, LossCause } from "../errors.ts";
+import type { RequestId, StreamId } from "../ids.ts";
+import type { EntryContext } from "../process/entry_context.ts";
+import { type CompletionOrder, estimateCost } from "./completion_order.ts";
+import type { Journal } from "./journal.ts";
+import { isolate, isSuspect } from "./suspect.ts";
+
+/** What tells a stream from all others. */
+export interface StreamPlace {
+  /** Name of the backend server. */
+  readonly server: string;
+  /** IP and port of the backend server. */
+  readonly address: string;
+  readonly stream: StreamId;
+  /** Position of the stream's first token. */
+  readonly streamStart: number;
+}
+
+/** A stream that this entry reads. */
+export interface Attempt extends StreamPlace {
+  readonly source: StreamStart | StreamReattach;
+  /** Takes the attempt back. */
+  readonly controller: AbortController;
+  /** Ends the isolation of a suspected request. */
+  readonly prove: () => void;
+  /** Gives the place on the server back, and ends the isolation. */
+  readonly close: () => void;
+}
+
+/** What an attempt is started for. */
+export interface AttemptWish {
+  readonly request: RequestId;
+  readonly order: CompletionOrder;
+  readonly modelVersion: string;
+  readonly journal: Journal;
+  /** Names of servers that must not be chosen. */
+  readonly excluded: ReadonlySet<string>;
+  /** Longest wait for a place, in ms. */
+  readonly waitMs: number;
+  readonly isResumed: boolean;
+  /** Aborted when the caller has gone. */
+  readonly signal: AbortSignal;
+}
+
+/** How an attempt is read. */
+export interface AttemptRead {
+  readonly attempt: Attempt;
+  readonly modelVersion: string;
+  /** Aborted when the caller has gone. */
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Waits for a place and prepares a stream there.
+ *
+ * Errors: a `Refusal` of type not run.
+ */
+export async function startAttempt(
+  context: EntryContext,
+  wish: AttemptWish,
+): Promise<Attempt> {
+  const { order, journal } = wish;
+  const controller = new AbortController();
+  const preempted = new AttemptLoss(LossCause.Preempted);
+  const place = await context.dispatcher.place({
+    rank: order.rank,
+    customer: order.customer.name,
+    weight: order.customer.weight,
+    cost: estimateCost(order) - journal.position,
+    ...serverWish(context, wish),
+    waitMs: wish.waitMs,
+    signal: wish.signal,
+    isResumed: wish.isResumed,
+    onPreempt: () => controller.abort(preempted),
+  });
+  const stream = randomUUID() as string as StreamId;
+  const server = place.server.name;
+  const { fingerprint } = order;
+  const prove = isolate(context, { server, fingerprint });
+  return {
+    server,
+    address: place.server.address,
+    stream,
+    streamStart: journal.position,
+    source: { order: createStreamOrder(stream, wish) },
+    controller,
+    prove,
+    close: () => {
+      prove();
+      place.close();
+    },
+  };
+}
+
+/** Returns an attempt that reads on in a stream which may still run. */
+export function reattach(
+  { fleet }: EntryContext,
+  { place, from }: { readonly place: StreamPlace; readonly from: number },
+): Attempt {
+  const { server, address, stream, streamStart } = place;
+  fleet.begin(server);
+  return {
+    server,
+    address,
+    stream,
+    streamStart,
+    source: { stream, from },
+    controller: new AbortController(),
+    prove: () => undefined,
+    close: () => fleet.end(server),
+  };
+}
+
+/** Yields an attempt's events. Errors: `AttemptLoss`. */
+export function readAttempt(
+  { settings }: EntryContext,
+  { attempt, modelVersion, signal }: AttemptRead,
+): AsyncGenerator<readonly StreamEvent[]> {
+  return readStream({
+    address: attempt.address,
+    modelVersion,
+    source: attempt.source,
+    firstTokenStallMs: settings.firstTokenStallMs,
+    firstTokenLimitMs: settings.firstTokenLimitMs,
+    tokenStallMs: settings.tokenStallMs,
+    signal: AbortSignal.any([signal, attempt.controller.signal]),
+  });
+}
+
+/** Whether any server could take the attempt, now or after a wait. */
+export function canStart(context: EntryContext, wish: AttemptWish): boolean {
+  return context.fleet.canServe(serverWish(context, wish));
+}
+
+function serverWish(
+  context: EntryContext,
+  { order, modelVersion, excluded }: AttemptWish,
+) {
+  return {
+    service: order.service.name,
+    modelVersion,
+    excluded,
+    preferred: "",
+    isSuspect: isSuspect(context, order.fingerprint),
+  };
+}
+
+function createStreamOrder(
+  stream: StreamId,
+  { request, order, modelVersion, journal }: AttemptWish,
+) {
+  return {
+    stream,
+    request,
+    model: order.model.name,
+    modelVersion,
+    prompt: order.prompt,
+    journal: journal.text,
+    position: journal.position,
+    maxTokens: order.maxTokens,
+    priority: order.rank.order,
+  };
+}
--- a/src/request/generation.ts
+++ b/src/request/generation.ts
@@ -10,21 +10,25 @@
   FinishReason,
   StreamEvent,
 } from "../connection/engine_protocol.ts";
-import {
-  CancelResult,
-  cancelStream,
-  readStream,
-  type StreamReattach,
-  type StreamStart,
-} from "../connection/engine_stream.ts";
-import { LOSSES_MAX, SUSPICION_PROGRESS_TOKENS } from "../constants.ts";
+import { CancelResult, cancelStream } from "../connection/engine_stream.ts";
+import { LOSSES_MAX, RETRY_AFTER_S } from "../constants.ts";
 import { AttemptLoss, LossCause, Refusal, RefusalType } from "../errors.ts";
-import type { GenerationId, RequestId, StreamId } from "../ids.ts";
+import type { GenerationId, RequestId } from "../ids.ts";
 import type { EntryContext } from "../process/entry_context.ts";
 import { EVENTS } from "../process/event_catalog.ts";
-import { type CompletionOrder, estimateCost } from "./completion_order.ts";
+import {
+  type Attempt,
+  type AttemptWish,
+  canStart,
+  readAttempt,
+  reattach,
+  startAttempt,
+  type StreamPlace,
+} from "./attempt.ts";
+import type { CompletionOrder } from "./completion_order.ts";
 import { createCursorWriter, type CursorWriter } from "./cursor.ts";
 import { type Addition, Journal } from "./journal.ts";
+import { isProven, recordServerLoss } from "./suspect.ts";
 
 /** A part of the answer, ready for the caller. */
 export interface Piece {
@@ -42,19 +46,6 @@
   readonly signal: AbortSignal;
 }
 
-/** A stream on a backend server. */
-interface Attempt {
-  readonly server: string;
-  readonly address: string;
-  readonly stream: StreamId;
-  readonly streamStart: number;
-  readonly source: StreamStart | StreamReattach;
-  /** Ends the isolation of a suspected request. */
-  readonly prove: () => void;
-  /** Gives the place on the server back, and ends the isolation. */
-  readonly close: () => void;
-}
-
 /** How reading an attempt ended. */
 enum Ending {
   Whole,
@@ -79,6 +70,7 @@
   #mayHaveRun: boolean;
   readonly #startMs: number;
   #losses = 0;
+  #wasPreempted = false;
   #lostAtMs: number | undefined;
 
   private constructor(context: EntryContext, options: GenerationOptions) {
@@ -129,6 +121,7 @@
       attempt ??= await this.#start();
       let ending = Ending.Abandoned;
       try {
+        this.#beginCursors(attempt);
         for await (const events of this.#read(attempt)) {
           for (const addition of this.#accept(events)) {
             const isWhole = addition.finish !== undefined;
@@ -140,8 +133,8 @@
           this.#proveByProgress(attempt);
         }
       } catch (error) {
-        ending = Ending.Lost;
         if (!(error instanceof AttemptLoss)) throw error;
+        ending = Ending.Lost;
         attempt.close();
         attempt = await this.#recover(attempt, error);
       } finally {
@@ -151,15 +144,9 @@
   }
 
   #read(attempt: Attempt): AsyncGenerator<readonly StreamEvent[]> {
-    const { settings } = this.#context;
-    this.#beginCursors(attempt);
-    return readStream({
-      address: attempt.address,
+    return readAttempt(this.#context, {
+      attempt,
       modelVersion: this.#modelVersion,
-      source: attempt.source,
-      firstTokenStallMs: settings.firstTokenStallMs,
-      firstTokenLimitMs: settings.firstTokenLimitMs,
-      tokenStallMs: settings.tokenStallMs,
       signal: this.#options.signal,
     });
   }
@@ -177,8 +164,8 @@
   }
 
   #proveByProgress(attempt: Attempt): void {
-    const progress = this.#journal.position - attempt.streamStart;
-    if (progress >= SUSPICION_PROGRESS_TOKENS) attempt.prove();
+    const tokens = this.#journal.position - attempt.streamStart;
+    if (isProven(tokens)) attempt.prove();
   }
 
   #proveHarmless(attempt: Attempt): void {
@@ -239,120 +226,52 @@
       if (mustRebuild) throw interrupted("the backend server is gone");
       return undefined;
     }
-    return this.#reattach({
-      server: cursor.server,
-      address: view.server.address,
-      stream: cursor.stream,
-      streamStart: cursor.streamStart,
-    });
+    const { server, stream, streamStart } = cursor;
+    const { address } = view.server;
+    return this.#reattach({ server, address, stream, streamStart });
   }
 
-  #reattach(
-    held: Pick<Attempt, "server" | "address" | "stream" | "streamStart">,
-  ): Attempt {
-    const { fleet } = this.#context;
-    fleet.begin(held.server);
-    return {
-      ...held,
-      source: { stream: held.stream, from: this.#journal.position },
-      prove: () => undefined,
-      close: () => fleet.end(held.server),
-    };
+  #reattach(place: StreamPlace): Attempt {
+    const from = this.#journal.position;
+    return reattach(this.#context, { place, from });
   }
 
   /** Starts a stream on a server that has a place, in the queue's order. */
   async #start(): Promise<Attempt> {
-    const { order, signal, request } = this.#options;
-    const { dispatcher, guard } = this.#context;
-    await guard.ready();
-    this.#allowLostServers();
-    const waitMs = this.#remainingMs();
-    if (waitMs === 0) throw this.#refuse("no backend server took it in time");
+    await this.#context.guard.ready();
+    const wish: AttemptWish = {
+      ...this.#options,
+      modelVersion: this.#modelVersion,
+      journal: this.#journal,
+      excluded: this.#lostServers,
+      waitMs: this.#remainingMs(),
+      isResumed: this.#mayHaveRun,
+    };
+    // Lost servers are tried again when no other is left.
+    if (!canStart(this.#context, wish)) this.#lostServers.clear();
+    if (wish.waitMs === 0) {
+      throw this.#refuse("no backend server took it in time");
+    }
     try {
-      const place = await dispatcher.place({
-        rank: order.rank,
-        customer: order.customer.name,
-        weight: order.customer.weight,
-        cost: estimateCost(order),
-        ...this.#wish(),
-        waitMs,
-        signal,
-        isResumed: this.#mayHaveRun,
-      });
-      const stream = randomUUID() as string as StreamId;
-      const position = this.#journal.position;
-      const prove = this.#isolate(place.server.name);
-      return {
-        server: place.server.name,
-        address: place.server.address,
-        stream,
-        streamStart: position,
-        source: {
-          order: {
-            stream,
-            request,
-            model: order.model.name,
-            modelVersion: this.#modelVersion,
-            prompt: order.prompt,
-            journal: this.#journal.text,
-            position,
-            maxTokens: order.maxTokens,
-            priority: order.rank.order,
-          },
-        },
-        prove,
-        close: () => {
-          prove();
-          place.close();
-        },
-      };
+      return await startAttempt(this.#context, wish);
     } catch (error) {
-      throw error instanceof Refusal ? this.#refuse(error.message) : error;
+      if (!(error instanceof Refusal)) throw error;
+      throw this.#refuse(error.message, error.retryAfterS);
     }
   }
 
   /** Time left to find a server, in ms; refused servers count against it. */
   #remainingMs(): number {
     const { now, settings } = this.#context;
-    const limitMs = this.#mayHaveRun
-      ? settings.resumeLimitMs
-      : this.#options.order.rank.targetMs;
+    const { targetMs } = this.#options.order.rank;
+    const resumeMs = this.#wasPreempted
+      ? Math.max(targetMs, settings.resumeLimitMs)
+      : settings.resumeLimitMs;
+    const limitMs = this.#mayHaveRun ? resumeMs : targetMs;
     const sinceMs = this.#lostAtMs ?? this.#startMs;
     return Math.max(0, sinceMs + limitMs - now());
   }
 
-  #wish() {
-    return {
-      service: this.#options.order.service.name,
-      modelVersion: this.#modelVersion,
-      excluded: this.#lostServers,
-      preferred: "",
-      isSuspect: this.#isSuspect(),
-    };
-  }
-
-  #isSuspect(): boolean {
-    const { suspicions } = this.#context;
-    return suspicions.losses(this.#options.order.fingerprint) > 0;
-  }
-
-  /** Keeps other suspected requests away; returns what ends that. */
-  #isolate(server: string): () => void {
-    const { fleet } = this.#context;
-    let isUnproven = this.#isSuspect();
-    if (isUnproven) fleet.beginProof(server);
-    return () => {
-      if (isUnproven) fleet.endProof(server);
-      isUnproven = false;
-    };
-  }
-
-  /** Lost servers are tried again when no other is left. */
-  #allowLostServers(): void {
-    if (this.#context.fleet.canServe(this.#wish())) return;
-    this.#lostServers.clear();
-  }
-
   /** Decides how to go on after a loss: reattach, start anew, or refuse. */
   async #recover(
     attempt: Attempt,
@@ -363,6 +282,8 @@
       cancelStream(attempt.address, attempt.stream);
       throw this.#refuse("caller has gone");
     }
+    if (lossCause === LossCause.Preempted) return this.#yieldPlace(attempt);
+    this.#wasPreempted = false;
     this.#noteLoss(attempt, loss);
     if (this.#losses > LOSSES_MAX) {
       throw this.#refuse(`more than ${LOSSES_MAX} attempts were lost`);
@@ -393,6 +314,15 @@
     return await step ?? undefined;
   }
 
+  /** Leaves a server to more urgent work; the journal goes on later. */
+  #yieldPlace(attempt: Attempt): undefined {
+    this.#mayHaveRun = true;
+    this.#wasPreempted = true;
+    this.#lostAtMs ??= this.#context.now();
+    cancelStream(attempt.address, attempt.stream);
+    return undefined;
+  }
+
   #noteLoss(attempt: Attempt, loss: AttemptLoss): void {
     const { log, metrics, now } = this.#context;
     if (loss.mayHaveRun) {
@@ -416,14 +346,11 @@
 
   /** The server no longer knows the stream: it died under this request. */
   #noteServerLost(attempt: Attempt): void {
-    const { log, suspicions } = this.#context;
-    const { fingerprint } = this.#options.order;
     this.#abandon(attempt);
-    const progress = this.#journal.position - attempt.streamStart;
-    const isNewCause = progress >= SUSPICION_PROGRESS_TOKENS;
-    const losses = (isNewCause ? 0 : suspicions.losses(fingerprint)) + 1;
-    suspicions.record(fingerprint, losses);
-    log(EVENTS.requestSuspected, { fingerprint, losses });
+    recordServerLoss(this.#context, {
+      fingerprint: this.#options.order.fingerprint,
+      tokens: this.#journal.position - attempt.streamStart,
+    });
     this.#requireUnsuspected();
   }
 
@@ -453,9 +380,9 @@
     throw interrupted("the stream holds another text than was delivered");
   }
 
-  #refuse(message: string): Refusal {
+  #refuse(message: string, retryAfterS = RETRY_AFTER_S): Refusal {
     if (this.#mayHaveRun) return interrupted(message);
-    return new Refusal(RefusalType.NotRun, message, 1);
+    return new Refusal(RefusalType.NotRun, message, retryAfterS);
   }
 }
 
--- a/src/version/chunks.ts
+++ b/src/version/chunks.ts
@@ -32,12 +32,18 @@
   }
   const names = [...buckets.keys()].sort();
   return names.map((name) => {
-    const members = buckets.get(name) ?? [];
-    members.sort((a, b) => (objectKey(a) < objectKey(b) ? -1 : 1));
+    const members = sortObjects(buckets.get(name) ?? []);
     return createChunk(JSON.stringify(members));
   });
 }
 
+/** Returns objects in the order of their kinds and names. */
+export function sortObjects(
+  objects: readonly DeploymentObject[],
+): DeploymentObject[] {
+  return objects.toSorted((a, b) => (objectKey(a) < objectKey(b) ? -1 : 1));
+}
+
 /** Returns the chunks whose text is too large for the platform. */
 export function findOversized(chunks: readonly Chunk[]): Chunk[] {
   return chunks.filter((chunk) =>
--- a/src/version/format_deployment.ts
+++ b/src/version/format_deployment.ts
@@ -2,6 +2,7 @@
 
 import { stringify } from "ini";
 import { objectKey } from "./check_objects.ts";
+import { sortObjects } from "./chunks.ts";
 import { OBJECT_FIELDS } from "./object_fields.ts";
 import type { DeploymentObject } from "./types.ts";
 
@@ -9,8 +10,7 @@
 export function formatDeployment(
   objects: readonly DeploymentObject[],
 ): string {
-  const sections = [...objects]
-    .sort((a, b) => (objectKey(a) < objectKey(b) ? -1 : 1))
+  const sections = sortObjects(objects)
     .map((object) => [objectKey(object), sectionOf(object)] as const);
   return stringify(Object.fromEntries(sections), { whitespace: true });
 }
--- a/src/version/publisher.ts
+++ b/src/version/publisher.ts
@@ -21,6 +21,7 @@
   createChunk,
   findOversized,
   readChunk,
+  sortObjects,
   splitChunks,
 } from "./chunks.ts";
 import { chunkName, HEAD_NAME } from "./object_names.ts";
@@ -69,7 +70,7 @@
   const texts = await Promise.all(
     manifest.chunks.map((hash) => readChunkText(platform, hash)),
   );
-  const objects = texts.flatMap(readChunk);
+  const objects = sortObjects(texts.flatMap(readChunk));
   return { head, version: stored.version, manifest, objects };
 }
 
--- a/tests/never_mixed_test.ts
+++ b/tests/never_mixed_test.ts
@@ -4,7 +4,7 @@
  */
 
 import { expect, test } from "vitest";
-import type { LocalCaller } from "../bench/local_caller.ts";
+import type { CompletionCaller } from "../src/connection/completion_caller.ts";
 import { LocalCluster, waitFor } from "../bench/local_cluster.ts";
 import type { StreamOrder } from "../src/connection/engine_protocol.ts";
 import { tokenAt } from "../standins/text.ts";
@@ -131,7 +131,7 @@
 /** Says of which streams an answer consists, or that it is mixed. */
 async function composition(
   cluster: LocalCluster,
-  caller: LocalCaller,
+  caller: CompletionCaller,
 ): Promise<string> {
   const orders: StreamOrder[] = [];
   for (const engine of cluster.engines) {
--- a/tests/no_token_lost_test.ts
+++ b/tests/no_token_lost_test.ts
@@ -5,7 +5,7 @@
 
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect, test } from "vitest";
-import type { LocalCaller } from "../bench/local_caller.ts";
+import type { CompletionCaller } from "../src/connection/completion_caller.ts";
 import {
   type ClusterOptions,
   LocalCluster,
@@ -21,8 +21,8 @@
   readonly options?: ClusterOptions;
   readonly cause: (
     cluster: LocalCluster,
-    caller: LocalCaller,
-  ) => Promise<LocalCaller | void>;
+    caller: CompletionCaller,
+  ) => Promise<CompletionCaller | void>;
 }
 
 const FAILURES: readonly Failure[] = [
@@ -175,10 +175,10 @@
 function repeat(
   cluster: LocalCluster,
   { caller, withText }: {
-    readonly caller: LocalCaller;
+    readonly caller: CompletionCaller;
     readonly withText: boolean;
   },
-): LocalCaller {
+): CompletionCaller {
   return cluster.complete({
     ...ASKED,
     entry: cluster.entry(1),
--- a/tests/not_run_test.ts
+++ b/tests/not_run_test.ts
@@ -66,7 +66,11 @@
       const runs = runsOf(cluster, request);
       session.note(`${name}: ${type}, runs ${runs}`);
     };
-    const first = cluster.complete({ prompt: "long", maxTokens: 150 });
+    const first = cluster.complete({
+      prompt: "long",
+      maxTokens: 150,
+      rank: "urgent",
+    });
     await first.received(1);
     const waiting = ask(cluster, "waiting");
     await sleep(50);
--- a/tests/session.ts
+++ b/tests/session.ts
@@ -2,7 +2,7 @@
 
 import { expect } from "vitest";
 import type { Child } from "../bench/child.ts";
-import type { LocalCaller } from "../bench/local_caller.ts";
+import type { CompletionCaller } from "../src/connection/completion_caller.ts";
 import { EVENTS } from "../src/process/event_catalog.ts";
 import { expectedText } from "../standins/text.ts";
 
@@ -27,7 +27,7 @@
   /** Adds how an answer ended, compared with the one expected. */
   async noteAnswer(
     who: string,
-    caller: LocalCaller,
+    caller: CompletionCaller,
     asked: {
       readonly prompt: string;
       readonly maxTokens: number;
