Share places by customer too; count freed slots; prove the steward's lease

Cause: measured at 2x overload, 44 of 150 requests of small customers were refused early because of the large customer's backlog, and their first token waited 570 ms at p50: places of one entry free together. In a flood the lower rank got no place for seconds, since its floor was judged by a half-life of 10 s.

Ruled out: refusing nobody early (goodput falls with queues of 10 s).

Change: the estimated wait counts other customers' work only as far as fairness lets it go first; floors count running requests; a customer with nothing running takes back a place of one that runs beyond its share; slots freed since the report count as free. Digests carry at most 4 suspicions; status writes, list readings and steward duties spread with the count of entries. Steward sessions under kill and freeze, and expiry.

--- a/bench/local_cluster.ts
+++ b/bench/local_cluster.ts
@@ -272,6 +272,24 @@
     return entry;
   }
 
+  /** Starts a steward with lines of its `[steward]` section. */
+  async startSteward(id: string, lines: readonly string[]): Promise<Child> {
+    const settings = await this.writeFile(
+      `${id}.ini`,
+      `[steward]
+id = ${id}
+${lines.join("\n")}
+
+[platform]
+address = ${this.platform.address}
+`,
+    );
+    return await this.#start("src/bin/gypsumridge_steward.js", [
+      "--settings",
+      settings,
+    ]);
+  }
+
   /** Starts an engine again on the port it had. */
   async restartEngine(index: number): Promise<Child> {
     const port = String(this.engine(index).port);
--- /dev/null
+++ b/bench/plot.ts
@@ -0,0 +1,61 @@
+/**
+ * `npm run plot -- FILE`: draws the figures of `measure ranks` or `customers`
+ * as an SVG beside the docs, from the JSON line of a run.
+ */
+
+import { readFile, writeFile } from "node:fs/promises";
+import process from "node:process";
+import { init } from "echarts";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import type { ClassFigures } from "../src/process/load.ts";
+
+const WIDTH = 760;
+const HEIGHT = 360;
+
+interface RunReport {
+  readonly measurement: string;
+  readonly figures: Readonly<Record<string, unknown>>;
+}
+
+const { file, out } = await yargs(hideBin(process.argv))
+  .option("file", { type: "string", demandOption: true })
+  .option("out", { type: "string", demandOption: true })
+  .strict()
+  .parse();
+
+const report = JSON.parse(await readFile(file, "utf8")) as RunReport;
+await writeFile(out, draw(report));
+
+/** Returns a bar chart: a group for each run, a bar for each class. */
+function draw({ measurement, figures }: RunReport): string {
+  const runs = Object.entries(figures).filter((
+    run,
+  ): run is [string, readonly ClassFigures[]] => Array.isArray(run[1]));
+  const names = [
+    ...new Set(runs.flatMap(([, classes]) => classes.map(({ name }) => name))),
+  ];
+  const chart = init(null, null, {
+    renderer: "svg",
+    ssr: true,
+    width: WIDTH,
+    height: HEIGHT,
+  });
+  chart.setOption({
+    animation: false,
+    title: { text: `${measurement}: share of requests in their target time` },
+    legend: { bottom: 0 },
+    xAxis: { type: "category", data: runs.map(([run]) => run) },
+    yAxis: { type: "value", min: 0, max: 1 },
+    series: names.map((name) => ({
+      name,
+      type: "bar",
+      data: runs.map(([, classes]) =>
+        classes.find((candidate) => candidate.name === name)?.attainment ?? null
+      ),
+    })),
+  });
+  const svg = chart.renderToSVGString();
+  chart.dispose();
+  return svg;
+}
--- a/src/bin/gypsumridge_load.ts
+++ b/src/bin/gypsumridge_load.ts
@@ -44,6 +44,7 @@
 const [figures] = await runLoad({
   entries: args.entry,
   seed: args.seed,
+  window: { startS: 0, endS: args.duration },
   classes: [{
     name: args.rank,
     key: args.key,
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -33,7 +33,7 @@
 /** Blame of a later loss that came before the request had proved harmless. */
 export const SUSPICION_UNPROVEN_BLAME = 1;
 /** Blame of a later loss that came after it. */
-export const SUSPICION_PROVEN_BLAME = 0.5;
+export const SUSPICION_PROVEN_BLAME = 0.25;
 /** A stream that delivered this many tokens has proved harmless for now. */
 export const SUSPICION_PROOF_TOKENS = 2;
 /** Lost attempts, reattachments included, that one generation survives. */
--- a/src/process/dispatcher.ts
+++ b/src/process/dispatcher.ts
@@ -44,7 +44,7 @@
 
 /** A request that holds a place. */
 interface Running {
-  readonly order: PlaceOrder;
+  readonly order: Waiting;
   readonly server: BackendServer;
   isPreempted: boolean;
 }
@@ -120,8 +120,9 @@
   /** Refuses what can't wait, or would wait in vain. */
   #refuseEarly(
     { waiting }: ServiceQueue,
-    { rank, waitMs, isResumed }: PlaceOrder,
+    order: PlaceOrder,
   ): Refusal | undefined {
+    const { rank, waitMs, isResumed } = order;
     if (isResumed) return undefined;
     const { queueLength, policy } = this.#options;
     const length = waiting.lengthOf(rank.name);
@@ -129,7 +130,7 @@
       return refuse(`queue of rank ${rank.name} is full`);
     }
     if (!policy.refusesEarly || length < ESTIMATE_MIN_LENGTH) return undefined;
-    const excessMs = waiting.estimateWaitMs(rank) - waitMs;
+    const excessMs = waiting.estimateWaitMs(order) - waitMs;
     if (excessMs <= 0) return undefined;
     const retryAfterS = Math.ceil(excessMs / 1_000);
     return refuse(`rank ${rank.name} can't be served in time`, retryAfterS);
@@ -154,19 +155,21 @@
     return false;
   }
 
-  /** Asks one less urgent request to give its place to the first that waits. */
+  /** Asks one running request to give its place to the first that waits. */
   #preemptOne({ waiting, running }: ServiceQueue): void {
     const [first] = waiting.candidates();
     if (first === undefined) return;
     const asked = [...running].filter(({ isPreempted }) => isPreempted);
     if (asked.length >= waiting.lengthOf(first.rank.name)) return;
     const victim = [...running]
-      .filter(({ order, server, isPreempted }) =>
-        !isPreempted && order.onPreempt !== undefined &&
-        order.rank.order > first.rank.order &&
-        !waiting.isBelowFloor(order.rank) &&
-        !first.excluded.has(server.name)
-      )
+      .filter((candidate) => mayTakeBack(candidate, first))
+      .filter(({ order }) => {
+        if (order.rank.order > first.rank.order) {
+          return waiting.canSpare(order.rank);
+        }
+        return order.rank.order === first.rank.order &&
+          isOverShare(running, { order, first });
+      })
       .sort((a, b) => a.order.rank.order - b.order.rank.order)
       .at(-1);
     if (victim === undefined) return;
@@ -182,7 +185,7 @@
   #occupy(
     queue: ServiceQueue,
     { order, server }: {
-      readonly order: PlaceOrder;
+      readonly order: Waiting;
       readonly server: BackendServer;
     },
   ): Place {
@@ -193,7 +196,9 @@
     return {
       server,
       close: () => {
-        if (queue.running.delete(running)) fleet.end(server.name);
+        if (!queue.running.delete(running)) return;
+        queue.waiting.release(order);
+        fleet.end(server.name);
       },
     };
   }
@@ -209,6 +214,32 @@
   }
 }
 
+function mayTakeBack(
+  { order, server, isPreempted }: Running,
+  first: Waiting,
+): boolean {
+  return !isPreempted && order.onPreempt !== undefined &&
+    !first.excluded.has(server.name);
+}
+
+/**
+ * Whether a customer runs more than its share beside one of its rank that waits
+ * and runs nothing: with one place less it still runs more by weight.
+ */
+function isOverShare(
+  running: ReadonlySet<Running>,
+  { order, first }: { readonly order: Waiting; readonly first: Waiting },
+): boolean {
+  const countOf = (customer: string) =>
+    [...running].filter((candidate) =>
+      candidate.order.customer === customer && !candidate.isPreempted &&
+      candidate.order.rank.name === order.rank.name
+    ).length;
+  if (countOf(first.customer) > 0) return false;
+  const left = countOf(order.customer) - 1;
+  return left / order.weight >= 1 / first.weight;
+}
+
 /** Suspected requests wait apart, so that they hold up no others. */
 function queueName({ service, isSuspect }: ServerWish): string {
   return isSuspect ? `${service} suspects` : service;
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -34,6 +34,8 @@
 /** How long new work waits after a pause for fresh views, in ms. */
 const REFRESH_LIMIT_MS = 1_000;
 const STOP_POLL_MS = 20;
+/** Keeps all entries together to 100 readings of the list a second. */
+const LIST_MS_PER_ENTRY = 10;
 
 /** One entry process. */
 export class Entry {
@@ -173,6 +175,7 @@
         refresh: (pausedMs) => this.#refresh(pausedMs),
       }),
       now,
+      standing: () => this.#peers.standing,
       isStopping: () => this.#isStopping,
     };
   }
@@ -222,7 +225,8 @@
       } catch {
         // The last list stays in use; servers report their leaving themselves.
       }
-      await sleep(INSTANCE_LIST_INTERVAL_MS);
+      const spreadMs = this.#peers.standing.count * LIST_MS_PER_ENTRY;
+      await sleep(Math.max(INSTANCE_LIST_INTERVAL_MS, spreadMs));
     }
   }
 
@@ -243,7 +247,7 @@
       kind: PeerMessageKind.Digest,
       entry: this.#settings.id,
       head: this.#context.store.head ?? null,
-      suspicions: this.#context.suspicions.snapshot(),
+      suspicions: this.#context.suspicions.digest(),
     };
   }
 
--- a/src/process/entry_context.ts
+++ b/src/process/entry_context.ts
@@ -3,7 +3,7 @@
 import type { PlatformClient } from "../connection/platform_client.ts";
 import type { RevisionStore } from "../version/revision_store.ts";
 import type { Dispatcher } from "./dispatcher.ts";
-import type { Fleet } from "./fleet.ts";
+import type { Fleet, Standing } from "./fleet.ts";
 import type { Ledger } from "./ledger.ts";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
@@ -25,6 +25,8 @@
   readonly guard: PauseGuard;
   /** Monotonic clock, in ms. */
   readonly now: () => number;
+  /** Where this entry stands among the live ones. */
+  readonly standing: () => Standing;
   /** Whether a planned stop is under way. */
   readonly isStopping: () => boolean;
 }
--- a/src/process/entry_status.ts
+++ b/src/process/entry_status.ts
@@ -33,7 +33,10 @@
   readonly expiresInS: number;
 }
 
+/** Pause before a write, so that changes which come together make one. */
 const MIN_PAUSE_MS = 100;
+/** Spreads the writes of all entries after a change to 200 a second. */
+const PAUSE_MS_PER_ENTRY = 5;
 
 /** Writes an entry's status when it changes, and at an interval. */
 export class EntryStatusWriter {
@@ -63,13 +66,15 @@
 
   /** Writes the status soon; calls that come together make one write. */
   write(): void {
+    const spreadMs = this.#context.standing().count * PAUSE_MS_PER_ENTRY;
+    const pauseMs = MIN_PAUSE_MS + Math.random() * spreadMs;
     this.#pending ??= setTimeout(async () => {
       this.#pending = undefined;
       const { platform, settings } = this.#context;
       const value = JSON.stringify(createEntryStatus(this.#context));
       await platform.write(entryStatusName(settings.id), value)
         .catch(() => undefined);
-    }, MIN_PAUSE_MS);
+    }, pauseMs);
   }
 }
 
--- a/src/process/fair_queue.ts
+++ b/src/process/fair_queue.ts
@@ -26,6 +26,9 @@
 /** A customer's place in its rank; grows with the work it was given. */
 interface CustomerQueue<Waiting extends Ticket> {
   virtualTime: number;
+  weight: number;
+  /** Estimated work of all that waits, in tokens. */
+  work: number;
   readonly tickets: Waiting[];
 }
 
@@ -34,6 +37,8 @@
   length: number;
   /** Estimated work of all that waits, in tokens. */
   work: number;
+  /** Requests that were taken and have not been released. */
+  running: number;
   /** Work given lately, halved each half-life. */
   served: number;
   virtualTime: number;
@@ -71,26 +76,24 @@
     return this.#ranks.get(rank)?.length ?? 0;
   }
 
-  /** Estimated work that waits in a rank and all more urgent ones, in tokens. */
-  workBefore(rank: Rank): number {
-    let work = 0;
-    for (const queue of this.#ranks.values()) {
-      if (queue.rank.order <= rank.order) work += queue.work;
-    }
-    return work;
-  }
-
   /** Adds a request; `atFront` puts one back that had been served already. */
   push(ticket: Waiting, atFront = false): void {
     const queue = this.#rankQueue(ticket.rank);
     const customer = queue.customers.get(ticket.customer) ??
-      { virtualTime: queue.virtualTime, tickets: [] };
+      {
+        virtualTime: queue.virtualTime,
+        weight: ticket.weight,
+        work: 0,
+        tickets: [],
+      };
     queue.customers.set(ticket.customer, customer);
     if (customer.tickets.length === 0) {
       customer.virtualTime = Math.max(customer.virtualTime, queue.virtualTime);
     }
     if (atFront) customer.tickets.unshift(ticket);
     else customer.tickets.push(ticket);
+    customer.weight = ticket.weight;
+    customer.work += ticket.cost;
     this.#arrivals.add(ticket);
     queue.length++;
     queue.work += ticket.cost;
@@ -99,10 +102,11 @@
   /** Removes a request that no longer waits. */
   remove(ticket: Waiting): void {
     const queue = this.#ranks.get(ticket.rank.name);
-    const tickets = queue?.customers.get(ticket.customer)?.tickets;
-    const index = tickets?.indexOf(ticket) ?? -1;
-    if (queue === undefined || tickets === undefined || index < 0) return;
-    tickets.splice(index, 1);
+    const customer = queue?.customers.get(ticket.customer);
+    const index = customer?.tickets.indexOf(ticket) ?? -1;
+    if (queue === undefined || customer === undefined || index < 0) return;
+    customer.tickets.splice(index, 1);
+    customer.work -= ticket.cost;
     this.#arrivals.delete(ticket);
     queue.length--;
     queue.work -= ticket.cost;
@@ -122,6 +126,7 @@
     this.remove(ticket);
     const queue = this.#rankQueue(ticket.rank);
     const customer = queue.customers.get(ticket.customer);
+    queue.running++;
     queue.served += ticket.cost;
     if (customer === undefined) return;
     queue.virtualTime = Math.max(queue.virtualTime, customer.virtualTime);
@@ -129,39 +134,70 @@
     if (queue.customers.size > CUSTOMERS_IDLE_MAX) dropIdle(queue);
   }
 
+  /** Notes that a request which was taken has ended. */
+  release(ticket: Waiting): void {
+    this.#rankQueue(ticket.rank).running--;
+  }
+
   /** Ranks in the order of service; ranks below their floor come first. */
   #rankOrder(): RankQueue<Waiting>[] {
-    this.#decay();
-    const waiting = [...this.#ranks.values()].filter(({ length }) =>
-      length > 0
-    );
-    const total = this.#totalServed();
-    const lack = (queue: RankQueue<Waiting>) =>
-      Math.max(0, queue.rank.floorPercent / PERCENT * total - queue.served);
-    return waiting.sort((a, b) =>
-      lack(b) - lack(a) || a.rank.order - b.rank.order
-    );
+    return [...this.#ranks.values()]
+      .filter(({ length }) => length > 0)
+      .sort((a, b) =>
+        this.#lackOf(b) - this.#lackOf(a) || a.rank.order - b.rank.order
+      );
+  }
+
+  /** Running requests that a rank lacks to its floor, 0 when it has it. */
+  #lackOf({ rank, running }: RankQueue<Waiting>): number {
+    const floor = rank.floorPercent / PERCENT * this.#totalRunning();
+    return Math.max(0, floor - running);
+  }
+
+  #totalRunning(): number {
+    let total = 0;
+    for (const { running } of this.#ranks.values()) total += running;
+    return total;
   }
 
   /**
-   * Estimated time until work that comes now in a rank is served, in ms; 0 while
-   * too little was served to tell.
+   * Estimated time until a request that comes now is served, in ms; 0 while too
+   * little was served to tell. Work of other customers counts as far as fairness
+   * lets it go first.
    */
-  estimateWaitMs(rank: Rank): number {
+  estimateWaitMs(ticket: Ticket): number {
     this.#decay();
     const perMs = this.#totalServed() * Math.LN2 / SERVED_HALF_LIFE_MS;
     if (perMs === 0) return 0;
-    const all = this.workBefore(rank) / perMs;
-    const floorPerMs = perMs * rank.floorPercent / PERCENT;
-    const own = (this.#ranks.get(rank.name)?.work ?? 0) / floorPerMs;
-    return floorPerMs > 0 ? Math.min(all, own) : all;
+    const inRank = this.#workBefore(ticket);
+    let urgent = 0;
+    for (const { rank, work } of this.#ranks.values()) {
+      if (rank.order < ticket.rank.order) urgent += work;
+    }
+    const allMs = (urgent + inRank) / perMs;
+    const floorPerMs = perMs * ticket.rank.floorPercent / PERCENT;
+    return floorPerMs > 0 ? Math.min(allMs, inRank / floorPerMs) : allMs;
   }
 
-  /** Whether a rank got less than its floor lately. */
-  isBelowFloor({ name, floorPercent }: Rank): boolean {
-    this.#decay();
-    const floor = floorPercent / PERCENT * this.#totalServed();
-    return (this.#ranks.get(name)?.served ?? 0) < floor;
+  /** Work of a ticket's rank that is served before it, in tokens. */
+  #workBefore(ticket: Ticket): number {
+    const customers = this.#ranks.get(ticket.rank.name)?.customers;
+    const own = customers?.get(ticket.customer)?.work ?? 0;
+    const perWeight = (own + ticket.cost) / ticket.weight;
+    let before = own;
+    for (const [name, { work, weight }] of customers ?? []) {
+      if (name !== ticket.customer) {
+        before += Math.min(work, perWeight * weight);
+      }
+    }
+    return before;
+  }
+
+  /** Whether a rank keeps its floor when one of its requests is taken back. */
+  canSpare(rank: Rank): boolean {
+    const { running } = this.#rankQueue(rank);
+    const floor = rank.floorPercent / PERCENT * this.#totalRunning();
+    return running - 1 >= floor;
   }
 
   #totalServed(): number {
@@ -187,6 +223,7 @@
       rank,
       length: 0,
       work: 0,
+      running: 0,
       served: 0,
       virtualTime: 0,
       customers: new Map(),
--- a/src/process/fleet.ts
+++ b/src/process/fleet.ts
@@ -177,7 +177,10 @@
   end(name: string): void {
     const view = this.#views.get(name);
     if (view === undefined) return;
-    this.#change(name, { inFlight: Math.max(0, view.inFlight - 1) });
+    this.#change(name, {
+      inFlight: Math.max(0, view.inFlight - 1),
+      endedSinceReport: view.endedSinceReport + 1,
+    });
     this.#options.onRoom();
   }
 
@@ -295,7 +298,12 @@
   ): void {
     const wasLeaving = this.#views.get(name)?.report?.leaving === true;
     if (report.leaving && !wasLeaving) this.#logLeaving(name, "report");
-    this.#change(name, { report, reportedMs: askedMs, sentSinceReport: 0 });
+    this.#change(name, {
+      report,
+      reportedMs: askedMs,
+      sentSinceReport: 0,
+      endedSinceReport: 0,
+    });
     this.#options.onRoom();
   }
 
--- a/src/process/load.ts
+++ b/src/process/load.ts
@@ -33,6 +33,8 @@
   readonly entries: readonly string[];
   readonly classes: readonly LoadClass[];
   readonly seed: number;
+  /** Time in which delivered tokens are counted, in s from the start. */
+  readonly window: { readonly startS: number; readonly endS: number };
 }
 
 /** What became of one class. */
@@ -46,7 +48,7 @@
   readonly first: Percentiles;
   /** Time to the last token, in ms. */
   readonly total: Percentiles;
-  /** Tokens delivered until the class's end, in a second. */
+  /** Tokens delivered in the load's window, in a second. */
   readonly tokensPerS: number;
 }
 
@@ -63,6 +65,14 @@
     load.classes.map((loadClass) => [loadClass, ClassTally.create(loadClass)]),
   );
   const startMs = performance.now();
+  const { window } = load;
+  const all = [...tallies.values()];
+  setTimeout(() => {
+    for (const tally of all) tally.openWindow();
+  }, window.startS * MS_PER_S);
+  setTimeout(() => {
+    for (const tally of all) tally.closeWindow();
+  }, window.endS * MS_PER_S);
   const asks: Promise<void>[] = [];
   let count = 0;
   for (const { atMs, loadClass } of schedule(load)) {
@@ -71,11 +81,11 @@
     const address = load.entries[count % load.entries.length] ?? "";
     const prompt = createPrompt(loadClass, count++);
     const tally = tallies.get(loadClass);
-    const endMs = startMs + loadClass.endS * MS_PER_S;
-    if (tally !== undefined) asks.push(tally.ask({ address, prompt, endMs }));
+    if (tally !== undefined) asks.push(tally.ask(address, prompt));
   }
   await Promise.all(asks);
-  return [...tallies.values()].map((tally) => tally.figures());
+  const windowS = window.endS - window.startS;
+  return all.map((tally) => tally.figures(windowS));
 }
 
 /** Returns the arrivals of all classes in the order of their times. */
@@ -104,6 +114,9 @@
   readonly #first = Durations.create();
   readonly #total = Durations.create();
   readonly #outcomes: Record<string, number> = {};
+  readonly #open = new Set<CompletionCaller>();
+  /** Tokens of answers that have ended. */
+  #ended = 0;
   #sent = 0;
   #inTarget = 0;
   #tokens = 0;
@@ -116,11 +129,15 @@
     return new ClassTally(loadClass);
   }
 
-  async ask({ address, prompt, endMs }: {
-    readonly address: string;
-    readonly prompt: string;
-    readonly endMs: number;
-  }): Promise<void> {
+  openWindow(): void {
+    this.#tokens -= this.#delivered();
+  }
+
+  closeWindow(): void {
+    this.#tokens += this.#delivered();
+  }
+
+  async ask(address: string, prompt: string): Promise<void> {
     this.#sent++;
     const { key, service, rank, maxTokens, targetMs } = this.#class;
     const caller = CompletionCaller.create({
@@ -131,23 +148,19 @@
       prompt,
       maxTokens,
     });
-    const timer = setTimeout(() => {
-      this.#tokens += caller.tokenCount;
-    }, Math.max(0, endMs - performance.now()));
+    this.#open.add(caller);
     const { outcome } = await caller.ended;
+    this.#open.delete(caller);
+    this.#ended += caller.tokenCount;
     this.#outcomes[outcome] = (this.#outcomes[outcome] ?? 0) + 1;
-    if (performance.now() < endMs) {
-      clearTimeout(timer);
-      this.#tokens += caller.tokenCount;
-    }
     if (Number.isNaN(caller.firstMs)) return;
     this.#first.record(caller.firstMs);
     this.#total.record(caller.totalMs);
     if (caller.firstMs <= targetMs) this.#inTarget++;
   }
 
-  figures(): ClassFigures {
-    const { name, startS, endS } = this.#class;
+  figures(windowS: number): ClassFigures {
+    const { name } = this.#class;
     return {
       name,
       sent: this.#sent,
@@ -155,7 +168,13 @@
       attainment: this.#sent === 0 ? 1 : this.#inTarget / this.#sent,
       first: this.#first.percentiles(),
       total: this.#total.percentiles(),
-      tokensPerS: this.#tokens / (endS - startS),
+      tokensPerS: this.#tokens / windowS,
     };
   }
+
+  #delivered(): number {
+    let tokens = this.#ended;
+    for (const caller of this.#open) tokens += caller.tokenCount;
+    return tokens;
+  }
 }
--- a/src/process/server_view.ts
+++ b/src/process/server_view.ts
@@ -20,6 +20,8 @@
   readonly unproven: number;
   /** Requests sent since the latest report was asked for. */
   readonly sentSinceReport: number;
+  /** Requests that ended since the latest report was asked for. */
+  readonly endedSinceReport: number;
 }
 
 /** What status says of a backend server. */
@@ -41,6 +43,7 @@
     inFlight: 0,
     unproven: 0,
     sentSinceReport: 0,
+    endedSinceReport: 0,
   };
 }
 
@@ -63,15 +66,17 @@
   const share = Math.max(1, Math.floor(view.server.slots / entryCount));
   if (view.inFlight < share) return true;
   const { report } = view;
-  if (report === undefined) return false;
-  const used = report.running + report.queued + view.sentSinceReport;
-  return used < report.slots;
+  return report !== undefined && usedSlots(view) < report.slots;
+}
+
+/** Requests at a server by its report and what this entry did since. */
+function usedSlots(view: ServerView): number {
+  const { report, sentSinceReport, endedSinceReport } = view;
+  const reported = (report?.running ?? 0) + (report?.queued ?? 0);
+  return reported + sentSinceReport - endedSinceReport;
 }
 
 /** Returns how full a server is, from 0; lower is better. */
 export function loadOf(view: ServerView): number {
-  const { report, server } = view;
-  const reported = (report?.running ?? 0) + (report?.queued ?? 0) +
-    view.sentSinceReport;
-  return Math.max(view.inFlight, reported) / server.slots;
+  return Math.max(view.inFlight, usedSlots(view)) / view.server.slots;
 }
--- a/src/process/steward.ts
+++ b/src/process/steward.ts
@@ -37,6 +37,8 @@
 
 /** An entry's status is removed after it was silent for so long, in ms. */
 const STATUS_KEEP_MS = 86_400_000;
+/** Renewals of the lease for each round of duties. */
+const DUTIES_EVERY = 10;
 /** Records removed in one round, to leave writes to others. */
 const REMOVALS_MAX = 50;
 
@@ -47,6 +49,7 @@
   readonly #platform: PlatformClient;
   readonly #lease: Lease;
   #summary = "";
+  #nextDutiesMs = 0;
   #closed = false;
 
   private constructor(settings: StewardSettings, log: Log) {
@@ -87,7 +90,7 @@
     while (!this.#closed) {
       try {
         await this.#lease.renew();
-        if (this.isHolder) await this.#doDuties();
+        if (this.isHolder && this.#isDue()) await this.#doDuties();
       } catch (error) {
         if (!isExpected(error)) throw error;
         if (!this.#closed) {
@@ -98,10 +101,18 @@
         wasHolder = this.isHolder;
         this.#log(wasHolder ? EVENTS.leaseAcquired : EVENTS.leaseLost);
       }
-      await sleep(this.#settings.intervalMs);
+      const { intervalMs, leaseMs } = this.#settings;
+      await sleep(this.isHolder ? intervalMs : leaseMs);
     }
   }
 
+  #isDue(): boolean {
+    const now = performance.now();
+    if (now < this.#nextDutiesMs) return false;
+    this.#nextDutiesMs = now + DUTIES_EVERY * this.#settings.intervalMs;
+    return true;
+  }
+
   async #doDuties(): Promise<void> {
     const stored = await this.#platform.read(HEAD_NAME);
     if (stored === undefined) return;
--- a/src/process/suspicions.ts
+++ b/src/process/suspicions.ts
@@ -20,7 +20,10 @@
   readonly expiresMs: number;
 }
 
-const EXCHANGED_MAX = 64;
+/** Suspicions in one digest. */
+const DIGEST_SUSPICIONS_MAX = 4;
+/** Digests carry suspicions that were renewed within this time, in ms. */
+const DIGEST_SUSPICION_AGE_MS = 30_000;
 const HELD_MAX = 10_000;
 
 /** Suspicions by request fingerprint, with expiry. */
@@ -80,12 +83,11 @@
     }
   }
 
-  /** Returns the newest suspicions worth telling a peer. */
+  /** Returns all suspicions, the newest last. */
   snapshot(): readonly Suspicion[] {
     const now = this.#now();
     return [...this.#held]
       .filter(([, held]) => held.expiresMs > now)
-      .slice(-EXCHANGED_MAX)
       .map(([fingerprint, { blame, expiresMs }]) => ({
         fingerprint,
         blame,
@@ -93,6 +95,18 @@
       }));
   }
 
+  /**
+   * Returns the few that a digest carries: of those that were renewed lately,
+   * the ones with the most blame, so that a digest stays small in a storm.
+   */
+  digest(): readonly Suspicion[] {
+    const renewedMs = SUSPICION_TTL_MS - DIGEST_SUSPICION_AGE_MS;
+    return this.snapshot()
+      .filter(({ remainingMs }) => remainingMs > renewedMs)
+      .toSorted((a, b) => b.blame - a.blame)
+      .slice(0, DIGEST_SUSPICIONS_MAX);
+  }
+
   #store(fingerprint: Fingerprint, held: Held): void {
     this.#held.delete(fingerprint);
     this.#held.set(fingerprint, held);
--- /dev/null
+++ b/tests/steward_test.ts
@@ -0,0 +1,119 @@
+/** The steward's lease and expiry under failure, with real processes. */
+
+import { expect, test } from "vitest";
+import type { Child } from "../bench/child.ts";
+import { LocalCluster, waitFor } from "../bench/local_cluster.ts";
+import { EVENTS } from "../src/process/event_catalog.ts";
+import { Session } from "./session.ts";
+
+const QUICK = [
+  "lease_ms = 1000",
+  "interval_ms = 100",
+  "action_keep_ms = 1500",
+  "chunk_keep_ms = 1500",
+  "revisions_kept = 1",
+];
+
+test("one steward at a time, through kill and freeze", async () => {
+  const cluster = await LocalCluster.create({ engines: 1, entries: 1 });
+  try {
+    const session = Session.create("one steward at a time");
+    const first = await cluster.startSteward("steward-a", QUICK);
+    await acquired(first, 1);
+    const second = await cluster.startSteward("steward-b", QUICK);
+    first.freeze();
+    await acquired(second, 1);
+    session.note("a frozen, b has taken over");
+    const { version } = await lease(cluster);
+    first.thaw();
+    await waitFor(
+      "a knows that it lost the lease",
+      () => events(first).includes(EVENTS.leaseLost.number),
+    );
+    session.note("a thawed, knows that it lost the lease");
+    const { holder, version: later } = await lease(cluster);
+    session.note(`holder: ${holder}, renewed since: ${later > version}`);
+    await second.kill();
+    await acquired(first, 2);
+    session.note("b killed, a has taken over again");
+    await session.match("steward/lease");
+  } finally {
+    await cluster.close();
+  }
+});
+
+test("old records go, what is in use stays", async () => {
+  const cluster = await LocalCluster.create({
+    engines: 1,
+    services: 1,
+    entries: 1,
+  });
+  try {
+    const session = Session.create("expiry");
+    await cluster.callService({
+      entry: cluster.entry(),
+      method: "POST",
+      path: "/bookings",
+      body: JSON.stringify({ key: "old" }),
+      idempotencyKey: "old",
+    });
+    for (const name of ["gamma", "delta", "epsilon"]) {
+      await cluster.publish({ customers: [{ name: "alpha" }, { name }] });
+    }
+    const before = await names(cluster, "chunk/");
+    await cluster.startSteward("steward-a", QUICK);
+    await waitFor(
+      "the record of the action is gone",
+      async () => (await names(cluster, "action/")) === 0,
+    );
+    await waitFor(
+      "unused chunks are gone",
+      async () => (await names(cluster, "chunk/")) < before,
+    );
+    session.note("old action record and unused chunks are gone");
+    const { code, stdout } = await cluster.command(["show"]);
+    session.note(
+      `show: exit code ${code}, has its customer: ${
+        stdout.includes("customer epsilon")
+      }`,
+    );
+    const entry = await cluster.startEntry(1);
+    await waitFor(
+      "a new entry reads the revision",
+      async () => (await cluster.revisionOf(entry)) === 4,
+    );
+    session.note("a new entry reads the revision in force");
+    expect(code).toBe(0);
+    await session.match("steward/expiry");
+  } finally {
+    await cluster.close();
+  }
+});
+
+async function acquired(steward: Child, times: number): Promise<void> {
+  await waitFor(
+    "the lease is acquired",
+    () =>
+      events(steward).filter((event) => event === EVENTS.leaseAcquired.number)
+        .length === times,
+  );
+}
+
+function events(steward: Child): readonly number[] {
+  return steward.logLines().map(({ event }) => event);
+}
+
+async function lease(
+  cluster: LocalCluster,
+): Promise<{ readonly holder: string; readonly version: number }> {
+  const stored = await cluster.platform.get<{
+    readonly version: number;
+    readonly value: string;
+  }>(`/objects/${encodeURIComponent("lease/steward")}`);
+  return { ...JSON.parse(stored.value), version: stored.version };
+}
+
+async function names(cluster: LocalCluster, prefix: string): Promise<number> {
+  const path = `/objects?prefix=${encodeURIComponent(prefix)}`;
+  return (await cluster.platform.get<readonly unknown[]>(path)).length;
+}
