--- a/tests/steward_test.ts
+++ b/tests/steward_test.ts
@@ -31,8 +31,12 @@
       () => events(first).includes(EVENTS.leaseLost.number),
     );
     session.note("a thawed, knows that it lost the lease");
-    const { holder, version: later } = await lease(cluster);
-    session.note(`holder: ${holder}, renewed since: ${later > version}`);
+    await waitFor(
+      "the lease is renewed",
+      async () => (await lease(cluster)).version > version,
+    );
+    const { holder } = await lease(cluster);
+    session.note(`renewed since by ${holder}`);
     await second.kill();
     await acquired(first, 2);
     session.note("b killed, a has taken over again");
