Do not blame an engine that gave up a stream nobody read

Cause: a caller that repeats with a cursor after the engine gave its stream up (5 s without a reader) got its answer, but the healthy engine was ejected and the request suspected: the refusal of the reattachment was taken for the server's death.

Ruled out: never blaming on a refused reattachment, since a server that was killed and restarted at once answers just so.

Change: the choice of the step after a loss is a pure function with a table as its test; a refusal on the caller's own cursor means try elsewhere. Peers log a lost link only if it had been open. Errors and tests lost a repetition.

--- a/bench/child.ts
+++ b/bench/child.ts
@@ -2,7 +2,7 @@
 
 import { type ChildProcess, spawn } from "node:child_process";
 import process from "node:process";
-import { callHttp } from "../src/connection/http_call.ts";
+import { callHttp, type HttpAnswer } from "../src/connection/http_call.ts";
 
 /** How a process is started. */
 export interface ChildOptions {
@@ -139,13 +139,23 @@
 
   /** Reads a JSON document from the process. */
   async get<Value>(path: string): Promise<Value> {
-    const answer = await callHttp({
+    const answer = await this.#call(path);
+    return JSON.parse(answer.body.toString()) as Value;
+  }
+
+  /** Returns the status of a path; 0 when its answer does not end. */
+  async status(path: string): Promise<number> {
+    const answer = await this.#call(path).catch(() => undefined);
+    return answer?.status ?? 0;
+  }
+
+  #call(path: string): Promise<HttpAnswer> {
+    return callHttp({
       address: this.address,
       method: "GET",
       path,
       timeoutMs: CONTROL_TIMEOUT_MS,
     });
-    return JSON.parse(answer.body.toString()) as Value;
   }
 }
 
--- a/src/connection/peer_link.ts
+++ b/src/connection/peer_link.ts
@@ -20,7 +20,9 @@
   readonly onDigest: (digest: Digest, link: PeerLink) => void;
   /** Returns a chunk that this entry holds. */
   readonly readChunk: (hash: ContentHash) => string | undefined;
-  readonly onClose: (link: PeerLink) => void;
+  /** `wasOpen` says whether the link had been open before. */
+  readonly onClose: (link: PeerLink, wasOpen: boolean) => void;
+  readonly onOpen: () => void;
 }
 
 type ChunkWaiter = (text: string | undefined) => void;
@@ -31,10 +33,16 @@
   readonly #handlers: PeerLinkHandlers;
   readonly #waiting = new Map<number, ChunkWaiter>();
   #correlation = 0;
+  #wasOpen: boolean;
 
   private constructor(socket: WebSocket, handlers: PeerLinkHandlers) {
     this.#socket = socket;
     this.#handlers = handlers;
+    this.#wasOpen = this.isOpen;
+    socket.once("open", () => {
+      this.#wasOpen = true;
+      handlers.onOpen();
+    });
     socket.on("message", (data) => this.#receive(data as Buffer));
     socket.on("error", () => socket.terminate());
     socket.on("close", () => this.#ended());
@@ -110,6 +118,6 @@
 
   #ended(): void {
     for (const settle of [...this.#waiting.values()]) settle(undefined);
-    this.#handlers.onClose(this);
+    this.#handlers.onClose(this, this.#wasOpen);
   }
 }
--- a/src/connection/peer_link_test.ts
+++ b/src/connection/peer_link_test.ts
@@ -14,6 +14,7 @@
 const HANDLERS: PeerLinkHandlers = {
   onDigest: () => undefined,
   readChunk: () => undefined,
+  onOpen: () => undefined,
   onClose: () => undefined,
 };
 
--- a/src/errors.ts
+++ b/src/errors.ts
@@ -56,6 +56,11 @@
   }
 }
 
+/** Returns the refusal of a generation that has run in part. */
+export function interrupted(message: string): Refusal {
+  return new Refusal(RefusalType.Interrupted, message);
+}
+
 /** Input that failed its checks; carries every finding at once. */
 export class InvalidInput extends Error {
   readonly findings: readonly Finding[];
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -126,6 +126,7 @@
     return {
       onDigest: (digest) => this.#options.onDigest(digest),
       readChunk: this.#options.readChunk,
+      onOpen: () => undefined,
       onClose: () => undefined,
     };
   }
@@ -156,9 +157,10 @@
       key: this.#options.key,
       handlers: {
         ...this.#handlers(),
-        onClose: () => {
+        onOpen: () => this.#options.log(EVENTS.peerConnected, { peer: name }),
+        onClose: (_, wasOpen) => {
           this.#dialled.delete(address);
-          this.#options.log(EVENTS.peerLost, { peer: name });
+          if (wasOpen) this.#options.log(EVENTS.peerLost, { peer: name });
         },
       },
     });
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -7,10 +7,14 @@
   type StreamReattach,
   type StreamStart,
 } from "../connection/engine_stream.ts";
-import { AttemptLoss, LossCause } from "../errors.ts";
+import { AttemptLoss, interrupted, LossCause } from "../errors.ts";
 import type { RequestId, StreamId } from "../ids.ts";
 import type { EntryContext } from "../process/entry_context.ts";
-import { type CompletionOrder, estimateCost } from "./completion_order.ts";
+import {
+  type CompletionOrder,
+  estimateCost,
+  type Resumption,
+} from "./completion_order.ts";
 import type { Journal } from "./journal.ts";
 import { isolate, isSuspect } from "./suspect.ts";
 
@@ -120,6 +124,29 @@
   };
 }
 
+/**
+ * Returns the stream that a caller's cursor names, or `undefined` when its
+ * server is gone and the caller's text can go on elsewhere.
+ *
+ * Errors: a `Refusal` of type interrupted when only that stream could go on.
+ */
+export function findCursorStream(
+  { fleet }: EntryContext,
+  { cursor, text }: Resumption,
+): StreamPlace | undefined {
+  const mustRebuild = text === undefined;
+  if (mustRebuild && cursor.streamStart > 0) {
+    throw interrupted("send the text received as resume_text to go on");
+  }
+  const { server, stream, streamStart } = cursor;
+  const view = fleet.view(server);
+  if (view !== undefined) {
+    return { server, address: view.server.address, stream, streamStart };
+  }
+  if (mustRebuild) throw interrupted("the backend server is gone");
+  return undefined;
+}
+
 /** Yields an attempt's events. Errors: `AttemptLoss`. */
 export function readAttempt(
   { settings }: EntryContext,
--- a/src/request/generation.ts
+++ b/src/request/generation.ts
@@ -5,14 +5,19 @@
 
 import { randomUUID } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
-import { match, P } from "ts-pattern";
 import type {
   FinishReason,
   StreamEvent,
 } from "../connection/engine_protocol.ts";
 import { CancelResult, cancelStream } from "../connection/engine_stream.ts";
 import { LOSSES_MAX, RETRY_AFTER_S } from "../constants.ts";
-import { AttemptLoss, LossCause, Refusal, RefusalType } from "../errors.ts";
+import {
+  AttemptLoss,
+  interrupted,
+  LossCause,
+  Refusal,
+  RefusalType,
+} from "../errors.ts";
 import type { GenerationId, RequestId } from "../ids.ts";
 import type { EntryContext } from "../process/entry_context.ts";
 import { EVENTS } from "../process/event_catalog.ts";
@@ -20,6 +25,7 @@
   type Attempt,
   type AttemptWish,
   canStart,
+  findCursorStream,
   readAttempt,
   reattach,
   startAttempt,
@@ -28,6 +34,7 @@
 import type { CompletionOrder } from "./completion_order.ts";
 import { createCursorWriter, type CursorWriter } from "./cursor.ts";
 import { type Addition, Journal } from "./journal.ts";
+import { chooseRecovery, RecoveryStep } from "./recovery.ts";
 import { isProven, recordServerLoss } from "./suspect.ts";
 
 /** A part of the answer, ready for the caller. */
@@ -71,6 +78,7 @@
   readonly #startMs: number;
   #losses = 0;
   #wasPreempted = false;
+  #cursorAttempt: Attempt | undefined;
   #lostAtMs: number | undefined;
 
   private constructor(context: EntryContext, options: GenerationOptions) {
@@ -216,19 +224,10 @@
   #reattachToCursor(): Attempt | undefined {
     const { resumption } = this.#options.order;
     if (resumption === undefined || this.#journal.isFull) return undefined;
-    const { cursor, text } = resumption;
-    const mustRebuild = text === undefined;
-    if (mustRebuild && cursor.streamStart > 0) {
-      throw interrupted("send the text received as resume_text to go on");
-    }
-    const view = this.#context.fleet.view(cursor.server);
-    if (view === undefined) {
-      if (mustRebuild) throw interrupted("the backend server is gone");
-      return undefined;
-    }
-    const { server, stream, streamStart } = cursor;
-    const { address } = view.server;
-    return this.#reattach({ server, address, stream, streamStart });
+    const place = findCursorStream(this.#context, resumption);
+    if (place === undefined) return undefined;
+    this.#cursorAttempt = this.#reattach(place);
+    return this.#cursorAttempt;
   }
 
   #reattach(place: StreamPlace): Attempt {
@@ -293,25 +292,37 @@
       throw interrupted("the stream is gone; repeat without a cursor");
     }
     const isSilent = this.#journal.position === attempt.streamStart;
-    const step = match({ lossCause, wasReattached, isSilent })
-      .with({
-        lossCause: P.union(LossCause.Closed, LossCause.Gap),
-        wasReattached: false,
-      }, () => this.#reattach(attempt))
-      .with({
-        lossCause: P.union(LossCause.Unreachable, LossCause.Refused),
-        wasReattached: true,
-      }, () => this.#noteServerLost(attempt))
-      .with(
-        { lossCause: P.union(LossCause.Refused, LossCause.WrongVersion) },
-        () => sleep(REFUSED_PAUSE_MS),
-      )
-      .with(
-        { lossCause: LossCause.Stalled, isSilent: true },
-        () => this.#withdraw(attempt),
-      )
-      .otherwise(() => this.#abandon(attempt));
-    return await step ?? undefined;
+    const isFromCursor = attempt === this.#cursorAttempt;
+    const step = chooseRecovery({
+      lossCause,
+      wasReattached,
+      isFromCursor,
+      isSilent,
+    });
+    return await this.#take(step, attempt);
+  }
+
+  async #take(
+    step: RecoveryStep,
+    attempt: Attempt,
+  ): Promise<Attempt | undefined> {
+    switch (step) {
+      case RecoveryStep.Reattach:
+        return this.#reattach(attempt);
+      case RecoveryStep.BlameServerLoss:
+        this.#blameServerLoss(attempt);
+        break;
+      case RecoveryStep.TryElsewhere:
+        await sleep(REFUSED_PAUSE_MS);
+        break;
+      case RecoveryStep.Withdraw:
+        await this.#withdraw(attempt);
+        break;
+      case RecoveryStep.Abandon:
+        this.#abandon(attempt);
+        break;
+    }
+    return undefined;
   }
 
   /** Leaves a server to more urgent work; the journal goes on later. */
@@ -345,7 +356,7 @@
   }
 
   /** The server no longer knows the stream: it died under this request. */
-  #noteServerLost(attempt: Attempt): void {
+  #blameServerLoss(attempt: Attempt): void {
     this.#abandon(attempt);
     recordServerLoss(this.#context, {
       fingerprint: this.#options.order.fingerprint,
@@ -385,7 +396,3 @@
     return new Refusal(RefusalType.NotRun, message, retryAfterS);
   }
 }
-
-function interrupted(message: string): Refusal {
-  return new Refusal(RefusalType.Interrupted, message);
-}
--- /dev/null
+++ b/src/request/recovery_test.ts
@@ -0,0 +1,64 @@
+/** The step after each kind of loss. */
+
+import { expect, test } from "vitest";
+import { LossCause } from "../errors.ts";
+import { chooseRecovery, RecoveryStep } from "./recovery.ts";
+
+test("step after each loss", () => {
+  const rows = Object.values(LossCause).flatMap((lossCause) =>
+    [false, true].flatMap((wasReattached) =>
+      [false, true].map((isSilent) => {
+        const isFromCursor = false;
+        const step = chooseRecovery({
+          lossCause,
+          wasReattached,
+          isFromCursor,
+          isSilent,
+        });
+        const kind = wasReattached ? "reattached" : "started";
+        const tokens = isSilent ? "no token" : "some tokens";
+        return `${lossCause}, ${kind}, ${tokens}: ${step}`;
+      })
+    )
+  );
+  expect(rows.join("\n")).toMatchInlineSnapshot(`
+    "refused, started, some tokens: try_elsewhere
+    refused, started, no token: try_elsewhere
+    refused, reattached, some tokens: blame_server_loss
+    refused, reattached, no token: blame_server_loss
+    unreachable, started, some tokens: abandon
+    unreachable, started, no token: abandon
+    unreachable, reattached, some tokens: blame_server_loss
+    unreachable, reattached, no token: blame_server_loss
+    closed, started, some tokens: reattach
+    closed, started, no token: reattach
+    closed, reattached, some tokens: abandon
+    closed, reattached, no token: abandon
+    stalled, started, some tokens: abandon
+    stalled, started, no token: withdraw
+    stalled, reattached, some tokens: abandon
+    stalled, reattached, no token: withdraw
+    gap, started, some tokens: reattach
+    gap, started, no token: reattach
+    gap, reattached, some tokens: abandon
+    gap, reattached, no token: abandon
+    preempted, started, some tokens: abandon
+    preempted, started, no token: abandon
+    preempted, reattached, some tokens: abandon
+    preempted, reattached, no token: abandon
+    wrong_version, started, some tokens: try_elsewhere
+    wrong_version, started, no token: try_elsewhere
+    wrong_version, reattached, some tokens: try_elsewhere
+    wrong_version, reattached, no token: try_elsewhere"
+  `);
+});
+
+test("a stream that was given up is nobody's fault", () => {
+  const step = chooseRecovery({
+    lossCause: LossCause.Refused,
+    wasReattached: true,
+    isFromCursor: true,
+    isSilent: true,
+  });
+  expect(step).toBe(RecoveryStep.TryElsewhere);
+});
--- a/tests/no_token_lost_test.ts
+++ b/tests/no_token_lost_test.ts
@@ -11,6 +11,7 @@
   LocalCluster,
   waitFor,
 } from "../bench/local_cluster.ts";
+import { EVENTS } from "../src/process/event_catalog.ts";
 import { Session } from "./session.ts";
 
 const ASKED = { prompt: "log of lock 12, winter inspection", maxTokens: 80 };
@@ -101,24 +102,12 @@
   {
     name: "entry and engine killed, the caller repeats with its text",
     options: { entries: 2 },
-    cause: async (cluster, caller) => {
-      await caller.received(20);
-      await (await serving(cluster)).kill();
-      await cluster.entry(0).kill();
-      await caller.ended;
-      return repeat(cluster, { caller, withText: true });
-    },
+    cause: (cluster, caller) => killBoth(cluster, { caller, withText: true }),
   },
   {
     name: "entry and engine killed, the caller repeats without its text",
     options: { entries: 2 },
-    cause: async (cluster, caller) => {
-      await caller.received(20);
-      await (await serving(cluster)).kill();
-      await cluster.entry(0).kill();
-      await caller.ended;
-      return repeat(cluster, { caller, withText: false });
-    },
+    cause: (cluster, caller) => killBoth(cluster, { caller, withText: false }),
   },
   {
     name: "engine killed, then entry killed, the caller repeats with its text",
@@ -156,6 +145,40 @@
   }
 });
 
+test("a stream that its engine gave up does not count against the engine", async () => {
+  const cluster = await LocalCluster.create({
+    entries: 2,
+    engineSwitches: ENGINE,
+  });
+  try {
+    const session = Session.create("the caller repeats after a long time");
+    const caller = cluster.complete(ASKED);
+    await caller.received(20);
+    await cluster.entry(0).kill();
+    await caller.ended;
+    await waitFor("the engine has given the stream up", async () => {
+      const path = `/v1/streams/${streamOf(caller.cursor)}?from=0`;
+      const answer = await Promise.all(
+        cluster.engines.map((engine) => engine.status(path)),
+      );
+      return answer.every((status) => status === 404);
+    });
+    const repeated = repeat(cluster, { caller, withText: true });
+    session.note(`repeat: ${(await repeated.ended).outcome}`);
+    session.noteJoined([caller.text, repeated.text], ASKED);
+    session.noteFirstLoss(cluster.entries);
+    const events = cluster.entry(1).logLines().map(({ event }) => event);
+    const { serverEjected, requestSuspected } = EVENTS;
+    session.note(`ejected: ${events.includes(serverEjected.number)}`);
+    session.note(`suspected: ${events.includes(requestSuspected.number)}`);
+    expect(events).not.toContain(serverEjected.number);
+    expect(events).not.toContain(requestSuspected.number);
+    await session.match("no_token_lost/stream_given_up");
+  } finally {
+    await cluster.close();
+  }
+});
+
 test("a whole answer is one answer without streaming too", async () => {
   const cluster = await LocalCluster.create({ engineSwitches: ENGINE });
   try {
@@ -172,6 +195,21 @@
   }
 });
 
+/** Kills the engine and the entry of a stream; the caller repeats elsewhere. */
+async function killBoth(
+  cluster: LocalCluster,
+  { caller, withText }: {
+    readonly caller: CompletionCaller;
+    readonly withText: boolean;
+  },
+): Promise<CompletionCaller> {
+  await caller.received(20);
+  await (await serving(cluster)).kill();
+  await cluster.entry(0).kill();
+  await caller.ended;
+  return repeat(cluster, { caller, withText });
+}
+
 function repeat(
   cluster: LocalCluster,
   { caller, withText }: {
@@ -187,6 +225,11 @@
   });
 }
 
+function streamOf(cursor: string): string {
+  const [base = ""] = cursor.split(".");
+  return JSON.parse(Buffer.from(base, "base64url").toString()).stream;
+}
+
 /** The engine that runs the one stream of the session. */
 async function serving(cluster: LocalCluster) {
   return (await split(cluster)).running;
