--- a/tests/leaving_server_test.ts
+++ b/tests/leaving_server_test.ts
@@ -17,6 +17,8 @@
   readonly name: string;
   /** Makes engine 0 leave. */
   readonly leave: (cluster: LocalCluster) => Promise<void>;
+  /** Happens once the bound has passed. */
+  readonly afterBound?: (cluster: LocalCluster) => void;
 }
 
 const CASES: readonly Case[] = [
@@ -45,13 +47,12 @@
       await cluster.platform.control({ outage: true });
       cluster.entry(1).freeze();
       await cluster.engine(0).control({ reportsLeaving: true });
-      await sleep(BOUND_MS);
-      cluster.entry(1).thaw();
     },
+    afterBound: (cluster) => cluster.entry(1).thaw(),
   },
 ];
 
-test.for(CASES)("$name", async ({ name, leave }) => {
+test.for(CASES)("$name", async ({ name, leave, afterBound }) => {
   const cluster = await LocalCluster.create({
     engines: 2,
     entries: 3,
@@ -68,6 +69,7 @@
     await sleep(BOUND_MS);
     const atBound = await arrivals(cluster);
     const elsewhere = load.count;
+    afterBound?.(cluster);
     await sleep(WATCHED_MS);
     const late = await arrivals(cluster) - atBound;
     session.note(`new work after the bound: ${late}`);
--- a/tests/not_run_test.ts
+++ b/tests/not_run_test.ts
@@ -7,7 +7,7 @@
 import fc from "fast-check";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect, test } from "vitest";
-import { LocalCluster } from "../bench/local_cluster.ts";
+import { LocalCluster, waitFor } from "../bench/local_cluster.ts";
 import { callHttp } from "../src/connection/http_call.ts";
 import { bearerKey, GENERATION_SERVICE } from "../bench/local_deployment.ts";
 import { Session } from "./session.ts";
@@ -15,6 +15,8 @@
 const SEED = 20_261_204;
 const RUNS = 6;
 const REQUESTS = 24;
+/** Longer than a generation waits for another server. */
+const BLACKOUT_MS = 1_000;
 
 /** One step of a failure schedule. */
 const STEP = fc.record({
@@ -25,6 +27,7 @@
     "cut",
     "freeze",
     "kill",
+    "blackout",
     "version",
     "full",
     "roomy",
@@ -47,6 +50,7 @@
     { seed: SEED, numRuns: RUNS, endOnFailure: true },
   );
   expect(tally.get("not_run") ?? 0).toBeGreaterThan(0);
+  expect(tally.get("interrupted") ?? 0).toBeGreaterThan(0);
   expect(tally.get("done") ?? 0).toBeGreaterThan(0);
 }, 240_000);
 
@@ -56,7 +60,7 @@
     services: 1,
     slots: 1,
     urgentTargetMs: 400,
-    limits: ["queue_length = 1"],
+    limits: ["queue_length = 1", "resume_limit_ms = 700"],
     engineSwitches: { tokenMs: 20, queueLimit: 0 },
   });
   try {
@@ -83,7 +87,13 @@
     await cluster.engine().control({ leaving: false, slots: 0 });
     await sleep(800);
     await note("engine refuses", "no slot there");
+    await cluster.engine().control({ slots: 1 });
+    await sleep(800);
+    const running = ask(cluster, "killed while it runs");
+    await waitFor("it runs", () => cluster.allRuns().length > 1);
     await cluster.engine().kill();
+    const { type, request } = await running;
+    session.note(`server killed: ${type}, runs ${runsOf(cluster, request)}`);
     await note("server gone", "nobody there");
     await cluster.service().kill();
     const call = await cluster.callService({
@@ -157,6 +167,12 @@
       await engine.kill();
       await cluster.restartEngine(step.engine);
       break;
+    case "blackout":
+      for (const each of cluster.engines) await each.kill();
+      await sleep(BLACKOUT_MS);
+      await cluster.restartEngine(0);
+      await cluster.restartEngine(1);
+      break;
     case "version":
       await control({ modelVersion: "2" });
       break;
