--- a/src/errors.ts
+++ b/src/errors.ts
@@ -88,6 +88,14 @@
   }
 }
 
+/** The platform's store no longer holds the changes that a watch asked for. */
+export class PlatformHistoryGone extends Error {
+  constructor() {
+    super("the platform's store has dropped this history; list again");
+    this.name = "PlatformHistoryGone";
+  }
+}
+
 /** How an attempt on a backend server ended without its whole output. */
 export enum LossCause {
   /** The server refused before running anything. */
--- a/src/ids.ts
+++ b/src/ids.ts
@@ -22,5 +22,8 @@
 /** Number of a published configuration; grows by one with each publish. */
 export type Revision = Brand<number, "revision">;
 
+/** Revision of the platform's store, or of one object in it. */
+export type ObjectRevision = Brand<number, "object revision">;
+
 /** The revision held before any configuration has been adopted. */
 export const NO_REVISION = 0 as Revision;
--- /dev/null
+++ b/src/process/choose_server.ts
@@ -0,0 +1,87 @@
+/**
+ * Chooses the backend server for one request.
+ *
+ * Answers the load of many requests on engines that share a batch: memory binds
+ * before slots, and a prompt that is being read delays every other request on
+ * its engine.
+ */
+
+import { addLoad, type LiveServerView } from "./live_server.ts";
+
+/** What is wanted of a server. */
+export interface ServerNeed {
+  readonly service: string;
+  /** Memory that the request takes, in tokens. */
+  readonly tokens: number;
+  /** Names of servers that must not be chosen. */
+  readonly excluded: ReadonlySet<string>;
+  /** Zone whose servers must not be chosen, if any. */
+  readonly excludedZone?: string;
+  /** Zones in which many servers were lost just now, with the time of it. */
+  readonly suspectZones: ReadonlyMap<string, number>;
+  /** Zone of this entry. */
+  readonly zone: string;
+}
+
+/** Clock and chance of a choice. */
+export interface ChoiceContext {
+  /** Monotonic clock, in ms. */
+  readonly nowMs: number;
+  /** Number from 0 up to 1. */
+  readonly random: () => number;
+}
+
+/** Weight of unread prompt tokens against tokens that only take memory. */
+const UNREAD_WEIGHT = 3;
+/** Added to the load of a server in a zone that lost others just now. */
+const SUSPECT_PENALTY = 10;
+/** Differences of load below this are left to chance, as a share of a server. */
+const LOAD_STEP = 0.02;
+
+/** Returns the servers that may get the request, whether or not they have room. */
+export function usableServers(
+  views: Iterable<LiveServerView>,
+  { need, nowMs }: { readonly need: ServerNeed; readonly nowMs: number },
+): LiveServerView[] {
+  return [...views].filter(({ server, avoidUntilMs }) =>
+    server.service === need.service &&
+    !server.isLeaving &&
+    !need.excluded.has(server.name) &&
+    server.zone !== need.excludedZone &&
+    avoidUntilMs <= nowMs
+  );
+}
+
+/** Whether a server has slots and memory left for the request. */
+export function hasRoomFor(view: LiveServerView, tokens: number): boolean {
+  const load = addLoad(view.own, view.others);
+  return load.requests < view.server.slots &&
+    load.tokens + tokens <= view.memoryTokens;
+}
+
+/** Returns the least loaded server with room, if there is one. */
+export function chooseServer(
+  views: Iterable<LiveServerView>,
+  need: ServerNeed,
+  { nowMs, random }: ChoiceContext,
+): LiveServerView | undefined {
+  const usable = usableServers(views, { need, nowMs })
+    .filter((view) => hasRoomFor(view, need.tokens))
+    .map((view) => ({
+      view,
+      load: Math.round(scoreOf(view, need) / LOAD_STEP),
+      chance: random(),
+    }))
+    .sort((a, b) => a.load - b.load || a.chance - b.chance);
+  return usable[0]?.view;
+}
+
+/** Returns how unwelcome a server is, from 0; a full server is about 1. */
+function scoreOf(view: LiveServerView, need: ServerNeed): number {
+  const { requests, tokens, unreadTokens } = addLoad(view.own, view.others);
+  const slots = requests / view.server.slots;
+  const memory = (tokens + UNREAD_WEIGHT * unreadTokens) / view.memoryTokens;
+  const suspectedMs = need.suspectZones.get(view.server.zone);
+  const isSuspect = suspectedMs !== undefined && view.heardMs < suspectedMs;
+  return Math.max(slots, memory) + (isSuspect ? SUSPECT_PENALTY : 0);
+}
--- a/src/process/dispatcher.ts
+++ b/src/process/dispatcher.ts
@@ -8,12 +8,31 @@
 import type { BackendServer } from "../version/types.ts";
 import { EVENTS } from "./event_catalog.ts";
 import { FairQueue, type Ticket } from "./fair_queue.ts";
-import type { Fleet, ServerWish } from "./fleet.ts";
+import type { ServerWish } from "./fleet.ts";
 import type { Log } from "./log.ts";
 import type { Policy } from "./settings.ts";
 
-/** What a request asks of the dispatcher. */
-export interface PlaceOrder extends Ticket, ServerWish {
+/** What the dispatcher itself reads of a wish for a server. */
+export interface PlaceWish {
+  readonly service: string;
+  /** Names of servers that must not be chosen. */
+  readonly excluded: ReadonlySet<string>;
+  /** Whether the request must be alone among suspected ones. */
+  readonly isSuspect: boolean;
+}
+
+/** The servers that a dispatcher gives places on. */
+export interface Placement<Wish extends PlaceWish> {
+  /** Returns the server that a request goes to now, if one has room. */
+  readonly choose: (wish: Wish) => BackendServer | undefined;
+  /** Notes that a request goes to a server. */
+  readonly begin: (name: string, wish: Wish) => void;
+  /** Notes that a request has left a server. */
+  readonly end: (name: string, wish: Wish) => void;
+}
+
+/** What any request asks of the dispatcher, whatever its wish for a server. */
+export interface PlaceTerms extends Ticket {
   /** Longest wait for a place, in ms. */
   readonly waitMs: number;
   /** Aborted when the caller has gone. */
@@ -24,6 +43,9 @@
   readonly onPreempt?: () => void;
 }
 
+/** What a request asks of the dispatcher. */
+export type PlaceOrder<Wish extends PlaceWish = ServerWish> = PlaceTerms & Wish;
+
 /** A place on a backend server, held until `close`. */
 export interface Place {
   readonly server: BackendServer;
@@ -32,10 +54,10 @@
 }
 
 /** What the dispatcher needs of its process. */
-export interface DispatcherOptions {
+export interface DispatcherOptions<Wish extends PlaceWish> {
   /** Monotonic clock, in ms. */
   readonly now: () => number;
-  readonly fleet: Fleet;
+  readonly fleet: Placement<Wish>;
   /** Requests that may wait in one rank of a service. */
   readonly queueLength: number;
   readonly policy: Policy;
@@ -43,22 +65,22 @@
 }
 
 /** A request that holds a place. */
-interface Running {
-  readonly order: Waiting;
+interface Running<Wish extends PlaceWish> {
+  readonly order: Waiting<Wish>;
   readonly server: BackendServer;
   isPreempted: boolean;
 }
 
 /** The waiting and running requests of one service. */
-interface ServiceQueue {
-  readonly waiting: FairQueue<Waiting>;
+interface ServiceQueue<Wish extends PlaceWish> {
+  readonly waiting: FairQueue<Waiting<Wish>>;
   /** In the order in which they got their places. */
-  readonly running: Set<Running>;
+  readonly running: Set<Running<Wish>>;
 }
 
-interface Waiting extends PlaceOrder {
+type Waiting<Wish extends PlaceWish> = PlaceOrder<Wish> & {
   readonly resolve: (place: Place) => void;
-}
+};
 
 /** Heads of the queue that are tried when the first finds no server. */
 const CANDIDATES_TRIED = 16;
@@ -66,21 +88,23 @@
 const ESTIMATE_MIN_LENGTH = 8;
 
 /** The waiting requests of an entry, by service. */
-export class Dispatcher {
-  readonly #options: DispatcherOptions;
-  readonly #queues = new Map<string, ServiceQueue>();
+export class Dispatcher<Wish extends PlaceWish = ServerWish> {
+  readonly #options: DispatcherOptions<Wish>;
+  readonly #queues = new Map<string, ServiceQueue<Wish>>();
 
-  private constructor(options: DispatcherOptions) {
+  private constructor(options: DispatcherOptions<Wish>) {
     this.#options = options;
   }
 
   /** Makes a dispatcher; the fleet must call `pump` when it has room. */
-  static create(options: DispatcherOptions): Dispatcher {
+  static create<Wish extends PlaceWish>(
+    options: DispatcherOptions<Wish>,
+  ): Dispatcher<Wish> {
     return new Dispatcher(options);
   }
 
   /** Waits for a place. Errors: a `Refusal` of type not run. */
-  place(order: PlaceOrder): Promise<Place> {
+  place(order: PlaceOrder<Wish>): Promise<Place> {
     const queue = this.#queue(queueName(order));
     const refusal = this.#refuseEarly(queue, order);
     if (refusal !== undefined) return Promise.reject(refusal);
@@ -98,7 +122,7 @@
         clearTimeout(timer);
         order.signal.removeEventListener("abort", onAbort);
       };
-      const waiting: Waiting = {
+      const waiting: Waiting<Wish> = {
         ...order,
         resolve: (place) => {
           settle();
@@ -119,8 +143,8 @@
 
   /** Refuses what can't wait, or would wait in vain. */
   #refuseEarly(
-    { waiting }: ServiceQueue,
-    order: PlaceOrder,
+    { waiting }: ServiceQueue<Wish>,
+    order: PlaceOrder<Wish>,
   ): Refusal | undefined {
     const { rank, waitMs, isResumed } = order;
     if (isResumed) return undefined;
@@ -136,12 +160,12 @@
     return refuse(`rank ${rank.name} can't be served in time`, retryAfterS);
   }
 
-  #pumpService(queue: ServiceQueue): void {
+  #pumpService(queue: ServiceQueue<Wish>): void {
     while (this.#serveOne(queue)) continue;
     if (this.#options.policy.preempts) this.#preemptOne(queue);
   }
 
-  #serveOne(queue: ServiceQueue): boolean {
+  #serveOne(queue: ServiceQueue<Wish>): boolean {
     let tried = 0;
     for (const waiting of queue.waiting.candidates()) {
       const server = this.#options.fleet.choose(waiting);
@@ -156,7 +180,7 @@
   }
 
   /** Asks one running request to give its place to the first that waits. */
-  #preemptOne({ waiting, running }: ServiceQueue): void {
+  #preemptOne({ waiting, running }: ServiceQueue<Wish>): void {
     const [first] = waiting.candidates();
     if (first === undefined) return;
     const asked = [...running].filter(({ isPreempted }) => isPreempted);
@@ -183,40 +207,43 @@
   }
 
   #occupy(
-    queue: ServiceQueue,
+    queue: ServiceQueue<Wish>,
     { order, server }: {
-      readonly order: Waiting;
+      readonly order: Waiting<Wish>;
       readonly server: BackendServer;
     },
   ): Place {
     const { fleet } = this.#options;
-    const running: Running = { order, server, isPreempted: false };
+    const running: Running<Wish> = { order, server, isPreempted: false };
     queue.running.add(running);
-    fleet.begin(server.name);
+    fleet.begin(server.name, order);
     return {
       server,
       close: () => {
         if (!queue.running.delete(running)) return;
         queue.waiting.release(order);
-        fleet.end(server.name);
+        fleet.end(server.name, order);
       },
     };
   }
 
-  #queue(name: string): ServiceQueue {
+  #queue(name: string): ServiceQueue<Wish> {
     const { now, policy } = this.#options;
     const queue = this.#queues.get(name) ?? {
-      waiting: FairQueue.create<Waiting>({ now, order: policy.queueOrder }),
-      running: new Set<Running>(),
+      waiting: FairQueue.create<Waiting<Wish>>({
+        now,
+        order: policy.queueOrder,
+      }),
+      running: new Set<Running<Wish>>(),
     };
     this.#queues.set(name, queue);
     return queue;
   }
 }
 
-function mayTakeBack(
-  { order, server, isPreempted }: Running,
-  first: Waiting,
+function mayTakeBack<Wish extends PlaceWish>(
+  { order, server, isPreempted }: Running<Wish>,
+  first: Waiting<Wish>,
 ): boolean {
   return !isPreempted && order.onPreempt !== undefined &&
     !first.excluded.has(server.name);
@@ -226,9 +253,12 @@
  * Whether a customer runs more than its share beside one of its rank that waits
  * and runs nothing: with one place less it still runs more by weight.
  */
-function isOverShare(
-  running: ReadonlySet<Running>,
-  { order, first }: { readonly order: Waiting; readonly first: Waiting },
+function isOverShare<Wish extends PlaceWish>(
+  running: ReadonlySet<Running<Wish>>,
+  { order, first }: {
+    readonly order: Waiting<Wish>;
+    readonly first: Waiting<Wish>;
+  },
 ): boolean {
   const countOf = (customer: string) =>
     [...running].filter((candidate) =>
@@ -241,7 +271,7 @@
 }
 
 /** Suspected requests wait apart, so that they hold up no others. */
-function queueName({ service, isSuspect }: ServerWish): string {
+function queueName({ service, isSuspect }: PlaceWish): string {
   return isSuspect ? `${service} suspects` : service;
 }
 
--- a/src/process/event_catalog.ts
+++ b/src/process/event_catalog.ts
@@ -44,6 +44,11 @@
     "process was paused; views are refreshed before new work",
     "look for overload or freezes of the instance",
   ),
+  settingsReloaded: define(
+    1007,
+    Severity.Info,
+    "settings file announced as changed",
+  ),
   unexpected: define(
     1099,
     Severity.Error,
@@ -71,6 +76,12 @@
     "backend server ejected from new work",
     "check the backend server",
   ),
+  zoneSuspected: define(
+    3004,
+    Severity.Warn,
+    "several backend servers of an availability zone were lost at once",
+    "check the availability zone",
+  ),
   serverReturned: define(3003, Severity.Info, "backend server has returned"),
   attemptLost: define(3101, Severity.Warn, "attempt lost"),
   generationResumed: define(3102, Severity.Info, "generation resumed"),
@@ -92,6 +103,7 @@
     Severity.Info,
     "generation preempted for urgent work",
   ),
+  orderEnded: define(3107, Severity.Info, "order ended"),
   actionUnknown: define(
     4001,
     Severity.Warn,
--- /dev/null
+++ b/src/process/live_servers.ts
@@ -0,0 +1,237 @@
+/**
+ * The backend servers that registered themselves, as this entry sees them: the
+ * platform's list, this entry's own work and losses, and what others report.
+ */
+
+import {
+  addLoad,
+  type LiveServer,
+  type LiveServerView,
+  NO_LOAD,
+  type ServerLoad,
+  subtractLoad,
+} from "./live_server.ts";
+import {
+  chooseServer,
+  type ServerNeed,
+  usableServers,
+} from "./choose_server.ts";
+import { EVENTS } from "./event_catalog.ts";
+import type { Log } from "./log.ts";
+
+/** What the servers need of their process. */
+export interface LiveServersOptions {
+  /** Monotonic clock, in ms. */
+  readonly now: () => number;
+  /** Number from 0 up to 1. */
+  readonly random: () => number;
+  /** Zone of this entry. */
+  readonly zone: string;
+  readonly log: Log;
+  /** Memory of a service's servers, in tokens; infinite for plain services. */
+  readonly memoryTokensOf: (service: string) => number;
+  /** Called when a server may have become free. */
+  readonly onRoom: () => void;
+}
+
+/** What a request wants of a server, without what the process knows itself. */
+export type ServerRequest = Omit<ServerNeed, "suspectZones" | "zone">;
+
+/** How a server was lost, as far as it decides when it is tried again. */
+export enum ServerLoss {
+  /** The process that was listed no longer has the address. */
+  Replaced = "replaced",
+  /** Nothing listens, or nothing answered a connection. */
+  Unreachable = "unreachable",
+  /** A connection broke or fell silent. */
+  Broken = "broken",
+  /** It refused for want of room. */
+  Full = "full",
+}
+
+/** How long a server gets no new work after a loss, in ms. */
+const AVOID_MS: Readonly<Record<ServerLoss, number>> = {
+  // Only a new entry in the list makes it usable again.
+  [ServerLoss.Replaced]: 60_000,
+  // Crashed servers are back after 1 to 5 s, as a new incarnation.
+  [ServerLoss.Unreachable]: 1_500,
+  [ServerLoss.Broken]: 600,
+  [ServerLoss.Full]: 100,
+};
+
+/** Losses in a zone within `ZONE_WINDOW_MS` that make it suspect. */
+const ZONE_LOSSES = 2;
+const ZONE_WINDOW_MS = 300;
+/** How long a zone stays suspect, in ms; zones on the sheets fail for 1.2 s. */
+const ZONE_SUSPECT_MS = 1_500;
+
+interface ZoneLosses {
+  readonly servers: Map<string, number>;
+  suspectedMs: number;
+}
+
+/** All registered backend servers. */
+export class LiveServers {
+  readonly #options: LiveServersOptions;
+  readonly #views = new Map<string, LiveServerView>();
+  readonly #zones = new Map<string, ZoneLosses>();
+
+  private constructor(options: LiveServersOptions) {
+    this.#options = options;
+  }
+
+  /** Starts without servers. */
+  static create(options: LiveServersOptions): LiveServers {
+    return new LiveServers(options);
+  }
+
+  /** Returns all views. */
+  views(): Iterable<LiveServerView> {
+    return this.#views.values();
+  }
+
+  /** Returns the view of a server by name. */
+  view(name: string): LiveServerView | undefined {
+    return this.#views.get(name);
+  }
+
+  /** Takes over what the list says of a server. */
+  set(server: LiveServer): void {
+    const held = this.#views.get(server.name);
+    const isSame = held !== undefined && isSameIncarnation(held.server, server);
+    const memoryTokens = this.#options.memoryTokensOf(server.service);
+    if (!isSame) this.#retireAddress(server);
+    if (server.isLeaving && !held?.server.isLeaving) {
+      this.#options.log(EVENTS.serverLeaving, {
+        server: server.name,
+        source: "list",
+      });
+    }
+    this.#views.set(server.name, {
+      server,
+      memoryTokens,
+      own: isSame ? held.own : NO_LOAD,
+      others: isSame ? held.others : NO_LOAD,
+      avoidUntilMs: isSame ? held.avoidUntilMs : 0,
+      heardMs: isSame ? held.heardMs : this.#options.now(),
+    });
+    this.#options.onRoom();
+  }
+
+  /** Drops a server that is gone from the list. */
+  delete(name: string): void {
+    this.#views.delete(name);
+  }
+
+  /** Recomputes the memory of all servers after a configuration changed. */
+  refreshMemory(): void {
+    for (const [name, view] of this.#views) {
+      const memoryTokens = this.#options.memoryTokensOf(view.server.service);
+      this.#views.set(name, { ...view, memoryTokens });
+    }
+  }
+
+  /** Returns the server that a request goes to now, if one has room. */
+  choose(request: ServerRequest): LiveServer | undefined {
+    const { now, random, zone } = this.#options;
+    const need = { ...request, zone, suspectZones: this.#suspectZones() };
+    const context = { nowMs: now(), random };
+    return chooseServer(this.#views.values(), need, context)?.server;
+  }
+
+  /** Whether any server could take the request now or after a wait. */
+  canServe(request: ServerRequest): boolean {
+    const need = { ...request, zone: "", suspectZones: new Map() };
+    const nowMs = this.#options.now();
+    return usableServers(this.#views.values(), { need, nowMs }).length > 0;
+  }
+
+  /** Notes work that goes to a server. */
+  begin(name: string, load: ServerLoad): void {
+    this.#change(name, (view) => ({ own: addLoad(view.own, load) }));
+  }
+
+  /** Notes that work has left a server. */
+  end(name: string, load: ServerLoad): void {
+    this.#change(name, (view) => ({ own: subtractLoad(view.own, load) }));
+    this.#options.onRoom();
+  }
+
+  /** Notes that a server gave a sign of life. */
+  hear(name: string): void {
+    this.#change(name, () => ({ heardMs: this.#options.now() }));
+  }
+
+  /** Takes over what the other entries do on a server. */
+  setOthers(name: string, others: ServerLoad): void {
+    this.#change(name, () => ({ others }));
+  }
+
+  /** Keeps a server out of new work after a loss. */
+  lose(name: string, loss: ServerLoss): void {
+    const view = this.#views.get(name);
+    if (view === undefined) return;
+    const nowMs = this.#options.now();
+    const avoidUntilMs = Math.max(view.avoidUntilMs, nowMs + AVOID_MS[loss]);
+    this.#change(name, () => ({ avoidUntilMs }));
+    if (loss !== ServerLoss.Full) this.#noteZoneLoss(view.server, nowMs);
+    this.#options.log(EVENTS.serverEjected, {
+      server: name,
+      zone: view.server.zone,
+      cause: loss,
+      for_ms: AVOID_MS[loss],
+    });
+  }
+
+  /** Several losses in a zone at once make all of it suspect. */
+  #noteZoneLoss({ zone, name }: LiveServer, nowMs: number): void {
+    const losses = this.#zones.get(zone) ??
+      { servers: new Map<string, number>(), suspectedMs: -Infinity };
+    this.#zones.set(zone, losses);
+    for (const [server, lostMs] of losses.servers) {
+      if (nowMs - lostMs > ZONE_WINDOW_MS) losses.servers.delete(server);
+    }
+    losses.servers.set(name, nowMs);
+    if (losses.servers.size < ZONE_LOSSES) return;
+    if (nowMs - losses.suspectedMs > ZONE_SUSPECT_MS) {
+      this.#options.log(EVENTS.zoneSuspected, {
+        zone,
+        lost: losses.servers.size,
+      });
+    }
+    losses.suspectedMs = nowMs;
+  }
+
+  #suspectZones(): ReadonlyMap<string, number> {
+    const nowMs = this.#options.now();
+    const suspect = new Map<string, number>();
+    for (const [zone, { suspectedMs }] of this.#zones) {
+      if (nowMs - suspectedMs <= ZONE_SUSPECT_MS) {
+        suspect.set(zone, suspectedMs);
+      }
+    }
+    return suspect;
+  }
+
+  /** An address belongs to its newest owner; older ones have ended. */
+  #retireAddress({ name, address, startedMs }: LiveServer): void {
+    for (const { server } of this.#views.values()) {
+      const isOlder = server.address === address && server.name !== name &&
+        server.startedMs <= startedMs;
+      if (!isOlder) continue;
+      this.#change(server.name, () => ({ avoidUntilMs: Infinity }));
+    }
+  }
+
+  #change(
+    name: string,
+    change: (view: LiveServerView) => Partial<LiveServerView>,
+  ): void {
+    const view = this.#views.get(name);
+    if (view !== undefined) this.#views.set(name, { ...view, ...change(view) });
+  }
+}
+
+function isSameIncarnation(a: LiveServer, b: LiveServer): boolean {
+  return a.address === b.address && a.startedMs === b.startedMs;
+}
--- /dev/null
+++ b/src/process/relay_context.ts
@@ -0,0 +1,21 @@
+/** What the orders of one entry share. */
+
+import type { OrderWish } from "../request/place_order.ts";
+import type { Dispatcher } from "./dispatcher.ts";
+import type { LiveServers } from "./live_servers.ts";
+import type { Log } from "./log.ts";
+import type { RelayMetrics } from "./relay_metrics.ts";
+import type { RetryBudget } from "./retry_budget.ts";
+
+/** The parts of an entry process that orders use. */
+export interface RelayContext {
+  readonly log: Log;
+  readonly metrics: RelayMetrics;
+  readonly servers: LiveServers;
+  readonly dispatcher: Dispatcher<OrderWish>;
+  readonly budget: RetryBudget;
+  /** Whether the engines of a service can keep copies of each other's runs. */
+  readonly canBackUp: (service: string) => boolean;
+  /** Monotonic clock, in ms. */
+  readonly now: () => number;
+}
--- /dev/null
+++ b/src/process/relay_metrics.ts
@@ -0,0 +1,57 @@
+/** Metrics of the orders that an entry serves, for Prometheus. */
+
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const SECONDS_BUCKETS = [0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 10, 25];
+
+/** The metrics of one process, in a registry of its own. */
+export class RelayMetrics {
+  readonly registry = new Registry();
+  readonly orders = new Counter({
+    name: "gypsumridge_orders_total",
+    help: "Orders by how they ended",
+    labelNames: ["route", "outcome"],
+    registers: [this.registry],
+  });
+  readonly firstByte = new Histogram({
+    name: "gypsumridge_order_first_byte_seconds",
+    help: "Time from an order to the first byte of its answer",
+    labelNames: ["route"],
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+  readonly losses = new Counter({
+    name: "gypsumridge_order_losses_total",
+    help: "Attempts lost by cause",
+    labelNames: ["cause"],
+    registers: [this.registry],
+  });
+  readonly resumeSeconds = new Histogram({
+    name: "gypsumridge_order_resume_seconds",
+    help: "Time from the loss of a stream's server to its next event",
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+  readonly open = new Gauge({
+    name: "gypsumridge_open_orders",
+    help: "Orders being served",
+    registers: [this.registry],
+  });
+  readonly version = new Gauge({
+    name: "gypsumridge_configuration_version",
+    help: "Version of the configuration in force",
+    registers: [this.registry],
+  });
+  readonly droppedLines = new Counter({
+    name: "gypsumridge_log_lines_dropped_total",
+    help: "Log lines dropped because too many were written",
+    registers: [this.registry],
+  });
+
+  private constructor() {}
+
+  /** Makes the metrics of a process. */
+  static create(): RelayMetrics {
+    return new RelayMetrics();
+  }
+}
--- /dev/null
+++ b/src/request/order.ts
@@ -0,0 +1,60 @@
+/** An order: one caller's request, checked, as the core serves it. */
+
+import type { Fingerprint, RequestId } from "../ids.ts";
+import type { Rank } from "../version/types.ts";
+
+/** What a request may be repeated as. */
+export enum OrderKind {
+  /** Answered by events; runs once unless it may be resumed. */
+  Stream = "stream",
+  /** May run more than once. */
+  Idempotent = "idempotent",
+  /** Runs at most once. */
+  NonIdempotent = "non_idempotent",
+}
+
+/** A request that has passed its checks and names a service. */
+export interface Order {
+  readonly id: RequestId;
+  readonly kind: OrderKind;
+  /** Whether a stream may go on at another server after its last event. */
+  readonly isResumable: boolean;
+  readonly service: string;
+  readonly route: string;
+  /** Name of the customer, empty where the route needs no key. */
+  readonly customer: string;
+  readonly rank: Rank;
+  /** The same for requests that are the same to a backend server. */
+  readonly fingerprint: Fingerprint;
+  /** Memory that it takes at most at a model engine, in tokens; else 0. */
+  readonly memoryTokens: number;
+  /** Length of its prompt, in tokens; 0 for plain services. */
+  readonly promptTokens: number;
+  /** Id of the last event that the caller holds already, if any. */
+  readonly resumeAfter: string | undefined;
+  /** When it came, on the monotonic clock in ms. */
+  readonly receivedMs: number;
+  /** When the caller stops waiting, on the monotonic clock in ms. */
+  readonly deadlineMs: number;
+  /** When the operator wants it ended, on the monotonic clock in ms. */
+  readonly limitMs: number;
+  /** Backend servers that it may be sent to. */
+  readonly sendsMax: number;
+}
+
+/** Whether running the order again does no harm. */
+export function mayRepeat(order: Order): boolean {
+  switch (order.kind) {
+    case OrderKind.Idempotent:
+      return true;
+    case OrderKind.NonIdempotent:
+      return false;
+    case OrderKind.Stream:
+      return order.isResumable;
+  }
+}
+
+/** When the order must have its final answer, on the monotonic clock in ms. */
+export function endMs(order: Order): number {
+  return Math.min(order.deadlineMs, order.limitMs);
+}
--- /dev/null
+++ b/src/request/place_order.ts
@@ -0,0 +1,57 @@
+/** Gets an order a place on a backend server. */
+
+import type { ServerLoad } from "../process/live_server.ts";
+import type { ServerRequest } from "../process/live_servers.ts";
+import type { Place, PlaceOrder, PlaceWish } from "../process/dispatcher.ts";
+import type { RelayContext } from "../process/relay_context.ts";
+import type { Order } from "./order.ts";
+
+/** A wish for a server, with the work that it will get. */
+export interface OrderWish extends ServerRequest, PlaceWish {
+  readonly load: ServerLoad;
+}
+
+/** How long and where an order may wait for a place. */
+export interface PlaceWait {
+  readonly excluded: ReadonlySet<string>;
+  readonly waitMs: number;
+  readonly signal: AbortSignal;
+  /** Whether part of the answer was delivered already. */
+  readonly isResumed: boolean;
+}
+
+/** Work of an order before its prompt has been read. */
+export function loadOfOrder(order: Order): ServerLoad {
+  return {
+    requests: 1,
+    tokens: order.memoryTokens,
+    unreadTokens: order.promptTokens,
+  };
+}
+
+/** Waits for a place. Errors: a `Refusal` of type not run. */
+export function placeOrder(
+  { dispatcher }: RelayContext,
+  order: Order,
+  wait: PlaceWait,
+): Promise<Place> {
+  return dispatcher.place(orderTerms(order, wait));
+}
+
+/** Returns what the dispatcher and the servers are asked for an order. */
+export function orderTerms(
+  order: Order,
+  wait: PlaceWait,
+): PlaceOrder<OrderWish> {
+  return {
+    rank: order.rank,
+    customer: order.customer,
+    weight: 1,
+    cost: Math.max(1, order.memoryTokens),
+    service: order.service,
+    tokens: order.memoryTokens,
+    load: loadOfOrder(order),
+    isSuspect: false,
+    ...wait,
+  };
+}
