Ask a silent server for its report before giving its stream up

Change: silence asks the server for its report; the stream is given up when there is none, when the server has restarted, or when the run is no longer listed.

--- /dev/null
+++ b/src/connection/backend_report.ts
@@ -0,0 +1,22 @@
+/** What a backend server reports of itself when it is asked. */
+
+import type { LiveServer } from "../process/live_server.ts";
+
+/** A run that a server reports. */
+export interface ReportedRun {
+  /** Events produced so far. */
+  readonly events: number;
+}
+
+/** A server's report, which is some hundred ms old. */
+export interface ServerReport {
+  /** When this incarnation started, on the server's clock in ms; 0 if unknown. */
+  readonly startedMs: number;
+  /** Runs by request id; `undefined` where the server does not list them. */
+  readonly runs: ReadonlyMap<string, ReportedRun> | undefined;
+  /** Requests that wait for a place in its batch. */
+  readonly waiting: number;
+}
+
+/** Asks a server for its report. Errors: rejects when it gives none in time. */
+export type Reporter = (server: LiveServer) => Promise<ServerReport>;
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -1,5 +1,6 @@
 /** The core of an entry that relays orders: its views, its queue, its budget. */
 
+import type { Reporter } from "../connection/backend_report.ts";
 import type { RouteTable } from "../version/route_table.ts";
 import type { OrderWish } from "../request/place_order.ts";
 import { Dispatcher } from "./dispatcher.ts";
@@ -10,12 +11,14 @@
 import type { RelayContext } from "./relay_context.ts";
 import { RelayMetrics } from "./relay_metrics.ts";
 import { RetryBudget } from "./retry_budget.ts";
+import { ServerReports } from "./server_reports.ts";
 import { QueueOrder, Routing } from "./settings.ts";
 
 /** What a relay needs of its process. */
 export interface RelayOptions {
   readonly zone: string;
   readonly log: Log;
+  readonly askReport: Reporter;
   /** Monotonic clock, in ms. */
   readonly now: () => number;
   /** Number from 0 up to 1. */
@@ -70,6 +73,7 @@
       log,
       now,
       servers,
+      reports: ServerReports.create(now, options.askReport),
       dispatcher,
       metrics: RelayMetrics.create(),
       budget: RetryBudget.create({
--- a/src/process/relay_context.ts
+++ b/src/process/relay_context.ts
@@ -6,12 +6,14 @@
 import type { Log } from "./log.ts";
 import type { RelayMetrics } from "./relay_metrics.ts";
 import type { RetryBudget } from "./retry_budget.ts";
+import type { ServerReports } from "./server_reports.ts";
 
 /** The parts of an entry process that orders use. */
 export interface RelayContext {
   readonly log: Log;
   readonly metrics: RelayMetrics;
   readonly servers: LiveServers;
+  readonly reports: ServerReports;
   readonly dispatcher: Dispatcher<OrderWish>;
   readonly budget: RetryBudget;
   /** Whether the engines of a service can keep copies of each other's runs. */
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -9,7 +9,6 @@
   collectBody,
 } from "../connection/backend_answer.ts";
 import { EventSplitter, type WireEvent } from "../connection/event_splitter.ts";
-import { StallTimer } from "../connection/stall_timer.ts";
 import { AttemptLoss, LossCause, Refusal } from "../errors.ts";
 import { EVENTS } from "../process/event_catalog.ts";
 import type { LiveServer, ServerLoad } from "../process/live_server.ts";
@@ -22,7 +21,12 @@
 import { loadOfOrder, placeOrder } from "./place_order.ts";
 import { noteLoss } from "./relay_call.ts";
 import { type OrderExchange, OrderOutcome } from "./serve_order.ts";
-import { EventSpacing, firstEventLimitMs } from "./silence.ts";
+import {
+  COPY_EVENT_CHECK_MS,
+  EventSpacing,
+  FIRST_EVENT_CHECK_MS,
+} from "./silence.ts";
+import { SilenceGuard } from "./silence_guard.ts";
 
 /** A place for one sending of the stream. */
 interface Seat {
@@ -61,6 +65,8 @@
   readonly #attempts: OrderAttempts;
   readonly #lost = new Set<string>();
   #lastId: string | undefined;
+  /** Events of the run that reached us from the present server. */
+  #events = 0;
   #hasBegun = false;
   #lostAtMs: number | undefined;
   /** Server that holds a copy of the run as the last sending left it. */
@@ -193,10 +199,15 @@
     };
     const leftMs = endMs(this.#order) - now();
     const limit = setTimeout(() => lose("time limit reached"), leftMs);
-    const stall = StallTimer.create(
-      firstEventLimitMs(this.#order, fromCopy),
-      () => lose("silence"),
-    );
+    const guard = SilenceGuard.create({
+      reports: this.#context.reports,
+      server,
+      id: this.#order.id,
+      firstLimitMs: fromCopy ? COPY_EVENT_CHECK_MS : FIRST_EVENT_CHECK_MS,
+      events: () => this.#events,
+      onLost: lose,
+    });
+    this.#events = 0;
     try {
       const answer = await open({
         server,
@@ -215,7 +226,7 @@
         return Ending.Lost;
       }
       entry.progress = AttemptProgress.KnownRun;
-      return await this.#take(answer, { seat, stall });
+      return await this.#take(answer, { seat, guard });
     } catch (error) {
       if (!(error instanceof AttemptLoss)) throw error;
       if (!caller.signal.aborted) {
@@ -227,7 +238,7 @@
       return Ending.Lost;
     } finally {
       clearTimeout(limit);
-      stall.close();
+      guard.close();
       seat.close();
       releaseBackup?.();
     }
@@ -248,11 +259,11 @@
 
   async #take(
     answer: BackendAnswer,
-    { seat, stall }: { readonly seat: Seat; readonly stall: StallTimer },
+    { seat, guard }: { readonly seat: Seat; readonly guard: SilenceGuard },
   ): Promise<Ending> {
     const { status } = answer.head;
     const isSuccess = status >= SUCCESS_MIN && status <= SUCCESS_MAX;
-    if (isSuccess) return await this.#relay(answer, { seat, stall });
+    if (isSuccess) return await this.#relay(answer, { seat, guard });
     const body = await collectBody(answer);
     const mayRetry = this.#attempts.maySendAgain;
     if (this.#hasBegun || mayRetry) {
@@ -266,7 +277,7 @@
   /** Passes whole events on; what a lost server left unfinished is dropped. */
   async #relay(
     answer: BackendAnswer,
-    { seat, stall }: { readonly seat: Seat; readonly stall: StallTimer },
+    { seat, guard }: { readonly seat: Seat; readonly guard: SilenceGuard },
   ): Promise<Ending> {
     const { caller } = this.#exchange;
     const { servers, now } = this.#context;
@@ -275,15 +286,12 @@
     for await (const bytes of answer.body()) {
       servers.hear(seat.server.name);
       const events = [...splitter.push(bytes)];
-      if (events.length === 0) {
-        stall.hear();
-        continue;
-      }
-      stall.setLimit(spacing.next());
-      stall.hold();
+      guard.hear(spacing.next());
+      if (events.length === 0) continue;
+      guard.hold();
       if (!this.#hasBegun) this.#begin(answer);
       await caller.write(this.#accept(events));
-      stall.resume();
+      guard.resume();
     }
     if (splitter.holdsPart) {
       throw new AttemptLoss(LossCause.Closed, "stream ended inside an event");
@@ -304,6 +312,8 @@
   #accept(events: readonly WireEvent[]): Buffer {
     const last = events.findLast(({ id }) => id !== undefined);
     this.#lastId = last?.id ?? this.#lastId;
+    // Ids count the events of a run from 1, across the servers it ran on.
+    this.#events = Number(this.#lastId) || events.length;
     if (this.#lostAtMs !== undefined) {
       const pauseMs = this.#context.now() - this.#lostAtMs;
       this.#context.metrics.resumeSeconds.observe(pauseMs / 1_000);
--- a/src/request/silence.ts
+++ b/src/request/silence.ts
@@ -1,26 +1,65 @@
-/** How long a stream may be silent before its server counts as lost. */
+/** Which silence of a stream is unusual, and what a report says of a silent run. */
 
-import type { Order } from "./order.ts";
+import type { ServerReport } from "../connection/backend_report.ts";
+import type { LiveServer } from "../process/live_server.ts";
 
-/** Slowest reading of a prompt that is borne, in tokens a ms; engines read 5. */
-const PROMPT_TOKENS_PER_MS = 1.5;
-/** Allowance before the first event besides reading the prompt, in ms. */
-const FIRST_EVENT_SLACK_MS = 1_000;
-/** Silence borne before the first event of a run that goes on from a copy, in ms. */
-const COPY_FIRST_EVENT_MS = 700;
-/** Shortest silence that counts as a loss, in ms; events come every 30 to 60 ms. */
+/** Silence before the first event after which the server is asked, in ms. */
+export const FIRST_EVENT_CHECK_MS = 500;
+/** The same for a run that goes on from a copy and reads nothing again, in ms. */
+export const COPY_EVENT_CHECK_MS = 250;
+/** Shortest silence between events that is unusual, in ms; they come every 30 to 60 ms. */
 const SILENCE_MIN_MS = 250;
-/** Longest silence that is borne between events, in ms; the sheets allow pauses of 700. */
-const SILENCE_MAX_MS = 600;
-/** Silence borne, as a multiple of the widest recent spacing. */
-const SPACING_FACTOR = 2.5;
+/** Longest silence before the server is asked, in ms; the sheets allow pauses of 700. */
+const SILENCE_MAX_MS = 450;
+/** Silence that is unusual, as a multiple of the widest recent spacing. */
+const SPACING_FACTOR = 1.5;
 /** How fast a wide spacing is forgotten, per event. */
 const SPACING_DECAY = 0.9;
+/** Events that a server may be ahead of us; a report is older than what we got. */
+const EVENTS_AHEAD_MAX = 5;
+/** Reports without the run after which it counts as lost; one may be too old. */
+const ABSENCES_MAX = 2;
 
-/** Returns the silence borne before the first event, in ms. */
-export function firstEventLimitMs(order: Order, fromCopy: boolean): number {
-  if (fromCopy) return COPY_FIRST_EVENT_MS;
-  return FIRST_EVENT_SLACK_MS + order.promptTokens / PROMPT_TOKENS_PER_MS;
+/** What is known of a run that fell silent. */
+export interface SilentRun {
+  readonly id: string;
+  readonly server: LiveServer;
+  /** Events received; 0 before the first. */
+  readonly events: number;
+  /** Earlier reports in this silence that did not list the run. */
+  readonly absences: number;
+}
+
+/** What a report means for a silent run. */
+export enum SilenceVerdict {
+  /** The run goes on, or nothing speaks against it. */
+  Alive = "alive",
+  /** The report does not list the run, which may be for its age. */
+  Absent = "absent",
+  /** The run has ended, or its events no longer reach us. */
+  Lost = "lost",
+}
+
+/** Judges a silent run by its server's report. */
+export function judgeSilence(
+  report: ServerReport,
+  { id, server, events, absences }: SilentRun,
+): SilenceVerdict {
+  const isRestarted = report.startedMs > 0 && server.startedMs > 0 &&
+    report.startedMs !== server.startedMs;
+  if (isRestarted) return SilenceVerdict.Lost;
+  // Until its first event a run is listed nowhere.
+  if (report.runs === undefined || events === 0) return SilenceVerdict.Alive;
+  const run = report.runs.get(id);
+  if (run !== undefined) {
+    const isAhead = run.events > events + EVENTS_AHEAD_MAX;
+    return isAhead ? SilenceVerdict.Lost : SilenceVerdict.Alive;
+  }
+  // A preempted run waits for its place in the batch.
+  if (report.waiting > 0) return SilenceVerdict.Alive;
+  return absences + 1 >= ABSENCES_MAX
+    ? SilenceVerdict.Lost
+    : SilenceVerdict.Absent;
 }
 
 /** Learns from the spacing of events which silence is unusual. */
@@ -38,7 +77,7 @@
     return new EventSpacing(now);
   }
 
-  /** Notes an event; returns the silence borne after it, in ms. */
+  /** Notes an event; returns the silence after it that is unusual, in ms. */
   next(): number {
     const nowMs = this.#now();
     const lastMs = this.#lastMs ?? nowMs;
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,7 +3,11 @@
 
 export default defineConfig({
   test: {
-    include: ["src/**/*_test.ts", "platform/**/*_test.ts", "tests/**/*_test.ts"],
+    include: [
+      "src/**/*_test.ts",
+      "platform/**/*_test.ts",
+      "tests/**/*_test.ts",
+    ],
     maxWorkers: 3,
     testTimeout: 60_000,
     hookTimeout: 60_000,
