Let entries tell each other their work, prompts, servers and configuration

Entries also placed blindly beside each other's prompts. Change: digests between peers carry work by server, where prompts were read, changes of the server list, and the configuration's version.

--- a/src/connection/peer_protocol.ts
+++ b/src/connection/peer_protocol.ts
@@ -1,6 +1,12 @@
 /** Messages between entries, packed with msgpackr over WebSocket. */
 
-import type { ContentHash, EntryId, Fingerprint } from "../ids.ts";
+import type {
+  ContentHash,
+  EntryId,
+  Fingerprint,
+  ObjectRevision,
+} from "../ids.ts";
+import type { LiveServer, ServerLoad } from "../process/live_server.ts";
 import type { Head } from "../version/types.ts";
 
 /** Kinds of peer messages. */
@@ -18,6 +24,26 @@
   readonly remainingMs: number;
 }
 
+/** What the platform's list said of one server, for entries cut off from it. */
+export interface ServerNews {
+  readonly name: string;
+  /** Revision of the list's change; the higher one is right. */
+  readonly revision: ObjectRevision;
+  /** `null` when the server is gone. */
+  readonly server: LiveServer | null;
+}
+
+/** What an entry that relays orders tells the others. */
+export interface OrderDigest {
+  /** Version of the configuration in force, and -1 before the first. */
+  readonly configuration: number;
+  /** Work that the entry gave to servers, by server name. */
+  readonly loads: readonly (readonly [string, ServerLoad])[];
+  /** Servers that read prompts lately, by prompt. */
+  readonly prompts: readonly (readonly [string, string])[];
+  readonly news: readonly ServerNews[];
+}
+
 /** Soft state of an entry, sent at a bounded rate. */
 export interface Digest {
   readonly kind: PeerMessageKind.Digest;
@@ -25,6 +51,7 @@
   /** Head of the adopted revision, if any. */
   readonly head: Head | null;
   readonly suspicions: readonly Suspicion[];
+  readonly orders?: OrderDigest;
 }
 
 /** Asks a peer for a chunk of a revision. */
--- a/src/process/choose_server.ts
+++ b/src/process/choose_server.ts
@@ -15,6 +15,8 @@
   readonly tokens: number;
   /** Names of servers that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
+  /** Name of the server to prefer while it has room, or empty. */
+  readonly preferred?: string;
   /** Zone whose servers must not be chosen, if any. */
   readonly excludedZone?: string;
   /** Zones in which many servers were lost just now, with the time of it. */
@@ -65,8 +67,11 @@
   need: ServerNeed,
   { nowMs, random }: ChoiceContext,
 ): LiveServerView | undefined {
-  const usable = usableServers(views, { need, nowMs })
-    .filter((view) => hasRoomFor(view, need.tokens))
+  const roomy = usableServers(views, { need, nowMs })
+    .filter((view) => hasRoomFor(view, need.tokens));
+  const preferred = roomy.find(({ server }) => server.name === need.preferred);
+  if (preferred !== undefined) return preferred;
+  const usable = roomy
     .map((view) => ({
       view,
       load: Math.round(scoreOf(view, need) / LOAD_STEP),
--- a/src/process/event_catalog.ts
+++ b/src/process/event_catalog.ts
@@ -104,6 +104,8 @@
     "generation preempted for urgent work",
   ),
   orderEnded: define(3107, Severity.Info, "order ended"),
+  attemptStarted: define(3108, Severity.Info, "request sent to a server"),
+  firstEvent: define(3109, Severity.Info, "stream began"),
   actionUnknown: define(
     4001,
     Severity.Warn,
--- a/src/process/live_servers.ts
+++ b/src/process/live_servers.ts
@@ -146,6 +146,13 @@
     return usableServers(this.#views.values(), { need, nowMs }).length > 0;
   }
 
+  /** Whether a server may get new work now, whatever its load. */
+  isUsable(name: string): boolean {
+    const view = this.#views.get(name);
+    if (view === undefined || view.server.isLeaving) return false;
+    return view.avoidUntilMs <= this.#options.now();
+  }
+
   /** Notes work that goes to a server. */
   begin(name: string, load: ServerLoad): void {
     this.#change(name, (view) => ({ own: addLoad(view.own, load) }));
@@ -162,9 +169,20 @@
     this.#change(name, () => ({ heardMs: this.#options.now() }));
   }
 
-  /** Takes over what the other entries do on a server. */
-  setOthers(name: string, others: ServerLoad): void {
-    this.#change(name, () => ({ others }));
+  /** Takes over what the other entries do, by server name. */
+  setOthers(loads: ReadonlyMap<string, ServerLoad>): void {
+    for (const [name, view] of this.#views) {
+      const others = loads.get(name) ?? NO_LOAD;
+      if (others !== view.others) this.#views.set(name, { ...view, others });
+    }
+    this.#options.onRoom();
+  }
+
+  /** Returns the work that this entry gave to servers, by server name. */
+  ownLoads(): readonly (readonly [string, ServerLoad])[] {
+    return [...this.#views.values()]
+      .filter(({ own }) => own.requests > 0 || own.tokens > 0)
+      .map(({ server, own }) => [server.name, own] as const);
   }
 
   /** Keeps a server out of new work after a loss. */
--- a/src/process/object_watch.ts
+++ b/src/process/object_watch.ts
@@ -27,7 +27,10 @@
   readonly gatherMs: number;
   /** Called with all objects, after the start and after each outage. */
   readonly onList: (list: ObjectList, isAfterOutage: boolean) => void;
-  readonly onChanges: (changes: readonly ObjectChange[]) => void;
+  readonly onChanges: (
+    changes: readonly ObjectChange[],
+    isAfterOutage: boolean,
+  ) => void;
 }
 
 /** First and longest pause after a failed call, in ms. */
@@ -95,7 +98,7 @@
     const { objects, kind, waitMs, gatherMs, onChanges } = this.#options;
     const { changes, revision } = await objects.watch({ kind, from, waitMs });
     if (changes.length > 0) {
-      onChanges(changes);
+      onChanges(changes, this.#isLost);
       await sleep(gatherMs);
     }
     return revision;
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -27,8 +27,10 @@
   readonly key: string;
   readonly log: Log;
   readonly createDigest: () => Digest;
-  readonly onDigest: (digest: Digest) => void;
+  readonly onDigest: (digest: Digest, link: PeerLink) => void;
   readonly readChunk: (hash: ContentHash) => string | undefined;
+  /** How often digests are sent, in ms. */
+  readonly intervalMs?: number;
 }
 
 /** Links to other entries. */
@@ -50,7 +52,8 @@
     this.#server.on("upgrade", (request, socket, head) => {
       this.#accept(request, socket, head);
     });
-    this.#timer = setInterval(() => this.#exchange(), DIGEST_INTERVAL_MS);
+    const { intervalMs = DIGEST_INTERVAL_MS } = options;
+    this.#timer = setInterval(() => this.#exchange(), intervalMs);
   }
 
   /** Starts the exchange; `listen` opens it to other entries. */
@@ -86,6 +89,12 @@
     return { index: before.length, count: names.length + 1 };
   }
 
+  /** Sends a digest now, to every peer that is linked. */
+  announce(): void {
+    const digest = this.#options.createDigest();
+    for (const link of this.#links()) link.send(digest);
+  }
+
   /** Asks the open links, one after the other, for a chunk. */
   async fetchChunk(hash: ContentHash): Promise<string | undefined> {
     for (const link of this.#links()) {
@@ -113,7 +122,7 @@
       const link = PeerLink.create(webSocket, {
         ...this.#handlers(),
         onDigest: (digest, from) => {
-          this.#options.onDigest(digest);
+          this.#options.onDigest(digest, from);
           from.send(this.#options.createDigest());
         },
         onClose: (closed) => this.#accepted.delete(closed),
@@ -124,7 +133,7 @@
 
   #handlers(): PeerLinkHandlers {
     return {
-      onDigest: (digest) => this.#options.onDigest(digest),
+      onDigest: (digest, link) => this.#options.onDigest(digest, link),
       readChunk: this.#options.readChunk,
       onOpen: () => undefined,
       onClose: () => undefined,
--- /dev/null
+++ b/src/process/prompt_places.ts
@@ -0,0 +1,66 @@
+/**
+ * Remembers which server read a prompt lately, so that a request which comes
+ * again, here or at another entry, goes where its prompt is still cached.
+ */
+
+/** What the places need of their process. */
+export interface PromptPlacesOptions {
+  /** Monotonic clock, in ms. */
+  readonly now: () => number;
+}
+
+interface PromptPlace {
+  readonly server: string;
+  readonly notedMs: number;
+  /** Whether this entry sent the prompt there itself. */
+  readonly isOwn: boolean;
+}
+
+/** How long a prompt is expected to stay cached, in ms; requests come again within their deadline. */
+const KEPT_MS = 25_000;
+/** How long a place is news that digests carry, in ms. */
+const NEWS_MS = 1_000;
+const PLACES_MAX = 5_000;
+
+/** Servers by prompt. */
+export class PromptPlaces {
+  readonly #now: () => number;
+  readonly #places = new Map<string, PromptPlace>();
+
+  private constructor({ now }: PromptPlacesOptions) {
+    this.#now = now;
+  }
+
+  /** Starts empty. */
+  static create(options: PromptPlacesOptions): PromptPlaces {
+    return new PromptPlaces(options);
+  }
+
+  /** Notes where a prompt is read. */
+  note(prompt: string, server: string, isOwn = true): void {
+    // Deleting first keeps the oldest place at the front.
+    this.#places.delete(prompt);
+    this.#places.set(prompt, { server, notedMs: this.#now(), isOwn });
+    const oldest = this.#places.keys().next().value;
+    if (this.#places.size > PLACES_MAX && oldest !== undefined) {
+      this.#places.delete(oldest);
+    }
+  }
+
+  /** Returns the server that read a prompt lately, if any. */
+  find(prompt: string): string | undefined {
+    const place = this.#places.get(prompt);
+    if (place === undefined) return undefined;
+    if (this.#now() - place.notedMs <= KEPT_MS) return place.server;
+    this.#places.delete(prompt);
+    return undefined;
+  }
+
+  /** Returns the places that this entry noted just now. */
+  news(): readonly (readonly [string, string])[] {
+    const sinceMs = this.#now() - NEWS_MS;
+    return [...this.#places]
+      .filter(([, { isOwn, notedMs }]) => isOwn && notedMs >= sinceMs)
+      .map(([prompt, { server }]) => [prompt, server] as const);
+  }
+}
--- a/src/process/relay_context.ts
+++ b/src/process/relay_context.ts
@@ -5,8 +5,10 @@
 import type { LiveServers } from "./live_servers.ts";
 import type { Log } from "./log.ts";
 import type { RelayMetrics } from "./relay_metrics.ts";
+import type { PromptPlaces } from "./prompt_places.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import type { ServerReports } from "./server_reports.ts";
+import type { Suspicions } from "./suspicions.ts";
 
 /** The parts of an entry process that orders use. */
 export interface RelayContext {
@@ -14,6 +16,8 @@
   readonly metrics: RelayMetrics;
   readonly servers: LiveServers;
   readonly reports: ServerReports;
+  readonly prompts: PromptPlaces;
+  readonly suspicions: Suspicions;
   readonly dispatcher: Dispatcher<OrderWish>;
   readonly budget: RetryBudget;
   /** Whether the engines of a service can keep copies of each other's runs. */
--- /dev/null
+++ b/src/request/note_attempt.ts
@@ -0,0 +1,58 @@
+/** What the process keeps of each sending: log lines, metrics, lost servers. */
+
+import { type AttemptLoss, LossCause, messageOf } from "../errors.ts";
+import { EVENTS } from "../process/event_catalog.ts";
+import type { LiveServer } from "../process/live_server.ts";
+import { ServerLoss } from "../process/live_servers.ts";
+import type { LogDetails } from "../process/log.ts";
+import type { RelayContext } from "../process/relay_context.ts";
+import type { Order } from "./order.ts";
+import type { AttemptEntry } from "./order_attempts.ts";
+
+/** Logs that an order goes to a server, and the view that decided it. */
+export function logAttempt(
+  { servers, log, now }: RelayContext,
+  { order, server, details }: {
+    readonly order: Order;
+    readonly server: LiveServer;
+    readonly details: LogDetails;
+  },
+): void {
+  const view = servers.view(server.name);
+  log(EVENTS.attemptStarted, {
+    request: order.id,
+    server: server.name,
+    zone: server.zone,
+    since_ms: Math.round(now() - order.receivedMs),
+    own: view?.own.requests ?? 0,
+    own_tokens: view?.own.tokens ?? 0,
+    others: view?.others.requests ?? 0,
+    others_tokens: view?.others.tokens ?? 0,
+    ...details,
+  });
+}
+
+/** Records a lost sending, and keeps its server out of new work for a while. */
+export function noteLoss(
+  { servers, log, metrics }: RelayContext,
+  { order, entry, server, error }: {
+    readonly order: Order;
+    readonly entry: AttemptEntry;
+    readonly server: LiveServer;
+    readonly error: AttemptLoss;
+  },
+): void {
+  const isUnreachable = error.lossCause === LossCause.Unreachable;
+  servers.lose(
+    server.name,
+    isUnreachable ? ServerLoss.Unreachable : ServerLoss.Broken,
+  );
+  metrics.losses.inc({ cause: error.lossCause });
+  log(EVENTS.attemptLost, {
+    request: order.id,
+    server: server.name,
+    zone: server.zone,
+    progress: entry.progress,
+    detail: messageOf(error),
+  });
+}
--- a/src/request/order.ts
+++ b/src/request/order.ts
@@ -30,6 +30,8 @@
   readonly memoryTokens: number;
   /** Length of its prompt, in tokens; 0 for plain services. */
   readonly promptTokens: number;
+  /** Names its prompt, the same whenever it comes again; empty without one. */
+  readonly prompt: string;
   /** Id of the last event that the caller holds already, if any. */
   readonly resumeAfter: string | undefined;
   /** When it came, on the monotonic clock in ms. */
--- a/src/request/place_order.ts
+++ b/src/request/place_order.ts
@@ -18,6 +18,8 @@
   readonly signal: AbortSignal;
   /** Whether part of the answer was delivered already. */
   readonly isResumed: boolean;
+  /** Name of the server to prefer while it has room. */
+  readonly preferred?: string;
 }
 
 /** Work of an order before its prompt has been read. */
--- a/src/request/relay_call.ts
+++ b/src/request/relay_call.ts
@@ -8,13 +8,13 @@
   type BackendAnswer,
   collectBody,
 } from "../connection/backend_answer.ts";
-import { AttemptLoss, LossCause, messageOf, Refusal } from "../errors.ts";
-import { EVENTS } from "../process/event_catalog.ts";
+import { AttemptLoss, LossCause, Refusal } from "../errors.ts";
 import { ServerLoss } from "../process/live_servers.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import type { LiveServer } from "../process/live_server.ts";
 import { AttemptProgress } from "./attempt_record.ts";
 import { endMs, mayRepeat, type Order } from "./order.ts";
+import { logAttempt, noteLoss } from "./note_attempt.ts";
 import { type AttemptEntry, OrderAttempts } from "./order_attempts.ts";
 import { placeOrder } from "./place_order.ts";
 import { type OrderExchange, OrderOutcome } from "./serve_order.ts";
@@ -95,6 +95,7 @@
   const server = place.server as LiveServer;
   const entry = attempts.add(server.name);
   excluded.add(server.name);
+  logAttempt(context, { order, server, details: {} });
   const isLast = !mayRepeat(order) || attempts.ranCount + 1 >= order.sendsMax;
   const limit = new AbortController();
   const signal = AbortSignal.any([caller.signal, limit.signal]);
@@ -153,28 +154,3 @@
   servers.hear(server.name);
   return { head: answer.head, body };
 }
-
-/** Records a lost sending, and keeps its server out of new work for a while. */
-export function noteLoss(
-  { servers, log, metrics }: RelayContext,
-  { order, entry, server, error }: {
-    readonly order: Order;
-    readonly entry: AttemptEntry;
-    readonly server: LiveServer;
-    readonly error: AttemptLoss;
-  },
-): void {
-  const isUnreachable = error.lossCause === LossCause.Unreachable;
-  servers.lose(
-    server.name,
-    isUnreachable ? ServerLoss.Unreachable : ServerLoss.Broken,
-  );
-  metrics.losses.inc({ cause: error.lossCause });
-  log(EVENTS.attemptLost, {
-    request: order.id,
-    server: server.name,
-    zone: server.zone,
-    progress: entry.progress,
-    detail: messageOf(error),
-  });
-}
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -19,7 +19,7 @@
 import { endMs, type Order } from "./order.ts";
 import { type AttemptEntry, OrderAttempts } from "./order_attempts.ts";
 import { loadOfOrder, placeOrder } from "./place_order.ts";
-import { noteLoss } from "./relay_call.ts";
+import { logAttempt, noteLoss } from "./note_attempt.ts";
 import { type OrderExchange, OrderOutcome } from "./serve_order.ts";
 import {
   COPY_EVENT_CHECK_MS,
@@ -128,9 +128,7 @@
     const server = this.#copyAt;
     this.#copyAt = undefined;
     if (server === undefined) return undefined;
-    const { servers, now } = this.#context;
-    const view = servers.view(server.name);
-    if (view === undefined || view.avoidUntilMs > now()) return undefined;
+    if (!this.#context.servers.isUsable(server.name)) return undefined;
     const load = { ...loadOfOrder(this.#order), unreadTokens: 0 };
     return { server, fromCopy: true, close: this.#hold(server, load) };
   }
@@ -147,6 +145,7 @@
       waitMs: Math.max(0, waitMs),
       signal,
       isResumed: this.#hasBegun,
+      preferred: this.#context.prompts.find(this.#order.prompt),
     };
     const request = {
       service: this.#order.service,
@@ -186,6 +185,15 @@
     const { caller, open } = this.#exchange;
     const entry = this.#attempts.add(server.name);
     const backup = this.#chooseBackup(server);
+    logAttempt(this.#context, {
+      order: this.#order,
+      server,
+      details: {
+        from_copy: fromCopy,
+        after: this.#lastId ?? "",
+        backup: backup?.name ?? "",
+      },
+    });
     const releaseBackup = backup === undefined
       ? undefined
       : this.#hold(backup, {
@@ -226,6 +234,7 @@
         return Ending.Lost;
       }
       entry.progress = AttemptProgress.KnownRun;
+      this.#context.prompts.note(this.#order.prompt, server.name);
       return await this.#take(answer, { seat, guard });
     } catch (error) {
       if (!(error instanceof AttemptLoss)) throw error;
@@ -305,6 +314,11 @@
     const { metrics, now } = this.#context;
     this.#hasBegun = true;
     const tookMs = now() - this.#order.receivedMs;
+    this.#context.log(EVENTS.firstEvent, {
+      request: this.#order.id,
+      took_ms: Math.round(tookMs),
+      sendings: this.#attempts.count,
+    });
     metrics.firstByte.observe({ route: this.#order.route }, tookMs / 1_000);
     this.#exchange.caller.begin(answer.head);
   }
