--- a/src/bin/gypsumridge.ts
+++ b/src/bin/gypsumridge.ts
@@ -13,7 +13,7 @@
   describeInputError,
   ExitCode,
   PROGRAM_VERSION,
-} from "../process/program.ts";
+} from "../process/exit_code.ts";
 import { PublishConflict } from "../version/publisher.ts";
 
 const PLATFORM_TIMEOUT_MS = 5_000;
--- a/src/bin/gypsumridge_entry.ts
+++ b/src/bin/gypsumridge_entry.ts
@@ -5,7 +5,8 @@
 import { Entry } from "../process/entry.ts";
 import { EVENTS } from "../process/event_catalog.ts";
 import { createLog } from "../process/log.ts";
-import { ExitCode, loadSettings, PROGRAM_VERSION } from "../process/program.ts";
+import { ExitCode, PROGRAM_VERSION } from "../process/exit_code.ts";
+import { loadSettings } from "../process/program.ts";
 import { readEntrySettings } from "../process/settings.ts";
 
 const settings = await loadSettings("gypsumridge-entry", readEntrySettings);
--- a/src/bin/gypsumridge_load.ts
+++ b/src/bin/gypsumridge_load.ts
@@ -4,7 +4,7 @@
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { ExitCode, PROGRAM_VERSION } from "../process/program.ts";
+import { ExitCode, PROGRAM_VERSION } from "../process/exit_code.ts";
 import { runLoad } from "../process/load.ts";
 
 const args = await yargs(hideBin(process.argv))
--- a/src/bin/gypsumridge_steward.ts
+++ b/src/bin/gypsumridge_steward.ts
@@ -7,7 +7,8 @@
 import { listen, sendJson } from "../connection/http_server.ts";
 import { EVENTS } from "../process/event_catalog.ts";
 import { createLog } from "../process/log.ts";
-import { ExitCode, loadSettings, PROGRAM_VERSION } from "../process/program.ts";
+import { ExitCode, PROGRAM_VERSION } from "../process/exit_code.ts";
+import { loadSettings } from "../process/program.ts";
 import { readStewardSettings } from "../process/settings.ts";
 import { Steward } from "../process/steward.ts";
 
--- a/src/process/commands/audit.ts
+++ b/src/process/commands/audit.ts
@@ -1,7 +1,7 @@
 /** `gypsumridge audit`: prints who changed what, when and why. */
 
 import { readHistory } from "../../version/publisher.ts";
-import { ExitCode } from "../program.ts";
+import { ExitCode } from "../exit_code.ts";
 import { type Command, printManifest } from "./command.ts";
 
 /** Prints the audit trail, the newest change first. */
--- a/src/process/commands/check.ts
+++ b/src/process/commands/check.ts
@@ -1,6 +1,6 @@
 /** `gypsumridge check`: checks deployment files without publishing them. */
 
-import { ExitCode } from "../program.ts";
+import { ExitCode } from "../exit_code.ts";
 import { type Command, fileArguments, readDeploymentFiles } from "./command.ts";
 
 /** Checks files as one set. */
--- a/src/process/commands/command.ts
+++ b/src/process/commands/command.ts
@@ -9,7 +9,7 @@
   restoreDeployment,
 } from "../../version/restore_deployment.ts";
 import type { Difference, Manifest } from "../../version/types.ts";
-import type { ExitCode } from "../program.ts";
+import type { ExitCode } from "../exit_code.ts";
 
 /** Arguments as parsed; each command reads its own. */
 export interface CommandArguments {
--- a/src/process/commands/events.ts
+++ b/src/process/commands/events.ts
@@ -1,7 +1,7 @@
 /** `gypsumridge events`: explains the numbered log events. */
 
 import { EVENTS } from "../event_catalog.ts";
-import { ExitCode } from "../program.ts";
+import { ExitCode } from "../exit_code.ts";
 import type { Command } from "./command.ts";
 
 /** Prints the event catalogue. */
--- a/src/process/commands/publish.ts
+++ b/src/process/commands/publish.ts
@@ -7,7 +7,7 @@
   readPublished,
 } from "../../version/publisher.ts";
 import type { DeploymentObject } from "../../version/types.ts";
-import { ExitCode } from "../program.ts";
+import { ExitCode } from "../exit_code.ts";
 import {
   changeOptions,
   type Command,
--- a/src/process/commands/show.ts
+++ b/src/process/commands/show.ts
@@ -2,7 +2,7 @@
 
 import { formatDeployment } from "../../version/format_deployment.ts";
 import { readPublished } from "../../version/publisher.ts";
-import { ExitCode } from "../program.ts";
+import { ExitCode } from "../exit_code.ts";
 import type { Command } from "./command.ts";
 
 /** Prints what is in force. */
--- a/src/process/commands/status.ts
+++ b/src/process/commands/status.ts
@@ -5,7 +5,7 @@
 import { ENTRY_STATUS_PREFIX, HEAD_NAME } from "../../version/object_names.ts";
 import type { Head } from "../../version/types.ts";
 import type { EntryStatus } from "../entry_status.ts";
-import { ExitCode } from "../program.ts";
+import { ExitCode } from "../exit_code.ts";
 import type { Command, CommandRun } from "./command.ts";
 
 /** An entry that has not written for so long is shown as silent, in ms. */
--- a/src/process/program.ts
+++ b/src/process/program.ts
@@ -4,23 +4,8 @@
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { InvalidInput, messageOf } from "../errors.ts";
-import { formatFinding } from "../version/finding.ts";
-
-/** Exit codes of all programs. */
-export enum ExitCode {
-  Success = 0,
-  Failure = 1,
-  /** The command line or an input file is wrong. */
-  InvalidInput = 2,
-  /** Another operator's change came first. */
-  Conflict = 3,
-  /** The platform could not be reached. */
-  Unavailable = 4,
-}
-
-/** Version that `--version` prints. */
-export const PROGRAM_VERSION = "0.1.0";
+import { messageOf } from "../errors.ts";
+import { describeInputError, ExitCode, PROGRAM_VERSION } from "./exit_code.ts";
 
 /** Reads the file that `--settings` names with `read`; exits when it is wrong. */
 export async function loadSettings<Settings>(
@@ -50,9 +35,3 @@
     process.exit(ExitCode.InvalidInput);
   }
 }
-
-/** Returns all findings of an input error, one a line. */
-export function describeInputError(error: unknown): string {
-  if (!(error instanceof InvalidInput)) return messageOf(error);
-  return ["input is wrong:", ...error.findings.map(formatFinding)].join("\n");
-}
