Speak the platform's published object API with one client

The invented API of named values with versions is gone: the client of the published one (platform/object_store.ts) serves every program, and named values are a thin layer on it (src/connection/value_store.ts). The stand-in speaks kinds, revisions, pages, watches with a bounded history, 409 with the object, 410 and 429. Programs get their store from outside.

--- a/bench/local_cluster.ts
+++ b/bench/local_cluster.ts
@@ -10,10 +10,7 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { callHttp, type HttpAnswer } from "../src/connection/http_call.ts";
-import {
-  type Instance,
-  InstanceState,
-} from "../src/connection/platform_client.ts";
+import { type Instance, InstanceState } from "../src/connection/instance.ts";
 import { Child } from "./child.ts";
 import {
   type Ask,
@@ -359,13 +356,13 @@
     return this.#children.flatMap((child) => child.runs());
   }
 
-  /** Writes an object of the platform whatever its version. */
-  async putObject(name: string, value: string): Promise<void> {
+  /** Writes the object at a path of the platform whatever its revision. */
+  async putObject(path: string, spec: unknown): Promise<void> {
     await callHttp({
       address: this.platform.address,
       method: "PUT",
-      path: `/objects/${encodeURIComponent(name)}`,
-      body: value,
+      path,
+      body: JSON.stringify({ spec }),
       timeoutMs: CALL_TIMEOUT_MS,
     });
   }
--- a/src/bin/gypsumridge_entry.ts
+++ b/src/bin/gypsumridge_entry.ts
@@ -2,6 +2,7 @@
 /** The entry daemon. */
 
 import process from "node:process";
+import { openValues } from "../../platform/open_values.ts";
 import { Entry } from "../process/entry.ts";
 import { EVENTS } from "../process/event_catalog.ts";
 import { createLog } from "../process/log.ts";
@@ -11,7 +12,11 @@
 
 const settings = await loadSettings("gypsumridge-entry", readEntrySettings);
 const log = createLog(settings.id, settings.logLevel);
-const entry = Entry.create(settings, log);
+const platform = openValues({
+  address: settings.platformAddress,
+  timeoutMs: settings.platformTimeoutMs,
+});
+const entry = Entry.create({ settings, log, platform });
 log(EVENTS.started, { version: PROGRAM_VERSION });
 const ports = await entry.start();
 process.stdout.write(`${JSON.stringify(ports)}\n`);
--- a/src/bin/gypsumridge_steward.ts
+++ b/src/bin/gypsumridge_steward.ts
@@ -3,6 +3,7 @@
 
 import { createServer } from "node:http";
 import process from "node:process";
+import { openValues } from "../../platform/open_values.ts";
 import { collectDefaultMetrics, Gauge, Registry } from "prom-client";
 import { listen, sendJson } from "../connection/http_server.ts";
 import { EVENTS } from "../process/event_catalog.ts";
@@ -14,7 +15,11 @@
 
 const settings = await loadSettings("gypsumridge-steward", readStewardSettings);
 const log = createLog(settings.id, settings.logLevel);
-const steward = Steward.create(settings, log);
+const platform = openValues({
+  address: settings.platformAddress,
+  timeoutMs: settings.platformTimeoutMs,
+});
+const steward = Steward.create({ settings, log, platform });
 const registry = new Registry();
 collectDefaultMetrics({ register: registry });
 const holder = new Gauge({
--- a/src/connection/shared_objects.ts
+++ b/src/connection/shared_objects.ts
@@ -62,7 +62,11 @@
     kind: string,
     object: { readonly name: string; readonly spec: unknown },
   ) => Promise<StoredObject>;
-  /** Replaces an object. Errors: `VersionConflict`, `PlatformUnavailable`. */
+  /**
+   * Replaces an object; `undefined` when there is none.
+   *
+   * Errors: `VersionConflict`, `PlatformUnavailable`.
+   */
   readonly replace: (
     kind: string,
     object: {
@@ -70,10 +74,12 @@
       readonly spec: unknown;
       readonly revision?: ObjectRevision;
     },
-  ) => Promise<StoredObject>;
+  ) => Promise<StoredObject | undefined>;
   /** Removes an object. Errors: `VersionConflict`, `PlatformUnavailable`. */
   readonly remove: (
     kind: string,
     object: { readonly name: string; readonly revision?: ObjectRevision },
   ) => Promise<void>;
+  /** Closes the connections. */
+  readonly close: () => void;
 }
--- a/src/process/commands/command.ts
+++ b/src/process/commands/command.ts
@@ -2,7 +2,7 @@
 
 import { readFile } from "node:fs/promises";
 import type { Argv } from "yargs";
-import type { PlatformClient } from "../../connection/platform_client.ts";
+import type { ValueStore } from "../../connection/value_store.ts";
 import { InvalidInput } from "../../errors.ts";
 import {
   type RestoredDeployment,
@@ -27,7 +27,7 @@
 export interface CommandRun {
   readonly args: CommandArguments;
   /** Opens the platform that `--platform` names. */
-  readonly platform: () => PlatformClient;
+  readonly platform: () => ValueStore;
   /** Writes one line to standard output. */
   readonly print: (line: string) => void;
 }
--- a/src/process/commands/status.ts
+++ b/src/process/commands/status.ts
@@ -1,6 +1,6 @@
 /** `gypsumridge status`: what each entry makes of the deployment. */
 
-import type { PlatformClient } from "../../connection/platform_client.ts";
+import type { ValueStore } from "../../connection/value_store.ts";
 import { STATUS_INTERVAL_MS } from "../../constants.ts";
 import { ENTRY_STATUS_PREFIX, HEAD_NAME } from "../../version/object_names.ts";
 import type { Head } from "../../version/types.ts";
@@ -33,7 +33,7 @@
   },
 };
 
-async function readStatuses(client: PlatformClient): Promise<EntryStatus[]> {
+async function readStatuses(client: ValueStore): Promise<EntryStatus[]> {
   const listed = await client.list(ENTRY_STATUS_PREFIX);
   const newest = Math.max(...listed.map(({ updatedMs }) => updatedMs));
   const heard = listed.filter(({ updatedMs }) =>
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -4,7 +4,7 @@
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import { listen } from "../connection/http_server.ts";
-import { PlatformClient } from "../connection/platform_client.ts";
+import type { ValueStore } from "../connection/value_store.ts";
 import { type Digest, PeerMessageKind } from "../connection/peer_protocol.ts";
 import { INSTANCE_LIST_INTERVAL_MS } from "../constants.ts";
 import type { ContentHash } from "../ids.ts";
@@ -37,11 +37,19 @@
 /** Keeps all entries together to 100 readings of the list a second. */
 const LIST_MS_PER_ENTRY = 10;
 
+/** What an entry is made of. */
+export interface EntryOptions {
+  readonly settings: EntrySettings;
+  readonly log: Log;
+  /** The platform's store; closed with the entry. */
+  readonly platform: ValueStore;
+}
+
 /** One entry process. */
 export class Entry {
   readonly #settings: EntrySettings;
   readonly #log: Log;
-  readonly #platform: PlatformClient;
+  readonly #platform: ValueStore;
   readonly #peers: Peers;
   readonly #context: EntryContext;
   readonly #server: Server;
@@ -50,13 +58,10 @@
   #isStopping = false;
   #closed = false;
 
-  private constructor(settings: EntrySettings, log: Log) {
+  private constructor({ settings, log, platform }: EntryOptions) {
     this.#settings = settings;
     this.#log = log;
-    this.#platform = PlatformClient.create({
-      address: settings.platformAddress,
-      timeoutMs: settings.platformTimeoutMs,
-    });
+    this.#platform = platform;
     this.#context = this.#createContext();
     this.#peers = Peers.create({
       entry: settings.id,
@@ -76,8 +81,8 @@
   }
 
   /** Makes an entry; `start` opens it. */
-  static create(settings: EntrySettings, log: Log): Entry {
-    return new Entry(settings, log);
+  static create(options: EntryOptions): Entry {
+    return new Entry(options);
   }
 
   /** Listens and starts the tasks that keep its views; resolves with ports. */
--- a/src/process/entry_context.ts
+++ b/src/process/entry_context.ts
@@ -1,6 +1,6 @@
 /** What an entry's requests share. */
 
-import type { PlatformClient } from "../connection/platform_client.ts";
+import type { ValueStore } from "../connection/value_store.ts";
 import type { RevisionStore } from "../version/revision_store.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import type { Fleet, Standing } from "./fleet.ts";
@@ -16,7 +16,7 @@
   readonly settings: EntrySettings;
   readonly log: Log;
   readonly metrics: Metrics;
-  readonly platform: PlatformClient;
+  readonly platform: ValueStore;
   readonly store: RevisionStore;
   readonly fleet: Fleet;
   readonly dispatcher: Dispatcher;
--- a/src/process/fleet.ts
+++ b/src/process/fleet.ts
@@ -7,7 +7,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { LOAD_PATH, type LoadReport } from "../connection/engine_protocol.ts";
 import { callHttp } from "../connection/http_call.ts";
-import { type Instance, InstanceState } from "../connection/platform_client.ts";
+import { type Instance, InstanceState } from "../connection/instance.ts";
 import {
   EJECTION_MAX_SHARE,
   EJECTION_MS,
--- a/src/process/lease.ts
+++ b/src/process/lease.ts
@@ -4,16 +4,13 @@
  * time on its own monotonic clock, and the version is the fencing number.
  */
 
-import type {
-  ObjectVersion,
-  PlatformClient,
-  StoredObject,
-} from "../connection/platform_client.ts";
+import type { ObjectRevision } from "../ids.ts";
+import type { StoredValue, ValueStore } from "../connection/value_store.ts";
 import type { EntryId } from "../ids.ts";
 
 /** What a lease is held on. */
 export interface LeaseOptions {
-  readonly platform: PlatformClient;
+  readonly platform: ValueStore;
   /** Name of the lease's object. */
   readonly name: string;
   readonly holder: EntryId;
@@ -23,14 +20,14 @@
 }
 
 interface Seen {
-  readonly version: ObjectVersion | undefined;
+  readonly version: ObjectRevision | undefined;
   readonly sinceMs: number;
 }
 
 /** One candidate's side of a lease. */
 export class Lease {
   readonly #options: LeaseOptions;
-  #held: ObjectVersion | undefined;
+  #held: ObjectRevision | undefined;
   #validUntilMs = Number.NEGATIVE_INFINITY;
   #seen: Seen | undefined;
 
@@ -44,7 +41,7 @@
   }
 
   /** The fencing number while the lease is surely held, else `undefined`. */
-  get fencing(): ObjectVersion | undefined {
+  get fencing(): ObjectRevision | undefined {
     return this.#options.now() < this.#validUntilMs ? this.#held : undefined;
   }
 
@@ -67,7 +64,7 @@
     this.#validUntilMs = startMs + this.#options.leaseMs;
   }
 
-  #mayTake(stored: StoredObject | undefined): boolean {
+  #mayTake(stored: StoredValue | undefined): boolean {
     if (stored === undefined) return true;
     if (stored.version === this.#held) return true;
     const nowMs = this.#options.now();
--- a/src/process/ledger.ts
+++ b/src/process/ledger.ts
@@ -5,10 +5,8 @@
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
-import type {
-  ObjectVersion,
-  PlatformClient,
-} from "../connection/platform_client.ts";
+import type { ObjectRevision } from "../ids.ts";
+import type { ValueStore } from "../connection/value_store.ts";
 import { ACTION_FOLLOW_UP_MS, ACTION_POLL_MS } from "../constants.ts";
 import { PlatformUnavailable, VersionConflict } from "../errors.ts";
 import type { AttemptId, Fingerprint } from "../ids.ts";
@@ -31,13 +29,13 @@
 
 /** A claim and what stands in the ledger. */
 export type Claim =
-  | { readonly result: ClaimResult.Granted; readonly version: ObjectVersion }
+  | { readonly result: ClaimResult.Granted; readonly version: ObjectRevision }
   | { readonly result: ClaimResult.Taken; readonly record: ActionRecord }
   | { readonly result: ClaimResult.Absent | ClaimResult.Unreadable };
 
 /** What the ledger needs of its process. */
 export interface LedgerOptions {
-  readonly platform: PlatformClient;
+  readonly platform: ValueStore;
   readonly log: Log;
   /** Monotonic clock, in ms. */
   readonly now: () => number;
@@ -123,7 +121,7 @@
     key: Fingerprint,
     settled: {
       readonly record: ActionRecord;
-      readonly version: ObjectVersion;
+      readonly version: ObjectRevision;
     },
   ): Promise<void> {
     const write = () => this.#writeEnd(key, settled);
@@ -153,7 +151,7 @@
     key: Fingerprint,
     { record, version }: {
       readonly record: ActionRecord;
-      readonly version: ObjectVersion;
+      readonly version: ObjectRevision;
     },
   ): Promise<void> {
     const { platform } = this.#options;
--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -31,7 +31,7 @@
 }
 
 /** Kind under which entries register. */
-const ENTRY_KIND = "gypsumridge-entries";
+export const ENTRY_KIND = "gypsumridge-entries";
 /** Readings while a deployment starts, and the pause between them, in ms. */
 const EARLY_READINGS = 4;
 const EARLY_MS = 1_500;
@@ -89,8 +89,7 @@
 
   async #read(): Promise<void> {
     const { objects, onMembers } = this.#options;
-    const list = await objects.list({ kind: ENTRY_KIND, allowsStale: true });
-    onMembers(list.objects.flatMap((object) => restoreMember(object) ?? []));
+    onMembers(await listMembers(objects));
   }
 
   async #retry(call: () => Promise<void>): Promise<void> {
@@ -109,6 +108,14 @@
   }
 }
 
+/** Reads the registered entries, some seconds old. Errors: `PlatformUnavailable`. */
+export async function listMembers(
+  objects: SharedObjects,
+): Promise<readonly Member[]> {
+  const list = await objects.list({ kind: ENTRY_KIND, allowsStale: true });
+  return list.objects.flatMap((object) => restoreMember(object) ?? []);
+}
+
 function restoreMember({ name, spec }: StoredObject): Member | undefined {
   const isObject = typeof spec === "object" && spec !== null;
   if (!isObject || !("address" in spec)) return undefined;
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -13,7 +13,7 @@
   PEER_KEY_HEADER,
   PEER_MESSAGE_MAX_BYTES,
 } from "../connection/peer_protocol.ts";
-import { type Instance, InstanceState } from "../connection/platform_client.ts";
+import { type Instance, InstanceState } from "../connection/instance.ts";
 import { DIGEST_FANOUT, DIGEST_INTERVAL_MS } from "../constants.ts";
 import { hashParts } from "../hashing.ts";
 import type { ContentHash, EntryId } from "../ids.ts";
--- a/src/process/steward.ts
+++ b/src/process/steward.ts
@@ -5,10 +5,7 @@
 
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
-import {
-  type ListedObject,
-  PlatformClient,
-} from "../connection/platform_client.ts";
+import type { ListedValue, ValueStore } from "../connection/value_store.ts";
 import { messageOf, PlatformUnavailable, VersionConflict } from "../errors.ts";
 import {
   ACTION_PREFIX,
@@ -42,23 +39,28 @@
 /** Records removed in one round, to leave writes to others. */
 const REMOVALS_MAX = 50;
 
+/** What a steward is made of. */
+export interface StewardOptions {
+  readonly settings: StewardSettings;
+  readonly log: Log;
+  /** The platform's store; closed with the steward. */
+  readonly platform: ValueStore;
+}
+
 /** One steward process. */
 export class Steward {
   readonly #settings: StewardSettings;
   readonly #log: Log;
-  readonly #platform: PlatformClient;
+  readonly #platform: ValueStore;
   readonly #lease: Lease;
   #summary = "";
   #nextDutiesMs = 0;
   #closed = false;
 
-  private constructor(settings: StewardSettings, log: Log) {
+  private constructor({ settings, log, platform }: StewardOptions) {
     this.#settings = settings;
     this.#log = log;
-    this.#platform = PlatformClient.create({
-      address: settings.platformAddress,
-      timeoutMs: settings.platformTimeoutMs,
-    });
+    this.#platform = platform;
     this.#lease = Lease.create({
       platform: this.#platform,
       name: STEWARD_LEASE_NAME,
@@ -69,8 +71,8 @@
   }
 
   /** Makes a steward; `run` starts it. */
-  static create(settings: StewardSettings, log: Log): Steward {
-    return new Steward(settings, log);
+  static create(options: StewardOptions): Steward {
+    return new Steward(options);
   }
 
   /** Whether this steward holds the lease. */
@@ -181,7 +183,7 @@
     readonly used?: ReadonlySet<string>;
   }): Promise<void> {
     const listed = await this.#platform.list(rule.prefix);
-    const old = listed.filter(({ name, updatedMs }: ListedObject) =>
+    const old = listed.filter(({ name, updatedMs }: ListedValue) =>
       updatedMs < rule.olderThanMs && rule.used?.has(name) !== true
     );
     for (const { name, version } of old.slice(0, REMOVALS_MAX)) {
--- a/src/request/perform_action.ts
+++ b/src/request/perform_action.ts
@@ -3,7 +3,7 @@
 import { randomUUID } from "node:crypto";
 import { match } from "ts-pattern";
 import type { HttpAnswer } from "../connection/http_call.ts";
-import type { ObjectVersion } from "../connection/platform_client.ts";
+import type { ObjectRevision } from "../ids.ts";
 import {
   ACTION_ANSWER_MAX_BYTES,
   ACTION_SEND_LIMIT_MS,
@@ -40,7 +40,7 @@
 interface OwnAction extends ActionOrder {
   readonly key: Fingerprint;
   readonly record: ActionRecord;
-  readonly version: ObjectVersion;
+  readonly version: ObjectRevision;
   /** When the claim began, on the monotonic clock in ms. */
   readonly claimedMs: number;
 }
--- a/src/version/publisher.ts
+++ b/src/version/publisher.ts
@@ -4,10 +4,8 @@
  */
 
 import { randomUUID } from "node:crypto";
-import type {
-  ObjectVersion,
-  PlatformClient,
-} from "../connection/platform_client.ts";
+import type { ObjectRevision } from "../ids.ts";
+import type { ValueStore } from "../connection/value_store.ts";
 import { PLATFORM_VALUE_MAX_BYTES } from "../constants.ts";
 import {
   InvalidInput,
@@ -31,7 +29,7 @@
 export interface PublishedRevision {
   readonly head: Head;
   /** Version of the head object, for the next conditional move. */
-  readonly version: ObjectVersion;
+  readonly version: ObjectRevision;
   readonly manifest: Manifest;
   readonly objects: readonly DeploymentObject[];
 }
@@ -61,7 +59,7 @@
 
 /** Reads the revision in force, or `undefined` before the first publish. */
 export async function readPublished(
-  platform: PlatformClient,
+  platform: ValueStore,
 ): Promise<PublishedRevision | undefined> {
   const stored = await platform.read(HEAD_NAME);
   if (stored === undefined) return undefined;
@@ -76,7 +74,7 @@
 
 /** Reads a manifest by its hash. Errors: `PlatformUnavailable`. */
 export async function readManifest(
-  platform: PlatformClient,
+  platform: ValueStore,
   hash: ContentHash,
 ): Promise<Manifest> {
   return JSON.parse(await readChunkText(platform, hash)) as Manifest;
@@ -84,7 +82,7 @@
 
 /** Yields the manifests from the one in force back to the first kept. */
 export async function* readHistory(
-  platform: PlatformClient,
+  platform: ValueStore,
 ): AsyncGenerator<Manifest> {
   const stored = await platform.read(HEAD_NAME);
   let hash: ContentHash | "" = stored === undefined
@@ -107,7 +105,7 @@
  * learned whether the publish took effect.
  */
 export async function publish(
-  platform: PlatformClient,
+  platform: ValueStore,
   order: PublishOrder,
 ): Promise<Manifest> {
   const chunks = splitChunks(order.objects);
@@ -149,7 +147,7 @@
 }
 
 async function readChunkText(
-  platform: PlatformClient,
+  platform: ValueStore,
   hash: ContentHash,
 ): Promise<string> {
   const chunk = await platform.read(chunkName(hash));
@@ -164,7 +162,7 @@
  * keeps the steward from removing it as unused; repeating is harmless.
  */
 async function writeChunk(
-  platform: PlatformClient,
+  platform: ValueStore,
   chunk: Chunk,
 ): Promise<void> {
   for (let attempt = 1;; attempt++) {
@@ -179,9 +177,9 @@
 
 /** Moves the head; a lost answer is settled by reading the head back. */
 async function moveHead(
-  platform: PlatformClient,
+  platform: ValueStore,
   head: Head,
-  version: ObjectVersion | undefined,
+  version: ObjectRevision | undefined,
 ): Promise<void> {
   const value = JSON.stringify(head);
   try {
@@ -196,7 +194,7 @@
 }
 
 async function confirmHead(
-  platform: PlatformClient,
+  platform: ValueStore,
   head: Head,
   cause: unknown,
 ): Promise<void> {
@@ -211,7 +209,7 @@
 }
 
 /** Returns when `head` stands in the history of the head in force. */
-async function requireWon(platform: PlatformClient, head: Head): Promise<void> {
+async function requireWon(platform: ValueStore, head: Head): Promise<void> {
   const stored = await platform.read(HEAD_NAME);
   if (stored === undefined) {
     throw new PlatformUnavailable("the move did not take effect");
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -1,7 +1,8 @@
 /**
- * Stand-in for the platform's object API: versions, conditional updates,
- * watches, a lagging list of instances, call counts, a rate limit, and switches
- * for outage, slowness and lost answers.
+ * Stand-in for the platform's published object API: objects by kind with
+ * revisions, lists in pages, conditional writes, watches with a bounded history,
+ * call counts, a rate limit, and switches for outage, slowness, lost answers
+ * and forgotten history.
  */
 
 import {
@@ -11,14 +12,31 @@
 } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { readBody, sendJson } from "../src/connection/http_server.ts";
-import type { Instance } from "../src/connection/platform_client.ts";
+import { SERVER_KIND } from "../platform/restore_server.ts";
+import { type Instance, InstanceState } from "../src/connection/instance.ts";
+import { ENTRY_KIND } from "../src/process/membership.ts";
 import { PLATFORM_VALUE_MAX_BYTES } from "../src/constants.ts";
 import { runStandin, writeStandinError } from "./standin.ts";
 
-interface Stored {
-  readonly version: number;
-  readonly value: string;
-  readonly updatedMs: number;
+/** An object as the API shows it. */
+interface StoredObject {
+  readonly metadata: {
+    readonly name: string;
+    readonly revision: number;
+    readonly created: number;
+    readonly finalizers: readonly string[];
+    readonly deleting: boolean;
+  };
+  readonly spec: unknown;
+  readonly status: unknown;
+}
+
+/** One change, as a watch returns it. */
+interface Change {
+  readonly kind: string;
+  readonly revision: number;
+  readonly object: StoredObject;
+  readonly deleted: boolean;
 }
 
 /** Switches of the stand-in, set by `POST /standin/control`. */
@@ -31,11 +49,15 @@
   loseAnswers: { prefix: string; skip: number; count: number };
   /** After some writes under the prefix, so many wait before they take effect. */
   slowWrites: { prefix: string; skip: number; count: number; delayMs: number };
-  /** How late changes of the instance list are shown, in ms. */
+  /** How late changes of the instance list take effect, in ms. */
   listLagMs: number;
   /** Calls of each sort that are answered in one second. */
   readsPerSecond: number;
   writesPerSecond: number;
+  /** Objects in one page of a list. */
+  pageSize: number;
+  /** Changes older than this revision are forgotten. */
+  historyFrom: number;
   instances: Instance[];
 }
 
@@ -54,14 +76,16 @@
   listLagMs: 0,
   readsPerSecond: 2_000,
   writesPerSecond: 400,
+  pageSize: 500,
+  historyFrom: 0,
   instances: [],
 };
 const counts: Counts = { reads: 0, writes: 0, watches: 0, refused: 0 };
-const objects = new Map<string, Stored>();
-const waiting = new Map<string, Set<() => void>>();
+const kinds = new Map<string, Map<string, StoredObject>>();
+const history: Change[] = [];
+const watchers = new Set<() => void>();
 const open = new Set<ServerResponse>();
-let version = 0;
-let shownInstances: Instance[] = [];
+let revision = 0;
 let second = 0;
 let readsThisSecond = 0;
 let writesThisSecond = 0;
@@ -71,9 +95,9 @@
   response: ServerResponse,
 ): Promise<void> {
   const url = new URL(request.url ?? "/", "http://platform");
-  const [, group = "", encoded = ""] = url.pathname.split("/");
-  const name = decodeURIComponent(encoded);
-  if (group === "standin") return await handleStandin(name, request, response);
+  const [, first = "", group = "", kind = "", encoded = ""] = url.pathname
+    .split("/");
+  if (first === "standin") return await handleStandin(group, request, response);
   open.add(response);
   response.once("close", () => open.delete(response));
   const isWrite = request.method !== "GET";
@@ -83,14 +107,13 @@
   }
   if (switches.delayMs > 0) await sleep(switches.delayMs);
   if (switches.outage) return void response.destroy();
-  if (isWrite) return await write(name, request, response);
-  if (group === "watch") return watch(name, url, response);
+  const name = decodeURIComponent(encoded);
+  if (isWrite) return await write({ kind, name, url }, request, response);
+  if (url.searchParams.has("watch")) return watch(kind, url, response);
   counts.reads++;
-  if (group === "instances") return sendJson(response, 200, shownInstances);
-  if (name === "") return list(url.searchParams.get("prefix") ?? "", response);
-  const stored = objects.get(name);
-  if (stored === undefined) return sendJson(response, 404, {});
-  sendJson(response, 200, stored);
+  if (name === "") return list(kind, url, response);
+  const stored = kinds.get(kind)?.get(name);
+  sendJson(response, stored === undefined ? 404 : 200, stored ?? {});
 }
 
 function admit(isWrite: boolean): boolean {
@@ -104,38 +127,87 @@
   return ++readsThisSecond <= switches.readsPerSecond;
 }
 
-function list(prefix: string, response: ServerResponse): void {
-  const rows = [...objects]
-    .filter(([name]) => name.startsWith(prefix))
-    .map(([name, { version, updatedMs }]) => ({ name, version, updatedMs }));
-  sendJson(response, 200, rows);
+function list(kind: string, url: URL, response: ServerResponse): void {
+  const after = url.searchParams.get("after") ?? "";
+  const rest = [...kinds.get(kind)?.values() ?? []]
+    .filter(({ metadata }) => metadata.name > after)
+    .sort((a, b) => (a.metadata.name < b.metadata.name ? -1 : 1));
+  sendJson(response, 200, {
+    items: rest.slice(0, switches.pageSize),
+    hasMore: rest.length > switches.pageSize,
+    currentRev: revision,
+  });
+}
+
+/** What a write names. */
+interface WriteTarget {
+  readonly kind: string;
+  /** Empty where the body names the object. */
+  readonly name: string;
+  readonly url: URL;
 }
 
 async function write(
-  name: string,
+  { kind, name: named, url }: WriteTarget,
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  const body = (await readBody(request, PLATFORM_VALUE_MAX_BYTES)).toString();
+  const text = (await readBody(request, PLATFORM_VALUE_MAX_BYTES)).toString();
+  const body = text === "" ? {} : JSON.parse(text);
+  const name = named === "" ? body.metadata.name as string : named;
+  const key = `${kind.replace(/^gypsumridge-/, "")}/${name}`;
   const slow = switches.slowWrites;
-  if (applies(slow, name)) await sleep(slow.delayMs);
+  if (applies(slow, key)) await sleep(slow.delayMs);
   counts.writes++;
-  const stored = objects.get(name);
-  const expected = request.headers["if-match"];
-  const mustBeNew = request.headers["if-none-match"] === "*";
-  if (request.method === "DELETE" && stored === undefined) {
+  const stored = kinds.get(kind)?.get(name);
+  if (request.method !== "POST" && stored === undefined) {
     return sendJson(response, 404, {});
   }
-  const conflicts = mustBeNew
+  const query = url.searchParams.get("revision");
+  const expected = body.metadata?.revision ?? (query && Number(query));
+  const conflicts = request.method === "POST"
     ? stored !== undefined
-    : expected !== undefined && Number(expected) !== stored?.version;
-  if (conflicts) return sendJson(response, 412, {});
-  version++;
-  if (request.method === "DELETE") objects.delete(name);
-  else objects.set(name, { version, value: body, updatedMs: Date.now() });
-  for (const wake of waiting.get(name) ?? []) wake();
-  if (applies(switches.loseAnswers, name)) return void response.destroy();
-  sendJson(response, 200, { version });
+    : expected !== null && expected !== undefined &&
+      expected !== stored?.metadata.revision;
+  if (conflicts) return sendJson(response, 409, stored);
+  const isDeletion = request.method === "DELETE";
+  const object = store({ kind, name, spec: body.spec, isDeletion });
+  if (applies(switches.loseAnswers, key)) return void response.destroy();
+  sendJson(response, 200, object);
+}
+
+/** Takes a change in, and wakes those that watch. */
+function store(
+  { kind, name, spec, isDeletion }: {
+    readonly kind: string;
+    readonly name: string;
+    readonly spec: unknown;
+    readonly isDeletion: boolean;
+  },
+): StoredObject | undefined {
+  const objects = kinds.get(kind) ?? new Map<string, StoredObject>();
+  kinds.set(kind, objects);
+  const stored = objects.get(name);
+  const isSame = JSON.stringify(stored?.spec) === JSON.stringify(spec);
+  if (!isDeletion && stored !== undefined && isSame) return stored;
+  if (isDeletion && stored === undefined) return undefined;
+  revision++;
+  const object: StoredObject = {
+    metadata: {
+      name,
+      revision,
+      created: stored?.metadata.created ?? revision,
+      finalizers: [],
+      deleting: false,
+    },
+    spec: isDeletion ? stored?.spec : spec,
+    status: null,
+  };
+  if (isDeletion) objects.delete(name);
+  else objects.set(name, object);
+  history.push({ kind, revision, object, deleted: isDeletion });
+  for (const wake of watchers) wake();
+  return object;
 }
 
 /** Counts a write down; says whether the failure is its turn. */
@@ -152,29 +224,30 @@
   return true;
 }
 
-function watch(name: string, url: URL, response: ServerResponse): void {
+function watch(kind: string, url: URL, response: ServerResponse): void {
   counts.watches++;
-  const after = Number(url.searchParams.get("after"));
-  const waitMs = Number(url.searchParams.get("wait"));
-  const wakers = waiting.get(name) ?? new Set();
-  waiting.set(name, wakers);
-  const tryAnswer = () => {
-    const stored = objects.get(name);
-    if (stored === undefined || stored.version === after) return;
+  const from = Number(url.searchParams.get("watch"));
+  const waitMs = Number(url.searchParams.get("waitMs"));
+  if (from < switches.historyFrom) {
+    return sendJson(response, 410, { error: "history is gone" });
+  }
+  const answer = (isOver: boolean) => {
+    const events = history
+      .filter((change) => change.kind === kind && change.revision > from)
+      .map(({ object, deleted }) => ({ object, deleted }));
+    if (events.length === 0 && !isOver) return;
     finish();
-    sendJson(response, 200, stored);
+    sendJson(response, 200, { events, currentRev: revision });
   };
-  const timer = setTimeout(() => {
-    finish();
-    response.writeHead(204).end();
-  }, waitMs);
+  const wake = () => answer(false);
+  const timer = setTimeout(() => answer(true), waitMs);
   const finish = () => {
     clearTimeout(timer);
-    wakers.delete(tryAnswer);
+    watchers.delete(wake);
   };
   response.once("close", finish);
-  wakers.add(tryAnswer);
-  tryAnswer();
+  watchers.add(wake);
+  wake();
 }
 
 async function handleStandin(
@@ -194,13 +267,32 @@
 }
 
 function showInstances(instances: Instance[]): void {
-  if (switches.listLagMs === 0) {
-    shownInstances = instances;
-    return;
+  if (switches.listLagMs === 0) return storeInstances(instances);
+  setTimeout(() => storeInstances(instances), switches.listLagMs);
+}
+
+/** Writes the instances as they would register themselves, and drops others. */
+function storeInstances(instances: Instance[]): void {
+  const listed = new Map(
+    instances.map((instance) => [instance.name, instance]),
+  );
+  for (const kind of [SERVER_KIND, ENTRY_KIND]) {
+    for (const name of kinds.get(kind)?.keys() ?? []) {
+      if (listed.has(name)) continue;
+      store({ kind, name, spec: undefined, isDeletion: true });
+    }
+  }
+  for (const { name, role, address, state } of instances) {
+    const spec = role === "entry" ? { address } : {
+      service: "listed",
+      address,
+      zone: "listed",
+      slots: 1,
+      state: state === InstanceState.Live ? "ready" : "draining",
+    };
+    const kind = role === "entry" ? ENTRY_KIND : SERVER_KIND;
+    store({ kind, name, spec, isDeletion: false });
   }
-  setTimeout(() => {
-    shownInstances = instances;
-  }, switches.listLagMs);
 }
 
 const server = createServer((request, response) => {
--- a/tests/at_most_once_test.ts
+++ b/tests/at_most_once_test.ts
@@ -250,10 +250,10 @@
 
 async function claimed(cluster: LocalCluster): Promise<void> {
   await waitFor("the action is claimed", async () => {
-    const rows = await cluster.platform.get<readonly unknown[]>(
-      `/objects?prefix=${encodeURIComponent(RECORD)}`,
-    );
-    return rows.length > 0;
+    const { items } = await cluster.platform.get<{
+      readonly items: readonly unknown[];
+    }>("/v1/objects/gypsumridge-action");
+    return items.length > 0;
   });
 }
 
--- a/tests/configuration_test.ts
+++ b/tests/configuration_test.ts
@@ -139,12 +139,11 @@
   {
     name: "a store that went back to an older state",
     play: async (cluster, session) => {
-      const first = await cluster.platform.get<{ value: string }>(
-        "/objects/head",
-      );
+      const head = "/v1/objects/gypsumridge-head/head";
+      const { spec } = await cluster.platform.get<{ spec: unknown }>(head);
       await cluster.publish({ customers: GAMMA });
       await inForce(cluster, { revision: 2, session });
-      await cluster.putObject("head", first.value);
+      await cluster.putObject(head, spec);
       await sleep(1_000);
       await inForce(cluster, { revision: 2, session });
     },
--- a/tests/steward_test.ts
+++ b/tests/steward_test.ts
@@ -110,14 +110,17 @@
 async function lease(
   cluster: LocalCluster,
 ): Promise<{ readonly holder: string; readonly version: number }> {
-  const stored = await cluster.platform.get<{
-    readonly version: number;
-    readonly value: string;
-  }>(`/objects/${encodeURIComponent("lease/steward")}`);
-  return { ...JSON.parse(stored.value), version: stored.version };
+  const { metadata, spec } = await cluster.platform.get<{
+    readonly metadata: { readonly revision: number };
+    readonly spec: { readonly value: string };
+  }>("/v1/objects/gypsumridge-lease/steward");
+  return { ...JSON.parse(spec.value), version: metadata.revision };
 }
 
 async function names(cluster: LocalCluster, prefix: string): Promise<number> {
-  const path = `/objects?prefix=${encodeURIComponent(prefix)}`;
-  return (await cluster.platform.get<readonly unknown[]>(path)).length;
+  const [kind = "", start = ""] = prefix.split("/");
+  const { items } = await cluster.platform.get<{
+    readonly items: readonly { readonly metadata: { readonly name: string } }[];
+  }>(`/v1/objects/gypsumridge-${kind}`);
+  return items.filter(({ metadata }) => metadata.name.startsWith(start)).length;
 }
