Wait rather than line up behind other prompts; tell dead servers apart at once

Change: a prompt is no longer counted once it is read; a request waits up to 0.3 of its target rather than be third in line; a closed connection has the server asked at once; dead servers are passed on in digests; a copy is not tried before the first event; where all servers are avoided they are tried again. Ruled out: moving the copies (they were found in every case that could have one). Tests: src/process/choose_server_test.ts.

--- a/src/connection/peer_protocol.ts
+++ b/src/connection/peer_protocol.ts
@@ -42,6 +42,8 @@
   /** Servers that read prompts lately, by prompt. */
   readonly prompts: readonly (readonly [string, string])[];
   readonly news: readonly ServerNews[];
+  /** Names of servers that the entry found dead just now. */
+  readonly dead: readonly string[];
 }
 
 /** Soft state of an entry, sent at a bounded rate. */
--- a/src/errors.ts
+++ b/src/errors.ts
@@ -106,6 +106,8 @@
   Closed = "closed",
   /** Nothing arrived within the stall limit. */
   Stalled = "stalled",
+  /** Nothing arrived, and the server does not answer any other call either. */
+  Silent = "silent",
   /** A token arrived beyond the next position. */
   Gap = "gap",
   /** Taken back to make place for more urgent work. */
--- a/src/process/choose_server.ts
+++ b/src/process/choose_server.ts
@@ -13,6 +13,13 @@
   readonly service: string;
   /** Memory that the request takes, in tokens. */
   readonly tokens: number;
+  /** Prompt tokens that a server would have to read; 0 when it has them. */
+  readonly unreadTokens?: number;
+  /**
+   * Until then the request rather waits than lines up behind other prompts, on
+   * the monotonic clock in ms.
+   */
+  readonly patientUntilMs?: number;
   /** Names of servers that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
   /** Name of the server to prefer while it has room, or empty. */
@@ -33,6 +40,11 @@
   readonly random: () => number;
 }
 
+/**
+ * Unread prompt tokens that a server may hold before a patient request rather
+ * waits; engines read 5 tokens a ms, one prompt after the other.
+ */
+const LINE_MAX_TOKENS = 10_000;
 /** Weight of unread prompt tokens against tokens that only take memory. */
 const UNREAD_WEIGHT = 3;
 /** Added to the load of a server in a zone that lost others just now. */
@@ -40,18 +52,35 @@
 /** Differences of load below this are left to chance, as a share of a server. */
 const LOAD_STEP = 0.02;
 
-/** Returns the servers that may get the request, whether or not they have room. */
+/**
+ * Returns the servers that may get the request, whether or not they have room.
+ * Where all are avoided after losses, those are tried again that may have
+ * returned: a service is not given up for losses on the way to it.
+ */
 export function usableServers(
   views: Iterable<LiveServerView>,
   { need, nowMs }: { readonly need: ServerNeed; readonly nowMs: number },
 ): LiveServerView[] {
-  return [...views].filter(({ server, avoidUntilMs }) =>
+  const listed = [...views].filter(({ server, avoidUntilMs }) =>
     server.service === need.service &&
     !server.isLeaving &&
     !need.excluded.has(server.name) &&
     server.zone !== need.excludedZone &&
-    avoidUntilMs <= nowMs
+    avoidUntilMs < Number.POSITIVE_INFINITY
   );
+  const sound = listed.filter(({ avoidUntilMs }) => avoidUntilMs <= nowMs);
+  return sound.length > 0 ? sound : listed;
+}
+
+/** Whether the prompts before it would hold the request up for long. */
+function isInLine(
+  view: LiveServerView,
+  { need, nowMs }: { readonly need: ServerNeed; readonly nowMs: number },
+): boolean {
+  const { unreadTokens = 0, patientUntilMs = 0 } = need;
+  if (nowMs >= patientUntilMs) return false;
+  const before = addLoad(view.own, view.others).unreadTokens;
+  return before > 0 && before + unreadTokens > LINE_MAX_TOKENS;
 }
 
 /** Whether a server has slots and memory left for the request. */
@@ -68,7 +97,8 @@
   { nowMs, random }: ChoiceContext,
 ): LiveServerView | undefined {
   const roomy = usableServers(views, { need, nowMs })
-    .filter((view) => hasRoomFor(view, need.tokens));
+    .filter((view) => hasRoomFor(view, need.tokens))
+    .filter((view) => !isInLine(view, { need, nowMs }));
   const preferred = roomy.find(({ server }) => server.name === need.preferred);
   if (preferred !== undefined) return preferred;
   const usable = roomy
--- /dev/null
+++ b/src/process/choose_server_test.ts
@@ -0,0 +1,95 @@
+/** Which server gets a request, by load, prompts in line, losses and zones. */
+
+import { expect, test } from "vitest";
+import { createServer } from "../../tests/relay/scripted.ts";
+import { chooseServer, type ServerNeed } from "./choose_server.ts";
+import { type LiveServerView, NO_LOAD } from "./live_server.ts";
+
+const NEED: ServerNeed = {
+  service: "engines",
+  tokens: 6_000,
+  unreadTokens: 5_000,
+  excluded: new Set(),
+  suspectZones: new Map(),
+  zone: "a",
+};
+
+function view(
+  name: string,
+  changes: Partial<LiveServerView> = {},
+): LiveServerView {
+  return {
+    server: createServer(name, { zone: name.slice(0, 1), slots: 12 }),
+    memoryTokens: 55_000,
+    own: NO_LOAD,
+    others: NO_LOAD,
+    avoidUntilMs: 0,
+    heardMs: 0,
+    ...changes,
+  };
+}
+
+function choose(
+  views: readonly LiveServerView[],
+  changes: Partial<ServerNeed> = {},
+): string | undefined {
+  const context = { nowMs: 1_000, random: () => 0 };
+  return chooseServer(views, { ...NEED, ...changes }, context)?.server.name;
+}
+
+test("the work of other entries counts like our own", () => {
+  const busy = view("a1", {
+    others: { requests: 3, tokens: 18_000, unreadTokens: 0 },
+  });
+  const own = view("b1", {
+    own: { requests: 1, tokens: 6_000, unreadTokens: 0 },
+  });
+  expect(choose([busy, own])).toBe("b1");
+});
+
+test("a server that reads a prompt is avoided for one that only answers", () => {
+  const reading = view("a1", {
+    others: { requests: 1, tokens: 6_000, unreadTokens: 5_000 },
+  });
+  const answering = view("b1", {
+    others: { requests: 2, tokens: 12_000, unreadTokens: 0 },
+  });
+  expect(choose([reading, answering])).toBe("b1");
+});
+
+test("memory binds before slots", () => {
+  const full = view("a1", {
+    own: { requests: 8, tokens: 50_000, unreadTokens: 0 },
+  });
+  expect(choose([full])).toBeUndefined();
+});
+
+test("a patient request waits rather than being third in line, a late one does not", () => {
+  const lined = view("a1", {
+    others: { requests: 2, tokens: 12_000, unreadTokens: 10_000 },
+  });
+  expect(choose([lined], { patientUntilMs: 2_000 })).toBeUndefined();
+  expect(choose([lined], { patientUntilMs: 500 })).toBe("a1");
+});
+
+test("a server in a zone that just lost others comes last, unless it was heard", () => {
+  const suspectZones = new Map([["a", 900]]);
+  const busy = view("b1", {
+    own: { requests: 6, tokens: 36_000, unreadTokens: 0 },
+  });
+  expect(choose([view("a1"), busy], { suspectZones })).toBe("b1");
+  const heard = view("a1", { heardMs: 950 });
+  expect(choose([heard, busy], { suspectZones })).toBe("a1");
+});
+
+test("an avoided server is used when there is no other, a replaced one never", () => {
+  const avoided = view("a1", { avoidUntilMs: 5_000 });
+  const replaced = view("b1", { avoidUntilMs: Number.POSITIVE_INFINITY });
+  expect(choose([avoided, replaced])).toBe("a1");
+  expect(choose([avoided, view("c1")])).toBe("c1");
+  expect(choose([replaced])).toBeUndefined();
+});
+
+test("a copy is kept in another zone", () => {
+  expect(choose([view("a1"), view("b1")], { excludedZone: "a" })).toBe("b1");
+});
--- a/src/process/live_servers.ts
+++ b/src/process/live_servers.ts
@@ -52,9 +52,9 @@
 /** How long a server gets no new work after a loss, in ms. */
 const AVOID_MS: Readonly<Record<ServerLoss, number>> = {
   // Only a new entry in the list makes it usable again.
-  [ServerLoss.Replaced]: 60_000,
-  // Crashed servers are back after 1 to 5 s, as a new incarnation.
-  [ServerLoss.Unreachable]: 1_500,
+  [ServerLoss.Replaced]: Number.POSITIVE_INFINITY,
+  // Crashed servers are back after 1 to 5 s, as a new incarnation in the list.
+  [ServerLoss.Unreachable]: 4_000,
   [ServerLoss.Broken]: 600,
   [ServerLoss.Full]: 100,
 };
@@ -62,6 +62,10 @@
 /** Losses in a zone within `ZONE_WINDOW_MS` that make it suspect. */
 const ZONE_LOSSES = 2;
 const ZONE_WINDOW_MS = 300;
+/** A server that was heard so lately is not given up on another entry's word, in ms. */
+const HEARD_FRESH_MS = 400;
+/** How long other entries are told of a dead server, in ms. */
+const DEAD_NEWS_MS = 1_000;
 /** How long a zone stays suspect, in ms; zones on the sheets fail for 1.2 s. */
 const ZONE_SUSPECT_MS = 1_500;
 
@@ -75,6 +79,8 @@
   readonly #options: LiveServersOptions;
   readonly #views = new Map<string, LiveServerView>();
   readonly #zones = new Map<string, ZoneLosses>();
+  /** Servers that this entry found dead, with the time of it. */
+  readonly #dead = new Map<string, number>();
 
   private constructor(options: LiveServersOptions) {
     this.#options = options;
@@ -192,15 +198,46 @@
     const nowMs = this.#options.now();
     const avoidUntilMs = Math.max(view.avoidUntilMs, nowMs + AVOID_MS[loss]);
     this.#change(name, () => ({ avoidUntilMs }));
+    if (loss === ServerLoss.Unreachable) this.#dead.set(name, nowMs);
     if (loss !== ServerLoss.Full) this.#noteZoneLoss(view.server, nowMs);
     this.#options.log(EVENTS.serverEjected, {
       server: name,
       zone: view.server.zone,
       cause: loss,
-      for_ms: AVOID_MS[loss],
+      for_ms: String(AVOID_MS[loss]),
     });
   }
 
+  /** Takes back the avoidance of a server that proved to be sound. */
+  trust(name: string): void {
+    this.#change(name, () => ({
+      avoidUntilMs: 0,
+      heardMs: this.#options.now(),
+    }));
+    this.#options.onRoom();
+  }
+
+  /** Takes over that another entry found a server dead. */
+  hearLoss(name: string): void {
+    const view = this.#views.get(name);
+    if (view === undefined) return;
+    const nowMs = this.#options.now();
+    const isKnown = view.avoidUntilMs > nowMs;
+    const isAlive = nowMs - view.heardMs < HEARD_FRESH_MS;
+    if (isKnown || isAlive) return;
+    this.lose(name, ServerLoss.Unreachable);
+    this.#dead.delete(name);
+  }
+
+  /** Returns the servers that this entry found dead just now. */
+  deadServers(): readonly string[] {
+    const sinceMs = this.#options.now() - DEAD_NEWS_MS;
+    for (const [name, foundMs] of this.#dead) {
+      if (foundMs < sinceMs) this.#dead.delete(name);
+    }
+    return [...this.#dead.keys()];
+  }
+
   /** Several losses in a zone at once make all of it suspect. */
   #noteZoneLoss({ zone, name }: LiveServer, nowMs: number): void {
     const losses = this.#zones.get(zone) ??
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -220,6 +220,7 @@
     for (const [prompt, server] of orders.prompts) {
       this.context.prompts.note(prompt, server, false);
     }
+    for (const name of orders.dead) this.servers.hearLoss(name);
     for (const { server, ...news } of orders.news) {
       this.changeServer({ ...news, server: server ?? undefined });
     }
@@ -237,6 +238,7 @@
       loads: this.servers.ownLoads(),
       prompts: this.context.prompts.news(),
       news,
+      dead: this.servers.deadServers(),
     };
   }
 
--- a/src/request/note_attempt.ts
+++ b/src/request/note_attempt.ts
@@ -47,8 +47,12 @@
   const { servers, log, metrics } = context;
   const mayHaveCrashed = error.lossCause === LossCause.Closed &&
     entry.progress !== AttemptProgress.NotSent;
-  if (mayHaveCrashed) judgeCrash(context, { order, server });
-  const isUnreachable = error.lossCause === LossCause.Unreachable;
+  if (mayHaveCrashed) {
+    judgeCrash(context, { order, server });
+    checkServer(context, server);
+  }
+  const isUnreachable = error.lossCause === LossCause.Unreachable ||
+    error.lossCause === LossCause.Silent;
   servers.lose(
     server.name,
     isUnreachable ? ServerLoss.Unreachable : ServerLoss.Broken,
@@ -62,3 +66,20 @@
     detail: messageOf(error),
   });
 }
+
+/** Learns whether a server that closed a connection still lives. */
+async function checkServer(
+  { servers, reports }: RelayContext,
+  server: LiveServer,
+): Promise<void> {
+  try {
+    const { startedMs } = await reports.ask(server);
+    const isSame = startedMs === 0 || server.startedMs === 0 ||
+      startedMs === server.startedMs;
+    if (isSame) servers.trust(server.name);
+    else servers.lose(server.name, ServerLoss.Replaced);
+  } catch {
+    // `lose` logs it; a report that does not come is the answer here.
+    servers.lose(server.name, ServerLoss.Unreachable);
+  }
+}
--- a/src/request/place_order.ts
+++ b/src/request/place_order.ts
@@ -1,6 +1,6 @@
 /** Gets an order a place on a backend server. */
 
-import type { ServerLoad } from "../process/live_server.ts";
+import { NO_LOAD, type ServerLoad } from "../process/live_server.ts";
 import type { ServerRequest } from "../process/live_servers.ts";
 import type { Place, PlaceOrder, PlaceWish } from "../process/dispatcher.ts";
 import type { RelayContext } from "../process/relay_context.ts";
@@ -20,15 +20,18 @@
   readonly isResumed: boolean;
   /** Name of the server to prefer while it has room. */
   readonly preferred?: string;
+  /** Until then it rather waits than lines up behind other prompts, in ms. */
+  readonly patientUntilMs?: number;
 }
 
-/** Work of an order before its prompt has been read. */
+/** Work of an order, apart from the reading of its prompt. */
 export function loadOfOrder(order: Order): ServerLoad {
-  return {
-    requests: 1,
-    tokens: order.memoryTokens,
-    unreadTokens: order.promptTokens,
-  };
+  return { requests: 1, tokens: order.memoryTokens, unreadTokens: 0 };
+}
+
+/** A prompt that a server has to read before the order's first event. */
+export function unreadPrompt({ promptTokens }: Order): ServerLoad {
+  return { ...NO_LOAD, unreadTokens: promptTokens };
 }
 
 /** Waits for a place. Errors: a `Refusal` of type not run. */
@@ -52,6 +55,7 @@
     cost: Math.max(1, order.memoryTokens),
     service: order.service,
     tokens: order.memoryTokens,
+    unreadTokens: order.promptTokens,
     load: loadOfOrder(order),
     isSuspect: false,
     ...wait,
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -19,7 +19,7 @@
 import { isHarmful } from "./crash_blame.ts";
 import { endMs, type Order } from "./order.ts";
 import { type AttemptEntry, OrderAttempts } from "./order_attempts.ts";
-import { loadOfOrder, placeOrder } from "./place_order.ts";
+import { loadOfOrder, placeOrder, unreadPrompt } from "./place_order.ts";
 import { logAttempt, noteLoss } from "./note_attempt.ts";
 import { type OrderExchange, OrderOutcome } from "./serve_order.ts";
 import {
@@ -47,6 +47,8 @@
 
 /** Part of the time to the target that a stream waits for a place. */
 const WAIT_PART = 0.6;
+/** Part of the target time in which it rather waits than lines up behind others. */
+const PATIENCE_PART = 0.3;
 const SUCCESS_MIN = 200;
 const SUCCESS_MAX = 299;
 
@@ -72,6 +74,8 @@
   #lostAtMs: number | undefined;
   /** Server that holds a copy of the run as the last sending left it. */
   #copyAt: LiveServer | undefined;
+  /** Says that the present server has read the prompt. */
+  #endReading: () => void = () => undefined;
   #reason = "no backend server took it in time";
 
   private constructor(context: RelayContext, exchange: OrderExchange) {
@@ -131,8 +135,8 @@
     this.#copyAt = undefined;
     if (server === undefined) return undefined;
     if (!this.#context.servers.isUsable(server.name)) return undefined;
-    const load = { ...loadOfOrder(this.#order), unreadTokens: 0 };
-    return { server, fromCopy: true, close: this.#hold(server, load) };
+    const close = this.#hold(server, loadOfOrder(this.#order));
+    return { server, fromCopy: true, close };
   }
 
   /** Waits for a place; `undefined` when there is none in time. */
@@ -148,6 +152,9 @@
       signal,
       isResumed: this.#hasBegun,
       preferred: this.#context.prompts.find(this.#order.prompt),
+      patientUntilMs: this.#hasBegun
+        ? 0
+        : this.#order.receivedMs + this.#order.rank.targetMs * PATIENCE_PART,
     };
     const request = {
       service: this.#order.service,
@@ -198,17 +205,19 @@
     });
     const releaseBackup = backup === undefined
       ? undefined
-      : this.#hold(backup, {
-        ...loadOfOrder(this.#order),
-        requests: 0,
-        unreadTokens: 0,
-      });
+      : this.#hold(backup, { ...loadOfOrder(this.#order), requests: 0 });
+    this.#endReading = fromCopy
+      ? () => undefined
+      : this.#hold(server, unreadPrompt(this.#order));
     const stop = new AbortController();
-    const lose = (detail: string) => {
-      stop.abort(new AttemptLoss(LossCause.Stalled, detail));
+    const lose = (cause: LossCause, detail: string) => {
+      stop.abort(new AttemptLoss(cause, detail));
     };
     const leftMs = endMs(this.#order) - now();
-    const limit = setTimeout(() => lose("time limit reached"), leftMs);
+    const limit = setTimeout(
+      () => lose(LossCause.Stalled, "time limit reached"),
+      leftMs,
+    );
     const guard = SilenceGuard.create({
       reports: this.#context.reports,
       server,
@@ -242,14 +251,14 @@
       if (!(error instanceof AttemptLoss)) throw error;
       if (!caller.signal.aborted) {
         this.#noteLoss({ entry, server, error });
-        this.#copyAt = entry.progress === AttemptProgress.NotSent
-          ? undefined
-          : backup;
+        // A run has no copy before its first event.
+        this.#copyAt = this.#events > 0 ? backup : undefined;
       }
       return Ending.Lost;
     } finally {
       clearTimeout(limit);
       guard.close();
+      this.#endReading();
       seat.close();
       releaseBackup?.();
     }
@@ -299,6 +308,7 @@
       const events = [...splitter.push(bytes)];
       guard.hear(spacing.next());
       if (events.length === 0) continue;
+      this.#endReading();
       guard.hold();
       if (!this.#hasBegun) this.#begin(answer);
       await caller.write(this.#accept(events));
--- a/src/request/silence_guard.ts
+++ b/src/request/silence_guard.ts
@@ -5,7 +5,7 @@
  */
 
 import { StallTimer } from "../connection/stall_timer.ts";
-import { messageOf } from "../errors.ts";
+import { LossCause, messageOf } from "../errors.ts";
 import type { ServerReports } from "../process/server_reports.ts";
 import type { LiveServer } from "../process/live_server.ts";
 import { judgeSilence, SilenceVerdict } from "./silence.ts";
@@ -21,7 +21,7 @@
   /** Events received so far. */
   readonly events: () => number;
   /** Called once when the run counts as lost. */
-  readonly onLost: (detail: string) => void;
+  readonly onLost: (cause: LossCause, detail: string) => void;
 }
 
 /** Guards one sending of a stream. */
@@ -79,12 +79,13 @@
       const run = { id, server, events: events(), absences: this.#absences };
       const verdict = judgeSilence(report, run);
       if (verdict === SilenceVerdict.Lost) {
-        return onLost("silent, and the report shows that the run has ended");
+        return onLost(LossCause.Stalled, "the report shows that it has ended");
       }
       if (verdict === SilenceVerdict.Absent) this.#absences++;
       this.#timer.hear();
     } catch (error) {
-      if (!isOver()) onLost(`silent, and no report: ${messageOf(error)}`);
+      if (isOver()) return;
+      onLost(LossCause.Silent, `no report: ${messageOf(error)}`);
     }
   }
 }
