--- a/src/process/live_servers.ts
+++ b/src/process/live_servers.ts
@@ -64,8 +64,8 @@
 const ZONE_WINDOW_MS = 300;
 /** A server that was heard so lately is not given up on another entry's word, in ms. */
 const HEARD_FRESH_MS = 400;
-/** How long other entries are told of a dead server, in ms. */
-const DEAD_NEWS_MS = 1_000;
+/** How long other entries are told of a dead server, in ms: three digests. */
+const DEAD_NEWS_MS = 450;
 /** How long a zone stays suspect, in ms; zones on the sheets fail for 1.2 s. */
 const ZONE_SUSPECT_MS = 1_500;
 
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -123,6 +123,8 @@
         ...this.#handlers(),
         onDigest: (digest, from) => {
           this.#options.onDigest(digest, from);
+          // A peer that is dialled too hears on the link of our own.
+          if (this.#isDialled(digest.entry)) return;
           from.send(this.#options.createDigest());
         },
         onClose: (closed) => this.#accepted.delete(closed),
@@ -131,6 +133,11 @@
     });
   }
 
+  #isDialled(entry: EntryId): boolean {
+    const peer = this.#entries.find(({ name }) => name === entry);
+    return this.#dialled.get(peer?.address ?? "")?.isOpen === true;
+  }
+
   #handlers(): PeerLinkHandlers {
     return {
       onDigest: (digest, link) => this.#options.onDigest(digest, link),
--- a/src/process/prompt_places.ts
+++ b/src/process/prompt_places.ts
@@ -18,8 +18,8 @@
 
 /** How long a prompt is expected to stay cached, in ms; requests come again within their deadline. */
 const KEPT_MS = 25_000;
-/** How long a place is news that digests carry, in ms. */
-const NEWS_MS = 1_000;
+/** How long a place is news that digests carry, in ms: three digests. */
+const NEWS_MS = 450;
 const PLACES_MAX = 5_000;
 
 /** Servers by prompt. */
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -53,8 +53,8 @@
 
 /** Requests that may wait in one rank of a service at one entry. */
 const QUEUE_LENGTH = 200;
-/** How long a change of the list is told to other entries, in ms. */
-const NEWS_MS = 3_000;
+/** How long a change of the list is told to other entries, in ms: four digests. */
+const NEWS_MS = 600;
 /** Time for entries to return that lapsed while the store was away, in ms. */
 const RETURN_MS = 1_900;
 /** How long changes are remembered, so that older ones are told apart, in ms. */
@@ -67,10 +67,14 @@
   readonly #options: RelayOptions;
   readonly #others: OtherLoads;
   readonly #news = new Map<string, HeldNews>();
+  /** Resolves once the first configuration is in force. */
+  readonly configured: Promise<void>;
+  #setConfigured: () => void = () => undefined;
   #routes: RouteTable | undefined;
 
   private constructor(options: RelayOptions) {
     this.#options = options;
+    this.configured = new Promise((resolve) => this.#setConfigured = resolve);
     const { zone, log, now, random } = options;
     this.#others = OtherLoads.create(now);
     this.servers = LiveServers.create({
@@ -144,6 +148,7 @@
   adopt(table: RouteTable, source: string): boolean {
     if (table.version <= this.configuration) return false;
     this.#routes = table;
+    this.#setConfigured();
     this.servers.refreshMemory();
     this.context.metrics.version.set(table.version);
     this.#options.log(EVENTS.revisionAdopted, {
--- a/tests/platform_entry_test.ts
+++ b/tests/platform_entry_test.ts
@@ -225,6 +225,14 @@
   expect(await send(long)).toMatch(/^HTTP\/1\.1 503 /);
 });
 
+test("a request that comes before the configuration is served once it is known", async () => {
+  await startEntry();
+  const answer = send(request("/call/", ["X-Deadline-Ms: 8000"]));
+  await sleep(200);
+  await store.create("config", { name: "main", spec: configuration(1) });
+  expect(await answer).toMatch(/^HTTP\/1\.1 200 /);
+});
+
 test("a damaged configuration leaves the one in force", async () => {
   await startConfigured();
   await store.replace("config", { name: "main", spec: { version: 9 } });
