--- a/src/version/route_table.ts
+++ b/src/version/route_table.ts
@@ -15,7 +15,7 @@
   readonly name: string;
   readonly host: string;
   /** Start of the paths, with a slash at both ends. */
-  readonly pathPrefix: string;
+  readonly pathStart: string;
   readonly kind: OrderKind;
   readonly isResumable: boolean;
   readonly isAnonymous: boolean;
@@ -101,7 +101,7 @@
       for (const key of customer.keySha256) this.#customers.set(key, customer);
     }
     for (const routes of this.#routes.values()) {
-      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+      routes.sort((a, b) => b.pathStart.length - a.pathStart.length);
     }
   }
 
@@ -113,7 +113,7 @@
   /** Returns the route with the longest prefix that begins `path`. */
   route(host: string, path: string): RoutePolicy | undefined {
     const routes = this.#routes.get(host.toLowerCase());
-    return routes?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+    return routes?.find(({ pathStart }) => path.startsWith(pathStart));
   }
 
   /** Returns a service by name. */
