Remove what nothing uses any more

Read as a newcomer: unused types and settings of the adapter, an unused zone in the choice of a server. The golden table of recovery steps gains rows for the new cause of loss (silent), which only the relay of orders raises. No behaviour changes.

--- a/src/connection/backend_answer.ts
+++ b/src/connection/backend_answer.ts
@@ -2,12 +2,6 @@
 
 import type { LiveServer } from "../process/live_server.ts";
 
-/** A copy of a run's memory on a server, from which the run can go on. */
-export interface RunCopy {
-  /** The server that holds it. */
-  readonly server: LiveServer;
-}
-
 /** One sending of an order to a server. */
 export interface AttemptTarget {
   readonly server: LiveServer;
--- a/src/process/choose_server.ts
+++ b/src/process/choose_server.ts
@@ -28,8 +28,6 @@
   readonly excludedZone?: string;
   /** Zones in which many servers were lost just now, with the time of it. */
   readonly suspectZones: ReadonlyMap<string, number>;
-  /** Zone of this entry. */
-  readonly zone: string;
 }
 
 /** Clock and chance of a choice. */
--- a/src/process/choose_server_test.ts
+++ b/src/process/choose_server_test.ts
@@ -11,7 +11,6 @@
   unreadTokens: 5_000,
   excluded: new Set(),
   suspectZones: new Map(),
-  zone: "a",
 };
 
 function view(
--- a/src/process/live_servers.ts
+++ b/src/process/live_servers.ts
@@ -25,8 +25,6 @@
   readonly now: () => number;
   /** Number from 0 up to 1. */
   readonly random: () => number;
-  /** Zone of this entry. */
-  readonly zone: string;
   readonly log: Log;
   /** Memory of a service's servers, in tokens; infinite for plain services. */
   readonly memoryTokensOf: (service: string) => number;
@@ -35,7 +33,7 @@
 }
 
 /** What a request wants of a server, without what the process knows itself. */
-export type ServerRequest = Omit<ServerNeed, "suspectZones" | "zone">;
+export type ServerRequest = Omit<ServerNeed, "suspectZones">;
 
 /** How a server was lost, as far as it decides when it is tried again. */
 export enum ServerLoss {
@@ -139,15 +137,15 @@
 
   /** Returns the server that a request goes to now, if one has room. */
   choose(request: ServerRequest): LiveServer | undefined {
-    const { now, random, zone } = this.#options;
-    const need = { ...request, zone, suspectZones: this.#suspectZones() };
+    const { now, random } = this.#options;
+    const need = { ...request, suspectZones: this.#suspectZones() };
     const context = { nowMs: now(), random };
     return chooseServer(this.#views.values(), need, context)?.server;
   }
 
   /** Whether any server could take the request now or after a wait. */
   canServe(request: ServerRequest): boolean {
-    const need = { ...request, zone: "", suspectZones: new Map() };
+    const need = { ...request, suspectZones: new Map() };
     const nowMs = this.#options.now();
     return usableServers(this.#views.values(), { need, nowMs }).length > 0;
   }
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -27,7 +27,6 @@
 /** What a relay needs of its process. */
 export interface RelayOptions {
   readonly entry: EntryId;
-  readonly zone: string;
   readonly log: Log;
   readonly askReport: Reporter;
   /** Monotonic clock, in ms. */
@@ -75,12 +74,11 @@
   private constructor(options: RelayOptions) {
     this.#options = options;
     this.configured = new Promise((resolve) => this.#setConfigured = resolve);
-    const { zone, log, now, random } = options;
+    const { log, now, random } = options;
     this.#others = OtherLoads.create(now);
     this.servers = LiveServers.create({
       now,
       random,
-      zone,
       log,
       memoryTokensOf: (service) => this.#memoryTokensOf(service),
       onRoom: () => dispatcher.pump(),
--- a/src/request/attempt_record.ts
+++ b/src/request/attempt_record.ts
@@ -22,11 +22,6 @@
   );
 }
 
-/** Whether an order was sent to a server that could have run it. */
-export function wasOffered(attempts: readonly AttemptProgress[]): boolean {
-  return attempts.some((progress) => progress !== AttemptProgress.NotSent);
-}
-
 /**
  * Whether an order may be sent once more.
  *
--- a/src/request/recovery_test.ts
+++ b/src/request/recovery_test.ts
@@ -38,6 +38,10 @@
     stalled, started, no token: withdraw
     stalled, reattached, some tokens: abandon
     stalled, reattached, no token: withdraw
+    silent, started, some tokens: abandon
+    silent, started, no token: abandon
+    silent, reattached, some tokens: abandon
+    silent, reattached, no token: abandon
     gap, started, some tokens: reattach
     gap, started, no token: reattach
     gap, reattached, some tokens: abandon
--- a/src/request/relay_call.ts
+++ b/src/request/relay_call.ts
@@ -50,9 +50,7 @@
       const answer = await sendOnce(context, { exchange, attempts, excluded });
       if (answer === undefined) continue;
       const isFailure = answer.head.status >= SERVER_ERROR;
-      if (!isFailure || !mayRepeat(order)) {
-        return passOn(exchange, answer);
-      }
+      if (!isFailure || !mayRepeat(order)) return passOn(exchange, answer);
       failure = answer;
     } catch (error) {
       if (error instanceof AttemptLoss) reason = error.message;
--- a/src/version/route_table.ts
+++ b/src/version/route_table.ts
@@ -23,8 +23,6 @@
   readonly limitMs: number;
   /** Time in which an answer, or a stream's first event, is on time, in ms. */
   readonly targetMs: number;
-  /** Longest pause between events of a stream that is on time, in ms. */
-  readonly pauseMaxMs: number;
   /** Backend servers that one request may be sent to. */
   readonly sendsMax: number;
   /** 0 is the most urgent. */
@@ -34,14 +32,10 @@
 
 /** What is known of the model engines of a service. */
 export interface EngineTraits {
-  /** Requests that an engine runs at once. */
-  readonly slots: number;
   /** Memory for running requests and cached prompts, in tokens. */
   readonly memoryTokens: number;
   /** Whether a run's memory can be copied to another engine as it grows. */
   readonly canBackUp: boolean;
-  /** Tokens in one event of a stream. */
-  readonly tokensPerEvent: number;
 }
 
 /** A service that routes lead to. */
--- a/tests/platform_entry_test.ts
+++ b/tests/platform_entry_test.ts
@@ -89,7 +89,6 @@
     peerPort: await freePort(),
     metricsPort: 0,
     storeAddress: cluster.platform.address,
-    heartbeatMs: 1_200,
     graceMs: 8_000,
     retryRatio: 1,
     retryAllowance: 100,
--- a/tests/relay/crash_blame_test.ts
+++ b/tests/relay/crash_blame_test.ts
@@ -43,7 +43,7 @@
   });
   const { open } = followScripts([script]);
   await serveOrder(core.context, { order, caller, open });
-  return caller.end_;
+  return caller.ending;
 }
 
 test("after three crashes a request is refused, others are not", async () => {
--- a/tests/relay/scripted.ts
+++ b/tests/relay/scripted.ts
@@ -80,7 +80,6 @@
 ): Relay {
   const relay = Relay.create({
     entry: "entry-1" as EntryId,
-    zone: "zone-a",
     log: () => undefined,
     askReport,
     now: () => performance.now(),
@@ -109,12 +108,7 @@
     services: [
       {
         name: SERVICE,
-        engine: {
-          slots: 4,
-          memoryTokens: 55_000,
-          canBackUp: true,
-          tokensPerEvent: 7,
-        },
+        engine: { memoryTokens: 55_000, canBackUp: true },
       },
       { name: PLAIN, engine: undefined },
     ],
@@ -133,7 +127,7 @@
   readonly #gone = new AbortController();
   text = "";
   status = 0;
-  end_ = "open";
+  ending = "open";
   refusal: Refusal | undefined;
 
   private constructor() {}
@@ -148,7 +142,7 @@
 
   /** One line that says all that the caller was given. */
   get summary(): string {
-    return `${this.status} ${this.end_}: ${this.text}`;
+    return `${this.status} ${this.ending}: ${this.text}`;
   }
 
   leave(): void {
@@ -158,7 +152,7 @@
   readonly answer: OrderCaller["answer"] = ({ status }, body) => {
     this.status = status;
     this.text += body.toString();
-    this.end_ = "whole";
+    this.ending = "whole";
   };
   readonly begin: OrderCaller["begin"] = ({ status }) => {
     this.status = status;
@@ -169,14 +163,14 @@
     return Promise.resolve();
   };
   readonly end = () => {
-    this.end_ = "whole";
+    this.ending = "whole";
   };
   readonly breakOff = () => {
-    this.end_ = "broken off";
+    this.ending = "broken off";
   };
   readonly refuse = (refusal: Refusal) => {
     this.refusal = refusal;
-    this.end_ = `refused ${refusal.type}`;
+    this.ending = `refused ${refusal.type}`;
   };
 }
 
