Read logs of a session only once gathered lines are written

Ruled out: a loss that was not logged (the line came later in the same run's output). The session now waits until the process's output is quiet; the golden files stay as they are.

--- a/bench/child.ts
+++ b/bench/child.ts
@@ -2,6 +2,7 @@
 
 import { type ChildProcess, spawn } from "node:child_process";
 import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
 import { callHttp, type HttpAnswer } from "../src/connection/http_call.ts";
 
 /** How a process is started. */
@@ -21,6 +22,8 @@
 
 const ROOT = new URL("../", import.meta.url);
 const START_LIMIT_MS = 15_000;
+/** Silence after which no gathered line is left; processes gather for 50 ms. */
+const OUTPUT_QUIET_MS = 400;
 const CONTROL_TIMEOUT_MS = 5_000;
 
 /** A started process that has reported its ports. */
@@ -105,6 +108,15 @@
       .map((line) => JSON.parse(line) as LogLine);
   }
 
+  /** Resolves once output that was gathered has been written. */
+  async settleOutput(): Promise<void> {
+    let seen = -1;
+    while (seen !== this.#stdout.length) {
+      seen = this.#stdout.length;
+      await sleep(OUTPUT_QUIET_MS);
+    }
+  }
+
   /** Sends a signal. */
   signal(name: NodeJS.Signals): void {
     this.#process.kill(name);
--- a/tests/no_token_lost_test.ts
+++ b/tests/no_token_lost_test.ts
@@ -138,7 +138,7 @@
       session.note(`repeat: ${status} ${outcome}`);
       session.noteJoined([caller.text, repeated.text], ASKED);
     }
-    session.noteFirstLoss(cluster.entries);
+    await session.noteFirstLoss(cluster.entries);
     await session.match(`no_token_lost/${name.replaceAll(/[ ,-]+/g, "_")}`);
   } finally {
     await cluster.close();
@@ -166,7 +166,7 @@
     const repeated = repeat(cluster, { caller, withText: true });
     session.note(`repeat: ${(await repeated.ended).outcome}`);
     session.noteJoined([caller.text, repeated.text], ASKED);
-    session.noteFirstLoss(cluster.entries);
+    await session.noteFirstLoss(cluster.entries);
     const events = cluster.entry(1).logLines().map(({ event }) => event);
     const { serverEjected, requestSuspected } = EVENTS;
     session.note(`ejected: ${events.includes(serverEjected.number)}`);
--- a/tests/session.ts
+++ b/tests/session.ts
@@ -58,8 +58,9 @@
   }
 
   /** Adds what each entry logged as the cause of its first loss. */
-  noteFirstLoss(entries: readonly Child[]): void {
+  async noteFirstLoss(entries: readonly Child[]): Promise<void> {
     for (const [index, entry] of entries.entries()) {
+      await entry.settleOutput();
       const loss = entry.logLines().find(({ event }) =>
         event === EVENTS.attemptLost.number
       );
