Tell a restarted server in one place

Cause: reading the whole change, the comparison of a report's start with the listed one stood three times (silence, check after a closed connection, blame), and the limit of blame twice. Change: isRestarted in connection/backend_report.ts serves all three; requireHarmless asks isHarmful. Behaviour is the same for servers that state their start, as the platform's always do; the copy in the blame lacked the rule for an unknown start (it counted as an end) and now has it.

--- a/src/connection/backend_report.ts
+++ b/src/connection/backend_report.ts
@@ -20,3 +20,12 @@
 
 /** Asks a server for its report. Errors: rejects when it gives none in time. */
 export type Reporter = (server: LiveServer) => Promise<ServerReport>;
+
+/** Whether a report comes from a later incarnation than the one listed. */
+export function isRestarted(
+  report: ServerReport,
+  listed: { readonly startedMs: number },
+): boolean {
+  const isKnown = report.startedMs > 0 && listed.startedMs > 0;
+  return isKnown && report.startedMs !== listed.startedMs;
+}
--- a/src/request/crash_blame.ts
+++ b/src/request/crash_blame.ts
@@ -3,6 +3,7 @@
  * that crashes whatever runs it is refused, here and at the other entries.
  */
 
+import { isRestarted } from "../connection/backend_report.ts";
 import type { LiveServer } from "../process/live_server.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import { EVENTS } from "../process/event_catalog.ts";
@@ -18,7 +19,7 @@
 
 /** Refuses an order that has crashed its servers. Errors: `Refusal`. */
 export function requireHarmless(context: RelayContext, order: Order): void {
-  if (context.suspicions.blame(order.fingerprint) < BLAME_MAX) return;
+  if (!isHarmful(context, order)) return;
   throw new Refusal(
     RefusalType.NotRun,
     "this request is suspected of crashing backend servers",
@@ -40,7 +41,7 @@
   const judge = async () => {
     if (servers.isZoneSuspect(server.zone)) return;
     const hasEnded = await reports.ask(server).then(
-      ({ startedMs }) => startedMs !== server.startedMs,
+      (report) => isRestarted(report, server),
       () => true,
     );
     if (!hasEnded || servers.isZoneSuspect(server.zone)) return;
--- a/src/request/note_attempt.ts
+++ b/src/request/note_attempt.ts
@@ -1,5 +1,6 @@
 /** What the process keeps of each sending: log lines, metrics, lost servers. */
 
+import { isRestarted } from "../connection/backend_report.ts";
 import { type AttemptLoss, LossCause, messageOf } from "../errors.ts";
 import { EVENTS } from "../process/event_catalog.ts";
 import type { LiveServer } from "../process/live_server.ts";
@@ -73,10 +74,8 @@
   server: LiveServer,
 ): Promise<void> {
   try {
-    const { startedMs } = await reports.ask(server);
-    const isSame = startedMs === 0 || server.startedMs === 0 ||
-      startedMs === server.startedMs;
-    if (isSame) servers.trust(server.name);
+    const report = await reports.ask(server);
+    if (!isRestarted(report, server)) servers.trust(server.name);
     else servers.lose(server.name, ServerLoss.Replaced);
   } catch {
     // `lose` logs it; a report that does not come is the answer here.
--- a/src/request/silence.ts
+++ b/src/request/silence.ts
@@ -1,6 +1,9 @@
 /** Which silence of a stream is unusual, and what a report says of a silent run. */
 
-import type { ServerReport } from "../connection/backend_report.ts";
+import {
+  isRestarted,
+  type ServerReport,
+} from "../connection/backend_report.ts";
 import type { LiveServer } from "../process/live_server.ts";
 
 /** Silence before the first event after which the server is asked, in ms. */
@@ -45,9 +48,7 @@
   report: ServerReport,
   { id, server, events, absences }: SilentRun,
 ): SilenceVerdict {
-  const isRestarted = report.startedMs > 0 && server.startedMs > 0 &&
-    report.startedMs !== server.startedMs;
-  if (isRestarted) return SilenceVerdict.Lost;
+  if (isRestarted(report, server)) return SilenceVerdict.Lost;
   // Until its first event a run is listed nowhere.
   if (report.runs === undefined || events === 0) return SilenceVerdict.Alive;
   const run = report.runs.get(id);
