--- a/bench/child.ts
+++ b/bench/child.ts
@@ -4,6 +4,7 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { callHttp, type HttpAnswer } from "../src/connection/http_call.ts";
+import { EVENTS } from "../src/process/event_catalog.ts";
 
 /** How a process is started. */
 export interface ChildOptions {
@@ -12,6 +13,10 @@
   readonly args: readonly string[];
   /** Options of Node itself. */
   readonly nodeOptions?: readonly string[];
+  /** Variables beside those of this process. */
+  readonly variables?: Readonly<Record<string, string>>;
+  /** Ports that are known before; the process then says by its log that it listens. */
+  readonly ports?: Readonly<Record<string, number>>;
 }
 
 /** A log line of a daemon. */
@@ -20,12 +25,19 @@
   readonly [detail: string]: unknown;
 }
 
+const LISTENING = EVENTS.listening.number;
 const ROOT = new URL("../", import.meta.url);
 const START_LIMIT_MS = 15_000;
 /** Silence after which no gathered line is left; processes gather for 50 ms. */
 const OUTPUT_QUIET_MS = 400;
 const CONTROL_TIMEOUT_MS = 5_000;
 
+/** Processes that run; none of them outlives this one. */
+const started = new Set<ChildProcess>();
+process.once("exit", () => {
+  for (const child of started) child.kill("SIGKILL");
+});
+
 /** A started process that has reported its ports. */
 export class Child {
   readonly #process: ChildProcess;
@@ -34,18 +46,18 @@
   readonly #exited: Promise<number | null>;
   readonly ports: Readonly<Record<string, number>>;
 
-  private constructor(started: {
+  private constructor(parts: {
     readonly process: ChildProcess;
     readonly stdout: string[];
     readonly stderr: string[];
     readonly exited: Promise<number | null>;
     readonly ports: Readonly<Record<string, number>>;
   }) {
-    this.#process = started.process;
-    this.#stdout = started.stdout;
-    this.#stderr = started.stderr;
-    this.#exited = started.exited;
-    this.ports = started.ports;
+    this.#process = parts.process;
+    this.#stdout = parts.stdout;
+    this.#stderr = parts.stderr;
+    this.#exited = parts.exited;
+    this.ports = parts.ports;
   }
 
   /** Starts a process and waits for the line with its ports. */
@@ -54,8 +66,13 @@
     const child = spawn(
       process.execPath,
       [...options.nodeOptions ?? [], module, ...options.args],
-      { stdio: ["ignore", "pipe", "pipe"] },
+      {
+        stdio: ["ignore", "pipe", "pipe"],
+        env: { ...process.env, ...options.variables },
+      },
     );
+    started.add(child);
+    child.once("exit", () => started.delete(child));
     const stdout: string[] = [];
     const stderr: string[] = [];
     child.stdout.setEncoding("utf8");
@@ -65,7 +82,11 @@
     const exited = new Promise<number | null>((resolve) => {
       child.once("exit", (code) => resolve(code));
     });
-    const ports = await readPorts(child, { stdout, stderr });
+    const ports = await readPorts(child, {
+      stdout,
+      stderr,
+      known: options.ports,
+    });
     return new Child({ process: child, stdout, stderr, exited, ports });
   }
 
@@ -89,6 +110,11 @@
     return this.#exited;
   }
 
+  /** Whether the process has ended. */
+  get hasExited(): boolean {
+    return this.#process.exitCode !== null || this.#process.signalCode !== null;
+  }
+
   /** All that was written to standard error. */
   get stderr(): string {
     return this.#stderr.join("");
@@ -176,17 +202,22 @@
   return ROOT.pathname.endsWith("/dist/") ? ROOT : new URL("dist/", ROOT);
 }
 
+function eventOf(line: string): number {
+  return (JSON.parse(line) as LogLine).event;
+}
+
 function isLogLine(line: string): boolean {
   return /^\{.*"event":\d/.test(line);
 }
 
 function readPorts(
   child: ChildProcess,
-  { stdout, stderr }: {
+  { stdout, stderr, known }: {
     readonly stdout: readonly string[];
     readonly stderr: readonly string[];
+    readonly known: Readonly<Record<string, number>> | undefined;
   },
-): Promise<Record<string, number>> {
+): Promise<Readonly<Record<string, number>>> {
   return new Promise((resolve, reject) => {
     const timer = setTimeout(
       () => reject(new Error("process did not start in time")),
@@ -199,10 +230,12 @@
     child.stdout?.on("data", () => {
       // The piece after the last line feed is not a whole line yet.
       const lines = stdout.join("").split("\n").slice(0, -1);
-      const ports = lines.find((line) => !isLogLine(line));
-      if (ports === undefined) return;
+      const isListening = known !== undefined &&
+        lines.some((line) => isLogLine(line) && eventOf(line) === LISTENING);
+      const printed = lines.find((line) => !isLogLine(line));
+      if (!isListening && printed === undefined) return;
       clearTimeout(timer);
-      resolve(JSON.parse(ports) as Record<string, number>);
+      resolve(known ?? JSON.parse(printed ?? "{}"));
     });
   });
 }
--- /dev/null
+++ b/bench/emulate_main.ts
@@ -0,0 +1,74 @@
+/** `npm run emulate`: what callers get from emulated entries and engines. */
+
+import process from "node:process";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { SHEET_ENGINE } from "./emulator/emulated_engine.ts";
+import type { EmulatedClass } from "./emulator/emulated_load.ts";
+import { emulate } from "./emulator/emulation.ts";
+
+const DEFAULT_SEED = 20_261_204;
+const MS_PER_S = 1_000;
+
+const args = await yargs(hideBin(process.argv))
+  .option("entries", { type: "number", default: 59 })
+  .option("servers", { type: "number", default: 80 })
+  .option("dialled", {
+    type: "number",
+    default: 6,
+    describe: "entries that each entry dials",
+  })
+  .option("rate", {
+    type: "number",
+    default: 18.7,
+    describe: "streams a second, a tenth of them urgent",
+  })
+  .option("slots", { type: "number", default: SHEET_ENGINE.slots })
+  .option("burst", {
+    type: "number",
+    default: 1,
+    describe: "how many times as many routine streams come from 3 to 9 s",
+  })
+  .option("slow", {
+    type: "number",
+    default: 0,
+    describe: "engines that take four times as long from 8 to 14 s",
+  })
+  .option("seconds", { type: "number", default: 40 })
+  .option("backups", { type: "boolean", default: true })
+  .option("seed", { type: "number", default: DEFAULT_SEED })
+  .strict()
+  .parse();
+
+/** The two kinds of streams of the users' larger deployments. */
+const URGENT: EmulatedClass = {
+  name: "urgent",
+  perSecond: args.rate * 0.1,
+  promptTokens: 5_200,
+  events: 130,
+  targetMs: 4_009,
+  pauseMs: 700,
+  deadlineMs: 25_000,
+  priority: 1,
+  customers: ["a", "b", "c"],
+};
+const ROUTINE: EmulatedClass = {
+  ...URGENT,
+  name: "routine",
+  perSecond: args.rate * 0.9,
+  targetMs: 10_009,
+  priority: 4,
+  bursts: [{ factor: args.burst, fromMs: 3_000, toMs: 9_000 }],
+};
+
+const figures = await emulate({
+  ...args,
+  canBackUp: args.backups,
+  engine: { ...SHEET_ENGINE, slots: args.slots },
+  slowSpans: [
+    { engines: args.slow, slowness: 4, fromMs: 8_000, toMs: 14_000 },
+  ],
+  lengthMs: args.seconds * MS_PER_S,
+  classes: [URGENT, ROUTINE],
+});
+for (const line of figures) process.stdout.write(`${JSON.stringify(line)}\n`);
--- /dev/null
+++ b/bench/emulator/emulated_engine.ts
@@ -0,0 +1,187 @@
+/**
+ * An engine in virtual time: requests share a batch of slots and a memory in
+ * tokens, prompts are read in chunks between the events of running requests.
+ */
+
+import {
+  type AttemptTarget,
+  type BackendAnswer,
+  lossOfSignal,
+} from "../../src/connection/backend_answer.ts";
+import type { ServerReport } from "../../src/connection/backend_report.ts";
+import type { Order } from "../../src/request/order.ts";
+
+/** Size and speed of an engine. */
+export interface EngineModel {
+  readonly slots: number;
+  /** Memory for running requests, in tokens. */
+  readonly memoryTokens: number;
+  /** Duration of a step with one running request, in ms. */
+  readonly stepMs: number;
+  /** Longer by this for each further one, in ms. */
+  readonly stepPerRunMs: number;
+  /** Prompt tokens read in a ms. */
+  readonly readPerMs: number;
+  /** Prompt tokens read in one step. */
+  readonly chunkTokens: number;
+  /** Steps that make one event. */
+  readonly stepsPerEvent: number;
+}
+
+/** The engines of the users' site files. */
+export const SHEET_ENGINE: EngineModel = {
+  slots: 12,
+  memoryTokens: 55_000,
+  stepMs: 4.23,
+  stepPerRunMs: 0.000767,
+  readPerMs: 5,
+  chunkTokens: 125,
+  stepsPerEvent: 7,
+};
+
+interface Run {
+  readonly order: Order;
+  readonly eventsTotal: number;
+  unreadTokens: number;
+  events: number;
+  /** Called with each event, and with `undefined` after the last. */
+  readonly onEvent: (id: number | undefined) => void;
+}
+
+/** One engine. */
+export class EmulatedEngine {
+  readonly #model: EngineModel;
+  readonly #running = new Set<Run>();
+  readonly #waiting: Run[] = [];
+  /** Memory that copies of other engines' runs take, in tokens. */
+  #copyTokens = 0;
+  #isStepping = false;
+  /** Prompt tokens read so far. */
+  readTokens = 0;
+  /** How many times longer than the model's each step takes. */
+  slowness = 1;
+
+  private constructor(model: EngineModel) {
+    this.#model = model;
+  }
+
+  /** Makes an idle engine. */
+  static create(model: EngineModel = SHEET_ENGINE): EmulatedEngine {
+    return new EmulatedEngine(model);
+  }
+
+  /** What it says of itself. */
+  report(): ServerReport {
+    const runs = [...this.#running].map(({ order, events }) =>
+      [String(order.id), { events }] as const
+    );
+    return { startedMs: 1, runs: new Map(runs), waiting: this.#waiting.length };
+  }
+
+  /** Keeps a copy of a run elsewhere until the returned function is called. */
+  keepCopy({ memoryTokens }: Order): () => void {
+    this.#copyTokens += memoryTokens;
+    return () => this.#copyTokens -= memoryTokens;
+  }
+
+  /** Serves a stream of `eventsTotal` events. */
+  open(
+    order: Order,
+    { target, eventsTotal }: {
+      readonly target: AttemptTarget;
+      readonly eventsTotal: number;
+    },
+  ): Promise<BackendAnswer> {
+    const events: (number | undefined)[] = [];
+    let wake: () => void = () => undefined;
+    const run: Run = {
+      order,
+      eventsTotal,
+      unreadTokens: order.promptTokens,
+      events: Number(target.resumeAfter ?? 0),
+      onEvent: (id) => {
+        events.push(id);
+        wake();
+      },
+    };
+    const { signal } = target;
+    signal.addEventListener("abort", () => {
+      this.#remove(run);
+      wake();
+    });
+    target.onSent();
+    this.#waiting.push(run);
+    this.#step();
+    const body = async function* () {
+      for (;;) {
+        if (signal.aborted) throw lossOfSignal(signal);
+        if (events.length === 0) {
+          await new Promise<void>((resolve) => wake = resolve);
+          continue;
+        }
+        const id = events.shift();
+        if (id === undefined) return;
+        yield Buffer.from(`id: ${id}\ndata: x\n\n`);
+      }
+    };
+    return Promise.resolve({
+      head: { status: 200, headers: [], isFramed: true },
+      hasNotRun: false,
+      isReplaced: false,
+      body,
+    });
+  }
+
+  #remove(run: Run): void {
+    this.#running.delete(run);
+    const at = this.#waiting.indexOf(run);
+    if (at >= 0) this.#waiting.splice(at, 1);
+  }
+
+  /** Admits the most urgent first, while slots and memory last. */
+  #admit(): void {
+    const { slots, memoryTokens } = this.#model;
+    this.#waiting.sort((a, b) => a.order.rank.order - b.order.rank.order);
+    while (this.#waiting.length > 0 && this.#running.size < slots) {
+      const held = [...this.#running].reduce(
+        (sum, { order }) => sum + order.memoryTokens,
+        this.#copyTokens,
+      );
+      const next = this.#waiting[0];
+      if (next === undefined) return;
+      if (held + next.order.memoryTokens > memoryTokens) return;
+      this.#waiting.shift();
+      this.#running.add(next);
+    }
+  }
+
+  /** The steps of one event, or of one chunk while nothing else runs. */
+  #step(): void {
+    if (this.#isStepping) return;
+    this.#admit();
+    if (this.#running.size === 0) return;
+    const writers = [...this.#running].filter((run) => run.unreadTokens === 0);
+    const reader = [...this.#running].find((run) => run.unreadTokens > 0);
+    const { stepMs, stepPerRunMs, stepsPerEvent } = this.#model;
+    const { readPerMs, chunkTokens } = this.#model;
+    const steps = writers.length > 0 ? stepsPerEvent : 1;
+    const read = Math.min(steps * chunkTokens, reader?.unreadTokens ?? 0);
+    const runsMs = stepPerRunMs * this.#running.size;
+    this.#isStepping = true;
+    setTimeout(() => {
+      this.#isStepping = false;
+      if (reader !== undefined) reader.unreadTokens -= read;
+      this.readTokens += read;
+      for (const run of writers) this.#advance(run);
+      this.#step();
+    }, this.slowness * (steps * (stepMs + runsMs) + read / readPerMs));
+  }
+
+  #advance(run: Run): void {
+    if (!this.#running.has(run)) return;
+    run.onEvent(++run.events);
+    if (run.events < run.eventsTotal) return;
+    this.#running.delete(run);
+    run.onEvent(undefined);
+  }
+}
--- a/bench/local_cluster.ts
+++ b/bench/local_cluster.ts
@@ -12,6 +12,7 @@
 import { callHttp, type HttpAnswer } from "../src/connection/http_call.ts";
 import { type Instance, InstanceState } from "../src/connection/instance.ts";
 import { Child } from "./child.ts";
+import { takeKnownPort } from "./known_port.ts";
 import {
   type Ask,
   CompletionCaller,
@@ -377,12 +378,12 @@
     const { engines = 2, services = 0, entries = 1 } = this.#options;
     this.platform = await this.#start("standins/platform.js", []);
     for (let index = 0; index < engines; index++) {
-      const engine = await this.#start("standins/engine.js", []);
+      const engine = await this.#startOnKnownPort("standins/engine.js");
       await engine.control(this.#engineSwitches());
       this.engines.push(engine);
     }
     for (let index = 0; index < services; index++) {
-      this.services.push(await this.#start("standins/service.js", []));
+      this.services.push(await this.#startOnKnownPort("standins/service.js"));
     }
     for (let index = 0; index < entries; index++) await this.startEntry(index);
     await this.listInstances();
@@ -451,6 +452,11 @@
     ]);
   }
 
+  /** Starts a stand-in on a port that it can take again after a restart. */
+  async #startOnKnownPort(module: string): Promise<Child> {
+    return this.#start(module, ["--port", String(await takeKnownPort())]);
+  }
+
   async #start(
     module: string,
     args: readonly string[],
--- a/bench/measure_slopes.ts
+++ b/bench/measure_slopes.ts
@@ -7,11 +7,11 @@
 import { performance } from "node:perf_hooks";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
-import { pack } from "msgpackr";
 import { LOAD_PATH } from "../src/connection/engine_protocol.ts";
 import { callHttp } from "../src/connection/http_call.ts";
 import {
   type Digest,
+  packMessage,
   PeerMessageKind,
 } from "../src/connection/peer_protocol.ts";
 import { hashText } from "../src/hashing.ts";
@@ -290,8 +290,8 @@
     ...splitChunks(customers).map(({ text }) => Buffer.byteLength(text)),
   );
   return {
-    digestBytes: pack(digest(0)).length,
-    digestBytesWith4Suspicions: pack(digest(4)).length,
+    digestBytes: packMessage(digest(0)).length,
+    digestBytesWith4Suspicions: packMessage(digest(4)).length,
     largestCustomerChunkBytes: largest,
     customersMb: round(
       Buffer.byteLength(JSON.stringify(customers)) / BYTES_PER_MB,
--- /dev/null
+++ b/bench/soak/soak_cluster.ts
@@ -0,0 +1,349 @@
+/** The real processes of a soak, what stands between them, and their faults. */
+
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { ObjectStore } from "../../platform/object_store.ts";
+import {
+  CONFIGURATION_KIND,
+  CONFIGURATION_NAME,
+} from "../../platform/restore_route_table.ts";
+import { SERVER_KIND } from "../../platform/restore_server.ts";
+import { Child } from "../child.ts";
+import { takeKnownPort } from "../known_port.ts";
+import { FaultProxy, ProxyFault } from "./fault_proxy.ts";
+import { type Fault, FaultKind } from "./fault_series.ts";
+import type { FaultSpan } from "./soak_checks.ts";
+import {
+  CALL_SERVICE,
+  createConfiguration,
+  formatEntrySettings,
+  keyOfVersion,
+  STREAM_SERVICE,
+} from "./soak_deployment.ts";
+
+/** How many processes a soak has. */
+export interface SoakSize {
+  readonly entries: number;
+  readonly servers: number;
+  /** Keeps soaks apart that run at the same time: part of the loopback addresses. */
+  readonly lane?: number;
+}
+
+/** A backend server behind its proxy; a new incarnation takes its place. */
+interface SoakServer {
+  readonly proxy: FaultProxy;
+  readonly port: number;
+  readonly service: string;
+  readonly zone: string;
+  child: Child;
+  id: string;
+}
+
+/** An entry with its own proxy to the store. */
+export interface SoakEntry {
+  readonly index: number;
+  readonly host: string;
+  readonly storeProxy: FaultProxy;
+  child: Child;
+}
+
+/** A version of the configuration, once the store has acknowledged it. */
+export interface AcceptedVersion {
+  readonly version: number;
+  readonly acceptedMs: number;
+}
+
+/** When a server's leaving was acknowledged. */
+export interface Leaving {
+  readonly id: string;
+  /** Index of the server, as faults name it. */
+  readonly target: number;
+  readonly acceptedMs: number;
+}
+
+const ZONES = ["zone-a", "zone-b", "zone-c"];
+/** One backend server in three is a plain service. */
+const PLAIN_EACH = 3;
+/** Silence after which the platform drops a server, in ms. */
+const LAPSE_MS = 1_200;
+/** Time that a leaving server serves on, in ms; the entries' bound is 2,000. */
+const LINGER_MS = 3_000;
+const STORE_TIMEOUT_MS = 2_000;
+
+/** All processes of one soak. */
+export class SoakCluster {
+  readonly entries: SoakEntry[] = [];
+  readonly spans: FaultSpan[] = [];
+  readonly versions: AcceptedVersion[] = [];
+  readonly leavings: Leaving[] = [];
+  readonly #servers: SoakServer[] = [];
+  readonly #children: Child[] = [];
+  /** Processes that a fault holds, so that no second one meets them. */
+  readonly #held = new Set<Child>();
+  readonly #folder: string;
+  readonly #lane: number;
+  #store!: Child;
+  #objects!: ObjectStore;
+
+  private constructor(folder: string, lane: number) {
+    this.#folder = folder;
+    this.#lane = lane;
+  }
+
+  /** Starts all processes; they need a moment until they serve. */
+  static async create(
+    { entries, servers, lane = 1 }: SoakSize,
+  ): Promise<SoakCluster> {
+    const folder = await mkdtemp(join(tmpdir(), "soak-"));
+    const cluster = new SoakCluster(folder, lane);
+    cluster.#store = await cluster.#start({
+      module: "standins/platform.js",
+      args: [],
+    });
+    cluster.#objects = ObjectStore.create({
+      address: cluster.#store.address,
+      timeoutMs: STORE_TIMEOUT_MS,
+    });
+    await cluster.publish();
+    for (let at = 0; at < servers; at++) await cluster.#addServer(at);
+    for (let at = 0; at < entries; at++) await cluster.#addEntry(at);
+    return cluster;
+  }
+
+  /** Ends every process that this cluster started. */
+  async close(): Promise<void> {
+    for (const child of this.#children) child.signal("SIGKILL");
+    await Promise.all(this.#children.map(({ exited }) => exited));
+    for (const { proxy } of this.#servers) proxy.close();
+    for (const { storeProxy } of this.entries) storeProxy.close();
+    this.#objects.close();
+    await rm(this.#folder, { recursive: true, force: true });
+  }
+
+  /** Lines of all runs, also of servers that have ended. */
+  runLines(): string[] {
+    return this.#children.flatMap((child) => child.runs());
+  }
+
+  /** Log lines of all entries that ever ran, as they were written. */
+  entryLogs(): string[] {
+    return this.#children.flatMap((child) =>
+      child.logLines().map((line) => JSON.stringify(line))
+    );
+  }
+
+  /** Entries that run now, though they were not asked to end. */
+  endedByThemselves(): string[] {
+    return this.entries
+      .filter(({ child }) => child.hasExited && !this.#held.has(child))
+      .map(({ index }) => `entry ${index}`);
+  }
+
+  /** Publishes the next version, which drops the key of the last but one. */
+  async publish(): Promise<void> {
+    const version = (this.versions.at(-1)?.version ?? 0) + 1;
+    const object = {
+      name: CONFIGURATION_NAME,
+      spec: createConfiguration(version),
+    };
+    if (version === 1) await this.#objects.create(CONFIGURATION_KIND, object);
+    else await this.#objects.replace(CONFIGURATION_KIND, object);
+    this.versions.push({ version, acceptedMs: Date.now() });
+  }
+
+  /** Key that callers use now. */
+  get key(): string {
+    return keyOfVersion(this.versions.at(-1)?.version ?? 0);
+  }
+
+  /** Does what a fault says, and undoes it after its time. */
+  async perform(fault: Fault): Promise<void> {
+    const { kind, target } = fault;
+    const startMs = Date.now();
+    const span: FaultSpan = { kind, target, startMs, endMs: Infinity };
+    this.spans.push(span);
+    await this.#inflict(fault);
+    span.endMs = Date.now();
+  }
+
+  async #inflict({ kind, target, forMs, proxy }: Fault): Promise<void> {
+    const entry = this.entries[target];
+    const server = this.#servers[target];
+    switch (kind) {
+      case FaultKind.ServerLink:
+        return await disturb(server?.proxy, { proxy, forMs });
+      case FaultKind.StoreLink:
+        return await disturb(entry?.storeProxy, { proxy, forMs });
+      case FaultKind.StoreAway:
+        await Promise.all(
+          this.entries.map(({ storeProxy }) =>
+            disturb(storeProxy, { proxy, forMs })
+          ),
+        );
+        return;
+      case FaultKind.StoreForgets: {
+        const { revision } = await this.#objects.list({ kind: SERVER_KIND });
+        return await this.#store.control({ historyFrom: revision });
+      }
+      case FaultKind.Configuration:
+        return await this.publish();
+      case FaultKind.ServerPause:
+        return await this.#pause(server?.child, forMs);
+      case FaultKind.EntryPause:
+        return await this.#pause(entry?.child, forMs);
+      case FaultKind.ServerKill:
+        return await this.#replaceServer(server, (child) => child.kill());
+      case FaultKind.ServerDrain:
+        return await this.#replaceServer(server, async (child) => {
+          await this.#list(server, "draining");
+          const id = server?.id ?? "";
+          this.leavings.push({ id, target, acceptedMs: Date.now() });
+          await sleep(LINGER_MS);
+          await child.kill();
+        });
+      case FaultKind.EntryKill:
+        return await this.#restartEntry(entry, (child) => child.kill());
+      case FaultKind.EntryRestart:
+        return await this.#restartEntry(entry, async (child) => {
+          child.signal("SIGTERM");
+          await child.exited;
+        });
+    }
+  }
+
+  async #pause(child: Child | undefined, forMs: number): Promise<void> {
+    await this.#hold(child, async (held) => {
+      held.freeze();
+      await sleep(forMs);
+      held.thaw();
+    });
+  }
+
+  async #replaceServer(
+    server: SoakServer | undefined,
+    end: (child: Child) => Promise<void>,
+  ): Promise<void> {
+    if (server === undefined) return;
+    await this.#hold(server.child, async (child) => {
+      await end(child);
+      await sleep(LAPSE_MS);
+      await this.#objects.remove(SERVER_KIND, { name: server.id });
+      await this.#startServer(server);
+    });
+  }
+
+  async #restartEntry(
+    entry: SoakEntry | undefined,
+    end: (child: Child) => Promise<void>,
+  ): Promise<void> {
+    if (entry === undefined) return;
+    await this.#hold(entry.child, async (child) => {
+      await end(child);
+      entry.child = await this.#startEntry(entry.index, entry.storeProxy);
+    });
+  }
+
+  async #hold(
+    child: Child | undefined,
+    act: (child: Child) => Promise<void>,
+  ): Promise<void> {
+    if (child === undefined || this.#held.has(child)) return;
+    this.#held.add(child);
+    await act(child);
+    this.#held.delete(child);
+  }
+
+  async #addServer(at: number): Promise<void> {
+    const port = await takeKnownPort();
+    const child = await this.#startRunner(port);
+    const server: SoakServer = {
+      proxy: await FaultProxy.create(port),
+      port,
+      service: at % PLAIN_EACH === 0 ? CALL_SERVICE : STREAM_SERVICE,
+      zone: ZONES[at % ZONES.length] ?? "",
+      child,
+      id: "",
+    };
+    this.#servers.push(server);
+    await this.#register(server);
+  }
+
+  async #startServer(server: SoakServer): Promise<void> {
+    server.child = await this.#startRunner(server.port);
+    await this.#register(server);
+  }
+
+  #startRunner(port: number): Promise<Child> {
+    const args = ["--port", String(port)];
+    return this.#start({ module: "standins/runner.js", args });
+  }
+
+  async #register(server: SoakServer): Promise<void> {
+    server.id = `i-${server.port}-${Date.now()}`;
+    await server.child.control({ id: server.id });
+    await this.#objects.create(SERVER_KIND, {
+      name: server.id,
+      spec: this.#describe(server, "ready"),
+    });
+  }
+
+  async #list(server: SoakServer | undefined, state: string): Promise<void> {
+    if (server === undefined) return;
+    await this.#objects.replace(SERVER_KIND, {
+      name: server.id,
+      spec: this.#describe(server, state),
+    });
+  }
+
+  #describe({ service, zone, proxy }: SoakServer, state: string) {
+    return { service, address: proxy.address, zone, slots: 16, state };
+  }
+
+  async #addEntry(index: number): Promise<void> {
+    const storeProxy = await FaultProxy.create(this.#store.port);
+    const child = await this.#startEntry(index, storeProxy);
+    const host = this.#hostOf(index);
+    this.entries.push({ index, host, storeProxy, child });
+  }
+
+  async #startEntry(index: number, store: FaultProxy): Promise<Child> {
+    const path = join(this.#folder, `entry-${index}.conf`);
+    const host = this.#hostOf(index);
+    const text = formatEntrySettings({
+      name: `entry-${index}`,
+      zone: ZONES[index % ZONES.length] ?? "",
+      host,
+      storeAddress: store.address,
+    });
+    await writeFile(path, text);
+    return await this.#start({
+      module: "platform/main.js",
+      args: [],
+      variables: { GYPSUMRIDGE_CONFIG: path },
+      ports: {},
+    });
+  }
+
+  /** Entries of one machine listen on loopback addresses of their own. */
+  #hostOf(index: number): string {
+    return `127.0.${this.#lane}.${index + 1}`;
+  }
+
+  async #start(options: Parameters<typeof Child.create>[0]): Promise<Child> {
+    const child = await Child.create(options);
+    this.#children.push(child);
+    return child;
+  }
+}
+
+async function disturb(
+  proxy: FaultProxy | undefined,
+  { proxy: fault, forMs }: Pick<Fault, "proxy" | "forMs">,
+): Promise<void> {
+  if (proxy === undefined) return;
+  proxy.fault = fault;
+  await sleep(forMs);
+  proxy.fault = ProxyFault.None;
+}
--- /dev/null
+++ b/bench/soak/soak_deployment.ts
@@ -0,0 +1,86 @@
+/** The deployment of a soak: services, routes, keys and the entries' settings. */
+
+/** Service of the streams. */
+export const STREAM_SERVICE = "engines";
+/** Service of the calls. */
+export const CALL_SERVICE = "plain";
+/** Host name that all routes share. */
+export const HOST_NAME = "soak.example";
+/** Port on which entries take callers. */
+export const CALLER_PORT = 8_740;
+/** Port on which entries say whether they are ready. */
+export const READY_PORT = 8_749;
+/** Time in which a planned stop ends, in ms, as the settings say. */
+export const GRACE_MS = 8_000;
+const PEER_PORT = 7_200;
+const TIMEOUT_MS = 6_000;
+
+/** Bearer key that a version brings; the next version holds it too, later ones do not. */
+export function keyOfVersion(version: number): string {
+  return `key-of-version-${version}`;
+}
+
+/** Returns the configuration of a version. */
+export function createConfiguration(version: number) {
+  const route = {
+    host: HOST_NAME,
+    timeoutMs: TIMEOUT_MS,
+    targetLatencyMs: 1_000,
+    priority: 1,
+    maxAttempts: 4,
+  };
+  const call = { ...route, service: CALL_SERVICE };
+  return {
+    version,
+    routes: [
+      {
+        ...route,
+        name: "stream",
+        service: STREAM_SERVICE,
+        pathPrefix: "/stream/",
+        routeKind: "streaming",
+        resumable: true,
+      },
+      { ...call, name: "read", pathPrefix: "/read/", routeKind: "idempotent" },
+      {
+        ...call,
+        name: "order",
+        pathPrefix: "/order/",
+        routeKind: "non_idempotent",
+      },
+    ],
+    services: [
+      { name: STREAM_SERVICE, engine: { kvCapacity: 100_000 } },
+      { name: CALL_SERVICE },
+    ],
+    limits: { headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+    tenants: [{
+      name: "alpha",
+      apiKeys: [keyOfVersion(version), keyOfVersion(version - 1)],
+    }],
+  };
+}
+
+/** Entries reach the store by proxies of their own, so its address names none. */
+const DEPLOYMENT = "soak";
+
+/** Returns the settings file of an entry. */
+export function formatEntrySettings(
+  { name, zone, host, storeAddress }: {
+    readonly name: string;
+    readonly zone: string;
+    readonly host: string;
+    readonly storeAddress: string;
+  },
+): string {
+  return `nodeName=${name}
+zone=${zone}
+ip=${host}
+listen.frontend=${host}:${CALLER_PORT}
+listen.ready=${host}:${READY_PORT}
+portRange=${PEER_PORT},${PEER_PORT + 15}
+platform.address=${storeAddress}
+deployment=${DEPLOYMENT}
+bounds.graceS=${GRACE_MS / 1_000}
+`;
+}
--- a/src/connection/backend_answer.ts
+++ b/src/connection/backend_answer.ts
@@ -1,6 +1,8 @@
 /** What the core asks of a backend server for an order, and what comes back. */
 
+import { AttemptLoss, LossCause } from "../errors.ts";
 import type { LiveServer } from "../process/live_server.ts";
+import type { RunCopy } from "../request/run_copies.ts";
 
 /** One sending of an order to a server. */
 export interface AttemptTarget {
@@ -9,8 +11,8 @@
   readonly leftMs: number;
   /** Id of the last event that the caller got, if any. */
   readonly resumeAfter: string | undefined;
-  /** Whether the server holds a copy of this run to go on from. */
-  readonly fromCopy: boolean;
+  /** The copy of this run that the server holds, to go on from. */
+  readonly copy: RunCopy | undefined;
   /** Server to which the run's memory is copied as it grows, if any. */
   readonly backup: LiveServer | undefined;
   /** Ends the attempt. */
@@ -55,3 +57,10 @@
   for await (const part of answer.body()) parts.push(part);
   return Buffer.concat(parts);
 }
+
+/** Returns why an attempt was ended: its own loss, or that of its caller. */
+export function lossOfSignal({ reason }: AbortSignal): AttemptLoss {
+  return reason instanceof AttemptLoss
+    ? reason
+    : new AttemptLoss(LossCause.Closed, "caller has gone");
+}
--- a/src/connection/peer_link.ts
+++ b/src/connection/peer_link.ts
@@ -1,18 +1,22 @@
 /** One WebSocket to a peer entry, the same on the dialling and accepting side. */
 
-import { pack, unpack } from "msgpackr";
 import { match } from "ts-pattern";
 import { WebSocket } from "ws";
 import { PEER_CHUNK_TIMEOUT_MS } from "../constants.ts";
 import type { ContentHash } from "../ids.ts";
 import {
+  type ChangesRequest,
   type ChunkRequest,
   type Digest,
+  packMessage,
   PEER_KEY_HEADER,
   PEER_MESSAGE_MAX_BYTES,
   PEER_PATH,
+  type PeerAnswer,
   type PeerMessage,
   PeerMessageKind,
+  type ServerChanges,
+  unpackMessage,
 } from "./peer_protocol.ts";
 
 /** What a link does with what it receives. */
@@ -20,18 +24,20 @@
   readonly onDigest: (digest: Digest, link: PeerLink) => void;
   /** Returns a chunk that this entry holds. */
   readonly readChunk: (hash: ContentHash) => string | undefined;
+  /** Returns changes of this entry's list of servers; none if absent. */
+  readonly readChanges?: (after: number) => ServerChanges;
   /** `wasOpen` says whether the link had been open before. */
   readonly onClose: (link: PeerLink, wasOpen: boolean) => void;
   readonly onOpen: () => void;
 }
 
-type ChunkWaiter = (text: string | undefined) => void;
+type AnswerWaiter = (answer: PeerAnswer | undefined) => void;
 
 /** An open or opening link. */
 export class PeerLink {
   readonly #socket: WebSocket;
   readonly #handlers: PeerLinkHandlers;
-  readonly #waiting = new Map<number, ChunkWaiter>();
+  readonly #waiting = new Map<number, AnswerWaiter>();
   #correlation = 0;
   #wasOpen: boolean;
 
@@ -79,35 +85,70 @@
 
   /** Sends a message, or drops it when the link is not open. */
   send(message: PeerMessage): void {
-    if (this.isOpen) this.#socket.send(pack(message));
+    this.sendPacked(packMessage(message));
+  }
+
+  /** Sends what `packMessage` returned, which serves several links. */
+  sendPacked(bytes: Buffer): void {
+    if (this.isOpen) this.#socket.send(bytes);
   }
 
   /** Asks the peer for a chunk; `undefined` when it gives none in time. */
-  requestChunk(hash: ContentHash): Promise<string | undefined> {
+  async requestChunk(hash: ContentHash): Promise<string | undefined> {
+    const kind = PeerMessageKind.ChunkRequest;
+    const answer = await this.#ask((correlation) => ({
+      kind,
+      correlation,
+      hash,
+    }));
+    const isChunk = answer?.kind === PeerMessageKind.ChunkAnswer;
+    return isChunk ? answer.text ?? undefined : undefined;
+  }
+
+  /** Asks the peer for changes; `undefined` when it gives none in time. */
+  async requestChanges(after: number): Promise<ServerChanges | undefined> {
+    const kind = PeerMessageKind.ChangesRequest;
+    const answer = await this.#ask((correlation) => ({
+      kind,
+      correlation,
+      after,
+    }));
+    const isChanges = answer?.kind === PeerMessageKind.ChangesAnswer;
+    return isChanges ? answer : undefined;
+  }
+
+  #ask(
+    createRequest: (correlation: number) => PeerMessage,
+  ): Promise<PeerAnswer | undefined> {
     const correlation = ++this.#correlation;
     return new Promise((resolve) => {
       const timer = setTimeout(() => settle(undefined), PEER_CHUNK_TIMEOUT_MS);
-      const settle: ChunkWaiter = (text) => {
+      const settle: AnswerWaiter = (answer) => {
         clearTimeout(timer);
         this.#waiting.delete(correlation);
-        resolve(text);
+        resolve(answer);
       };
       this.#waiting.set(correlation, settle);
-      this.send({ kind: PeerMessageKind.ChunkRequest, correlation, hash });
+      this.send(createRequest(correlation));
     });
   }
 
   #receive(data: Buffer): void {
-    match(unpack(data) as PeerMessage)
+    match(unpackMessage(data))
       .with({ kind: PeerMessageKind.Digest }, (digest) => {
         this.#handlers.onDigest(digest, this);
       })
       .with({ kind: PeerMessageKind.ChunkRequest }, (request) => {
         this.#answerChunk(request);
       })
-      .with({ kind: PeerMessageKind.ChunkAnswer }, (answer) => {
-        this.#waiting.get(answer.correlation)?.(answer.text ?? undefined);
+      .with({ kind: PeerMessageKind.ChangesRequest }, (request) => {
+        this.#answerChanges(request);
       })
+      .with(
+        { kind: PeerMessageKind.ChunkAnswer },
+        { kind: PeerMessageKind.ChangesAnswer },
+        (answer) => this.#waiting.get(answer.correlation)?.(answer),
+      )
       .otherwise(() => this.close());
   }
 
@@ -116,6 +157,12 @@
     this.send({ kind: PeerMessageKind.ChunkAnswer, correlation, text });
   }
 
+  #answerChanges({ correlation, after }: ChangesRequest): void {
+    const changes = this.#handlers.readChanges?.(after) ??
+      { upTo: after, news: [] };
+    this.send({ kind: PeerMessageKind.ChangesAnswer, correlation, ...changes });
+  }
+
   #ended(): void {
     for (const settle of [...this.#waiting.values()]) settle(undefined);
     this.#handlers.onClose(this, this.#wasOpen);
--- a/src/connection/peer_link_test.ts
+++ b/src/connection/peer_link_test.ts
@@ -1,13 +1,17 @@
 /** Links between entries, over real sockets. */
 
 import { createServer } from "node:http";
-import { pack, unpack } from "msgpackr";
 import { afterEach, expect, test } from "vitest";
 import { WebSocketServer } from "ws";
 import { hashText } from "../hashing.ts";
 import { listen } from "./http_server.ts";
 import { PeerLink, type PeerLinkHandlers } from "./peer_link.ts";
-import { type ChunkRequest, PeerMessageKind } from "./peer_protocol.ts";
+import {
+  type ChunkRequest,
+  packMessage,
+  PeerMessageKind,
+  unpackMessage,
+} from "./peer_protocol.ts";
 
 const server = createServer();
 const acceptor = new WebSocketServer({ server });
@@ -28,13 +32,13 @@
   const requests: ChunkRequest[] = [];
   acceptor.on("connection", (socket) => {
     socket.on("message", (data) => {
-      requests.push(unpack(data as Buffer) as ChunkRequest);
+      requests.push(unpackMessage(data as Buffer) as ChunkRequest);
       if (requests.length < 3) return;
       for (const { correlation, hash } of requests.toReversed()) {
         const text = `chunk ${hash}`;
         const kind = PeerMessageKind.ChunkAnswer;
-        socket.send(pack({ kind, correlation, text }));
-        socket.send(pack({ kind, correlation, text: "late copy" }));
+        socket.send(packMessage({ kind, correlation, text }));
+        socket.send(packMessage({ kind, correlation, text: "late copy" }));
       }
     });
   });
--- a/src/connection/peer_protocol.ts
+++ b/src/connection/peer_protocol.ts
@@ -1,5 +1,6 @@
 /** Messages between entries, packed with msgpackr over WebSocket. */
 
+import { Packr } from "msgpackr";
 import type {
   ContentHash,
   EntryId,
@@ -7,6 +8,7 @@
   ObjectRevision,
 } from "../ids.ts";
 import type { LiveServer, ServerLoad } from "../process/live_server.ts";
+import type { ReaderSign } from "../process/store_readers.ts";
 import type { Head } from "../version/types.ts";
 
 /** Kinds of peer messages. */
@@ -14,6 +16,8 @@
   Digest = "digest",
   ChunkRequest = "chunk_request",
   ChunkAnswer = "chunk_answer",
+  ChangesRequest = "changes_request",
+  ChangesAnswer = "changes_answer",
 }
 
 /** How much a request is to blame for losses of backend servers. */
@@ -41,7 +45,12 @@
   readonly loads: readonly (readonly [string, ServerLoad])[];
   /** Servers that read prompts lately, by prompt. */
   readonly prompts: readonly (readonly [string, string])[];
-  readonly news: readonly ServerNews[];
+  /** Count of changes of that entry's list of servers; see `ChangesRequest`. */
+  readonly changes: number;
+  /** Checksum of the list of servers that the entry holds. */
+  readonly listed: number;
+  /** Entries that read the platform for all. */
+  readonly readers: readonly ReaderSign[];
   /** Names of servers that the entry found dead just now. */
   readonly dead: readonly string[];
 }
@@ -70,8 +79,41 @@
   readonly text: string | null;
 }
 
+/**
+ * Asks a peer for the latest changes of its list of servers. An entry whose list
+ * differs asks one peer at a time, so that each change reaches it about once,
+ * however many peers it has.
+ */
+export interface ChangesRequest {
+  readonly kind: PeerMessageKind.ChangesRequest;
+  readonly correlation: number;
+  /** Changes of the peer's list that are known already, by its own count. */
+  readonly after: number;
+}
+
+/** Changes of an entry's list of servers, the oldest first. */
+export interface ServerChanges {
+  /** The entry's count of changes at the last one of these. */
+  readonly upTo: number;
+  readonly news: readonly ServerNews[];
+}
+
+/** Answers a request for changes. */
+export interface ChangesAnswer extends ServerChanges {
+  readonly kind: PeerMessageKind.ChangesAnswer;
+  readonly correlation: number;
+}
+
 /** Any message between entries. */
-export type PeerMessage = Digest | ChunkRequest | ChunkAnswer;
+export type PeerMessage =
+  | Digest
+  | ChunkRequest
+  | ChunkAnswer
+  | ChangesRequest
+  | ChangesAnswer;
+
+/** A message that answers another one. */
+export type PeerAnswer = ChunkAnswer | ChangesAnswer;
 
 /** Path of the peers' WebSocket. */
 export const PEER_PATH = "/peer";
@@ -79,3 +121,16 @@
 export const PEER_KEY_HEADER = "x-peer-key";
 /** Largest message that a peer accepts, in bytes. */
 export const PEER_MESSAGE_MAX_BYTES = 1_200_000;
+
+/** Names the fields of repeated objects once a message, which saves a quarter. */
+const PACKER = new Packr({ useRecords: true });
+
+/** Returns a message as it is sent. */
+export function packMessage(message: PeerMessage): Buffer {
+  return PACKER.pack(message);
+}
+
+/** Reads a message; its shape is not checked. Errors: throws on damaged bytes. */
+export function unpackMessage(bytes: Buffer): PeerMessage {
+  return PACKER.unpack(bytes) as PeerMessage;
+}
--- a/src/errors.ts
+++ b/src/errors.ts
@@ -106,6 +106,8 @@
   Closed = "closed",
   /** Nothing arrived within the stall limit. */
   Stalled = "stalled",
+  /** The time of the request itself was up, so no other sending is of use. */
+  TimeUp = "time_up",
   /** Nothing arrived, and the server does not answer any other call either. */
   Silent = "silent",
   /** A token arrived beyond the next position. */
--- a/src/process/choose_server.ts
+++ b/src/process/choose_server.ts
@@ -6,7 +6,19 @@
  * its engine.
  */
 
-import { addLoad, type LiveServerView } from "./live_server.ts";
+import { crc32 } from "node:zlib";
+import {
+  addLoad,
+  type LiveServerView,
+  type ServerLoad,
+} from "./live_server.ts";
+
+/** A zone in which a request lost a server. */
+export interface LostZone {
+  readonly zone: string;
+  /** When, on the monotonic clock in ms. */
+  readonly atMs: number;
+}
 
 /** What is wanted of a server. */
 export interface ServerNeed {
@@ -24,6 +36,16 @@
   readonly excluded: ReadonlySet<string>;
   /** Name of the server to prefer while it has room, or empty. */
   readonly preferred?: string;
+  /**
+   * Names the prompt, if any: of servers alike, each entry chooses the same for
+   * it, so that a request that comes again finds it cached without being told.
+   */
+  readonly prompt?: string;
+  /**
+   * Zone in which this request just lost a server, if any: the servers of a zone
+   * fail together, so those not heard since come last.
+   */
+  readonly lostZone?: LostZone;
   /** Zone whose servers must not be chosen, if any. */
   readonly excludedZone?: string;
   /** Zones in which many servers were lost just now, with the time of it. */
@@ -43,31 +65,43 @@
  * waits; engines read 5 tokens a ms, one prompt after the other.
  */
 const LINE_MAX_TOKENS = 10_000;
+/**
+ * Calls that a plain server may have for each of its slots: what other entries
+ * gave it is known 150 ms late, and with an empty queue it would idle.
+ */
+const CALL_PLACES_FACTOR = 2;
 /** Weight of unread prompt tokens against tokens that only take memory. */
 const UNREAD_WEIGHT = 3;
+/**
+ * Part of the reading of a prompt that each running request beside it loses:
+ * an engine reads 25 ms between steps of 4 ms.
+ */
+const DISTURBED_PART = 0.85;
+/** Weight of tokens that only take memory where a prompt is to be read. */
+const MEMORY_WEIGHT = 0.3;
+/**
+ * Servers that one choice compares: their best is hardly worse than the best of
+ * all, and the choice costs the same before 80 servers and before 6,800.
+ */
+const CANDIDATES_MAX = 48;
 /** Added to the load of a server in a zone that lost others just now. */
 const SUSPECT_PENALTY = 10;
-/** Differences of load below this are left to chance, as a share of a server. */
-const LOAD_STEP = 0.02;
-
 /**
- * Returns the servers that may get the request, whether or not they have room.
- * Where all are avoided after losses, those are tried again that may have
- * returned: a service is not given up for losses on the way to it.
+ * Servers whose loads differ by less are alike, as a share of a server: a copy
+ * that is kept makes about a step, a run beside which a prompt is read three.
  */
-export function usableServers(
-  views: Iterable<LiveServerView>,
-  { need, nowMs }: { readonly need: ServerNeed; readonly nowMs: number },
-): LiveServerView[] {
-  const listed = [...views].filter(({ server, avoidUntilMs }) =>
-    server.service === need.service &&
+const LOAD_STEP = 0.04;
+
+/** Whether a server may get the request once it is sound and has room. */
+export function isEligible(
+  { server, avoidUntilMs }: LiveServerView,
+  need: ServerNeed,
+): boolean {
+  return server.service === need.service &&
     !server.isLeaving &&
     !need.excluded.has(server.name) &&
     server.zone !== need.excludedZone &&
-    avoidUntilMs < Number.POSITIVE_INFINITY
-  );
-  const sound = listed.filter(({ avoidUntilMs }) => avoidUntilMs <= nowMs);
-  return sound.length > 0 ? sound : listed;
+    avoidUntilMs < Number.POSITIVE_INFINITY;
 }
 
 /** Whether the prompts before it would hold the request up for long. */
@@ -82,39 +116,108 @@
 }
 
 /** Whether a server has slots and memory left for the request. */
-export function hasRoomFor(view: LiveServerView, tokens: number): boolean {
+function hasRoomFor(view: LiveServerView, tokens: number): boolean {
   const load = addLoad(view.own, view.others);
-  return load.requests < view.server.slots &&
+  return load.requests < placesOf(view) &&
     load.tokens + tokens <= view.memoryTokens;
 }
 
-/** Returns the least loaded server with room, if there is one. */
+/** Requests that a server may have at once, from all entries. */
+function placesOf({ server, memoryTokens }: LiveServerView): number {
+  const isEngine = Number.isFinite(memoryTokens);
+  return isEngine ? server.slots : server.slots * CALL_PLACES_FACTOR;
+}
+
+/**
+ * Returns the least loaded server with room among the first `CANDIDATES_MAX` of
+ * `views` that could take the request, if there is one. Where all are avoided
+ * after losses, those are tried again that may have returned: a service is not
+ * given up for losses on the way to it.
+ */
 export function chooseServer(
   views: Iterable<LiveServerView>,
   need: ServerNeed,
   { nowMs, random }: ChoiceContext,
 ): LiveServerView | undefined {
-  const roomy = usableServers(views, { need, nowMs })
-    .filter((view) => hasRoomFor(view, need.tokens))
-    .filter((view) => !isInLine(view, { need, nowMs }));
-  const preferred = roomy.find(({ server }) => server.name === need.preferred);
-  if (preferred !== undefined) return preferred;
+  const roomy = findCandidates(views, { need, nowMs });
+  // It has the prompt already, so nothing it still has to read matters.
+  const preferred = roomy.find(({ view }) =>
+    view.server.name === need.preferred
+  );
+  if (preferred !== undefined) return preferred.view;
   const usable = roomy
-    .map((view) => ({
+    .filter(({ hasLine }) => !hasLine)
+    .map(({ view }) => ({
       view,
       load: Math.round(scoreOf(view, need) / LOAD_STEP),
-      chance: random(),
+      rank: need.prompt ? crc32(view.server.name + need.prompt) : random(),
     }))
-    .sort((a, b) => a.load - b.load || a.chance - b.chance);
+    .sort((a, b) => a.load - b.load || a.rank - b.rank);
   return usable[0]?.view;
 }
 
+/** A server with room for the request. */
+interface Candidate {
+  readonly view: LiveServerView;
+  /** Whether the request rather waits than lines up there. */
+  readonly hasLine: boolean;
+}
+
+/** Returns the sound ones, or those that are avoided where no sound one exists. */
+function findCandidates(
+  views: Iterable<LiveServerView>,
+  { need, nowMs }: { readonly need: ServerNeed; readonly nowMs: number },
+): readonly Candidate[] {
+  const sound: Candidate[] = [];
+  const avoided: Candidate[] = [];
+  let hasSound = false;
+  let ready = 0;
+  for (const view of views) {
+    if (!isEligible(view, need)) continue;
+    const isSound = view.avoidUntilMs <= nowMs;
+    hasSound ||= isSound;
+    if (view.fullUntilMs > nowMs || !hasRoomFor(view, need.tokens)) continue;
+    const hasLine = isInLine(view, { need, nowMs });
+    (isSound ? sound : avoided).push({ view, hasLine });
+    if (isSound && !hasLine && ++ready === CANDIDATES_MAX) break;
+  }
+  return hasSound ? sound : avoided;
+}
+
+/**
+ * Returns the delay that reading a prompt beside a load makes for all of them,
+ * in prompt tokens. Copies of other servers' runs only take memory: nobody
+ * waits for them.
+ */
+function delayBeside(
+  { requests, tokens, unreadTokens }: ServerLoad,
+  promptTokens: number,
+): number {
+  return MEMORY_WEIGHT * tokens +
+    UNREAD_WEIGHT * unreadTokens +
+    DISTURBED_PART * requests * promptTokens;
+}
+
 /** Returns how unwelcome a server is, from 0; a full server is about 1. */
 function scoreOf(view: LiveServerView, need: ServerNeed): number {
-  const { requests, tokens, unreadTokens } = addLoad(view.own, view.others);
-  const slots = requests / view.server.slots;
-  const memory = (tokens + UNREAD_WEIGHT * unreadTokens) / view.memoryTokens;
-  const suspectedMs = need.suspectZones.get(view.server.zone);
-  const isSuspect = suspectedMs !== undefined && view.heardMs < suspectedMs;
-  return Math.max(slots, memory) + (isSuspect ? SUSPECT_PENALTY : 0);
+  const load = addLoad(view.own, view.others);
+  const slots = load.requests / view.server.slots;
+  const work = need.unreadTokens === undefined
+    ? load.tokens + UNREAD_WEIGHT * load.unreadTokens
+    : delayBeside(load, need.unreadTokens);
+  const memory = work / view.memoryTokens;
+  return Math.max(slots, memory) +
+    (isSuspect(view, need) ? SUSPECT_PENALTY : 0);
+}
+
+/** Whether a server may have been lost with others of its zone. */
+function isSuspect(
+  { server, heardMs }: LiveServerView,
+  { suspectZones, lostZone }: ServerNeed,
+): boolean {
+  const suspectedMs = suspectZones.get(server.zone) ?? Number.NEGATIVE_INFINITY;
+  const lostMs = lostZone?.zone === server.zone
+    ? lostZone.atMs
+    : Number.NEGATIVE_INFINITY;
+  return heardMs < Math.max(suspectedMs, lostMs);
 }
--- a/src/process/choose_server_test.ts
+++ b/src/process/choose_server_test.ts
@@ -23,6 +23,7 @@
     own: NO_LOAD,
     others: NO_LOAD,
     avoidUntilMs: 0,
+    fullUntilMs: 0,
     heardMs: 0,
     ...changes,
   };
@@ -56,6 +57,18 @@
   expect(choose([reading, answering])).toBe("b1");
 });
 
+test("a prompt is read where copies are kept rather than where a stream would wait", () => {
+  const answering = view("a1", {
+    others: { requests: 1, tokens: 6_000, unreadTokens: 0 },
+  });
+  const keeping = view("b1", {
+    others: { requests: 0, tokens: 12_000, unreadTokens: 0 },
+  });
+  expect(choose([answering, keeping])).toBe("b1");
+  // A copy of a run disturbs nobody: it goes where memory is left.
+  expect(choose([answering, keeping], { unreadTokens: undefined })).toBe("a1");
+});
+
 test("memory binds before slots", () => {
   const full = view("a1", {
     own: { requests: 8, tokens: 50_000, unreadTokens: 0 },
@@ -71,6 +84,28 @@
   expect(choose([lined], { patientUntilMs: 500 })).toBe("a1");
 });
 
+test("a request goes where its prompt is cached, whatever that server still reads", () => {
+  const lined = view("a1", {
+    others: { requests: 2, tokens: 12_000, unreadTokens: 10_000 },
+  });
+  const need = { patientUntilMs: 2_000, preferred: "a1" };
+  expect(choose([lined, view("b1")], need)).toBe("a1");
+  const full = view("a1", {
+    others: { requests: 2, tokens: 52_000, unreadTokens: 0 },
+  });
+  expect(choose([full, view("b1")], need)).toBe("b1");
+});
+
+test("of servers alike, each entry chooses the same for a prompt, and others for others", () => {
+  const alike = Array.from({ length: 30 }, (_, at) => view(`a${at}`));
+  const chosen = (prompt: string) =>
+    choose(alike.toSorted(() => Math.random() - 0.5), { prompt });
+  const prompts = Array.from({ length: 30 }, (_, at) => `prompt-${at}`);
+  const first = prompts.map(chosen);
+  expect(prompts.map(chosen)).toEqual(first);
+  expect(new Set(first).size).toBeGreaterThan(10);
+});
+
 test("a server in a zone that just lost others comes last, unless it was heard", () => {
   const suspectZones = new Map([["a", 900]]);
   const busy = view("b1", {
@@ -81,6 +116,16 @@
   expect(choose([heard, busy], { suspectZones })).toBe("a1");
 });
 
+test("a request that lost a server goes to another zone, unless it heard of that one since", () => {
+  const busy = view("b1", {
+    own: { requests: 6, tokens: 36_000, unreadTokens: 0 },
+  });
+  const lostZone = { zone: "a", atMs: 900 };
+  expect(choose([view("a1"), busy], { lostZone })).toBe("b1");
+  expect(choose([view("a1")], { lostZone })).toBe("a1");
+  expect(choose([view("a1", { heardMs: 950 }), busy], { lostZone })).toBe("a1");
+});
+
 test("an avoided server is used when there is no other, a replaced one never", () => {
   const avoided = view("a1", { avoidUntilMs: 5_000 });
   const replaced = view("b1", { avoidUntilMs: Number.POSITIVE_INFINITY });
--- a/src/process/commands/command.ts
+++ b/src/process/commands/command.ts
@@ -21,6 +21,8 @@
   readonly revision: number | undefined;
   readonly limit: number;
   readonly json: boolean;
+  /** Log files to read instead of the platform. */
+  readonly logs: readonly string[];
 }
 
 /** What a command runs with. */
--- a/src/process/commands/status.ts
+++ b/src/process/commands/status.ts
@@ -1,11 +1,17 @@
 /** `gypsumridge status`: what each entry makes of the deployment. */
 
+import { readFile } from "node:fs/promises";
 import type { ValueStore } from "../../connection/value_store.ts";
 import { STATUS_INTERVAL_MS } from "../../constants.ts";
 import { ENTRY_STATUS_PREFIX, HEAD_NAME } from "../../version/object_names.ts";
 import type { Head } from "../../version/types.ts";
 import type { EntryStatus } from "../entry_status.ts";
 import { ExitCode } from "../exit_code.ts";
+import {
+  areEntriesCurrent,
+  formatLoggedStatus,
+  restoreLoggedStatus,
+} from "../logged_status.ts";
 import type { Command, CommandRun } from "./command.ts";
 
 /** An entry that has not written for so long is shown as silent, in ms. */
@@ -14,9 +20,18 @@
 /** Prints the status of all entries; fails while one is behind. */
 export const STATUS_COMMAND: Command = {
   usage: "status",
-  describe: "print the revision and view of each entry",
-  options: (argv) => argv.option("json", { type: "boolean", default: false }),
+  describe: "print the version in force and the view of each entry",
+  options: (argv) =>
+    argv
+      .option("json", { type: "boolean", default: false })
+      .option("logs", {
+        type: "string",
+        array: true,
+        default: [],
+        describe: "logs of entries to read instead of the platform",
+      }),
   run: async ({ args, platform, print }) => {
+    if (args.logs.length > 0) return printLoggedStatus(args, print);
     const client = platform();
     const stored = await client.read(HEAD_NAME);
     const revision = stored === undefined
@@ -33,6 +48,19 @@
   },
 };
 
+/** Prints what entries wrote to their logs, where nobody may call them. */
+async function printLoggedStatus(
+  { logs, json }: CommandRun["args"],
+  print: CommandRun["print"],
+): Promise<ExitCode> {
+  const texts = await Promise.all(logs.map((file) => readFile(file, "utf8")));
+  const lines = texts.flatMap((text) => text.split("\n"));
+  const status = restoreLoggedStatus(lines);
+  if (json) print(JSON.stringify(status));
+  else for (const line of formatLoggedStatus(status)) print(line);
+  return areEntriesCurrent(status) ? ExitCode.Success : ExitCode.Failure;
+}
+
 async function readStatuses(client: ValueStore): Promise<EntryStatus[]> {
   const listed = await client.list(ENTRY_STATUS_PREFIX);
   const newest = Math.max(...listed.map(({ updatedMs }) => updatedMs));
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -22,6 +22,7 @@
 import { Metrics } from "./metrics.ts";
 import { PauseGuard } from "./pause_guard.ts";
 import { Peers } from "./peers.ts";
+import { OpenRequests, stopServer } from "./planned_stop.ts";
 import type { EntrySettings } from "./settings.ts";
 import { Suspicions } from "./suspicions.ts";
 
@@ -33,7 +34,6 @@
 
 /** How long new work waits after a pause for fresh views, in ms. */
 const REFRESH_LIMIT_MS = 1_000;
-const STOP_POLL_MS = 20;
 /** Keeps all entries together to 100 readings of the list a second. */
 const LIST_MS_PER_ENTRY = 10;
 
@@ -54,7 +54,7 @@
   readonly #context: EntryContext;
   readonly #server: Server;
   readonly #status: EntryStatusWriter;
-  #openRequests = 0;
+  readonly #open = OpenRequests.create();
   #isStopping = false;
   #closed = false;
 
@@ -73,8 +73,7 @@
     });
     this.#status = EntryStatusWriter.create(this.#context);
     this.#server = createServer((request, response) => {
-      this.#openRequests++;
-      response.once("close", () => this.#openRequests--);
+      this.#open.begin(response);
       serve(this.#context, request, response);
     });
     this.#server.keepAliveTimeout = 30_000;
@@ -106,22 +105,15 @@
    */
   async stop(): Promise<boolean> {
     const { stopNoticeMs, stopDeadlineMs } = this.#settings;
-    const startMs = performance.now();
     this.#isStopping = true;
-    this.#log(EVENTS.stopRequested, { open: this.#openRequests });
-    await sleep(stopNoticeMs);
-    this.#server.close();
-    this.#server.closeIdleConnections();
-    while (this.#openRequests > 0) {
-      if (performance.now() - startMs > stopDeadlineMs) break;
-      await sleep(STOP_POLL_MS);
-    }
-    const isClean = this.#openRequests === 0;
-    this.close();
-    this.#log(isClean ? EVENTS.stopped : EVENTS.stopForced, {
-      open: this.#openRequests,
+    return await stopServer({
+      server: this.#server,
+      open: this.#open,
+      log: this.#log,
+      noticeMs: stopNoticeMs,
+      deadlineMs: stopDeadlineMs,
+      onDrained: () => Promise.resolve(this.close()),
     });
-    return isClean;
   }
 
   /** Ends everything at once. */
--- a/src/process/event_catalog.ts
+++ b/src/process/event_catalog.ts
@@ -75,6 +75,28 @@
     "check the platform; requests go on without it",
   ),
   platformBack: define(2004, Severity.Info, "platform is reached again"),
+  readingBegun: define(
+    2005,
+    Severity.Info,
+    "entry reads the platform, too few others are known to reach it",
+  ),
+  readingLeft: define(
+    2006,
+    Severity.Info,
+    "entry leaves reading the platform to others",
+  ),
+  listDoubted: define(
+    2007,
+    Severity.Warn,
+    "list of backend servers differs from a peer's and is read anew",
+    "look for lost links between entries",
+  ),
+  entryView: define(
+    2008,
+    Severity.Info,
+    "what this entry knows of the deployment",
+    "gather it with `gypsumridge status --logs`",
+  ),
   serverLeaving: define(3001, Severity.Info, "backend server is leaving"),
   serverEjected: define(
     3002,
@@ -88,6 +110,12 @@
     "several backend servers of an availability zone were lost at once",
     "check the availability zone",
   ),
+  serverFull: define(
+    3005,
+    Severity.Info,
+    "backend server refused for want of room",
+    "add backend servers if it lasts",
+  ),
   serverReturned: define(3003, Severity.Info, "backend server has returned"),
   attemptLost: define(3101, Severity.Warn, "attempt lost"),
   generationResumed: define(3102, Severity.Info, "generation resumed"),
@@ -112,6 +140,12 @@
   orderEnded: define(3107, Severity.Info, "order ended"),
   attemptStarted: define(3108, Severity.Info, "request sent to a server"),
   firstEvent: define(3109, Severity.Info, "stream began"),
+  copyMade: define(3110, Severity.Info, "run copied to another server"),
+  copyFailed: define(
+    3111,
+    Severity.Info,
+    "run could not be copied, or its copy not freed",
+  ),
   actionUnknown: define(
     4001,
     Severity.Warn,
--- a/src/process/event_catalog_test.ts
+++ b/src/process/event_catalog_test.ts
@@ -10,7 +10,7 @@
   const page = [
     "# Events",
     "",
-    "Each log line is one JSON object on standard error; `event` holds the number.",
+    "Each log line is one JSON object on standard output; `event` holds the number.",
     "Numbers stay the same for good. `gypsumridge events` prints this list.",
     "",
     "| number | severity | event | what an operator does |",
--- a/src/process/live_server.ts
+++ b/src/process/live_server.ts
@@ -32,6 +32,8 @@
   readonly others: ServerLoad;
   /** No new work before this time, on the monotonic clock in ms. */
   readonly avoidUntilMs: number;
+  /** It said that it is full; no new work before this time, as above. */
+  readonly fullUntilMs: number;
   /** When bytes last came from it, on the monotonic clock in ms. */
   readonly heardMs: number;
 }
--- a/src/process/live_servers.ts
+++ b/src/process/live_servers.ts
@@ -11,13 +11,11 @@
   type ServerLoad,
   subtractLoad,
 } from "./live_server.ts";
-import {
-  chooseServer,
-  type ServerNeed,
-  usableServers,
-} from "./choose_server.ts";
+import { chooseServer, isEligible, type ServerNeed } from "./choose_server.ts";
 import { EVENTS } from "./event_catalog.ts";
 import type { Log } from "./log.ts";
+import { ServerRing } from "./server_ring.ts";
+import { ZoneLosses } from "./zone_losses.ts";
 
 /** What the servers need of their process. */
 export interface LiveServersOptions {
@@ -43,8 +41,6 @@
   Unreachable = "unreachable",
   /** A connection broke or fell silent. */
   Broken = "broken",
-  /** It refused for want of room. */
-  Full = "full",
 }
 
 /** How long a server gets no new work after a loss, in ms. */
@@ -54,34 +50,41 @@
   // Crashed servers are back after 1 to 5 s, as a new incarnation in the list.
   [ServerLoss.Unreachable]: 4_000,
   [ServerLoss.Broken]: 600,
-  [ServerLoss.Full]: 100,
 };
 
-/** Losses in a zone within `ZONE_WINDOW_MS` that make it suspect. */
-const ZONE_LOSSES = 2;
-const ZONE_WINDOW_MS = 300;
+/** How long a server that said it is full gets nothing, in ms; calls take as long. */
+const FULL_MS = 50;
+/** How long a service counts as full after that; an entry may send it few calls, in ms. */
+const SERVICE_FULL_MS = 2_000;
+
 /** A server that was heard so lately is not given up on another entry's word, in ms. */
 const HEARD_FRESH_MS = 400;
 /** How long other entries are told of a dead server, in ms: three digests. */
 const DEAD_NEWS_MS = 450;
-/** How long a zone stays suspect, in ms; zones on the sheets fail for 1.2 s. */
-const ZONE_SUSPECT_MS = 1_500;
-
-interface ZoneLosses {
-  readonly servers: Map<string, number>;
-  suspectedMs: number;
-}
 
 /** All registered backend servers. */
 export class LiveServers {
   readonly #options: LiveServersOptions;
   readonly #views = new Map<string, LiveServerView>();
-  readonly #zones = new Map<string, ZoneLosses>();
+  /** Names of the servers at an address, which may have been used again. */
+  readonly #names = new Map<string, Set<string>>();
+  /** Names of the servers that this entry gave work. */
+  readonly #busy = new Set<string>();
+  /** Names of the servers that other entries gave work. */
+  #busyElsewhere: ReadonlySet<string> = new Set();
+  /** Servers by service. */
+  readonly #rings = new Map<string, ServerRing>();
+  /** When a server of each service last said that it is full. */
+  readonly #fullMs = new Map<string, number>();
+  readonly #zones: ZoneLosses;
+  /** What the other entries do, until it is taken over. */
+  #newOthers: (() => ReadonlyMap<string, ServerLoad>) | undefined;
   /** Servers that this entry found dead, with the time of it. */
   readonly #dead = new Map<string, number>();
 
   private constructor(options: LiveServersOptions) {
     this.#options = options;
+    this.#zones = ZoneLosses.create(options.now);
   }
 
   /** Starts without servers. */
@@ -91,11 +94,13 @@
 
   /** Returns all views. */
   views(): Iterable<LiveServerView> {
+    this.#takeOthers();
     return this.#views.values();
   }
 
   /** Returns the view of a server by name. */
   view(name: string): LiveServerView | undefined {
+    this.#takeOthers();
     return this.#views.get(name);
   }
 
@@ -105,18 +110,27 @@
     const isSame = held !== undefined && isSameIncarnation(held.server, server);
     const memoryTokens = this.#options.memoryTokensOf(server.service);
     if (!isSame) this.#retireAddress(server);
+    if (held !== undefined && held.server.service !== server.service) {
+      this.#rings.get(held.server.service)?.delete(server.name);
+    }
+    this.#ringOf(server.service).add(server.name);
     if (server.isLeaving && !held?.server.isLeaving) {
       this.#options.log(EVENTS.serverLeaving, {
         server: server.name,
         source: "list",
       });
     }
+    if (held !== undefined) this.#leaveAddress(held.server);
+    const names = this.#names.get(server.address) ?? new Set();
+    this.#names.set(server.address, names.add(server.name));
+    if (!isSame) this.#busy.delete(server.name);
     this.#views.set(server.name, {
       server,
       memoryTokens,
       own: isSame ? held.own : NO_LOAD,
       others: isSame ? held.others : NO_LOAD,
       avoidUntilMs: isSame ? held.avoidUntilMs : 0,
+      fullUntilMs: isSame ? held.fullUntilMs : 0,
       heardMs: isSame ? held.heardMs : this.#options.now(),
     });
     this.#options.onRoom();
@@ -124,9 +138,39 @@
 
   /** Drops a server that is gone from the list. */
   delete(name: string): void {
+    const server = this.#views.get(name)?.server;
+    if (server === undefined) return;
+    this.#rings.get(server.service)?.delete(name);
+    this.#leaveAddress(server);
+    this.#busy.delete(name);
     this.#views.delete(name);
   }
 
+  #leaveAddress({ name, address }: LiveServer): void {
+    const names = this.#names.get(address);
+    names?.delete(name);
+    if (names?.size === 0) this.#names.delete(address);
+  }
+
+  #ringOf(service: string): ServerRing {
+    const ring = this.#rings.get(service) ?? ServerRing.create();
+    this.#rings.set(service, ring);
+    return ring;
+  }
+
+  /** Yields the preferred server of a request, then those after its prompt's place. */
+  *#viewsFor(request: ServerRequest): Generator<LiveServerView> {
+    this.#takeOthers();
+    const { service, preferred = "", prompt } = request;
+    const key = prompt || String(this.#options.random());
+    const first = this.#views.get(preferred);
+    if (first !== undefined) yield first;
+    for (const name of this.#ringOf(service).from(key)) {
+      const view = this.#views.get(name);
+      if (view !== undefined && name !== preferred) yield view;
+    }
+  }
+
   /** Recomputes the memory of all servers after a configuration changed. */
   refreshMemory(): void {
     for (const [name, view] of this.#views) {
@@ -138,16 +182,18 @@
   /** Returns the server that a request goes to now, if one has room. */
   choose(request: ServerRequest): LiveServer | undefined {
     const { now, random } = this.#options;
-    const need = { ...request, suspectZones: this.#suspectZones() };
+    const need = { ...request, suspectZones: this.#zones.suspects() };
     const context = { nowMs: now(), random };
-    return chooseServer(this.#views.values(), need, context)?.server;
+    return chooseServer(this.#viewsFor(request), need, context)?.server;
   }
 
   /** Whether any server could take the request now or after a wait. */
   canServe(request: ServerRequest): boolean {
     const need = { ...request, suspectZones: new Map() };
-    const nowMs = this.#options.now();
-    return usableServers(this.#views.values(), { need, nowMs }).length > 0;
+    for (const view of this.#viewsFor(request)) {
+      if (isEligible(view, need)) return true;
+    }
+    return false;
   }
 
   /** Whether a server may get new work now, whatever its load. */
@@ -157,6 +203,14 @@
     return view.avoidUntilMs <= this.#options.now();
   }
 
+  /** Whether a server that was given a copy to keep is still taken to have it. */
+  isKeeping(name: string): boolean {
+    const view = this.#views.get(name);
+    if (view === undefined || view.server.isLeaving) return false;
+    const avoidedMs = view.avoidUntilMs - this.#options.now();
+    return avoidedMs <= AVOID_MS[ServerLoss.Broken];
+  }
+
   /** Notes work that goes to a server. */
   begin(name: string, load: ServerLoad): void {
     this.#change(name, (view) => ({ own: addLoad(view.own, load) }));
@@ -173,20 +227,32 @@
     this.#change(name, () => ({ heardMs: this.#options.now() }));
   }
 
-  /** Takes over what the other entries do, by server name. */
-  setOthers(loads: ReadonlyMap<string, ServerLoad>): void {
-    for (const [name, view] of this.#views) {
-      const others = loads.get(name) ?? NO_LOAD;
-      if (others !== view.others) this.#views.set(name, { ...view, others });
-    }
+  /**
+   * Takes over what the other entries do, by server name, when it is next
+   * needed: they tell it far more often than a server is chosen.
+   */
+  setOthers(loads: () => ReadonlyMap<string, ServerLoad>): void {
+    this.#newOthers = loads;
     this.#options.onRoom();
   }
 
+  #takeOthers(): void {
+    const loads = this.#newOthers?.();
+    if (loads === undefined) return;
+    this.#newOthers = undefined;
+    for (const name of this.#busyElsewhere) {
+      if (!loads.has(name)) this.#change(name, () => ({ others: NO_LOAD }));
+    }
+    for (const [name, others] of loads) this.#change(name, () => ({ others }));
+    this.#busyElsewhere = new Set(loads.keys());
+  }
+
   /** Returns the work that this entry gave to servers, by server name. */
   ownLoads(): readonly (readonly [string, ServerLoad])[] {
-    return [...this.#views.values()]
-      .filter(({ own }) => own.requests > 0 || own.tokens > 0)
-      .map(({ server, own }) => [server.name, own] as const);
+    return [...this.#busy].flatMap((name) => {
+      const view = this.#views.get(name);
+      return view === undefined ? [] : [[name, view.own] as const];
+    });
   }
 
   /** Keeps a server out of new work after a loss. */
@@ -197,7 +263,7 @@
     const avoidUntilMs = Math.max(view.avoidUntilMs, nowMs + AVOID_MS[loss]);
     this.#change(name, () => ({ avoidUntilMs }));
     if (loss === ServerLoss.Unreachable) this.#dead.set(name, nowMs);
-    if (loss !== ServerLoss.Full) this.#noteZoneLoss(view.server, nowMs);
+    this.#noteZoneLoss(view.server);
     this.#options.log(EVENTS.serverEjected, {
       server: name,
       zone: view.server.zone,
@@ -206,6 +272,23 @@
     });
   }
 
+  /** Notes that a server refused for want of room, so it gets nothing for a moment. */
+  noteFull(name: string): void {
+    const { now, log, onRoom } = this.#options;
+    const service = this.#views.get(name)?.server.service;
+    if (service === undefined) return;
+    this.#fullMs.set(service, now());
+    this.#change(name, () => ({ fullUntilMs: now() + FULL_MS }));
+    log(EVENTS.serverFull, { server: name, for_ms: FULL_MS });
+    setTimeout(onRoom, FULL_MS).unref();
+  }
+
+  /** Whether servers of a service refused for want of room just now. */
+  wasFull(service: string): boolean {
+    const fullMs = this.#fullMs.get(service) ?? -Infinity;
+    return this.#options.now() - fullMs < SERVICE_FULL_MS;
+  }
+
   /** Takes back the avoidance of a server that proved to be sound. */
   trust(name: string): void {
     this.#change(name, () => ({
@@ -237,47 +320,23 @@
   }
 
   /** Several losses in a zone at once make all of it suspect. */
-  #noteZoneLoss({ zone, name }: LiveServer, nowMs: number): void {
-    const losses = this.#zones.get(zone) ??
-      { servers: new Map<string, number>(), suspectedMs: -Infinity };
-    this.#zones.set(zone, losses);
-    for (const [server, lostMs] of losses.servers) {
-      if (nowMs - lostMs > ZONE_WINDOW_MS) losses.servers.delete(server);
-    }
-    losses.servers.set(name, nowMs);
-    if (losses.servers.size < ZONE_LOSSES) return;
-    if (nowMs - losses.suspectedMs > ZONE_SUSPECT_MS) {
-      this.#options.log(EVENTS.zoneSuspected, {
-        zone,
-        lost: losses.servers.size,
-      });
-    }
-    losses.suspectedMs = nowMs;
+  #noteZoneLoss({ zone, name }: LiveServer): void {
+    const lost = this.#zones.note({ zone, name });
+    if (lost > 0) this.#options.log(EVENTS.zoneSuspected, { zone, lost });
   }
 
   /** Whether several servers of a zone were lost at once just now. */
   isZoneSuspect(zone: string): boolean {
-    return this.#suspectZones().has(zone);
-  }
-
-  #suspectZones(): ReadonlyMap<string, number> {
-    const nowMs = this.#options.now();
-    const suspect = new Map<string, number>();
-    for (const [zone, { suspectedMs }] of this.#zones) {
-      if (nowMs - suspectedMs <= ZONE_SUSPECT_MS) {
-        suspect.set(zone, suspectedMs);
-      }
-    }
-    return suspect;
+    return this.#zones.suspects().has(zone);
   }
 
   /** An address belongs to its newest owner; older ones have ended. */
   #retireAddress({ name, address, startedMs }: LiveServer): void {
-    for (const { server } of this.#views.values()) {
-      const isOlder = server.address === address && server.name !== name &&
-        server.startedMs <= startedMs;
-      if (!isOlder) continue;
-      this.#change(server.name, () => ({ avoidUntilMs: Infinity }));
+    for (const other of this.#names.get(address) ?? []) {
+      const view = this.#views.get(other);
+      const isOlder = other !== name && view !== undefined &&
+        view.server.startedMs <= startedMs;
+      if (isOlder) this.#change(other, () => ({ avoidUntilMs: Infinity }));
     }
   }
 
@@ -286,7 +345,12 @@
     change: (view: LiveServerView) => Partial<LiveServerView>,
   ): void {
     const view = this.#views.get(name);
-    if (view !== undefined) this.#views.set(name, { ...view, ...change(view) });
+    if (view === undefined) return;
+    const changed = { ...view, ...change(view) };
+    this.#views.set(name, changed);
+    const { requests, tokens, unreadTokens } = changed.own;
+    if (requests > 0 || tokens > 0 || unreadTokens > 0) this.#busy.add(name);
+    else this.#busy.delete(name);
   }
 }
 
--- a/src/process/object_watch.ts
+++ b/src/process/object_watch.ts
@@ -13,6 +13,7 @@
 import type { ObjectRevision } from "../ids.ts";
 import { EVENTS } from "./event_catalog.ts";
 import type { Log } from "./log.ts";
+import type { ReaderSign, StoreReaders } from "./store_readers.ts";
 
 /** What a watch needs of its process. */
 export interface ObjectWatchOptions {
@@ -25,6 +26,13 @@
   readonly waitMs: number;
   /** Pause after changes before more are asked for, so that they come together, in ms. */
   readonly gatherMs: number;
+  /**
+   * Shortest time without the store in which entries of its servers may lapse,
+   * in ms; what is gone after a shorter one has left.
+   */
+  readonly outageMinMs: number;
+  /** Which entries read for all; absent where each reads for itself. */
+  readonly readers?: StoreReaders;
   /** Called with all objects, after the start and after each outage. */
   readonly onList: (list: ObjectList, isAfterOutage: boolean) => void;
   readonly onChanges: (
@@ -36,12 +44,28 @@
 /** First and longest pause after a failed call, in ms. */
 const RETRY_MIN_MS = 100;
 const RETRY_MAX_MS = 800;
+/** Longer pause of an entry that relies on others to try the store, as a multiple. */
+const SPARED_FACTOR = 4;
+/** How often an entry that need not read looks whether it has to, in ms. */
+const REST_MS = 100;
+/** Pause after the first list, in which other entries may say that they read, in ms. */
+const START_REST_MS = 700;
+/** Longest random pause before it reads again, in ms; the first to do so spares the others. */
+const TURN_MAX_MS = 150;
 
 /** A task that follows one kind until it is closed. */
 export class ObjectWatch {
   readonly #options: ObjectWatchOptions;
   #closed = false;
+  /** Revision from which the next watch goes on, once the kind was listed. */
+  #revision: ObjectRevision | undefined;
+  /** Failed calls in a row. */
+  #failures = 0;
   #isLost = false;
+  #mustList = true;
+  #isReading = true;
+  /** Whether nobody reached the store for a while before this entry reads again. */
+  #isUnsure = false;
 
   private constructor(options: ObjectWatchOptions) {
     this.#options = options;
@@ -52,9 +76,14 @@
     return new ObjectWatch(options);
   }
 
-  /** Whether the last call failed. */
-  get isLost(): boolean {
-    return this.#isLost;
+  /**
+   * Lists the kind anew, also while other entries read for this one; returns
+   * whether that was not due already.
+   */
+  refresh(): boolean {
+    const isNew = !this.#mustList;
+    this.#mustList = true;
+    return isNew;
   }
 
   /** Ends the task after its current call. */
@@ -64,56 +93,105 @@
 
   /** Lists and watches until closed; never rejects. */
   async run(): Promise<void> {
-    let revision: ObjectRevision | undefined;
-    let failures = 0;
     while (!this.#closed) {
-      try {
-        revision = revision === undefined
-          ? await this.#list()
-          : await this.#watch(revision);
-        failures = 0;
-        this.#setLost(false, "");
-      } catch (error) {
-        if (this.#closed) return;
-        if (error instanceof PlatformHistoryGone) {
-          revision = undefined;
-          continue;
-        }
-        // Changes may have been missed only if their history is gone, which
-        // the next watch reports; so the revision stays.
-        this.#setLost(true, messageOf(error));
-        await sleep(this.#retryMs(failures++));
+      const mustRead = this.#options.readers?.mustRead !== false;
+      this.#setReading(mustRead);
+      if (mustRead || this.#mustList) await this.#read();
+      else await this.#rest();
+    }
+  }
+
+  /** Asks the store once. */
+  async #read(): Promise<void> {
+    const { readers } = this.#options;
+    if ((readers?.awayMs ?? 0) > this.#options.outageMinMs) {
+      this.#isUnsure = true;
+    }
+    const isFirst = this.#revision === undefined;
+    try {
+      this.#revision = this.#mustList || this.#revision === undefined
+        ? await this.#list()
+        : await this.#watch(this.#revision);
+      this.#failures = 0;
+      this.#setLost(false, "");
+      if (isFirst && readers !== undefined) await sleep(START_REST_MS);
+    } catch (error) {
+      if (this.#closed) return;
+      if (error instanceof PlatformHistoryGone) {
+        this.#mustList = true;
+        return;
       }
+      // Changes may have been missed only if their history is gone, which
+      // the next watch reports; so the revision stays.
+      this.#setLost(true, messageOf(error));
+      await sleep(this.#retryMs(this.#failures++));
     }
   }
 
+  #setReading(isReading: boolean): void {
+    const { log, kind, readers } = this.#options;
+    if (isReading === this.#isReading || readers === undefined) return;
+    this.#isReading = isReading;
+    const event = isReading ? EVENTS.readingBegun : EVENTS.readingLeft;
+    log(event, { kind, readers: readers.signs().map(describeSign) });
+  }
+
+  /** Waits until this entry may have to read. */
+  async #rest(): Promise<void> {
+    const { readers, random } = this.#options;
+    await sleep(REST_MS);
+    if (readers?.mustRead !== false) await sleep(TURN_MAX_MS * random());
+  }
+
   async #list(): Promise<ObjectRevision> {
     const { objects, kind, onList } = this.#options;
-    const list = await objects.list({ kind });
-    onList(list, this.#isLost);
-    return list.revision;
+    this.#mustList = false;
+    try {
+      const list = await objects.list({ kind });
+      onList(list, this.#isAfterOutage);
+      return list.revision;
+    } catch (error) {
+      this.#mustList = true;
+      throw error;
+    }
   }
 
   async #watch(from: ObjectRevision): Promise<ObjectRevision> {
     const { objects, kind, waitMs, gatherMs, onChanges } = this.#options;
     const { changes, revision } = await objects.watch({ kind, from, waitMs });
     if (changes.length > 0) {
-      onChanges(changes, this.#isLost);
+      onChanges(changes, this.#isAfterOutage);
       await sleep(gatherMs);
     }
     return revision;
   }
 
+  /** Whether what is missing now may have lapsed while the store was away. */
+  get #isAfterOutage(): boolean {
+    return this.#options.readers === undefined ? this.#isLost : this.#isUnsure;
+  }
+
   #retryMs(failures: number): number {
     const limitMs = Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** failures);
-    return limitMs * (0.5 + 0.5 * this.#options.random());
+    const { readers, random } = this.#options;
+    const factor = readers?.isProber === false ? SPARED_FACTOR : 1;
+    return limitMs * factor * (0.5 + 0.5 * random());
   }
 
   #setLost(isLost: boolean, reason: string): void {
+    const { log, kind, readers } = this.#options;
+    if (isLost) readers?.noteLoss(kind);
+    else {
+      this.#isUnsure = false;
+      readers?.noteContact(kind);
+    }
     if (isLost === this.#isLost) return;
     this.#isLost = isLost;
-    const { log, kind } = this.#options;
     if (isLost) log(EVENTS.platformLost, { kind, reason });
     else log(EVENTS.platformBack, { kind });
   }
 }
+
+function describeSign({ entry, ageMs }: ReaderSign): string {
+  return `${entry} ${ageMs} ms ago`;
+}
--- a/src/process/other_loads.ts
+++ b/src/process/other_loads.ts
@@ -33,6 +33,11 @@
     this.#entries.set(entry, { loads, heardMs: this.#now() });
   }
 
+  /** Drops what an entry said whose process may have ended. */
+  forget(entry: EntryId): void {
+    this.#entries.delete(entry);
+  }
+
   /** Count of entries heard of lately. */
   get entryCount(): number {
     this.#dropStale();
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -10,8 +10,10 @@
 import { PeerLink, type PeerLinkHandlers } from "../connection/peer_link.ts";
 import {
   type Digest,
+  packMessage,
   PEER_KEY_HEADER,
   PEER_MESSAGE_MAX_BYTES,
+  type ServerChanges,
 } from "../connection/peer_protocol.ts";
 import { type Instance, InstanceState } from "../connection/instance.ts";
 import { DIGEST_FANOUT, DIGEST_INTERVAL_MS } from "../constants.ts";
@@ -28,11 +30,40 @@
   readonly log: Log;
   readonly createDigest: () => Digest;
   readonly onDigest: (digest: Digest, link: PeerLink) => void;
+  /** Called when a link to an entry ended. */
+  readonly onPeerLost?: (entry: EntryId) => void;
   readonly readChunk: (hash: ContentHash) => string | undefined;
+  /** Returns changes of this entry's list of servers; none if absent. */
+  readonly readChanges?: (after: number) => ServerChanges;
   /** How often digests are sent, in ms. */
   readonly intervalMs?: number;
 }
 
+/** Only each second digest is sent where there are many entries. */
+const CROWDED_TURNS = 2;
+/**
+ * Entries from which on links reach only a part of them. Placing then rests on
+ * what an entry sees itself: in the emulator (59 entries) streams take as long
+ * with digests each 600 ms as each 150 ms.
+ */
+export const CROWD_MIN = 2 * DIGEST_FANOUT + 2;
+/** Time in which news gathers before it is sent, in ms; prompts come some ms apart. */
+const NEWS_GATHER_MS = 10;
+
+/** Pause before an entry is dialled again that could not be reached, in ms. */
+const REDIAL_MIN_MS = 150;
+/** Longest such pause, in ms: an entry that is back dials others itself at once. */
+const REDIAL_MAX_MS = 1_200;
+/** How much longer each such pause is than the one before. */
+const REDIAL_GROWTH = 2;
+
+/** When an entry is dialled again that could not be reached. */
+interface Redial {
+  /** On the monotonic clock, in ms. */
+  readonly atMs: number;
+  readonly pauseMs: number;
+}
+
 /** Links to other entries. */
 export class Peers {
   readonly #options: PeersOptions;
@@ -44,8 +75,16 @@
   });
   readonly #dialled = new Map<string, PeerLink>();
   readonly #accepted = new Set<PeerLink>();
+  /** By address, the entries that could not be reached. */
+  readonly #redials = new Map<string, Redial>();
+  /** Entries that dialled the accepted links, once they have said who they are. */
+  readonly #named = new WeakMap<PeerLink, EntryId>();
   readonly #timer: NodeJS.Timeout;
+  #turn = 0;
+  #announcement: NodeJS.Timeout | undefined;
   #entries: readonly Instance[] = [];
+  /** Entries to dial, by address. */
+  #chosen: ReadonlyMap<string, Instance> = new Map();
 
   private constructor(options: PeersOptions) {
     this.#options = options;
@@ -69,6 +108,7 @@
   /** Ends all links. */
   close(): void {
     clearInterval(this.#timer);
+    clearTimeout(this.#announcement);
     for (const link of this.#links()) link.close();
     this.#acceptor.close();
     this.#server.close();
@@ -79,6 +119,7 @@
     this.#entries = instances.filter(({ role, state }) =>
       role === "entry" && state === InstanceState.Live
     );
+    this.#chosen = this.#choose();
     this.#dialChosen();
   }
 
@@ -91,8 +132,42 @@
 
   /** Sends a digest now, to every peer that is linked. */
   announce(): void {
-    const digest = this.#options.createDigest();
-    for (const link of this.#links()) link.send(digest);
+    const bytes = packMessage(this.#options.createDigest());
+    for (const link of this.#linkedOnce()) link.sendPacked(bytes);
+  }
+
+  /** Links by peer: one that dialled this entry too hears on this entry's link. */
+  #linkedOnce(): PeerLink[] {
+    const dialled = new Set(
+      this.#others()
+        .filter(({ address }) => this.#dialled.get(address)?.isOpen)
+        .map(({ name }) => name),
+    );
+    const accepted = [...this.#accepted].filter((link) =>
+      !dialled.has(this.#named.get(link) ?? "")
+    );
+    return [...this.#dialled.values(), ...accepted];
+  }
+
+  /** Sends a digest soon, together with other news of the next moments. */
+  announceSoon(): void {
+    this.#announcement ??= setTimeout(() => {
+      this.#announcement = undefined;
+      this.announce();
+    }, NEWS_GATHER_MS);
+  }
+
+  /**
+   * Tells soon where work went. Among many entries that would cost a digest a
+   * link for each stream, 82 a second at letter 1's size, and reach few of them.
+   */
+  announceWork(): void {
+    if (!this.#isCrowded) this.announceSoon();
+  }
+
+  get #isCrowded(): boolean {
+    return this.#accepted.size > DIGEST_FANOUT ||
+      this.#entries.length >= CROWD_MIN;
   }
 
   /** Asks the open links, one after the other, for a chunk. */
@@ -122,48 +197,66 @@
       const link = PeerLink.create(webSocket, {
         ...this.#handlers(),
         onDigest: (digest, from) => {
+          this.#named.set(from, digest.entry);
           this.#options.onDigest(digest, from);
-          // A peer that is dialled too hears on the link of our own.
-          if (this.#isDialled(digest.entry)) return;
-          from.send(this.#options.createDigest());
         },
-        onClose: (closed) => this.#accepted.delete(closed),
+        onClose: (closed) => {
+          this.#accepted.delete(closed);
+          const entry = this.#named.get(closed);
+          if (entry !== undefined) this.#options.onPeerLost?.(entry);
+        },
       });
       this.#accepted.add(link);
     });
   }
 
-  #isDialled(entry: EntryId): boolean {
-    const peer = this.#entries.find(({ name }) => name === entry);
-    return this.#dialled.get(peer?.address ?? "")?.isOpen === true;
-  }
-
   #handlers(): PeerLinkHandlers {
+    const { readChanges } = this.#options;
     return {
       onDigest: (digest, link) => this.#options.onDigest(digest, link),
       readChunk: this.#options.readChunk,
+      ...(readChanges === undefined ? {} : { readChanges }),
       onOpen: () => undefined,
       onClose: () => undefined,
     };
   }
 
   /** Each entry dials the peers whose hash with its own name is lowest. */
-  #dialChosen(): void {
-    const chosen = new Map(
+  #choose(): ReadonlyMap<string, Instance> {
+    return new Map(
       this.#others()
         .map((peer) => ({ peer, rank: this.#rankOf(peer) }))
         .sort((a, b) => (a.rank < b.rank ? -1 : 1))
         .slice(0, DIGEST_FANOUT)
         .map(({ peer }) => [peer.address, peer] as const),
     );
+  }
+
+  /** Ends links to entries that are not chosen, and dials those that are. */
+  #dialChosen(): void {
     for (const [address, link] of this.#dialled) {
-      if (!chosen.has(address)) link.close();
+      if (!this.#chosen.has(address)) link.close();
+    }
+    for (const address of this.#redials.keys()) {
+      if (!this.#chosen.has(address)) this.#redials.delete(address);
     }
-    for (const [address, peer] of chosen) {
-      if (!this.#dialled.has(address)) this.#dial(peer);
+    const nowMs = performance.now();
+    for (const [address, peer] of this.#chosen) {
+      const { atMs = 0 } = this.#redials.get(address) ?? {};
+      if (!this.#dialled.has(address) && atMs <= nowMs) this.#dial(peer);
     }
   }
 
+  /** Notes that an entry could not be reached. */
+  #postpone(address: string): void {
+    const pastMs = this.#redials.get(address)?.pauseMs;
+    const pauseMs = pastMs === undefined
+      ? REDIAL_MIN_MS
+      : Math.min(REDIAL_MAX_MS, pastMs * REDIAL_GROWTH);
+    const atMs = performance.now() + pauseMs;
+    this.#redials.set(address, { atMs, pauseMs });
+  }
+
   #rankOf(peer: Instance): string {
     return hashParts([this.#options.entry, peer.name]);
   }
@@ -173,10 +266,15 @@
       key: this.#options.key,
       handlers: {
         ...this.#handlers(),
-        onOpen: () => this.#options.log(EVENTS.peerConnected, { peer: name }),
+        onOpen: () => {
+          this.#redials.delete(address);
+          this.#options.log(EVENTS.peerConnected, { peer: name });
+        },
         onClose: (_, wasOpen) => {
           this.#dialled.delete(address);
-          if (wasOpen) this.#options.log(EVENTS.peerLost, { peer: name });
+          if (!wasOpen) return this.#postpone(address);
+          this.#options.log(EVENTS.peerLost, { peer: name });
+          this.#options.onPeerLost?.(name as EntryId);
         },
       },
     });
@@ -185,7 +283,7 @@
 
   #exchange(): void {
     this.#dialChosen();
-    const digest = this.#options.createDigest();
-    for (const link of this.#dialled.values()) link.send(digest);
+    this.#turn = (this.#turn + 1) % (this.#isCrowded ? CROWDED_TURNS : 1);
+    if (this.#turn === 0) this.announce();
   }
 }
--- a/src/process/prompt_places.ts
+++ b/src/process/prompt_places.ts
@@ -26,6 +26,8 @@
 export class PromptPlaces {
   readonly #now: () => number;
   readonly #places = new Map<string, PromptPlace>();
+  /** Count of open streams by prompt. */
+  readonly #open = new Map<string, number>();
 
   private constructor({ now }: PromptPlacesOptions) {
     this.#now = now;
@@ -36,8 +38,9 @@
     return new PromptPlaces(options);
   }
 
-  /** Notes where a prompt is read. */
+  /** Notes where a prompt is read; a request without one shares none. */
   note(prompt: string, server: string, isOwn = true): void {
+    if (prompt === "") return;
     // Deleting first keeps the oldest place at the front.
     this.#places.delete(prompt);
     this.#places.set(prompt, { server, notedMs: this.#now(), isOwn });
@@ -47,6 +50,20 @@
     }
   }
 
+  /**
+   * Keeps a prompt's place among the news while its stream is open: if this
+   * entry ends first, the caller comes back to one that may have started since.
+   * Returns what ends that.
+   */
+  hold(prompt: string): () => void {
+    this.#open.set(prompt, (this.#open.get(prompt) ?? 0) + 1);
+    return () => {
+      const left = (this.#open.get(prompt) ?? 1) - 1;
+      if (left > 0) this.#open.set(prompt, left);
+      else this.#open.delete(prompt);
+    };
+  }
+
   /** Returns the server that read a prompt lately, if any. */
   find(prompt: string): string | undefined {
     const place = this.#places.get(prompt);
@@ -56,11 +73,13 @@
     return undefined;
   }
 
-  /** Returns the places that this entry noted just now. */
+  /** Returns the places that this entry noted just now, and those of open streams. */
   news(): readonly (readonly [string, string])[] {
     const sinceMs = this.#now() - NEWS_MS;
     return [...this.#places]
-      .filter(([, { isOwn, notedMs }]) => isOwn && notedMs >= sinceMs)
+      .filter(([prompt, { isOwn, notedMs }]) =>
+        isOwn && (notedMs >= sinceMs || this.#open.has(prompt))
+      )
       .map(([prompt, { server }]) => [prompt, server] as const);
   }
 }
--- a/src/process/relay_context.ts
+++ b/src/process/relay_context.ts
@@ -1,6 +1,8 @@
 /** What the orders of one entry share. */
 
 import type { OrderWish } from "../request/place_order.ts";
+import type { CopyReleaser, RunCopier } from "../request/run_copies.ts";
+import type { CallerTimes } from "./caller_times.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import type { LiveServers } from "./live_servers.ts";
 import type { Log } from "./log.ts";
@@ -20,8 +22,11 @@
   readonly suspicions: Suspicions;
   readonly dispatcher: Dispatcher<OrderWish>;
   readonly budget: RetryBudget;
+  readonly callerTimes: CallerTimes;
   /** Whether the engines of a service can keep copies of each other's runs. */
   readonly canBackUp: (service: string) => boolean;
+  readonly copyRun: RunCopier;
+  readonly freeCopy: CopyReleaser;
   /** Monotonic clock, in ms. */
   readonly now: () => number;
 }
--- /dev/null
+++ b/src/process/retry_budget_test.ts
@@ -0,0 +1,47 @@
+import { expect, test } from "vitest";
+import { RetryBudget } from "./retry_budget.ts";
+
+const SERVICE = "engines";
+const RATIO = 0.8;
+const ALLOWANCE = 150;
+
+/** All entries send as many retries as they may; returns the sum. */
+function spendAll(entries: number, requestsEach: number): number {
+  let spent = 0;
+  for (let entry = 0; entry < entries; entry++) {
+    const budget = RetryBudget.create({
+      now: () => 0,
+      ratio: RATIO,
+      allowance: ALLOWANCE,
+      windowMs: 10_000,
+      entryCount: () => entries,
+    });
+    for (let at = 0; at < requestsEach; at++) budget.countRequest(SERVICE);
+    while (budget.takeRetry(SERVICE)) spent++;
+  }
+  return spent;
+}
+
+test.each([[1, 100], [6, 40], [59, 4], [390, 0]])(
+  "%i entries with %i requests each stay within what they may repeat together",
+  (entries, requestsEach) => {
+    const limit = RATIO * entries * requestsEach + ALLOWANCE;
+    expect(spendAll(entries, requestsEach)).toBeLessThanOrEqual(limit);
+  },
+);
+
+test("a retry counts for the window only", () => {
+  const clock = { nowMs: 0 };
+  const budget = RetryBudget.create({
+    now: () => clock.nowMs,
+    ratio: 0,
+    allowance: 10,
+    windowMs: 10_000,
+    entryCount: () => 1,
+  });
+  let first = 0;
+  while (budget.takeRetry(SERVICE)) first++;
+  expect(first).toBe(8);
+  clock.nowMs = 10_001;
+  expect(budget.takeRetry(SERVICE)).toBe(true);
+});
--- /dev/null
+++ b/src/process/server_ring_test.ts
@@ -0,0 +1,63 @@
+/** Each key has its own order of servers, which hardly changes with them. */
+
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { ServerRing } from "./server_ring.ts";
+
+function ringOf(names: Iterable<string>): ServerRing {
+  const ring = ServerRing.create();
+  for (const name of names) ring.add(name);
+  return ring;
+}
+
+test("every server is named once, whatever was added and taken out in between", () => {
+  const name = fc.constantFrom(..."abcdefghij");
+  const change = fc.record({ name, isAdded: fc.boolean() });
+  fc.assert(
+    fc.property(fc.array(change), fc.string(), (changes, key) => {
+      const ring = ServerRing.create();
+      const held = new Set<string>();
+      for (const { name, isAdded } of changes) {
+        if (isAdded) ring.add(name);
+        else ring.delete(name);
+        if (isAdded) held.add(name);
+        else held.delete(name);
+      }
+      const named = [...ring.from(key)];
+      expect(named.length).toBe(held.size);
+      expect(new Set(named)).toEqual(held);
+    }),
+  );
+});
+
+test("the order does not depend on the order of arrival", () => {
+  const names = ["i-1", "i-2", "i-3", "i-4", "i-5"];
+  const order = [...ringOf(names).from("prompt")];
+  expect([...ringOf(names.toReversed()).from("prompt")]).toEqual(order);
+});
+
+test("a server that leaves changes nothing in the order of the others", () => {
+  const names = Array.from({ length: 50 }, (_, at) => `i-${at}`);
+  const ring = ringOf(names);
+  const before = [...ring.from("prompt")];
+  ring.delete("i-7");
+  expect([...ring.from("prompt")]).toEqual(
+    before.filter((name) => name !== "i-7"),
+  );
+});
+
+test("each server is among the first half for about half of the keys", () => {
+  const names = Array.from({ length: 40 }, (_, at) => `i-${at}`);
+  const ring = ringOf(names);
+  const counts = new Map(names.map((name) => [name, 0]));
+  const keys = 2_000;
+  for (let at = 0; at < keys; at++) {
+    for (const name of [...ring.from(`prompt-${at}`)].slice(0, 20)) {
+      counts.set(name, (counts.get(name) ?? 0) + 1);
+    }
+  }
+  for (const count of counts.values()) {
+    expect(count / keys).toBeGreaterThan(0.45);
+    expect(count / keys).toBeLessThan(0.55);
+  }
+});
--- a/src/request/note_attempt.ts
+++ b/src/request/note_attempt.ts
@@ -9,7 +9,7 @@
 import type { RelayContext } from "../process/relay_context.ts";
 import { AttemptProgress } from "./attempt_record.ts";
 import { judgeCrash } from "./crash_blame.ts";
-import type { Order } from "./order.ts";
+import { endMs, type Order, OrderKind } from "./order.ts";
 import type { AttemptEntry } from "./order_attempts.ts";
 
 /** Logs that an order goes to a server, and the view that decided it. */
@@ -27,6 +27,7 @@
     server: server.name,
     zone: server.zone,
     since_ms: Math.round(now() - order.receivedMs),
+    left_ms: Math.round(endMs(order) - now()),
     own: view?.own.requests ?? 0,
     own_tokens: view?.own.tokens ?? 0,
     others: view?.others.requests ?? 0,
@@ -52,12 +53,8 @@
     judgeCrash(context, { order, server });
     checkServer(context, server);
   }
-  const isUnreachable = error.lossCause === LossCause.Unreachable ||
-    error.lossCause === LossCause.Silent;
-  servers.lose(
-    server.name,
-    isUnreachable ? ServerLoss.Unreachable : ServerLoss.Broken,
-  );
+  const loss = serverLossOf(error, order);
+  if (loss !== undefined) servers.lose(server.name, loss);
   metrics.losses.inc({ cause: error.lossCause });
   log(EVENTS.attemptLost, {
     request: order.id,
@@ -68,6 +65,23 @@
   });
 }
 
+/** Returns what a lost sending says of its server; `undefined` for nothing. */
+function serverLossOf(
+  { lossCause }: AttemptLoss,
+  { kind }: Order,
+): ServerLoss | undefined {
+  switch (lossCause) {
+    case LossCause.Unreachable:
+    case LossCause.Silent:
+      return ServerLoss.Unreachable;
+    case LossCause.TimeUp:
+      // A stream's server is judged by its silence; of a call it never answered.
+      return kind === OrderKind.Stream ? undefined : ServerLoss.Broken;
+    default:
+      return ServerLoss.Broken;
+  }
+}
+
 /** Learns whether a server that closed a connection still lives. */
 async function checkServer(
   { servers, reports }: RelayContext,
--- a/src/request/place_order.ts
+++ b/src/request/place_order.ts
@@ -1,6 +1,11 @@
 /** Gets an order a place on a backend server. */
 
-import { NO_LOAD, type ServerLoad } from "../process/live_server.ts";
+import type { LostZone } from "../process/choose_server.ts";
+import {
+  type LiveServer,
+  NO_LOAD,
+  type ServerLoad,
+} from "../process/live_server.ts";
 import type { ServerRequest } from "../process/live_servers.ts";
 import type { Place, PlaceOrder, PlaceWish } from "../process/dispatcher.ts";
 import type { RelayContext } from "../process/relay_context.ts";
@@ -20,6 +25,8 @@
   readonly isResumed: boolean;
   /** Name of the server to prefer while it has room. */
   readonly preferred?: string;
+  /** Zone in which the order just lost a server. */
+  readonly lostZone?: LostZone;
   /** Until then it rather waits than lines up behind other prompts, in ms. */
   readonly patientUntilMs?: number;
 }
@@ -34,6 +41,19 @@
   return { ...NO_LOAD, unreadTokens: promptTokens };
 }
 
+/** Counts work at a server until the returned function is called. */
+export function holdLoad(
+  { servers }: RelayContext,
+  { server, load }: { readonly server: LiveServer; readonly load: ServerLoad },
+): () => void {
+  servers.begin(server.name, load);
+  let isHeld = true;
+  return () => {
+    if (isHeld) servers.end(server.name, load);
+    isHeld = false;
+  };
+}
+
 /** Waits for a place. Errors: a `Refusal` of type not run. */
 export function placeOrder(
   { dispatcher }: RelayContext,
@@ -56,6 +76,7 @@
     service: order.service,
     tokens: order.memoryTokens,
     unreadTokens: order.promptTokens,
+    prompt: order.prompt,
     load: loadOfOrder(order),
     isSuspect: false,
     ...wait,
--- a/src/request/recovery_test.ts
+++ b/src/request/recovery_test.ts
@@ -38,6 +38,10 @@
     stalled, started, no token: withdraw
     stalled, reattached, some tokens: abandon
     stalled, reattached, no token: withdraw
+    time_up, started, some tokens: abandon
+    time_up, started, no token: abandon
+    time_up, reattached, some tokens: abandon
+    time_up, reattached, no token: abandon
     silent, started, some tokens: abandon
     silent, started, no token: abandon
     silent, reattached, some tokens: abandon
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -11,31 +11,21 @@
 import { EventSplitter, type WireEvent } from "../connection/event_splitter.ts";
 import { AttemptLoss, LossCause, Refusal } from "../errors.ts";
 import { EVENTS } from "../process/event_catalog.ts";
-import type { LiveServer, ServerLoad } from "../process/live_server.ts";
+import type { LostZone } from "../process/choose_server.ts";
+import type { LiveServer } from "../process/live_server.ts";
 import { ServerLoss } from "../process/live_servers.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import { AttemptProgress } from "./attempt_record.ts";
-import { chooseBackup } from "./choose_backup.ts";
 import { isHarmful } from "./crash_blame.ts";
 import { endMs, type Order } from "./order.ts";
-import { type AttemptEntry, OrderAttempts } from "./order_attempts.ts";
-import { loadOfOrder, placeOrder, unreadPrompt } from "./place_order.ts";
+import { OrderAttempts } from "./order_attempts.ts";
+import { holdLoad, loadOfOrder, placeOrder } from "./place_order.ts";
 import { logAttempt, noteLoss } from "./note_attempt.ts";
+import type { RunCopy } from "./run_copies.ts";
 import { type OrderExchange, OrderOutcome } from "./serve_order.ts";
-import {
-  COPY_EVENT_CHECK_MS,
-  EventSpacing,
-  FIRST_EVENT_CHECK_MS,
-} from "./silence.ts";
-import { SilenceGuard } from "./silence_guard.ts";
-
-/** A place for one sending of the stream. */
-interface Seat {
-  readonly server: LiveServer;
-  /** Whether the server holds a copy of the run. */
-  readonly fromCopy: boolean;
-  readonly close: () => void;
-}
+import { EventSpacing } from "./silence.ts";
+import { type Seat, StreamSending } from "./stream_sending.ts";
+import { StreamSplice } from "./stream_splice.ts";
 
 /** How one sending ended. */
 enum Ending {
@@ -49,6 +39,7 @@
 const WAIT_PART = 0.6;
 /** Part of the target time in which it rather waits than lines up behind others. */
 const PATIENCE_PART = 0.3;
+const MS_PER_S = 1_000;
 const SUCCESS_MIN = 200;
 const SUCCESS_MAX = 299;
 
@@ -67,15 +58,14 @@
   readonly #order: Order;
   readonly #attempts: OrderAttempts;
   readonly #lost = new Set<string>();
-  #lastId: string | undefined;
-  /** Events of the run that reached us from the present server. */
-  #events = 0;
+  readonly #splice: StreamSplice;
   #hasBegun = false;
   #lostAtMs: number | undefined;
-  /** Server that holds a copy of the run as the last sending left it. */
-  #copyAt: LiveServer | undefined;
-  /** Says that the present server has read the prompt. */
-  #endReading: () => void = () => undefined;
+  /** Where the last sending was lost, unless its server was sound. */
+  #lostZone: LostZone | undefined;
+  /** Copy of the run as the last sending left it. */
+  #copy: RunCopy | undefined;
+  #isTimeUp = false;
   #reason = "no backend server took it in time";
 
   private constructor(context: RelayContext, exchange: OrderExchange) {
@@ -83,7 +73,9 @@
     this.#exchange = exchange;
     this.#order = exchange.order;
     this.#attempts = OrderAttempts.create(exchange.order);
-    this.#lastId = exchange.order.resumeAfter;
+    const { isResumable, resumeAfter } = exchange.order;
+    // Elsewhere a server need not go on where the caller asks it to.
+    this.#splice = StreamSplice.create(isResumable ? resumeAfter : undefined);
   }
 
   static create(context: RelayContext, exchange: OrderExchange): StreamRelay {
@@ -91,6 +83,15 @@
   }
 
   async run(): Promise<OrderOutcome> {
+    const release = this.#context.prompts.hold(this.#order.prompt);
+    try {
+      return await this.#runHeld();
+    } finally {
+      release();
+    }
+  }
+
+  async #runHeld(): Promise<OrderOutcome> {
     const { caller } = this.#exchange;
     while (!caller.signal.aborted && this.#maySend()) {
       const seat = this.#seatOnCopy() ?? await this.#seat();
@@ -110,7 +111,7 @@
     }
     this.#context.log(EVENTS.generationInterrupted, {
       request: this.#order.id,
-      after: this.#lastId ?? "",
+      after: this.#splice.lastId ?? "",
       reason: this.#reason,
       sendings: this.#attempts.count,
     });
@@ -119,7 +120,7 @@
   }
 
   #maySend(): boolean {
-    if (endMs(this.#order) <= this.#context.now()) {
+    if (this.#isTimeUp || endMs(this.#order) <= this.#context.now()) {
       this.#reason = "time limit reached";
       return false;
     }
@@ -131,12 +132,14 @@
 
   /** Goes on at the server that holds a copy, whatever its load. */
   #seatOnCopy(): Seat | undefined {
-    const server = this.#copyAt;
-    this.#copyAt = undefined;
-    if (server === undefined) return undefined;
+    const copy = this.#copy;
+    this.#copy = undefined;
+    if (copy === undefined) return undefined;
+    const { server } = copy;
     if (!this.#context.servers.isUsable(server.name)) return undefined;
-    const close = this.#hold(server, loadOfOrder(this.#order));
-    return { server, fromCopy: true, close };
+    const load = loadOfOrder(this.#order);
+    const close = holdLoad(this.#context, { server, load });
+    return { server, copy, close };
   }
 
   /** Waits for a place; `undefined` when there is none in time. */
@@ -151,6 +154,7 @@
       waitMs: Math.max(0, waitMs),
       signal,
       isResumed: this.#hasBegun,
+      ...(this.#lostZone === undefined ? {} : { lostZone: this.#lostZone }),
       preferred: this.#context.prompts.find(this.#order.prompt),
       patientUntilMs: this.#hasBegun
         ? 0
@@ -167,7 +171,6 @@
       const place = await placeOrder(this.#context, this.#order, wait);
       return {
         server: place.server as LiveServer,
-        fromCopy: false,
         close: place.close,
       };
     } catch (error) {
@@ -177,117 +180,106 @@
     }
   }
 
-  /** Counts work at a server until the returned function is called. */
-  #hold(server: LiveServer, load: ServerLoad): () => void {
-    const { servers } = this.#context;
-    servers.begin(server.name, load);
-    let isHeld = true;
-    return () => {
-      if (isHeld) servers.end(server.name, load);
-      isHeld = false;
-    };
-  }
-
   async #sendOnce(seat: Seat): Promise<Ending> {
-    const { server, fromCopy } = seat;
-    const { now, servers } = this.#context;
-    const { caller, open } = this.#exchange;
-    const entry = this.#attempts.add(server.name);
-    const backup = this.#chooseBackup(server);
-    logAttempt(this.#context, {
+    const { caller } = this.#exchange;
+    this.#splice.beginPart();
+    const sending = StreamSending.create({
+      context: this.#context,
       order: this.#order,
-      server,
-      details: {
-        from_copy: fromCopy,
-        after: this.#lastId ?? "",
-        backup: backup?.name ?? "",
-      },
-    });
-    const releaseBackup = backup === undefined
-      ? undefined
-      : this.#hold(backup, { ...loadOfOrder(this.#order), requests: 0 });
-    this.#endReading = fromCopy
-      ? () => undefined
-      : this.#hold(server, unreadPrompt(this.#order));
-    const stop = new AbortController();
-    const lose = (cause: LossCause, detail: string) => {
-      stop.abort(new AttemptLoss(cause, detail));
-    };
-    const leftMs = endMs(this.#order) - now();
-    const limit = setTimeout(
-      () => lose(LossCause.Stalled, "time limit reached"),
-      leftMs,
-    );
-    const guard = SilenceGuard.create({
-      reports: this.#context.reports,
-      server,
-      id: this.#order.id,
-      firstLimitMs: fromCopy ? COPY_EVENT_CHECK_MS : FIRST_EVENT_CHECK_MS,
-      events: () => this.#events,
-      onLost: lose,
+      seat,
+      entry: this.#attempts.add(seat.server.name),
+      excluded: this.#lost,
+      events: () => this.#splice.events,
     });
-    this.#events = 0;
+    this.#log(sending);
     try {
-      const answer = await open({
-        server,
-        leftMs,
-        resumeAfter: this.#lastId,
-        fromCopy,
-        backup,
-        signal: AbortSignal.any([caller.signal, stop.signal]),
-        onSent: () => entry.progress = AttemptProgress.Sent,
-      });
+      const answer = await this.#open(sending);
       if (answer.hasNotRun) {
-        entry.progress = AttemptProgress.KnownNotRun;
-        // A server without the copy is sound; the order starts anew.
-        if (answer.isReplaced) servers.lose(server.name, ServerLoss.Replaced);
-        else if (!fromCopy) servers.lose(server.name, ServerLoss.Full);
+        this.#noteNotRun(sending, answer);
         return Ending.Lost;
       }
-      entry.progress = AttemptProgress.KnownRun;
-      this.#context.prompts.note(this.#order.prompt, server.name);
-      return await this.#take(answer, { seat, guard });
+      sending.entry.progress = AttemptProgress.KnownRun;
+      this.#context.prompts.note(this.#order.prompt, seat.server.name);
+      return await this.#take(answer, sending);
     } catch (error) {
       if (!(error instanceof AttemptLoss)) throw error;
       if (!caller.signal.aborted) {
-        this.#noteLoss({ entry, server, error });
-        // A run has no copy before its first event.
-        this.#copyAt = this.#events > 0 ? backup : undefined;
+        this.#noteLoss(sending, error);
+        this.#copy = sending.copies.copy;
       }
       return Ending.Lost;
     } finally {
-      clearTimeout(limit);
-      guard.close();
-      this.#endReading();
-      seat.close();
-      releaseBackup?.();
+      sending.close(this.#copy === undefined);
     }
   }
 
-  #noteLoss(
-    loss: {
-      readonly entry: AttemptEntry;
-      readonly server: LiveServer;
-      readonly error: AttemptLoss;
-    },
+  #log({ seat, copies }: StreamSending): void {
+    const { prompt } = this.#order;
+    logAttempt(this.#context, {
+      order: this.#order,
+      server: seat.server,
+      details: {
+        from_copy: seat.copy !== undefined,
+        after: this.#splice.lastId ?? "",
+        backup: copies.asked?.name ?? "",
+        prompt,
+        read_at: this.#context.prompts.find(prompt) ?? "",
+      },
+    });
+  }
+
+  #open(
+    { seat, copies, entry, signal }: StreamSending,
+  ): Promise<BackendAnswer> {
+    const { caller, open } = this.#exchange;
+    return open({
+      server: seat.server,
+      leftMs: endMs(this.#order) - this.#context.now(),
+      resumeAfter: this.#splice.lastId ?? this.#order.resumeAfter,
+      copy: seat.copy,
+      backup: copies.asked,
+      signal: AbortSignal.any([caller.signal, signal]),
+      onSent: () => entry.progress = AttemptProgress.Sent,
+    });
+  }
+
+  #noteNotRun(
+    { seat, entry }: StreamSending,
+    { isReplaced }: BackendAnswer,
   ): void {
-    this.#reason = loss.error.message;
-    this.#lost.add(loss.server.name);
+    const { servers } = this.#context;
+    const { server, copy } = seat;
+    entry.progress = AttemptProgress.KnownNotRun;
+    // A server without the copy is sound; the order starts anew.
+    if (isReplaced) servers.lose(server.name, ServerLoss.Replaced);
+    else if (copy === undefined) servers.noteFull(server.name);
+  }
+
+  #noteLoss({ seat, entry }: StreamSending, error: AttemptLoss): void {
+    const { server } = seat;
+    this.#reason = error.message;
+    this.#isTimeUp = error.lossCause === LossCause.TimeUp;
+    const isSound = error.lossCause === LossCause.Stalled ||
+      error.lossCause === LossCause.Refused;
+    this.#lostZone = isSound
+      ? undefined
+      : { zone: server.zone, atMs: this.#context.now() };
+    this.#lost.add(server.name);
     if (this.#hasBegun) this.#lostAtMs ??= this.#context.now();
-    noteLoss(this.#context, { order: this.#order, ...loss });
+    noteLoss(this.#context, { order: this.#order, entry, server, error });
   }
 
   async #take(
     answer: BackendAnswer,
-    { seat, guard }: { readonly seat: Seat; readonly guard: SilenceGuard },
+    sending: StreamSending,
   ): Promise<Ending> {
     const { status } = answer.head;
     const isSuccess = status >= SUCCESS_MIN && status <= SUCCESS_MAX;
-    if (isSuccess) return await this.#relay(answer, { seat, guard });
+    if (isSuccess) return await this.#relay(answer, sending);
     const body = await collectBody(answer);
     const mayRetry = this.#attempts.maySendAgain;
     if (this.#hasBegun || mayRetry) {
-      this.#lost.add(seat.server.name);
+      this.#lost.add(sending.seat.server.name);
       throw new AttemptLoss(LossCause.Refused, `status ${status}`);
     }
     this.#exchange.caller.answer(answer.head, body);
@@ -297,8 +289,9 @@
   /** Passes whole events on; what a lost server left unfinished is dropped. */
   async #relay(
     answer: BackendAnswer,
-    { seat, guard }: { readonly seat: Seat; readonly guard: SilenceGuard },
+    sending: StreamSending,
   ): Promise<Ending> {
+    const { seat, guard } = sending;
     const { caller } = this.#exchange;
     const { servers, now } = this.#context;
     const splitter = EventSplitter.create();
@@ -308,10 +301,13 @@
       const events = [...splitter.push(bytes)];
       guard.hear(spacing.next());
       if (events.length === 0) continue;
-      this.#endReading();
+      sending.noteEvents();
+      const fresh = this.#splice.accept(events);
+      if (fresh.length === 0) continue;
       guard.hold();
       if (!this.#hasBegun) this.#begin(answer);
-      await caller.write(this.#accept(events));
+      this.#noteResumed(fresh);
+      await caller.write(Buffer.concat(fresh.map((event) => event.bytes)));
       guard.resume();
     }
     if (splitter.holdsPart) {
@@ -331,36 +327,20 @@
       took_ms: Math.round(tookMs),
       sendings: this.#attempts.count,
     });
-    metrics.firstByte.observe({ route: this.#order.route }, tookMs / 1_000);
+    metrics.firstByte.observe({ route: this.#order.route }, tookMs / MS_PER_S);
     this.#exchange.caller.begin(answer.head);
   }
 
-  #accept(events: readonly WireEvent[]): Buffer {
-    const last = events.findLast(({ id }) => id !== undefined);
-    this.#lastId = last?.id ?? this.#lastId;
-    // Ids count the events of a run from 1, across the servers it ran on.
-    this.#events = Number(this.#lastId) || events.length;
-    if (this.#lostAtMs !== undefined) {
-      const pauseMs = this.#context.now() - this.#lostAtMs;
-      this.#context.metrics.resumeSeconds.observe(pauseMs / 1_000);
-      this.#context.log(EVENTS.generationResumed, {
-        request: this.#order.id,
-        after: events[0]?.id ?? "",
-        pause_ms: Math.round(pauseMs),
-      });
-      this.#lostAtMs = undefined;
-    }
-    return Buffer.concat(events.map(({ bytes }) => bytes));
-  }
-
-  #chooseBackup(server: LiveServer): LiveServer | undefined {
-    const { canBackUp } = this.#context;
-    const { service, isResumable } = this.#order;
-    if (!isResumable || !canBackUp(service)) return undefined;
-    return chooseBackup(this.#context.servers, {
-      order: this.#order,
-      server,
-      excluded: this.#lost,
+  #noteResumed([first]: readonly WireEvent[]): void {
+    if (this.#lostAtMs === undefined) return;
+    const { metrics, log, now } = this.#context;
+    const pauseMs = now() - this.#lostAtMs;
+    this.#lostAtMs = undefined;
+    metrics.resumeSeconds.observe(pauseMs / MS_PER_S);
+    log(EVENTS.generationResumed, {
+      request: this.#order.id,
+      after: first?.id ?? "",
+      pause_ms: Math.round(pauseMs),
     });
   }
 }
--- a/src/request/silence.ts
+++ b/src/request/silence.ts
@@ -23,12 +23,31 @@
 /** Reports without the run after which it counts as lost; one may be too old. */
 const ABSENCES_MAX = 2;
 
+/** Prompt tokens that an engine reads in a ms, on the users' sheets. */
+const READ_TOKENS_PER_MS = 5;
+/** How many times longer than the known prompts a first event may take: others come unseen. */
+const READ_FACTOR = 3;
+/** Time that a first event may take besides, in ms. */
+const FIRST_EVENT_SLACK_MS = 1_000;
+
+/**
+ * Returns how long a sound server may take to the first event of a run, in ms.
+ *
+ * @param unreadTokens prompt tokens that the server has still to read, this
+ * run's included
+ */
+export function firstEventMaxMs(unreadTokens: number): number {
+  return FIRST_EVENT_SLACK_MS + READ_FACTOR * unreadTokens / READ_TOKENS_PER_MS;
+}
+
 /** What is known of a run that fell silent. */
 export interface SilentRun {
   readonly id: string;
   readonly server: LiveServer;
   /** Events received; 0 before the first. */
   readonly events: number;
+  /** Whether its first event should have come long ago. */
+  readonly isOverdue: boolean;
   /** Earlier reports in this silence that did not list the run. */
   readonly absences: number;
 }
@@ -46,11 +65,12 @@
 /** Judges a silent run by its server's report. */
 export function judgeSilence(
   report: ServerReport,
-  { id, server, events, absences }: SilentRun,
+  { id, server, events, isOverdue, absences }: SilentRun,
 ): SilenceVerdict {
   if (isRestarted(report, server)) return SilenceVerdict.Lost;
   // Until its first event a run is listed nowhere.
-  if (report.runs === undefined || events === 0) return SilenceVerdict.Alive;
+  const isReading = events === 0 && !isOverdue;
+  if (report.runs === undefined || isReading) return SilenceVerdict.Alive;
   const run = report.runs.get(id);
   if (run !== undefined) {
     const isAhead = run.events > events + EVENTS_AHEAD_MAX;
--- a/src/request/silence_guard.ts
+++ b/src/request/silence_guard.ts
@@ -18,8 +18,12 @@
   readonly id: string;
   /** Silence before the first event after which the server is asked, in ms. */
   readonly firstLimitMs: number;
+  /** Longest time to the first event, in ms. */
+  readonly firstMaxMs: number;
   /** Events received so far. */
   readonly events: () => number;
+  /** Monotonic clock, in ms. */
+  readonly now: () => number;
   /** Called once when the run counts as lost. */
   readonly onLost: (cause: LossCause, detail: string) => void;
 }
@@ -28,12 +32,14 @@
 export class SilenceGuard {
   readonly #options: SilenceGuardOptions;
   readonly #timer: StallTimer;
+  readonly #startMs: number;
   #heardCount = 0;
   #absences = 0;
   #closed = false;
 
   private constructor(options: SilenceGuardOptions) {
     this.#options = options;
+    this.#startMs = options.now();
     this.#timer = StallTimer.create(
       options.firstLimitMs,
       () => this.#check(),
@@ -72,12 +78,18 @@
   async #check(): Promise<void> {
     const heardCount = this.#heardCount;
     const { reports, server, id, events, onLost } = this.#options;
+    const { now, firstMaxMs } = this.#options;
     const isOver = () => this.#closed || this.#heardCount !== heardCount;
     try {
       const report = await reports.ask(server);
       if (isOver()) return;
-      const run = { id, server, events: events(), absences: this.#absences };
-      const verdict = judgeSilence(report, run);
+      const verdict = judgeSilence(report, {
+        id,
+        server,
+        events: events(),
+        isOverdue: now() - this.#startMs > firstMaxMs,
+        absences: this.#absences,
+      });
       if (verdict === SilenceVerdict.Lost) {
         return onLost(LossCause.Stalled, "the report shows that it has ended");
       }
--- /dev/null
+++ b/standins/runner.ts
@@ -0,0 +1,88 @@
+/**
+ * Stand-in for a backend server of the users' platform: streams that go on
+ * after an event id, calls, reports, and a line on standard output for each run.
+ * Each event and body names the request that it belongs to.
+ */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { ServerHeader } from "../platform/headers.ts";
+import { readBody, sendJson } from "../src/connection/http_server.ts";
+import { announceRun, runStandin, writeStandinError } from "./standin.ts";
+
+/** Switches of the stand-in, set by `POST /standin/control`. */
+interface Switches {
+  /** Id of this incarnation; requests meant for another one are not run. */
+  id: string;
+  /** Time between two events, in ms. */
+  eventMs: number;
+  /** Time that a call takes, in ms. */
+  callMs: number;
+}
+
+const BODY_MAX_BYTES = 1_000_000;
+const HTTP_MISDIRECTED = 421;
+const switches: Switches = { id: "", eventMs: 20, callMs: 20 };
+const bornMs = Date.now();
+/** Events made by each open run. */
+const runs = new Map<string, number>();
+
+async function handle(
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const url = new URL(request.url ?? "/", "http://runner");
+  const body = await readBody(request, BODY_MAX_BYTES);
+  if (url.pathname === "/standin/control") {
+    Object.assign(switches, JSON.parse(body.toString()));
+    return sendJson(response, 200, switches);
+  }
+  if (url.pathname === "/v1/report") {
+    const listed = [...runs].map(([id, events]) => [id, 1, events, 5]);
+    return sendJson(response, 200, { born: bornMs, waiting: 0, runs: listed });
+  }
+  const id = headerOf(request, "x-request-id");
+  if (headerOf(request, ServerHeader.ExpectInstance) !== switches.id) {
+    response.writeHead(HTTP_MISDIRECTED, { "x-not-executed": "1" });
+    return void response.end();
+  }
+  announceRun(`${Date.now()} ${switches.id} ${id}`);
+  response.setHeader("x-request-id", id);
+  response.setHeader("x-server-stamp", "stamp");
+  if (url.pathname.startsWith("/stream/")) {
+    return await stream(url, request, response);
+  }
+  await sleep(switches.callMs);
+  response.end(`answer to ${url.pathname}`);
+}
+
+async function stream(
+  url: URL,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const id = headerOf(request, "x-request-id");
+  const first = Number(headerOf(request, ServerHeader.LastEventId)) + 1;
+  const last = Number(url.searchParams.get("events"));
+  response.writeHead(200, { "content-type": "text/event-stream" });
+  for (let at = first; at <= last && !response.destroyed; at++) {
+    await sleep(switches.eventMs);
+    runs.set(id, at);
+    response.write(`id: ${at}\ndata: ${url.pathname} ${at}\n\n`);
+  }
+  runs.delete(id);
+  response.end();
+}
+
+function headerOf(request: IncomingMessage, name: string): string {
+  return String(request.headers[name.toLowerCase()] ?? "");
+}
+
+const server = createServer((request, response) => {
+  handle(request, response).catch(writeStandinError(response));
+});
+await runStandin(server);
--- /dev/null
+++ b/tests/local_platform_entry.ts
@@ -0,0 +1,41 @@
+/** An entry on the platform, in the test's own process, on free loopback ports. */
+
+import { takeKnownPort } from "../bench/known_port.ts";
+import { PlatformEntry } from "../platform/entry.ts";
+import type { EntryId } from "../src/ids.ts";
+
+/** Address on which everything listens. */
+export const HOST = "127.0.0.1";
+
+/** A started entry and where it takes callers. */
+export interface LocalEntry {
+  readonly entry: PlatformEntry;
+  /** IP and port for callers. */
+  readonly address: string;
+}
+
+/** Starts an entry that follows the store at an address. */
+export async function startLocalEntry(
+  name: string,
+  storeAddress: string,
+): Promise<LocalEntry> {
+  const address = `${HOST}:${await takeKnownPort()}`;
+  const entry = PlatformEntry.create({
+    entry: name as EntryId,
+    zone: "zone-a",
+    host: HOST,
+    callersAddress: address,
+    readyAddress: `${HOST}:${await takeKnownPort()}`,
+    peerPort: await takeKnownPort(),
+    metricsPort: 0,
+    heartbeatMs: 1_200,
+    storeAddress,
+    deployment: storeAddress,
+    graceMs: 8_000,
+    retryRatio: 1,
+    retryAllowance: 100,
+    retryWindowMs: 10_000,
+  }, () => undefined);
+  await entry.start();
+  return { entry, address };
+}
--- a/tests/platform_entry_test.ts
+++ b/tests/platform_entry_test.ts
@@ -13,12 +13,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { LocalCluster } from "../bench/local_cluster.ts";
-import { PlatformEntry } from "../platform/entry.ts";
+import type { PlatformEntry } from "../platform/entry.ts";
 import { ObjectStore } from "../platform/object_store.ts";
-import type { EntryId } from "../src/ids.ts";
+import { splitAddress } from "../src/connection/http_call.ts";
+import { listMembers } from "../src/process/membership.ts";
+import { HOST, startLocalEntry } from "./local_platform_entry.ts";
 
 const KEY = "key-of-alpha";
-const HOST = "127.0.0.1";
 
 let cluster: LocalCluster;
 let store: ObjectStore;
@@ -66,35 +67,15 @@
   };
 }
 
-async function freePort(): Promise<number> {
-  const probe = createServer();
-  const found = await listen(probe);
-  await new Promise((resolve) => probe.close(resolve));
-  return found;
-}
-
 async function listen(listening: Server): Promise<number> {
   await new Promise<void>((resolve) => listening.listen(0, HOST, resolve));
   return (listening.address() as AddressInfo).port;
 }
 
 async function startEntry(): Promise<void> {
-  port = await freePort();
-  entry = PlatformEntry.create({
-    entry: "entry-1" as EntryId,
-    zone: "zone-a",
-    host: HOST,
-    callersAddress: `${HOST}:${port}`,
-    readyAddress: `${HOST}:${await freePort()}`,
-    peerPort: await freePort(),
-    metricsPort: 0,
-    storeAddress: cluster.platform.address,
-    graceMs: 8_000,
-    retryRatio: 1,
-    retryAllowance: 100,
-    retryWindowMs: 10_000,
-  }, () => undefined);
-  await entry.start();
+  const started = await startLocalEntry("entry-1", cluster.platform.address);
+  entry = started.entry;
+  ({ port } = splitAddress(started.address));
 }
 
 beforeEach(async () => {
@@ -267,6 +248,8 @@
   expect(await exchange(busy, request("/stream/b"))).toMatch(/ 200 /);
   const stopped = entry.stop();
   expect(entry.isReady).toBe(false);
+  // Entries that start meanwhile still find it, and learn what it runs where.
+  expect(await listMembers(store)).toHaveLength(1);
   finishKept();
   await expect.poll(() => kept.destroyed, { timeout: 2_000 }).toBe(true);
   // The other connection still carries a stream; a new caller comes late.
@@ -279,6 +262,7 @@
   expect(seen.length).toBe(2);
   finish();
   await stopped;
+  expect(await listMembers(store)).toHaveLength(0);
   busy.destroy();
   late.destroy();
 });
--- a/tests/relay/crash_blame_test.ts
+++ b/tests/relay/crash_blame_test.ts
@@ -58,7 +58,8 @@
 });
 
 test("the loss of a whole zone blames no request", async () => {
-  const core = createCore(["a", "a", "a", "a", "b", "b"]);
+  // Only the zone that is lost, so that all four go there in whatever order.
+  const core = createCore(["a", "a", "a", "a"]);
   await Promise.all(
     ["one", "two", "one", "one"].map((fingerprint) =>
       send(core, loses(LossCause.Closed), fingerprint)
--- a/tests/relay/relay_call_test.ts
+++ b/tests/relay/relay_call_test.ts
@@ -22,11 +22,20 @@
   createServer(name, { service: PLAIN })
 );
 
-async function relay(kind: OrderKind, scripts: readonly Script[]) {
+/** Part of the true speed at which a test's clock runs behind the timers. */
+const SLOW_CLOCK = 0.9;
+/** How long a server that said it is full gets nothing, in ms. */
+const FULL_MS = 50;
+
+async function relay(
+  kind: OrderKind,
+  scripts: readonly Script[],
+  { core = createRelay(SERVERS), order = createOrder({ kind, sendsMax: 2 }) } =
+    {},
+) {
   const { open, targets } = followScripts(scripts);
   const caller = RecordedCaller.create();
-  const order = createOrder({ kind, sendsMax: 2 });
-  await serveOrder(createRelay(SERVERS).context, { order, caller, open });
+  await serveOrder(core.context, { order, caller, open });
   return { caller, sendings: targets.length };
 }
 
@@ -102,6 +111,60 @@
   expect(caller.summary).toBe("200 whole: body");
 });
 
+test("a call whose time is up is not sent again, though the clock is behind the timer", async () => {
+  const startMs = performance.now();
+  const now = () => startMs + (performance.now() - startMs) * SLOW_CLOCK;
+  const kind = OrderKind.Idempotent;
+  const { sendings } = await relay(kind, [hangs(), hangs()], {
+    core: createRelay(SERVERS, { now }),
+    order: createOrder({ kind, limitMs: startMs + 300 }),
+  });
+  expect(sendings).toBe(1);
+});
+
+test("a call goes again to the only server once that has room", async () => {
+  const core = createRelay(SERVERS.slice(0, 1));
+  const startMs = performance.now();
+  const { caller, sendings } = await relay(
+    OrderKind.NonIdempotent,
+    [rejects(), rejects(), answers(200)],
+    { core },
+  );
+  expect(caller.summary).toBe("200 whole: body");
+  expect(sendings).toBe(3);
+  expect(performance.now() - startMs).toBeGreaterThan(2 * FULL_MS - 10);
+});
+
+test("the only server is not given up for the time that its answer takes", async () => {
+  const order = createOrder({
+    kind: OrderKind.Idempotent,
+    limitMs: performance.now() + 1_200,
+  });
+  const { sendings } = await relay(
+    OrderKind.Idempotent,
+    [hangs(), hangs()],
+    { core: createRelay(SERVERS.slice(0, 1)), order },
+  );
+  expect(sendings).toBe(1);
+});
+
+test("a caller that comes back when its servers are full is refused at once", async () => {
+  const core = createRelay(SERVERS.slice(0, 1));
+  await relay(OrderKind.NonIdempotent, [rejects(), answers(200)], { core });
+  const nowMs = performance.now();
+  const { caller, sendings } = await relay(OrderKind.NonIdempotent, [], {
+    core,
+    order: createOrder({
+      kind: OrderKind.NonIdempotent,
+      deadlineMs: nowMs + 1_500,
+    }),
+  });
+  expect(caller.refusal?.type).toBe("not_run");
+  expect(caller.refusal?.retryAfterS).toBeGreaterThan(0);
+  expect(sendings).toBe(0);
+  expect(performance.now() - nowMs).toBeLessThan(100);
+});
+
 test("when every server fails, the last failure is passed on", async () => {
   const { caller } = await relay(OrderKind.Idempotent, [
     answers(500, "first"),
--- a/tests/relay/relay_stream_test.ts
+++ b/tests/relay/relay_stream_test.ts
@@ -1,8 +1,11 @@
 /** A stream reaches its caller once and whole, whatever its servers do. */
 
+import { setTimeout as sleep } from "node:timers/promises";
 import { expect, test } from "vitest";
 import type { ServerReport } from "../../src/connection/backend_report.ts";
 import { LossCause } from "../../src/errors.ts";
+import { ServerLoss } from "../../src/process/live_servers.ts";
+import type { CopyWish } from "../../src/request/run_copies.ts";
 import { serveOrder } from "../../src/request/serve_order.ts";
 import {
   createOrder,
@@ -19,6 +22,11 @@
 
 const SERVERS = ["a1", "b1", "c1"].map((name) => createServer(name));
 
+/** Part of the true speed at which a test's clock runs behind the timers. */
+const SLOW_CLOCK = 0.9;
+/** What a sound server reports that knows nothing of a run. */
+const UNKNOWN_RUN: ServerReport = { startedMs: 1, waiting: 0, runs: new Map() };
+
 async function relay(
   scripts: readonly Script[],
   {
@@ -46,7 +54,7 @@
   const [first, second] = targets;
   expect(second?.server.name).toBe(first?.backup?.name);
   expect(second?.server.zone).not.toBe(first?.server.zone);
-  expect(second?.fromCopy).toBe(true);
+  expect(second?.copy?.server).toBe(first?.backup);
   expect(second?.resumeAfter).toBe("3");
 });
 
@@ -57,7 +65,41 @@
     events(3, 4, "whole"),
   ]);
   expect(caller.summary).toBe("200 whole: 1 2 3 4 ");
-  expect(targets.map(({ fromCopy }) => fromCopy)).toEqual([false, true, false]);
+  expect(targets.map(({ copy }) => copy !== undefined))
+    .toEqual([false, true, false]);
+});
+
+test("when the server of the copy is lost, another copy is made and used", async () => {
+  const wishes: CopyWish[] = [];
+  const core = createRelay(SERVERS, {
+    copyRun: (wish) => {
+      wishes.push(wish);
+      return Promise.resolve(`handle-${wishes.length}`);
+    },
+  });
+  const loseCopyThenCut: Script = async (target) => {
+    const answer = await events(1, 2, "cut")(target);
+    return {
+      ...answer,
+      body: async function* () {
+        for await (const piece of answer.body()) {
+          yield piece;
+          core.servers.lose(target.backup?.name ?? "", ServerLoss.Unreachable);
+          await sleep(400);
+        }
+      },
+    };
+  };
+  const { caller, targets } = await relay(
+    [loseCopyThenCut, events(3, 4, "whole")],
+    { core },
+  );
+  expect(caller.summary).toBe("200 whole: 1 2 3 4 ");
+  const [first, second] = targets;
+  expect(wishes[0]?.source).toBe(first?.server);
+  expect(wishes[0]?.target).not.toBe(first?.backup);
+  expect(second?.server).toBe(wishes[0]?.target);
+  expect(second?.copy?.made?.handle).toBe(`handle-${wishes.length}`);
 });
 
 test("a server that is leaving gets no stream, not even to its copy", async () => {
@@ -89,7 +131,9 @@
     waiting: 0,
     runs: new Map([["request-1", { events: 2 }]]),
   };
-  const core = createRelay(SERVERS, () => Promise.resolve(report));
+  const core = createRelay(SERVERS, {
+    askReport: () => Promise.resolve(report),
+  });
   const caller = RecordedCaller.create();
   const order = createOrder();
   setTimeout(() => caller.leave(), 1_000);
@@ -128,8 +172,72 @@
   const report: ServerReport = { startedMs: 1, waiting: 1, runs: undefined };
   const { caller } = await relay([hangs()], {
     order: createOrder({ limitMs: nowMs + 300 }),
-    core: createRelay(SERVERS, () => Promise.resolve(report)),
+    core: createRelay(SERVERS, {
+      askReport: () => Promise.resolve(report),
+    }),
   });
   expect(caller.refusal?.type).toBe("outcome_unknown");
   expect(performance.now() - nowMs).toBeLessThan(600);
 });
+
+test("a stream whose time is up is not sent again, though the clock is behind the timer", async () => {
+  const startMs = performance.now();
+  const now = () => startMs + (performance.now() - startMs) * SLOW_CLOCK;
+  const core = createRelay(SERVERS, {
+    now,
+    askReport: () => Promise.resolve(UNKNOWN_RUN),
+  });
+  const order = createOrder({ limitMs: startMs + 300 });
+  const { caller, targets } = await relay([hangs(), hangs()], { core, order });
+  expect(caller.refusal?.type).toBe("outcome_unknown");
+  expect(targets.length).toBe(1);
+});
+
+test("the end of a stream's time says nothing against its server", async () => {
+  const [server] = SERVERS.slice(0, 1);
+  const core = createRelay(SERVERS.slice(0, 1), {
+    askReport: () => Promise.resolve(UNKNOWN_RUN),
+  });
+  const order = createOrder({ limitMs: performance.now() + 300 });
+  await relay([hangs()], { core, order });
+  expect(core.servers.isUsable(server?.name ?? "")).toBe(true);
+});
+
+test("others are told at once where a stream goes, so that they go elsewhere", async () => {
+  let told = 0;
+  const core = createRelay(SERVERS, { onPlaced: () => told++ });
+  await relay([events(1, 2, "whole")], { core });
+  expect(told).toBe(1);
+});
+
+test("a run that never begins is given up, though its server is sound", async () => {
+  const core = createRelay(SERVERS, {
+    askReport: () => Promise.resolve(UNKNOWN_RUN),
+  });
+  const order = createOrder({
+    promptTokens: 500,
+    deadlineMs: performance.now() + 6_000,
+    limitMs: performance.now() + 6_000,
+  });
+  const { caller, targets } = await relay(
+    [hangs(), events(1, 2, "whole")],
+    { core, order },
+  );
+  expect(caller.summary).toBe("200 whole: 1 2 ");
+  expect(targets.length).toBe(2);
+});
+
+test("a run is not given up for the time that its prompt takes", async () => {
+  const core = createRelay(SERVERS, {
+    askReport: () => Promise.resolve(UNKNOWN_RUN),
+  });
+  const order = createOrder({
+    promptTokens: 5_000,
+    deadlineMs: performance.now() + 10_000,
+    limitMs: performance.now() + 10_000,
+  });
+  const caller = RecordedCaller.create();
+  setTimeout(() => caller.leave(), 3_500);
+  const { targets } = await relay([hangs()], { core, order, caller });
+  expect(targets.length).toBe(1);
+});
--- a/tests/relay/scripted.ts
+++ b/tests/relay/scripted.ts
@@ -1,9 +1,10 @@
 /** Scripted callers and servers for tests of the relay, without a network. */
 
-import type {
-  AttemptTarget,
-  BackendAnswer,
-  Opener,
+import {
+  type AttemptTarget,
+  type BackendAnswer,
+  lossOfSignal,
+  type Opener,
 } from "../../src/connection/backend_answer.ts";
 import type { Reporter } from "../../src/connection/backend_report.ts";
 import type { OrderCaller } from "../../src/connection/order_caller.ts";
@@ -17,6 +18,7 @@
 import type { LiveServer } from "../../src/process/live_server.ts";
 import { Relay } from "../../src/process/relay.ts";
 import { type Order, OrderKind } from "../../src/request/order.ts";
+import type { RunCopier } from "../../src/request/run_copies.ts";
 import { RouteTable } from "../../src/version/route_table.ts";
 import { Fencing, ObjectKind } from "../../src/version/types.ts";
 
@@ -73,20 +75,37 @@
   };
 }
 
-/** Returns a relay that knows `servers`; asking for reports fails unless given. */
+/** What a test gives to its relay; what is absent fails or does nothing. */
+interface ScriptedRelay {
+  readonly askReport?: Reporter;
+  readonly copyRun?: RunCopier;
+  readonly onPlaced?: () => void;
+  /** Monotonic clock, in ms; the process's own if absent. */
+  readonly now?: () => number;
+}
+
+/** Returns a relay that knows `servers`. */
 export function createRelay(
   servers: readonly LiveServer[],
-  askReport: Reporter = () => Promise.reject(new Error("no report")),
+  {
+    askReport = () => Promise.reject(new Error("no report")),
+    copyRun = () => Promise.reject(new Error("no copy")),
+    onPlaced = () => undefined,
+    now = () => performance.now(),
+  }: ScriptedRelay = {},
 ): Relay {
   const relay = Relay.create({
     entry: "entry-1" as EntryId,
     log: () => undefined,
     askReport,
-    now: () => performance.now(),
+    copyRun,
+    freeCopy: () => Promise.resolve(),
+    now,
     random: () => 0,
     retryRatio: 10,
     retryAllowance: 100,
     retryWindowMs: 10_000,
+    onPlaced,
   });
   relay.adopt(createTable(1), "test");
   relay.setServers(
@@ -95,7 +114,7 @@
       revision: at + 1 as ObjectRevision,
       server,
     })),
-    false,
+    { revision: servers.length as ObjectRevision, isAfterOutage: false },
   );
   return relay;
 }
@@ -212,7 +231,7 @@
         if (end === "whole") return;
         if (end === "silent") await aborted(target.signal);
         else yield Buffer.from(`id: ${to + 1}\ndata: unfinish`);
-        throw lossOf(target.signal);
+        throw lossOfSignal(target.signal);
       },
     });
   };
@@ -259,7 +278,7 @@
   return async (target) => {
     target.onSent();
     await aborted(target.signal);
-    throw lossOf(target.signal);
+    throw lossOfSignal(target.signal);
   };
 }
 
@@ -269,9 +288,3 @@
     signal.addEventListener("abort", () => resolve());
   });
 }
-
-function lossOf({ reason }: AbortSignal): AttemptLoss {
-  return reason instanceof AttemptLoss
-    ? reason
-    : new AttemptLoss(LossCause.Closed);
-}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,6 +8,7 @@
       "platform/**/*_test.ts",
       "tests/**/*_test.ts",
     ],
+    setupFiles: ["tests/setup.ts"],
     maxWorkers: 3,
     testTimeout: 60_000,
     hookTimeout: 60_000,
