Take no missing report for a crash, and avoid servers by lost answers

Cause: plain servers answer a request for a report with an error status. That was taken like no answer at all: after one reset answer the call was blamed for a crash, the server avoided for 4 s as unreachable, and the other entries told so.

Change: an answer without a report means that the process lives: no blame, no word to others, no suspicion of its zone. A call's lost answer is a loss of its own ("unanswered"): avoided 0.6 s, doubled for each further one within 10 s, at most 4 s. Ways of losing and their times moved from live_servers.ts to a file.

Tests: two in tests/relay/crash_blame_test.ts failed first (blame 3 after three lost answers; avoided for 4 s after the first).

--- a/src/connection/backend_report.ts
+++ b/src/connection/backend_report.ts
@@ -18,14 +18,20 @@
   readonly waiting: number;
 }
 
-/** Asks a server for its report. Errors: rejects when it gives none in time. */
-export type Reporter = (server: LiveServer) => Promise<ServerReport>;
+/**
+ * Asks a server for its report; `undefined` when it answers without one, as
+ * plain servers do. Errors: rejects when it gives no answer in time.
+ */
+export type Reporter = (
+  server: LiveServer,
+) => Promise<ServerReport | undefined>;
 
 /** Whether a report comes from a later incarnation than the one listed. */
 export function isRestarted(
-  report: ServerReport,
+  report: ServerReport | undefined,
   listed: { readonly startedMs: number },
 ): boolean {
+  if (report === undefined) return false;
   const isKnown = report.startedMs > 0 && listed.startedMs > 0;
   return isKnown && report.startedMs !== listed.startedMs;
 }
--- a/src/process/choose_server_test.ts
+++ b/src/process/choose_server_test.ts
@@ -4,6 +4,7 @@
 import { createServer } from "../../tests/relay/scripted.ts";
 import { chooseServer, type ServerNeed } from "./choose_server.ts";
 import { type LiveServerView, NO_LOAD } from "./live_server.ts";
+import { NO_LOST_ANSWERS } from "./server_avoidance.ts";
 
 const NEED: ServerNeed = {
   service: "engines",
@@ -24,6 +25,7 @@
     others: NO_LOAD,
     avoidUntilMs: 0,
     fullUntilMs: 0,
+    lostAnswers: NO_LOST_ANSWERS,
     heardMs: 0,
     ...changes,
   };
--- a/src/process/live_server.ts
+++ b/src/process/live_server.ts
@@ -1,6 +1,7 @@
 /** What an entry knows of a backend server that registered itself. */
 
 import type { BackendServer } from "../version/types.ts";
+import type { LostAnswers } from "./server_avoidance.ts";
 
 /** A backend server as the platform lists it. */
 export interface LiveServer extends BackendServer {
@@ -34,6 +35,8 @@
   readonly avoidUntilMs: number;
   /** It said that it is full; no new work before this time, as above. */
   readonly fullUntilMs: number;
+  /** Answers that it lost of late, so it gets less and less work. */
+  readonly lostAnswers: LostAnswers;
   /** When bytes last came from it, on the monotonic clock in ms. */
   readonly heardMs: number;
 }
--- a/src/process/live_servers.ts
+++ b/src/process/live_servers.ts
@@ -14,6 +14,13 @@
 import { chooseServer, isEligible, type ServerNeed } from "./choose_server.ts";
 import { EVENTS } from "./event_catalog.ts";
 import type { Log } from "./log.ts";
+import {
+  addLostAnswer,
+  avoidanceMs,
+  BROKEN_AVOID_MS,
+  NO_LOST_ANSWERS,
+  ServerLoss,
+} from "./server_avoidance.ts";
 import { ServerRing } from "./server_ring.ts";
 import { ZoneLosses } from "./zone_losses.ts";
 
@@ -33,25 +40,6 @@
 /** What a request wants of a server, without what the process knows itself. */
 export type ServerRequest = Omit<ServerNeed, "suspectZones">;
 
-/** How a server was lost, as far as it decides when it is tried again. */
-export enum ServerLoss {
-  /** The process that was listed no longer has the address. */
-  Replaced = "replaced",
-  /** Nothing listens, or nothing answered a connection. */
-  Unreachable = "unreachable",
-  /** A connection broke or fell silent. */
-  Broken = "broken",
-}
-
-/** How long a server gets no new work after a loss, in ms. */
-const AVOID_MS: Readonly<Record<ServerLoss, number>> = {
-  // Only a new entry in the list makes it usable again.
-  [ServerLoss.Replaced]: Number.POSITIVE_INFINITY,
-  // Crashed servers are back after 1 to 5 s, as a new incarnation in the list.
-  [ServerLoss.Unreachable]: 4_000,
-  [ServerLoss.Broken]: 600,
-};
-
 /** How long a server that said it is full gets nothing, in ms; calls take as long. */
 const FULL_MS = 50;
 /** How long a service counts as full after that; an entry may send it few calls, in ms. */
@@ -131,6 +119,7 @@
       others: isSame ? held.others : NO_LOAD,
       avoidUntilMs: isSame ? held.avoidUntilMs : 0,
       fullUntilMs: isSame ? held.fullUntilMs : 0,
+      lostAnswers: isSame ? held.lostAnswers : NO_LOST_ANSWERS,
       heardMs: isSame ? held.heardMs : this.#options.now(),
     });
     this.#options.onRoom();
@@ -208,7 +197,7 @@
     const view = this.#views.get(name);
     if (view === undefined || view.server.isLeaving) return false;
     const avoidedMs = view.avoidUntilMs - this.#options.now();
-    return avoidedMs <= AVOID_MS[ServerLoss.Broken];
+    return avoidedMs <= BROKEN_AVOID_MS;
   }
 
   /** Notes work that goes to a server. */
@@ -260,15 +249,22 @@
     const view = this.#views.get(name);
     if (view === undefined) return;
     const nowMs = this.#options.now();
-    const avoidUntilMs = Math.max(view.avoidUntilMs, nowMs + AVOID_MS[loss]);
-    this.#change(name, () => ({ avoidUntilMs }));
+    const isUnanswered = loss === ServerLoss.Unanswered;
+    // Calls that were under way when it became avoided say nothing new.
+    const isNew = isUnanswered && view.avoidUntilMs <= nowMs;
+    const lostAnswers = isNew
+      ? addLostAnswer(view.lostAnswers, nowMs)
+      : view.lostAnswers;
+    const avoidMs = avoidanceMs(loss, lostAnswers);
+    const avoidUntilMs = Math.max(view.avoidUntilMs, nowMs + avoidMs);
+    this.#change(name, () => ({ avoidUntilMs, lostAnswers }));
     if (loss === ServerLoss.Unreachable) this.#dead.set(name, nowMs);
-    this.#noteZoneLoss(view.server);
+    if (!isUnanswered) this.#noteZoneLoss(view.server);
     this.#options.log(EVENTS.serverEjected, {
       server: name,
       zone: view.server.zone,
       cause: loss,
-      for_ms: String(AVOID_MS[loss]),
+      for_ms: String(avoidMs),
     });
   }
 
--- /dev/null
+++ b/src/process/server_avoidance.ts
@@ -0,0 +1,61 @@
+/** How long a server that was lost gets no new work. */
+
+/** How a server was lost, as far as it decides when it is tried again. */
+export enum ServerLoss {
+  /** The process that was listed no longer has the address. */
+  Replaced = "replaced",
+  /** Nothing listens, or nothing answered a connection. */
+  Unreachable = "unreachable",
+  /** A connection broke or fell silent. */
+  Broken = "broken",
+  /** A call got no answer, and nothing else speaks against the server. */
+  Unanswered = "unanswered",
+}
+
+/** Answers that a server lost of late, as this entry saw it. */
+export interface LostAnswers {
+  readonly count: number;
+  /** When the last one was lost, on the monotonic clock in ms. */
+  readonly lastMs: number;
+}
+
+/** No answer was lost. */
+export const NO_LOST_ANSWERS: LostAnswers = { count: 0, lastMs: -Infinity };
+
+/** How long a server gets no new work after a loss, in ms. */
+const AVOID_MS: Readonly<Record<ServerLoss, number>> = {
+  // Only a new entry in the list makes it usable again.
+  [ServerLoss.Replaced]: Number.POSITIVE_INFINITY,
+  // Crashed servers are back after 1 to 5 s, as a new incarnation in the list.
+  [ServerLoss.Unreachable]: 4_000,
+  [ServerLoss.Broken]: 600,
+  [ServerLoss.Unanswered]: 600,
+};
+/** How much longer a server is avoided after each further lost answer. */
+const UNANSWERED_GROWTH = 2;
+/** Longest avoidance of a server that lives, in ms; as for one that is dead. */
+const UNANSWERED_MAX_MS = AVOID_MS[ServerLoss.Unreachable];
+/** Time without a lost answer after which the earlier ones no longer count, in ms. */
+const LOST_ANSWERS_MEMORY_MS = 10_000;
+
+/** Avoidances up to this may come from a broken connection alone, in ms. */
+export const BROKEN_AVOID_MS = AVOID_MS[ServerLoss.Broken];
+
+/** Counts one more lost answer at `nowMs`. */
+export function addLostAnswer(
+  { count, lastMs }: LostAnswers,
+  nowMs: number,
+): LostAnswers {
+  const isRecent = nowMs - lastMs < LOST_ANSWERS_MEMORY_MS;
+  return { count: isRecent ? count + 1 : 1, lastMs: nowMs };
+}
+
+/**
+ * Returns how long a server gets no new work after a loss, in ms. A server that
+ * loses some answers still gives most, so it is avoided by how often that was.
+ */
+export function avoidanceMs(loss: ServerLoss, { count }: LostAnswers): number {
+  const ms = AVOID_MS[loss];
+  if (loss !== ServerLoss.Unanswered) return ms;
+  return Math.min(ms * UNANSWERED_GROWTH ** (count - 1), UNANSWERED_MAX_MS);
+}
--- a/src/process/server_reports.ts
+++ b/src/process/server_reports.ts
@@ -8,7 +8,7 @@
 
 interface HeldReport {
   readonly askedMs: number;
-  readonly report: Promise<ServerReport>;
+  readonly report: Promise<ServerReport | undefined>;
 }
 
 /** The latest reports by server. */
@@ -27,8 +27,8 @@
     return new ServerReports(now, ask);
   }
 
-  /** Returns a fresh report. Errors: rejects when the server gives none. */
-  ask(server: LiveServer): Promise<ServerReport> {
+  /** Returns a fresh report; see `Reporter`. */
+  ask(server: LiveServer): Promise<ServerReport | undefined> {
     const nowMs = this.#now();
     for (const [name, { askedMs }] of this.#held) {
       if (nowMs - askedMs > SHARED_MS) this.#held.delete(name);
--- a/src/request/note_attempt.ts
+++ b/src/request/note_attempt.ts
@@ -4,7 +4,7 @@
 import { type AttemptLoss, LossCause, messageOf } from "../errors.ts";
 import { EVENTS } from "../process/event_catalog.ts";
 import type { LiveServer } from "../process/live_server.ts";
-import { ServerLoss } from "../process/live_servers.ts";
+import { ServerLoss } from "../process/server_avoidance.ts";
 import type { LogDetails } from "../process/log.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import { AttemptProgress } from "./attempt_record.ts";
@@ -76,9 +76,11 @@
       return ServerLoss.Unreachable;
     case LossCause.TimeUp:
       // A stream's server is judged by its silence; of a call it never answered.
-      return kind === OrderKind.Stream ? undefined : ServerLoss.Broken;
+      return kind === OrderKind.Stream ? undefined : ServerLoss.Unanswered;
     default:
-      return ServerLoss.Broken;
+      return kind === OrderKind.Stream
+        ? ServerLoss.Broken
+        : ServerLoss.Unanswered;
   }
 }
 
@@ -89,6 +91,8 @@
 ): Promise<void> {
   try {
     const report = await reports.ask(server);
+    // It lives, but why it closed the connection is not known.
+    if (report === undefined) return;
     if (!isRestarted(report, server)) servers.trust(server.name);
     else servers.lose(server.name, ServerLoss.Replaced);
   } catch {
--- a/src/request/relay_call.ts
+++ b/src/request/relay_call.ts
@@ -11,7 +11,7 @@
 import { AttemptLoss, LossCause, Refusal } from "../errors.ts";
 import type { Place } from "../process/dispatcher.ts";
 import type { LiveServer } from "../process/live_server.ts";
-import { ServerLoss } from "../process/live_servers.ts";
+import { ServerLoss } from "../process/server_avoidance.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import { AttemptProgress } from "./attempt_record.ts";
 import { answerPatience, placeWaitMs } from "./call_wait.ts";
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -13,7 +13,7 @@
 import { EVENTS } from "../process/event_catalog.ts";
 import type { LostZone } from "../process/choose_server.ts";
 import type { LiveServer } from "../process/live_server.ts";
-import { ServerLoss } from "../process/live_servers.ts";
+import { ServerLoss } from "../process/server_avoidance.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import { AttemptProgress } from "./attempt_record.ts";
 import { isHarmful } from "./crash_blame.ts";
--- a/src/request/silence_guard.ts
+++ b/src/request/silence_guard.ts
@@ -83,6 +83,9 @@
     try {
       const report = await reports.ask(server);
       if (isOver()) return;
+      if (report === undefined) {
+        return onLost(LossCause.Stalled, "its server no longer gives reports");
+      }
       const verdict = judgeSilence(report, {
         id,
         server,
--- a/tests/relay/crash_blame_test.ts
+++ b/tests/relay/crash_blame_test.ts
@@ -19,13 +19,17 @@
 } from "./scripted.ts";
 
 const JUDGED_MS = 500;
+/** Time that each caller has, in ms. */
+const LEFT_MS = 3_000;
 
-function createCore(zones: readonly string[]) {
-  return createRelay(
-    zones.map((zone, at) =>
-      createServer(`${zone}${at}`, { service: PLAIN, zone })
-    ),
+function createCore(
+  zones: readonly string[],
+  options: Parameters<typeof createRelay>[1] = {},
+) {
+  const servers = zones.map((zone, at) =>
+    createServer(`${zone}${at}`, { service: PLAIN, zone })
   );
+  return createRelay(servers, options);
 }
 
 /** Sends one call that may not be repeated; says how it ended. */
@@ -35,7 +39,11 @@
   fingerprint: string,
 ): Promise<string> {
   const caller = RecordedCaller.create();
+  const nowMs = core.context.now();
   const order = createOrder({
+    receivedMs: nowMs,
+    deadlineMs: nowMs + LEFT_MS,
+    limitMs: nowMs + LEFT_MS,
     id: `request-${Math.random()}` as RequestId,
     kind: OrderKind.NonIdempotent,
     fingerprint: fingerprint as Fingerprint,
@@ -57,6 +65,32 @@
   expect(await send(core, answers(200), "good")).toBe("whole");
 });
 
+/** A server that answers, but gives no report. */
+const ANSWERS_ONLY = { askReport: () => Promise.resolve(undefined) };
+
+test("answers that a living server lost blame no request and call no server dead", async () => {
+  const core = createCore(["a", "b", "c", "d"], ANSWERS_ONLY);
+  for (let loss = 0; loss < 3; loss++) {
+    await send(core, loses(LossCause.Closed), "unlucky");
+    await sleep(JUDGED_MS);
+  }
+  expect(core.context.suspicions.snapshot()).toEqual([]);
+  expect(core.servers.deadServers()).toEqual([]);
+  expect(await send(core, answers(200), "unlucky")).toBe("whole");
+});
+
+test("a living server is avoided longer for each answer that it lost", async () => {
+  let nowMs = performance.now();
+  const core = createCore(["a"], { ...ANSWERS_ONLY, now: () => nowMs });
+  for (const avoidedMs of [600, 1_200, 2_400, 4_000, 4_000]) {
+    await send(core, loses(LossCause.Closed), "unlucky");
+    nowMs += avoidedMs - 1;
+    expect(core.servers.isUsable("a0")).toBe(false);
+    nowMs += 1;
+    expect(core.servers.isUsable("a0")).toBe(true);
+  }
+});
+
 test("the loss of a whole zone blames no request", async () => {
   // Only the zone that is lost, so that all four go there in whatever order.
   const core = createCore(["a", "a", "a", "a"]);
--- a/tests/relay/relay_stream_test.ts
+++ b/tests/relay/relay_stream_test.ts
@@ -4,7 +4,7 @@
 import { expect, test } from "vitest";
 import type { ServerReport } from "../../src/connection/backend_report.ts";
 import { LossCause } from "../../src/errors.ts";
-import { ServerLoss } from "../../src/process/live_servers.ts";
+import { ServerLoss } from "../../src/process/server_avoidance.ts";
 import type { CopyWish } from "../../src/request/run_copies.ts";
 import { serveOrder } from "../../src/request/serve_order.ts";
 import {
