Give a run up early when its server reads nothing and does not list it

Until its first event a run is not listed, so a lost answer of a living server was found only when the reading of all prompts known there was long overdue: streams waited 4 to 7 s beside servers that reported an empty batch.

Ruled out: shorter limits on reading; engines that read other prompts are slow, and giving them up reads the prompt twice.

Change: a report counts its batch (`running`) and lists the runs of it that made events; the rest are being read. When nothing is read and nothing waits, a run that is not listed is absent, as it is after its first event; twice means lost.

Test: 'a run that an idle server lost ...' took 4.5 s before, 1.0 s after.

--- a/bench/emulator/emulated_engine.ts
+++ b/bench/emulator/emulated_engine.ts
@@ -72,10 +72,15 @@
 
   /** What it says of itself. */
   report(): ServerReport {
-    const runs = [...this.#running].map(({ order, events }) =>
-      [String(order.id), { events }] as const
-    );
-    return { startedMs: 1, runs: new Map(runs), waiting: this.#waiting.length };
+    const runs = [...this.#running]
+      .filter(({ events }) => events > 0)
+      .map(({ order, events }) => [String(order.id), { events }] as const);
+    return {
+      startedMs: 1,
+      runs: new Map(runs),
+      waiting: this.#waiting.length,
+      reading: this.#running.size - runs.length,
+    };
   }
 
   /** Keeps a copy of a run elsewhere until the returned function is called. */
--- a/src/connection/backend_report.ts
+++ b/src/connection/backend_report.ts
@@ -16,6 +16,8 @@
   readonly runs: ReadonlyMap<string, ReportedRun> | undefined;
   /** Requests that wait for a place in its batch. */
   readonly waiting: number;
+  /** Requests in its batch without an event yet; `undefined` if it does not say. */
+  readonly reading: number | undefined;
 }
 
 /**
--- a/src/request/silence.ts
+++ b/src/request/silence.ts
@@ -68,8 +68,9 @@
   { id, server, events, isOverdue, absences }: SilentRun,
 ): SilenceVerdict {
   if (isRestarted(report, server)) return SilenceVerdict.Lost;
-  // Until its first event a run is listed nowhere.
-  const isReading = events === 0 && !isOverdue;
+  // Until its first event a run is only counted.
+  const mayBeRead = report.reading === undefined || report.reading > 0;
+  const isReading = events === 0 && !isOverdue && mayBeRead;
   if (report.runs === undefined || isReading) return SilenceVerdict.Alive;
   const run = report.runs.get(id);
   if (run !== undefined) {
--- a/standins/runner.ts
+++ b/standins/runner.ts
@@ -43,7 +43,12 @@
   }
   if (url.pathname === "/v1/report") {
     const listed = [...runs].map(([id, events]) => [id, 1, events, 5]);
-    return sendJson(response, 200, { born: bornMs, waiting: 0, runs: listed });
+    return sendJson(response, 200, {
+      born: bornMs,
+      waiting: 0,
+      running: listed.length,
+      runs: listed,
+    });
   }
   const id = headerOf(request, "x-request-id");
   if (headerOf(request, ServerHeader.ExpectInstance) !== switches.id) {
--- a/tests/relay/relay_stream_test.ts
+++ b/tests/relay/relay_stream_test.ts
@@ -25,7 +25,14 @@
 /** Part of the true speed at which a test's clock runs behind the timers. */
 const SLOW_CLOCK = 0.9;
 /** What a sound server reports that knows nothing of a run. */
-const UNKNOWN_RUN: ServerReport = { startedMs: 1, waiting: 0, runs: new Map() };
+const UNKNOWN_RUN: ServerReport = {
+  startedMs: 1,
+  waiting: 0,
+  reading: 1,
+  runs: new Map(),
+};
+/** Reads no prompt and answers nobody. */
+const IDLE: ServerReport = { ...UNKNOWN_RUN, reading: 0 };
 
 async function relay(
   scripts: readonly Script[],
@@ -129,6 +136,7 @@
   const report: ServerReport = {
     startedMs: 1,
     waiting: 0,
+    reading: 0,
     runs: new Map([["request-1", { events: 2 }]]),
   };
   const core = createRelay(SERVERS, {
@@ -169,7 +177,12 @@
 
 test("a stream ends at its time limit, also while its server hangs", async () => {
   const nowMs = performance.now();
-  const report: ServerReport = { startedMs: 1, waiting: 1, runs: undefined };
+  const report: ServerReport = {
+    startedMs: 1,
+    waiting: 1,
+    reading: undefined,
+    runs: undefined,
+  };
   const { caller } = await relay([hangs()], {
     order: createOrder({ limitMs: nowMs + 300 }),
     core: createRelay(SERVERS, {
@@ -227,6 +240,23 @@
   expect(targets.length).toBe(2);
 });
 
+test("a run that an idle server lost is given up long before its prompt would be read", async () => {
+  const startMs = performance.now();
+  const core = createRelay(SERVERS, { askReport: () => Promise.resolve(IDLE) });
+  const order = createOrder({
+    promptTokens: 5_000,
+    deadlineMs: startMs + 10_000,
+    limitMs: startMs + 10_000,
+  });
+  const { caller, targets } = await relay(
+    [hangs(), events(1, 2, "whole")],
+    { core, order },
+  );
+  expect(caller.summary).toBe("200 whole: 1 2 ");
+  expect(targets.length).toBe(2);
+  expect(performance.now() - startMs).toBeLessThan(1_500);
+});
+
 test("a run is not given up for the time that its prompt takes", async () => {
   const core = createRelay(SERVERS, {
     askReport: () => Promise.resolve(UNKNOWN_RUN),
