Send a stream once more to a living server that lost its answer

Change: when no event came, no copy exists, the server had the time to read the prompt, and its report shows the listed incarnation, the stream goes there once more (it is preferred like any server that has the prompt); the second loss excludes it. noteLoss now tells whether the server proved to be sound.

--- a/src/request/note_attempt.ts
+++ b/src/request/note_attempt.ts
@@ -36,7 +36,10 @@
   });
 }
 
-/** Records a lost sending, and keeps its server out of new work for a while. */
+/**
+ * Records a lost sending, and keeps its server out of new work for a while.
+ * Resolves with whether the server proved to be sound at once; never rejects.
+ */
 export function noteLoss(
   context: RelayContext,
   { order, entry, server, error }: {
@@ -45,14 +48,8 @@
     readonly server: LiveServer;
     readonly error: AttemptLoss;
   },
-): void {
+): Promise<boolean> {
   const { servers, log, metrics } = context;
-  const mayHaveCrashed = error.lossCause === LossCause.Closed &&
-    entry.progress !== AttemptProgress.NotSent;
-  if (mayHaveCrashed) {
-    judgeCrash(context, { order, server });
-    checkServer(context, server);
-  }
   const loss = serverLossOf(error, order);
   if (loss !== undefined) servers.lose(server.name, loss);
   metrics.losses.inc({ cause: error.lossCause });
@@ -63,6 +60,11 @@
     progress: entry.progress,
     detail: messageOf(error),
   });
+  const mayHaveCrashed = error.lossCause === LossCause.Closed &&
+    entry.progress !== AttemptProgress.NotSent;
+  if (!mayHaveCrashed) return Promise.resolve(false);
+  judgeCrash(context, { order, server });
+  return checkServer(context, server);
 }
 
 /** Returns what a lost sending says of its server; `undefined` for nothing. */
@@ -84,19 +86,22 @@
   }
 }
 
-/** Learns whether a server that closed a connection still lives. */
+/** Learns whether a server that closed a connection is the one listed, and lives. */
 async function checkServer(
   { servers, reports }: RelayContext,
   server: LiveServer,
-): Promise<void> {
+): Promise<boolean> {
   try {
     const report = await reports.ask(server);
-    // It lives, but why it closed the connection is not known.
-    if (report === undefined) return;
-    if (!isRestarted(report, server)) servers.trust(server.name);
+    // It lives, but may be another process by now.
+    if (report === undefined) return false;
+    const isSound = !isRestarted(report, server);
+    if (isSound) servers.trust(server.name);
     else servers.lose(server.name, ServerLoss.Replaced);
+    return isSound;
   } catch {
     // `lose` logs it; a report that does not come is the answer here.
     servers.lose(server.name, ServerLoss.Unreachable);
+    return false;
   }
 }
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -58,6 +58,8 @@
   readonly #order: Order;
   readonly #attempts: OrderAttempts;
   readonly #lost = new Set<string>();
+  /** Servers that lost an answer and got the stream once more. */
+  readonly #returned = new Set<string>();
   readonly #splice: StreamSplice;
   #hasBegun = false;
   #lostAtMs: number | undefined;
@@ -203,10 +205,7 @@
       return await this.#take(answer, sending);
     } catch (error) {
       if (!(error instanceof AttemptLoss)) throw error;
-      if (!caller.signal.aborted) {
-        this.#noteLoss(sending, error);
-        this.#copy = sending.copies.copy;
-      }
+      if (!caller.signal.aborted) await this.#noteLoss(sending, error);
       return Ending.Lost;
     } finally {
       sending.close(this.#copy === undefined);
@@ -255,8 +254,10 @@
     else if (copy === undefined) servers.noteFull(server.name);
   }
 
-  #noteLoss({ seat, entry }: StreamSending, error: AttemptLoss): void {
+  async #noteLoss(sending: StreamSending, error: AttemptLoss): Promise<void> {
+    const { seat, entry, copies } = sending;
     const { server } = seat;
+    this.#copy = copies.copy;
     this.#reason = error.message;
     this.#isTimeUp = error.lossCause === LossCause.TimeUp;
     const isSound = error.lossCause === LossCause.Stalled ||
@@ -266,7 +267,19 @@
       : { zone: server.zone, atMs: this.#context.now() };
     this.#lost.add(server.name);
     if (this.#hasBegun) this.#lostAtMs ??= this.#context.now();
-    noteLoss(this.#context, { order: this.#order, entry, server, error });
+    const loss = { order: this.#order, entry, server, error };
+    const isSoundAgain = noteLoss(this.#context, loss);
+    if (this.#copy !== undefined || !sending.mayHaveRead) return;
+    if (await isSoundAgain) this.#returnTo(server);
+  }
+
+  /** Lets the stream go once more to a server that lives and has read its prompt. */
+  #returnTo({ name }: LiveServer): void {
+    if (this.#returned.has(name)) return;
+    this.#returned.add(name);
+    this.#lost.delete(name);
+    this.#lostZone = undefined;
+    this.#context.prompts.note(this.#order.prompt, name);
   }
 
   async #take(
--- a/src/request/silence.ts
+++ b/src/request/silence.ts
@@ -24,7 +24,7 @@
 const ABSENCES_MAX = 2;
 
 /** Prompt tokens that an engine reads in a ms, on the users' sheets. */
-const READ_TOKENS_PER_MS = 5;
+export const READ_TOKENS_PER_MS = 5;
 /** How many times longer than the known prompts a first event may take: others come unseen. */
 const READ_FACTOR = 3;
 /** Time that a first event may take besides, in ms. */
--- a/src/request/stream_sending.ts
+++ b/src/request/stream_sending.ts
@@ -15,6 +15,7 @@
   COPY_EVENT_CHECK_MS,
   FIRST_EVENT_CHECK_MS,
   firstEventMaxMs,
+  READ_TOKENS_PER_MS,
 } from "./silence.ts";
 import { SilenceGuard } from "./silence_guard.ts";
 
@@ -45,6 +46,8 @@
   readonly entry: AttemptEntry;
   readonly guard: SilenceGuard;
   readonly copies: RunCopies;
+  readonly #options: StreamSendingOptions;
+  readonly #startMs: number;
   readonly #stop = new AbortController();
   readonly #limit: NodeJS.Timeout;
   readonly #endReading: () => void;
@@ -52,6 +55,8 @@
   private constructor(options: StreamSendingOptions) {
     const { context, order, seat, entry, excluded, events } = options;
     const { server, copy } = seat;
+    this.#options = options;
+    this.#startMs = context.now();
     this.seat = seat;
     this.entry = entry;
     this.copies = RunCopies.create({ context, order, server, excluded });
@@ -86,6 +91,13 @@
     return this.#stop.signal;
   }
 
+  /** Whether the server had the time to read the prompt. */
+  get mayHaveRead(): boolean {
+    const { context, order } = this.#options;
+    const tookMs = context.now() - this.#startMs;
+    return tookMs >= order.promptTokens / READ_TOKENS_PER_MS;
+  }
+
   /** Notes that the server made events, so it has read the prompt. */
   noteEvents(): void {
     this.#endReading();
--- a/tests/relay/relay_stream_test.ts
+++ b/tests/relay/relay_stream_test.ts
@@ -240,6 +240,33 @@
   expect(targets.length).toBe(2);
 });
 
+/** The server of `SERVERS` as it was listed, which is idle now. */
+const SOUND = { askReport: () => Promise.resolve(IDLE) };
+
+test("a stream whose answer a living server lost goes there once more, where its prompt was read", async () => {
+  const core = createRelay(SERVERS, SOUND);
+  const { caller, targets } = await relay(
+    [loses(LossCause.Closed), loses(LossCause.Closed), events(1, 2, "whole")],
+    { core, order: createOrder({ promptTokens: 0 }) },
+  );
+  expect(caller.summary).toBe("200 whole: 1 2 ");
+  const [first, second, third] = targets.map(({ server }) => server.name);
+  expect(second).toBe(first);
+  expect(third).not.toBe(first);
+});
+
+test("a stream does not go back to a server that was restarted", async () => {
+  const core = createRelay(SERVERS, {
+    askReport: () => Promise.resolve({ ...IDLE, startedMs: 2 }),
+  });
+  const { targets } = await relay(
+    [loses(LossCause.Closed), events(1, 2, "whole")],
+    { core, order: createOrder({ promptTokens: 0 }) },
+  );
+  const [first, second] = targets.map(({ server }) => server.name);
+  expect(second).not.toBe(first);
+});
+
 test("a run that an idle server lost is given up long before its prompt would be read", async () => {
   const startMs = performance.now();
   const core = createRelay(SERVERS, { askReport: () => Promise.resolve(IDLE) });
