Count a prompt as waiting at its server from the moment of placing

After a zone's loss streams wait for room; the first server that came back got all of them at once (nine, some with prompts of 9,000 tokens), and the last began 5.5 s later, while six more servers came back within 0.3 s. Two reasons: a stream's unread prompt was counted only when its sending began, after the queue had placed the others too; and streams that had waited their time, or had begun, lined up behind any number of prompts.

Change: the unread prompt is counted while the queue places, and given over with the place. A stream lines up behind at most two seconds' reading, and behind more only by what was read since its patience ended, so that lining up at once would have been no faster.

Tests: 'requests that waited for room ...' and 'streams that wait do not all go to the first server that returns' failed first. The test of a late request's place in line is replaced by one that names the bound on both sides.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -36,6 +36,8 @@
 export const SUSPICION_PROVEN_BLAME = 0.25;
 /** A stream that delivered this many tokens has proved harmless for now. */
 export const SUSPICION_PROOF_TOKENS = 2;
+/** Prompt tokens that an engine reads in a ms, on the users' sheets. */
+export const READ_TOKENS_PER_MS = 5;
 /** Lost attempts, reattachments included, that one generation survives. */
 export const LOSSES_MAX = 12;
 /** How long a failed backend server is kept out of new work, in ms. */
--- a/src/process/choose_server.ts
+++ b/src/process/choose_server.ts
@@ -7,6 +7,7 @@
  */
 
 import { crc32 } from "node:zlib";
+import { READ_TOKENS_PER_MS } from "../constants.ts";
 import {
   addLoad,
   type LiveServerView,
@@ -28,8 +29,9 @@
   /** Prompt tokens that a server would have to read; 0 when it has them. */
   readonly unreadTokens?: number;
   /**
-   * Until then the request rather waits than lines up behind other prompts, on
-   * the monotonic clock in ms.
+   * Until then the request rather waits than lines up behind other prompts, and
+   * afterwards behind more of them the longer it waits; on the monotonic clock in
+   * ms. It lines up anywhere if absent.
    */
   readonly patientUntilMs?: number;
   /** Names of servers that must not be chosen. */
@@ -62,7 +64,7 @@
 
 /**
  * Unread prompt tokens that a server may hold before a patient request rather
- * waits; engines read 5 tokens a ms, one prompt after the other.
+ * waits: two seconds' reading, so that the server is not idle meanwhile.
  */
 const LINE_MAX_TOKENS = 10_000;
 /**
@@ -109,10 +111,12 @@
   view: LiveServerView,
   { need, nowMs }: { readonly need: ServerNeed; readonly nowMs: number },
 ): boolean {
-  const { unreadTokens = 0, patientUntilMs = 0 } = need;
-  if (nowMs >= patientUntilMs) return false;
+  const { unreadTokens = 0, patientUntilMs } = need;
+  if (patientUntilMs === undefined) return false;
   const before = addLoad(view.own, view.others).unreadTokens;
-  return before > 0 && before + unreadTokens > LINE_MAX_TOKENS;
+  // Lining up at once would have been no faster: this much was read meanwhile.
+  const readTokens = Math.max(0, nowMs - patientUntilMs) * READ_TOKENS_PER_MS;
+  return before > 0 && before + unreadTokens > LINE_MAX_TOKENS + readTokens;
 }
 
 /** Whether a server has slots and memory left for the request. */
--- a/src/process/choose_server_test.ts
+++ b/src/process/choose_server_test.ts
@@ -78,12 +78,21 @@
   expect(choose([full])).toBeUndefined();
 });
 
-test("a patient request waits rather than being third in line, a late one does not", () => {
+test("a request waits rather than being third in line, unless it waited as long as that line takes", () => {
   const lined = view("a1", {
     others: { requests: 2, tokens: 12_000, unreadTokens: 10_000 },
   });
   expect(choose([lined], { patientUntilMs: 2_000 })).toBeUndefined();
-  expect(choose([lined], { patientUntilMs: 500 })).toBe("a1");
+  expect(choose([lined], { patientUntilMs: 1 })).toBeUndefined();
+  expect(choose([lined], { patientUntilMs: 0 })).toBe("a1");
+});
+
+test("requests that waited for room do not all line up at the first server that has it", () => {
+  const returned = view("a1", {
+    own: { requests: 8, tokens: 48_000, unreadTokens: 40_000 },
+  });
+  expect(choose([returned], { patientUntilMs: 0 })).toBeUndefined();
+  expect(choose([returned, view("b1")], { patientUntilMs: 0 })).toBe("b1");
 });
 
 test("a request goes where its prompt is cached, whatever that server still reads", () => {
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -115,8 +115,9 @@
       },
       fleet: {
         choose: (wish) => servers.choose(wish),
-        begin: (name, { load }) => {
+        begin: (name, { load, onPlaced }) => {
           servers.begin(name, load);
+          onPlaced?.(name);
           // Others that choose in the same moment would choose the same server.
           if (load.tokens > 0) options.onPlaced?.();
         },
--- a/src/request/place_order.ts
+++ b/src/request/place_order.ts
@@ -1,11 +1,7 @@
 /** Gets an order a place on a backend server. */
 
 import type { LostZone } from "../process/choose_server.ts";
-import {
-  type LiveServer,
-  NO_LOAD,
-  type ServerLoad,
-} from "../process/live_server.ts";
+import { NO_LOAD, type ServerLoad } from "../process/live_server.ts";
 import type { ServerRequest } from "../process/live_servers.ts";
 import type { Place, PlaceOrder, PlaceWish } from "../process/dispatcher.ts";
 import type { RelayContext } from "../process/relay_context.ts";
@@ -14,6 +10,8 @@
 /** A wish for a server, with the work that it will get. */
 export interface OrderWish extends ServerRequest, PlaceWish {
   readonly load: ServerLoad;
+  /** Called with the server's name before the next order is placed. */
+  readonly onPlaced?: (name: string) => void;
 }
 
 /** How long and where an order may wait for a place. */
@@ -27,8 +25,10 @@
   readonly preferred?: string;
   /** Zone in which the order just lost a server. */
   readonly lostZone?: LostZone;
-  /** Until then it rather waits than lines up behind other prompts, in ms. */
+  /** Until then it rather waits than lines up behind other prompts; see `ServerNeed`. */
   readonly patientUntilMs?: number;
+  /** See `OrderWish`. */
+  readonly onPlaced?: (name: string) => void;
 }
 
 /** Work of an order, apart from the reading of its prompt. */
@@ -44,12 +44,12 @@
 /** Counts work at a server until the returned function is called. */
 export function holdLoad(
   { servers }: RelayContext,
-  { server, load }: { readonly server: LiveServer; readonly load: ServerLoad },
+  { name, load }: { readonly name: string; readonly load: ServerLoad },
 ): () => void {
-  servers.begin(server.name, load);
+  servers.begin(name, load);
   let isHeld = true;
   return () => {
-    if (isHeld) servers.end(server.name, load);
+    if (isHeld) servers.end(name, load);
     isHeld = false;
   };
 }
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -19,7 +19,12 @@
 import { isHarmful } from "./crash_blame.ts";
 import { endMs, type Order } from "./order.ts";
 import { OrderAttempts } from "./order_attempts.ts";
-import { holdLoad, loadOfOrder, placeOrder } from "./place_order.ts";
+import {
+  holdLoad,
+  loadOfOrder,
+  placeOrder,
+  unreadPrompt,
+} from "./place_order.ts";
 import { logAttempt, noteLoss } from "./note_attempt.ts";
 import type { RunCopy } from "./run_copies.ts";
 import { type OrderExchange, OrderOutcome } from "./serve_order.ts";
@@ -140,8 +145,8 @@
     const { server } = copy;
     if (!this.#context.servers.isUsable(server.name)) return undefined;
     const load = loadOfOrder(this.#order);
-    const close = holdLoad(this.#context, { server, load });
-    return { server, copy, close };
+    const close = holdLoad(this.#context, { name: server.name, load });
+    return { server, copy, close, endReading: () => undefined };
   }
 
   /** Waits for a place; `undefined` when there is none in time. */
@@ -151,6 +156,7 @@
     const waitMs = this.#hasBegun
       ? endMs(this.#order) - now()
       : this.#order.receivedMs + this.#order.rank.targetMs * WAIT_PART - now();
+    let endReading = () => {};
     const wait = {
       excluded: this.#lost,
       waitMs: Math.max(0, waitMs),
@@ -159,8 +165,12 @@
       ...(this.#lostZone === undefined ? {} : { lostZone: this.#lostZone }),
       preferred: this.#context.prompts.find(this.#order.prompt),
       patientUntilMs: this.#hasBegun
-        ? 0
+        ? now()
         : this.#order.receivedMs + this.#order.rank.targetMs * PATIENCE_PART,
+      onPlaced: (name: string) => {
+        const load = unreadPrompt(this.#order);
+        endReading = holdLoad(this.#context, { name, load });
+      },
     };
     const request = {
       service: this.#order.service,
@@ -174,6 +184,7 @@
       return {
         server: place.server as LiveServer,
         close: place.close,
+        endReading,
       };
     } catch (error) {
       if (!(error instanceof Refusal)) throw error;
--- a/src/request/run_copies.ts
+++ b/src/request/run_copies.ts
@@ -110,7 +110,7 @@
     this.#release();
     const { context, order } = this.#options;
     const load: ServerLoad = { ...loadOfOrder(order), requests };
-    this.#release = holdLoad(context, { server: copy.server, load });
+    this.#release = holdLoad(context, { name: copy.server.name, load });
     this.#copy = copy;
   }
 
--- a/src/request/silence.ts
+++ b/src/request/silence.ts
@@ -1,5 +1,6 @@
 /** Which silence of a stream is unusual, and what a report says of a silent run. */
 
+import { READ_TOKENS_PER_MS } from "../constants.ts";
 import {
   isRestarted,
   type ServerReport,
@@ -23,8 +24,6 @@
 /** Reports without the run after which it counts as lost; one may be too old. */
 const ABSENCES_MAX = 2;
 
-/** Prompt tokens that an engine reads in a ms, on the users' sheets. */
-export const READ_TOKENS_PER_MS = 5;
 /** How many times longer than the known prompts a first event may take: others come unseen. */
 const READ_FACTOR = 3;
 /** Time that a first event may take besides, in ms. */
--- a/src/request/stream_sending.ts
+++ b/src/request/stream_sending.ts
@@ -4,18 +4,17 @@
  * counts as at its server.
  */
 
+import { READ_TOKENS_PER_MS } from "../constants.ts";
 import { AttemptLoss, LossCause } from "../errors.ts";
 import { addLoad, type LiveServer } from "../process/live_server.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import { endMs, type Order } from "./order.ts";
 import type { AttemptEntry } from "./order_attempts.ts";
-import { holdLoad, unreadPrompt } from "./place_order.ts";
 import { RunCopies, type RunCopy } from "./run_copies.ts";
 import {
   COPY_EVENT_CHECK_MS,
   FIRST_EVENT_CHECK_MS,
   firstEventMaxMs,
-  READ_TOKENS_PER_MS,
 } from "./silence.ts";
 import { SilenceGuard } from "./silence_guard.ts";
 
@@ -26,6 +25,8 @@
   readonly copy?: RunCopy;
   /** Gives the place back. */
   readonly close: () => void;
+  /** Notes that the server has no more of the prompt to read. */
+  readonly endReading: () => void;
 }
 
 /** What a sending needs of its stream. */
@@ -50,7 +51,6 @@
   readonly #startMs: number;
   readonly #stop = new AbortController();
   readonly #limit: NodeJS.Timeout;
-  readonly #endReading: () => void;
 
   private constructor(options: StreamSendingOptions) {
     const { context, order, seat, entry, excluded, events } = options;
@@ -60,9 +60,6 @@
     this.seat = seat;
     this.entry = entry;
     this.copies = RunCopies.create({ context, order, server, excluded });
-    this.#endReading = copy === undefined
-      ? holdLoad(context, { server, load: unreadPrompt(order) })
-      : () => undefined;
     this.#limit = setTimeout(
       () => this.#lose(LossCause.TimeUp, "time limit reached"),
       endMs(order) - context.now(),
@@ -100,7 +97,7 @@
 
   /** Notes that the server made events, so it has read the prompt. */
   noteEvents(): void {
-    this.#endReading();
+    this.seat.endReading();
     this.copies.noteEvents();
   }
 
@@ -108,7 +105,7 @@
   close(isOver: boolean): void {
     clearTimeout(this.#limit);
     this.guard.close();
-    this.#endReading();
+    this.seat.endReading();
     this.seat.close();
     this.copies.close(isOver);
   }
--- a/tests/relay/relay_stream_test.ts
+++ b/tests/relay/relay_stream_test.ts
@@ -267,6 +267,25 @@
   expect(second).not.toBe(first);
 });
 
+test("streams that wait do not all go to the first server that returns", async () => {
+  const core = createRelay([]);
+  const { open, targets } = followScripts(Array.from({ length: 5 }, hangs));
+  const callers = Array.from({ length: 5 }, RecordedCaller.create);
+  const served = callers.map((caller) =>
+    serveOrder(core.context, { order: createOrder(), caller, open })
+  );
+  const [first, second] = SERVERS;
+  if (first !== undefined) core.servers.set(first);
+  await sleep(10);
+  expect(targets.length).toBe(2);
+  if (second !== undefined) core.servers.set(second);
+  await sleep(10);
+  expect(targets.map(({ server }) => server.name))
+    .toEqual(["a1", "a1", "b1", "b1"]);
+  for (const caller of callers) caller.leave();
+  await Promise.allSettled(served);
+});
+
 test("a run that an idle server lost is given up long before its prompt would be read", async () => {
   const startMs = performance.now();
   const core = createRelay(SERVERS, { askReport: () => Promise.resolve(IDLE) });
