--- a/src/request/relay_call.ts
+++ b/src/request/relay_call.ts
@@ -104,10 +104,9 @@
   /** Waits for a place; `undefined` when there is none in time. */
   async #place(): Promise<Place | undefined> {
     const { now, servers } = this.#context;
-    if (!this.#hasServer()) this.#tried.clear();
     const waitMs = placeWaitMs(this.#order, {
       usedMs: this.#usedMs,
-      hasServer: this.#hasServer(),
+      hasServer: this.#hasServer() || this.#hasServerAgain(),
       wasFull: servers.wasFull(this.#order.service),
       nowMs: now(),
     });
@@ -138,6 +137,12 @@
     });
   }
 
+  /** The same when servers that were full or failed may be tried once more. */
+  #hasServerAgain(): boolean {
+    this.#tried.clear();
+    return this.#hasServer();
+  }
+
   get #excluded(): ReadonlySet<string> {
     return new Set([...this.#lost, ...this.#tried]);
   }
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -31,6 +31,7 @@
 import { EventSpacing } from "./silence.ts";
 import { type Seat, StreamSending } from "./stream_sending.ts";
 import { StreamSplice } from "./stream_splice.ts";
+import { streamWait } from "./stream_wait.ts";
 
 /** How one sending ended. */
 enum Ending {
@@ -40,10 +41,6 @@
   Lost,
 }
 
-/** Part of the time to the target that a stream waits for a place. */
-const WAIT_PART = 0.6;
-/** Part of the target time in which it rather waits than lines up behind others. */
-const PATIENCE_PART = 0.3;
 const MS_PER_S = 1_000;
 const SUCCESS_MIN = 200;
 const SUCCESS_MAX = 299;
@@ -151,41 +148,25 @@
 
   /** Waits for a place; `undefined` when there is none in time. */
   async #seat(): Promise<Seat | undefined> {
-    const { now, servers } = this.#context;
-    const { signal } = this.#exchange.caller;
-    const waitMs = this.#hasBegun
-      ? endMs(this.#order) - now()
-      : this.#order.receivedMs + this.#order.rank.targetMs * WAIT_PART - now();
+    const { now, prompts } = this.#context;
+    const order = this.#order;
+    if (!this.#hasServer()) this.#lost.clear();
+    const load = unreadPrompt(order);
     let endReading = () => {};
-    const wait = {
-      excluded: this.#lost,
-      waitMs: Math.max(0, waitMs),
-      signal,
-      isResumed: this.#hasBegun,
-      ...(this.#lostZone === undefined ? {} : { lostZone: this.#lostZone }),
-      preferred: this.#context.prompts.find(this.#order.prompt),
-      patientUntilMs: this.#hasBegun
-        ? now()
-        : this.#order.receivedMs + this.#order.rank.targetMs * PATIENCE_PART,
-      onPlaced: (name: string) => {
-        const load = unreadPrompt(this.#order);
-        endReading = holdLoad(this.#context, { name, load });
-      },
-    };
-    const request = {
-      service: this.#order.service,
-      tokens: this.#order.memoryTokens,
-      excluded: this.#lost,
-    };
-    // Lost servers are tried again when no other is left.
-    if (!servers.canServe(request)) this.#lost.clear();
     try {
-      const place = await placeOrder(this.#context, this.#order, wait);
-      return {
-        server: place.server as LiveServer,
-        close: place.close,
-        endReading,
-      };
+      const place = await placeOrder(this.#context, order, {
+        ...streamWait(order, { hasBegun: this.#hasBegun, nowMs: now() }),
+        excluded: this.#lost,
+        signal: this.#exchange.caller.signal,
+        isResumed: this.#hasBegun,
+        ...(this.#lostZone === undefined ? {} : { lostZone: this.#lostZone }),
+        preferred: prompts.find(order.prompt),
+        onPlaced: (name) => {
+          endReading = holdLoad(this.#context, { name, load });
+        },
+      });
+      const server = place.server as LiveServer;
+      return { server, close: place.close, endReading };
     } catch (error) {
       if (!(error instanceof Refusal)) throw error;
       this.#reason = error.message;
@@ -193,6 +174,16 @@
     }
   }
 
+  /** Whether any server that did not lose the stream could take it. */
+  #hasServer(): boolean {
+    const { service, memoryTokens } = this.#order;
+    return this.#context.servers.canServe({
+      service,
+      tokens: memoryTokens,
+      excluded: this.#lost,
+    });
+  }
+
   async #sendOnce(seat: Seat): Promise<Ending> {
     const { caller } = this.#exchange;
     this.#splice.beginPart();
