--- a/src/request/stream_wait.ts
+++ b/src/request/stream_wait.ts
@@ -9,7 +9,7 @@
 import { endMs, type Order } from "./order.ts";
 
 /** Part of the time to the target that a stream waits for a place. */
-const WAIT_PART = 0.6;
+export const WAIT_PART = 0.6;
 /** Part of the target time in which it rather waits than lines up behind others. */
 const PATIENCE_PART = 0.3;
 
--- a/tests/emulator_test.ts
+++ b/tests/emulator_test.ts
@@ -8,10 +8,9 @@
 import { emulate, type EmulatedFigures } from "../bench/emulator/emulation.ts";
 import { OrderKind } from "../src/request/order.ts";
 import { QueueOrder } from "../src/process/settings.ts";
+import { WAIT_PART } from "../src/request/stream_wait.ts";
 
 const SEED = 20_261_204;
-/** Wait for a place before a refusal, as part of the target; see relay_stream.ts. */
-const WAIT_PART = 0.6;
 
 const ROUTINE: EmulatedClass = {
   name: "routine",
