--- a/bench/emulator/emulated_world.ts
+++ b/bench/emulator/emulated_world.ts
@@ -196,7 +196,7 @@
       retryAllowance: 100,
       retryWindowMs: 10_000,
       queueOrder: this.#options.queueOrder ?? QueueOrder.Fair,
-      onPlaced: () => this.#tellSoon(at),
+      onWorkPlaced: () => this.#tellSoon(at),
     });
     const { canBackUp = true } = this.#options;
     relay.adopt(createTable(this.#engine, canBackUp), "emulation");
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -47,7 +47,7 @@
   /** Which waiting order is served first; fair if absent. */
   readonly queueOrder?: QueueOrder;
   /** Called when a stream was given to a server. */
-  readonly onPlaced?: () => void;
+  readonly onWorkPlaced?: () => void;
   /** Called when the store told of a change that other entries may not know. */
   readonly onNews?: () => void;
 }
@@ -119,7 +119,7 @@
           servers.begin(name, load);
           onPlaced?.(name);
           // Others that choose in the same moment would choose the same server.
-          if (load.tokens > 0) options.onPlaced?.();
+          if (load.tokens > 0) options.onWorkPlaced?.();
         },
         end: (name, { load }) => servers.end(name, load),
       },
--- a/tests/relay/relay_stream_test.ts
+++ b/tests/relay/relay_stream_test.ts
@@ -218,7 +218,7 @@
 
 test("others are told at once where a stream goes, so that they go elsewhere", async () => {
   let told = 0;
-  const core = createRelay(SERVERS, { onPlaced: () => told++ });
+  const core = createRelay(SERVERS, { onWorkPlaced: () => told++ });
   await relay([events(1, 2, "whole")], { core });
   expect(told).toBe(1);
 });
--- a/tests/relay/scripted.ts
+++ b/tests/relay/scripted.ts
@@ -79,7 +79,7 @@
 interface ScriptedRelay {
   readonly askReport?: Reporter;
   readonly copyRun?: RunCopier;
-  readonly onPlaced?: () => void;
+  readonly onWorkPlaced?: () => void;
   /** Monotonic clock, in ms; the process's own if absent. */
   readonly now?: () => number;
 }
@@ -90,7 +90,7 @@
   {
     askReport = () => Promise.reject(new Error("no report")),
     copyRun = () => Promise.reject(new Error("no copy")),
-    onPlaced = () => undefined,
+    onWorkPlaced = () => undefined,
     now = () => performance.now(),
   }: ScriptedRelay = {},
 ): Relay {
@@ -105,7 +105,7 @@
     retryRatio: 10,
     retryAllowance: 100,
     retryWindowMs: 10_000,
-    onPlaced,
+    onWorkPlaced,
   });
   relay.adopt(createTable(1), "test");
   relay.setServers(
