Refuse a stream at once that may not be sent again

Cause: reading over the change: a stream that lost its server waits for that server's report, up to 150 ms, to learn whether to return to it; one that may not be sent again waited too, though a request that is given up gets its answer at once.

Change: it does not wait.

Test: 'a stream that may not be sent again is refused at once ...' failed first (no answer after 100 ms).

--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -262,17 +262,18 @@
     this.#copy = copies.copy;
     this.#reason = error.message;
     this.#isTimeUp = error.lossCause === LossCause.TimeUp;
-    const isSound = error.lossCause === LossCause.Stalled ||
+    const isAlive = error.lossCause === LossCause.Stalled ||
       error.lossCause === LossCause.Refused;
-    this.#lostZone = isSound
+    this.#lostZone = isAlive
       ? undefined
       : { zone: server.zone, atMs: this.#context.now() };
     this.#lost.add(server.name);
     if (this.#hasBegun) this.#lostAtMs ??= this.#context.now();
     const loss = { order: this.#order, entry, server, error };
-    const isSoundAgain = noteLoss(this.#context, loss);
+    const provesSound = noteLoss(this.#context, loss);
     if (this.#copy !== undefined || !sending.mayHaveRead) return;
-    if (await isSoundAgain) this.#returnTo(server);
+    if (!this.#attempts.maySendAgain) return;
+    if (await provesSound) this.#returnTo(server);
   }
 
   /** Lets the stream go once more to a server that lives and has read its prompt. */
--- a/tests/relay/relay_stream_test.ts
+++ b/tests/relay/relay_stream_test.ts
@@ -255,6 +255,14 @@
   expect(third).not.toBe(first);
 });
 
+test("a stream that may not be sent again is refused at once, whatever its server reports", async () => {
+  const core = createRelay(SERVERS, { askReport: () => new Promise(() => {}) });
+  const order = createOrder({ isResumable: false, promptTokens: 0 });
+  const served = relay([loses(LossCause.Closed)], { core, order });
+  const ended = await Promise.race([served, sleep(100)]);
+  expect(ended?.caller.refusal?.type).toBe("outcome_unknown");
+});
+
 test("a stream does not go back to a server that was restarted", async () => {
   const core = createRelay(SERVERS, {
     askReport: () => Promise.resolve({ ...IDLE, startedMs: 2 }),
