--- a/bench/child.ts
+++ b/bench/child.ts
@@ -3,8 +3,8 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
-import { callHttp, type HttpAnswer } from "../src/connection/http_call.ts";
-import { EVENTS } from "../src/process/event_catalog.ts";
+import { callHttp, type HttpResponse } from "../src/connection/http_call.ts";
+import { LOG_EVENTS } from "../src/process/log_events.ts";
 
 /** How a process is started. */
 export interface ChildOptions {
@@ -14,7 +14,7 @@
   /** Options of Node itself. */
   readonly nodeOptions?: readonly string[];
   /** Variables beside those of this process. */
-  readonly variables?: Readonly<Record<string, string>>;
+  readonly env?: Readonly<Record<string, string>>;
   /** Ports that are known before; the process then says by its log that it listens. */
   readonly ports?: Readonly<Record<string, number>>;
 }
@@ -25,7 +25,7 @@
   readonly [detail: string]: unknown;
 }
 
-const LISTENING = EVENTS.listening.number;
+const LISTENING = LOG_EVENTS.listening.number;
 const ROOT = new URL("../", import.meta.url);
 const START_LIMIT_MS = 15_000;
 /** Silence after which no gathered line is left; processes gather for 50 ms. */
@@ -68,7 +68,7 @@
       [...options.nodeOptions ?? [], module, ...options.args],
       {
         stdio: ["ignore", "pipe", "pipe"],
-        env: { ...process.env, ...options.variables },
+        env: { ...process.env, ...options.env },
       },
     );
     started.add(child);
@@ -121,7 +121,7 @@
   }
 
   /** Keys of the runs that a stand-in announced, also before a kill. */
-  runs(): string[] {
+  announcedRuns(): string[] {
     return this.#stdout.join("").split("\n")
       .filter((line) => line.startsWith('{"run"'))
       .map((line) => (JSON.parse(line) as { readonly run: string }).run);
@@ -135,7 +135,7 @@
   }
 
   /** Resolves once output that was gathered has been written. */
-  async settleOutput(): Promise<void> {
+  async waitForOutput(): Promise<void> {
     let seen = -1;
     while (seen !== this.#stdout.length) {
       seen = this.#stdout.length;
@@ -187,7 +187,7 @@
     return answer?.status ?? 0;
   }
 
-  #call(path: string): Promise<HttpAnswer> {
+  #call(path: string): Promise<HttpResponse> {
     return callHttp({
       address: this.address,
       method: "GET",
--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -20,11 +20,11 @@
   engineSwitches: { tokenMs: TOKEN_MS },
 });
 try {
-  print((await cluster.command(["audit"])).stdout.trimEnd());
+  print((await cluster.runCommand(["audit"])).stdout.trimEnd());
   print(`\nasking an entry for ${ASKED.maxTokens} tokens ...`);
   const caller = cluster.complete(ASKED);
-  await caller.received(TOKENS_BEFORE_KILL);
-  const serving = await cluster.servingIndex();
+  await caller.waitForTokens(TOKENS_BEFORE_KILL);
+  const serving = await cluster.servingEngineIndex();
   const engine = cluster.engine(serving);
   print(`${caller.tokenCount} tokens received; killing ${engineName(serving)}`);
   print(`  (pid ${engine.pid}) under it`);
@@ -38,7 +38,7 @@
   print(`${caller.text.trim().slice(0, 60)} ...`);
   print(`answer ended: ${outcome}, ${caller.tokenCount} tokens`);
   print(`no token lost, doubled or mixed: ${isWhole ? "yes" : "NO"}`);
-  print(`output paused for ${caller.longestPauseMs.toFixed(0)} ms`);
+  print(`output paused for ${caller.longestEventGapMs.toFixed(0)} ms`);
   if (!isWhole || outcome !== "done") process.exitCode = 1;
 } finally {
   await cluster.close();
--- a/bench/emulate_main.ts
+++ b/bench/emulate_main.ts
@@ -3,8 +3,8 @@
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { SHEET_ENGINE } from "./emulator/emulated_engine.ts";
-import type { EmulatedClass } from "./emulator/emulated_load.ts";
+import { REFERENCE_ENGINE } from "./emulator/emulated_engine.ts";
+import type { RequestClass } from "./emulator/emulated_load.ts";
 import { emulate } from "./emulator/emulation.ts";
 
 const DEFAULT_SEED = 20_261_204;
@@ -23,7 +23,7 @@
     default: 18.7,
     describe: "streams a second, a tenth of them urgent",
   })
-  .option("slots", { type: "number", default: SHEET_ENGINE.slots })
+  .option("slots", { type: "number", default: REFERENCE_ENGINE.slots })
   .option("burst", {
     type: "number",
     default: 1,
@@ -41,21 +41,21 @@
   .parse();
 
 /** The two kinds of streams of the users' larger deployments. */
-const URGENT: EmulatedClass = {
+const URGENT: RequestClass = {
   name: "urgent",
-  perSecond: args.rate * 0.1,
+  arrivalsPerS: args.rate * 0.1,
   promptTokens: 5_200,
-  events: 130,
+  eventCount: 130,
   targetMs: 4_009,
-  pauseMs: 700,
+  maxPauseMs: 700,
   deadlineMs: 25_000,
   priority: 1,
   customers: ["a", "b", "c"],
 };
-const ROUTINE: EmulatedClass = {
+const ROUTINE: RequestClass = {
   ...URGENT,
   name: "routine",
-  perSecond: args.rate * 0.9,
+  arrivalsPerS: args.rate * 0.9,
   targetMs: 10_009,
   priority: 4,
   bursts: [{ factor: args.burst, fromMs: 3_000, toMs: 9_000 }],
@@ -63,12 +63,12 @@
 
 const figures = await emulate({
   ...args,
-  canBackUp: args.backups,
-  engine: { ...SHEET_ENGINE, slots: args.slots },
-  slowSpans: [
-    { engines: args.slow, slowness: 4, fromMs: 8_000, toMs: 14_000 },
+  supportsKvBackup: args.backups,
+  engine: { ...REFERENCE_ENGINE, slots: args.slots },
+  slowdowns: [
+    { engines: args.slow, slowdownFactor: 4, fromMs: 8_000, toMs: 14_000 },
   ],
-  lengthMs: args.seconds * MS_PER_S,
+  durationMs: args.seconds * MS_PER_S,
   classes: [URGENT, ROUTINE],
 });
 for (const line of figures) process.stdout.write(`${JSON.stringify(line)}\n`);
--- a/bench/emulator/emulated_world.ts
+++ b/bench/emulator/emulated_cluster.ts
@@ -12,21 +12,24 @@
 import type { LiveServer } from "../../src/process/live_server.ts";
 import { Relay } from "../../src/process/relay.ts";
 import { QueueOrder } from "../../src/process/settings.ts";
-import { type Order, OrderKind } from "../../src/request/order.ts";
-import { serveOrder } from "../../src/request/serve_order.ts";
+import {
+  type ProxyRequest,
+  RequestKind,
+} from "../../src/request/proxy_request.ts";
+import { serveRequest } from "../../src/request/serve_request.ts";
 import { RouteTable } from "../../src/version/route_table.ts";
 import { Fencing, ObjectKind } from "../../src/version/types.ts";
 import { EmulatedCaller } from "./emulated_caller.ts";
 import {
   EmulatedEngine,
   type EngineModel,
-  SHEET_ENGINE,
+  REFERENCE_ENGINE,
 } from "./emulated_engine.ts";
-import type { EmulatedClass, LoadOptions } from "./emulated_load.ts";
+import type { LoadOptions, RequestClass } from "./emulated_load.ts";
 import {
   EmulatedService,
+  REFERENCE_SERVICE,
   type ServiceModel,
-  SHEET_SERVICE,
 } from "./emulated_service.ts";
 import type { VirtualClock } from "./virtual_time.ts";
 
@@ -40,18 +43,18 @@
   /** Entries that each entry dials; it hears those that dial it too. */
   readonly dialled: number;
   /** Whether engines keep copies of each other's runs; they do if absent. */
-  readonly canBackUp?: boolean;
+  readonly supportsKvBackup?: boolean;
   readonly engine?: EngineModel;
   /** Fair if absent. */
   readonly queueOrder?: QueueOrder;
   /** Engines that are slower for a while. */
-  readonly slowSpans?: readonly SlowSpan[];
+  readonly slowdowns?: readonly Slowdown[];
 }
 
 /** A time in which the first engines are slower than the others. */
-export interface SlowSpan {
+export interface Slowdown {
   readonly engines: number;
-  readonly slowness: number;
+  readonly slowdownFactor: number;
   /** From the start, in ms. */
   readonly fromMs: number;
   readonly toMs: number;
@@ -74,7 +77,7 @@
 const TOKENS_PER_EVENT = 7;
 
 /** The entries and engines of one emulation. */
-export class EmulatedWorld {
+export class EmulatedCluster {
   readonly #options: EmulationOptions;
   readonly #clock: VirtualClock;
   readonly #engine: EngineModel;
@@ -89,13 +92,13 @@
   private constructor(options: EmulationOptions, clock: VirtualClock) {
     this.#options = options;
     this.#clock = clock;
-    this.#engine = options.engine ?? SHEET_ENGINE;
+    this.#engine = options.engine ?? REFERENCE_ENGINE;
     const engines = Array.from({ length: options.servers }, (_, at) => {
       const name = `server-${at}`;
       this.#engines.set(name, EmulatedEngine.create(this.#engine));
       return describeServer(at, { ...this.#engine, name, service: SERVICE });
     });
-    const model = options.plainModel ?? SHEET_SERVICE;
+    const model = options.plainModel ?? REFERENCE_SERVICE;
     const random = xoroshiro128plus(options.seed);
     const plain = Array.from({ length: options.plainServers ?? 0 }, (_, at) => {
       const name = `plain-${at}`;
@@ -111,13 +114,16 @@
   }
 
   /** Makes entries that know the servers and are linked. */
-  static create(options: EmulationOptions, clock: VirtualClock): EmulatedWorld {
-    return new EmulatedWorld(options, clock);
+  static create(
+    options: EmulationOptions,
+    clock: VirtualClock,
+  ): EmulatedCluster {
+    return new EmulatedCluster(options, clock);
   }
 
   /** Sends one request to an entry; the returned caller notes what it gets. */
   send(
-    kind: EmulatedClass,
+    kind: RequestClass,
     { entry, index }: { readonly entry: number; readonly index: number },
   ): EmulatedCaller {
     const order = this.#createOrder(kind, {
@@ -129,29 +135,31 @@
       customer: order.customer,
     });
     this.#serve(order, { caller, kind, entry }).then(() => {
-      if (caller.ending !== "refused" || kind.returnMs === undefined) return;
+      if (caller.outcome !== "refused" || kind.retryDelayMs === undefined) {
+        return;
+      }
       const { startMs } = caller;
       setTimeout(() => {
         const again = this.#createOrder(kind, { index, startMs });
         const elsewhere = (entry + 1) % this.#relays.length;
         this.#serve(again, { caller, kind, entry: elsewhere });
-      }, caller.retryAfterMs + kind.returnMs);
+      }, caller.retryAfterMs + kind.retryDelayMs);
     });
     return caller;
   }
 
   async #serve(
-    order: Order,
+    order: ProxyRequest,
     { caller, kind, entry }: {
       readonly caller: EmulatedCaller;
-      readonly kind: EmulatedClass;
+      readonly kind: RequestClass;
       readonly entry: number;
     },
   ): Promise<void> {
     const relay = this.#relays[entry];
     if (relay === undefined) return;
-    await serveOrder(relay.context, {
-      order,
+    await serveRequest(relay.context, {
+      request: order,
       caller,
       open: (target) => {
         const service = this.#services.get(target.server.name);
@@ -159,19 +167,21 @@
         const engine = this.#engines.get(target.server.name);
         if (engine === undefined) throw new Error("server is not emulated");
         const keeper = this.#engines.get(target.backup?.name ?? "");
-        const release = keeper?.keepCopy(order);
+        const release = keeper?.reserveKvCopy(order);
         target.signal.addEventListener("abort", () => release?.());
-        caller.onOver = () => release?.();
-        return engine.open(order, { target, eventsTotal: kind.events });
+        caller.onEnd = () => release?.();
+        return engine.open(order, { target, eventsTotal: kind.eventCount });
       },
     });
   }
 
   /** Makes engines slower for a while. */
-  slow({ engines, slowness, fromMs, toMs }: SlowSpan): void {
+  applySlowdown(
+    { engines, slowdownFactor: slowness, fromMs, toMs }: Slowdown,
+  ): void {
     const chosen = [...this.#engines.values()].slice(0, engines);
     const set = (to: number) => {
-      for (const engine of chosen) engine.slowness = to;
+      for (const engine of chosen) engine.slowdownFactor = to;
     };
     setTimeout(() => set(slowness), fromMs);
     setTimeout(() => set(1), toMs);
@@ -182,26 +192,26 @@
     const relay = Relay.create({
       entry: `entry-${at}` as EntryId,
       log: () => undefined,
-      askReport: ({ name }) => {
+      fetchReport: ({ name }) => {
         const report = this.#engines.get(name)?.report();
         return report === undefined
           ? Promise.reject(new Error(`${name} is not emulated`))
           : Promise.resolve(report);
       },
-      copyRun: () => Promise.reject(new Error("not emulated")),
-      freeCopy: () => Promise.resolve(),
+      copyKvCache: () => Promise.reject(new Error("not emulated")),
+      releaseKvCopy: () => Promise.resolve(),
       now: this.#clock.now,
       random: () => uniformFloat64(random),
       retryRatio: 1,
       retryAllowance: 100,
       retryWindowMs: 10_000,
       queueOrder: this.#options.queueOrder ?? QueueOrder.Fair,
-      onWorkPlaced: () => this.#tellSoon(at),
+      onStreamPlaced: () => this.#tellSoon(at),
     });
-    const { canBackUp = true } = this.#options;
+    const { supportsKvBackup: canBackUp = true } = this.#options;
     relay.adopt(createTable(this.#engine, canBackUp), "emulation");
-    relay.setRegistered(this.#options.entries);
-    relay.setServers(
+    relay.setRegisteredEntryCount(this.#options.entries);
+    relay.replaceServerList(
       servers.map((server) => ({
         name: server.name,
         revision: 1 as ObjectRevision,
@@ -258,17 +268,17 @@
   #tell(relay: Relay, peers: ReadonlySet<Relay>): void {
     const digest = relay.createDigest();
     setTimeout(() => {
-      for (const peer of peers) peer.takeDigest(digest);
+      for (const peer of peers) peer.mergeDigest(digest);
     }, LINK_MS);
   }
 
   #createOrder(
-    kind: EmulatedClass,
+    kind: RequestClass,
     { index, startMs }: { readonly index: number; readonly startMs: number },
-  ): Order {
+  ): ProxyRequest {
     const id = `${kind.name}-${index}`;
-    const orderKind = kind.kind ?? OrderKind.Stream;
-    const isStream = orderKind === OrderKind.Stream;
+    const orderKind = kind.kind ?? RequestKind.Stream;
+    const isStream = orderKind === RequestKind.Stream;
     const part = isStream ? 1 : deadlinePart(index);
     const endMs = startMs + kind.deadlineMs * part;
     return {
@@ -286,14 +296,14 @@
         floorPercent: 0,
       },
       fingerprint: id as Fingerprint,
-      memoryTokens: kind.promptTokens + kind.events * TOKENS_PER_EVENT,
+      kvCacheTokens: kind.promptTokens + kind.eventCount * TOKENS_PER_EVENT,
       promptTokens: kind.promptTokens,
-      prompt: isStream ? id : "",
-      resumeAfter: undefined,
+      promptKey: isStream ? id : "",
+      lastEventId: undefined,
       receivedMs: this.#clock.now(),
-      deadlineMs: endMs,
-      limitMs: endMs,
-      sendsMax: 5,
+      callerDeadlineMs: endMs,
+      routeDeadlineMs: endMs,
+      maxAttempts: 5,
     };
   }
 }
@@ -322,14 +332,17 @@
 }
 
 function createTable(
-  { memoryTokens }: EngineModel,
+  { kvCacheTokens: memoryTokens }: EngineModel,
   canBackUp: boolean,
 ): RouteTable {
   return RouteTable.create({
     version: 1,
     routes: [],
     services: [
-      { name: SERVICE, engine: { memoryTokens, canBackUp } },
+      {
+        name: SERVICE,
+        engine: { kvCacheTokens: memoryTokens, supportsKvBackup: canBackUp },
+      },
       { name: PLAIN, engine: undefined },
     ],
     customers: undefined,
--- a/bench/emulator/emulated_engine.ts
+++ b/bench/emulator/emulated_engine.ts
@@ -4,43 +4,43 @@
  */
 
 import {
-  type AttemptTarget,
-  type BackendAnswer,
-  lossOfSignal,
-} from "../../src/connection/backend_answer.ts";
+  abortError,
+  type BackendRequest,
+  type BackendResponse,
+} from "../../src/connection/backend_request.ts";
 import type { ServerReport } from "../../src/connection/backend_report.ts";
-import type { Order } from "../../src/request/order.ts";
+import type { ProxyRequest } from "../../src/request/proxy_request.ts";
 
 /** Size and speed of an engine. */
 export interface EngineModel {
   readonly slots: number;
   /** Memory for running requests, in tokens. */
-  readonly memoryTokens: number;
+  readonly kvCacheTokens: number;
   /** Duration of a step with one running request, in ms. */
   readonly stepMs: number;
   /** Longer by this for each further one, in ms. */
-  readonly stepPerRunMs: number;
+  readonly stepMsPerRun: number;
   /** Prompt tokens read in a ms. */
-  readonly readPerMs: number;
+  readonly prefillTokensPerMs: number;
   /** Prompt tokens read in one step. */
-  readonly chunkTokens: number;
+  readonly prefillChunkTokens: number;
   /** Steps that make one event. */
   readonly stepsPerEvent: number;
 }
 
 /** The engines of the users' site files. */
-export const SHEET_ENGINE: EngineModel = {
+export const REFERENCE_ENGINE: EngineModel = {
   slots: 12,
-  memoryTokens: 55_000,
+  kvCacheTokens: 55_000,
   stepMs: 4.23,
-  stepPerRunMs: 0.000767,
-  readPerMs: 5,
-  chunkTokens: 125,
+  stepMsPerRun: 0.000767,
+  prefillTokensPerMs: 5,
+  prefillChunkTokens: 125,
   stepsPerEvent: 7,
 };
 
 interface Run {
-  readonly order: Order;
+  readonly order: ProxyRequest;
   readonly eventsTotal: number;
   unreadTokens: number;
   events: number;
@@ -57,16 +57,16 @@
   #copyTokens = 0;
   #isStepping = false;
   /** Prompt tokens read so far. */
-  readTokens = 0;
+  prefilledTokens = 0;
   /** How many times longer than the model's each step takes. */
-  slowness = 1;
+  slowdownFactor = 1;
 
   private constructor(model: EngineModel) {
     this.#model = model;
   }
 
   /** Makes an idle engine. */
-  static create(model: EngineModel = SHEET_ENGINE): EmulatedEngine {
+  static create(model: EngineModel = REFERENCE_ENGINE): EmulatedEngine {
     return new EmulatedEngine(model);
   }
 
@@ -79,31 +79,31 @@
       startedMs: 1,
       runs: new Map(runs),
       waiting: this.#waiting.length,
-      reading: this.#running.size - runs.length,
+      prefilling: this.#running.size - runs.length,
     };
   }
 
   /** Keeps a copy of a run elsewhere until the returned function is called. */
-  keepCopy({ memoryTokens }: Order): () => void {
+  reserveKvCopy({ kvCacheTokens: memoryTokens }: ProxyRequest): () => void {
     this.#copyTokens += memoryTokens;
     return () => this.#copyTokens -= memoryTokens;
   }
 
   /** Serves a stream of `eventsTotal` events. */
   open(
-    order: Order,
+    order: ProxyRequest,
     { target, eventsTotal }: {
-      readonly target: AttemptTarget;
+      readonly target: BackendRequest;
       readonly eventsTotal: number;
     },
-  ): Promise<BackendAnswer> {
+  ): Promise<BackendResponse> {
     const events: (number | undefined)[] = [];
     let wake: () => void = () => undefined;
     const run: Run = {
       order,
       eventsTotal,
       unreadTokens: order.promptTokens,
-      events: Number(target.resumeAfter ?? 0),
+      events: Number(target.lastEventId ?? 0),
       onEvent: (id) => {
         events.push(id);
         wake();
@@ -119,7 +119,7 @@
     this.#step();
     const body = async function* () {
       for (;;) {
-        if (signal.aborted) throw lossOfSignal(signal);
+        if (signal.aborted) throw abortError(signal);
         if (events.length === 0) {
           await new Promise<void>((resolve) => wake = resolve);
           continue;
@@ -132,7 +132,7 @@
     return Promise.resolve({
       head: { status: 200, headers: [], isFramed: true },
       hasNotRun: false,
-      isReplaced: false,
+      isMisdirected: false,
       body,
     });
   }
@@ -145,16 +145,16 @@
 
   /** Admits the most urgent first, while slots and memory last. */
   #admit(): void {
-    const { slots, memoryTokens } = this.#model;
+    const { slots, kvCacheTokens: memoryTokens } = this.#model;
     this.#waiting.sort((a, b) => a.order.rank.order - b.order.rank.order);
     while (this.#waiting.length > 0 && this.#running.size < slots) {
       const held = [...this.#running].reduce(
-        (sum, { order }) => sum + order.memoryTokens,
+        (sum, { order }) => sum + order.kvCacheTokens,
         this.#copyTokens,
       );
       const next = this.#waiting[0];
       if (next === undefined) return;
-      if (held + next.order.memoryTokens > memoryTokens) return;
+      if (held + next.order.kvCacheTokens > memoryTokens) return;
       this.#waiting.shift();
       this.#running.add(next);
     }
@@ -167,8 +167,9 @@
     if (this.#running.size === 0) return;
     const writers = [...this.#running].filter((run) => run.unreadTokens === 0);
     const reader = [...this.#running].find((run) => run.unreadTokens > 0);
-    const { stepMs, stepPerRunMs, stepsPerEvent } = this.#model;
-    const { readPerMs, chunkTokens } = this.#model;
+    const { stepMs, stepMsPerRun: stepPerRunMs, stepsPerEvent } = this.#model;
+    const { prefillTokensPerMs: readPerMs, prefillChunkTokens: chunkTokens } =
+      this.#model;
     const steps = writers.length > 0 ? stepsPerEvent : 1;
     const read = Math.min(steps * chunkTokens, reader?.unreadTokens ?? 0);
     const runsMs = stepPerRunMs * this.#running.size;
@@ -176,10 +177,10 @@
     setTimeout(() => {
       this.#isStepping = false;
       if (reader !== undefined) reader.unreadTokens -= read;
-      this.readTokens += read;
+      this.prefilledTokens += read;
       for (const run of writers) this.#advance(run);
       this.#step();
-    }, this.slowness * (steps * (stepMs + runsMs) + read / readPerMs));
+    }, this.slowdownFactor * (steps * (stepMs + runsMs) + read / readPerMs));
   }
 
   #advance(run: Run): void {
--- a/bench/emulator/emulated_load.ts
+++ b/bench/emulator/emulated_load.ts
@@ -2,25 +2,25 @@
 
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import type { OrderKind } from "../../src/request/order.ts";
-import type { StreamAim } from "./emulated_caller.ts";
+import type { RequestKind } from "../../src/request/proxy_request.ts";
+import type { LatencyTarget } from "./emulated_caller.ts";
 
 /** One kind of request of a load. */
-export interface EmulatedClass extends StreamAim {
+export interface RequestClass extends LatencyTarget {
   readonly name: string;
   /** A stream if absent. */
-  readonly kind?: OrderKind;
+  readonly kind?: RequestKind;
   /**
    * Time beyond Retry-After until a refused caller comes back, which it does
    * once, in ms; never if absent.
    */
-  readonly returnMs?: number;
+  readonly retryDelayMs?: number;
   /** Mean arrivals in a second, over all entries. */
-  readonly perSecond: number;
+  readonly arrivalsPerS: number;
   /** Times in which more arrive. */
   readonly bursts?: readonly Burst[];
   readonly promptTokens: number;
-  readonly events: number;
+  readonly eventCount: number;
   /** Longest time to the end, in ms. */
   readonly deadlineMs: number;
   /** 0 is the most urgent. */
@@ -42,18 +42,18 @@
 export interface LoadOptions {
   readonly entries: number;
   /** Relative shares of the entries in the arrivals; all 1 if absent. */
-  readonly weights?: readonly number[];
-  readonly classes: readonly EmulatedClass[];
+  readonly entryWeights?: readonly number[];
+  readonly classes: readonly RequestClass[];
   readonly seed: number;
   /** Time in which requests arrive, in ms. */
-  readonly lengthMs: number;
+  readonly durationMs: number;
 }
 
 /** One request that comes. */
 export interface Arrival {
   /** From the start, in ms. */
   readonly atMs: number;
-  readonly kind: EmulatedClass;
+  readonly requestClass: RequestClass;
   /** Index of the entry that gets it. */
   readonly entry: number;
   /** Counts the requests of its class. */
@@ -63,8 +63,14 @@
 const MS_PER_S = 1_000;
 
 /** Returns seeded arrivals, which do not depend on how requests are served. */
-export function schedule(options: LoadOptions): readonly Arrival[] {
-  const { classes, entries, seed, lengthMs, weights } = options;
+export function scheduleArrivals(options: LoadOptions): readonly Arrival[] {
+  const {
+    classes,
+    entries,
+    seed,
+    durationMs: lengthMs,
+    entryWeights: weights,
+  } = options;
   const random = xoroshiro128plus(seed);
   const shares = weights ?? Array.from({ length: entries }, () => 1);
   const total = shares.reduce((sum, share) => sum + share, 0);
@@ -80,13 +86,21 @@
       const gap = -Math.log(1 - uniformFloat64(random)) / rate;
       atMs += gap * MS_PER_S;
       if (atMs >= lengthMs) break;
-      arrivals.push({ atMs, kind, entry: Math.max(0, drawEntry()), index });
+      arrivals.push({
+        atMs,
+        requestClass: kind,
+        entry: Math.max(0, drawEntry()),
+        index,
+      });
     }
   }
   return arrivals;
 }
 
-function rateAt({ perSecond, bursts = [] }: EmulatedClass, atMs: number) {
+function rateAt(
+  { arrivalsPerS: perSecond, bursts = [] }: RequestClass,
+  atMs: number,
+) {
   const burst = bursts.find(({ fromMs, toMs }) =>
     atMs >= fromMs && atMs < toMs
   );
--- a/bench/emulator/emulated_service.ts
+++ b/bench/emulator/emulated_service.ts
@@ -6,25 +6,25 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import {
-  type AttemptTarget,
-  type BackendAnswer,
-  lossOfSignal,
-} from "../../src/connection/backend_answer.ts";
+  abortError,
+  type BackendRequest,
+  type BackendResponse,
+} from "../../src/connection/backend_request.ts";
 
 /** Size and speed of a plain server. */
 export interface ServiceModel {
   readonly slots: number;
   /** Calls that may wait for a slot. */
-  readonly queueLength: number;
+  readonly queueMaxLength: number;
   /** Mean work of a call, in ms; single calls take 0.5 to 1.5 of it. */
-  readonly workMs: number;
+  readonly meanServiceTimeMs: number;
 }
 
 /** The plain servers of the users' site files. */
-export const SHEET_SERVICE: ServiceModel = {
+export const REFERENCE_SERVICE: ServiceModel = {
   slots: 6,
-  queueLength: 12,
-  workMs: 42.9,
+  queueMaxLength: 12,
+  meanServiceTimeMs: 42.9,
 };
 
 const WORK_MIN_PART = 0.5;
@@ -50,9 +50,10 @@
   }
 
   /** Serves a call; one whose sender leaves keeps no slot. */
-  async open({ signal, onSent }: AttemptTarget): Promise<BackendAnswer> {
+  async open({ signal, onSent }: BackendRequest): Promise<BackendResponse> {
     onSent();
-    const { slots, queueLength, workMs } = this.#model;
+    const { slots, queueMaxLength: queueLength, meanServiceTimeMs: workMs } =
+      this.#model;
     if (this.#running >= slots && this.#queue.length >= queueLength) {
       return createAnswer(STATUS_FULL);
     }
@@ -67,7 +68,7 @@
         }, part * workMs);
       };
       signal.addEventListener("abort", () => {
-        reject(lossOfSignal(signal));
+        reject(abortError(signal));
         const at = this.#queue.indexOf(start);
         if (at >= 0) this.#queue.splice(at, 1);
         else if (timer !== undefined) this.#leave();
@@ -85,11 +86,11 @@
   }
 }
 
-function createAnswer(status: number): BackendAnswer {
+function createAnswer(status: number): BackendResponse {
   return {
     head: { status, headers: [], isFramed: true },
     hasNotRun: status !== STATUS_OK,
-    isReplaced: false,
+    isMisdirected: false,
     body: async function* () {},
   };
 }
--- a/bench/emulator/emulation.ts
+++ b/bench/emulator/emulation.ts
@@ -4,12 +4,12 @@
  */
 
 import type { EmulatedCaller } from "./emulated_caller.ts";
-import { type EmulatedClass, schedule } from "./emulated_load.ts";
-import { EmulatedWorld, type EmulationOptions } from "./emulated_world.ts";
-import { runVirtually } from "./virtual_time.ts";
+import { type RequestClass, scheduleArrivals } from "./emulated_load.ts";
+import { EmulatedCluster, type EmulationOptions } from "./emulated_cluster.ts";
+import { runInVirtualTime } from "./virtual_time.ts";
 
 /** What became of one class. */
-export interface EmulatedFigures {
+export interface EmulatedClassResults {
   readonly name: string;
   readonly sent: number;
   /** Whole answers that kept their target, pauses and deadline. */
@@ -28,15 +28,19 @@
 /** Runs a load to its end. */
 export async function emulate(
   options: EmulationOptions,
-): Promise<readonly EmulatedFigures[]> {
-  const callers = new Map<EmulatedClass, EmulatedCaller[]>(
+): Promise<readonly EmulatedClassResults[]> {
+  const callers = new Map<RequestClass, EmulatedCaller[]>(
     options.classes.map((kind) => [kind, []]),
   );
   const longestMs = Math.max(...options.classes.map((kind) => kind.deadlineMs));
-  await runVirtually(options.lengthMs + longestMs, (clock) => {
-    const world = EmulatedWorld.create(options, clock);
-    for (const span of options.slowSpans ?? []) world.slow(span);
-    for (const { atMs, kind, entry, index } of schedule(options)) {
+  await runInVirtualTime(options.durationMs + longestMs, (clock) => {
+    const world = EmulatedCluster.create(options, clock);
+    for (const span of options.slowdowns ?? []) world.applySlowdown(span);
+    for (
+      const { atMs, requestClass: kind, entry, index } of scheduleArrivals(
+        options,
+      )
+    ) {
       setTimeout(() => {
         callers.get(kind)?.push(world.send(kind, { entry, index }));
       }, atMs);
@@ -48,18 +52,22 @@
 function countFigures(
   name: string,
   callers: readonly EmulatedCaller[],
-): EmulatedFigures {
-  const count = (wanted: EmulatedCaller["ending"]) =>
-    callers.filter(({ ending }) => ending === wanted).length;
-  const meanMs = (wanted: EmulatedCaller["ending"]) => {
-    const ended = callers.filter(({ ending }) => ending === wanted);
-    const sumMs = ended.reduce((sum, { tookMs }) => sum + tookMs, 0);
+): EmulatedClassResults {
+  const count = (wanted: EmulatedCaller["outcome"]) =>
+    callers.filter(({ outcome: ending }) => ending === wanted).length;
+  const meanMs = (wanted: EmulatedCaller["outcome"]) => {
+    const ended = callers.filter(({ outcome: ending }) => ending === wanted);
+    const sumMs = ended.reduce(
+      (sum, { durationMs: tookMs }) => sum + tookMs,
+      0,
+    );
     return Math.round(sumMs / Math.max(1, ended.length));
   };
   const customers = [...new Set(callers.map(({ customer }) => customer))];
   const shares = customers.map((customer) => {
     const own = callers.filter((caller) => caller.customer === customer);
-    return own.filter(({ ending }) => ending === "on time").length / own.length;
+    return own.filter(({ outcome: ending }) => ending === "on time").length /
+      own.length;
   });
   return {
     name,
--- a/bench/emulator/virtual_time.ts
+++ b/bench/emulator/virtual_time.ts
@@ -6,7 +6,7 @@
 let isRunning = false;
 
 /** Runs `act` with timers that fire in virtual time, until `endMs`. */
-export async function runVirtually(
+export async function runInVirtualTime(
   endMs: number,
   act: (clock: VirtualClock) => void,
 ): Promise<void> {
--- a/bench/figures.ts
+++ b/bench/figures.ts
@@ -27,7 +27,7 @@
 }
 
 /** Whether a bound holds. */
-export function holds({ value, limit, side }: Bound): boolean {
+export function isWithinBound({ value, limit, side }: Bound): boolean {
   return side === "at_most" ? value <= limit : value >= limit;
 }
 
@@ -36,7 +36,7 @@
   const bounds = report.bounds.map((bound) => ({
     ...bound,
     value: round(bound.value),
-    holds: holds(bound),
+    holds: isWithinBound(bound),
   }));
   const isRight = bounds.every((bound) => bound.holds);
   const line = { ...report, bounds, passed: isRight };
--- a/bench/local_cluster.ts
+++ b/bench/local_cluster.ts
@@ -9,14 +9,14 @@
 import { join } from "node:path";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
-import { callHttp, type HttpAnswer } from "../src/connection/http_call.ts";
+import { callHttp, type HttpResponse } from "../src/connection/http_call.ts";
 import { type Instance, InstanceState } from "../src/connection/instance.ts";
 import { Child } from "./child.ts";
-import { takeKnownPort } from "./known_port.ts";
+import { reservePort } from "./reserve_port.ts";
 import {
-  type Ask,
-  CompletionCaller,
-} from "../src/connection/completion_caller.ts";
+  CompletionClient,
+  type CompletionClientOptions,
+} from "../src/connection/completion_client.ts";
 import {
   bearerKey,
   formatLocalDeployment,
@@ -54,7 +54,7 @@
 }
 
 /** A call to a plain service. */
-export interface ServiceAsk {
+export interface PlainServiceCall {
   readonly entry: Child;
   readonly method: string;
   readonly path: string;
@@ -127,7 +127,7 @@
   }
 
   /** Index of the engine that runs a stream, once one does. */
-  async servingIndex(): Promise<number> {
+  async servingEngineIndex(): Promise<number> {
     let found = -1;
     await waitFor("an engine runs a stream", async () => {
       const running = await Promise.all(
@@ -150,13 +150,13 @@
 
   /** Asks for a streamed completion. */
   complete(
-    ask: Omit<Ask, "address" | "key" | "service"> & {
+    ask: Omit<CompletionClientOptions, "address" | "key" | "service"> & {
       readonly entry?: Child;
       readonly customer?: string;
     },
-  ): CompletionCaller {
+  ): CompletionClient {
     const { entry = this.entry(), customer = "alpha", ...rest } = ask;
-    return CompletionCaller.create({
+    return CompletionClient.create({
       address: entry.address,
       key: bearerKey(customer),
       service: GENERATION_SERVICE,
@@ -165,7 +165,7 @@
   }
 
   /** Asks for a completion that is not streamed. */
-  async completeWhole(
+  async completeUnstreamed(
     ask: { readonly prompt: string; readonly maxTokens: number },
   ): Promise<{ readonly status: number; readonly text: string }> {
     const answer = await callHttp({
@@ -185,7 +185,7 @@
   }
 
   /** Calls a plain service. */
-  callService(ask: ServiceAsk): Promise<HttpAnswer> {
+  callService(ask: PlainServiceCall): Promise<HttpResponse> {
     return callHttp({
       address: ask.entry.address,
       method: ask.method,
@@ -203,7 +203,7 @@
   }
 
   /** Runs the operators' command line. */
-  async command(args: readonly string[]): Promise<CommandResult> {
+  async runCommand(args: readonly string[]): Promise<CommandResult> {
     const program = new URL("../src/bin/gypsumridge.js", import.meta.url);
     const compiled = program.pathname.includes("/dist/")
       ? program.pathname
@@ -239,7 +239,7 @@
       this.deploymentText(change),
     );
     const names = ["--operator", operator, "--reason", reason];
-    return await this.command(["publish", file, ...names]);
+    return await this.runCommand(["publish", file, ...names]);
   }
 
   /** The deployment's text. */
@@ -328,13 +328,13 @@
   }
 
   /** Marks an engine as leaving in the platform's list. */
-  async listLeaving(index: number): Promise<void> {
+  async listEngineDraining(index: number): Promise<void> {
     this.#leaving.add(engineName(index));
-    await this.listInstances();
+    await this.publishInstances();
   }
 
   /** Gives the platform the list of instances as it is now. */
-  async listInstances(): Promise<void> {
+  async publishInstances(): Promise<void> {
     const entries = this.entries.map((entry, index): Instance => ({
       name: entryName(index),
       address: `127.0.0.1:${entry.ports.peerPort}`,
@@ -353,8 +353,8 @@
   }
 
   /** Keys of all runs that stand-ins announced, ended ones included. */
-  allRuns(): string[] {
-    return this.#children.flatMap((child) => child.runs());
+  announcedRuns(): string[] {
+    return this.#children.flatMap((child) => child.announcedRuns());
   }
 
   /** Writes the object at a path of the platform whatever its revision. */
@@ -386,14 +386,14 @@
       this.services.push(await this.#startOnKnownPort("standins/service.js"));
     }
     for (let index = 0; index < entries; index++) await this.startEntry(index);
-    await this.listInstances();
+    await this.publishInstances();
     const published = await this.publish({ reason: "first deployment" });
     if (published.code !== 0) throw new Error(published.stderr);
-    await this.waitServing();
+    await this.waitUntilServing();
   }
 
   /** Resolves once every entry serves on all servers and knows its peers. */
-  async waitServing(): Promise<void> {
+  async waitUntilServing(): Promise<void> {
     for (const entry of this.entries) {
       await waitFor("entry serves", async () => {
         const revision = await this.revisionOf(entry);
@@ -439,12 +439,12 @@
   }
 
   /** Starts a process that drains streams from entries or engines. */
-  startDrain(options: {
+  startStreamReader(options: {
     readonly from: readonly Child[];
     readonly isDirect: boolean;
     readonly streams: number;
   }): Promise<Child> {
-    return this.#start("bench/drain_main.js", [
+    return this.#start("bench/stream_reader_main.js", [
       ...options.from.flatMap(({ address }) => ["--address", address]),
       ...(options.isDirect ? ["--direct"] : []),
       "--streams",
@@ -454,7 +454,7 @@
 
   /** Starts a stand-in on a port that it can take again after a restart. */
   async #startOnKnownPort(module: string): Promise<Child> {
-    return this.#start(module, ["--port", String(await takeKnownPort())]);
+    return this.#start(module, ["--port", String(await reservePort())]);
   }
 
   async #start(
--- a/bench/measure_path.ts
+++ b/bench/measure_path.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { callHttp } from "../src/connection/http_call.ts";
 import type { Child } from "./child.ts";
-import type { DrainFigures } from "./drain.ts";
+import type { StreamReaderResults } from "./stream_reader.ts";
 import { type Report, round } from "./figures.ts";
 import { LocalCluster, waitFor } from "./local_cluster.ts";
 
@@ -22,7 +22,7 @@
 const DRAINS = 2;
 
 /** CPU time and memory of a process. */
-export interface Usage {
+export interface ProcessUsage {
   readonly cpuS: number;
   readonly residentMb: number;
 }
@@ -85,7 +85,7 @@
 }
 
 /** Reads a process's usage from its metrics. */
-export async function readUsage(child: Child): Promise<Usage> {
+export async function readUsage(child: Child): Promise<ProcessUsage> {
   const answer = await callHttp({
     address: child.address,
     method: "GET",
@@ -151,14 +151,14 @@
 }) {
   const drains = await Promise.all(
     Array.from({ length: options.processes }, () =>
-      cluster.startDrain({
+      cluster.startStreamReader({
         from: options.from,
         isDirect: options.isDirect,
         streams: options.streams / options.processes,
       })),
   );
   const all = () =>
-    Promise.all(drains.map((drain) => drain.get<DrainFigures>("/")));
+    Promise.all(drains.map((drain) => drain.get<StreamReaderResults>("/")));
   await waitFor("all streams run", async () => {
     const figures = await all();
     const opened = figures.reduce((sum, part) => sum + part.opened, 0);
--- a/bench/measure_policy.ts
+++ b/bench/measure_policy.ts
@@ -5,10 +5,10 @@
  */
 
 import {
-  type ClassFigures,
+  type ClassResults,
   type LoadClass,
   runLoad,
-} from "../src/process/load.ts";
+} from "../src/process/load_generator.ts";
 import { type Bound, type Report, round } from "./figures.ts";
 import { LocalCluster } from "./local_cluster.ts";
 import { bearerKey, GENERATION_SERVICE } from "./local_deployment.ts";
@@ -149,7 +149,7 @@
     demands: [...small, large],
     policy: BASELINE,
   });
-  const p95 = (figures: readonly ClassFigures[]) =>
+  const p95 = (figures: readonly ClassResults[]) =>
     Math.max(
       ...figures
         .filter(({ name }) => name.startsWith("small"))
@@ -192,7 +192,7 @@
     readonly fromS?: number;
     readonly policy?: readonly string[];
   },
-): Promise<readonly ClassFigures[]> {
+): Promise<readonly ClassResults[]> {
   const names = new Set(demands.map(({ customer }) => customer));
   const cluster = await LocalCluster.create({
     entries: ENTRIES,
@@ -233,18 +233,18 @@
   };
 }
 
-function find(figures: readonly ClassFigures[], name: string): ClassFigures {
+function find(figures: readonly ClassResults[], name: string): ClassResults {
   const found = figures.find((candidate) => candidate.name === name);
   if (found === undefined) throw new Error(`no class ${name}`);
   return found;
 }
 
-function sumTokens(figures: readonly ClassFigures[]): number {
+function sumTokens(figures: readonly ClassResults[]): number {
   return figures.reduce((sum, { tokensPerS }) => sum + tokensPerS, 0);
 }
 
 /** 1 when all customers get the same share of what they ask for. */
-function jainIndex(figures: readonly ClassFigures[]): number {
+function jainIndex(figures: readonly ClassResults[]): number {
   const shares = figures.map(({ outcomes, sent }) =>
     (outcomes.done ?? 0) / Math.max(1, sent)
   );
--- a/bench/measure_resume.ts
+++ b/bench/measure_resume.ts
@@ -6,14 +6,14 @@
 import { randomUUID } from "node:crypto";
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { StreamOrder } from "../src/connection/engine_protocol.ts";
+import type { StartStreamRequest } from "../src/connection/engine_protocol.ts";
 import { readStream } from "../src/connection/engine_stream.ts";
-import { RefusalType } from "../src/errors.ts";
+import { RequestErrorType } from "../src/errors.ts";
 import { expectedText } from "../standins/text.ts";
 import type { Child } from "./child.ts";
-import { Durations } from "../src/process/durations.ts";
+import { DurationHistogram } from "../src/process/duration_histogram.ts";
 import { type Report, round } from "./figures.ts";
-import type { CompletionCaller } from "../src/connection/completion_caller.ts";
+import type { CompletionClient } from "../src/connection/completion_client.ts";
 import { LocalCluster } from "./local_cluster.ts";
 
 /** The brief's pace of tokens. */
@@ -84,7 +84,7 @@
     slots: STREAMS,
     engineSwitches: { tokenMs: TOKEN_MS, prefillUs: PREFILL_US },
   });
-  const pause = Durations.create();
+  const pause = DurationHistogram.create();
   const spent = { prefillTokens: 0, decodedTokens: 0 };
   let usefulTokens = 0;
   let interruptions = 0;
@@ -98,7 +98,7 @@
       const caller = cluster.complete({ prompt, maxTokens: MAX_TOKENS });
       const { outcome } = await caller.ended;
       const expected = expectedText({ prompt, modelVersion: "1" }, MAX_TOKENS);
-      if (outcome === RefusalType.Interrupted) interrupted++;
+      if (outcome === RequestErrorType.Interrupted) interrupted++;
       const isTrue = outcome === "done"
         ? caller.text === expected
         : expected.startsWith(caller.text);
@@ -156,8 +156,8 @@
 }
 
 /** Pauses that no pace of tokens explains. */
-function longPauses(caller: CompletionCaller): readonly number[] {
-  return caller.pausesMs.filter((pauseMs) => pauseMs > 1.5 * TOKEN_MS);
+function longPauses(caller: CompletionClient): readonly number[] {
+  return caller.eventGapsMs.filter((pauseMs) => pauseMs > 1.5 * TOKEN_MS);
 }
 
 /** A caller without the system: on a loss it begins again elsewhere. */
@@ -167,7 +167,7 @@
     slots: STREAMS,
     engineSwitches: { tokenMs: TOKEN_MS, prefillUs: PREFILL_US },
   });
-  const pause = Durations.create();
+  const pause = DurationHistogram.create();
   try {
     const [first, second] = cluster.engines;
     if (first === undefined || second === undefined) throw new Error("engines");
@@ -190,10 +190,10 @@
 /** Reads a new stream up to a position or its loss; returns the position. */
 async function readTo(engine: Child, limit: number): Promise<number> {
   const controller = new AbortController();
-  const stream = randomUUID() as string as StreamOrder["stream"];
-  const order: StreamOrder = {
+  const stream = randomUUID() as string as StartStreamRequest["stream"];
+  const order: StartStreamRequest = {
     stream,
-    request: stream as string as StreamOrder["request"],
+    request: stream as string as StartStreamRequest["request"],
     model: "writer",
     modelVersion: "1",
     prompt: stream,
@@ -207,7 +207,7 @@
     const batches = readStream({
       address: engine.address,
       modelVersion: "1",
-      source: { order },
+      source: { request: order },
       firstTokenStallMs: 3_000,
       firstTokenLimitMs: 10_000,
       tokenStallMs: 1_500,
--- a/bench/measure_slopes.ts
+++ b/bench/measure_slopes.ts
@@ -10,14 +10,14 @@
 import { LOAD_PATH } from "../src/connection/engine_protocol.ts";
 import { callHttp } from "../src/connection/http_call.ts";
 import {
-  type Digest,
+  type GossipDigest,
   packMessage,
   PeerMessageKind,
 } from "../src/connection/peer_protocol.ts";
 import { hashText } from "../src/hashing.ts";
 import type { EntryId, Fingerprint, Revision } from "../src/ids.ts";
 import { Deployment } from "../src/version/deployment.ts";
-import { readChunk, splitChunks } from "../src/version/chunks.ts";
+import { parseChunk, splitIntoChunks } from "../src/version/chunks.ts";
 import {
   type BackendServer,
   type Customer,
@@ -26,7 +26,7 @@
   ObjectKind,
 } from "../src/version/types.ts";
 import type { Child } from "./child.ts";
-import type { DrainFigures } from "./drain.ts";
+import type { StreamReaderResults } from "./stream_reader.ts";
 import { type Report, round } from "./figures.ts";
 import { LocalCluster, waitFor } from "./local_cluster.ts";
 import { readUsage } from "./measure_path.ts";
@@ -100,20 +100,20 @@
       entryNodeOptions: ["--expose-gc"],
     });
     try {
-      const drain = await cluster.startDrain({
+      const drain = await cluster.startStreamReader({
         from: cluster.entries,
         isDirect: false,
         streams: size,
       });
       await waitFor("streams run", async () => {
-        const { opened } = await drain.get<DrainFigures>("/");
+        const { opened } = await drain.get<StreamReaderResults>("/");
         return opened === size;
       });
       await drain.get("/reset");
       const before = await readUsage(cluster.entry());
       await sleep(WATCHED_MS);
       const after = await readUsage(cluster.entry());
-      const { tokens } = await drain.get<DrainFigures>("/");
+      const { tokens } = await drain.get<StreamReaderResults>("/");
       memory.push({ size, value: after.residentMb * 1_024 });
       processor.push({
         size: tokens / (WATCHED_MS / 1_000),
@@ -138,7 +138,7 @@
     globalThis.gc?.();
     const before = process.memoryUsage().heapUsed;
     const objects = Array.from({ length: size }, (_, index) => create(index));
-    const chunks = splitChunks(objects);
+    const chunks = splitIntoChunks(objects);
     const deployment = Deployment.create(1 as Revision, objects);
     globalThis.gc?.();
     const used = process.memoryUsage().heapUsed - before;
@@ -152,9 +152,9 @@
 function measureAdoption(): Slope {
   const points = OBJECT_SIZES.map((size): Point => {
     const objects = Array.from({ length: size }, (_, at) => createCustomer(at));
-    const chunks = splitChunks(objects);
+    const chunks = splitIntoChunks(objects);
     const startMs = performance.now();
-    const read = chunks.flatMap(({ text }) => readChunk(text));
+    const read = chunks.flatMap(({ text }) => parseChunk(text));
     const deployment = Deployment.create(1 as Revision, read);
     const micros = (performance.now() - startMs) * 1_000;
     return { size, value: deployment.objects.length > 0 ? micros : 0 };
@@ -228,7 +228,11 @@
   const text = `${cluster.deploymentText()}\n${servers.join("\n")}`;
   const file = await cluster.writeFile("phantoms.ini", text);
   const names = ["--operator", "bench", "--reason", "slopes"];
-  const { code, stderr } = await cluster.command(["publish", file, ...names]);
+  const { code, stderr } = await cluster.runCommand([
+    "publish",
+    file,
+    ...names,
+  ]);
   if (code !== 0) throw new Error(stderr);
 }
 
@@ -272,7 +276,7 @@
 
 /** Sizes of messages, in bytes on the wire without headers. */
 function messageSizes() {
-  const digest = (suspicions: number): Digest => ({
+  const digest = (suspicions: number): GossipDigest => ({
     kind: PeerMessageKind.Digest,
     entry: "entry-100" as EntryId,
     head: { revision: 100 as Revision, manifest: hashText("manifest") },
@@ -287,7 +291,7 @@
     (_, at) => createCustomer(at),
   );
   const largest = Math.max(
-    ...splitChunks(customers).map(({ text }) => Buffer.byteLength(text)),
+    ...splitIntoChunks(customers).map(({ text }) => Buffer.byteLength(text)),
   );
   return {
     digestBytes: packMessage(digest(0)).length,
--- a/bench/plot.ts
+++ b/bench/plot.ts
@@ -8,7 +8,7 @@
 import { init } from "echarts";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import type { ClassFigures } from "../src/process/load.ts";
+import type { ClassResults } from "../src/process/load_generator.ts";
 
 const WIDTH = 760;
 const HEIGHT = 360;
@@ -31,7 +31,7 @@
 function draw({ measurement, figures }: RunReport): string {
   const runs = Object.entries(figures).filter((
     run,
-  ): run is [string, readonly ClassFigures[]] => Array.isArray(run[1]));
+  ): run is [string, readonly ClassResults[]] => Array.isArray(run[1]));
   const names = [
     ...new Set(runs.flatMap(([, classes]) => classes.map(({ name }) => name))),
   ];
--- a/bench/known_port.ts
+++ b/bench/reserve_port.ts
@@ -23,7 +23,7 @@
 let turn: Promise<unknown> = Promise.resolve();
 
 /** Returns a loopback port that no other call of any process gets. */
-export function takeKnownPort(): Promise<number> {
+export function reservePort(): Promise<number> {
   const taken = turn.then(takeNext);
   turn = taken.catch(() => undefined);
   return taken;
--- a/bench/soak/fault_proxy.ts
+++ b/bench/soak/fault_proxy.ts
@@ -16,7 +16,7 @@
   /** Open connections are reset, and new ones too. */
   Reset = "reset",
   /** No byte passes in either direction, and nothing is closed. */
-  Silent = "silent",
+  Blackhole = "silent",
   /** Bytes towards the target are held up. */
   CutToTarget = "cut_to_target",
   /** Bytes towards the caller are held up. */
@@ -115,7 +115,7 @@
       target.resetAndDestroy();
       return;
     }
-    const isSilent = fault === ProxyFault.Silent;
+    const isSilent = fault === ProxyFault.Blackhole;
     flow(caller, !isSilent && fault !== ProxyFault.CutToTarget);
     flow(target, !isSilent && fault !== ProxyFault.CutToCaller);
   }
--- a/bench/soak/fault_series.ts
+++ b/bench/soak/fault_schedule.ts
@@ -11,9 +11,9 @@
   /** A proxy between one entry and the store misbehaves. */
   StoreLink = "store_link",
   /** The store can't be used by any entry. */
-  StoreAway = "store_away",
+  StoreOutage = "store_away",
   /** The store forgets its history. */
-  StoreForgets = "store_forgets",
+  StoreHistoryLoss = "store_forgets",
   ServerKill = "server_kill",
   ServerPause = "server_pause",
   /** The server says that it leaves, serves on, and ends. */
@@ -39,9 +39,9 @@
 }
 
 /** Bounds of a series. */
-export interface SeriesOptions {
+export interface FaultScheduleOptions {
   readonly seed: number;
-  readonly lengthMs: number;
+  readonly durationMs: number;
   readonly entries: number;
   readonly servers: number;
 }
@@ -57,7 +57,9 @@
 const FAULT_MAX_MS = 2_500;
 
 /** Returns the faults of a seed, the earliest first. */
-export function createSeries(options: SeriesOptions): readonly Fault[] {
+export function createFaultSchedule(
+  options: FaultScheduleOptions,
+): readonly Fault[] {
   const generator = xoroshiro128plus(options.seed);
   const draw = (from: number, to: number) => uniformInt(generator, from, to);
   const pick = <Value>(values: readonly Value[]): Value =>
@@ -65,7 +67,7 @@
   const faults: Fault[] = [];
   for (let series = 0; series < SERIES; series++) {
     let atMs = draw(0, PAUSE_MAX_MS);
-    while (atMs < options.lengthMs) {
+    while (atMs < options.durationMs) {
       const kind = pick(KINDS);
       const isEntry = kind.startsWith("entry") || kind === FaultKind.StoreLink;
       const count = isEntry ? options.entries : options.servers;
--- a/bench/soak/run_soak.ts
+++ b/bench/soak/run_soak.ts
@@ -1,15 +1,19 @@
 /** One soak of a seed: load, faults, checks, and the recovery after the last fault. */
 
 import { setTimeout as sleep } from "node:timers/promises";
-import { createSeries, type Fault, FaultKind } from "./fault_series.ts";
+import {
+  createFaultSchedule,
+  type Fault,
+  FaultKind,
+} from "./fault_schedule.ts";
 import { SoakCallers } from "./soak_callers.ts";
 import {
   type CallerRecord,
-  checkEvidence,
-  isInTouch,
-  RequestSort,
+  checkObservations,
+  isEntryUnaffected,
   type Run,
   type SoakFinding,
+  SoakRequestKind,
 } from "./soak_checks.ts";
 import { SoakCluster, type SoakSize } from "./soak_cluster.ts";
 import { keyOfVersion } from "./soak_deployment.ts";
@@ -18,7 +22,7 @@
 export interface SoakOptions extends SoakSize {
   readonly seed: number;
   /** Time in which faults begin, in ms. */
-  readonly lengthMs: number;
+  readonly durationMs: number;
   /** Faults to play in place of the seed's, for cases of their own. */
   readonly faults?: readonly Fault[];
 }
@@ -48,28 +52,35 @@
   const cluster = await SoakCluster.create(options);
   const callers = SoakCallers.create(cluster);
   try {
-    const faults = options.faults ?? createSeries(options);
+    const faults = options.faults ?? createFaultSchedule(options);
     const findings: SoakFinding[] = [];
     await sleep(WARM_UP_MS);
     callers.start();
     const startMs = Date.now();
     await Promise.all(faults.map(async (fault) => {
       await sleep(Math.max(0, startMs + fault.atMs - Date.now()));
-      await cluster.perform(fault);
+      await cluster.injectFault(fault);
       if (fault.kind !== FaultKind.Configuration) return;
       findings.push(...await checkVersion(cluster, callers));
     }));
     await sleep(RECOVER_MS);
     await callers.close();
     findings.push(...await checkRecovery(cluster, callers));
-    const ended = cluster.endedByThemselves();
+    const ended = cluster.unexpectedlyExitedEntries();
     findings.push(...ended.map((detail) => ({ rule: "ended", detail })));
     // Lines of runs are still on their way from the servers.
     await sleep(200);
     const runs = cluster.runLines().map(parseRun);
     const { records } = callers;
-    const { spans, leavings } = cluster;
-    findings.push(...checkEvidence({ records, runs, spans, leavings }));
+    const { faultWindows: spans, drains: leavings } = cluster;
+    findings.push(
+      ...checkObservations({
+        records,
+        runs,
+        faultWindows: spans,
+        drains: leavings,
+      }),
+    );
     return {
       seed: options.seed,
       faults,
@@ -98,7 +109,7 @@
     const sentMs = Date.now();
     const read = (of: number) =>
       callers.send({
-        sort: RequestSort.Read,
+        kind: SoakRequestKind.Read,
         entry,
         key: keyOfVersion(of),
       });
@@ -110,7 +121,7 @@
       fromMs: acceptedMs,
       toMs: Date.now(),
     };
-    if (!isInTouch(cluster.spans, touch)) return;
+    if (!isEntryUnaffected(cluster.faultWindows, touch)) return;
     const report = (detail: string) => {
       const place = `version ${version} at entry ${entry.index}`;
       const afterMs = sentMs - acceptedMs;
@@ -134,16 +145,16 @@
 ): Promise<readonly SoakFinding[]> {
   const records: CallerRecord[] = [];
   for (let round = 0; round < RECOVERY_REQUESTS; round++) {
-    for (const sort of Object.values(RequestSort)) {
+    for (const sort of Object.values(SoakRequestKind)) {
       const sent = cluster.entries.map((entry) =>
-        callers.send({ sort, entry, key: cluster.key })
+        callers.send({ kind: sort, entry, key: cluster.key })
       );
       records.push(...await Promise.all(sent));
     }
   }
   return records.filter(({ status }) => status !== 200).map((record) => ({
     rule: "recover",
-    detail: `${record.sort} at entry ${record.entry} got ${record.status}`,
+    detail: `${record.kind} at entry ${record.entry} got ${record.status}`,
   }));
 }
 
@@ -156,7 +167,7 @@
   records: readonly CallerRecord[],
 ): Readonly<Record<string, number>> {
   const counts: Record<string, number> = {};
-  for (const { sort, status } of records) {
+  for (const { kind: sort, status } of records) {
     const name = `${sort} ${status}`;
     counts[name] = (counts[name] ?? 0) + 1;
   }
--- a/bench/soak/soak_callers.ts
+++ b/bench/soak/soak_callers.ts
@@ -4,16 +4,16 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   type CallerRecord,
-  DEADLINE_MS,
-  RequestSort,
+  REQUEST_DEADLINE_MS,
+  SoakRequestKind,
   STREAM_EVENTS,
 } from "./soak_checks.ts";
 import type { SoakCluster, SoakEntry } from "./soak_cluster.ts";
 import { CALLER_PORT, HOST_NAME, READY_PORT } from "./soak_deployment.ts";
 
 /** What one request is sent as. */
-export interface Sending {
-  readonly sort: RequestSort;
+export interface SoakRequest {
+  readonly kind: SoakRequestKind;
   readonly entry: SoakEntry;
   readonly key: string;
   readonly agent?: Agent;
@@ -50,7 +50,7 @@
   /** Sends until `close`. */
   start(): void {
     this.#tasks.push(this.#watchReady());
-    for (const sort of Object.values(RequestSort)) {
+    for (const sort of Object.values(SoakRequestKind)) {
       for (let at = 0; at < CALLERS_EACH; at++) {
         this.#tasks.push(this.#callAgain(sort));
       }
@@ -64,16 +64,18 @@
   }
 
   /** Sends one request and records what came of it. */
-  async send(sending: Sending): Promise<CallerRecord> {
-    const { sort, entry } = sending;
+  async send(sending: SoakRequest): Promise<CallerRecord> {
+    const { kind: sort, entry } = sending;
     const id = `id-${++this.#count}`;
-    const query = sort === RequestSort.Stream ? `?events=${STREAM_EVENTS}` : "";
+    const query = sort === SoakRequestKind.Stream
+      ? `?events=${STREAM_EVENTS}`
+      : "";
     const path = `/${sort}/${id}`;
     const startMs = Date.now();
     const seen = await exchange(sending, { id, target: `${path}${query}` });
     const record: CallerRecord = {
       id,
-      sort,
+      kind: sort,
       path,
       entry: entry.index,
       startMs,
@@ -84,14 +86,14 @@
     return record;
   }
 
-  async #callAgain(sort: RequestSort): Promise<void> {
+  async #callAgain(sort: SoakRequestKind): Promise<void> {
     const agents = new Map<number, Agent>();
     while (!this.#isEnded) {
       const entry = this.#choose();
       const agent = agents.get(entry.index) ??
         new Agent({ keepAlive: true, maxSockets: 1 });
       agents.set(entry.index, agent);
-      await this.send({ sort, entry, key: this.#cluster.key, agent });
+      await this.send({ kind: sort, entry, key: this.#cluster.key, agent });
       await sleep(PAUSE_MS);
     }
     for (const agent of agents.values()) agent.destroy();
@@ -123,7 +125,7 @@
 
 /** Sends over a kept connection, where there is one. */
 function exchange(
-  { sort, entry, key, agent }: Sending,
+  { kind: sort, entry, key, agent }: SoakRequest,
   { id, target }: { readonly id: string; readonly target: string },
 ): Promise<Pick<CallerRecord, "status" | "body">> {
   return new Promise((resolve) => {
@@ -131,19 +133,19 @@
     const outgoing = request({
       host: entry.host,
       port: CALLER_PORT,
-      method: sort === RequestSort.Read ? "GET" : "POST",
+      method: sort === SoakRequestKind.Read ? "GET" : "POST",
       path: target,
       agent: agent ?? false,
       headers: {
         host: HOST_NAME,
         authorization: `Bearer ${key}`,
         "x-request-id": id,
-        "x-deadline-ms": String(DEADLINE_MS),
+        "x-deadline-ms": String(REQUEST_DEADLINE_MS),
       },
     });
     const timer = setTimeout(
       () => outgoing.destroy(),
-      DEADLINE_MS + PATIENCE_MS,
+      REQUEST_DEADLINE_MS + PATIENCE_MS,
     );
     const settle = (status: number) => {
       clearTimeout(timer);
--- a/bench/soak/soak_checks.ts
+++ b/bench/soak/soak_checks.ts
@@ -1,22 +1,22 @@
 /** What must hold, judged from what callers and backend servers saw. */
 
-import { FaultKind } from "./fault_series.ts";
-import type { Leaving } from "./soak_cluster.ts";
+import { FaultKind } from "./fault_schedule.ts";
+import type { ServerDrain } from "./soak_cluster.ts";
 
 /** What a request asks for. */
-export enum RequestSort {
+export enum SoakRequestKind {
   /** A stream that may be resumed. */
   Stream = "stream",
   /** A call that may be repeated. */
   Read = "read",
   /** A call that may run once at most. */
-  Order = "order",
+  Write = "order",
 }
 
 /** A request as its caller saw it. Times are of the day, in ms. */
 export interface CallerRecord {
   readonly id: string;
-  readonly sort: RequestSort;
+  readonly kind: SoakRequestKind;
   readonly path: string;
   readonly entry: number;
   readonly startMs: number;
@@ -35,7 +35,7 @@
 }
 
 /** A fault with the time in which it was in force. */
-export interface FaultSpan {
+export interface FaultWindow {
   readonly kind: FaultKind;
   readonly target: number;
   readonly startMs: number;
@@ -43,11 +43,11 @@
 }
 
 /** All that was seen. */
-export interface Evidence {
+export interface SoakObservations {
   readonly records: readonly CallerRecord[];
   readonly runs: readonly Run[];
-  readonly spans: readonly FaultSpan[];
-  readonly leavings: readonly Leaving[];
+  readonly faultWindows: readonly FaultWindow[];
+  readonly drains: readonly ServerDrain[];
 }
 
 /** A broken promise. */
@@ -57,7 +57,7 @@
 }
 
 /** How long callers wait, in ms. */
-export const DEADLINE_MS = 4_000;
+export const REQUEST_DEADLINE_MS = 4_000;
 /** Events of each stream. */
 export const STREAM_EVENTS = 60;
 /** Time after a disturbance in which an entry is not bound yet, in ms (`contactMs`). */
@@ -84,15 +84,15 @@
 ]);
 
 /** Returns the body that a whole answer has. */
-export function wholeBody(sort: RequestSort, path: string): string {
-  if (sort !== RequestSort.Stream) return `answer to ${path}`;
+export function expectedBody(sort: SoakRequestKind, path: string): string {
+  if (sort !== SoakRequestKind.Stream) return `answer to ${path}`;
   const events = Array.from({ length: STREAM_EVENTS }, (_, at) => at + 1);
   return events.map((at) => `id: ${at}\ndata: ${path} ${at}\n\n`).join("");
 }
 
 /** Whether an entry was free of faults of its own and of the store since `fromMs`. */
-export function isInTouch(
-  spans: readonly FaultSpan[],
+export function isEntryUnaffected(
+  spans: readonly FaultWindow[],
   { entry, fromMs, toMs }: {
     readonly entry: number;
     readonly fromMs: number;
@@ -101,13 +101,15 @@
 ): boolean {
   return !spans.some((span) =>
     overlaps(span, fromMs - CONTACT_MS, toMs) &&
-    (span.kind === FaultKind.StoreAway ||
+    (span.kind === FaultKind.StoreOutage ||
       ENTRY_FAULTS.has(span.kind) && span.target === entry)
   );
 }
 
 /** Returns all broken promises. */
-export function checkEvidence(evidence: Evidence): readonly SoakFinding[] {
+export function checkObservations(
+  evidence: SoakObservations,
+): readonly SoakFinding[] {
   return [
     ...checkRuns(evidence),
     ...evidence.records.flatMap((record) => checkRecord(evidence, record)),
@@ -115,7 +117,7 @@
   ];
 }
 
-function checkRuns({ records, runs }: Evidence): SoakFinding[] {
+function checkRuns({ records, runs }: SoakObservations): SoakFinding[] {
   const byId = new Map(records.map((record) => [record.id, record]));
   const counts = countRuns(runs);
   const findings: SoakFinding[] = [];
@@ -123,7 +125,7 @@
     const record = byId.get(id);
     if (record === undefined) {
       findings.push({ rule: "unasked", detail: `nobody sent ${id}` });
-    } else if (record.sort === RequestSort.Order && count > 1) {
+    } else if (record.kind === SoakRequestKind.Write && count > 1) {
       findings.push({ rule: "twice", detail: `${id} ran ${count} times` });
     }
   }
@@ -131,7 +133,7 @@
 }
 
 function checkRecord(
-  { runs, spans }: Evidence,
+  { runs, faultWindows: spans }: SoakObservations,
   record: CallerRecord,
 ): SoakFinding[] {
   const findings: SoakFinding[] = [];
@@ -142,16 +144,16 @@
       detail: `${id} at entry ${entry}, ${status}: ${detail}`,
     });
   };
-  const { sort, path, status, body, startMs, endMs, entry } = record;
+  const { kind: sort, path, status, body, startMs, endMs, entry } = record;
   const hasRun = runs.some(({ id }) => id === record.id);
-  const whole = wholeBody(sort, path);
+  const whole = expectedBody(sort, path);
   if (status === 200 && body !== whole) {
     report("mixed", `body is not the whole answer: ${difference(body, whole)}`);
   }
   if (status === 0 && !whole.startsWith(body)) {
     report("order", `cut body is no part of it: ${difference(body, whole)}`);
   }
-  if (NOT_RUN.has(status) && sort === RequestSort.Order && hasRun) {
+  if (NOT_RUN.has(status) && sort === SoakRequestKind.Write && hasRun) {
     report("refused", "said not to have run, but ran");
   }
   const wasHeld = spans.some((span) =>
@@ -159,13 +161,13 @@
     overlaps(span, startMs, endMs)
   );
   if (wasHeld) return findings;
-  if (endMs - startMs > DEADLINE_MS + LATE_MS) {
+  if (endMs - startMs > REQUEST_DEADLINE_MS + LATE_MS) {
     report("late", `no final answer after ${endMs - startMs} ms`);
   }
   const serversFailed = spans.some((span) =>
     SERVER_FAULTS.has(span.kind) && overlaps(span, startMs, endMs)
   );
-  const mayBreak = sort === RequestSort.Stream && serversFailed;
+  const mayBreak = sort === SoakRequestKind.Stream && serversFailed;
   if (status === 0 && hasRun && !mayBreak) {
     report("lost", "passed on and closed without an answer");
   }
@@ -173,7 +175,7 @@
 }
 
 function checkLeavings(
-  { records, runs, spans, leavings }: Evidence,
+  { records, runs, faultWindows: spans, drains: leavings }: SoakObservations,
 ): SoakFinding[] {
   const byId = new Map(records.map((record) => [record.id, record]));
   return leavings.flatMap(({ id: server, target, acceptedMs }) =>
@@ -186,7 +188,7 @@
         span.target === target &&
         overlaps(span, acceptedMs - CONTACT_MS, run.atMs)
       );
-      if (wasHeldUp || !isInTouch(spans, touch)) return [];
+      if (wasHeldUp || !isEntryUnaffected(spans, touch)) return [];
       const afterMs = run.atMs - acceptedMs;
       const detail = `${run.id} from entry ${entry}, ${afterMs} ms after`;
       return [{ rule: "drain", detail }];
@@ -209,6 +211,6 @@
   return counts;
 }
 
-function overlaps(span: FaultSpan, fromMs: number, toMs: number): boolean {
+function overlaps(span: FaultWindow, fromMs: number, toMs: number): boolean {
   return span.startMs <= toMs && span.endMs >= fromMs;
 }
--- a/bench/soak/soak_cluster.ts
+++ b/bench/soak/soak_cluster.ts
@@ -4,17 +4,17 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
-import { ObjectStore } from "../../platform/object_store.ts";
+import { HttpObjectStore } from "../../platform/http_object_store.ts";
 import {
   CONFIGURATION_KIND,
   CONFIGURATION_NAME,
-} from "../../platform/restore_route_table.ts";
-import { SERVER_KIND } from "../../platform/restore_server.ts";
+} from "../../platform/parse_route_table.ts";
+import { SERVER_KIND } from "../../platform/parse_server.ts";
 import { Child } from "../child.ts";
-import { takeKnownPort } from "../known_port.ts";
+import { reservePort } from "../reserve_port.ts";
 import { FaultProxy, ProxyFault } from "./fault_proxy.ts";
-import { type Fault, FaultKind } from "./fault_series.ts";
-import type { FaultSpan } from "./soak_checks.ts";
+import { type Fault, FaultKind } from "./fault_schedule.ts";
+import type { FaultWindow } from "./soak_checks.ts";
 import {
   CALL_SERVICE,
   createConfiguration,
@@ -56,7 +56,7 @@
 }
 
 /** When a server's leaving was acknowledged. */
-export interface Leaving {
+export interface ServerDrain {
   readonly id: string;
   /** Index of the server, as faults name it. */
   readonly target: number;
@@ -75,9 +75,9 @@
 /** All processes of one soak. */
 export class SoakCluster {
   readonly entries: SoakEntry[] = [];
-  readonly spans: FaultSpan[] = [];
+  readonly faultWindows: FaultWindow[] = [];
   readonly versions: AcceptedVersion[] = [];
-  readonly leavings: Leaving[] = [];
+  readonly drains: ServerDrain[] = [];
   readonly #servers: SoakServer[] = [];
   readonly #children: Child[] = [];
   /** Processes that a fault holds, so that no second one meets them. */
@@ -85,7 +85,7 @@
   readonly #folder: string;
   readonly #lane: number;
   #store!: Child;
-  #objects!: ObjectStore;
+  #objects!: HttpObjectStore;
 
   private constructor(folder: string, lane: number) {
     this.#folder = folder;
@@ -102,7 +102,7 @@
       module: "standins/platform.js",
       args: [],
     });
-    cluster.#objects = ObjectStore.create({
+    cluster.#objects = HttpObjectStore.create({
       address: cluster.#store.address,
       timeoutMs: STORE_TIMEOUT_MS,
     });
@@ -124,7 +124,7 @@
 
   /** Lines of all runs, also of servers that have ended. */
   runLines(): string[] {
-    return this.#children.flatMap((child) => child.runs());
+    return this.#children.flatMap((child) => child.announcedRuns());
   }
 
   /** Log lines of all entries that ever ran, as they were written. */
@@ -135,7 +135,7 @@
   }
 
   /** Entries that run now, though they were not asked to end. */
-  endedByThemselves(): string[] {
+  unexpectedlyExitedEntries(): string[] {
     return this.entries
       .filter(({ child }) => child.hasExited && !this.#held.has(child))
       .map(({ index }) => `entry ${index}`);
@@ -159,11 +159,11 @@
   }
 
   /** Does what a fault says, and undoes it after its time. */
-  async perform(fault: Fault): Promise<void> {
+  async injectFault(fault: Fault): Promise<void> {
     const { kind, target } = fault;
     const startMs = Date.now();
-    const span: FaultSpan = { kind, target, startMs, endMs: Infinity };
-    this.spans.push(span);
+    const span: FaultWindow = { kind, target, startMs, endMs: Infinity };
+    this.faultWindows.push(span);
     await this.#inflict(fault);
     span.endMs = Date.now();
   }
@@ -176,14 +176,14 @@
         return await disturb(server?.proxy, { proxy, forMs });
       case FaultKind.StoreLink:
         return await disturb(entry?.storeProxy, { proxy, forMs });
-      case FaultKind.StoreAway:
+      case FaultKind.StoreOutage:
         await Promise.all(
           this.entries.map(({ storeProxy }) =>
             disturb(storeProxy, { proxy, forMs })
           ),
         );
         return;
-      case FaultKind.StoreForgets: {
+      case FaultKind.StoreHistoryLoss: {
         const { revision } = await this.#objects.list({ kind: SERVER_KIND });
         return await this.#store.control({ historyFrom: revision });
       }
@@ -199,7 +199,7 @@
         return await this.#replaceServer(server, async (child) => {
           await this.#list(server, "draining");
           const id = server?.id ?? "";
-          this.leavings.push({ id, target, acceptedMs: Date.now() });
+          this.drains.push({ id, target, acceptedMs: Date.now() });
           await sleep(LINGER_MS);
           await child.kill();
         });
@@ -256,7 +256,7 @@
   }
 
   async #addServer(at: number): Promise<void> {
-    const port = await takeKnownPort();
+    const port = await reservePort();
     const child = await this.#startRunner(port);
     const server: SoakServer = {
       proxy: await FaultProxy.create(port),
@@ -321,7 +321,7 @@
     return await this.#start({
       module: "platform/main.js",
       args: [],
-      variables: { GYPSUMRIDGE_CONFIG: path },
+      env: { GYPSUMRIDGE_CONFIG: path },
       ports: {},
     });
   }
--- a/bench/soak/soak_deployment.ts
+++ b/bench/soak/soak_deployment.ts
@@ -11,7 +11,7 @@
 /** Port on which entries say whether they are ready. */
 export const READY_PORT = 8_749;
 /** Time in which a planned stop ends, in ms, as the settings say. */
-export const GRACE_MS = 8_000;
+export const SHUTDOWN_GRACE_MS = 8_000;
 const PEER_PORT = 7_200;
 const TIMEOUT_MS = 6_000;
 
@@ -81,6 +81,6 @@
 portRange=${PEER_PORT},${PEER_PORT + 15}
 platform.address=${storeAddress}
 deployment=${DEPLOYMENT}
-bounds.graceS=${GRACE_MS / 1_000}
+bounds.graceS=${SHUTDOWN_GRACE_MS / 1_000}
 `;
 }
--- a/bench/soak_main.ts
+++ b/bench/soak_main.ts
@@ -45,7 +45,7 @@
   const { entries, servers, lane, logs } = size;
   const result = await runSoak({
     seed,
-    lengthMs: seconds * 1_000,
+    durationMs: seconds * 1_000,
     entries,
     servers,
     lane,
--- a/bench/drain.ts
+++ b/bench/stream_reader.ts
@@ -4,15 +4,18 @@
 import process from "node:process";
 import { performance } from "node:perf_hooks";
 import {
-  type StreamOrder,
+  type StartStreamRequest,
   STREAMS_PATH,
 } from "../src/connection/engine_protocol.ts";
 import { splitAddress } from "../src/connection/http_call.ts";
-import { Durations, type Percentiles } from "../src/process/durations.ts";
+import {
+  DurationHistogram,
+  type Percentiles,
+} from "../src/process/duration_histogram.ts";
 import { bearerKey, GENERATION_SERVICE } from "./local_deployment.ts";
 
 /** Where streams are drained from. */
-export interface DrainTarget {
+export interface StreamReaderTarget {
   readonly address: string;
   /** Straight from an engine, or through an entry. */
   readonly isDirect: boolean;
@@ -23,7 +26,7 @@
 const MICROSECONDS = 1_000;
 
 /** What a drain has seen since its last reset. */
-export interface DrainFigures {
+export interface StreamReaderResults {
   /** Streams that have given a token, since the start. */
   readonly opened: number;
   readonly tokens: number;
@@ -34,9 +37,9 @@
 }
 
 /** Streams that are read until closed. */
-export class Drain {
-  readonly #first = Durations.create();
-  #delay = Durations.create();
+export class StreamReader {
+  readonly #first = DurationHistogram.create();
+  #delay = DurationHistogram.create();
   #tokens = 0;
   #opened = 0;
   #count = 0;
@@ -44,12 +47,12 @@
   private constructor() {}
 
   /** Makes a drain without streams. */
-  static create(): Drain {
-    return new Drain();
+  static create(): StreamReader {
+    return new StreamReader();
   }
 
   /** Returns what was seen. */
-  figures(): DrainFigures {
+  results(): StreamReaderResults {
     return {
       opened: this.#opened,
       tokens: this.#tokens,
@@ -59,7 +62,7 @@
   }
 
   /** Opens one more stream. */
-  open(target: DrainTarget): void {
+  open(target: StreamReaderTarget): void {
     const { host, port } = splitAddress(target.address);
     const id = `drain-${process.pid}-${this.#count++}`;
     const path = target.isDirect ? STREAMS_PATH : "/v1/completions";
@@ -94,7 +97,7 @@
   /** Starts the counts anew; streams go on. */
   reset(): void {
     this.#tokens = 0;
-    this.#delay = Durations.create();
+    this.#delay = DurationHistogram.create();
   }
 
   #take(text: string): number {
@@ -109,10 +112,13 @@
   }
 }
 
-function directOrder(id: string, { maxTokens }: DrainTarget): StreamOrder {
+function directOrder(
+  id: string,
+  { maxTokens }: StreamReaderTarget,
+): StartStreamRequest {
   return {
-    stream: id as StreamOrder["stream"],
-    request: id as StreamOrder["request"],
+    stream: id as StartStreamRequest["stream"],
+    request: id as StartStreamRequest["request"],
     model: "writer",
     modelVersion: "1",
     prompt: id,
@@ -123,7 +129,7 @@
   };
 }
 
-function entryOrder(id: string, { maxTokens }: DrainTarget) {
+function entryOrder(id: string, { maxTokens }: StreamReaderTarget) {
   return {
     model: GENERATION_SERVICE,
     prompt: id,
--- a/bench/drain_main.ts
+++ b/bench/stream_reader_main.ts
@@ -6,7 +6,7 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import { listen, sendJson } from "../src/connection/http_server.ts";
-import { Drain } from "./drain.ts";
+import { StreamReader } from "./stream_reader.ts";
 
 const args = await yargs(hideBin(process.argv))
   .option("address", { type: "string", array: true, demandOption: true })
@@ -17,10 +17,10 @@
   .strict()
   .parse();
 
-const drain = Drain.create();
+const drain = StreamReader.create();
 const server = createServer((request, response) => {
   if (request.url === "/reset") drain.reset();
-  sendJson(response, 200, drain.figures());
+  sendJson(response, 200, drain.results());
 });
 const port = await listen(server, "127.0.0.1", 0);
 process.stdout.write(`${JSON.stringify({ port })}\n`);
--- a/src/bin/gypsumridge.ts
+++ b/src/bin/gypsumridge.ts
@@ -4,8 +4,8 @@
 import process from "node:process";
 import yargs, { type Argv } from "yargs";
 import { hideBin } from "yargs/helpers";
-import { openValues } from "../../platform/open_values.ts";
-import type { ValueStore } from "../connection/value_store.ts";
+import { openKeyValueStore } from "../../platform/open_key_value_store.ts";
+import type { KeyValueStore } from "../connection/key_value_store.ts";
 import { InvalidInput, messageOf, PlatformUnavailable } from "../errors.ts";
 import type { Command, CommandArguments } from "../process/commands/command.ts";
 import { formatDifference } from "../process/commands/command.ts";
@@ -21,9 +21,9 @@
 
 async function runCommand(command: Command, args: unknown): Promise<void> {
   const { platform } = args as { readonly platform: string };
-  let client: ValueStore | undefined;
+  let client: KeyValueStore | undefined;
   const openPlatform = () =>
-    client ??= openValues({
+    client ??= openKeyValueStore({
       address: platform,
       timeoutMs: PLATFORM_TIMEOUT_MS,
     });
--- a/src/bin/gypsumridge_load.ts
+++ b/src/bin/gypsumridge_load.ts
@@ -5,7 +5,7 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import { ExitCode, PROGRAM_VERSION } from "../process/exit_code.ts";
-import { runLoad } from "../process/load.ts";
+import { runLoad } from "../process/load_generator.ts";
 
 const args = await yargs(hideBin(process.argv))
   .scriptName("gypsumridge-load")
--- a/src/bin/gypsumridge_steward.ts
+++ b/src/bin/gypsumridge_steward.ts
@@ -3,22 +3,25 @@
 
 import { createServer } from "node:http";
 import process from "node:process";
-import { openValues } from "../../platform/open_values.ts";
+import { openKeyValueStore } from "../../platform/open_key_value_store.ts";
 import { collectDefaultMetrics, Gauge, Registry } from "prom-client";
 import { listen, sendJson } from "../connection/http_server.ts";
-import { EVENTS } from "../process/event_catalog.ts";
+import { LOG_EVENTS } from "../process/log_events.ts";
 import { createLog } from "../process/log.ts";
 import { ExitCode, PROGRAM_VERSION } from "../process/exit_code.ts";
 import { loadSettings } from "../process/program.ts";
-import { readStewardSettings } from "../process/settings.ts";
+import { parseStewardSettings } from "../process/settings.ts";
 import { Steward } from "../process/steward.ts";
 
-const settings = await loadSettings("gypsumridge-steward", readStewardSettings);
+const settings = await loadSettings(
+  "gypsumridge-steward",
+  parseStewardSettings,
+);
 const log = createLog({
   program: settings.id,
   level: settings.logLevel,
 });
-const platform = openValues({
+const platform = openKeyValueStore({
   address: settings.platformAddress,
   timeoutMs: settings.platformTimeoutMs,
 });
@@ -35,17 +38,17 @@
   if (request.url !== "/metrics") {
     return sendJson(response, 200, { status: "ok" });
   }
-  holder.set(steward.isHolder ? 1 : 0);
+  holder.set(steward.isLeaseHolder ? 1 : 0);
   response.writeHead(200, { "content-type": registry.contentType });
   response.end(await registry.metrics());
 });
 const port = await listen(server, settings.host, settings.port);
-log(EVENTS.started, { version: PROGRAM_VERSION });
+log(LOG_EVENTS.started, { version: PROGRAM_VERSION });
 process.stdout.write(`${JSON.stringify({ port })}\n`);
 
 process.once("SIGTERM", () => {
   steward.close();
-  log(EVENTS.stopped);
+  log(LOG_EVENTS.stopped);
   process.exit(ExitCode.Success);
 });
 await steward.run();
--- a/src/connection/backend_report.ts
+++ b/src/connection/backend_report.ts
@@ -17,14 +17,14 @@
   /** Requests that wait for a place in its batch. */
   readonly waiting: number;
   /** Requests in its batch without an event yet; `undefined` if it does not say. */
-  readonly reading: number | undefined;
+  readonly prefilling: number | undefined;
 }
 
 /**
  * Asks a server for its report; `undefined` when it answers without one, as
  * plain servers do. Errors: rejects when it gives no answer in time.
  */
-export type Reporter = (
+export type ReportFetcher = (
   server: LiveServer,
 ) => Promise<ServerReport | undefined>;
 
--- a/src/connection/backend_answer.ts
+++ b/src/connection/backend_request.ts
@@ -1,18 +1,18 @@
 /** What the core asks of a backend server for an order, and what comes back. */
 
-import { AttemptLoss, LossCause } from "../errors.ts";
+import { AttemptError, FailureCause } from "../errors.ts";
 import type { LiveServer } from "../process/live_server.ts";
-import type { RunCopy } from "../request/run_copies.ts";
+import type { KvCopy } from "../request/kv_copy_manager.ts";
 
 /** One sending of an order to a server. */
-export interface AttemptTarget {
+export interface BackendRequest {
   readonly server: LiveServer;
   /** Time that the server may take, in ms. */
-  readonly leftMs: number;
+  readonly timeoutMs: number;
   /** Id of the last event that the caller got, if any. */
-  readonly resumeAfter: string | undefined;
+  readonly lastEventId: string | undefined;
   /** The copy of this run that the server holds, to go on from. */
-  readonly copy: RunCopy | undefined;
+  readonly copy: KvCopy | undefined;
   /** Server to which the run's memory is copied as it grows, if any. */
   readonly backup: LiveServer | undefined;
   /** Ends the attempt. */
@@ -22,7 +22,7 @@
 }
 
 /** Status and headers as the server sent them, but for those of the connection. */
-export interface AnswerHead {
+export interface ResponseHead {
   readonly status: number;
   /** Names and values in turn, as on the wire. */
   readonly headers: readonly string[];
@@ -34,33 +34,35 @@
 }
 
 /** The start of a server's answer, which belongs to the order for certain. */
-export interface BackendAnswer {
-  readonly head: AnswerHead;
+export interface BackendResponse {
+  readonly head: ResponseHead;
   /** Whether the server says that it did not run the order and never will. */
   readonly hasNotRun: boolean;
   /** Whether another process has the server's address. */
-  readonly isReplaced: boolean;
+  readonly isMisdirected: boolean;
   /**
    * Yields the body as it arrives.
    *
-   * Errors: `AttemptLoss` unless the body came whole.
+   * Errors: `AttemptError` unless the body came whole.
    */
   readonly body: () => AsyncGenerator<Buffer>;
 }
 
-/** Sends an order to a server. Errors: `AttemptLoss`. */
-export type Opener = (target: AttemptTarget) => Promise<BackendAnswer>;
+/** Sends an order to a server. Errors: `AttemptError`. */
+export type BackendSender = (
+  target: BackendRequest,
+) => Promise<BackendResponse>;
 
-/** Collects a whole body. Errors: `AttemptLoss`. */
-export async function collectBody(answer: BackendAnswer): Promise<Buffer> {
+/** Collects a whole body. Errors: `AttemptError`. */
+export async function collectBody(answer: BackendResponse): Promise<Buffer> {
   const parts: Buffer[] = [];
   for await (const part of answer.body()) parts.push(part);
   return Buffer.concat(parts);
 }
 
 /** Returns why an attempt was ended: its own loss, or that of its caller. */
-export function lossOfSignal({ reason }: AbortSignal): AttemptLoss {
-  return reason instanceof AttemptLoss
+export function abortError({ reason }: AbortSignal): AttemptError {
+  return reason instanceof AttemptError
     ? reason
-    : new AttemptLoss(LossCause.Closed, "caller has gone");
+    : new AttemptError(FailureCause.Closed, "caller has gone");
 }
--- a/src/connection/inbox.ts
+++ b/src/connection/batch_queue.ts
@@ -9,7 +9,7 @@
 const ITEMS_MAX = 256;
 
 /** Items that arrived and were not read yet. */
-export class Inbox<Item> {
+export class BatchQueue<Item> {
   readonly #source: Pausable;
   #items: Item[] = [];
   #isEnded = false;
@@ -21,8 +21,8 @@
   }
 
   /** Makes an empty inbox that pauses `source` while it is full. */
-  static create<Item>(source: Pausable): Inbox<Item> {
-    return new Inbox<Item>(source);
+  static create<Item>(source: Pausable): BatchQueue<Item> {
+    return new BatchQueue<Item>(source);
   }
 
   /** Adds items; many unread ones pause the source. */
--- a/src/connection/completion_caller.ts
+++ b/src/connection/completion_client.ts
@@ -6,7 +6,7 @@
 import { splitAddress } from "./http_call.ts";
 
 /** What a caller asks for. */
-export interface Ask {
+export interface CompletionClientOptions {
   /** IP and port of an entry. */
   readonly address: string;
   /** Bearer key of the customer. */
@@ -21,7 +21,7 @@
 }
 
 /** How an answer ended. */
-export interface AnswerEnd {
+export interface CompletionResult {
   readonly status: number;
   /** `done`, the type of an error, or `cut` when the connection closed. */
   readonly outcome: string;
@@ -29,20 +29,20 @@
 }
 
 /** A streamed answer that grows as its events arrive. */
-export class CompletionCaller {
+export class CompletionClient {
   readonly #outgoing: ClientRequest;
   readonly #startMs = performance.now();
   readonly #waiters = new Set<() => void>();
-  readonly ended: Promise<AnswerEnd>;
+  readonly ended: Promise<CompletionResult>;
   #text = "";
   #cursor = "";
   #eventCount = 0;
   #firstMs = Number.NaN;
   #lastMs = 0;
   readonly #pausesMs: number[] = [];
-  #end: AnswerEnd | undefined;
+  #end: CompletionResult | undefined;
 
-  private constructor(ask: Ask) {
+  private constructor(ask: CompletionClientOptions) {
     const { host, port } = splitAddress(ask.address);
     const body = JSON.stringify({
       model: ask.service,
@@ -71,8 +71,8 @@
   }
 
   /** Sends the request. */
-  static create(ask: Ask): CompletionCaller {
-    return new CompletionCaller(ask);
+  static create(ask: CompletionClientOptions): CompletionClient {
+    return new CompletionClient(ask);
   }
 
   /** Count of events received. */
@@ -96,17 +96,17 @@
   }
 
   /** Time to the first event, in ms. */
-  get firstMs(): number {
+  get firstEventMs(): number {
     return this.#firstMs;
   }
 
   /** Times between one event and the next, in ms. */
-  get pausesMs(): readonly number[] {
+  get eventGapsMs(): readonly number[] {
     return this.#pausesMs;
   }
 
   /** Longest time between two events, in ms. */
-  get longestPauseMs(): number {
+  get longestEventGapMs(): number {
     return Math.max(0, ...this.#pausesMs);
   }
 
@@ -121,13 +121,13 @@
   }
 
   /** Resolves once so many tokens have arrived, or the answer has ended. */
-  async received(count: number): Promise<void> {
+  async waitForTokens(count: number): Promise<void> {
     while (this.tokenCount < count && this.#end === undefined) {
       await new Promise<void>((resolve) => this.#waiters.add(resolve));
     }
   }
 
-  #read(): Promise<AnswerEnd> {
+  #read(): Promise<CompletionResult> {
     return new Promise((resolve) => {
       let status = 0;
       const finish = (outcome: string, message = "") => {
--- a/src/connection/engine_protocol.ts
+++ b/src/connection/engine_protocol.ts
@@ -3,7 +3,7 @@
 import type { RequestId, StreamId } from "../ids.ts";
 
 /** Body of `POST /v1/streams`, which starts a stream of tokens. */
-export interface StreamOrder {
+export interface StartStreamRequest {
   readonly stream: StreamId;
   readonly request: RequestId;
   readonly model: string;
--- a/src/connection/engine_stream.ts
+++ b/src/connection/engine_stream.ts
@@ -3,22 +3,22 @@
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import { createParser } from "eventsource-parser";
 import { match } from "ts-pattern";
-import { AttemptLoss, LossCause, messageOf } from "../errors.ts";
+import { AttemptError, FailureCause, messageOf } from "../errors.ts";
 import type { StreamId } from "../ids.ts";
 import {
   MODEL_VERSION_HEADER,
+  type StartStreamRequest,
   type StreamCancelled,
   type StreamEvent,
-  type StreamOrder,
   STREAMS_PATH,
 } from "./engine_protocol.ts";
 import { callHttp, splitAddress } from "./http_call.ts";
-import { Inbox } from "./inbox.ts";
+import { BatchQueue } from "./batch_queue.ts";
 import { StallTimer } from "./stall_timer.ts";
 
 /** Starts a stream. */
 export interface StreamStart {
-  readonly order: StreamOrder;
+  readonly request: StartStreamRequest;
 }
 
 /** Reads on in a stream that runs. */
@@ -29,7 +29,7 @@
 }
 
 /** What is read and how long silence is borne. */
-export interface StreamRead {
+export interface ReadStreamOptions {
   /** IP and port of the engine. */
   readonly address: string;
   readonly modelVersion: string;
@@ -40,7 +40,7 @@
   readonly firstTokenLimitMs: number;
   /** Silence between tokens that is borne, in ms. */
   readonly tokenStallMs: number;
-  /** Ends the reading; an `AttemptLoss` as its reason says how it counts. */
+  /** Ends the reading; an `AttemptError` as its reason says how it counts. */
   readonly signal: AbortSignal;
 }
 
@@ -49,30 +49,30 @@
 /**
  * Yields the events of a stream, as many at a time as arrived together.
  *
- * Errors: `AttemptLoss` when the stream ends before its end event.
+ * Errors: `AttemptError` when the stream ends before its end event.
  */
 export async function* readStream(
-  read: StreamRead,
+  read: ReadStreamOptions,
 ): AsyncGenerator<readonly StreamEvent[]> {
   const outgoing = openRequest(read);
-  let loss: AttemptLoss | undefined;
-  const lose = (cause: LossCause, detail: string) => {
-    loss ??= new AttemptLoss(cause, detail);
+  let loss: AttemptError | undefined;
+  const lose = (cause: FailureCause, detail: string) => {
+    loss ??= new AttemptError(cause, detail);
     outgoing.destroy();
   };
   const stall = StallTimer.create(
     read.firstTokenStallMs,
-    () => lose(LossCause.Stalled, "silence"),
+    () => lose(FailureCause.Stalled, "silence"),
   );
   const firstToken = setTimeout(
-    () => lose(LossCause.Stalled, "no first token"),
+    () => lose(FailureCause.Stalled, "no first token"),
     read.firstTokenLimitMs,
   );
   const onAbort = () => {
     const { reason } = read.signal;
-    const cause = reason instanceof AttemptLoss
-      ? reason.lossCause
-      : LossCause.Closed;
+    const cause = reason instanceof AttemptError
+      ? reason.failureCause
+      : FailureCause.Closed;
     lose(cause, "reader has gone");
   };
   read.signal.addEventListener("abort", onAbort);
@@ -80,21 +80,21 @@
   try {
     const response = await receiveResponse(outgoing);
     requireAccepted(response, read.modelVersion);
-    const inbox = receiveEvents(response, () => stall.hear());
+    const inbox = receiveEvents(response, () => stall.reset());
     while (true) {
       const events = await inbox.take();
       if (events.length === 0) break;
       clearTimeout(firstToken);
       stall.setLimit(read.tokenStallMs);
-      stall.hold();
+      stall.suspend();
       yield events;
       stall.resume();
     }
-    throw loss ?? new AttemptLoss(LossCause.Closed, "stream ended early");
+    throw loss ?? new AttemptError(FailureCause.Closed, "stream ended early");
   } catch (error) {
     if (loss !== undefined) throw loss;
-    if (error instanceof AttemptLoss) throw error;
-    throw new AttemptLoss(LossCause.Closed, messageOf(error));
+    if (error instanceof AttemptError) throw error;
+    throw new AttemptError(FailureCause.Closed, messageOf(error));
   } finally {
     stall.close();
     clearTimeout(firstToken);
@@ -108,7 +108,7 @@
   /** The engine says that no part of it ran. */
   NeverRan = "never_ran",
   Cancelled = "cancelled",
-  Unanswered = "unanswered",
+  NoResponse = "unanswered",
 }
 
 /** Cancels a stream unless somebody else reads it. */
@@ -127,18 +127,18 @@
     const { ran } = JSON.parse(answer.body.toString()) as StreamCancelled;
     return ran ? CancelResult.Cancelled : CancelResult.NeverRan;
   } catch {
-    return CancelResult.Unanswered;
+    return CancelResult.NoResponse;
   }
 }
 
-function openRequest({ address, source }: StreamRead): ClientRequest {
+function openRequest({ address, source }: ReadStreamOptions): ClientRequest {
   const { host, port } = splitAddress(address);
   const target = { host, port, agent: false as const };
   if ("stream" in source) {
     const path = `${STREAMS_PATH}/${source.stream}?from=${source.from}`;
     return request({ ...target, method: "GET", path }).end();
   }
-  const body = JSON.stringify(source.order);
+  const body = JSON.stringify(source.request);
   return request({
     ...target,
     method: "POST",
@@ -158,11 +158,13 @@
     });
     outgoing.once("response", resolve);
     outgoing.on("error", (error) => {
-      const cause = isConnected ? LossCause.Closed : LossCause.Unreachable;
-      reject(new AttemptLoss(cause, error.message));
+      const cause = isConnected
+        ? FailureCause.Closed
+        : FailureCause.Unreachable;
+      reject(new AttemptError(cause, error.message));
     });
     outgoing.once("close", () => {
-      reject(new AttemptLoss(LossCause.Closed, "closed without an answer"));
+      reject(new AttemptError(FailureCause.Closed, "closed without an answer"));
     });
   });
 }
@@ -175,22 +177,22 @@
   if (status !== 200) {
     response.resume();
     const cause = match(status)
-      .with(409, () => LossCause.WrongVersion)
-      .with(404, 416, 429, 503, () => LossCause.Refused)
-      .otherwise(() => LossCause.Closed);
-    throw new AttemptLoss(cause, `status ${status}`);
+      .with(409, () => FailureCause.VersionMismatch)
+      .with(404, 416, 429, 503, () => FailureCause.Rejected)
+      .otherwise(() => FailureCause.Closed);
+    throw new AttemptError(cause, `status ${status}`);
   }
   const carried = response.headers[MODEL_VERSION_HEADER];
   if (carried !== modelVersion) {
-    throw new AttemptLoss(LossCause.WrongVersion, `carries ${carried}`);
+    throw new AttemptError(FailureCause.VersionMismatch, `carries ${carried}`);
   }
 }
 
 function receiveEvents(
   response: IncomingMessage,
   onText: () => void,
-): Inbox<StreamEvent> {
-  const inbox = Inbox.create<StreamEvent>(response);
+): BatchQueue<StreamEvent> {
+  const inbox = BatchQueue.create<StreamEvent>(response);
   let events: StreamEvent[] = [];
   const parser = createParser({
     onEvent: ({ data }) => events.push(JSON.parse(data) as StreamEvent),
--- a/src/connection/event_splitter.ts
+++ b/src/connection/event_splitter.ts
@@ -1,7 +1,7 @@
 /** Splits the bytes of an event stream into whole events. */
 
 /** A whole event as it stood on the wire, with its closing blank line. */
-export interface WireEvent {
+export interface RawEvent {
   readonly bytes: Buffer;
   /** Its `id` field, or `undefined` if it has none. */
   readonly id: string | undefined;
@@ -23,12 +23,12 @@
   }
 
   /** Whether bytes of an unfinished event are held back. */
-  get holdsPart(): boolean {
+  get hasPartialEvent(): boolean {
     return this.#rest.length > 0;
   }
 
   /** Takes bytes in and yields the events that they complete. */
-  *push(bytes: Buffer): Generator<WireEvent> {
+  *push(bytes: Buffer): Generator<RawEvent> {
     this.#rest = this.#rest.length === 0
       ? bytes
       : Buffer.concat([this.#rest, bytes]);
--- a/src/connection/event_splitter_test.ts
+++ b/src/connection/event_splitter_test.ts
@@ -33,7 +33,7 @@
         expect(events.map(({ id }) => id)).toEqual(
           datas.map((_, at) => String(at + 1)),
         );
-        expect(splitter.holdsPart).toBe(unfinished !== "");
+        expect(splitter.hasPartialEvent).toBe(unfinished !== "");
       },
     ),
   );
--- a/src/connection/http_call.ts
+++ b/src/connection/http_call.ts
@@ -19,11 +19,11 @@
   /** Keeps connections; without one each call opens its own. */
   readonly agent?: Agent;
   /** Called once the request may have reached the server. */
-  readonly onSending?: () => void;
+  readonly onSent?: () => void;
 }
 
 /** The whole answer to a call. */
-export interface HttpAnswer {
+export interface HttpResponse {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
@@ -35,7 +35,7 @@
  * Errors: rejects when no connection is made, when the connection closes
  * before the answer ends, and when the time limit passes.
  */
-export function callHttp(call: HttpCall): Promise<HttpAnswer> {
+export function callHttp(call: HttpCall): Promise<HttpResponse> {
   const { host, port } = splitAddress(call.address);
   return new Promise((resolve, reject) => {
     const outgoing = request({
@@ -63,8 +63,8 @@
     };
     outgoing.once("error", fail);
     outgoing.once("socket", (socket) => {
-      if (!socket.connecting) call.onSending?.();
-      else socket.once("connect", () => call.onSending?.());
+      if (!socket.connecting) call.onSent?.();
+      else socket.once("connect", () => call.onSent?.());
     });
     outgoing.once("response", (incoming) => {
       const parts: Buffer[] = [];
--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -2,12 +2,12 @@
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import { Refusal, RefusalType } from "../errors.ts";
+import { RequestError, RequestErrorType } from "../errors.ts";
 
 /**
  * Collects a request's body.
  *
- * Errors: throws a `Refusal` when it exceeds `limitBytes` or ends early.
+ * Errors: throws a `RequestError` when it exceeds `limitBytes` or ends early.
  */
 export async function readBody(
   request: IncomingMessage,
@@ -22,11 +22,14 @@
       parts.push(part as Buffer);
     }
   } catch {
-    throw new Refusal(RefusalType.InvalidRequest, "request body ended early");
+    throw new RequestError(
+      RequestErrorType.InvalidRequest,
+      "request body ended early",
+    );
   }
   if (length > limitBytes) {
-    throw new Refusal(
-      RefusalType.TooLarge,
+    throw new RequestError(
+      RequestErrorType.TooLarge,
       `request body exceeds ${limitBytes} bytes`,
     );
   }
--- a/src/connection/value_store.ts
+++ b/src/connection/key_value_store.ts
@@ -4,11 +4,11 @@
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
-import { PLATFORM_RETRY_MS, WATCH_WAIT_MS } from "../constants.ts";
+import { PLATFORM_RETRY_DELAY_MS, WATCH_TIMEOUT_MS } from "../constants.ts";
 import { PlatformHistoryGone, VersionConflict } from "../errors.ts";
 import type { ObjectRevision } from "../ids.ts";
 import type { Instance } from "./instance.ts";
-import type { SharedObjects, StoredObject } from "./shared_objects.ts";
+import type { ObjectStore, StoredObject } from "./object_store.ts";
 
 /** A stored value. */
 export interface StoredValue {
@@ -17,7 +17,7 @@
 }
 
 /** One row of a listing, without the value. */
-export interface ListedValue {
+export interface ValueMetadata {
   readonly name: string;
   readonly version: ObjectRevision;
   /** Writer's time of the last write, ms since the epoch. */
@@ -25,8 +25,8 @@
 }
 
 /** What values are kept on. */
-export interface ValueStoreOptions {
-  readonly objects: SharedObjects;
+export interface KeyValueStoreOptions {
+  readonly objects: ObjectStore;
   /** Reads the platform's list of instances. Errors: `PlatformUnavailable`. */
   readonly listInstances: () => Promise<readonly Instance[]>;
 }
@@ -41,17 +41,17 @@
 const KIND_PREFIX = "gypsumridge-";
 
 /** Named values; writes are never retried by themselves. */
-export class ValueStore {
-  readonly #options: ValueStoreOptions;
+export class KeyValueStore {
+  readonly #options: KeyValueStoreOptions;
   #closed = false;
 
-  private constructor(options: ValueStoreOptions) {
+  private constructor(options: KeyValueStoreOptions) {
     this.#options = options;
   }
 
   /** Makes a store; connections open at the first call. */
-  static create(options: ValueStoreOptions): ValueStore {
-    return new ValueStore(options);
+  static create(options: KeyValueStoreOptions): KeyValueStore {
+    return new KeyValueStore(options);
   }
 
   /** Closes the connections and ends watches. */
@@ -115,7 +115,7 @@
   }
 
   /** Lists values by the start of their name. Errors: `PlatformUnavailable`. */
-  async list(prefix: string): Promise<readonly ListedValue[]> {
+  async list(prefix: string): Promise<readonly ValueMetadata[]> {
     const { kind, name } = placeOf(prefix);
     const { objects } = await this.#options.objects.list({ kind });
     const [group = ""] = prefix.split("/");
@@ -150,10 +150,10 @@
           found = list.objects.find((object) => object.name === place.name);
           from = list.revision;
         } else {
-          const waitMs = WATCH_WAIT_MS;
+          const waitMs = WATCH_TIMEOUT_MS;
           const watched = await objects.watch({
             kind: place.kind,
-            from,
+            sinceRevision: from,
             waitMs,
           });
           found = watched.changes.findLast(({ object, isDeleted }) =>
@@ -171,7 +171,7 @@
           continue;
         }
         yield undefined;
-        await sleep(PLATFORM_RETRY_MS);
+        await sleep(PLATFORM_RETRY_DELAY_MS);
       }
     }
   }
--- a/src/connection/shared_objects.ts
+++ b/src/connection/object_store.ts
@@ -25,38 +25,38 @@
 }
 
 /** What a watch returned; no changes when its wait ran out. */
-export interface ObjectChanges {
+export interface WatchResult {
   readonly changes: readonly ObjectChange[];
   readonly revision: ObjectRevision;
 }
 
 /** How a kind is watched. */
-export interface WatchWish {
+export interface WatchOptions {
   readonly kind: string;
   /** Revision after which changes are wanted. */
-  readonly from: ObjectRevision;
+  readonly sinceRevision: ObjectRevision;
   /** Longest time that the store holds the call, in ms. */
   readonly waitMs: number;
 }
 
 /** How a kind is listed. */
-export interface ListWish {
+export interface ListOptions {
   readonly kind: string;
   /** Accepts data that is seconds old at a tenth of the price. */
   readonly allowsStale?: boolean;
 }
 
 /** The calls on shared objects; writes are never retried by themselves. */
-export interface SharedObjects {
+export interface ObjectStore {
   /** Lists all objects of a kind. Errors: `PlatformUnavailable`. */
-  readonly list: (wish: ListWish) => Promise<ObjectList>;
+  readonly list: (wish: ListOptions) => Promise<ObjectList>;
   /** Reads one object. Errors: `PlatformUnavailable`. */
   readonly read: (
     kind: string,
     name: string,
   ) => Promise<StoredObject | undefined>;
   /** Waits for changes. Errors: `PlatformHistoryGone`, `PlatformUnavailable`. */
-  readonly watch: (wish: WatchWish) => Promise<ObjectChanges>;
+  readonly watch: (wish: WatchOptions) => Promise<WatchResult>;
   /** Creates an object. Errors: `VersionConflict`, `PlatformUnavailable`. */
   readonly create: (
     kind: string,
--- a/src/connection/peer_link.ts
+++ b/src/connection/peer_link.ts
@@ -7,21 +7,21 @@
 import {
   type ChangesRequest,
   type ChunkRequest,
-  type Digest,
+  type GossipDigest,
   packMessage,
   PEER_KEY_HEADER,
   PEER_MESSAGE_MAX_BYTES,
   PEER_PATH,
-  type PeerAnswer,
   type PeerMessage,
   PeerMessageKind,
+  type PeerResponse,
   type ServerChanges,
   unpackMessage,
 } from "./peer_protocol.ts";
 
 /** What a link does with what it receives. */
 export interface PeerLinkHandlers {
-  readonly onDigest: (digest: Digest, link: PeerLink) => void;
+  readonly onDigest: (digest: GossipDigest, link: PeerLink) => void;
   /** Returns a chunk that this entry holds. */
   readonly readChunk: (hash: ContentHash) => string | undefined;
   /** Returns changes of this entry's list of servers; none if absent. */
@@ -31,7 +31,7 @@
   readonly onOpen: () => void;
 }
 
-type AnswerWaiter = (answer: PeerAnswer | undefined) => void;
+type AnswerWaiter = (answer: PeerResponse | undefined) => void;
 
 /** An open or opening link. */
 export class PeerLink {
@@ -101,7 +101,7 @@
       correlation,
       hash,
     }));
-    const isChunk = answer?.kind === PeerMessageKind.ChunkAnswer;
+    const isChunk = answer?.kind === PeerMessageKind.ChunkResponse;
     return isChunk ? answer.text ?? undefined : undefined;
   }
 
@@ -113,13 +113,13 @@
       correlation,
       after,
     }));
-    const isChanges = answer?.kind === PeerMessageKind.ChangesAnswer;
+    const isChanges = answer?.kind === PeerMessageKind.ChangesResponse;
     return isChanges ? answer : undefined;
   }
 
   #ask(
     createRequest: (correlation: number) => PeerMessage,
-  ): Promise<PeerAnswer | undefined> {
+  ): Promise<PeerResponse | undefined> {
     const correlation = ++this.#correlation;
     return new Promise((resolve) => {
       const timer = setTimeout(() => settle(undefined), PEER_CHUNK_TIMEOUT_MS);
@@ -145,8 +145,8 @@
         this.#answerChanges(request);
       })
       .with(
-        { kind: PeerMessageKind.ChunkAnswer },
-        { kind: PeerMessageKind.ChangesAnswer },
+        { kind: PeerMessageKind.ChunkResponse },
+        { kind: PeerMessageKind.ChangesResponse },
         (answer) => this.#waiting.get(answer.correlation)?.(answer),
       )
       .otherwise(() => this.close());
@@ -154,13 +154,17 @@
 
   #answerChunk({ correlation, hash }: ChunkRequest): void {
     const text = this.#handlers.readChunk(hash) ?? null;
-    this.send({ kind: PeerMessageKind.ChunkAnswer, correlation, text });
+    this.send({ kind: PeerMessageKind.ChunkResponse, correlation, text });
   }
 
   #answerChanges({ correlation, after }: ChangesRequest): void {
     const changes = this.#handlers.readChanges?.(after) ??
       { upTo: after, news: [] };
-    this.send({ kind: PeerMessageKind.ChangesAnswer, correlation, ...changes });
+    this.send({
+      kind: PeerMessageKind.ChangesResponse,
+      correlation,
+      ...changes,
+    });
   }
 
   #ended(): void {
--- a/src/connection/peer_link_test.ts
+++ b/src/connection/peer_link_test.ts
@@ -36,7 +36,7 @@
       if (requests.length < 3) return;
       for (const { correlation, hash } of requests.toReversed()) {
         const text = `chunk ${hash}`;
-        const kind = PeerMessageKind.ChunkAnswer;
+        const kind = PeerMessageKind.ChunkResponse;
         socket.send(packMessage({ kind, correlation, text }));
         socket.send(packMessage({ kind, correlation, text: "late copy" }));
       }
--- a/src/connection/peer_protocol.ts
+++ b/src/connection/peer_protocol.ts
@@ -8,16 +8,16 @@
   ObjectRevision,
 } from "../ids.ts";
 import type { LiveServer, ServerLoad } from "../process/live_server.ts";
-import type { ReaderSign } from "../process/store_readers.ts";
+import type { ReaderLiveness } from "../process/reader_election.ts";
 import type { Head } from "../version/types.ts";
 
 /** Kinds of peer messages. */
 export enum PeerMessageKind {
   Digest = "digest",
   ChunkRequest = "chunk_request",
-  ChunkAnswer = "chunk_answer",
+  ChunkResponse = "chunk_answer",
   ChangesRequest = "changes_request",
-  ChangesAnswer = "changes_answer",
+  ChangesResponse = "changes_answer",
 }
 
 /** How much a request is to blame for losses of backend servers. */
@@ -29,7 +29,7 @@
 }
 
 /** What the platform's list said of one server, for entries cut off from it. */
-export interface ServerNews {
+export interface ServerChangeRecord {
   readonly name: string;
   /** Revision of the list's change; the higher one is right. */
   readonly revision: ObjectRevision;
@@ -38,7 +38,7 @@
 }
 
 /** What an entry that relays orders tells the others. */
-export interface OrderDigest {
+export interface RelayDigest {
   /** Version of the configuration in force, and -1 before the first. */
   readonly configuration: number;
   /** Work that the entry gave to servers, by server name. */
@@ -50,19 +50,19 @@
   /** Checksum of the list of servers that the entry holds. */
   readonly listed: number;
   /** Entries that read the platform for all. */
-  readonly readers: readonly ReaderSign[];
+  readonly readers: readonly ReaderLiveness[];
   /** Names of servers that the entry found dead just now. */
   readonly dead: readonly string[];
 }
 
 /** Soft state of an entry, sent at a bounded rate. */
-export interface Digest {
+export interface GossipDigest {
   readonly kind: PeerMessageKind.Digest;
   readonly entry: EntryId;
   /** Head of the adopted revision, if any. */
   readonly head: Head | null;
   readonly suspicions: readonly Suspicion[];
-  readonly orders?: OrderDigest;
+  readonly orders?: RelayDigest;
 }
 
 /** Asks a peer for a chunk of a revision. */
@@ -73,8 +73,8 @@
 }
 
 /** Answers a chunk request; no text when the peer does not hold it. */
-export interface ChunkAnswer {
-  readonly kind: PeerMessageKind.ChunkAnswer;
+export interface ChunkResponse {
+  readonly kind: PeerMessageKind.ChunkResponse;
   readonly correlation: number;
   readonly text: string | null;
 }
@@ -95,25 +95,25 @@
 export interface ServerChanges {
   /** The entry's count of changes at the last one of these. */
   readonly upTo: number;
-  readonly news: readonly ServerNews[];
+  readonly news: readonly ServerChangeRecord[];
 }
 
 /** Answers a request for changes. */
-export interface ChangesAnswer extends ServerChanges {
-  readonly kind: PeerMessageKind.ChangesAnswer;
+export interface ChangesResponse extends ServerChanges {
+  readonly kind: PeerMessageKind.ChangesResponse;
   readonly correlation: number;
 }
 
 /** Any message between entries. */
 export type PeerMessage =
-  | Digest
+  | GossipDigest
   | ChunkRequest
-  | ChunkAnswer
+  | ChunkResponse
   | ChangesRequest
-  | ChangesAnswer;
+  | ChangesResponse;
 
 /** A message that answers another one. */
-export type PeerAnswer = ChunkAnswer | ChangesAnswer;
+export type PeerResponse = ChunkResponse | ChangesResponse;
 
 /** Path of the peers' WebSocket. */
 export const PEER_PATH = "/peer";
--- a/src/connection/stall_timer.ts
+++ b/src/connection/stall_timer.ts
@@ -20,7 +20,7 @@
   }
 
   /** Starts the silence anew. */
-  hear(): void {
+  reset(): void {
     this.#heard = true;
     this.#timer.refresh();
   }
@@ -34,7 +34,7 @@
   }
 
   /** Lets silence pass while the reader itself does not read. */
-  hold(): void {
+  suspend(): void {
     this.#isHeld = true;
   }
 
--- a/src/errors.ts
+++ b/src/errors.ts
@@ -3,7 +3,7 @@
 import type { Finding } from "./version/finding.ts";
 
 /** What a caller is told when a request does not end with its whole answer. */
-export enum RefusalType {
+export enum RequestErrorType {
   /** Never sent to a backend server; safe to repeat. */
   NotRun = "not_run",
   /**
@@ -30,25 +30,26 @@
 }
 
 /** HTTP status that carries each refusal. */
-export const REFUSAL_STATUS: Readonly<Record<RefusalType, number>> = {
-  [RefusalType.NotRun]: 503,
-  [RefusalType.NotSent]: 503,
-  [RefusalType.Interrupted]: 502,
-  [RefusalType.OutcomeUnknown]: 504,
-  [RefusalType.AnswerUnavailable]: 409,
-  [RefusalType.InvalidRequest]: 400,
-  [RefusalType.Unauthorized]: 401,
-  [RefusalType.NotFound]: 404,
-  [RefusalType.TooLarge]: 413,
-  [RefusalType.Conflict]: 409,
-};
+export const REQUEST_ERROR_STATUS: Readonly<Record<RequestErrorType, number>> =
+  {
+    [RequestErrorType.NotRun]: 503,
+    [RequestErrorType.NotSent]: 503,
+    [RequestErrorType.Interrupted]: 502,
+    [RequestErrorType.OutcomeUnknown]: 504,
+    [RequestErrorType.AnswerUnavailable]: 409,
+    [RequestErrorType.InvalidRequest]: 400,
+    [RequestErrorType.Unauthorized]: 401,
+    [RequestErrorType.NotFound]: 404,
+    [RequestErrorType.TooLarge]: 413,
+    [RequestErrorType.Conflict]: 409,
+  };
 
 /** A typed refusal that is sent to the caller. */
-export class Refusal extends Error {
-  readonly type: RefusalType;
+export class RequestError extends Error {
+  readonly type: RequestErrorType;
   readonly retryAfterS: number | undefined;
 
-  constructor(type: RefusalType, message: string, retryAfterS?: number) {
+  constructor(type: RequestErrorType, message: string, retryAfterS?: number) {
     super(message);
     this.name = "Refusal";
     this.type = type;
@@ -57,8 +58,8 @@
 }
 
 /** Returns the refusal of a generation that has run in part. */
-export function interrupted(message: string): Refusal {
-  return new Refusal(RefusalType.Interrupted, message);
+export function createInterruptedError(message: string): RequestError {
+  return new RequestError(RequestErrorType.Interrupted, message);
 }
 
 /** Input that failed its checks; carries every finding at once. */
@@ -97,9 +98,9 @@
 }
 
 /** How an attempt on a backend server ended without its whole output. */
-export enum LossCause {
+export enum FailureCause {
   /** The server refused before running anything. */
-  Refused = "refused",
+  Rejected = "refused",
   /** No connection could be made, so nothing was sent. */
   Unreachable = "unreachable",
   /** The connection closed before the end. */
@@ -107,32 +108,32 @@
   /** Nothing arrived within the stall limit. */
   Stalled = "stalled",
   /** The time of the request itself was up, so no other sending is of use. */
-  TimeUp = "time_up",
+  DeadlineExceeded = "time_up",
   /** Nothing arrived, and the server does not answer any other call either. */
-  Silent = "silent",
+  Unresponsive = "silent",
   /** A token arrived beyond the next position. */
-  Gap = "gap",
+  PositionGap = "gap",
   /** Taken back to make place for more urgent work. */
   Preempted = "preempted",
   /** The server carries another model version. */
-  WrongVersion = "wrong_version",
+  VersionMismatch = "wrong_version",
 }
 
 /** The loss of one attempt. */
-export class AttemptLoss extends Error {
-  readonly lossCause: LossCause;
+export class AttemptError extends Error {
+  readonly failureCause: FailureCause;
 
-  constructor(cause: LossCause, detail = "") {
+  constructor(cause: FailureCause, detail = "") {
     super(`attempt lost: ${cause}${detail === "" ? "" : ` (${detail})`}`);
     this.name = "AttemptLoss";
-    this.lossCause = cause;
+    this.failureCause = cause;
   }
 
   /** Whether the backend server may have run part of the request. */
   get mayHaveRun(): boolean {
-    return this.lossCause !== LossCause.Refused &&
-      this.lossCause !== LossCause.Unreachable &&
-      this.lossCause !== LossCause.WrongVersion;
+    return this.failureCause !== FailureCause.Rejected &&
+      this.failureCause !== FailureCause.Unreachable &&
+      this.failureCause !== FailureCause.VersionMismatch;
   }
 }
 
--- a/src/ids.ts
+++ b/src/ids.ts
@@ -14,7 +14,7 @@
 /** Names one entry process. */
 export type EntryId = Brand<string, "entry">;
 /** Names one attempt to perform a non-idempotent action. */
-export type AttemptId = Brand<string, "attempt">;
+export type ActionAttemptId = Brand<string, "attempt">;
 /** SHA-256 of a content-addressed value, in hexadecimal. */
 export type ContentHash = Brand<string, "hash">;
 /** SHA-256 over what makes two requests the same, in hexadecimal. */
--- a/src/process/ledger.ts
+++ b/src/process/action_store.ts
@@ -6,13 +6,16 @@
 
 import { setTimeout as sleep } from "node:timers/promises";
 import type { ObjectRevision } from "../ids.ts";
-import type { ValueStore } from "../connection/value_store.ts";
-import { ACTION_FOLLOW_UP_MS, ACTION_POLL_MS } from "../constants.ts";
+import type { KeyValueStore } from "../connection/key_value_store.ts";
+import {
+  ACTION_POLL_INTERVAL_MS,
+  ACTION_RECONCILE_TIMEOUT_MS,
+} from "../constants.ts";
 import { PlatformUnavailable, VersionConflict } from "../errors.ts";
-import type { AttemptId, Fingerprint } from "../ids.ts";
+import type { ActionAttemptId, Fingerprint } from "../ids.ts";
 import { type ActionRecord, ActionState } from "../request/action_record.ts";
 import { actionName } from "../version/object_names.ts";
-import { EVENTS } from "./event_catalog.ts";
+import { LOG_EVENTS } from "./log_events.ts";
 import type { Log } from "./log.ts";
 
 /** What came of an attempt to claim an action. */
@@ -34,8 +37,8 @@
   | { readonly result: ClaimResult.Absent | ClaimResult.Unreadable };
 
 /** What the ledger needs of its process. */
-export interface LedgerOptions {
-  readonly platform: ValueStore;
+export interface ActionStoreOptions {
+  readonly platform: KeyValueStore;
   readonly log: Log;
   /** Monotonic clock, in ms. */
   readonly now: () => number;
@@ -45,16 +48,16 @@
 const FOLLOW_UP_PAUSE_MS = 500;
 
 /** Access to the records of actions. */
-export class Ledger {
-  readonly #options: LedgerOptions;
+export class ActionStore {
+  readonly #options: ActionStoreOptions;
 
-  private constructor(options: LedgerOptions) {
+  private constructor(options: ActionStoreOptions) {
     this.#options = options;
   }
 
   /** Makes a ledger on the platform's object API. */
-  static create(options: LedgerOptions): Ledger {
-    return new Ledger(options);
+  static create(options: ActionStoreOptions): ActionStore {
+    return new ActionStore(options);
   }
 
   /** Claims an action by creating its record. */
@@ -92,7 +95,7 @@
    *
    * Errors: `PlatformUnavailable`, `VersionConflict`; nothing is decided then.
    */
-  async awaitEnd(
+  async awaitOutcome(
     key: Fingerprint,
     waitMs: number,
   ): Promise<ActionRecord | undefined> {
@@ -109,7 +112,7 @@
         await platform.update(name, stored.version, JSON.stringify(unknown));
         return unknown;
       }
-      await sleep(ACTION_POLL_MS);
+      await sleep(ACTION_POLL_INTERVAL_MS);
     }
   }
 
@@ -117,7 +120,7 @@
    * Stores the end of an action that this attempt claimed. Goes on in the
    * background when the platform can't be reached at once.
    */
-  async settle(
+  async recordOutcome(
     key: Fingerprint,
     settled: {
       readonly record: ActionRecord;
@@ -127,19 +130,22 @@
     const write = () => this.#writeEnd(key, settled);
     if (await tryPlatform(write)) return;
     this.#followUp(write, () => {
-      this.#options.log(EVENTS.actionUnstored, { key });
+      this.#options.log(LOG_EVENTS.actionOutcomeNotStored, { key });
     });
   }
 
   /** Removes the record of an action that this attempt did not send. */
-  async retract(key: Fingerprint, attempt: AttemptId): Promise<void> {
+  async releaseClaim(
+    key: Fingerprint,
+    attempt: ActionAttemptId,
+  ): Promise<void> {
     const remove = () => this.#removeOwn(key, attempt);
     if (await tryPlatform(remove)) return;
     this.#followUp(remove, () => undefined);
   }
 
   /** The write of an unconfirmed record may still take effect. */
-  #removeWhenItAppears(key: Fingerprint, attempt: AttemptId): void {
+  #removeWhenItAppears(key: Fingerprint, attempt: ActionAttemptId): void {
     const remove = async () => {
       const wasThere = await this.#removeOwn(key, attempt);
       if (!wasThere) throw new PlatformUnavailable("record may yet appear");
@@ -183,7 +189,10 @@
     await platform.update(name, stored.version, JSON.stringify(record));
   }
 
-  async #removeOwn(key: Fingerprint, attempt: AttemptId): Promise<boolean> {
+  async #removeOwn(
+    key: Fingerprint,
+    attempt: ActionAttemptId,
+  ): Promise<boolean> {
     const { platform, log } = this.#options;
     const name = actionName(key);
     const stored = await platform.read(name);
@@ -193,7 +202,7 @@
       held.state === ActionState.Claimed;
     if (!isOwnClaim) return true;
     await platform.remove(name, stored.version);
-    log(EVENTS.actionRetracted, { key });
+    log(LOG_EVENTS.actionClaimReleased, { key });
     return true;
   }
 
@@ -201,7 +210,7 @@
     action: () => Promise<unknown>,
     onGivenUp: () => void,
   ): Promise<void> {
-    const deadline = this.#options.now() + ACTION_FOLLOW_UP_MS;
+    const deadline = this.#options.now() + ACTION_RECONCILE_TIMEOUT_MS;
     while (this.#options.now() < deadline) {
       await sleep(FOLLOW_UP_PAUSE_MS);
       if (await tryPlatform(action)) return;
--- a/src/process/bounded_output.ts
+++ b/src/process/bounded_output.ts
@@ -30,7 +30,7 @@
   }
 
   /** Count of lines that were dropped since the last call. */
-  takeDropped(): number {
+  takeDroppedCount(): number {
     const dropped = this.#dropped;
     this.#dropped = 0;
     return dropped;
--- a/src/process/bounded_output_test.ts
+++ b/src/process/bounded_output_test.ts
@@ -31,7 +31,7 @@
     const startMs = performance.now();
     for (let at = 0; at < 5000; at++) output.write(line);
     const tookMs = performance.now() - startMs;
-    console.error(JSON.stringify({ tookMs, dropped: output.takeDropped() }));
+    console.error(JSON.stringify({ tookMs, dropped: output.takeDroppedCount() }));
     setTimeout(() => {}, 1500);
   `);
   const { tookMs, dropped } = JSON.parse(report);
--- a/src/process/caller_times.ts
+++ b/src/process/caller_wait_estimator.ts
@@ -15,7 +15,7 @@
 }
 
 /** How long the callers of each route have lately been willing to wait. */
-export class CallerTimes {
+export class CallerWaitEstimator {
   readonly #now: () => number;
   readonly #routes = new Map<string, RouteTimes>();
 
@@ -24,15 +24,15 @@
   }
 
   /** Starts without callers; `now` is a monotonic clock in ms. */
-  static create(now: () => number): CallerTimes {
-    return new CallerTimes(now);
+  static create(now: () => number): CallerWaitEstimator {
+    return new CallerWaitEstimator(now);
   }
 
   /**
    * Notes a caller that has `leftMs` left; returns the time that it has most
    * likely waited before it came here, in ms.
    */
-  note(route: string, leftMs: number): number {
+  record(route: string, leftMs: number): number {
     const times = this.#timesOf(route);
     times.longestMs = Math.max(times.longestMs, leftMs);
     return Math.max(times.longestMs, times.longestBeforeMs) - leftMs;
--- a/src/process/choose_server.ts
+++ b/src/process/choose_server.ts
@@ -7,7 +7,7 @@
  */
 
 import { crc32 } from "node:zlib";
-import { READ_TOKENS_PER_MS } from "../constants.ts";
+import { PREFILL_TOKENS_PER_MS } from "../constants.ts";
 import {
   addLoad,
   type LiveServerView,
@@ -15,14 +15,14 @@
 } from "./live_server.ts";
 
 /** A zone in which a request lost a server. */
-export interface LostZone {
+export interface RecentFailure {
   readonly zone: string;
   /** When, on the monotonic clock in ms. */
   readonly atMs: number;
 }
 
 /** What is wanted of a server. */
-export interface ServerNeed {
+export interface SelectionCriteria {
   readonly service: string;
   /** Memory that the request takes, in tokens. */
   readonly tokens: number;
@@ -33,7 +33,7 @@
    * afterwards behind more of them the longer it waits; on the monotonic clock in
    * ms. It lines up anywhere if absent.
    */
-  readonly patientUntilMs?: number;
+  readonly avoidBacklogUntilMs?: number;
   /** Names of servers that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
   /** Name of the server to prefer while it has room, or empty. */
@@ -47,7 +47,7 @@
    * Zone in which this request just lost a server, if any: the servers of a zone
    * fail together, so those not heard since come last.
    */
-  readonly lostZone?: LostZone;
+  readonly recentFailure?: RecentFailure;
   /** Zone whose servers must not be chosen, if any. */
   readonly excludedZone?: string;
   /** Zones in which many servers were lost just now, with the time of it. */
@@ -55,7 +55,7 @@
 }
 
 /** Clock and chance of a choice. */
-export interface ChoiceContext {
+export interface SelectionContext {
   /** Monotonic clock, in ms. */
   readonly nowMs: number;
   /** Number from 0 up to 1. */
@@ -96,8 +96,8 @@
 
 /** Whether a server may get the request once it is sound and has room. */
 export function isEligible(
-  { server, avoidUntilMs }: LiveServerView,
-  need: ServerNeed,
+  { server, ejectedUntilMs: avoidUntilMs }: LiveServerView,
+  need: SelectionCriteria,
 ): boolean {
   return server.service === need.service &&
     !server.isLeaving &&
@@ -109,25 +109,28 @@
 /** Whether the prompts before it would hold the request up for long. */
 function isInLine(
   view: LiveServerView,
-  { need, nowMs }: { readonly need: ServerNeed; readonly nowMs: number },
+  { need, nowMs }: { readonly need: SelectionCriteria; readonly nowMs: number },
 ): boolean {
-  const { unreadTokens = 0, patientUntilMs } = need;
+  const { unreadTokens = 0, avoidBacklogUntilMs: patientUntilMs } = need;
   if (patientUntilMs === undefined) return false;
-  const before = addLoad(view.own, view.others).unreadTokens;
+  const before = addLoad(view.ownLoad, view.peerLoad).unreadTokens;
   // Lining up at once would have been no faster: this much was read meanwhile.
-  const readTokens = Math.max(0, nowMs - patientUntilMs) * READ_TOKENS_PER_MS;
+  const readTokens = Math.max(0, nowMs - patientUntilMs) *
+    PREFILL_TOKENS_PER_MS;
   return before > 0 && before + unreadTokens > LINE_MAX_TOKENS + readTokens;
 }
 
 /** Whether a server has slots and memory left for the request. */
 function hasRoomFor(view: LiveServerView, tokens: number): boolean {
-  const load = addLoad(view.own, view.others);
+  const load = addLoad(view.ownLoad, view.peerLoad);
   return load.requests < placesOf(view) &&
-    load.tokens + tokens <= view.memoryTokens;
+    load.tokens + tokens <= view.kvCacheTokens;
 }
 
 /** Requests that a server may have at once, from all entries. */
-function placesOf({ server, memoryTokens }: LiveServerView): number {
+function placesOf(
+  { server, kvCacheTokens: memoryTokens }: LiveServerView,
+): number {
   const isEngine = Number.isFinite(memoryTokens);
   return isEngine ? server.slots : server.slots * CALL_PLACES_FACTOR;
 }
@@ -140,8 +143,8 @@
  */
 export function chooseServer(
   views: Iterable<LiveServerView>,
-  need: ServerNeed,
-  { nowMs, random }: ChoiceContext,
+  need: SelectionCriteria,
+  { nowMs, random }: SelectionContext,
 ): LiveServerView | undefined {
   const roomy = findCandidates(views, { need, nowMs });
   // It has the prompt already, so nothing it still has to read matters.
@@ -170,7 +173,7 @@
 /** Returns the sound ones, or those that are avoided where no sound one exists. */
 function findCandidates(
   views: Iterable<LiveServerView>,
-  { need, nowMs }: { readonly need: ServerNeed; readonly nowMs: number },
+  { need, nowMs }: { readonly need: SelectionCriteria; readonly nowMs: number },
 ): readonly Candidate[] {
   const sound: Candidate[] = [];
   const avoided: Candidate[] = [];
@@ -178,7 +181,7 @@
   let ready = 0;
   for (const view of views) {
     if (!isEligible(view, need)) continue;
-    const isSound = view.avoidUntilMs <= nowMs;
+    const isSound = view.ejectedUntilMs <= nowMs;
     hasSound ||= isSound;
     if (view.fullUntilMs > nowMs || !hasRoomFor(view, need.tokens)) continue;
     const hasLine = isInLine(view, { need, nowMs });
@@ -203,21 +206,21 @@
 }
 
 /** Returns how unwelcome a server is, from 0; a full server is about 1. */
-function scoreOf(view: LiveServerView, need: ServerNeed): number {
-  const load = addLoad(view.own, view.others);
+function scoreOf(view: LiveServerView, need: SelectionCriteria): number {
+  const load = addLoad(view.ownLoad, view.peerLoad);
   const slots = load.requests / view.server.slots;
   const work = need.unreadTokens === undefined
     ? load.tokens + UNREAD_WEIGHT * load.unreadTokens
     : delayBeside(load, need.unreadTokens);
-  const memory = work / view.memoryTokens;
+  const memory = work / view.kvCacheTokens;
   return Math.max(slots, memory) +
     (isSuspect(view, need) ? SUSPECT_PENALTY : 0);
 }
 
 /** Whether a server may have been lost with others of its zone. */
 function isSuspect(
-  { server, heardMs }: LiveServerView,
-  { suspectZones, lostZone }: ServerNeed,
+  { server, lastActivityMs: heardMs }: LiveServerView,
+  { suspectZones, recentFailure: lostZone }: SelectionCriteria,
 ): boolean {
   const suspectedMs = suspectZones.get(server.zone) ?? Number.NEGATIVE_INFINITY;
   const lostMs = lostZone?.zone === server.zone
--- a/src/process/commands/command.ts
+++ b/src/process/commands/command.ts
@@ -2,12 +2,12 @@
 
 import { readFile } from "node:fs/promises";
 import type { Argv } from "yargs";
-import type { ValueStore } from "../../connection/value_store.ts";
+import type { KeyValueStore } from "../../connection/key_value_store.ts";
 import { InvalidInput } from "../../errors.ts";
 import {
-  type RestoredDeployment,
-  restoreDeployment,
-} from "../../version/restore_deployment.ts";
+  type ParsedDeployment,
+  parseDeployment,
+} from "../../version/parse_deployment.ts";
 import type { Difference, Manifest } from "../../version/types.ts";
 import type { ExitCode } from "../exit_code.ts";
 
@@ -26,10 +26,10 @@
 }
 
 /** What a command runs with. */
-export interface CommandRun {
+export interface CommandContext {
   readonly args: CommandArguments;
   /** Opens the platform that `--platform` names. */
-  readonly platform: () => ValueStore;
+  readonly platform: () => KeyValueStore;
   /** Writes one line to standard output. */
   readonly print: (line: string) => void;
 }
@@ -40,11 +40,11 @@
   readonly usage: string;
   readonly describe: string;
   readonly options: (argv: Argv) => Argv;
-  readonly run: (run: CommandRun) => Promise<ExitCode>;
+  readonly run: (run: CommandContext) => Promise<ExitCode>;
 }
 
 /** Adds the options of commands that change the deployment. */
-export function changeOptions(argv: Argv): Argv {
+export function addChangeOptions(argv: Argv): Argv {
   return argv
     .option("operator", {
       type: "string",
@@ -63,7 +63,7 @@
 }
 
 /** Adds the positional list of deployment files. */
-export function fileArguments(argv: Argv): Argv {
+export function addFileArguments(argv: Argv): Argv {
   return argv.positional("files", {
     type: "string",
     array: true,
@@ -75,12 +75,12 @@
 /** Reads and checks deployment files. Errors: `InvalidInput`. */
 export async function readDeploymentFiles(
   files: readonly string[],
-): Promise<RestoredDeployment> {
+): Promise<ParsedDeployment> {
   const sources = await Promise.all(files.map(async (name) => ({
     name,
     text: await readFile(name, "utf8"),
   })));
-  const restored = restoreDeployment(sources);
+  const restored = parseDeployment(sources);
   if (restored.findings.length > 0) throw new InvalidInput(restored.findings);
   return restored;
 }
@@ -92,7 +92,7 @@
 
 /** Prints a manifest's audit record. */
 export function printManifest(
-  print: CommandRun["print"],
+  print: CommandContext["print"],
   { revision, audit }: Manifest,
 ): void {
   print(`revision ${revision}  ${audit.time}  ${audit.operator}`);
--- a/src/process/commands/events.ts
+++ b/src/process/commands/events.ts
@@ -1,6 +1,6 @@
 /** `gypsumridge events`: explains the numbered log events. */
 
-import { EVENTS } from "../event_catalog.ts";
+import { LOG_EVENTS } from "../log_events.ts";
 import { ExitCode } from "../exit_code.ts";
 import type { Command } from "./command.ts";
 
@@ -10,7 +10,9 @@
   describe: "print the numbered log events and what to do about them",
   options: (argv) => argv,
   run: ({ print }) => {
-    for (const { number, severity, text, action } of Object.values(EVENTS)) {
+    for (
+      const { number, severity, text, action } of Object.values(LOG_EVENTS)
+    ) {
       print(`${number} ${severity}: ${text}; action: ${action}`);
     }
     return Promise.resolve(ExitCode.Success);
--- a/src/process/commands/publish.ts
+++ b/src/process/commands/publish.ts
@@ -4,15 +4,15 @@
   publish,
   PublishConflict,
   type PublishedRevision,
-  readPublished,
+  readPublishedRevision,
 } from "../../version/publisher.ts";
 import type { DeploymentObject } from "../../version/types.ts";
 import { ExitCode } from "../exit_code.ts";
 import {
-  changeOptions,
+  addChangeOptions,
+  addFileArguments,
   type Command,
-  type CommandRun,
-  fileArguments,
+  type CommandContext,
   printManifest,
   readDeploymentFiles,
 } from "./command.ts";
@@ -21,7 +21,7 @@
 export const PUBLISH_COMMAND: Command = {
   usage: "publish <files..>",
   describe: "check files as one set and put them in force",
-  options: (argv) => changeOptions(fileArguments(argv)),
+  options: (argv) => addChangeOptions(addFileArguments(argv)),
   run: async (run) => {
     const { objects } = await readDeploymentFiles(run.args.files);
     return await publishObjects(run, () => objects);
@@ -34,11 +34,11 @@
  * Errors: `PublishConflict` when another operator's change came first.
  */
 export async function publishObjects(
-  { args, platform, print }: CommandRun,
+  { args, platform, print }: CommandContext,
   change: (base: PublishedRevision | undefined) => readonly DeploymentObject[],
 ): Promise<ExitCode> {
   const client = platform();
-  const base = await readPublished(client);
+  const base = await readPublishedRevision(client);
   requireBase(base, args.base);
   const manifest = await publish(client, {
     operator: args.operator,
--- a/src/process/commands/show.ts
+++ b/src/process/commands/show.ts
@@ -1,7 +1,7 @@
 /** `gypsumridge show`: prints the deployment in force as INI. */
 
 import { formatDeployment } from "../../version/format_deployment.ts";
-import { readPublished } from "../../version/publisher.ts";
+import { readPublishedRevision } from "../../version/publisher.ts";
 import { ExitCode } from "../exit_code.ts";
 import type { Command } from "./command.ts";
 
@@ -11,7 +11,7 @@
   describe: "print the deployment in force as INI",
   options: (argv) => argv,
   run: async ({ platform, print }) => {
-    const published = await readPublished(platform());
+    const published = await readPublishedRevision(platform());
     if (published === undefined) {
       print("; nothing is published");
       return ExitCode.Failure;
--- a/src/process/commands/status.ts
+++ b/src/process/commands/status.ts
@@ -1,18 +1,18 @@
 /** `gypsumridge status`: what each entry makes of the deployment. */
 
 import { readFile } from "node:fs/promises";
-import type { ValueStore } from "../../connection/value_store.ts";
+import type { KeyValueStore } from "../../connection/key_value_store.ts";
 import { STATUS_INTERVAL_MS } from "../../constants.ts";
 import { ENTRY_STATUS_PREFIX, HEAD_NAME } from "../../version/object_names.ts";
 import type { Head } from "../../version/types.ts";
 import type { EntryStatus } from "../entry_status.ts";
 import { ExitCode } from "../exit_code.ts";
 import {
-  areEntriesCurrent,
+  areEntriesUpToDate,
   formatLoggedStatus,
-  restoreLoggedStatus,
+  parseLoggedStatus,
 } from "../logged_status.ts";
-import type { Command, CommandRun } from "./command.ts";
+import type { Command, CommandContext } from "./command.ts";
 
 /** An entry that has not written for so long is shown as silent, in ms. */
 const SILENT_MS = 3 * STATUS_INTERVAL_MS;
@@ -50,18 +50,18 @@
 
 /** Prints what entries wrote to their logs, where nobody may call them. */
 async function printLoggedStatus(
-  { logs, json }: CommandRun["args"],
-  print: CommandRun["print"],
+  { logs, json }: CommandContext["args"],
+  print: CommandContext["print"],
 ): Promise<ExitCode> {
   const texts = await Promise.all(logs.map((file) => readFile(file, "utf8")));
   const lines = texts.flatMap((text) => text.split("\n"));
-  const status = restoreLoggedStatus(lines);
+  const status = parseLoggedStatus(lines);
   if (json) print(JSON.stringify(status));
   else for (const line of formatLoggedStatus(status)) print(line);
-  return areEntriesCurrent(status) ? ExitCode.Success : ExitCode.Failure;
+  return areEntriesUpToDate(status) ? ExitCode.Success : ExitCode.Failure;
 }
 
-async function readStatuses(client: ValueStore): Promise<EntryStatus[]> {
+async function readStatuses(client: KeyValueStore): Promise<EntryStatus[]> {
   const listed = await client.list(ENTRY_STATUS_PREFIX);
   const newest = Math.max(...listed.map(({ updatedMs }) => updatedMs));
   const heard = listed.filter(({ updatedMs }) =>
@@ -75,7 +75,7 @@
 }
 
 function printStatuses(
-  print: CommandRun["print"],
+  print: CommandContext["print"],
   { revision, statuses }: {
     readonly revision: number;
     readonly statuses: readonly EntryStatus[];
--- a/src/process/commands/withdraw.ts
+++ b/src/process/commands/withdraw.ts
@@ -5,7 +5,7 @@
 import type { Finding } from "../../version/finding.ts";
 import type { PublishedRevision } from "../../version/publisher.ts";
 import type { DeploymentObject } from "../../version/types.ts";
-import { changeOptions, type Command } from "./command.ts";
+import { addChangeOptions, type Command } from "./command.ts";
 import { publishObjects } from "./publish.ts";
 
 /** Withdraws objects; what remains must be consistent. */
@@ -13,7 +13,7 @@
   usage: "withdraw <objects..>",
   describe: "withdraw objects, each named KIND/NAME",
   options: (argv) =>
-    changeOptions(argv.positional("objects", {
+    addChangeOptions(argv.positional("objects", {
       type: "string",
       array: true,
       demandOption: true,
@@ -34,13 +34,13 @@
   const findings: Finding[] = [...keys]
     .filter((key) => !present.has(key))
     .map((key) => ({
-      place: { source, line: 0, section: key, key: "" },
+      location: { source, line: 0, section: key, key: "" },
       message: "no such object is in force",
     }));
   const remaining = objects.filter((object) => !keys.has(objectKey(object)));
   findings.push(...checkObjects(remaining.map((object) => ({
     object,
-    place: { source, line: 0, section: objectKey(object), key: "" },
+    location: { source, line: 0, section: objectKey(object), key: "" },
   }))));
   if (findings.length > 0) throw new InvalidInput(findings);
   return remaining;
--- a/src/process/suspicions.ts
+++ b/src/process/crash_suspicions.ts
@@ -4,11 +4,11 @@
  */
 
 import type { Suspicion } from "../connection/peer_protocol.ts";
-import { SUSPICION_LIMIT, SUSPICION_TTL_MS } from "../constants.ts";
+import { SUSPICION_BLAME_LIMIT, SUSPICION_TTL_MS } from "../constants.ts";
 import type { Fingerprint } from "../ids.ts";
 
 /** What suspicions need of their process. */
-export interface SuspicionsOptions {
+export interface CrashSuspicionsOptions {
   /** Monotonic clock, in ms. */
   readonly now: () => number;
   /** Called when this entry has recorded a loss. */
@@ -27,19 +27,19 @@
 const HELD_MAX = 10_000;
 
 /** Suspicions by request fingerprint, with expiry. */
-export class Suspicions {
+export class CrashSuspicions {
   readonly #now: () => number;
   readonly #onRecord: () => void;
   readonly #held = new Map<Fingerprint, Held>();
 
-  private constructor({ now, onRecord }: SuspicionsOptions) {
+  private constructor({ now, onRecord }: CrashSuspicionsOptions) {
     this.#now = now;
     this.#onRecord = onRecord;
   }
 
   /** Starts empty. */
-  static create(options: SuspicionsOptions): Suspicions {
-    return new Suspicions(options);
+  static create(options: CrashSuspicionsOptions): CrashSuspicions {
+    return new CrashSuspicions(options);
   }
 
   /** Sets the blame of a request after a loss that this entry saw. */
@@ -52,7 +52,7 @@
   }
 
   /** Returns the blame that still counts against a request. */
-  blame(fingerprint: Fingerprint): number {
+  blameScore(fingerprint: Fingerprint): number {
     const held = this.#held.get(fingerprint);
     if (held === undefined) return 0;
     if (held.expiresMs > this.#now()) return held.blame;
@@ -62,7 +62,7 @@
 
   /** Whether a request must not run. */
   isRefused(fingerprint: Fingerprint): boolean {
-    return this.blame(fingerprint) >= SUSPICION_LIMIT;
+    return this.blameScore(fingerprint) >= SUSPICION_BLAME_LIMIT;
   }
 
   /** Forgets a request that ended well. */
--- a/src/process/dispatcher.ts
+++ b/src/process/dispatcher.ts
@@ -4,16 +4,16 @@
  */
 
 import { RETRY_AFTER_S } from "../constants.ts";
-import { Refusal, RefusalType } from "../errors.ts";
+import { RequestError, RequestErrorType } from "../errors.ts";
 import type { BackendServer } from "../version/types.ts";
-import { EVENTS } from "./event_catalog.ts";
-import { FairQueue, type Ticket } from "./fair_queue.ts";
-import type { ServerWish } from "./fleet.ts";
+import { LOG_EVENTS } from "./log_events.ts";
+import { FairQueue, type QueueItem } from "./fair_queue.ts";
+import type { ServerPoolCriteria } from "./server_pool.ts";
 import type { Log } from "./log.ts";
 import type { Policy } from "./settings.ts";
 
 /** What the dispatcher itself reads of a wish for a server. */
-export interface PlaceWish {
+export interface DispatchCriteria {
   readonly service: string;
   /** Names of servers that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
@@ -22,7 +22,7 @@
 }
 
 /** The servers that a dispatcher gives places on. */
-export interface Placement<Wish extends PlaceWish> {
+export interface DispatchPool<Wish extends DispatchCriteria> {
   /** Returns the server that a request goes to now, if one has room. */
   readonly choose: (wish: Wish) => BackendServer | undefined;
   /** Notes that a request goes to a server. */
@@ -32,7 +32,7 @@
 }
 
 /** What any request asks of the dispatcher, whatever its wish for a server. */
-export interface PlaceTerms extends Ticket {
+export interface QueueingOptions extends QueueItem {
   /** Longest wait for a place, in ms. */
   readonly waitMs: number;
   /** Aborted when the caller has gone. */
@@ -44,42 +44,44 @@
 }
 
 /** What a request asks of the dispatcher. */
-export type PlaceOrder<Wish extends PlaceWish = ServerWish> = PlaceTerms & Wish;
+export type DispatchRequest<
+  Wish extends DispatchCriteria = ServerPoolCriteria,
+> = QueueingOptions & Wish;
 
 /** A place on a backend server, held until `close`. */
-export interface Place {
+export interface Reservation {
   readonly server: BackendServer;
   /** Gives the place back; further calls do nothing. */
-  readonly close: () => void;
+  readonly release: () => void;
 }
 
 /** What the dispatcher needs of its process. */
-export interface DispatcherOptions<Wish extends PlaceWish> {
+export interface DispatcherOptions<Wish extends DispatchCriteria> {
   /** Monotonic clock, in ms. */
   readonly now: () => number;
-  readonly fleet: Placement<Wish>;
+  readonly pool: DispatchPool<Wish>;
   /** Requests that may wait in one rank of a service. */
-  readonly queueLength: number;
+  readonly queueMaxLength: number;
   readonly policy: Policy;
   readonly log: Log;
 }
 
 /** A request that holds a place. */
-interface Running<Wish extends PlaceWish> {
+interface Running<Wish extends DispatchCriteria> {
   readonly order: Waiting<Wish>;
   readonly server: BackendServer;
   isPreempted: boolean;
 }
 
 /** The waiting and running requests of one service. */
-interface ServiceQueue<Wish extends PlaceWish> {
+interface ServiceQueue<Wish extends DispatchCriteria> {
   readonly waiting: FairQueue<Waiting<Wish>>;
   /** In the order in which they got their places. */
   readonly running: Set<Running<Wish>>;
 }
 
-type Waiting<Wish extends PlaceWish> = PlaceOrder<Wish> & {
-  readonly resolve: (place: Place) => void;
+type Waiting<Wish extends DispatchCriteria> = DispatchRequest<Wish> & {
+  readonly resolve: (place: Reservation) => void;
 };
 
 /** Heads of the queue that are tried when the first finds no server. */
@@ -88,7 +90,7 @@
 const ESTIMATE_MIN_LENGTH = 8;
 
 /** The waiting requests of an entry, by service. */
-export class Dispatcher<Wish extends PlaceWish = ServerWish> {
+export class Dispatcher<Wish extends DispatchCriteria = ServerPoolCriteria> {
   readonly #options: DispatcherOptions<Wish>;
   readonly #queues = new Map<string, ServiceQueue<Wish>>();
 
@@ -97,19 +99,19 @@
   }
 
   /** Makes a dispatcher; the fleet must call `pump` when it has room. */
-  static create<Wish extends PlaceWish>(
+  static create<Wish extends DispatchCriteria>(
     options: DispatcherOptions<Wish>,
   ): Dispatcher<Wish> {
     return new Dispatcher(options);
   }
 
-  /** Waits for a place. Errors: a `Refusal` of type not run. */
-  place(order: PlaceOrder<Wish>): Promise<Place> {
+  /** Waits for a place. Errors: a `RequestError` of type not run. */
+  reserve(order: DispatchRequest<Wish>): Promise<Reservation> {
     const queue = this.#queue(queueName(order));
     const refusal = this.#refuseEarly(queue, order);
     if (refusal !== undefined) return Promise.reject(refusal);
     return new Promise((resolve, reject) => {
-      const stopWaiting = (refusal: Refusal) => {
+      const stopWaiting = (refusal: RequestError) => {
         settle();
         queue.waiting.remove(waiting);
         reject(refusal);
@@ -144,11 +146,11 @@
   /** Refuses what can't wait, or would wait in vain. */
   #refuseEarly(
     { waiting }: ServiceQueue<Wish>,
-    order: PlaceOrder<Wish>,
-  ): Refusal | undefined {
+    order: DispatchRequest<Wish>,
+  ): RequestError | undefined {
     const { rank, waitMs, isResumed } = order;
     if (isResumed) return undefined;
-    const { queueLength, policy } = this.#options;
+    const { queueMaxLength: queueLength, policy } = this.#options;
     const length = waiting.lengthOf(rank.name);
     if (length >= queueLength) {
       return refuse(`queue of rank ${rank.name} is full`);
@@ -168,9 +170,9 @@
   #serveOne(queue: ServiceQueue<Wish>): boolean {
     let tried = 0;
     for (const waiting of queue.waiting.candidates()) {
-      const server = this.#options.fleet.choose(waiting);
+      const server = this.#options.pool.choose(waiting);
       if (server !== undefined) {
-        queue.waiting.take(waiting);
+        queue.waiting.dequeue(waiting);
         waiting.resolve(this.#occupy(queue, { order: waiting, server }));
         return true;
       }
@@ -189,7 +191,7 @@
       .filter((candidate) => mayTakeBack(candidate, first))
       .filter(({ order }) => {
         if (order.rank.order > first.rank.order) {
-          return waiting.canSpare(order.rank);
+          return waiting.canPreempt(order.rank);
         }
         return order.rank.order === first.rank.order &&
           isOverShare(running, { order, first });
@@ -198,7 +200,7 @@
       .at(-1);
     if (victim === undefined) return;
     victim.isPreempted = true;
-    this.#options.log(EVENTS.generationPreempted, {
+    this.#options.log(LOG_EVENTS.generationPreempted, {
       server: victim.server.name,
       rank: victim.order.rank.name,
       for: first.rank.name,
@@ -212,14 +214,14 @@
       readonly order: Waiting<Wish>;
       readonly server: BackendServer;
     },
-  ): Place {
-    const { fleet } = this.#options;
+  ): Reservation {
+    const { pool: fleet } = this.#options;
     const running: Running<Wish> = { order, server, isPreempted: false };
     queue.running.add(running);
     fleet.begin(server.name, order);
     return {
       server,
-      close: () => {
+      release: () => {
         if (!queue.running.delete(running)) return;
         queue.waiting.release(order);
         fleet.end(server.name, order);
@@ -241,7 +243,7 @@
   }
 }
 
-function mayTakeBack<Wish extends PlaceWish>(
+function mayTakeBack<Wish extends DispatchCriteria>(
   { order, server, isPreempted }: Running<Wish>,
   first: Waiting<Wish>,
 ): boolean {
@@ -253,7 +255,7 @@
  * Whether a customer runs more than its share beside one of its rank that waits
  * and runs nothing: with one place less it still runs more by weight.
  */
-function isOverShare<Wish extends PlaceWish>(
+function isOverShare<Wish extends DispatchCriteria>(
   running: ReadonlySet<Running<Wish>>,
   { order, first }: {
     readonly order: Waiting<Wish>;
@@ -271,10 +273,10 @@
 }
 
 /** Suspected requests wait apart, so that they hold up no others. */
-function queueName({ service, isSuspect }: PlaceWish): string {
+function queueName({ service, isSuspect }: DispatchCriteria): string {
   return isSuspect ? `${service} suspects` : service;
 }
 
-function refuse(message: string, retryAfterS = RETRY_AFTER_S): Refusal {
-  return new Refusal(RefusalType.NotRun, message, retryAfterS);
+function refuse(message: string, retryAfterS = RETRY_AFTER_S): RequestError {
+  return new RequestError(RequestErrorType.NotRun, message, retryAfterS);
 }
--- a/src/process/durations.ts
+++ b/src/process/duration_histogram.ts
@@ -13,14 +13,14 @@
 const MICROSECONDS = 1_000;
 
 /** Collects durations and gives percentiles. */
-export class Durations {
+export class DurationHistogram {
   readonly #histogram: Histogram = build({ numberOfSignificantValueDigits: 3 });
 
   private constructor() {}
 
   /** Makes an empty collection. */
-  static create(): Durations {
-    return new Durations();
+  static create(): DurationHistogram {
+    return new DurationHistogram();
   }
 
   /** Adds a duration in ms. */
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -4,8 +4,11 @@
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import { listen } from "../connection/http_server.ts";
-import type { ValueStore } from "../connection/value_store.ts";
-import { type Digest, PeerMessageKind } from "../connection/peer_protocol.ts";
+import type { KeyValueStore } from "../connection/key_value_store.ts";
+import {
+  type GossipDigest,
+  PeerMessageKind,
+} from "../connection/peer_protocol.ts";
 import { INSTANCE_LIST_INTERVAL_MS } from "../constants.ts";
 import type { ContentHash } from "../ids.ts";
 import { serve } from "../request/routes.ts";
@@ -15,16 +18,16 @@
 import { Dispatcher } from "./dispatcher.ts";
 import type { EntryContext } from "./entry_context.ts";
 import { EntryStatusWriter } from "./entry_status.ts";
-import { EVENTS } from "./event_catalog.ts";
-import { Fleet } from "./fleet.ts";
-import { Ledger } from "./ledger.ts";
+import { LOG_EVENTS } from "./log_events.ts";
+import { ServerPool } from "./server_pool.ts";
+import { ActionStore } from "./action_store.ts";
 import type { Log } from "./log.ts";
 import { Metrics } from "./metrics.ts";
-import { PauseGuard } from "./pause_guard.ts";
+import { PauseDetector } from "./pause_detector.ts";
 import { Peers } from "./peers.ts";
-import { OpenRequests, stopServer } from "./planned_stop.ts";
+import { OpenRequests, shutDownGracefully } from "./graceful_shutdown.ts";
 import type { EntrySettings } from "./settings.ts";
-import { Suspicions } from "./suspicions.ts";
+import { CrashSuspicions } from "./crash_suspicions.ts";
 
 /** Ports that an entry listens on. */
 export interface EntryPorts {
@@ -42,14 +45,14 @@
   readonly settings: EntrySettings;
   readonly log: Log;
   /** The platform's store; closed with the entry. */
-  readonly platform: ValueStore;
+  readonly platform: KeyValueStore;
 }
 
 /** One entry process. */
 export class Entry {
   readonly #settings: EntrySettings;
   readonly #log: Log;
-  readonly #platform: ValueStore;
+  readonly #platform: KeyValueStore;
   readonly #peers: Peers;
   readonly #context: EntryContext;
   readonly #server: Server;
@@ -69,11 +72,11 @@
       log,
       createDigest: () => this.#createDigest(),
       onDigest: (digest) => this.#takeDigest(digest),
-      readChunk: (hash) => this.#context.store.chunk(hash),
+      readChunk: (hash) => this.#context.revisionStore.chunk(hash),
     });
     this.#status = EntryStatusWriter.create(this.#context);
     this.#server = createServer((request, response) => {
-      this.#open.begin(response);
+      this.#open.track(response);
       serve(this.#context, request, response);
     });
     this.#server.keepAliveTimeout = 30_000;
@@ -91,7 +94,7 @@
       port: await listen(this.#server, host, port),
       peerPort: await this.#peers.listen(host, peerPort),
     };
-    this.#log(EVENTS.listening, ports);
+    this.#log(LOG_EVENTS.listening, ports);
     this.#watchHead();
     this.#watchInstances();
     this.#status.start();
@@ -104,9 +107,12 @@
    * of them ended before the deadline.
    */
   async stop(): Promise<boolean> {
-    const { stopNoticeMs, stopDeadlineMs } = this.#settings;
+    const {
+      shutdownNoticeMs: stopNoticeMs,
+      shutdownDeadlineMs: stopDeadlineMs,
+    } = this.#settings;
     this.#isStopping = true;
-    return await stopServer({
+    return await shutDownGracefully({
       server: this.#server,
       open: this.#open,
       log: this.#log,
@@ -119,8 +125,8 @@
   /** Ends everything at once. */
   close(): void {
     this.#closed = true;
-    this.#context.guard.close();
-    this.#context.fleet.close();
+    this.#context.pauseDetector.close();
+    this.#context.serverPool.close();
     this.#peers.close();
     this.#status.close();
     this.#platform.close();
@@ -131,18 +137,18 @@
   #createContext(): EntryContext {
     const now = () => performance.now();
     const log = this.#log;
-    const fleet = Fleet.create({
+    const fleet = ServerPool.create({
       now,
       random: Math.random,
       log,
       routing: this.#settings.policy.routing,
-      standing: () => this.#peers.standing,
-      onRoom: () => dispatcher.pump(),
+      entryPosition: () => this.#peers.entryPosition,
+      onCapacityAvailable: () => dispatcher.pump(),
     });
     const dispatcher = Dispatcher.create({
       now,
-      fleet,
-      queueLength: this.#settings.queueLength,
+      pool: fleet,
+      queueMaxLength: this.#settings.queueMaxLength,
       policy: this.#settings.policy,
       log,
     });
@@ -150,29 +156,29 @@
     const store = RevisionStore.create((hash) => this.#fetchChunk(hash));
     store.subscribe((deployment) => {
       metrics.revision.set(deployment.revision);
-      log(EVENTS.revisionAdopted, { revision: deployment.revision });
+      log(LOG_EVENTS.revisionAdopted, { revision: deployment.revision });
       fleet.setDeployment(deployment);
-      this.#status.write();
+      this.#status.scheduleWrite();
     });
     return {
       settings: this.#settings,
       log,
       metrics,
       platform: this.#platform,
-      store,
-      fleet,
+      revisionStore: store,
+      serverPool: fleet,
       dispatcher,
-      ledger: Ledger.create({ platform: this.#platform, log, now }),
-      suspicions: Suspicions.create({
+      actionStore: ActionStore.create({ platform: this.#platform, log, now }),
+      suspicions: CrashSuspicions.create({
         now,
-        onRecord: () => this.#status.write(),
+        onRecord: () => this.#status.scheduleWrite(),
       }),
-      guard: PauseGuard.create({
+      pauseDetector: PauseDetector.create({
         now,
         refresh: (pausedMs) => this.#refresh(pausedMs),
       }),
       now,
-      standing: () => this.#peers.standing,
+      entryPosition: () => this.#peers.entryPosition,
       isStopping: () => this.#isStopping,
     };
   }
@@ -192,11 +198,11 @@
     let isReached = true;
     for await (const stored of this.#platform.watch(HEAD_NAME)) {
       if (stored === undefined) {
-        if (isReached) this.#log(EVENTS.platformLost);
+        if (isReached) this.#log(LOG_EVENTS.platformUnreachable);
         isReached = false;
         continue;
       }
-      if (!isReached) this.#log(EVENTS.platformBack);
+      if (!isReached) this.#log(LOG_EVENTS.platformRecovered);
       isReached = true;
       await this.#adopt(JSON.parse(stored.value) as Head);
     }
@@ -205,8 +211,8 @@
   /** Adopts a head, again and again until its chunks can be had. */
   async #adopt(head: Head): Promise<void> {
     while (!this.#closed) {
-      if (await this.#context.store.adopt(head)) return;
-      this.#log(EVENTS.revisionFailed, { revision: head.revision });
+      if (await this.#context.revisionStore.adopt(head)) return;
+      this.#log(LOG_EVENTS.revisionFailed, { revision: head.revision });
       await sleep(INSTANCE_LIST_INTERVAL_MS);
     }
   }
@@ -215,41 +221,41 @@
     while (!this.#closed) {
       try {
         const instances = await this.#platform.instances();
-        this.#context.fleet.setInstances(instances);
+        this.#context.serverPool.setInstances(instances);
         this.#peers.setInstances(instances);
-        const { count } = this.#peers.standing;
+        const { count } = this.#peers.entryPosition;
         this.#context.metrics.liveEntries.set(count);
       } catch {
         // The last list stays in use; servers report their leaving themselves.
       }
-      const spreadMs = this.#peers.standing.count * LIST_MS_PER_ENTRY;
+      const spreadMs = this.#peers.entryPosition.count * LIST_MS_PER_ENTRY;
       await sleep(Math.max(INSTANCE_LIST_INTERVAL_MS, spreadMs));
     }
   }
 
   /** After a pause: learn the head from the platform, or from a peer. */
   async #refresh(pausedMs: number): Promise<void> {
-    this.#log(EVENTS.paused, { paused_ms: Math.round(pausedMs) });
+    this.#log(LOG_EVENTS.paused, { paused_ms: Math.round(pausedMs) });
     const read = async () => {
       const stored = await this.#platform.read(HEAD_NAME);
       if (stored === undefined) return;
-      await this.#context.store.adopt(JSON.parse(stored.value) as Head);
+      await this.#context.revisionStore.adopt(JSON.parse(stored.value) as Head);
     };
     const limit = sleep(REFRESH_LIMIT_MS);
     await Promise.race([read().catch(() => limit), limit]);
   }
 
-  #createDigest(): Digest {
+  #createDigest(): GossipDigest {
     return {
       kind: PeerMessageKind.Digest,
       entry: this.#settings.id,
-      head: this.#context.store.head ?? null,
+      head: this.#context.revisionStore.head ?? null,
       suspicions: this.#context.suspicions.digest(),
     };
   }
 
-  #takeDigest({ head, suspicions }: Digest): void {
+  #takeDigest({ head, suspicions }: GossipDigest): void {
     this.#context.suspicions.merge(suspicions);
-    if (head !== null) this.#context.store.adopt(head);
+    if (head !== null) this.#context.revisionStore.adopt(head);
   }
 }
--- a/src/process/entry_context.ts
+++ b/src/process/entry_context.ts
@@ -1,32 +1,32 @@
 /** What an entry's requests share. */
 
-import type { ValueStore } from "../connection/value_store.ts";
+import type { KeyValueStore } from "../connection/key_value_store.ts";
 import type { RevisionStore } from "../version/revision_store.ts";
 import type { Dispatcher } from "./dispatcher.ts";
-import type { Fleet, Standing } from "./fleet.ts";
-import type { Ledger } from "./ledger.ts";
+import type { EntryPosition, ServerPool } from "./server_pool.ts";
+import type { ActionStore } from "./action_store.ts";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
-import type { PauseGuard } from "./pause_guard.ts";
+import type { PauseDetector } from "./pause_detector.ts";
 import type { EntrySettings } from "./settings.ts";
-import type { Suspicions } from "./suspicions.ts";
+import type { CrashSuspicions } from "./crash_suspicions.ts";
 
 /** The parts of one entry process that requests use. */
 export interface EntryContext {
   readonly settings: EntrySettings;
   readonly log: Log;
   readonly metrics: Metrics;
-  readonly platform: ValueStore;
-  readonly store: RevisionStore;
-  readonly fleet: Fleet;
+  readonly platform: KeyValueStore;
+  readonly revisionStore: RevisionStore;
+  readonly serverPool: ServerPool;
   readonly dispatcher: Dispatcher;
-  readonly suspicions: Suspicions;
-  readonly ledger: Ledger;
-  readonly guard: PauseGuard;
+  readonly suspicions: CrashSuspicions;
+  readonly actionStore: ActionStore;
+  readonly pauseDetector: PauseDetector;
   /** Monotonic clock, in ms. */
   readonly now: () => number;
   /** Where this entry stands among the live ones. */
-  readonly standing: () => Standing;
+  readonly entryPosition: () => EntryPosition;
   /** Whether a planned stop is under way. */
   readonly isStopping: () => boolean;
 }
--- a/src/process/entry_status.ts
+++ b/src/process/entry_status.ts
@@ -55,7 +55,7 @@
 
   /** Begins to write at an interval. */
   start(): void {
-    this.#timer = setInterval(() => this.write(), STATUS_INTERVAL_MS);
+    this.#timer = setInterval(() => this.scheduleWrite(), STATUS_INTERVAL_MS);
   }
 
   /** Stops writing. */
@@ -65,8 +65,8 @@
   }
 
   /** Writes the status soon; calls that come together make one write. */
-  write(): void {
-    const spreadMs = this.#context.standing().count * PAUSE_MS_PER_ENTRY;
+  scheduleWrite(): void {
+    const spreadMs = this.#context.entryPosition().count * PAUSE_MS_PER_ENTRY;
     const pauseMs = MIN_PAUSE_MS + Math.random() * spreadMs;
     this.#pending ??= setTimeout(async () => {
       this.#pending = undefined;
@@ -79,7 +79,8 @@
 }
 
 function createEntryStatus(context: EntryContext): EntryStatus {
-  const { settings, store, fleet, suspicions, now } = context;
+  const { settings, revisionStore: store, serverPool: fleet, suspicions, now } =
+    context;
   return {
     entry: settings.id,
     zone: settings.zone,
--- a/src/process/entry_view.ts
+++ b/src/process/entry_view.ts
@@ -1,6 +1,6 @@
 /** What an entry knows of its deployment, as it tells it in its log. */
 
-import { EVENTS } from "./event_catalog.ts";
+import { LOG_EVENTS } from "./log_events.ts";
 import type { LiveServerView } from "./live_server.ts";
 import type { Log, LogDetails } from "./log.ts";
 
@@ -37,14 +37,14 @@
 const NAMES_MAX = 24;
 
 /** Sorts servers by whether they get new work. */
-export function groupServers(
+export function groupServersByState(
   servers: Iterable<LiveServerView>,
   nowMs: number,
 ): Pick<EntryView, "serving" | "leaving" | "ejected"> {
   const leaving: string[] = [];
   const ejected: string[] = [];
   let serving = 0;
-  for (const { server, avoidUntilMs } of servers) {
+  for (const { server, ejectedUntilMs: avoidUntilMs } of servers) {
     if (server.isLeaving) leaving.push(server.name);
     else if (avoidUntilMs > nowMs) ejected.push(server.name);
     else serving++;
@@ -70,7 +70,7 @@
 
   /** Begins to look for changes. */
   start(): void {
-    this.#timer = setInterval(() => this.check(), CHECK_MS);
+    this.#timer = setInterval(() => this.writeIfChanged(), CHECK_MS);
   }
 
   /** Ends the checks. */
@@ -79,13 +79,13 @@
   }
 
   /** Writes the view if it differs from the written one, or that one is old. */
-  check(): void {
+  writeIfChanged(): void {
     const details = describeView(this.#options.view());
     const text = JSON.stringify(details);
     if (text === this.#written && --this.#checksLeft > 0) return;
     this.#written = text;
     this.#checksLeft = ENTRY_VIEW_REPEAT_MS / CHECK_MS;
-    this.#options.log(EVENTS.entryView, details);
+    this.#options.log(LOG_EVENTS.entryView, details);
   }
 }
 
--- a/src/process/fair_queue.ts
+++ b/src/process/fair_queue.ts
@@ -8,7 +8,7 @@
 import { QueueOrder } from "./settings.ts";
 
 /** What the order of a request depends on. */
-export interface Ticket {
+export interface QueueItem {
   readonly rank: Rank;
   readonly customer: string;
   readonly weight: number;
@@ -24,7 +24,7 @@
 }
 
 /** A customer's place in its rank; grows with the work it was given. */
-interface CustomerQueue<Waiting extends Ticket> {
+interface CustomerQueue<Waiting extends QueueItem> {
   virtualTime: number;
   weight: number;
   /** Estimated work of all that waits, in tokens. */
@@ -32,7 +32,7 @@
   readonly tickets: Waiting[];
 }
 
-interface RankQueue<Waiting extends Ticket> {
+interface RankQueue<Waiting extends QueueItem> {
   rank: Rank;
   length: number;
   /** Estimated work of all that waits, in tokens. */
@@ -52,7 +52,7 @@
 const CUSTOMERS_IDLE_MAX = 1_000;
 
 /** The waiting requests of one service. */
-export class FairQueue<Waiting extends Ticket> {
+export class FairQueue<Waiting extends QueueItem> {
   readonly #now: () => number;
   readonly #order: QueueOrder;
   /** All waiting requests in the order of their coming, with its time. */
@@ -69,7 +69,7 @@
   }
 
   /** Makes an empty queue. */
-  static create<Waiting extends Ticket>(
+  static create<Waiting extends QueueItem>(
     options: FairQueueOptions,
   ): FairQueue<Waiting> {
     return new FairQueue<Waiting>(options);
@@ -119,7 +119,7 @@
 
   /** Yields waiting requests, the one to serve next first. */
   *candidates(): Generator<Waiting> {
-    if (this.#order === QueueOrder.Arrival) {
+    if (this.#order === QueueOrder.Fifo) {
       yield* this.#arrivals.keys();
       return;
     }
@@ -127,7 +127,7 @@
   }
 
   /** Takes a request out because it is served now, and charges its cost. */
-  take(ticket: Waiting): void {
+  dequeue(ticket: Waiting): void {
     this.#decay();
     const hasWaited = (this.#arrivals.get(ticket) ?? 0) < this.#decayedMs;
     this.remove(ticket);
@@ -173,7 +173,7 @@
    * how little was asked for, not how much can be served. Work of other customers counts as far as fairness
    * lets it go first.
    */
-  estimateWaitMs(ticket: Ticket): number {
+  estimateWaitMs(ticket: QueueItem): number {
     this.#decay();
     if (this.#backlogMs < BACKLOG_MIN_MS) return 0;
     const perMs = this.#totalServed() / this.#backlogMs;
@@ -189,7 +189,7 @@
   }
 
   /** Work of a ticket's rank that is served before it, in tokens. */
-  #workBefore(ticket: Ticket): number {
+  #workBefore(ticket: QueueItem): number {
     const customers = this.#ranks.get(ticket.rank.name)?.customers;
     const own = customers?.get(ticket.customer)?.work ?? 0;
     const perWeight = (own + ticket.cost) / ticket.weight;
@@ -203,7 +203,7 @@
   }
 
   /** Whether a rank keeps its floor when one of its requests is taken back. */
-  canSpare(rank: Rank): boolean {
+  canPreempt(rank: Rank): boolean {
     const { running } = this.#rankQueue(rank);
     const floor = rank.floorPercent / PERCENT * this.#totalRunning();
     return running - 1 >= floor;
@@ -247,7 +247,7 @@
 }
 
 /** Yields the first ticket of each customer, the least served first. */
-function* inOrder<Waiting extends Ticket>(
+function* inOrder<Waiting extends QueueItem>(
   customers: ReadonlyMap<string, CustomerQueue<Waiting>>,
 ): Generator<Waiting> {
   const waiting = new Set(
@@ -267,7 +267,7 @@
   }
 }
 
-function dropIdle<Waiting extends Ticket>(queue: RankQueue<Waiting>): void {
+function dropIdle<Waiting extends QueueItem>(queue: RankQueue<Waiting>): void {
   for (const [name, { tickets, virtualTime }] of queue.customers) {
     const isIdle = tickets.length === 0 && virtualTime <= queue.virtualTime;
     if (isIdle) queue.customers.delete(name);
--- a/src/process/fair_queue_test.ts
+++ b/src/process/fair_queue_test.ts
@@ -2,7 +2,7 @@
 
 import { expect, test } from "vitest";
 import { ObjectKind, type Rank } from "../version/types.ts";
-import { FairQueue, type Ticket } from "./fair_queue.ts";
+import { FairQueue, type QueueItem } from "./fair_queue.ts";
 import { QueueOrder } from "./settings.ts";
 
 const URGENT = createRank("urgent", 0, 50);
@@ -24,8 +24,8 @@
   const served = serve(queue, 100).filter((name) => name === "patient b");
   expect(served.length).toBeGreaterThanOrEqual(18);
   expect(served.length).toBeLessThanOrEqual(22);
-  expect(queue.canSpare(PATIENT)).toBe(false);
-  expect(queue.canSpare(URGENT)).toBe(true);
+  expect(queue.canPreempt(PATIENT)).toBe(false);
+  expect(queue.canPreempt(URGENT)).toBe(true);
 });
 
 test("customers of a rank share by weight and cost, not by requests", () => {
@@ -102,24 +102,24 @@
   expect(queue.lengthOf("urgent")).toBe(0);
 });
 
-function createQueue(now = () => 0): FairQueue<Ticket> {
-  return FairQueue.create<Ticket>({ now, order: QueueOrder.Fair });
+function createQueue(now = () => 0): FairQueue<QueueItem> {
+  return FairQueue.create<QueueItem>({ now, order: QueueOrder.Fair });
 }
 
 function createRank(name: string, order: number, floorPercent: number): Rank {
   return { kind: ObjectKind.Rank, name, order, targetMs: 1_000, floorPercent };
 }
 
-function ticket(rank: Rank, customer: string): Ticket {
+function ticket(rank: Rank, customer: string): QueueItem {
   return { rank, customer, weight: 1, cost: 100 };
 }
 
-function serve(queue: FairQueue<Ticket>, count: number): string[] {
+function serve(queue: FairQueue<QueueItem>, count: number): string[] {
   const served: string[] = [];
   while (served.length < count) {
     const [first] = queue.candidates();
     if (first === undefined) break;
-    queue.take(first);
+    queue.dequeue(first);
     served.push(`${first.rank.name} ${first.customer}`);
   }
   return served;
--- a/src/process/planned_stop.ts
+++ b/src/process/graceful_shutdown.ts
@@ -2,11 +2,11 @@
 
 import type { Server, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import { EVENTS } from "./event_catalog.ts";
+import { LOG_EVENTS } from "./log_events.ts";
 import type { Log } from "./log.ts";
 
 /** How a stop goes on. */
-export interface StopOptions {
+export interface GracefulShutdownOptions {
   readonly server: Server;
   readonly open: OpenRequests;
   readonly log: Log;
@@ -37,7 +37,7 @@
   }
 
   /** Counts a request until its response closes. */
-  begin(response: ServerResponse): void {
+  track(response: ServerResponse): void {
     this.#count++;
     response.once("close", () => this.#count--);
   }
@@ -47,10 +47,12 @@
  * Serves on until the balancer has noticed, then waits for the open requests.
  * Resolves with whether all of them ended before the deadline.
  */
-export async function stopServer(options: StopOptions): Promise<boolean> {
+export async function shutDownGracefully(
+  options: GracefulShutdownOptions,
+): Promise<boolean> {
   const { server, open, log, noticeMs, deadlineMs } = options;
   const startMs = performance.now();
-  log(EVENTS.stopRequested, { open: open.count });
+  log(LOG_EVENTS.shutdownRequested, { open: open.count });
   await sleep(noticeMs);
   server.close();
   server.closeIdleConnections();
@@ -59,6 +61,8 @@
   }
   const isClean = open.count === 0;
   await options.onDrained?.();
-  log(isClean ? EVENTS.stopped : EVENTS.stopForced, { open: open.count });
+  log(isClean ? LOG_EVENTS.stopped : LOG_EVENTS.shutdownForced, {
+    open: open.count,
+  });
   return isClean;
 }
--- a/src/process/lease.ts
+++ b/src/process/lease.ts
@@ -5,12 +5,15 @@
  */
 
 import type { ObjectRevision } from "../ids.ts";
-import type { StoredValue, ValueStore } from "../connection/value_store.ts";
+import type {
+  KeyValueStore,
+  StoredValue,
+} from "../connection/key_value_store.ts";
 import type { EntryId } from "../ids.ts";
 
 /** What a lease is held on. */
 export interface LeaseOptions {
-  readonly platform: ValueStore;
+  readonly platform: KeyValueStore;
   /** Name of the lease's object. */
   readonly name: string;
   readonly holder: EntryId;
@@ -41,7 +44,7 @@
   }
 
   /** The fencing number while the lease is surely held, else `undefined`. */
-  get fencing(): ObjectRevision | undefined {
+  get fencingToken(): ObjectRevision | undefined {
     return this.#options.now() < this.#validUntilMs ? this.#held : undefined;
   }
 
--- a/src/process/live_server.ts
+++ b/src/process/live_server.ts
@@ -1,7 +1,7 @@
 /** What an entry knows of a backend server that registered itself. */
 
 import type { BackendServer } from "../version/types.ts";
-import type { LostAnswers } from "./server_avoidance.ts";
+import type { UnansweredCalls } from "./server_ejection.ts";
 
 /** A backend server as the platform lists it. */
 export interface LiveServer extends BackendServer {
@@ -26,19 +26,19 @@
 export interface LiveServerView {
   readonly server: LiveServer;
   /** Memory of the server in tokens; infinite for plain services. */
-  readonly memoryTokens: number;
+  readonly kvCacheTokens: number;
   /** Work that this entry gave it. */
-  readonly own: ServerLoad;
+  readonly ownLoad: ServerLoad;
   /** Work that other entries say they gave it. */
-  readonly others: ServerLoad;
+  readonly peerLoad: ServerLoad;
   /** No new work before this time, on the monotonic clock in ms. */
-  readonly avoidUntilMs: number;
+  readonly ejectedUntilMs: number;
   /** It said that it is full; no new work before this time, as above. */
   readonly fullUntilMs: number;
   /** Answers that it lost of late, so it gets less and less work. */
-  readonly lostAnswers: LostAnswers;
+  readonly unansweredCalls: UnansweredCalls;
   /** When bytes last came from it, on the monotonic clock in ms. */
-  readonly heardMs: number;
+  readonly lastActivityMs: number;
 }
 
 /** Returns the sum of two loads. */
--- a/src/process/live_servers.ts
+++ b/src/process/live_servers.ts
@@ -11,18 +11,22 @@
   type ServerLoad,
   subtractLoad,
 } from "./live_server.ts";
-import { chooseServer, isEligible, type ServerNeed } from "./choose_server.ts";
-import { EVENTS } from "./event_catalog.ts";
+import {
+  chooseServer,
+  isEligible,
+  type SelectionCriteria,
+} from "./choose_server.ts";
+import { LOG_EVENTS } from "./log_events.ts";
 import type { Log } from "./log.ts";
 import {
-  addLostAnswer,
-  avoidanceMs,
-  BROKEN_AVOID_MS,
-  NO_LOST_ANSWERS,
-  ServerLoss,
-} from "./server_avoidance.ts";
+  addUnansweredCall,
+  BROKEN_EJECTION_MS,
+  ejectionDurationMs,
+  NO_UNANSWERED_CALLS,
+  ServerFailure,
+} from "./server_ejection.ts";
 import { ServerRing } from "./server_ring.ts";
-import { ZoneLosses } from "./zone_losses.ts";
+import { ZoneFailureDetector } from "./zone_failure_detector.ts";
 
 /** What the servers need of their process. */
 export interface LiveServersOptions {
@@ -32,13 +36,13 @@
   readonly random: () => number;
   readonly log: Log;
   /** Memory of a service's servers, in tokens; infinite for plain services. */
-  readonly memoryTokensOf: (service: string) => number;
+  readonly kvCacheTokensOf: (service: string) => number;
   /** Called when a server may have become free. */
-  readonly onRoom: () => void;
+  readonly onCapacityAvailable: () => void;
 }
 
 /** What a request wants of a server, without what the process knows itself. */
-export type ServerRequest = Omit<ServerNeed, "suspectZones">;
+export type ServerCriteria = Omit<SelectionCriteria, "suspectZones">;
 
 /** How long a server that said it is full gets nothing, in ms; calls take as long. */
 const FULL_MS = 50;
@@ -64,7 +68,7 @@
   readonly #rings = new Map<string, ServerRing>();
   /** When a server of each service last said that it is full. */
   readonly #fullMs = new Map<string, number>();
-  readonly #zones: ZoneLosses;
+  readonly #zones: ZoneFailureDetector;
   /** What the other entries do, until it is taken over. */
   #newOthers: (() => ReadonlyMap<string, ServerLoad>) | undefined;
   /** Servers that this entry found dead, with the time of it. */
@@ -72,7 +76,7 @@
 
   private constructor(options: LiveServersOptions) {
     this.#options = options;
-    this.#zones = ZoneLosses.create(options.now);
+    this.#zones = ZoneFailureDetector.create(options.now);
   }
 
   /** Starts without servers. */
@@ -96,14 +100,14 @@
   set(server: LiveServer): void {
     const held = this.#views.get(server.name);
     const isSame = held !== undefined && isSameIncarnation(held.server, server);
-    const memoryTokens = this.#options.memoryTokensOf(server.service);
+    const memoryTokens = this.#options.kvCacheTokensOf(server.service);
     if (!isSame) this.#retireAddress(server);
     if (held !== undefined && held.server.service !== server.service) {
       this.#rings.get(held.server.service)?.delete(server.name);
     }
     this.#ringOf(server.service).add(server.name);
     if (server.isLeaving && !held?.server.isLeaving) {
-      this.#options.log(EVENTS.serverLeaving, {
+      this.#options.log(LOG_EVENTS.serverDraining, {
         server: server.name,
         source: "list",
       });
@@ -114,15 +118,15 @@
     if (!isSame) this.#busy.delete(server.name);
     this.#views.set(server.name, {
       server,
-      memoryTokens,
-      own: isSame ? held.own : NO_LOAD,
-      others: isSame ? held.others : NO_LOAD,
-      avoidUntilMs: isSame ? held.avoidUntilMs : 0,
+      kvCacheTokens: memoryTokens,
+      ownLoad: isSame ? held.ownLoad : NO_LOAD,
+      peerLoad: isSame ? held.peerLoad : NO_LOAD,
+      ejectedUntilMs: isSame ? held.ejectedUntilMs : 0,
       fullUntilMs: isSame ? held.fullUntilMs : 0,
-      lostAnswers: isSame ? held.lostAnswers : NO_LOST_ANSWERS,
-      heardMs: isSame ? held.heardMs : this.#options.now(),
+      unansweredCalls: isSame ? held.unansweredCalls : NO_UNANSWERED_CALLS,
+      lastActivityMs: isSame ? held.lastActivityMs : this.#options.now(),
     });
-    this.#options.onRoom();
+    this.#options.onCapacityAvailable();
   }
 
   /** Drops a server that is gone from the list. */
@@ -148,36 +152,36 @@
   }
 
   /** Yields the preferred server of a request, then those after its prompt's place. */
-  *#viewsFor(request: ServerRequest): Generator<LiveServerView> {
+  *#viewsFor(request: ServerCriteria): Generator<LiveServerView> {
     this.#takeOthers();
     const { service, preferred = "", prompt } = request;
     const key = prompt || String(this.#options.random());
     const first = this.#views.get(preferred);
     if (first !== undefined) yield first;
-    for (const name of this.#ringOf(service).from(key)) {
+    for (const name of this.#ringOf(service).serversFrom(key)) {
       const view = this.#views.get(name);
       if (view !== undefined && name !== preferred) yield view;
     }
   }
 
   /** Recomputes the memory of all servers after a configuration changed. */
-  refreshMemory(): void {
+  refreshMemoryLimits(): void {
     for (const [name, view] of this.#views) {
-      const memoryTokens = this.#options.memoryTokensOf(view.server.service);
-      this.#views.set(name, { ...view, memoryTokens });
+      const memoryTokens = this.#options.kvCacheTokensOf(view.server.service);
+      this.#views.set(name, { ...view, kvCacheTokens: memoryTokens });
     }
   }
 
   /** Returns the server that a request goes to now, if one has room. */
-  choose(request: ServerRequest): LiveServer | undefined {
+  choose(request: ServerCriteria): LiveServer | undefined {
     const { now, random } = this.#options;
-    const need = { ...request, suspectZones: this.#zones.suspects() };
+    const need = { ...request, suspectZones: this.#zones.suspectZones() };
     const context = { nowMs: now(), random };
     return chooseServer(this.#viewsFor(request), need, context)?.server;
   }
 
   /** Whether any server could take the request now or after a wait. */
-  canServe(request: ServerRequest): boolean {
+  canServe(request: ServerCriteria): boolean {
     const need = { ...request, suspectZones: new Map() };
     for (const view of this.#viewsFor(request)) {
       if (isEligible(view, need)) return true;
@@ -189,40 +193,43 @@
   isUsable(name: string): boolean {
     const view = this.#views.get(name);
     if (view === undefined || view.server.isLeaving) return false;
-    return view.avoidUntilMs <= this.#options.now();
+    return view.ejectedUntilMs <= this.#options.now();
   }
 
   /** Whether a server that was given a copy to keep is still taken to have it. */
-  isKeeping(name: string): boolean {
+  mayHoldBackup(name: string): boolean {
     const view = this.#views.get(name);
     if (view === undefined || view.server.isLeaving) return false;
-    const avoidedMs = view.avoidUntilMs - this.#options.now();
-    return avoidedMs <= BROKEN_AVOID_MS;
+    const avoidedMs = view.ejectedUntilMs - this.#options.now();
+    return avoidedMs <= BROKEN_EJECTION_MS;
   }
 
   /** Notes work that goes to a server. */
   begin(name: string, load: ServerLoad): void {
-    this.#change(name, (view) => ({ own: addLoad(view.own, load) }));
+    this.#change(name, (view) => ({ ownLoad: addLoad(view.ownLoad, load) }));
   }
 
   /** Notes that work has left a server. */
   end(name: string, load: ServerLoad): void {
-    this.#change(name, (view) => ({ own: subtractLoad(view.own, load) }));
-    this.#options.onRoom();
+    this.#change(
+      name,
+      (view) => ({ ownLoad: subtractLoad(view.ownLoad, load) }),
+    );
+    this.#options.onCapacityAvailable();
   }
 
   /** Notes that a server gave a sign of life. */
-  hear(name: string): void {
-    this.#change(name, () => ({ heardMs: this.#options.now() }));
+  recordActivity(name: string): void {
+    this.#change(name, () => ({ lastActivityMs: this.#options.now() }));
   }
 
   /**
    * Takes over what the other entries do, by server name, when it is next
    * needed: they tell it far more often than a server is chosen.
    */
-  setOthers(loads: () => ReadonlyMap<string, ServerLoad>): void {
+  setPeerLoads(loads: () => ReadonlyMap<string, ServerLoad>): void {
     this.#newOthers = loads;
-    this.#options.onRoom();
+    this.#options.onCapacityAvailable();
   }
 
   #takeOthers(): void {
@@ -230,9 +237,11 @@
     if (loads === undefined) return;
     this.#newOthers = undefined;
     for (const name of this.#busyElsewhere) {
-      if (!loads.has(name)) this.#change(name, () => ({ others: NO_LOAD }));
+      if (!loads.has(name)) this.#change(name, () => ({ peerLoad: NO_LOAD }));
+    }
+    for (const [name, others] of loads) {
+      this.#change(name, () => ({ peerLoad: others }));
     }
-    for (const [name, others] of loads) this.#change(name, () => ({ others }));
     this.#busyElsewhere = new Set(loads.keys());
   }
 
@@ -240,27 +249,30 @@
   ownLoads(): readonly (readonly [string, ServerLoad])[] {
     return [...this.#busy].flatMap((name) => {
       const view = this.#views.get(name);
-      return view === undefined ? [] : [[name, view.own] as const];
+      return view === undefined ? [] : [[name, view.ownLoad] as const];
     });
   }
 
   /** Keeps a server out of new work after a loss. */
-  lose(name: string, loss: ServerLoss): void {
+  eject(name: string, loss: ServerFailure): void {
     const view = this.#views.get(name);
     if (view === undefined) return;
     const nowMs = this.#options.now();
-    const isUnanswered = loss === ServerLoss.Unanswered;
+    const isUnanswered = loss === ServerFailure.Unanswered;
     // Calls that were under way when it became avoided say nothing new.
-    const isNew = isUnanswered && view.avoidUntilMs <= nowMs;
+    const isNew = isUnanswered && view.ejectedUntilMs <= nowMs;
     const lostAnswers = isNew
-      ? addLostAnswer(view.lostAnswers, nowMs)
-      : view.lostAnswers;
-    const avoidMs = avoidanceMs(loss, lostAnswers);
-    const avoidUntilMs = Math.max(view.avoidUntilMs, nowMs + avoidMs);
-    this.#change(name, () => ({ avoidUntilMs, lostAnswers }));
-    if (loss === ServerLoss.Unreachable) this.#dead.set(name, nowMs);
+      ? addUnansweredCall(view.unansweredCalls, nowMs)
+      : view.unansweredCalls;
+    const avoidMs = ejectionDurationMs(loss, lostAnswers);
+    const avoidUntilMs = Math.max(view.ejectedUntilMs, nowMs + avoidMs);
+    this.#change(
+      name,
+      () => ({ ejectedUntilMs: avoidUntilMs, unansweredCalls: lostAnswers }),
+    );
+    if (loss === ServerFailure.Unreachable) this.#dead.set(name, nowMs);
     if (!isUnanswered) this.#noteZoneLoss(view.server);
-    this.#options.log(EVENTS.serverEjected, {
+    this.#options.log(LOG_EVENTS.serverEjected, {
       server: name,
       zone: view.server.zone,
       cause: loss,
@@ -269,13 +281,13 @@
   }
 
   /** Notes that a server refused for want of room, so it gets nothing for a moment. */
-  noteFull(name: string): void {
+  markFull(name: string): void {
     const { now, log } = this.#options;
     const service = this.#views.get(name)?.server.service;
     if (service === undefined) return;
     this.#fullMs.set(service, now());
     this.#change(name, () => ({ fullUntilMs: now() + FULL_MS }));
-    log(EVENTS.serverFull, { server: name, for_ms: FULL_MS });
+    log(LOG_EVENTS.serverAtCapacity, { server: name, for_ms: FULL_MS });
     this.#awaitRoom(name);
   }
 
@@ -283,40 +295,40 @@
   #awaitRoom(name: string): void {
     const fullUntilMs = this.#views.get(name)?.fullUntilMs ?? 0;
     const leftMs = fullUntilMs - this.#options.now();
-    if (leftMs <= 0) return this.#options.onRoom();
+    if (leftMs <= 0) return this.#options.onCapacityAvailable();
     // A timer may end before the clock says so: it counts from the loop's last turn.
     setTimeout(() => this.#awaitRoom(name), leftMs).unref();
   }
 
   /** Whether servers of a service refused for want of room just now. */
-  wasFull(service: string): boolean {
+  wasRecentlyFull(service: string): boolean {
     const fullMs = this.#fullMs.get(service) ?? -Infinity;
     return this.#options.now() - fullMs < SERVICE_FULL_MS;
   }
 
   /** Takes back the avoidance of a server that proved to be sound. */
-  trust(name: string): void {
+  reinstate(name: string): void {
     this.#change(name, () => ({
-      avoidUntilMs: 0,
-      heardMs: this.#options.now(),
+      ejectedUntilMs: 0,
+      lastActivityMs: this.#options.now(),
     }));
-    this.#options.onRoom();
+    this.#options.onCapacityAvailable();
   }
 
   /** Takes over that another entry found a server dead. */
-  hearLoss(name: string): void {
+  applyPeerEjection(name: string): void {
     const view = this.#views.get(name);
     if (view === undefined) return;
     const nowMs = this.#options.now();
-    const isKnown = view.avoidUntilMs > nowMs;
-    const isAlive = nowMs - view.heardMs < HEARD_FRESH_MS;
+    const isKnown = view.ejectedUntilMs > nowMs;
+    const isAlive = nowMs - view.lastActivityMs < HEARD_FRESH_MS;
     if (isKnown || isAlive) return;
-    this.lose(name, ServerLoss.Unreachable);
+    this.eject(name, ServerFailure.Unreachable);
     this.#dead.delete(name);
   }
 
   /** Returns the servers that this entry found dead just now. */
-  deadServers(): readonly string[] {
+  unreachableServers(): readonly string[] {
     const sinceMs = this.#options.now() - DEAD_NEWS_MS;
     for (const [name, foundMs] of this.#dead) {
       if (foundMs < sinceMs) this.#dead.delete(name);
@@ -326,13 +338,15 @@
 
   /** Several losses in a zone at once make all of it suspect. */
   #noteZoneLoss({ zone, name }: LiveServer): void {
-    const lost = this.#zones.note({ zone, name });
-    if (lost > 0) this.#options.log(EVENTS.zoneSuspected, { zone, lost });
+    const lost = this.#zones.record({ zone, name });
+    if (lost > 0) {
+      this.#options.log(LOG_EVENTS.zoneFailureSuspected, { zone, lost });
+    }
   }
 
   /** Whether several servers of a zone were lost at once just now. */
   isZoneSuspect(zone: string): boolean {
-    return this.#zones.suspects().has(zone);
+    return this.#zones.suspectZones().has(zone);
   }
 
   /** An address belongs to its newest owner; older ones have ended. */
@@ -341,7 +355,7 @@
       const view = this.#views.get(other);
       const isOlder = other !== name && view !== undefined &&
         view.server.startedMs <= startedMs;
-      if (isOlder) this.#change(other, () => ({ avoidUntilMs: Infinity }));
+      if (isOlder) this.#change(other, () => ({ ejectedUntilMs: Infinity }));
     }
   }
 
@@ -353,7 +367,7 @@
     if (view === undefined) return;
     const changed = { ...view, ...change(view) };
     this.#views.set(name, changed);
-    const { requests, tokens, unreadTokens } = changed.own;
+    const { requests, tokens, unreadTokens } = changed.ownLoad;
     if (requests > 0 || tokens > 0 || unreadTokens > 0) this.#busy.add(name);
     else this.#busy.delete(name);
   }
--- a/src/process/load.ts
+++ b/src/process/load_generator.ts
@@ -7,8 +7,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { CompletionCaller } from "../connection/completion_caller.ts";
-import { Durations, type Percentiles } from "./durations.ts";
+import { CompletionClient } from "../connection/completion_client.ts";
+import { DurationHistogram, type Percentiles } from "./duration_histogram.ts";
 
 /** One kind of request in a load. */
 export interface LoadClass {
@@ -28,7 +28,7 @@
 }
 
 /** A whole load. */
-export interface Load {
+export interface LoadProfile {
   /** IP and port of each entry; they take turns. */
   readonly entries: readonly string[];
   readonly classes: readonly LoadClass[];
@@ -38,7 +38,7 @@
 }
 
 /** What became of one class. */
-export interface ClassFigures {
+export interface ClassResults {
   readonly name: string;
   readonly sent: number;
   readonly outcomes: Readonly<Record<string, number>>;
@@ -60,7 +60,9 @@
 const MS_PER_S = 1_000;
 
 /** Sends a load and resolves once every request has ended. */
-export async function runLoad(load: Load): Promise<readonly ClassFigures[]> {
+export async function runLoad(
+  load: LoadProfile,
+): Promise<readonly ClassResults[]> {
   const tallies = new Map(
     load.classes.map((loadClass) => [loadClass, ClassTally.create(loadClass)]),
   );
@@ -89,7 +91,7 @@
 }
 
 /** Returns the arrivals of all classes in the order of their times. */
-function schedule({ classes, seed }: Load): readonly Arrival[] {
+function schedule({ classes, seed }: LoadProfile): readonly Arrival[] {
   const random = xoroshiro128plus(seed);
   const arrivals: Arrival[] = [];
   for (const loadClass of classes) {
@@ -111,10 +113,10 @@
 /** Counts what becomes of one class. */
 class ClassTally {
   readonly #class: LoadClass;
-  readonly #first = Durations.create();
-  readonly #total = Durations.create();
+  readonly #first = DurationHistogram.create();
+  readonly #total = DurationHistogram.create();
   readonly #outcomes: Record<string, number> = {};
-  readonly #open = new Set<CompletionCaller>();
+  readonly #open = new Set<CompletionClient>();
   /** Tokens of answers that have ended. */
   #ended = 0;
   #sent = 0;
@@ -140,7 +142,7 @@
   async ask(address: string, prompt: string): Promise<void> {
     this.#sent++;
     const { key, service, rank, maxTokens, targetMs } = this.#class;
-    const caller = CompletionCaller.create({
+    const caller = CompletionClient.create({
       address,
       key,
       service,
@@ -153,13 +155,13 @@
     this.#open.delete(caller);
     this.#ended += caller.tokenCount;
     this.#outcomes[outcome] = (this.#outcomes[outcome] ?? 0) + 1;
-    if (Number.isNaN(caller.firstMs)) return;
-    this.#first.record(caller.firstMs);
+    if (Number.isNaN(caller.firstEventMs)) return;
+    this.#first.record(caller.firstEventMs);
     this.#total.record(caller.totalMs);
-    if (caller.firstMs <= targetMs) this.#inTarget++;
+    if (caller.firstEventMs <= targetMs) this.#inTarget++;
   }
 
-  figures(windowS: number): ClassFigures {
+  figures(windowS: number): ClassResults {
     const { name } = this.#class;
     return {
       name,
--- a/src/process/log.ts
+++ b/src/process/log.ts
@@ -5,7 +5,7 @@
 
 import winston from "winston";
 import { BoundedOutput } from "./bounded_output.ts";
-import { type EventKind, EVENTS, Severity } from "./event_catalog.ts";
+import { LOG_EVENTS, type LogEvent, Severity } from "./log_events.ts";
 
 /** Details that a log line carries besides its event. */
 export type LogDetails = Readonly<
@@ -13,7 +13,7 @@
 >;
 
 /** Writes one event. */
-export type Log = (event: EventKind, details?: LogDetails) => void;
+export type Log = (event: LogEvent, details?: LogDetails) => void;
 
 /** How a log is made. */
 export interface LogOptions {
@@ -21,7 +21,7 @@
   readonly program: string;
   readonly level: string;
   /** Called with the count of dropped lines, at most once a second. */
-  readonly onDropped?: (count: number) => void;
+  readonly onLinesDropped?: (count: number) => void;
 }
 
 const STANDARD_OUTPUT = 1;
@@ -30,7 +30,9 @@
 const MS_PER_S = 1_000;
 
 /** Returns the log of a process. */
-export function createLog({ program, level, onDropped }: LogOptions): Log {
+export function createLog(
+  { program, level, onLinesDropped: onDropped }: LogOptions,
+): Log {
   const output = BoundedOutput.create(STANDARD_OUTPUT);
   const logger = winston.createLogger({
     level,
@@ -50,11 +52,11 @@
   const beginSecond = (now: number) => {
     second = now;
     lines = 0;
-    const count = dropped + output.takeDropped();
+    const count = dropped + output.takeDroppedCount();
     dropped = 0;
     if (count === 0) return;
     onDropped?.(count);
-    write(EVENTS.linesDropped, { count });
+    write(LOG_EVENTS.logLinesDropped, { count });
   };
   return (event, details) => {
     const now = Math.floor(performance.now() / MS_PER_S);
--- a/src/process/event_catalog.ts
+++ b/src/process/log_events.ts
@@ -8,7 +8,7 @@
 }
 
 /** One kind of log line. */
-export interface EventKind {
+export interface LogEvent {
   /** Stays the same for good; tools may match on it. */
   readonly number: number;
   readonly severity: Severity;
@@ -22,17 +22,17 @@
   severity: Severity,
   text: string,
   action = "none",
-): EventKind {
+): LogEvent {
   return { number, severity, text, action };
 }
 
 /** All events, by the name that code uses. */
-export const EVENTS = {
+export const LOG_EVENTS = {
   started: define(1001, Severity.Info, "process started"),
   listening: define(1002, Severity.Info, "listening"),
-  stopRequested: define(1003, Severity.Info, "planned stop requested"),
+  shutdownRequested: define(1003, Severity.Info, "planned stop requested"),
   stopped: define(1004, Severity.Info, "process stopped"),
-  stopForced: define(
+  shutdownForced: define(
     1005,
     Severity.Warn,
     "stop forced before all requests ended",
@@ -49,13 +49,13 @@
     Severity.Info,
     "settings file announced as changed",
   ),
-  linesDropped: define(
+  logLinesDropped: define(
     1008,
     Severity.Warn,
     "log lines were dropped",
     "read the metrics for what was not logged",
   ),
-  unexpected: define(
+  unexpectedError: define(
     1099,
     Severity.Error,
     "unexpected error",
@@ -68,24 +68,24 @@
     "revision could not be fetched",
     "check the platform and the peers",
   ),
-  platformLost: define(
+  platformUnreachable: define(
     2003,
     Severity.Warn,
     "platform can't be reached",
     "check the platform; requests go on without it",
   ),
-  platformBack: define(2004, Severity.Info, "platform is reached again"),
-  readingBegun: define(
+  platformRecovered: define(2004, Severity.Info, "platform is reached again"),
+  storeReadsStarted: define(
     2005,
     Severity.Info,
     "entry reads the platform, too few others are known to reach it",
   ),
-  readingLeft: define(
+  storeReadsStopped: define(
     2006,
     Severity.Info,
     "entry leaves reading the platform to others",
   ),
-  listDoubted: define(
+  serverListMismatch: define(
     2007,
     Severity.Warn,
     "list of backend servers differs from a peer's and is read anew",
@@ -97,27 +97,27 @@
     "what this entry knows of the deployment",
     "gather it with `gypsumridge status --logs`",
   ),
-  serverLeaving: define(3001, Severity.Info, "backend server is leaving"),
+  serverDraining: define(3001, Severity.Info, "backend server is leaving"),
   serverEjected: define(
     3002,
     Severity.Warn,
     "backend server ejected from new work",
     "check the backend server",
   ),
-  zoneSuspected: define(
+  zoneFailureSuspected: define(
     3004,
     Severity.Warn,
     "several backend servers of an availability zone were lost at once",
     "check the availability zone",
   ),
-  serverFull: define(
+  serverAtCapacity: define(
     3005,
     Severity.Info,
     "backend server refused for want of room",
     "add backend servers if it lasts",
   ),
-  serverReturned: define(3003, Severity.Info, "backend server has returned"),
-  attemptLost: define(3101, Severity.Warn, "attempt lost"),
+  serverRecovered: define(3003, Severity.Info, "backend server has returned"),
+  attemptFailed: define(3101, Severity.Warn, "attempt lost"),
   generationResumed: define(3102, Severity.Info, "generation resumed"),
   generationInterrupted: define(
     3103,
@@ -125,7 +125,7 @@
     "generation interrupted",
     "check for backend servers with the same model version",
   ),
-  requestSuspected: define(
+  poisonRequestSuspected: define(
     3104,
     Severity.Warn,
     "request is suspected of crashing backend servers",
@@ -137,37 +137,37 @@
     Severity.Info,
     "generation preempted for urgent work",
   ),
-  orderEnded: define(3107, Severity.Info, "order ended"),
+  requestEnded: define(3107, Severity.Info, "order ended"),
   attemptStarted: define(3108, Severity.Info, "request sent to a server"),
-  firstEvent: define(3109, Severity.Info, "stream began"),
-  copyMade: define(3110, Severity.Info, "run copied to another server"),
-  copyFailed: define(
+  streamStarted: define(3109, Severity.Info, "stream began"),
+  kvCacheCopied: define(3110, Severity.Info, "run copied to another server"),
+  kvCacheCopyFailed: define(
     3111,
     Severity.Info,
     "run could not be copied, or its copy not freed",
   ),
-  actionUnknown: define(
+  actionOutcomeUnknown: define(
     4001,
     Severity.Warn,
     "outcome of a non-idempotent action is unknown",
     "ask the service whether the action took effect",
   ),
-  actionRetracted: define(4002, Severity.Info, "unsent action retracted"),
-  actionUnstored: define(
+  actionClaimReleased: define(4002, Severity.Info, "unsent action retracted"),
+  actionOutcomeNotStored: define(
     4003,
     Severity.Warn,
     "outcome of an action could not be stored",
     "check the platform",
   ),
   peerConnected: define(5001, Severity.Info, "peer connected"),
-  peerLost: define(5002, Severity.Info, "peer lost"),
+  peerDisconnected: define(5002, Severity.Info, "peer lost"),
   leaseAcquired: define(6001, Severity.Info, "steward lease acquired"),
   leaseLost: define(6002, Severity.Warn, "steward lease lost"),
-  recordExpired: define(6003, Severity.Info, "expired records removed"),
-  stewardFailed: define(
+  recordsExpired: define(6003, Severity.Info, "expired records removed"),
+  stewardTaskFailed: define(
     6004,
     Severity.Warn,
     "steward duty failed and is tried again",
     "check the platform",
   ),
-} as const satisfies Record<string, EventKind>;
+} as const satisfies Record<string, LogEvent>;
--- a/src/process/event_catalog_test.ts
+++ b/src/process/log_events_test.ts
@@ -1,12 +1,12 @@
 /** The catalogue in the docs is the one in the code. */
 
 import { expect, test } from "vitest";
-import { EVENTS } from "./event_catalog.ts";
+import { LOG_EVENTS } from "./log_events.ts";
 
 test("docs/EVENTS.md lists every event", async () => {
-  const rows = Object.values(EVENTS).map(({ number, severity, text, action }) =>
-    `| ${number} | ${severity} | ${text} | ${action} |`
-  );
+  const rows = Object.values(LOG_EVENTS).map((
+    { number, severity, text, action },
+  ) => `| ${number} | ${severity} | ${text} | ${action} |`);
   const page = [
     "# Events",
     "",
@@ -22,6 +22,6 @@
 });
 
 test("no number stands twice", () => {
-  const numbers = Object.values(EVENTS).map(({ number }) => number);
+  const numbers = Object.values(LOG_EVENTS).map(({ number }) => number);
   expect(new Set(numbers).size).toBe(numbers.length);
 });
