--- a/src/process/logged_status.ts
+++ b/src/process/logged_status.ts
@@ -1,12 +1,12 @@
 /** What entries said of themselves in their logs, read back and printed. */
 
 import { ENTRY_VIEW_REPEAT_MS, type EntryView } from "./entry_view.ts";
-import { EVENTS } from "./event_catalog.ts";
+import { LOG_EVENTS } from "./log_events.ts";
 
 /** What is known of one entry from its log. */
 export interface LoggedEntry {
   readonly entry: string;
-  readonly life: EntryLife;
+  readonly life: EntryState;
   /** When its last line was written, in ms since 1970. */
   readonly heardMs: number;
   /** What it knew last; `undefined` if it has not said since it started. */
@@ -14,7 +14,7 @@
 }
 
 /** How far an entry is in its life. */
-export enum EntryLife {
+export enum EntryState {
   Running = "running",
   Stopping = "stopping",
   Stopped = "stopped",
@@ -45,7 +45,7 @@
 const MS_PER_S = 1_000;
 
 /** Reads log lines of any number of entries, in any order between entries. */
-export function restoreLoggedStatus(lines: Iterable<string>): LoggedStatus {
+export function parseLoggedStatus(lines: Iterable<string>): LoggedStatus {
   const entries = new Map<string, LoggedEntry>();
   let unreadable = 0;
   for (const text of lines) {
@@ -68,19 +68,19 @@
 function follow(held: LoggedEntry | undefined, line: LogLine): LoggedEntry {
   const entry: LoggedEntry = {
     entry: line.program,
-    life: held?.life ?? EntryLife.Running,
+    life: held?.life ?? EntryState.Running,
     view: held?.view,
     heardMs: line.timeMs,
   };
   switch (line.event) {
-    case EVENTS.started.number:
-      return { ...entry, life: EntryLife.Running, view: undefined };
-    case EVENTS.stopRequested.number:
-      return { ...entry, life: EntryLife.Stopping };
-    case EVENTS.stopped.number:
-    case EVENTS.stopForced.number:
-      return { ...entry, life: EntryLife.Stopped };
-    case EVENTS.entryView.number:
+    case LOG_EVENTS.started.number:
+      return { ...entry, life: EntryState.Running, view: undefined };
+    case LOG_EVENTS.shutdownRequested.number:
+      return { ...entry, life: EntryState.Stopping };
+    case LOG_EVENTS.stopped.number:
+    case LOG_EVENTS.shutdownForced.number:
+      return { ...entry, life: EntryState.Stopped };
+    case LOG_EVENTS.entryView.number:
       return { ...entry, view: restoreView(line.details) ?? entry.view };
     default:
       return entry;
@@ -88,7 +88,7 @@
 }
 
 /** Whether every entry that runs has the newest configuration of them all. */
-export function areEntriesCurrent({ entries }: LoggedStatus): boolean {
+export function areEntriesUpToDate({ entries }: LoggedStatus): boolean {
   const newest = newestConfiguration(entries);
   return entries.every((entry) => !isBehind(entry, newest));
 }
@@ -113,13 +113,13 @@
 ): string {
   const { entry, life, view, heardMs } = logged;
   const ageMs = endMs - heardMs;
-  const isSilent = life !== EntryLife.Stopped && ageMs > SILENT_MS;
+  const isSilent = life !== EntryState.Stopped && ageMs > SILENT_MS;
   const parts = [
     life,
     ...(isSilent ? [`silent for ${Math.round(ageMs / MS_PER_S)} s`] : []),
     ...(view === undefined ? ["has not said what it knows"] : []),
   ];
-  if (view !== undefined && life !== EntryLife.Stopped) {
+  if (view !== undefined && life !== EntryState.Stopped) {
     const behind = isBehind(logged, newest) ? " (behind)" : "";
     parts.push(
       `configuration ${formatVersion(view.configuration)}${behind}`,
@@ -156,7 +156,7 @@
 }
 
 function isBehind({ life, view }: LoggedEntry, newest: number): boolean {
-  if (life === EntryLife.Stopped) return false;
+  if (life === EntryState.Stopped) return false;
   return view === undefined || view.configuration < newest;
 }
 
--- a/src/process/logged_status_test.ts
+++ b/src/process/logged_status_test.ts
@@ -1,15 +1,15 @@
 /** What entries wrote to their logs, read back for an operator. */
 
 import { expect, test } from "vitest";
-import { EntryViewWriter, groupServers } from "./entry_view.ts";
-import { EVENTS } from "./event_catalog.ts";
+import { EntryViewWriter, groupServersByState } from "./entry_view.ts";
+import { LOG_EVENTS } from "./log_events.ts";
 import { type LiveServerView, NO_LOAD } from "./live_server.ts";
 import type { LogDetails } from "./log.ts";
 import {
-  areEntriesCurrent,
-  EntryLife,
+  areEntriesUpToDate,
+  EntryState,
   formatLoggedStatus,
-  restoreLoggedStatus,
+  parseLoggedStatus,
 } from "./logged_status.ts";
 
 const START_MS = Date.parse("2026-01-01T00:00:00.000Z");
@@ -25,7 +25,7 @@
 
 function view(changes: Readonly<Record<string, unknown>> = {}) {
   return {
-    event: EVENTS.entryView.number,
+    event: LOG_EVENTS.entryView.number,
     configuration: 7,
     listed: "c0ffee",
     isReading: false,
@@ -40,13 +40,13 @@
 }
 
 test("names the version, the servers and the state of each entry", () => {
-  const status = restoreLoggedStatus([
+  const status = parseLoggedStatus([
     line("edge-2", 1, view({ configuration: 5 })),
     line("edge-1", 1, view({ isReading: true })),
     line("edge-1", 4, view({ ejected: ["i-4"], ejectedCount: 3 })),
     line("edge-3", 2, view()),
-    line("edge-3", 3, { event: EVENTS.stopped.number }),
-    line("edge-4", 4, { event: EVENTS.started.number }),
+    line("edge-3", 3, { event: LOG_EVENTS.stopped.number }),
+    line("edge-4", 4, { event: LOG_EVENTS.started.number }),
   ]);
   expect(formatLoggedStatus(status)).toEqual([
     "newest configuration in force: 7",
@@ -56,35 +56,35 @@
     "entry edge-3: stopped",
     "entry edge-4: running, has not said what it knows",
   ]);
-  expect(areEntriesCurrent(status)).toBe(false);
+  expect(areEntriesUpToDate(status)).toBe(false);
 });
 
 test("an entry that started again knows nothing of what it wrote before", () => {
-  const { entries } = restoreLoggedStatus([
+  const { entries } = parseLoggedStatus([
     line("edge-1", 1, view()),
-    line("edge-1", 2, { event: EVENTS.stopRequested.number }),
-    line("edge-1", 3, { event: EVENTS.started.number }),
+    line("edge-1", 2, { event: LOG_EVENTS.shutdownRequested.number }),
+    line("edge-1", 3, { event: LOG_EVENTS.started.number }),
   ]);
   expect(entries).toEqual([{
     entry: "edge-1",
-    life: EntryLife.Running,
+    life: EntryState.Running,
     heardMs: START_MS + 3_000,
     view: undefined,
   }]);
 });
 
 test("silence of an entry shows, whatever the order of the files", () => {
-  const status = restoreLoggedStatus([
+  const status = parseLoggedStatus([
     line("edge-1", 400, view()),
     line("edge-2", 10, view()),
   ]);
   expect(formatLoggedStatus(status)[2]).toContain("silent for 390 s");
-  expect(areEntriesCurrent(status)).toBe(true);
+  expect(areEntriesUpToDate(status)).toBe(true);
 });
 
 test("other lines, cut lines and damaged views are counted and hurt nothing", () => {
   const whole = line("edge-1", 1, view());
-  const status = restoreLoggedStatus([
+  const status = parseLoggedStatus([
     "starting up",
     whole.slice(0, -5),
     "null",
@@ -98,7 +98,7 @@
 });
 
 test("no log at all is said so", () => {
-  const status = restoreLoggedStatus([]);
+  const status = parseLoggedStatus([]);
   expect(formatLoggedStatus(status)).toEqual([
     "newest configuration in force: none",
   ]);
@@ -114,15 +114,15 @@
       listed: "0",
       isReading: false,
       entries: 1,
-      ...groupServers([], 0),
+      ...groupServersByState([], 0),
     }),
   });
-  for (let check = 0; check < 30; check++) writer.check();
+  for (let check = 0; check < 30; check++) writer.writeIfChanged();
   expect(written.length).toBe(1);
   configuration = 2;
-  for (let check = 0; check < 30; check++) writer.check();
+  for (let check = 0; check < 30; check++) writer.writeIfChanged();
   expect(written.length).toBe(2);
-  writer.check();
+  writer.writeIfChanged();
   expect(written.length).toBe(3);
 });
 
@@ -130,9 +130,9 @@
   const server = (name: string, isLeaving: boolean, avoidUntilMs: number) =>
     ({
       server: { name, isLeaving },
-      own: NO_LOAD,
-      others: NO_LOAD,
-      avoidUntilMs,
+      ownLoad: NO_LOAD,
+      peerLoad: NO_LOAD,
+      ejectedUntilMs: avoidUntilMs,
     }) as LiveServerView;
   const servers = [
     server("a", false, 0),
@@ -140,7 +140,7 @@
     server("c", false, 2_000),
     server("d", false, 900),
   ];
-  expect(groupServers(servers, 1_000)).toEqual({
+  expect(groupServersByState(servers, 1_000)).toEqual({
     serving: 2,
     leaving: ["b"],
     ejected: ["c"],
--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -4,13 +4,10 @@
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
-import type {
-  SharedObjects,
-  StoredObject,
-} from "../connection/shared_objects.ts";
+import type { ObjectStore, StoredObject } from "../connection/object_store.ts";
 import { messageOf, VersionConflict } from "../errors.ts";
 import type { EntryId } from "../ids.ts";
-import { EVENTS } from "./event_catalog.ts";
+import { LOG_EVENTS } from "./log_events.ts";
 import type { Log } from "./log.ts";
 
 /** A registered entry. */
@@ -22,7 +19,7 @@
 
 /** What membership needs of its process. */
 export interface MembershipOptions {
-  readonly objects: SharedObjects;
+  readonly objects: ObjectStore;
   readonly self: Member;
   readonly log: Log;
   /** Number from 0 up to 1; spreads the calls of many entries. */
@@ -72,7 +69,10 @@
       await objects.remove(ENTRY_KIND, { name: self.entry });
     } catch (error) {
       // The others drop this entry when its links end.
-      log(EVENTS.platformLost, { kind: ENTRY_KIND, reason: messageOf(error) });
+      log(LOG_EVENTS.platformUnreachable, {
+        kind: ENTRY_KIND,
+        reason: messageOf(error),
+      });
     }
   }
 
@@ -98,7 +98,7 @@
         return await call();
       } catch (error) {
         const { log, random } = this.#options;
-        log(EVENTS.platformLost, {
+        log(LOG_EVENTS.platformUnreachable, {
           kind: ENTRY_KIND,
           reason: messageOf(error),
         });
@@ -110,7 +110,7 @@
 
 /** Reads the registered entries, some seconds old. Errors: `PlatformUnavailable`. */
 export async function listMembers(
-  objects: SharedObjects,
+  objects: ObjectStore,
 ): Promise<readonly Member[]> {
   const list = await objects.list({ kind: ENTRY_KIND, allowsStale: true });
   return list.objects.flatMap((object) => restoreMember(object) ?? []);
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -19,19 +19,19 @@
     labelNames: ["service", "rank", "outcome"],
     registers: [this.registry],
   });
-  readonly pieces = new Counter({
+  readonly deliveredEvents = new Counter({
     name: "gypsumridge_pieces_total",
     help: "Events with text delivered to callers",
     registers: [this.registry],
   });
-  readonly firstToken = new Histogram({
+  readonly firstTokenSeconds = new Histogram({
     name: "gypsumridge_first_token_seconds",
     help: "Time from a request to its first token",
     labelNames: ["rank"],
     buckets: SECONDS_BUCKETS,
     registers: [this.registry],
   });
-  readonly losses = new Counter({
+  readonly attemptFailures = new Counter({
     name: "gypsumridge_attempt_losses_total",
     help: "Attempts lost by cause",
     labelNames: ["cause"],
@@ -43,7 +43,7 @@
     buckets: SECONDS_BUCKETS,
     registers: [this.registry],
   });
-  readonly open = new Gauge({
+  readonly openRequests = new Gauge({
     name: "gypsumridge_open_requests",
     help: "Requests being served",
     registers: [this.registry],
--- a/src/process/object_watch.ts
+++ b/src/process/object_watch.ts
@@ -7,17 +7,17 @@
 import type {
   ObjectChange,
   ObjectList,
-  SharedObjects,
-} from "../connection/shared_objects.ts";
+  ObjectStore,
+} from "../connection/object_store.ts";
 import { messageOf, PlatformHistoryGone } from "../errors.ts";
 import type { ObjectRevision } from "../ids.ts";
-import { EVENTS } from "./event_catalog.ts";
+import { LOG_EVENTS } from "./log_events.ts";
 import type { Log } from "./log.ts";
-import type { ReaderSign, StoreReaders } from "./store_readers.ts";
+import type { ReaderElection, ReaderLiveness } from "./reader_election.ts";
 
 /** What a watch needs of its process. */
 export interface ObjectWatchOptions {
-  readonly objects: SharedObjects;
+  readonly objects: ObjectStore;
   readonly kind: string;
   readonly log: Log;
   /** Number from 0 up to 1; spreads calls of many entries. */
@@ -25,14 +25,14 @@
   /** Longest time that the store holds one call, in ms. */
   readonly waitMs: number;
   /** Pause after changes before more are asked for, so that they come together, in ms. */
-  readonly gatherMs: number;
+  readonly batchDelayMs: number;
   /**
    * Shortest time without the store in which entries of its servers may lapse,
    * in ms; what is gone after a shorter one has left.
    */
-  readonly outageMinMs: number;
+  readonly outageThresholdMs: number;
   /** Which entries read for all; absent where each reads for itself. */
-  readonly readers?: StoreReaders;
+  readonly readerElection?: ReaderElection;
   /** Called with all objects, after the start and after each outage. */
   readonly onList: (list: ObjectList, isAfterOutage: boolean) => void;
   readonly onChanges: (
@@ -80,7 +80,7 @@
    * Lists the kind anew, also while other entries read for this one; returns
    * whether that was not due already.
    */
-  refresh(): boolean {
+  requestRelist(): boolean {
     const isNew = !this.#mustList;
     this.#mustList = true;
     return isNew;
@@ -94,7 +94,7 @@
   /** Lists and watches until closed; never rejects. */
   async run(): Promise<void> {
     while (!this.#closed) {
-      const mustRead = this.#options.readers?.mustRead !== false;
+      const mustRead = this.#options.readerElection?.mustRead !== false;
       this.#setReading(mustRead);
       if (mustRead || this.#mustList) await this.#read();
       else await this.#rest();
@@ -103,8 +103,8 @@
 
   /** Asks the store once. */
   async #read(): Promise<void> {
-    const { readers } = this.#options;
-    if ((readers?.awayMs ?? 0) > this.#options.outageMinMs) {
+    const { readerElection: readers } = this.#options;
+    if ((readers?.lastSuccessAgeMs ?? 0) > this.#options.outageThresholdMs) {
       this.#isUnsure = true;
     }
     const isFirst = this.#revision === undefined;
@@ -129,16 +129,18 @@
   }
 
   #setReading(isReading: boolean): void {
-    const { log, kind, readers } = this.#options;
+    const { log, kind, readerElection: readers } = this.#options;
     if (isReading === this.#isReading || readers === undefined) return;
     this.#isReading = isReading;
-    const event = isReading ? EVENTS.readingBegun : EVENTS.readingLeft;
-    log(event, { kind, readers: readers.signs().map(describeSign) });
+    const event = isReading
+      ? LOG_EVENTS.storeReadsStarted
+      : LOG_EVENTS.storeReadsStopped;
+    log(event, { kind, readers: readers.liveness().map(describeSign) });
   }
 
   /** Waits until this entry may have to read. */
   async #rest(): Promise<void> {
-    const { readers, random } = this.#options;
+    const { readerElection: readers, random } = this.#options;
     await sleep(REST_MS);
     if (readers?.mustRead !== false) await sleep(TURN_MAX_MS * random());
   }
@@ -157,8 +159,13 @@
   }
 
   async #watch(from: ObjectRevision): Promise<ObjectRevision> {
-    const { objects, kind, waitMs, gatherMs, onChanges } = this.#options;
-    const { changes, revision } = await objects.watch({ kind, from, waitMs });
+    const { objects, kind, waitMs, batchDelayMs: gatherMs, onChanges } =
+      this.#options;
+    const { changes, revision } = await objects.watch({
+      kind,
+      sinceRevision: from,
+      waitMs,
+    });
     if (changes.length > 0) {
       onChanges(changes, this.#isAfterOutage);
       await sleep(gatherMs);
@@ -168,30 +175,32 @@
 
   /** Whether what is missing now may have lapsed while the store was away. */
   get #isAfterOutage(): boolean {
-    return this.#options.readers === undefined ? this.#isLost : this.#isUnsure;
+    return this.#options.readerElection === undefined
+      ? this.#isLost
+      : this.#isUnsure;
   }
 
   #retryMs(failures: number): number {
     const limitMs = Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** failures);
-    const { readers, random } = this.#options;
+    const { readerElection: readers, random } = this.#options;
     const factor = readers?.isProber === false ? SPARED_FACTOR : 1;
     return limitMs * factor * (0.5 + 0.5 * random());
   }
 
   #setLost(isLost: boolean, reason: string): void {
-    const { log, kind, readers } = this.#options;
-    if (isLost) readers?.noteLoss(kind);
+    const { log, kind, readerElection: readers } = this.#options;
+    if (isLost) readers?.recordFailure(kind);
     else {
       this.#isUnsure = false;
-      readers?.noteContact(kind);
+      readers?.recordSuccess(kind);
     }
     if (isLost === this.#isLost) return;
     this.#isLost = isLost;
-    if (isLost) log(EVENTS.platformLost, { kind, reason });
-    else log(EVENTS.platformBack, { kind });
+    if (isLost) log(LOG_EVENTS.platformUnreachable, { kind, reason });
+    else log(LOG_EVENTS.platformRecovered, { kind });
   }
 }
 
-function describeSign({ entry, ageMs }: ReaderSign): string {
+function describeSign({ entry, ageMs }: ReaderLiveness): string {
   return `${entry} ${ageMs} ms ago`;
 }
--- a/src/process/object_watch_test.ts
+++ b/src/process/object_watch_test.ts
@@ -1,13 +1,10 @@
 /** When an entry asks the store, and what it makes of an outage. */
 
 import { afterEach, expect, test } from "vitest";
-import type {
-  ObjectChanges,
-  SharedObjects,
-} from "../connection/shared_objects.ts";
+import type { ObjectStore, WatchResult } from "../connection/object_store.ts";
 import type { EntryId, ObjectRevision } from "../ids.ts";
 import { ObjectWatch } from "./object_watch.ts";
-import { StoreReaders } from "./store_readers.ts";
+import { ReaderElection } from "./reader_election.ts";
 
 const SELF = "entry-self" as EntryId;
 const OTHERS = Array.from(
@@ -25,17 +22,17 @@
 afterEach(() => watch.close());
 
 /** A store at revision 7 whose watches end after 20 ms with one change. */
-function createStore(calls: Calls): SharedObjects {
+function createStore(calls: Calls): ObjectStore {
   const unused = () => Promise.reject(new Error("not used"));
   return {
     list: () => {
       calls.lists++;
       return Promise.resolve({ objects: [], revision: 7 as ObjectRevision });
     },
-    watch: ({ from }) => {
+    watch: ({ sinceRevision: from }) => {
       calls.watchedFrom.push(from);
       const object = { name: "a", revision: from, spec: {}, status: {} };
-      const answer: ObjectChanges = {
+      const answer: WatchResult = {
         changes: [{ object, isDeleted: false }],
         revision: from + 1 as ObjectRevision,
       };
@@ -53,16 +50,19 @@
   const calls: Calls = { lists: 0, watchedFrom: [] };
   const clock = { nowMs: 0 };
   const outages: boolean[] = [];
-  const readers = StoreReaders.create({ entry: SELF, now: () => clock.nowMs });
+  const readers = ReaderElection.create({
+    entry: SELF,
+    now: () => clock.nowMs,
+  });
   watch = ObjectWatch.create({
     objects: createStore(calls),
     kind: "things",
     log: () => undefined,
     random: () => 0,
     waitMs: 20,
-    gatherMs: 0,
-    outageMinMs: 2_200,
-    readers,
+    batchDelayMs: 0,
+    outageThresholdMs: 2_200,
+    readerElection: readers,
     onList: () => undefined,
     onChanges: (_, isAfterOutage) => outages.push(isAfterOutage),
   });
@@ -80,8 +80,8 @@
   await expect.poll(() => calls.lists).toBe(1);
   await new Promise((resolve) => setTimeout(resolve, 1_200));
   expect(calls.watchedFrom).toEqual([]);
-  expect(watch.refresh()).toBe(true);
-  expect(watch.refresh()).toBe(false);
+  expect(watch.requestRelist()).toBe(true);
+  expect(watch.requestRelist()).toBe(false);
   await expect.poll(() => calls.lists).toBe(2);
 });
 
--- a/src/process/pause_guard.ts
+++ b/src/process/pause_detector.ts
@@ -4,7 +4,7 @@
  */
 
 /** How a guard measures time and renews views. */
-export interface PauseGuardOptions {
+export interface PauseDetectorOptions {
   /** Monotonic clock, in ms. */
   readonly now: () => number;
   /** Called after a pause, before new work; must end by itself. */
@@ -13,24 +13,24 @@
 
 const BEAT_MS = 100;
 /** A gap between beats beyond this counts as a pause, in ms. */
-export const PAUSE_LIMIT_MS = 1_000;
+export const PAUSE_THRESHOLD_MS = 1_000;
 
 /** Holds new work back after a pause until the views are refreshed. */
-export class PauseGuard {
-  readonly #options: PauseGuardOptions;
+export class PauseDetector {
+  readonly #options: PauseDetectorOptions;
   readonly #timer: NodeJS.Timeout;
   #lastBeatMs: number;
   #refreshing: Promise<void> | undefined;
 
-  private constructor(options: PauseGuardOptions) {
+  private constructor(options: PauseDetectorOptions) {
     this.#options = options;
     this.#lastBeatMs = options.now();
     this.#timer = setInterval(() => this.#beat(), BEAT_MS);
   }
 
   /** Starts watching for pauses. */
-  static create(options: PauseGuardOptions): PauseGuard {
-    return new PauseGuard(options);
+  static create(options: PauseDetectorOptions): PauseDetector {
+    return new PauseDetector(options);
   }
 
   /** Stops watching. */
@@ -48,7 +48,7 @@
     const now = this.#options.now();
     const pausedMs = now - this.#lastBeatMs;
     this.#lastBeatMs = now;
-    if (pausedMs < PAUSE_LIMIT_MS) return;
+    if (pausedMs < PAUSE_THRESHOLD_MS) return;
     this.#refreshing = this.#options.refresh(pausedMs).finally(() => {
       this.#refreshing = undefined;
     });
--- a/src/process/other_loads.ts
+++ b/src/process/peer_loads.ts
@@ -15,7 +15,7 @@
 const FRESH_MS = 1_500;
 
 /** What each other entry said last. */
-export class OtherLoads {
+export class PeerLoads {
   readonly #now: () => number;
   readonly #entries = new Map<EntryId, EntryLoads>();
 
@@ -24,8 +24,8 @@
   }
 
   /** Starts without entries; `now` is a monotonic clock in ms. */
-  static create(now: () => number): OtherLoads {
-    return new OtherLoads(now);
+  static create(now: () => number): PeerLoads {
+    return new PeerLoads(now);
   }
 
   /** Takes over what an entry says. */
@@ -39,7 +39,7 @@
   }
 
   /** Count of entries heard of lately. */
-  get entryCount(): number {
+  get peerCount(): number {
     this.#dropStale();
     return this.#entries.size;
   }
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -9,7 +9,7 @@
 import { listen } from "../connection/http_server.ts";
 import { PeerLink, type PeerLinkHandlers } from "../connection/peer_link.ts";
 import {
-  type Digest,
+  type GossipDigest,
   packMessage,
   PEER_KEY_HEADER,
   PEER_MESSAGE_MAX_BYTES,
@@ -19,8 +19,8 @@
 import { DIGEST_FANOUT, DIGEST_INTERVAL_MS } from "../constants.ts";
 import { hashParts } from "../hashing.ts";
 import type { ContentHash, EntryId } from "../ids.ts";
-import { EVENTS } from "./event_catalog.ts";
-import type { Standing } from "./fleet.ts";
+import { LOG_EVENTS } from "./log_events.ts";
+import type { EntryPosition } from "./server_pool.ts";
 import type { Log } from "./log.ts";
 
 /** What the exchange needs of its entry. */
@@ -28,15 +28,15 @@
   readonly entry: EntryId;
   readonly key: string;
   readonly log: Log;
-  readonly createDigest: () => Digest;
-  readonly onDigest: (digest: Digest, link: PeerLink) => void;
+  readonly createDigest: () => GossipDigest;
+  readonly onDigest: (digest: GossipDigest, link: PeerLink) => void;
   /** Called when a link to an entry ended. */
   readonly onPeerLost?: (entry: EntryId) => void;
   readonly readChunk: (hash: ContentHash) => string | undefined;
   /** Returns changes of this entry's list of servers; none if absent. */
   readonly readChanges?: (after: number) => ServerChanges;
   /** How often digests are sent, in ms. */
-  readonly intervalMs?: number;
+  readonly digestIntervalMs?: number;
 }
 
 /** Only each second digest is sent where there are many entries. */
@@ -46,7 +46,7 @@
  * what an entry sees itself: in the emulator (59 entries) streams take as long
  * with digests each 600 ms as each 150 ms.
  */
-export const CROWD_MIN = 2 * DIGEST_FANOUT + 2;
+export const PARTIAL_MESH_MIN_ENTRIES = 2 * DIGEST_FANOUT + 2;
 /** Time in which news gathers before it is sent, in ms; prompts come some ms apart. */
 const NEWS_GATHER_MS = 10;
 
@@ -91,7 +91,7 @@
     this.#server.on("upgrade", (request, socket, head) => {
       this.#accept(request, socket, head);
     });
-    const { intervalMs = DIGEST_INTERVAL_MS } = options;
+    const { digestIntervalMs: intervalMs = DIGEST_INTERVAL_MS } = options;
     this.#timer = setInterval(() => this.#exchange(), intervalMs);
   }
 
@@ -124,14 +124,14 @@
   }
 
   /** Where this entry stands among the live ones, itself included. */
-  get standing(): Standing {
+  get entryPosition(): EntryPosition {
     const names = this.#others().map(({ name }) => name);
     const before = names.filter((name) => name < this.#options.entry);
     return { index: before.length, count: names.length + 1 };
   }
 
   /** Sends a digest now, to every peer that is linked. */
-  announce(): void {
+  broadcastDigest(): void {
     const bytes = packMessage(this.#options.createDigest());
     for (const link of this.#linkedOnce()) link.sendPacked(bytes);
   }
@@ -150,10 +150,10 @@
   }
 
   /** Sends a digest soon, together with other news of the next moments. */
-  announceSoon(): void {
+  scheduleDigestBroadcast(): void {
     this.#announcement ??= setTimeout(() => {
       this.#announcement = undefined;
-      this.announce();
+      this.broadcastDigest();
     }, NEWS_GATHER_MS);
   }
 
@@ -161,13 +161,13 @@
    * Tells soon where work went. Among many entries that would cost a digest a
    * link for each stream, 82 a second at letter 1's size, and reach few of them.
    */
-  announceWork(): void {
-    if (!this.#isCrowded) this.announceSoon();
+  schedulePlacementBroadcast(): void {
+    if (!this.#isCrowded) this.scheduleDigestBroadcast();
   }
 
   get #isCrowded(): boolean {
     return this.#accepted.size > DIGEST_FANOUT ||
-      this.#entries.length >= CROWD_MIN;
+      this.#entries.length >= PARTIAL_MESH_MIN_ENTRIES;
   }
 
   /** Asks the open links, one after the other, for a chunk. */
@@ -268,12 +268,12 @@
         ...this.#handlers(),
         onOpen: () => {
           this.#redials.delete(address);
-          this.#options.log(EVENTS.peerConnected, { peer: name });
+          this.#options.log(LOG_EVENTS.peerConnected, { peer: name });
         },
         onClose: (_, wasOpen) => {
           this.#dialled.delete(address);
           if (!wasOpen) return this.#postpone(address);
-          this.#options.log(EVENTS.peerLost, { peer: name });
+          this.#options.log(LOG_EVENTS.peerDisconnected, { peer: name });
           this.#options.onPeerLost?.(name as EntryId);
         },
       },
@@ -284,6 +284,6 @@
   #exchange(): void {
     this.#dialChosen();
     this.#turn = (this.#turn + 1) % (this.#isCrowded ? CROWDED_TURNS : 1);
-    if (this.#turn === 0) this.announce();
+    if (this.#turn === 0) this.broadcastDigest();
   }
 }
--- a/src/process/peers_test.ts
+++ b/src/process/peers_test.ts
@@ -3,9 +3,9 @@
 import { createServer, type Server } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, expect, test } from "vitest";
-import { takeKnownPort } from "../../bench/known_port.ts";
+import { reservePort } from "../../bench/reserve_port.ts";
 import { InstanceState } from "../connection/instance.ts";
-import type { Digest } from "../connection/peer_protocol.ts";
+import type { GossipDigest } from "../connection/peer_protocol.ts";
 import type { EntryId } from "../ids.ts";
 import { Peers } from "./peers.ts";
 
@@ -28,8 +28,8 @@
     entry: entry as EntryId,
     key: "key",
     log: () => undefined,
-    intervalMs: INTERVAL_MS,
-    createDigest: () => ({ kind: "digest", entry }) as unknown as Digest,
+    digestIntervalMs: INTERVAL_MS,
+    createDigest: () => ({ kind: "digest", entry }) as unknown as GossipDigest,
     onDigest: (digest) => heard.push(digest.entry),
     readChunk: () => undefined,
   });
@@ -61,7 +61,7 @@
 }
 
 test("an entry that can't be reached is dialled more and more seldom", async () => {
-  const port = await takeKnownPort();
+  const port = await reservePort();
   const count = await listenInVain(port);
   know(createPeers("a"), "b", port);
   await sleep(WATCHED_MS);
@@ -72,7 +72,7 @@
 
 test("an entry that comes back is linked again within the longest pause", async () => {
   const heard: string[] = [];
-  const port = await takeKnownPort();
+  const port = await reservePort();
   const peers = createPeers("a", heard);
   know(peers, "b", port);
   await sleep(1_000);
@@ -86,7 +86,7 @@
   const told: number[] = [];
   for (const others of [0, 20]) {
     const heard: string[] = [];
-    const port = await takeKnownPort();
+    const port = await reservePort();
     const peer = createPeers("b", heard);
     await peer.listen(HOST, port);
     const peers = createPeers("a");
@@ -98,7 +98,7 @@
     counts.push(heard.length);
     heard.length = 0;
     for (let placed = 0; placed < WORK_PLACED; placed++) {
-      peers.announceWork();
+      peers.schedulePlacementBroadcast();
       await sleep(WORK_EACH_MS);
     }
     await sleep(ARRIVED_MS);
--- a/src/process/prompt_places.ts
+++ b/src/process/prompt_cache_index.ts
@@ -4,7 +4,7 @@
  */
 
 /** What the places need of their process. */
-export interface PromptPlacesOptions {
+export interface PromptCacheIndexOptions {
   /** Monotonic clock, in ms. */
   readonly now: () => number;
 }
@@ -23,23 +23,23 @@
 const PLACES_MAX = 5_000;
 
 /** Servers by prompt. */
-export class PromptPlaces {
+export class PromptCacheIndex {
   readonly #now: () => number;
   readonly #places = new Map<string, PromptPlace>();
   /** Count of open streams by prompt. */
   readonly #open = new Map<string, number>();
 
-  private constructor({ now }: PromptPlacesOptions) {
+  private constructor({ now }: PromptCacheIndexOptions) {
     this.#now = now;
   }
 
   /** Starts empty. */
-  static create(options: PromptPlacesOptions): PromptPlaces {
-    return new PromptPlaces(options);
+  static create(options: PromptCacheIndexOptions): PromptCacheIndex {
+    return new PromptCacheIndex(options);
   }
 
   /** Notes where a prompt is read; a request without one shares none. */
-  note(prompt: string, server: string, isOwn = true): void {
+  record(prompt: string, server: string, isOwn = true): void {
     if (prompt === "") return;
     // Deleting first keeps the oldest place at the front.
     this.#places.delete(prompt);
@@ -55,7 +55,7 @@
    * entry ends first, the caller comes back to one that may have started since.
    * Returns what ends that.
    */
-  hold(prompt: string): () => void {
+  trackOpenStream(prompt: string): () => void {
     this.#open.set(prompt, (this.#open.get(prompt) ?? 0) + 1);
     return () => {
       const left = (this.#open.get(prompt) ?? 1) - 1;
@@ -65,7 +65,7 @@
   }
 
   /** Returns the server that read a prompt lately, if any. */
-  find(prompt: string): string | undefined {
+  findServer(prompt: string): string | undefined {
     const place = this.#places.get(prompt);
     if (place === undefined) return undefined;
     if (this.#now() - place.notedMs <= KEPT_MS) return place.server;
@@ -74,7 +74,7 @@
   }
 
   /** Returns the places that this entry noted just now, and those of open streams. */
-  news(): readonly (readonly [string, string])[] {
+  digest(): readonly (readonly [string, string])[] {
     const sinceMs = this.#now() - NEWS_MS;
     return [...this.#places]
       .filter(([prompt, { isOwn, notedMs }]) =>
--- a/src/process/store_readers.ts
+++ b/src/process/reader_election.ts
@@ -11,21 +11,21 @@
 import type { EntryId } from "../ids.ts";
 
 /** How long ago an entry last had an answer of the store, or found that it has none. */
-export interface ReaderSign {
+export interface ReaderLiveness {
   readonly entry: EntryId;
   readonly ageMs: number;
   readonly isLost?: boolean;
 }
 
 /** What the choice of readers needs of its process. */
-export interface StoreReadersOptions {
+export interface ReaderElectionOptions {
   readonly entry: EntryId;
   /** Monotonic clock, in ms. */
   readonly now: () => number;
   /** Whether links reach only a part of the entries; all of them if absent. */
-  readonly isCrowded?: () => boolean;
+  readonly isPartialMesh?: () => boolean;
   /** Called when this entry lost the store, which others should hear at once. */
-  readonly onLoss?: () => void;
+  readonly onStoreUnreachable?: () => void;
 }
 
 /** Entries that read for all; one may be lost without a gap. */
@@ -46,8 +46,8 @@
 const SPARE_SIGNS = 2;
 
 /** When each reader known here last reached the store. */
-export class StoreReaders {
-  readonly #options: StoreReadersOptions;
+export class ReaderElection {
+  readonly #options: ReaderElectionOptions;
   /** Hash of each entry's name; hashing it at each question costs too much. */
   readonly #ranks = new Map<EntryId, string>();
   /** When the store last answered an entry, on this entry's clock in ms. */
@@ -61,18 +61,18 @@
   /** When other entries last sent anything, in ms. */
   readonly #heardMs = new Map<EntryId, number>();
 
-  private constructor(options: StoreReadersOptions) {
+  private constructor(options: ReaderElectionOptions) {
     this.#options = options;
     this.#reachedMs = options.now();
   }
 
   /** Starts without signs, so that the entry reads for itself. */
-  static create(options: StoreReadersOptions): StoreReaders {
-    return new StoreReaders(options);
+  static create(options: ReaderElectionOptions): ReaderElection {
+    return new ReaderElection(options);
   }
 
   /** Notes that the store answered this entry about a kind. */
-  noteContact(kind: string): void {
+  recordSuccess(kind: string): void {
     const nowMs = this.#options.now();
     this.#ownContactMs.set(kind, nowMs);
     this.#reachedMs = nowMs;
@@ -82,8 +82,8 @@
   }
 
   /** Notes that the store did not answer this entry about a kind. */
-  noteLoss(kind: string): void {
-    const { entry, now, onLoss } = this.#options;
+  recordFailure(kind: string): void {
+    const { entry, now, onStoreUnreachable: onLoss } = this.#options;
     const wasReached = this.#ownContactMs.get(kind) !== NEVER_MS;
     this.#ownContactMs.set(kind, NEVER_MS);
     this.#contactMs.delete(entry);
@@ -92,12 +92,12 @@
   }
 
   /** Time since the store last answered any entry, as far as is known, in ms. */
-  get awayMs(): number {
+  get lastSuccessAgeMs(): number {
     return this.#options.now() - this.#reachedMs;
   }
 
   /** Takes over what another entry knows of the readers. */
-  merge(sender: EntryId, signs: readonly ReaderSign[]): void {
+  merge(sender: EntryId, signs: readonly ReaderLiveness[]): void {
     const nowMs = this.#options.now();
     this.#heardMs.set(sender, nowMs);
     for (const { entry, ageMs, isLost } of signs) {
@@ -118,7 +118,7 @@
   }
 
   /** Returns the signs that other entries are told. */
-  signs(): readonly ReaderSign[] {
+  liveness(): readonly ReaderLiveness[] {
     const lost = this.#fresh(this.#lostMs)
       .map((entry) => ({ ...this.#sign(entry, this.#lostMs), isLost: true }));
     const contacts = this.#reached()
@@ -128,7 +128,7 @@
     return [...contacts, ...lost];
   }
 
-  #sign(entry: EntryId, times: ReadonlyMap<EntryId, number>): ReaderSign {
+  #sign(entry: EntryId, times: ReadonlyMap<EntryId, number>): ReaderLiveness {
     const nowMs = this.#options.now();
     return { entry, ageMs: Math.round(nowMs - (times.get(entry) ?? nowMs)) };
   }
@@ -139,7 +139,7 @@
   }
 
   /** Whether any entry, this one included, reached the store lately. */
-  get isStoreReached(): boolean {
+  get isStoreReachable(): boolean {
     return this.#reached().length > 0;
   }
 
@@ -165,7 +165,7 @@
   }
 
   #fresh(times: Map<EntryId, number>): EntryId[] {
-    const { now, isCrowded } = this.#options;
+    const { now, isPartialMesh: isCrowded } = this.#options;
     const maxMs = isCrowded?.() ? CROWDED_SIGN_MAX_MS : SIGN_MAX_MS;
     const sinceMs = now() - maxMs;
     for (const [entry, timeMs] of times) {
--- a/src/process/store_readers_test.ts
+++ b/src/process/reader_election_test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "vitest";
 import type { EntryId } from "../ids.ts";
-import { StoreReaders } from "./store_readers.ts";
+import { ReaderElection } from "./reader_election.ts";
 
 const KIND = "servers";
 const COUNT = 60;
@@ -12,10 +12,10 @@
   const clock = { nowMs: 0 };
   const entries = Array.from({ length: COUNT }, (_, at) => {
     const entry = `entry-${at}` as EntryId;
-    const readers = StoreReaders.create({
+    const readers = ReaderElection.create({
       entry,
       now: () => clock.nowMs,
-      isCrowded: () => true,
+      isPartialMesh: () => true,
     });
     return { entry, readers, isAlive: true, reachesStore: true };
   });
@@ -25,8 +25,8 @@
       for (const step of [1, 7, 23]) {
         const receiver = entries[(at + step) % COUNT];
         if (receiver === undefined || !receiver.isAlive) continue;
-        receiver.readers.merge(sender.entry, sender.readers.signs());
-        sender.readers.merge(receiver.entry, receiver.readers.signs());
+        receiver.readers.merge(sender.entry, sender.readers.liveness());
+        sender.readers.merge(receiver.entry, receiver.readers.liveness());
       }
     });
   };
@@ -37,7 +37,7 @@
       clock.nowMs += ROUND_MS;
       for (const { readers, isAlive, reachesStore } of entries) {
         if (isAlive && reachesStore && readers.mustRead) {
-          readers.noteContact(KIND);
+          readers.recordSuccess(KIND);
         }
       }
       exchange();
@@ -70,7 +70,7 @@
   const lost = run(3_000);
   for (const reader of lost) {
     reader.reachesStore = false;
-    reader.readers.noteLoss(KIND);
+    reader.readers.recordFailure(KIND);
   }
   const others = run(900).filter(({ reachesStore }) => reachesStore);
   expect(others.length).toBeGreaterThanOrEqual(2);
@@ -78,35 +78,35 @@
 
 test("an entry that is answered about one kind only is no reader", () => {
   const clock = { nowMs: 0 };
-  const readers = StoreReaders.create({
+  const readers = ReaderElection.create({
     entry: "entry-1" as EntryId,
     now: () => clock.nowMs,
   });
-  for (const kind of [KIND, "config"]) readers.noteContact(kind);
-  expect(readers.signs().map(({ isLost }) => isLost)).toEqual([undefined]);
-  readers.noteLoss(KIND);
+  for (const kind of [KIND, "config"]) readers.recordSuccess(kind);
+  expect(readers.liveness().map(({ isLost }) => isLost)).toEqual([undefined]);
+  readers.recordFailure(KIND);
   clock.nowMs = 500;
-  readers.noteContact("config");
-  expect(readers.signs().map(({ isLost }) => isLost)).toEqual([true]);
-  readers.noteContact(KIND);
-  expect(readers.isStoreReached).toBe(true);
+  readers.recordSuccess("config");
+  expect(readers.liveness().map(({ isLost }) => isLost)).toEqual([true]);
+  readers.recordSuccess(KIND);
+  expect(readers.isStoreReachable).toBe(true);
 });
 
 test("others are told once that the store is lost, not at each failing call", () => {
   let told = 0;
-  const readers = StoreReaders.create({
+  const readers = ReaderElection.create({
     entry: "entry-1" as EntryId,
     now: () => 0,
-    onLoss: () => told++,
+    onStoreUnreachable: () => told++,
   });
-  readers.noteContact(KIND);
-  for (let failure = 0; failure < 5; failure++) readers.noteLoss(KIND);
+  readers.recordSuccess(KIND);
+  for (let failure = 0; failure < 5; failure++) readers.recordFailure(KIND);
   expect(told).toBe(1);
 });
 
 test("where few entries are, a reader that falls silent counts for 1.2 s", () => {
   const clock = { nowMs: 0 };
-  const readers = StoreReaders.create({
+  const readers = ReaderElection.create({
     entry: "entry-1" as EntryId,
     now: () => clock.nowMs,
   });
@@ -116,14 +116,14 @@
   }));
   readers.merge("other-0" as EntryId, others);
   clock.nowMs = 1_100;
-  const before = readers.isStoreReached;
+  const before = readers.isStoreReachable;
   clock.nowMs = 1_300;
-  expect([before, readers.isStoreReached]).toEqual([true, false]);
+  expect([before, readers.isStoreReachable]).toEqual([true, false]);
 });
 
 test("an entry that hears nobody reads for itself", () => {
   const clock = { nowMs: 0 };
-  const readers = StoreReaders.create({
+  const readers = ReaderElection.create({
     entry: "entry-1" as EntryId,
     now: () => clock.nowMs,
   });
@@ -136,7 +136,7 @@
   expect(readers.mustRead).toBe(false);
   clock.nowMs = 1_900;
   expect(readers.mustRead).toBe(true);
-  expect(readers.isStoreReached).toBe(false);
+  expect(readers.isStoreReachable).toBe(false);
 });
 
 test("while nobody reaches the store, only the first of the entries heard keep trying", () => {
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -1,42 +1,42 @@
 /** The core of an entry that relays orders: its views, its queue, its budget. */
 
-import type { Reporter } from "../connection/backend_report.ts";
+import type { ReportFetcher } from "../connection/backend_report.ts";
 import {
-  type Digest,
-  type OrderDigest,
+  type GossipDigest,
   PeerMessageKind,
+  type RelayDigest,
   type ServerChanges,
 } from "../connection/peer_protocol.ts";
 import type { EntryId, ObjectRevision } from "../ids.ts";
-import type { OrderWish } from "../request/place_order.ts";
-import type { CopyReleaser, RunCopier } from "../request/run_copies.ts";
+import type { SlotRequest } from "../request/acquire_slot.ts";
+import type { KvCopier, KvCopyReleaser } from "../request/kv_copy_manager.ts";
 import type { RouteTable } from "../version/route_table.ts";
-import { CallerTimes } from "./caller_times.ts";
+import { CallerWaitEstimator } from "./caller_wait_estimator.ts";
 import { Dispatcher } from "./dispatcher.ts";
-import { type EntryView, groupServers } from "./entry_view.ts";
-import { EVENTS } from "./event_catalog.ts";
+import { type EntryView, groupServersByState } from "./entry_view.ts";
+import { LOG_EVENTS } from "./log_events.ts";
 import type { LiveServer } from "./live_server.ts";
 import { LiveServers } from "./live_servers.ts";
 import type { Log } from "./log.ts";
-import { OtherLoads } from "./other_loads.ts";
-import { CROWD_MIN } from "./peers.ts";
-import { PromptPlaces } from "./prompt_places.ts";
+import { PeerLoads } from "./peer_loads.ts";
+import { PARTIAL_MESH_MIN_ENTRIES } from "./peers.ts";
+import { PromptCacheIndex } from "./prompt_cache_index.ts";
 import type { RelayContext } from "./relay_context.ts";
 import { RelayMetrics } from "./relay_metrics.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { ServerList } from "./server_list.ts";
 import { ServerReports } from "./server_reports.ts";
 import { QueueOrder, Routing } from "./settings.ts";
-import { StoreReaders } from "./store_readers.ts";
-import { Suspicions } from "./suspicions.ts";
+import { ReaderElection } from "./reader_election.ts";
+import { CrashSuspicions } from "./crash_suspicions.ts";
 
 /** What a relay needs of its process. */
 export interface RelayOptions {
   readonly entry: EntryId;
   readonly log: Log;
-  readonly askReport: Reporter;
-  readonly copyRun: RunCopier;
-  readonly freeCopy: CopyReleaser;
+  readonly fetchReport: ReportFetcher;
+  readonly copyKvCache: KvCopier;
+  readonly releaseKvCopy: KvCopyReleaser;
   /** Monotonic clock, in ms. */
   readonly now: () => number;
   /** Number from 0 up to 1. */
@@ -47,9 +47,9 @@
   /** Which waiting order is served first; fair if absent. */
   readonly queueOrder?: QueueOrder;
   /** Called when a stream was given to a server. */
-  readonly onWorkPlaced?: () => void;
+  readonly onStreamPlaced?: () => void;
   /** Called when the store told of a change that other entries may not know. */
-  readonly onNews?: () => void;
+  readonly onStoreChange?: () => void;
 }
 
 /** A change of the platform's list of servers. */
@@ -72,10 +72,10 @@
   readonly context: RelayContext;
   readonly servers: LiveServers;
   readonly #options: RelayOptions;
-  readonly #others: OtherLoads;
+  readonly #others: PeerLoads;
   readonly #list: ServerList;
   /** Decides whether this entry reads the store for all. */
-  readonly readers: StoreReaders;
+  readonly readerElection: ReaderElection;
   /** Resolves once the first configuration is in force. */
   readonly configured: Promise<void>;
   #setConfigured: () => void = () => undefined;
@@ -87,25 +87,25 @@
     this.configured = new Promise((resolve) => this.#setConfigured = resolve);
     const { entry, log, now, random } = options;
     this.#list = ServerList.create({ now });
-    this.readers = StoreReaders.create({
+    this.readerElection = ReaderElection.create({
       entry,
       now,
-      isCrowded: () => this.entryCount >= CROWD_MIN,
-      onLoss: () => options.onNews?.(),
+      isPartialMesh: () => this.entryCount >= PARTIAL_MESH_MIN_ENTRIES,
+      onStoreUnreachable: () => options.onStoreChange?.(),
     });
-    this.#others = OtherLoads.create(now);
+    this.#others = PeerLoads.create(now);
     this.servers = LiveServers.create({
       now,
       random,
       log,
-      memoryTokensOf: (service) => this.#memoryTokensOf(service),
-      onRoom: () => dispatcher.pump(),
+      kvCacheTokensOf: (service) => this.#memoryTokensOf(service),
+      onCapacityAvailable: () => dispatcher.pump(),
     });
     const { servers } = this;
-    const dispatcher = Dispatcher.create<OrderWish>({
+    const dispatcher = Dispatcher.create<SlotRequest>({
       now,
       log,
-      queueLength: QUEUE_LENGTH,
+      queueMaxLength: QUEUE_LENGTH,
       policy: {
         queueOrder: options.queueOrder ?? QueueOrder.Fair,
         routing: Routing.LeastLoaded,
@@ -113,13 +113,13 @@
         preempts: false,
         refusesEarly: true,
       },
-      fleet: {
+      pool: {
         choose: (wish) => servers.choose(wish),
-        begin: (name, { load, onPlaced }) => {
+        begin: (name, { load, onAssigned: onPlaced }) => {
           servers.begin(name, load);
           onPlaced?.(name);
           // Others that choose in the same moment would choose the same server.
-          if (load.tokens > 0) options.onWorkPlaced?.();
+          if (load.tokens > 0) options.onStreamPlaced?.();
         },
         end: (name, { load }) => servers.end(name, load),
       },
@@ -129,22 +129,22 @@
       now,
       servers,
       dispatcher,
-      reports: ServerReports.create(now, options.askReport),
-      prompts: PromptPlaces.create({ now }),
-      suspicions: Suspicions.create({ now, onRecord: () => undefined }),
+      reports: ServerReports.create(now, options.fetchReport),
+      promptCacheIndex: PromptCacheIndex.create({ now }),
+      suspicions: CrashSuspicions.create({ now, onRecord: () => undefined }),
       metrics: RelayMetrics.create(),
-      budget: RetryBudget.create({
+      retryBudget: RetryBudget.create({
         now,
         ratio: options.retryRatio,
         allowance: options.retryAllowance,
         windowMs: options.retryWindowMs,
         entryCount: () => this.entryCount,
       }),
-      callerTimes: CallerTimes.create(now),
-      copyRun: options.copyRun,
-      freeCopy: options.freeCopy,
-      canBackUp: (service) =>
-        this.#routes?.service(service)?.engine?.canBackUp === true,
+      callerWaits: CallerWaitEstimator.create(now),
+      copyKvCache: options.copyKvCache,
+      releaseKvCopy: options.releaseKvCopy,
+      supportsKvBackup: (service) =>
+        this.#routes?.service(service)?.engine?.supportsKvBackup === true,
     };
   }
 
@@ -159,41 +159,41 @@
   }
 
   /** Version of the configuration in force, and -1 before the first. */
-  get configuration(): number {
+  get configurationVersion(): number {
     return this.#routes?.version ?? -1;
   }
 
   /** Count of entries, this one included: those heard of, or registered. */
   get entryCount(): number {
-    return Math.max(this.#registered, this.#others.entryCount + 1);
+    return Math.max(this.#registered, this.#others.peerCount + 1);
   }
 
   /** Takes over how many entries are registered; links reach only some. */
-  setRegistered(count: number): void {
+  setRegisteredEntryCount(count: number): void {
     this.#registered = count;
   }
 
   /** Notes that a link to an entry ended, most likely with its process. */
-  losePeer(entry: EntryId): void {
-    this.readers.forget(entry);
-    this.#list.forget(entry);
+  removePeer(entry: EntryId): void {
+    this.readerElection.forget(entry);
+    this.#list.forgetPeer(entry);
     this.#others.forget(entry);
-    this.servers.setOthers(() => this.#others.total());
+    this.servers.setPeerLoads(() => this.#others.total());
   }
 
   /** Whether the list of servers has to be read from the store anew. */
-  get isListDoubtful(): boolean {
-    return this.#list.isDoubtful;
+  get needsServerRelist(): boolean {
+    return this.#list.needsRelist;
   }
 
   /** Puts a configuration in force unless it is older; returns whether it did. */
   adopt(table: RouteTable, source: string): boolean {
-    if (table.version <= this.configuration) return false;
+    if (table.version <= this.configurationVersion) return false;
     this.#routes = table;
     this.#setConfigured();
-    this.servers.refreshMemory();
-    this.context.metrics.version.set(table.version);
-    this.#options.log(EVENTS.revisionAdopted, {
+    this.servers.refreshMemoryLimits();
+    this.context.metrics.configurationVersion.set(table.version);
+    this.#options.log(LOG_EVENTS.revisionAdopted, {
       revision: table.version,
       source,
     });
@@ -206,7 +206,7 @@
    * @param isAfterOutage whether entries may be missing that lapsed while the
    * store was away; their servers stay in use until they had time to return
    */
-  setServers(
+  replaceServerList(
     servers: readonly ServerChange[],
     { revision, isAfterOutage }: {
       readonly revision: ObjectRevision;
@@ -218,11 +218,11 @@
     for (const missing of this.#list.missing(listed, revision)) {
       this.#drop(missing, isAfterOutage);
     }
-    this.#list.confirm();
+    this.#list.markLoaded();
   }
 
-  /** Takes over changes of the list; see `setServers`. */
-  changeServers(
+  /** Takes over changes of the list; see `replaceServerList`. */
+  applyServerChanges(
     changes: readonly ServerChange[],
     isAfterOutage: boolean,
   ): void {
@@ -247,12 +247,12 @@
 
   /** Takes over a change that the store told, and has it passed on at once. */
   #takeFromStore(change: ServerChange): void {
-    if (this.#changeServer(change)) this.#options.onNews?.();
+    if (this.#changeServer(change)) this.#options.onStoreChange?.();
   }
 
   /** Takes over a change unless a newer one is known; returns whether it did. */
   #changeServer({ name, revision, server }: ServerChange): boolean {
-    const isNew = this.#list.take({ name, revision, server: server ?? null });
+    const isNew = this.#list.apply({ name, revision, server: server ?? null });
     if (!isNew) return false;
     if (server === undefined) this.servers.delete(name);
     else this.servers.set(server);
@@ -262,16 +262,16 @@
   /** Returns what this entry knows, for its log. */
   view(): EntryView {
     return {
-      configuration: this.configuration,
+      configuration: this.configurationVersion,
       listed: this.#list.checksum.toString(CHECKSUM_RADIX),
-      isReading: this.readers.mustRead,
+      isReading: this.readerElection.mustRead,
       entries: this.entryCount,
-      ...groupServers(this.servers.views(), this.#options.now()),
+      ...groupServersByState(this.servers.views(), this.#options.now()),
     };
   }
 
   /** Returns what other entries are told. */
-  createDigest(): Digest {
+  createDigest(): GossipDigest {
     return {
       kind: PeerMessageKind.Digest,
       entry: this.#options.entry,
@@ -282,26 +282,26 @@
   }
 
   /** Takes over what another entry tells. */
-  takeDigest({ entry, orders, suspicions }: Digest): void {
+  mergeDigest({ entry, orders, suspicions }: GossipDigest): void {
     this.context.suspicions.merge(suspicions);
     if (orders === undefined || entry === this.#options.entry) return;
     this.#others.set(entry, orders.loads);
-    this.servers.setOthers(() => this.#others.total());
+    this.servers.setPeerLoads(() => this.#others.total());
     for (const [prompt, server] of orders.prompts) {
-      this.context.prompts.note(prompt, server, false);
+      this.context.promptCacheIndex.record(prompt, server, false);
     }
-    for (const name of orders.dead) this.servers.hearLoss(name);
-    this.readers.merge(entry, orders.readers);
+    for (const name of orders.dead) this.servers.applyPeerEjection(name);
+    this.readerElection.merge(entry, orders.readers);
   }
 
   /**
    * Compares another entry's list of servers with this one; returns after which
    * of its changes this entry should ask for more, if any may be new.
    */
-  compareList({ entry, orders }: Digest): number | undefined {
+  compareServerList({ entry, orders }: GossipDigest): number | undefined {
     if (orders === undefined) return undefined;
     const { listed: checksum, changes } = orders;
-    return this.#list.compare(entry, { checksum, changes });
+    return this.#list.compare(entry, { checksum, changeCount: changes });
   }
 
   /** Returns changes of this entry's list of servers. */
@@ -310,27 +310,27 @@
   }
 
   /** Takes over changes of another entry's list of servers. */
-  takeChanges(entry: EntryId, { upTo, news }: ServerChanges): void {
+  mergeServerChanges(entry: EntryId, { upTo, news }: ServerChanges): void {
     for (const { server, ...change } of news) {
       this.#changeServer({ ...change, server: server ?? undefined });
     }
-    this.#list.noteSynced(entry, upTo);
+    this.#list.recordSynced(entry, upTo);
   }
 
-  #createOrderDigest(): OrderDigest {
+  #createOrderDigest(): RelayDigest {
     return {
-      configuration: this.configuration,
+      configuration: this.configurationVersion,
       loads: this.servers.ownLoads(),
-      prompts: this.context.prompts.news(),
-      changes: this.#list.changes,
+      prompts: this.context.promptCacheIndex.digest(),
+      changes: this.#list.changeCount,
       listed: this.#list.checksum,
-      readers: this.readers.signs(),
-      dead: this.servers.deadServers(),
+      readers: this.readerElection.liveness(),
+      dead: this.servers.unreachableServers(),
     };
   }
 
   #memoryTokensOf(service: string): number {
     const engine = this.#routes?.service(service)?.engine;
-    return engine?.memoryTokens ?? Number.POSITIVE_INFINITY;
+    return engine?.kvCacheTokens ?? Number.POSITIVE_INFINITY;
   }
 }
--- a/src/process/relay_metrics.ts
+++ b/src/process/relay_metrics.ts
@@ -13,14 +13,14 @@
     labelNames: ["route", "outcome"],
     registers: [this.registry],
   });
-  readonly firstByte = new Histogram({
+  readonly firstByteSeconds = new Histogram({
     name: "gypsumridge_order_first_byte_seconds",
     help: "Time from an order to the first byte of its answer",
     labelNames: ["route"],
     buckets: SECONDS_BUCKETS,
     registers: [this.registry],
   });
-  readonly losses = new Counter({
+  readonly attemptFailures = new Counter({
     name: "gypsumridge_order_losses_total",
     help: "Attempts lost by cause",
     labelNames: ["cause"],
@@ -32,17 +32,17 @@
     buckets: SECONDS_BUCKETS,
     registers: [this.registry],
   });
-  readonly open = new Gauge({
+  readonly openRequests = new Gauge({
     name: "gypsumridge_open_orders",
     help: "Orders being served",
     registers: [this.registry],
   });
-  readonly version = new Gauge({
+  readonly configurationVersion = new Gauge({
     name: "gypsumridge_configuration_version",
     help: "Version of the configuration in force",
     registers: [this.registry],
   });
-  readonly droppedLines = new Counter({
+  readonly droppedLogLines = new Counter({
     name: "gypsumridge_log_lines_dropped_total",
     help: "Log lines dropped because too many were written",
     registers: [this.registry],
--- a/src/process/server_list.ts
+++ b/src/process/server_list.ts
@@ -4,7 +4,10 @@
  */
 
 import { crc32 } from "node:zlib";
-import type { ServerChanges, ServerNews } from "../connection/peer_protocol.ts";
+import type {
+  ServerChangeRecord,
+  ServerChanges,
+} from "../connection/peer_protocol.ts";
 import type { EntryId, ObjectRevision } from "../ids.ts";
 
 /** What the list needs of its process. */
@@ -34,16 +37,16 @@
 }
 
 /** What another entry says of its list. */
-export interface OtherList {
+export interface PeerListState {
   readonly checksum: number;
   /** Its count of changes. */
-  readonly changes: number;
+  readonly changeCount: number;
 }
 
 /** What is known of each server that is or was listed. */
 export class ServerList {
   readonly #now: () => number;
-  readonly #held = new Map<string, ServerNews>();
+  readonly #held = new Map<string, ServerChangeRecord>();
   /** The latest change of each server, the oldest first. */
   readonly #changes = new Map<string, Change>();
   #count = 0;
@@ -71,7 +74,7 @@
   }
 
   /** Takes over a change unless a newer one is known; returns whether it did. */
-  take(news: ServerNews): boolean {
+  apply(news: ServerChangeRecord): boolean {
     const held = this.#held.get(news.name);
     if (held !== undefined && !isNewer(news, held)) return false;
     const { name, revision, server } = news;
@@ -81,13 +84,13 @@
     this.#goneMs.delete(name);
     if (server === null) this.#goneMs.set(name, this.#now());
     // Each entry reads a first list of its own.
-    if (this.isRead) this.#noteChange(name);
+    if (this.isLoaded) this.#noteChange(name);
     this.#forgetGone();
     return true;
   }
 
   /** Returns what is known of a server. */
-  find(name: string): ServerNews | undefined {
+  find(name: string): ServerChangeRecord | undefined {
     return this.#held.get(name);
   }
 
@@ -95,7 +98,7 @@
   missing(
     listed: ReadonlySet<string>,
     revision: ObjectRevision,
-  ): readonly ServerNews[] {
+  ): readonly ServerChangeRecord[] {
     return [...this.#held.values()].filter((held) =>
       held.server !== null && held.revision <= revision &&
       !listed.has(held.name)
@@ -103,13 +106,13 @@
   }
 
   /** Count of changes so far. */
-  get changes(): number {
+  get changeCount(): number {
     return this.#count;
   }
 
   /** Returns recent changes after the first `after`, the oldest first. */
   changesAfter(after: number): ServerChanges {
-    const news: ServerNews[] = [];
+    const news: ServerChangeRecord[] = [];
     for (const [name, { count }] of this.#changes) {
       const held = this.#held.get(name);
       if (count <= after || held === undefined) continue;
@@ -130,12 +133,12 @@
   }
 
   /** Whether the whole list was ever read from the store. */
-  get isRead(): boolean {
+  get isLoaded(): boolean {
     return this.#confirmedMs > Number.NEGATIVE_INFINITY;
   }
 
   /** Notes that the whole list was read from the store. */
-  confirm(): void {
+  markLoaded(): void {
     this.#confirmedMs = this.#now();
     this.#differsMs.clear();
   }
@@ -146,7 +149,7 @@
    */
   compare(
     entry: EntryId,
-    { checksum, changes }: OtherList,
+    { checksum, changeCount: changes }: PeerListState,
   ): number | undefined {
     if (checksum === this.#checksum) {
       this.#differsMs.delete(entry);
@@ -159,18 +162,18 @@
   }
 
   /** Notes that the changes of another entry were taken over. */
-  noteSynced(entry: EntryId, upTo: number): void {
+  recordSynced(entry: EntryId, upTo: number): void {
     this.#synced.set(entry, upTo);
   }
 
   /** Forgets an entry whose process may have ended: its next one counts anew. */
-  forget(entry: EntryId): void {
+  forgetPeer(entry: EntryId): void {
     this.#synced.delete(entry);
     this.#differsMs.delete(entry);
   }
 
   /** Whether the list may lack changes and has to be read anew. */
-  get isDoubtful(): boolean {
+  get needsRelist(): boolean {
     const nowMs = this.#now();
     if (nowMs - this.#confirmedMs < CONFIRMED_MS) return false;
     const sinceMs = Math.min(...this.#differsMs.values());
@@ -191,13 +194,13 @@
   }
 }
 
-function isNewer(news: ServerNews, held: ServerNews): boolean {
+function isNewer(news: ServerChangeRecord, held: ServerChangeRecord): boolean {
   if (news.revision !== held.revision) return news.revision > held.revision;
   // A removal bears the revision of what it removes.
   return news.server === null && held.server !== null;
 }
 
-function partOf(held: ServerNews | undefined): number {
+function partOf(held: ServerChangeRecord | undefined): number {
   if (held === undefined || held.server === null) return 0;
   return crc32(`${held.name} ${held.revision}`);
 }
--- a/src/process/server_list_test.ts
+++ b/src/process/server_list_test.ts
@@ -18,29 +18,29 @@
 
 test("the higher revision wins, whoever tells it and in whatever order", () => {
   const { list } = createList();
-  expect(list.take(news("i-1", 5))).toBe(true);
-  expect(list.take(news("i-1", 4))).toBe(false);
-  expect(list.take(news("i-1", 5, false))).toBe(true);
-  expect(list.take(news("i-1", 5))).toBe(false);
-  expect(list.take(news("i-1", 6))).toBe(true);
+  expect(list.apply(news("i-1", 5))).toBe(true);
+  expect(list.apply(news("i-1", 4))).toBe(false);
+  expect(list.apply(news("i-1", 5, false))).toBe(true);
+  expect(list.apply(news("i-1", 5))).toBe(false);
+  expect(list.apply(news("i-1", 6))).toBe(true);
 });
 
 test("a server listed after a list was read is not missing from it", () => {
   const { list } = createList();
-  list.take(news("old", 3));
-  list.take(news("new", 9));
+  list.apply(news("old", 3));
+  list.apply(news("new", 9));
   const missing = list.missing(new Set(), 7 as ObjectRevision);
   expect(missing.map(({ name }) => name)).toEqual(["old"]);
 });
 
 test("changes are told in their order, a first list is not, and later ones replace earlier", () => {
   const { list } = createList();
-  list.take(news("i-1", 1));
-  list.confirm();
+  list.apply(news("i-1", 1));
+  list.markLoaded();
   expect(list.changesAfter(0)).toEqual({ upTo: 0, news: [] });
-  list.take(news("i-1", 2, false));
-  list.take(news("i-2", 3));
-  list.take(news("i-1", 4));
+  list.apply(news("i-1", 2, false));
+  list.apply(news("i-2", 3));
+  list.apply(news("i-1", 4));
   expect(list.changesAfter(0).news)
     .toEqual([news("i-2", 3), news("i-1", 4)]);
   expect(list.changesAfter(2)).toEqual({ upTo: 3, news: [news("i-1", 4)] });
@@ -49,40 +49,43 @@
 test("an entry asks another one only for changes that it may lack", () => {
   const { list } = createList();
   const other = createList().list;
-  for (const read of [list, other]) read.confirm();
+  for (const read of [list, other]) read.markLoaded();
   const compare = () =>
-    list.compare(OTHER, { checksum: other.checksum, changes: other.changes });
+    list.compare(OTHER, {
+      checksum: other.checksum,
+      changeCount: other.changeCount,
+    });
   expect(compare()).toBeUndefined();
-  other.take(news("i-1", 1));
-  other.take(news("i-2", 2));
+  other.apply(news("i-1", 1));
+  other.apply(news("i-2", 2));
   expect(compare()).toBe(0);
   const { upTo, news: told } = other.changesAfter(0);
-  for (const change of told) list.take(change);
-  list.noteSynced(OTHER, upTo);
+  for (const change of told) list.apply(change);
+  list.recordSynced(OTHER, upTo);
   expect(compare()).toBeUndefined();
   // A change that this entry has and the other lacks is nothing to ask for.
-  list.take(news("i-3", 3));
+  list.apply(news("i-3", 3));
   expect(compare()).toBeUndefined();
-  other.take(news("i-4", 4));
+  other.apply(news("i-4", 4));
   expect(compare()).toBe(2);
-  list.forget(OTHER);
+  list.forgetPeer(OTHER);
   expect(compare()).toBe(0);
 });
 
 test("an entry does not ask again for changes that are no longer kept", () => {
   const { clock, list } = createList();
-  list.confirm();
-  list.take(news("i-1", 1));
+  list.markLoaded();
+  list.apply(news("i-1", 1));
   clock.nowMs = 20_000;
-  list.take(news("i-2", 2));
+  list.apply(news("i-2", 2));
   expect(list.changesAfter(0)).toEqual({ upTo: 2, news: [news("i-2", 2)] });
   expect(list.changesAfter(2)).toEqual({ upTo: 2, news: [] });
 });
 
 test("more changes than fit into one answer come with the next one", () => {
   const { list } = createList();
-  list.confirm();
-  for (let at = 1; at <= 2_500; at++) list.take(news(`i-${at}`, at));
+  list.markLoaded();
+  for (let at = 1; at <= 2_500; at++) list.apply(news(`i-${at}`, at));
   const first = list.changesAfter(0);
   expect(first.news.length).toBe(2_000);
   const second = list.changesAfter(first.upTo);
@@ -93,27 +96,29 @@
 test("equal lists have equal checksums, in whatever order they came", () => {
   const { list } = createList();
   const other = createList().list;
-  for (const revision of [1, 2, 3]) list.take(news(`i-${revision}`, revision));
-  for (const revision of [3, 2, 1]) other.take(news(`i-${revision}`, revision));
+  for (const revision of [1, 2, 3]) list.apply(news(`i-${revision}`, revision));
+  for (const revision of [3, 2, 1]) {
+    other.apply(news(`i-${revision}`, revision));
+  }
   expect(list.checksum).toBe(other.checksum);
-  other.take(news("i-2", 2, false));
+  other.apply(news("i-2", 2, false));
   expect(list.checksum).not.toBe(other.checksum);
 });
 
 test("a list that differs from another entry's for long is doubtful until it is read", () => {
   const { clock, list } = createList();
-  list.take(news("i-1", 1));
-  list.confirm();
+  list.apply(news("i-1", 1));
+  list.markLoaded();
   clock.nowMs = 10_000;
-  list.compare(OTHER, { checksum: list.checksum + 1, changes: 0 });
+  list.compare(OTHER, { checksum: list.checksum + 1, changeCount: 0 });
   clock.nowMs += 1_000;
-  list.compare(OTHER, { checksum: list.checksum + 1, changes: 0 });
-  expect(list.isDoubtful).toBe(false);
+  list.compare(OTHER, { checksum: list.checksum + 1, changeCount: 0 });
+  expect(list.needsRelist).toBe(false);
   clock.nowMs += 1_000;
-  expect(list.isDoubtful).toBe(true);
-  list.confirm();
-  expect(list.isDoubtful).toBe(false);
-  list.compare(OTHER, { checksum: list.checksum, changes: 0 });
+  expect(list.needsRelist).toBe(true);
+  list.markLoaded();
+  expect(list.needsRelist).toBe(false);
+  list.compare(OTHER, { checksum: list.checksum, changeCount: 0 });
   clock.nowMs += 10_000;
-  expect(list.isDoubtful).toBe(false);
+  expect(list.needsRelist).toBe(false);
 });
--- a/src/process/fleet.ts
+++ b/src/process/server_pool.ts
@@ -9,27 +9,27 @@
 import { callHttp } from "../connection/http_call.ts";
 import { type Instance, InstanceState } from "../connection/instance.ts";
 import {
-  EJECTION_MAX_SHARE,
-  EJECTION_MS,
+  EJECTION_DURATION_MS,
+  EJECTION_MAX_FRACTION,
   REPORT_INTERVAL_MS,
   REPORT_TIMEOUT_MS,
 } from "../constants.ts";
 import type { Deployment } from "../version/deployment.ts";
 import type { BackendServer } from "../version/types.ts";
-import { EVENTS } from "./event_catalog.ts";
+import { LOG_EVENTS } from "./log_events.ts";
 import type { Log } from "./log.ts";
 import { Routing } from "./settings.ts";
 import {
   conditionOf,
   createServerView,
-  hasRoom,
-  loadOf,
+  hasCapacity,
   ServerCondition,
   type ServerView,
+  utilizationOf,
 } from "./server_view.ts";
 
 /** What the fleet needs of its process. */
-export interface FleetOptions {
+export interface ServerPoolOptions {
   /** Monotonic clock, in ms. */
   readonly now: () => number;
   /** Number from 0 up to 1. */
@@ -37,19 +37,19 @@
   readonly log: Log;
   readonly routing: Routing;
   /** Where this entry stands among the live ones, which share the slots. */
-  readonly standing: () => Standing;
+  readonly entryPosition: () => EntryPosition;
   /** Called when a server may have become free. */
-  readonly onRoom: () => void;
+  readonly onCapacityAvailable: () => void;
 }
 
 /** Place of an entry in the sorted list of live entries. */
-export interface Standing {
+export interface EntryPosition {
   readonly index: number;
   readonly count: number;
 }
 
 /** Which server is wanted. */
-export interface ServerWish {
+export interface ServerPoolCriteria {
   readonly service: string;
   /** Model version that it must carry; empty for plain services. */
   readonly modelVersion: string;
@@ -62,20 +62,20 @@
 }
 
 /** All backend servers of the adopted deployment. */
-export class Fleet {
-  readonly #options: FleetOptions;
+export class ServerPool {
+  readonly #options: ServerPoolOptions;
   readonly #agent = new Agent({ keepAlive: true });
   readonly #views = new Map<string, ServerView>();
   #leavingListed: ReadonlySet<string> = new Set();
   #closed = false;
 
-  private constructor(options: FleetOptions) {
+  private constructor(options: ServerPoolOptions) {
     this.#options = options;
   }
 
   /** Makes a fleet without servers. */
-  static create(options: FleetOptions): Fleet {
-    return new Fleet(options);
+  static create(options: ServerPoolOptions): ServerPool {
+    return new ServerPool(options);
   }
 
   /** Ends all tasks. */
@@ -91,7 +91,7 @@
       if (!wanted.has(name)) this.#views.delete(name);
     }
     for (const server of deployment.servers()) this.#setServer(server);
-    this.#options.onRoom();
+    this.#options.onCapacityAvailable();
   }
 
   /** Takes over the platform's list of instances. */
@@ -106,7 +106,7 @@
       this.#change(server.name, { isListedLeaving: isLeaving });
       if (isLeaving) this.#logLeaving(server.name, "list");
     }
-    this.#options.onRoom();
+    this.#options.onCapacityAvailable();
   }
 
   /** Returns all views. */
@@ -128,12 +128,12 @@
   }
 
   /** Returns the server that a request goes to now, if one has room. */
-  choose(wish: ServerWish): BackendServer | undefined {
-    const { count } = this.#options.standing();
+  choose(wish: ServerPoolCriteria): BackendServer | undefined {
+    const { count } = this.#options.entryPosition();
     const serving = wish.isSuspect
       ? this.#isolated(wish.service, this.#serving(wish))
       : this.#serving(wish);
-    const candidates = serving.filter((view) => hasRoom(view, count));
+    const candidates = serving.filter((view) => hasCapacity(view, count));
     const preferred = candidates.find(({ server }) =>
       server.name === wish.preferred
     );
@@ -145,7 +145,7 @@
   }
 
   /** Whether any server could take the request now or after a wait. */
-  canServe(wish: ServerWish): boolean {
+  canServe(wish: ServerPoolCriteria): boolean {
     return this.#serving(wish).length > 0;
   }
 
@@ -160,17 +160,21 @@
   }
 
   /** Notes that a suspected request must prove harmless on a server. */
-  beginProof(name: string): void {
+  addSuspect(name: string): void {
     const view = this.#views.get(name);
-    if (view !== undefined) this.#change(name, { unproven: view.unproven + 1 });
+    if (view !== undefined) {
+      this.#change(name, { unprovenSuspects: view.unprovenSuspects + 1 });
+    }
   }
 
   /** Notes that a suspected request proved harmless or has left. */
-  endProof(name: string): void {
+  removeSuspect(name: string): void {
     const view = this.#views.get(name);
     if (view === undefined) return;
-    this.#change(name, { unproven: Math.max(0, view.unproven - 1) });
-    this.#options.onRoom();
+    this.#change(name, {
+      unprovenSuspects: Math.max(0, view.unprovenSuspects - 1),
+    });
+    this.#options.onCapacityAvailable();
   }
 
   /** Notes that a request has left a server. */
@@ -181,19 +185,19 @@
       inFlight: Math.max(0, view.inFlight - 1),
       endedSinceReport: view.endedSinceReport + 1,
     });
-    this.#options.onRoom();
+    this.#options.onCapacityAvailable();
   }
 
   /** Keeps a failed server out of new work for a while. */
   eject(name: string): void {
     const view = this.#views.get(name);
     if (view === undefined || !this.#mayEject(view)) return;
-    const ejectedUntilMs = this.#options.now() + EJECTION_MS;
+    const ejectedUntilMs = this.#options.now() + EJECTION_DURATION_MS;
     this.#change(name, { ejectedUntilMs });
-    this.#options.log(EVENTS.serverEjected, { server: name });
+    this.#options.log(LOG_EVENTS.serverEjected, { server: name });
   }
 
-  #serving(wish: ServerWish): ServerView[] {
+  #serving(wish: ServerPoolCriteria): ServerView[] {
     const now = this.#options.now();
     return this.views().filter((view) =>
       view.server.service === wish.service &&
@@ -209,7 +213,7 @@
    * Slices go by the deployment, which entries share, not by health.
    */
   #isolated(service: string, serving: readonly ServerView[]): ServerView[] {
-    const { index, count } = this.#options.standing();
+    const { index, count } = this.#options.entryPosition();
     const names = this.views()
       .filter(({ server }) => server.service === service)
       .map(({ server }) => server.name)
@@ -217,7 +221,7 @@
     const own = new Set(names.filter((_, at) => at % count === index));
     const slice = serving.filter(({ server }) => own.has(server.name));
     const usable = slice.length > 0 ? slice : serving;
-    return usable.filter(({ unproven }) => unproven === 0);
+    return usable.filter(({ unprovenSuspects: unproven }) => unproven === 0);
   }
 
   #leastLoaded(candidates: readonly ServerView[]): ServerView | undefined {
@@ -225,7 +229,7 @@
     let bestLoad = Number.POSITIVE_INFINITY;
     let ties = 0;
     for (const view of candidates) {
-      const load = loadOf(view);
+      const load = utilizationOf(view);
       ties = load === bestLoad ? ties + 1 : 1;
       const wins = load < bestLoad ||
         (load === bestLoad && this.#options.random() * ties < 1);
@@ -243,7 +247,7 @@
       server.service === view.server.service
     );
     const ejected = peers.filter(({ ejectedUntilMs }) => ejectedUntilMs > now);
-    return ejected.length + 1 <= peers.length * EJECTION_MAX_SHARE;
+    return ejected.length + 1 <= peers.length * EJECTION_MAX_FRACTION;
   }
 
   #setServer(server: BackendServer): void {
@@ -300,15 +304,15 @@
     if (report.leaving && !wasLeaving) this.#logLeaving(name, "report");
     this.#change(name, {
       report,
-      reportedMs: askedMs,
+      reportRequestedMs: askedMs,
       sentSinceReport: 0,
       endedSinceReport: 0,
     });
-    this.#options.onRoom();
+    this.#options.onCapacityAvailable();
   }
 
   #logLeaving(server: string, source: string): void {
-    this.#options.log(EVENTS.serverLeaving, { server, source });
+    this.#options.log(LOG_EVENTS.serverDraining, { server, source });
   }
 
   #change(name: string, change: Partial<ServerView>): void {
--- a/src/process/server_reports.ts
+++ b/src/process/server_reports.ts
@@ -1,6 +1,9 @@
 /** Reports of backend servers, asked for once for all that need one at a time. */
 
-import type { Reporter, ServerReport } from "../connection/backend_report.ts";
+import type {
+  ReportFetcher,
+  ServerReport,
+} from "../connection/backend_report.ts";
 import type { LiveServer } from "./live_server.ts";
 
 /** How long a report serves others that ask for it, in ms. */
@@ -14,21 +17,21 @@
 /** The latest reports by server. */
 export class ServerReports {
   readonly #now: () => number;
-  readonly #ask: Reporter;
+  readonly #ask: ReportFetcher;
   readonly #held = new Map<string, HeldReport>();
 
-  private constructor(now: () => number, ask: Reporter) {
+  private constructor(now: () => number, ask: ReportFetcher) {
     this.#now = now;
     this.#ask = ask;
   }
 
   /** Starts without reports; `now` is a monotonic clock in ms. */
-  static create(now: () => number, ask: Reporter): ServerReports {
+  static create(now: () => number, ask: ReportFetcher): ServerReports {
     return new ServerReports(now, ask);
   }
 
-  /** Returns a fresh report; see `Reporter`. */
-  ask(server: LiveServer): Promise<ServerReport | undefined> {
+  /** Returns a fresh report; see `ReportFetcher`. */
+  fetch(server: LiveServer): Promise<ServerReport | undefined> {
     const nowMs = this.#now();
     for (const [name, { askedMs }] of this.#held) {
       if (nowMs - askedMs > SHARED_MS) this.#held.delete(name);
--- a/src/process/server_ring.ts
+++ b/src/process/server_ring.ts
@@ -40,7 +40,7 @@
   }
 
   /** Yields all servers once, those first that follow the place of `key`. */
-  *from(key: string): Generator<string> {
+  *serversFrom(key: string): Generator<string> {
     const { length } = this.#places;
     // A share of the places, not a point: gaps between points are uneven.
     const start = Math.floor(shareOf(key) * length);
--- a/src/process/server_ring_test.ts
+++ b/src/process/server_ring_test.ts
@@ -23,7 +23,7 @@
         if (isAdded) held.add(name);
         else held.delete(name);
       }
-      const named = [...ring.from(key)];
+      const named = [...ring.serversFrom(key)];
       expect(named.length).toBe(held.size);
       expect(new Set(named)).toEqual(held);
     }),
@@ -32,16 +32,16 @@
 
 test("the order does not depend on the order of arrival", () => {
   const names = ["i-1", "i-2", "i-3", "i-4", "i-5"];
-  const order = [...ringOf(names).from("prompt")];
-  expect([...ringOf(names.toReversed()).from("prompt")]).toEqual(order);
+  const order = [...ringOf(names).serversFrom("prompt")];
+  expect([...ringOf(names.toReversed()).serversFrom("prompt")]).toEqual(order);
 });
 
 test("a server that leaves changes nothing in the order of the others", () => {
   const names = Array.from({ length: 50 }, (_, at) => `i-${at}`);
   const ring = ringOf(names);
-  const before = [...ring.from("prompt")];
+  const before = [...ring.serversFrom("prompt")];
   ring.delete("i-7");
-  expect([...ring.from("prompt")]).toEqual(
+  expect([...ring.serversFrom("prompt")]).toEqual(
     before.filter((name) => name !== "i-7"),
   );
 });
@@ -52,7 +52,7 @@
   const counts = new Map(names.map((name) => [name, 0]));
   const keys = 2_000;
   for (let at = 0; at < keys; at++) {
-    for (const name of [...ring.from(`prompt-${at}`)].slice(0, 20)) {
+    for (const name of [...ring.serversFrom(`prompt-${at}`)].slice(0, 20)) {
       counts.set(name, (counts.get(name) ?? 0) + 1);
     }
   }
--- a/src/process/server_view.ts
+++ b/src/process/server_view.ts
@@ -1,7 +1,7 @@
 /** What an entry knows of one backend server. */
 
 import type { LoadReport } from "../connection/engine_protocol.ts";
-import { REPORT_FRESH_MS } from "../constants.ts";
+import { REPORT_MAX_AGE_MS } from "../constants.ts";
 import type { BackendServer } from "../version/types.ts";
 
 /** An entry's knowledge of one backend server; replaced, never changed. */
@@ -9,7 +9,7 @@
   readonly server: BackendServer;
   readonly report: LoadReport | undefined;
   /** When the latest report was asked for, on the monotonic clock in ms. */
-  readonly reportedMs: number;
+  readonly reportRequestedMs: number;
   /** The platform's list says that it is leaving. */
   readonly isListedLeaving: boolean;
   /** No new work before this time, on the monotonic clock in ms. */
@@ -17,7 +17,7 @@
   /** Requests of this entry that it runs now. */
   readonly inFlight: number;
   /** Suspected requests of this entry that have not proved harmless on it. */
-  readonly unproven: number;
+  readonly unprovenSuspects: number;
   /** Requests sent since the latest report was asked for. */
   readonly sentSinceReport: number;
   /** Requests that ended since the latest report was asked for. */
@@ -37,11 +37,11 @@
   return {
     server,
     report: undefined,
-    reportedMs: Number.NEGATIVE_INFINITY,
+    reportRequestedMs: Number.NEGATIVE_INFINITY,
     isListedLeaving: false,
     ejectedUntilMs: Number.NEGATIVE_INFINITY,
     inFlight: 0,
-    unproven: 0,
+    unprovenSuspects: 0,
     sentSinceReport: 0,
     endedSinceReport: 0,
   };
@@ -52,7 +52,7 @@
   const isLeaving = view.isListedLeaving || view.report?.leaving === true;
   if (isLeaving) return ServerCondition.Leaving;
   if (view.ejectedUntilMs > nowMs) return ServerCondition.Ejected;
-  if (nowMs - view.reportedMs > REPORT_FRESH_MS) {
+  if (nowMs - view.reportRequestedMs > REPORT_MAX_AGE_MS) {
     return ServerCondition.Unreported;
   }
   return ServerCondition.Serving;
@@ -62,7 +62,7 @@
  * Whether this entry may send one more request: within its share of the slots,
  * or beyond it while the report shows free ones.
  */
-export function hasRoom(view: ServerView, entryCount: number): boolean {
+export function hasCapacity(view: ServerView, entryCount: number): boolean {
   const share = Math.max(1, Math.floor(view.server.slots / entryCount));
   if (view.inFlight < share) return true;
   const { report } = view;
@@ -77,6 +77,6 @@
 }
 
 /** Returns how full a server is, from 0; lower is better. */
-export function loadOf(view: ServerView): number {
+export function utilizationOf(view: ServerView): number {
   return Math.max(view.inFlight, usedSlots(view)) / view.server.slots;
 }
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -4,23 +4,23 @@
 import type { EntryId } from "../ids.ts";
 import {
   type Field,
-  FieldForm,
+  FieldType,
   FieldValues,
-  readFields,
+  parseFields,
 } from "../version/fields.ts";
 import type { Finding } from "../version/finding.ts";
 import {
-  readIniSource,
+  parseIniDocument,
   type Section,
-  sectionPlace,
-} from "../version/ini_source.ts";
+  sectionLocation,
+} from "../version/ini_document.ts";
 
 /** In which order waiting requests are served. */
 export enum QueueOrder {
   /** By rank with floors, fair between customers. */
   Fair = "fair",
   /** By arrival, as a baseline to compare with. */
-  Arrival = "arrival",
+  Fifo = "arrival",
 }
 
 /** How a server is chosen among those with room. */
@@ -55,19 +55,19 @@
   readonly platformTimeoutMs: number;
   readonly bodyMaxBytes: number;
   /** Requests that may wait in one rank of a service. */
-  readonly queueLength: number;
+  readonly queueMaxLength: number;
   /** Silence before the first token after which an attempt is lost, in ms. */
-  readonly firstTokenStallMs: number;
+  readonly firstTokenStallTimeoutMs: number;
   /** Time to the first token after which an attempt is lost, in ms. */
-  readonly firstTokenLimitMs: number;
+  readonly firstTokenTimeoutMs: number;
   /** Silence between tokens after which an attempt is lost, in ms. */
-  readonly tokenStallMs: number;
+  readonly tokenStallTimeoutMs: number;
   /** Time for an interrupted generation to find another server, in ms. */
-  readonly resumeLimitMs: number;
+  readonly resumeTimeoutMs: number;
   /** Connections are still accepted for so long after SIGTERM, in ms. */
-  readonly stopNoticeMs: number;
+  readonly shutdownNoticeMs: number;
   /** Requests are cut off so long after SIGTERM, in ms. */
-  readonly stopDeadlineMs: number;
+  readonly shutdownDeadlineMs: number;
   readonly policy: Policy;
   readonly logLevel: string;
 }
@@ -82,11 +82,11 @@
   readonly leaseMs: number;
   readonly intervalMs: number;
   /** Action records older than this are removed, in ms. */
-  readonly actionKeepMs: number;
+  readonly actionRetentionMs: number;
   /** Revisions that are kept besides the one in force. */
-  readonly revisionsKept: number;
+  readonly retainedRevisions: number;
   /** Unused chunks stay for so long after their last write, in ms. */
-  readonly chunkKeepMs: number;
+  readonly chunkRetentionMs: number;
   readonly logLevel: string;
 }
 
@@ -111,35 +111,40 @@
   fallback: string,
   range: { readonly min: number; readonly max: number },
 ): Field {
-  return { key, form: FieldForm.Integer, fallback, ...range };
+  return { key, type: FieldType.Integer, defaultValue: fallback, ...range };
 }
 
 const LISTEN_FIELDS: readonly Field[] = [
-  { key: "host", form: FieldForm.Text, fallback: "127.0.0.1", pattern: IP },
+  { key: "host", type: FieldType.Text, defaultValue: "127.0.0.1", pattern: IP },
   integer("port", "0", { min: 0, max: PORT_MAX }),
 ];
 
 const PLATFORM_FIELDS: readonly Field[] = [
-  { key: "address", form: FieldForm.Address },
+  { key: "address", type: FieldType.Address },
   integer("timeout_ms", "1000", { min: 50, max: 30_000 }),
 ];
 
 function onOff(key: string, fallback: "on" | "off"): Field {
-  return { key, form: FieldForm.Choice, choices: ["on", "off"], fallback };
+  return {
+    key,
+    type: FieldType.Choice,
+    choices: ["on", "off"],
+    defaultValue: fallback,
+  };
 }
 
 const POLICY_FIELDS: readonly Field[] = [
   {
     key: "queue_order",
-    form: FieldForm.Choice,
+    type: FieldType.Choice,
     choices: Object.values(QueueOrder),
-    fallback: QueueOrder.Fair,
+    defaultValue: QueueOrder.Fair,
   },
   {
     key: "routing",
-    form: FieldForm.Choice,
+    type: FieldType.Choice,
     choices: Object.values(Routing),
-    fallback: Routing.LeastLoaded,
+    defaultValue: Routing.LeastLoaded,
   },
   onOff("preempt", "on"),
   onOff("refuse_early", "on"),
@@ -148,19 +153,19 @@
 const LOG_FIELDS: readonly Field[] = [
   {
     key: "level",
-    form: FieldForm.Choice,
+    type: FieldType.Choice,
     choices: ["error", "warn", "info"],
-    fallback: "info",
+    defaultValue: "info",
   },
 ];
 
 /** Sections and keys of an entry's settings. */
 export const ENTRY_FIELDS: Readonly<Record<string, readonly Field[]>> = {
   entry: [
-    { key: "id", form: FieldForm.Text, pattern: NAME },
-    { key: "zone", form: FieldForm.Text, pattern: NAME },
-    { key: "cursor_key", form: FieldForm.Text, pattern: SECRET },
-    { key: "peer_key", form: FieldForm.Text, pattern: SECRET },
+    { key: "id", type: FieldType.Text, pattern: NAME },
+    { key: "zone", type: FieldType.Text, pattern: NAME },
+    { key: "cursor_key", type: FieldType.Text, pattern: SECRET },
+    { key: "peer_key", type: FieldType.Text, pattern: SECRET },
   ],
   listen: [
     ...LISTEN_FIELDS,
@@ -186,7 +191,7 @@
 /** Sections and keys of a steward's settings. */
 export const STEWARD_FIELDS: Readonly<Record<string, readonly Field[]>> = {
   steward: [
-    { key: "id", form: FieldForm.Text, pattern: NAME },
+    { key: "id", type: FieldType.Text, pattern: NAME },
     integer("lease_ms", "5000", { min: 500, max: HOUR_MS }),
     integer("interval_ms", "1000", { min: 100, max: HOUR_MS }),
     integer("action_keep_ms", "604800000", { min: 1_000, max: 90 * DAY_MS }),
@@ -199,7 +204,10 @@
 };
 
 /** Reads an entry's settings. Errors: `InvalidInput` with every finding. */
-export function readEntrySettings(source: string, text: string): EntrySettings {
+export function parseEntrySettings(
+  source: string,
+  text: string,
+): EntrySettings {
   const values = readSettings({ source, text, fields: ENTRY_FIELDS });
   return {
     id: values.entry.text("id") as EntryId,
@@ -212,13 +220,13 @@
     platformAddress: values.platform.text("address"),
     platformTimeoutMs: values.platform.integer("timeout_ms"),
     bodyMaxBytes: values.limits.integer("body_bytes"),
-    queueLength: values.limits.integer("queue_length"),
-    firstTokenStallMs: values.limits.integer("first_token_stall_ms"),
-    firstTokenLimitMs: values.limits.integer("first_token_limit_ms"),
-    tokenStallMs: values.limits.integer("token_stall_ms"),
-    resumeLimitMs: values.limits.integer("resume_limit_ms"),
-    stopNoticeMs: values.stop.integer("notice_ms"),
-    stopDeadlineMs: values.stop.integer("deadline_ms"),
+    queueMaxLength: values.limits.integer("queue_length"),
+    firstTokenStallTimeoutMs: values.limits.integer("first_token_stall_ms"),
+    firstTokenTimeoutMs: values.limits.integer("first_token_limit_ms"),
+    tokenStallTimeoutMs: values.limits.integer("token_stall_ms"),
+    resumeTimeoutMs: values.limits.integer("resume_limit_ms"),
+    shutdownNoticeMs: values.stop.integer("notice_ms"),
+    shutdownDeadlineMs: values.stop.integer("deadline_ms"),
     policy: {
       queueOrder: values.policy.text("queue_order") as QueueOrder,
       routing: values.policy.text("routing") as Routing,
@@ -230,7 +238,7 @@
 }
 
 /** Reads a steward's settings. Errors: `InvalidInput` with every finding. */
-export function readStewardSettings(
+export function parseStewardSettings(
   source: string,
   text: string,
 ): StewardSettings {
@@ -243,9 +251,9 @@
     port: values.listen.integer("port"),
     leaseMs: values.steward.integer("lease_ms"),
     intervalMs: values.steward.integer("interval_ms"),
-    actionKeepMs: values.steward.integer("action_keep_ms"),
-    revisionsKept: values.steward.integer("revisions_kept"),
-    chunkKeepMs: values.steward.integer("chunk_keep_ms"),
+    actionRetentionMs: values.steward.integer("action_keep_ms"),
+    retainedRevisions: values.steward.integer("revisions_kept"),
+    chunkRetentionMs: values.steward.integer("chunk_keep_ms"),
     logLevel: values.log.text("level"),
   };
 }
@@ -272,12 +280,12 @@
 };
 
 function readSettings({ source, text, fields }: SettingsInput): Sections {
-  const { sections, findings: formFindings } = readIniSource(source, text);
+  const { sections, findings: formFindings } = parseIniDocument(source, text);
   const findings: Finding[] = [...formFindings];
   for (const section of sections) {
     if (fields[section.title] !== undefined) continue;
     findings.push({
-      place: sectionPlace(section),
+      location: sectionLocation(section),
       message: `unknown section; allowed: ${Object.keys(fields).join(", ")}`,
     });
   }
@@ -285,12 +293,12 @@
   for (const [title, sectionFields] of Object.entries(fields)) {
     const section = sections.find((candidate) => candidate.title === title) ??
       emptySection(source, title);
-    values[title] = readFields(section, sectionFields, findings);
+    values[title] = parseFields(section, sectionFields, findings);
   }
   if (findings.length > 0) throw new InvalidInput(findings);
   return values as Sections;
 }
 
 function emptySection(source: string, title: string): Section {
-  return { source, title, line: 0, entries: [] };
+  return { source, title, line: 0, keyValues: [] };
 }
--- a/src/process/steward.ts
+++ b/src/process/steward.ts
@@ -5,7 +5,10 @@
 
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { ListedValue, ValueStore } from "../connection/value_store.ts";
+import type {
+  KeyValueStore,
+  ValueMetadata,
+} from "../connection/key_value_store.ts";
 import { messageOf, PlatformUnavailable, VersionConflict } from "../errors.ts";
 import {
   ACTION_PREFIX,
@@ -19,13 +22,13 @@
 import { readManifest } from "../version/publisher.ts";
 import type { Head } from "../version/types.ts";
 import type { EntryStatus } from "./entry_status.ts";
-import { EVENTS } from "./event_catalog.ts";
+import { LOG_EVENTS } from "./log_events.ts";
 import { Lease } from "./lease.ts";
 import type { Log } from "./log.ts";
 import type { StewardSettings } from "./settings.ts";
 
 /** Summary of all entries' status. */
-export interface Summary {
+export interface StatusSummary {
   /** Revision in force. */
   readonly revision: number;
   /** Entries by the revision that they have adopted. */
@@ -44,14 +47,14 @@
   readonly settings: StewardSettings;
   readonly log: Log;
   /** The platform's store; closed with the steward. */
-  readonly platform: ValueStore;
+  readonly platform: KeyValueStore;
 }
 
 /** One steward process. */
 export class Steward {
   readonly #settings: StewardSettings;
   readonly #log: Log;
-  readonly #platform: ValueStore;
+  readonly #platform: KeyValueStore;
   readonly #lease: Lease;
   #summary = "";
   #nextDutiesMs = 0;
@@ -76,8 +79,8 @@
   }
 
   /** Whether this steward holds the lease. */
-  get isHolder(): boolean {
-    return this.#lease.fencing !== undefined;
+  get isLeaseHolder(): boolean {
+    return this.#lease.fencingToken !== undefined;
   }
 
   /** Ends the duties. */
@@ -92,19 +95,19 @@
     while (!this.#closed) {
       try {
         await this.#lease.renew();
-        if (this.isHolder && this.#isDue()) await this.#doDuties();
+        if (this.isLeaseHolder && this.#isDue()) await this.#doDuties();
       } catch (error) {
         if (!isExpected(error)) throw error;
         if (!this.#closed) {
-          this.#log(EVENTS.stewardFailed, { reason: messageOf(error) });
+          this.#log(LOG_EVENTS.stewardTaskFailed, { reason: messageOf(error) });
         }
       }
-      if (this.isHolder !== wasHolder) {
-        wasHolder = this.isHolder;
-        this.#log(wasHolder ? EVENTS.leaseAcquired : EVENTS.leaseLost);
+      if (this.isLeaseHolder !== wasHolder) {
+        wasHolder = this.isLeaseHolder;
+        this.#log(wasHolder ? LOG_EVENTS.leaseAcquired : LOG_EVENTS.leaseLost);
       }
       const { intervalMs, leaseMs } = this.#settings;
-      await sleep(this.isHolder ? intervalMs : leaseMs);
+      await sleep(this.isLeaseHolder ? intervalMs : leaseMs);
     }
   }
 
@@ -124,7 +127,7 @@
     await this.#expireChunks(head, nowMs);
     await this.#expire({
       prefix: ACTION_PREFIX,
-      olderThanMs: nowMs - this.#settings.actionKeepMs,
+      olderThanMs: nowMs - this.#settings.actionRetentionMs,
     });
     await this.#expire({
       prefix: ENTRY_STATUS_PREFIX,
@@ -149,7 +152,7 @@
       const count = entriesByRevision[status.revision] ?? 0;
       entriesByRevision[status.revision] = count + 1;
     }
-    const summary: Summary = { revision, entriesByRevision };
+    const summary: StatusSummary = { revision, entriesByRevision };
     const text = JSON.stringify(summary);
     if (text === this.#summary) return;
     await this.#platform.write(SUMMARY_NAME, text);
@@ -160,7 +163,7 @@
   async #expireChunks(head: Head, nowMs: number): Promise<void> {
     const used = new Set<string>();
     let hash = head.manifest;
-    for (let kept = 0; kept <= this.#settings.revisionsKept; kept++) {
+    for (let kept = 0; kept <= this.#settings.retainedRevisions; kept++) {
       const manifest = await readManifest(this.#platform, hash);
       used.add(chunkName(hash));
       for (const chunk of manifest.chunks) used.add(chunkName(chunk));
@@ -171,7 +174,7 @@
     }
     await this.#expire({
       prefix: CHUNK_PREFIX,
-      olderThanMs: nowMs - this.#settings.chunkKeepMs,
+      olderThanMs: nowMs - this.#settings.chunkRetentionMs,
       used,
     });
   }
@@ -183,16 +186,16 @@
     readonly used?: ReadonlySet<string>;
   }): Promise<void> {
     const listed = await this.#platform.list(rule.prefix);
-    const old = listed.filter(({ name, updatedMs }: ListedValue) =>
+    const old = listed.filter(({ name, updatedMs }: ValueMetadata) =>
       updatedMs < rule.olderThanMs && rule.used?.has(name) !== true
     );
     for (const { name, version } of old.slice(0, REMOVALS_MAX)) {
-      if (!this.isHolder) return;
+      if (!this.isLeaseHolder) return;
       await this.#platform.remove(name, version);
     }
     if (old.length === 0) return;
     const removed = Math.min(old.length, REMOVALS_MAX);
-    this.#log(EVENTS.recordExpired, { prefix: rule.prefix, removed });
+    this.#log(LOG_EVENTS.recordsExpired, { prefix: rule.prefix, removed });
   }
 }
 
--- a/src/process/store_follower.ts
+++ b/src/process/store_sync.ts
@@ -6,16 +6,13 @@
 
 import { type Instance, InstanceState } from "../connection/instance.ts";
 import type { PeerLink } from "../connection/peer_link.ts";
-import type { Digest } from "../connection/peer_protocol.ts";
-import type {
-  SharedObjects,
-  StoredObject,
-} from "../connection/shared_objects.ts";
+import type { GossipDigest } from "../connection/peer_protocol.ts";
+import type { ObjectStore, StoredObject } from "../connection/object_store.ts";
 import { messageOf } from "../errors.ts";
 import { hashText } from "../hashing.ts";
 import type { ContentHash, EntryId } from "../ids.ts";
 import type { RouteTable } from "../version/route_table.ts";
-import { EVENTS } from "./event_catalog.ts";
+import { LOG_EVENTS } from "./log_events.ts";
 import type { LiveServer } from "./live_server.ts";
 import type { Log } from "./log.ts";
 import { Membership } from "./membership.ts";
@@ -28,18 +25,18 @@
   readonly kind: string;
   readonly name: string;
   /** Errors: throws when the configuration is not whole. */
-  readonly restore: (spec: unknown) => RouteTable;
+  readonly parse: (spec: unknown) => RouteTable;
 }
 
 /** Where backend servers register, and how their entries are read. */
 export interface ServerSource {
   readonly kind: string;
   /** Returns `undefined` for an entry that names no server to use. */
-  readonly restore: (object: StoredObject) => LiveServer | undefined;
+  readonly parse: (object: StoredObject) => LiveServer | undefined;
 }
 
 /** What a follower needs of its process. */
-export interface StoreFollowerOptions {
+export interface StoreSyncOptions {
   readonly entry: EntryId;
   /** IP for the traffic between entries. */
   readonly host: string;
@@ -47,7 +44,7 @@
   readonly peerPort: number;
   /** The same for the entries of one deployment, and for no others. */
   readonly deployment: string;
-  readonly objects: SharedObjects;
+  readonly objects: ObjectStore;
   readonly configuration: ConfigurationSource;
   readonly servers: ServerSource;
   /** How often backend servers renew their entries, in ms. */
@@ -81,8 +78,8 @@
 const SMALL_CONFIGURATION_MAX_CHARACTERS = 65_536;
 
 /** Follows the store and the peers until it is closed. */
-export class StoreFollower {
-  readonly #options: StoreFollowerOptions;
+export class StoreSync {
+  readonly #options: StoreSyncOptions;
   readonly #peers: Peers;
   readonly #membership: Membership;
   readonly #configurationWatch: ObjectWatch;
@@ -96,7 +93,7 @@
   /** When the peer was asked that has not answered with its changes yet, in ms. */
   #askedChangesMs: number | undefined;
 
-  private constructor(options: StoreFollowerOptions) {
+  private constructor(options: StoreSyncOptions) {
     this.#options = options;
     this.#configurationWatch = this.#watchConfiguration();
     this.#serverWatch = this.#watchServers();
@@ -105,12 +102,12 @@
   }
 
   /** Makes a follower; `start` lets it follow. */
-  static create(options: StoreFollowerOptions): StoreFollower {
-    return new StoreFollower(options);
+  static create(options: StoreSyncOptions): StoreSync {
+    return new StoreSync(options);
   }
 
   /** Whether the list of servers was read. */
-  get hasServers(): boolean {
+  get hasServerList(): boolean {
     return this.#hasServers;
   }
 
@@ -123,17 +120,17 @@
   }
 
   /** Tells other entries soon what the store told this one. */
-  announceSoon(): void {
-    this.#peers.announceSoon();
+  scheduleDigestBroadcast(): void {
+    this.#peers.scheduleDigestBroadcast();
   }
 
   /** Tells other entries soon where work went, where they are few. */
-  announceWork(): void {
-    this.#peers.announceWork();
+  schedulePlacementBroadcast(): void {
+    this.#peers.schedulePlacementBroadcast();
   }
 
   /** Takes the registration back; links stay until `close`. */
-  leave(): Promise<void> {
+  deregister(): Promise<void> {
     return this.#membership.close();
   }
 
@@ -151,10 +148,10 @@
       entry,
       key: hashText(deployment),
       log,
-      intervalMs: DIGEST_MS,
+      digestIntervalMs: DIGEST_MS,
       createDigest: () => relay.createDigest(),
       onDigest: (digest, link) => this.#takeDigest(digest, link),
-      onPeerLost: (lost) => relay.losePeer(lost),
+      onPeerLost: (lost) => relay.removePeer(lost),
       readChunk: (name) => this.#readChunk(name),
       readChanges: (after) => relay.changesAfter(after),
     });
@@ -168,7 +165,7 @@
       log,
       random,
       onMembers: (members) => {
-        this.#options.relay.setRegistered(members.length);
+        this.#options.relay.setRegisteredEntryCount(members.length);
         this.#peers.setInstances(
           members.map(({ entry: name, address }): Instance => ({
             name,
@@ -190,7 +187,7 @@
     return ObjectWatch.create({
       ...this.#watchOptions(),
       kind,
-      gatherMs: 0,
+      batchDelayMs: 0,
       onList: ({ objects }) => take(objects),
       onChanges: (changes) => {
         const kept = changes.filter(({ isDeleted }) => !isDeleted);
@@ -204,10 +201,10 @@
     return ObjectWatch.create({
       ...this.#watchOptions(),
       kind: servers.kind,
-      gatherMs: GATHER_MS,
+      batchDelayMs: GATHER_MS,
       onList: ({ objects, revision }, isAfterOutage) => {
         const listed = objects.map((object) => this.#readServer(object));
-        relay.setServers(listed, { revision, isAfterOutage });
+        relay.replaceServerList(listed, { revision, isAfterOutage });
         this.#hasServers = true;
       },
       onChanges: (changes, isAfterOutage) => {
@@ -215,7 +212,7 @@
           ...this.#readServer(object),
           ...(isDeleted ? { server: undefined } : {}),
         }));
-        relay.changeServers(changed, isAfterOutage);
+        relay.applyServerChanges(changed, isAfterOutage);
       },
     });
   }
@@ -227,48 +224,48 @@
       log,
       random,
       waitMs: WATCH_WAIT_MS,
-      outageMinMs: OUTAGE_MIN_HEARTBEATS * this.#options.heartbeatMs,
-      readers: relay.readers,
+      outageThresholdMs: OUTAGE_MIN_HEARTBEATS * this.#options.heartbeatMs,
+      readerElection: relay.readerElection,
     };
   }
 
   #readServer(object: StoredObject): ServerChange {
     const { name, revision } = object;
-    const server = this.#options.servers.restore(object);
+    const server = this.#options.servers.parse(object);
     return { name, revision, server };
   }
 
   #adopt(main: StoredObject, source = "platform"): void {
     const { configuration, relay, log, onConfiguration } = this.#options;
     try {
-      const table = configuration.restore(main.spec);
+      const table = configuration.parse(main.spec);
       if (!relay.adopt(table, source)) return;
       this.#configuration = main;
       this.#configurationText = undefined;
       onConfiguration(table);
-      this.#peers.announce();
+      this.#peers.broadcastDigest();
     } catch (error) {
-      log(EVENTS.revisionFailed, {
+      log(LOG_EVENTS.revisionFailed, {
         revision: main.revision,
         reason: messageOf(error),
       });
     }
   }
 
-  async #takeDigest(digest: Digest, link: PeerLink): Promise<void> {
+  async #takeDigest(digest: GossipDigest, link: PeerLink): Promise<void> {
     const { relay, log } = this.#options;
-    relay.takeDigest(digest);
+    relay.mergeDigest(digest);
     this.#fetchChanges(digest, link);
-    if (relay.isListDoubtful && this.#serverWatch.refresh()) {
-      log(EVENTS.listDoubted, { peer: digest.entry });
+    if (relay.needsServerRelist && this.#serverWatch.requestRelist()) {
+      log(LOG_EVENTS.serverListMismatch, { peer: digest.entry });
     }
     const version = digest.orders?.configuration ?? -1;
-    if (version <= relay.configuration || this.#isFetching) return;
+    if (version <= relay.configurationVersion || this.#isFetching) return;
     this.#isFetching = true;
     try {
       await this.#fetchConfiguration(digest.entry, link);
     } catch (error) {
-      log(EVENTS.revisionFailed, {
+      log(LOG_EVENTS.revisionFailed, {
         revision: version,
         reason: messageOf(error),
       });
@@ -278,15 +275,15 @@
   }
 
   /** Takes over what a peer's list of servers has and this entry's has not. */
-  async #fetchChanges(digest: Digest, link: PeerLink): Promise<void> {
+  async #fetchChanges(digest: GossipDigest, link: PeerLink): Promise<void> {
     const { relay } = this.#options;
-    const after = relay.compareList(digest);
+    const after = relay.compareServerList(digest);
     const askedMs = this.#askedChangesMs ?? Number.NEGATIVE_INFINITY;
     const nowMs = performance.now();
     if (after === undefined || nowMs - askedMs < CHANGES_PATIENCE_MS) return;
     this.#askedChangesMs = nowMs;
     const changes = await link.requestChanges(after);
-    if (changes !== undefined) relay.takeChanges(digest.entry, changes);
+    if (changes !== undefined) relay.mergeServerChanges(digest.entry, changes);
     if (this.#askedChangesMs === nowMs) this.#askedChangesMs = undefined;
   }
 
@@ -303,7 +300,7 @@
       const main = await objects.read(kind, name);
       if (main !== undefined) this.#adopt(main);
     } catch (error) {
-      log(EVENTS.platformLost, { kind, reason: messageOf(error) });
+      log(LOG_EVENTS.platformUnreachable, { kind, reason: messageOf(error) });
       take(await link.requestChunk(CONFIGURATION_CHUNK));
     }
   }
--- a/src/process/zone_losses.ts
+++ b/src/process/zone_failure_detector.ts
@@ -13,13 +13,13 @@
 }
 
 /** A server that was lost. */
-export interface LostServer {
+export interface FailedServer {
   readonly zone: string;
   readonly name: string;
 }
 
 /** The losses of late in each zone. */
-export class ZoneLosses {
+export class ZoneFailureDetector {
   readonly #now: () => number;
   readonly #zones = new Map<string, LostServers>();
 
@@ -28,15 +28,15 @@
   }
 
   /** Starts without losses; `now` is a monotonic clock in ms. */
-  static create(now: () => number): ZoneLosses {
-    return new ZoneLosses(now);
+  static create(now: () => number): ZoneFailureDetector {
+    return new ZoneFailureDetector(now);
   }
 
   /**
    * Notes the loss of a server. Returns how many its zone lost at once when that
    * makes the zone suspect anew, else 0.
    */
-  note({ zone, name }: LostServer): number {
+  record({ zone, name }: FailedServer): number {
     const nowMs = this.#now();
     const losses = this.#zones.get(zone) ??
       { lostMs: new Map<string, number>(), suspectedMs: -Infinity };
@@ -53,7 +53,7 @@
   }
 
   /** Returns the zones that are suspect now, with the time of the last loss. */
-  suspects(): ReadonlyMap<string, number> {
+  suspectZones(): ReadonlyMap<string, number> {
     const nowMs = this.#now();
     const suspects = new Map<string, number>();
     for (const [zone, { suspectedMs }] of this.#zones) {
--- a/src/request/place_order.ts
+++ b/src/request/acquire_slot.ts
@@ -1,21 +1,25 @@
 /** Gets an order a place on a backend server. */
 
-import type { LostZone } from "../process/choose_server.ts";
+import type { RecentFailure } from "../process/choose_server.ts";
 import { NO_LOAD, type ServerLoad } from "../process/live_server.ts";
-import type { ServerRequest } from "../process/live_servers.ts";
-import type { Place, PlaceOrder, PlaceWish } from "../process/dispatcher.ts";
+import type { ServerCriteria } from "../process/live_servers.ts";
+import type {
+  DispatchCriteria,
+  DispatchRequest,
+  Reservation,
+} from "../process/dispatcher.ts";
 import type { RelayContext } from "../process/relay_context.ts";
-import type { Order } from "./order.ts";
+import type { ProxyRequest } from "./proxy_request.ts";
 
 /** A wish for a server, with the work that it will get. */
-export interface OrderWish extends ServerRequest, PlaceWish {
+export interface SlotRequest extends ServerCriteria, DispatchCriteria {
   readonly load: ServerLoad;
   /** Called with the server's name before the next order is placed. */
-  readonly onPlaced?: (name: string) => void;
+  readonly onAssigned?: (name: string) => void;
 }
 
 /** How long and where an order may wait for a place. */
-export interface PlaceWait {
+export interface SlotOptions {
   readonly excluded: ReadonlySet<string>;
   readonly waitMs: number;
   readonly signal: AbortSignal;
@@ -24,25 +28,25 @@
   /** Name of the server to prefer while it has room. */
   readonly preferred?: string;
   /** Zone in which the order just lost a server. */
-  readonly lostZone?: LostZone;
-  /** Until then it rather waits than lines up behind other prompts; see `ServerNeed`. */
-  readonly patientUntilMs?: number;
-  /** See `OrderWish`. */
-  readonly onPlaced?: (name: string) => void;
+  readonly recentFailure?: RecentFailure;
+  /** Until then it rather waits than lines up behind other prompts; see `SelectionCriteria`. */
+  readonly avoidBacklogUntilMs?: number;
+  /** See `SlotRequest`. */
+  readonly onAssigned?: (name: string) => void;
 }
 
 /** Work of an order, apart from the reading of its prompt. */
-export function loadOfOrder(order: Order): ServerLoad {
-  return { requests: 1, tokens: order.memoryTokens, unreadTokens: 0 };
+export function requestLoad(order: ProxyRequest): ServerLoad {
+  return { requests: 1, tokens: order.kvCacheTokens, unreadTokens: 0 };
 }
 
 /** A prompt that a server has to read before the order's first event. */
-export function unreadPrompt({ promptTokens }: Order): ServerLoad {
+export function prefillLoad({ promptTokens }: ProxyRequest): ServerLoad {
   return { ...NO_LOAD, unreadTokens: promptTokens };
 }
 
 /** Counts work at a server until the returned function is called. */
-export function holdLoad(
+export function reserveLoad(
   { servers }: RelayContext,
   { name, load }: { readonly name: string; readonly load: ServerLoad },
 ): () => void {
@@ -54,30 +58,30 @@
   };
 }
 
-/** Waits for a place. Errors: a `Refusal` of type not run. */
-export function placeOrder(
+/** Waits for a place. Errors: a `RequestError` of type not run. */
+export function acquireSlot(
   { dispatcher }: RelayContext,
-  order: Order,
-  wait: PlaceWait,
-): Promise<Place> {
-  return dispatcher.place(orderTerms(order, wait));
+  order: ProxyRequest,
+  wait: SlotOptions,
+): Promise<Reservation> {
+  return dispatcher.reserve(createDispatchRequest(order, wait));
 }
 
 /** Returns what the dispatcher and the servers are asked for an order. */
-export function orderTerms(
-  order: Order,
-  wait: PlaceWait,
-): PlaceOrder<OrderWish> {
+export function createDispatchRequest(
+  order: ProxyRequest,
+  wait: SlotOptions,
+): DispatchRequest<SlotRequest> {
   return {
     rank: order.rank,
     customer: order.customer,
     weight: 1,
-    cost: Math.max(1, order.memoryTokens),
+    cost: Math.max(1, order.kvCacheTokens),
     service: order.service,
-    tokens: order.memoryTokens,
+    tokens: order.kvCacheTokens,
     unreadTokens: order.promptTokens,
-    prompt: order.prompt,
-    load: loadOfOrder(order),
+    prompt: order.promptKey,
+    load: requestLoad(order),
     isSuspect: false,
     ...wait,
   };
--- a/src/request/action_record.ts
+++ b/src/request/action_record.ts
@@ -1,9 +1,9 @@
 /** The record of one non-idempotent action, kept in the platform. */
 
-import type { AttemptId, EntryId, Fingerprint } from "../ids.ts";
+import type { ActionAttemptId, EntryId, Fingerprint } from "../ids.ts";
 
 /** The answer of an action, kept for repeats. */
-export interface ActionAnswer {
+export interface ActionResponse {
   readonly status: number;
   readonly contentType: string;
   /** Body in base64; absent when it was too large to keep. */
@@ -22,11 +22,11 @@
 
 /** What is stored under an action's key. */
 export interface ActionRecord {
-  readonly attempt: AttemptId;
+  readonly attempt: ActionAttemptId;
   /** Entry that claimed it. */
   readonly entry: EntryId;
   /** What the action consists of, to tell a key's reuse for another one. */
   readonly fingerprint: Fingerprint;
   readonly state: ActionState;
-  readonly answer?: ActionAnswer;
+  readonly answer?: ActionResponse;
 }
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -7,19 +7,23 @@
   type StreamReattach,
   type StreamStart,
 } from "../connection/engine_stream.ts";
-import { AttemptLoss, interrupted, LossCause } from "../errors.ts";
+import {
+  AttemptError,
+  createInterruptedError,
+  FailureCause,
+} from "../errors.ts";
 import type { RequestId, StreamId } from "../ids.ts";
 import type { EntryContext } from "../process/entry_context.ts";
 import {
-  type CompletionOrder,
+  type CompletionRequest,
   estimateCost,
   type Resumption,
-} from "./completion_order.ts";
+} from "./completion_request.ts";
 import type { Journal } from "./journal.ts";
 import { isolate, isSuspect } from "./suspect.ts";
 
 /** What tells a stream from all others. */
-export interface StreamPlace {
+export interface StreamLocation {
   /** Name of the backend server. */
   readonly server: string;
   /** IP and port of the backend server. */
@@ -30,20 +34,20 @@
 }
 
 /** A stream that this entry reads. */
-export interface Attempt extends StreamPlace {
+export interface Attempt extends StreamLocation {
   readonly source: StreamStart | StreamReattach;
   /** Takes the attempt back. */
   readonly controller: AbortController;
   /** Ends the isolation of a suspected request. */
-  readonly prove: () => void;
+  readonly endIsolation: () => void;
   /** Gives the place on the server back, and ends the isolation. */
   readonly close: () => void;
 }
 
 /** What an attempt is started for. */
-export interface AttemptWish {
-  readonly request: RequestId;
-  readonly order: CompletionOrder;
+export interface AttemptOptions {
+  readonly requestId: RequestId;
+  readonly request: CompletionRequest;
   readonly modelVersion: string;
   readonly journal: Journal;
   /** Names of servers that must not be chosen. */
@@ -56,7 +60,7 @@
 }
 
 /** How an attempt is read. */
-export interface AttemptRead {
+export interface ReadAttemptOptions {
   readonly attempt: Attempt;
   readonly modelVersion: string;
   /** Aborted when the caller has gone. */
@@ -66,16 +70,16 @@
 /**
  * Waits for a place and prepares a stream there.
  *
- * Errors: a `Refusal` of type not run.
+ * Errors: a `RequestError` of type not run.
  */
 export async function startAttempt(
   context: EntryContext,
-  wish: AttemptWish,
+  wish: AttemptOptions,
 ): Promise<Attempt> {
-  const { order, journal } = wish;
+  const { request: order, journal } = wish;
   const controller = new AbortController();
-  const preempted = new AttemptLoss(LossCause.Preempted);
-  const place = await context.dispatcher.place({
+  const preempted = new AttemptError(FailureCause.Preempted);
+  const place = await context.dispatcher.reserve({
     rank: order.rank,
     customer: order.customer.name,
     weight: order.customer.weight,
@@ -95,20 +99,20 @@
     address: place.server.address,
     stream,
     streamStart: journal.position,
-    source: { order: createStreamOrder(stream, wish) },
+    source: { request: createStreamOrder(stream, wish) },
     controller,
-    prove,
+    endIsolation: prove,
     close: () => {
       prove();
-      place.close();
+      place.release();
     },
   };
 }
 
 /** Returns an attempt that reads on in a stream which may still run. */
 export function reattach(
-  { fleet }: EntryContext,
-  { place, from }: { readonly place: StreamPlace; readonly from: number },
+  { serverPool: fleet }: EntryContext,
+  { place, from }: { readonly place: StreamLocation; readonly from: number },
 ): Attempt {
   const { server, address, stream, streamStart } = place;
   fleet.begin(server);
@@ -119,7 +123,7 @@
     streamStart,
     source: { stream, from },
     controller: new AbortController(),
-    prove: () => undefined,
+    endIsolation: () => undefined,
     close: () => fleet.end(server),
   };
 }
@@ -128,49 +132,51 @@
  * Returns the stream that a caller's cursor names, or `undefined` when its
  * server is gone and the caller's text can go on elsewhere.
  *
- * Errors: a `Refusal` of type interrupted when only that stream could go on.
+ * Errors: a `RequestError` of type interrupted when only that stream could go on.
  */
 export function findCursorStream(
-  { fleet }: EntryContext,
+  { serverPool: fleet }: EntryContext,
   { cursor, text }: Resumption,
-): StreamPlace | undefined {
+): StreamLocation | undefined {
   const mustRebuild = text === undefined;
   if (mustRebuild && cursor.streamStart > 0) {
-    throw interrupted("send the text received as resume_text to go on");
+    throw createInterruptedError(
+      "send the text received as resume_text to go on",
+    );
   }
   const { server, stream, streamStart } = cursor;
   const view = fleet.view(server);
   if (view !== undefined) {
     return { server, address: view.server.address, stream, streamStart };
   }
-  if (mustRebuild) throw interrupted("the backend server is gone");
+  if (mustRebuild) throw createInterruptedError("the backend server is gone");
   return undefined;
 }
 
-/** Yields an attempt's events. Errors: `AttemptLoss`. */
+/** Yields an attempt's events. Errors: `AttemptError`. */
 export function readAttempt(
   { settings }: EntryContext,
-  { attempt, modelVersion, signal }: AttemptRead,
+  { attempt, modelVersion, signal }: ReadAttemptOptions,
 ): AsyncGenerator<readonly StreamEvent[]> {
   return readStream({
     address: attempt.address,
     modelVersion,
     source: attempt.source,
-    firstTokenStallMs: settings.firstTokenStallMs,
-    firstTokenLimitMs: settings.firstTokenLimitMs,
-    tokenStallMs: settings.tokenStallMs,
+    firstTokenStallMs: settings.firstTokenStallTimeoutMs,
+    firstTokenLimitMs: settings.firstTokenTimeoutMs,
+    tokenStallMs: settings.tokenStallTimeoutMs,
     signal: AbortSignal.any([signal, attempt.controller.signal]),
   });
 }
 
 /** Whether any server could take the attempt, now or after a wait. */
-export function canStart(context: EntryContext, wish: AttemptWish): boolean {
-  return context.fleet.canServe(serverWish(context, wish));
+export function canStart(context: EntryContext, wish: AttemptOptions): boolean {
+  return context.serverPool.canServe(serverWish(context, wish));
 }
 
 function serverWish(
   context: EntryContext,
-  { order, modelVersion, excluded }: AttemptWish,
+  { request: order, modelVersion, excluded }: AttemptOptions,
 ) {
   return {
     service: order.service.name,
@@ -183,7 +189,7 @@
 
 function createStreamOrder(
   stream: StreamId,
-  { request, order, modelVersion, journal }: AttemptWish,
+  { requestId: request, request: order, modelVersion, journal }: AttemptOptions,
 ) {
   return {
     stream,
--- a/src/request/order_attempts.ts
+++ b/src/request/attempt_history.ts
@@ -1,11 +1,15 @@
 /** The sendings of one order: how many, how far they got, and the refusal that follows. */
 
-import { Refusal, RefusalType } from "../errors.ts";
-import { AttemptProgress, mayHaveRun, maySendAgain } from "./attempt_record.ts";
-import { endMs, mayRepeat, type Order } from "./order.ts";
+import { RequestError, RequestErrorType } from "../errors.ts";
+import { AttemptProgress, canRetry, mayHaveRun } from "./attempt_progress.ts";
+import {
+  effectiveDeadlineMs,
+  isRetryable,
+  type ProxyRequest,
+} from "./proxy_request.ts";
 
 /** One sending, whose progress only grows. */
-export interface AttemptEntry {
+export interface AttemptRecord {
   readonly server: string;
   progress: AttemptProgress;
 }
@@ -21,21 +25,21 @@
 const MS_PER_S = 1_000;
 
 /** The record of an order's sendings. */
-export class OrderAttempts {
-  readonly #order: Order;
-  readonly #entries: AttemptEntry[] = [];
+export class AttemptHistory {
+  readonly #order: ProxyRequest;
+  readonly #entries: AttemptRecord[] = [];
 
-  private constructor(order: Order) {
+  private constructor(order: ProxyRequest) {
     this.#order = order;
   }
 
   /** Starts without sendings. */
-  static create(order: Order): OrderAttempts {
-    return new OrderAttempts(order);
+  static create(order: ProxyRequest): AttemptHistory {
+    return new AttemptHistory(order);
   }
 
   /** Adds a sending that has not left yet. */
-  add(server: string): AttemptEntry {
+  add(server: string): AttemptRecord {
     const entry = { server, progress: AttemptProgress.NotSent };
     this.#entries.push(entry);
     return entry;
@@ -52,27 +56,28 @@
   }
 
   /** Servers that can have run the order. */
-  get ranCount(): number {
+  get mayHaveRunCount(): number {
     return this.#entries.filter(({ progress }) => mayHaveRun([progress]))
       .length;
   }
 
   /** Whether the order may be sent once more. */
-  get maySendAgain(): boolean {
-    const { sendsMax } = this.#order;
-    return this.ranCount < sendsMax &&
+  get canRetry(): boolean {
+    const { maxAttempts: sendsMax } = this.#order;
+    return this.mayHaveRunCount < sendsMax &&
       this.#entries.length < sendsMax + NOT_RUN_EXTRA &&
-      maySendAgain(this.#progress(), mayRepeat(this.#order));
+      canRetry(this.#progress(), isRetryable(this.#order));
   }
 
   /** Returns the truthful refusal at `nowMs`, on the monotonic clock. */
-  refusal(message: string, nowMs: number): Refusal {
+  refusal(message: string, nowMs: number): RequestError {
     if (this.mayHaveRun) {
-      return new Refusal(RefusalType.OutcomeUnknown, message);
+      return new RequestError(RequestErrorType.OutcomeUnknown, message);
     }
-    const leftS = Math.max(0, endMs(this.#order) - nowMs) / MS_PER_S;
+    const leftS = Math.max(0, effectiveDeadlineMs(this.#order) - nowMs) /
+      MS_PER_S;
     const retryAfterS = Math.max(RETRY_MIN_S, leftS * RETRY_PART);
-    return new Refusal(RefusalType.NotRun, message, retryAfterS);
+    return new RequestError(RequestErrorType.NotRun, message, retryAfterS);
   }
 
   #progress(): readonly AttemptProgress[] {
--- a/src/request/order_attempts_test.ts
+++ b/src/request/attempt_history_test.ts
@@ -2,11 +2,11 @@
 
 import fc from "fast-check";
 import { expect, test } from "vitest";
-import { createOrder } from "../../tests/relay/scripted.ts";
-import { RefusalType } from "../errors.ts";
-import { AttemptProgress } from "./attempt_record.ts";
-import { type Order, OrderKind } from "./order.ts";
-import { OrderAttempts } from "./order_attempts.ts";
+import { createRequest } from "../../tests/relay/scripted.ts";
+import { RequestErrorType } from "../errors.ts";
+import { AttemptProgress } from "./attempt_progress.ts";
+import { type ProxyRequest, RequestKind } from "./proxy_request.ts";
+import { AttemptHistory } from "./attempt_history.ts";
 
 const SENDS_MAX = 3;
 /** Sendings that did not run which are made beyond the route's limit. */
@@ -14,16 +14,16 @@
 
 const progress = fc.constantFrom(...Object.values(AttemptProgress));
 const kind = fc.record({
-  kind: fc.constantFrom(...Object.values(OrderKind)),
+  kind: fc.constantFrom(...Object.values(RequestKind)),
   isResumable: fc.boolean(),
 });
 
 function follow(
-  changes: Partial<Order>,
+  changes: Partial<ProxyRequest>,
   reached: readonly AttemptProgress[],
-): OrderAttempts {
-  const attempts = OrderAttempts.create(
-    createOrder({ sendsMax: SENDS_MAX, ...changes }),
+): AttemptHistory {
+  const attempts = AttemptHistory.create(
+    createRequest({ maxAttempts: SENDS_MAX, ...changes }),
   );
   reached.forEach((progress, at) => {
     attempts.add(`server-${at}`).progress = progress;
@@ -45,8 +45,8 @@
         const { type } = follow(order, reached).refusal("gone", 0);
         expect(type).toBe(
           reached.some(canHaveRun)
-            ? RefusalType.OutcomeUnknown
-            : RefusalType.NotRun,
+            ? RequestErrorType.OutcomeUnknown
+            : RequestErrorType.NotRun,
         );
       },
     ),
@@ -55,8 +55,8 @@
 
 test("what may run once is never sent again after a sending that can have run", () => {
   const once = fc.constantFrom(
-    { kind: OrderKind.NonIdempotent, isResumable: false },
-    { kind: OrderKind.Stream, isResumable: false },
+    { kind: RequestKind.NonIdempotent, isResumable: false },
+    { kind: RequestKind.Stream, isResumable: false },
   );
   fc.assert(
     fc.property(
@@ -64,7 +64,7 @@
       fc.array(progress, { maxLength: 8 }),
       (order, reached) => {
         fc.pre(reached.some(canHaveRun));
-        expect(follow(order, reached).maySendAgain).toBe(false);
+        expect(follow(order, reached).canRetry).toBe(false);
       },
     ),
   );
@@ -78,10 +78,10 @@
       (order, reached) => {
         const attempts = follow(order, []);
         for (const next of reached) {
-          if (attempts.count > 0 && !attempts.maySendAgain) break;
+          if (attempts.count > 0 && !attempts.canRetry) break;
           attempts.add("server").progress = next;
         }
-        expect(attempts.ranCount).toBeLessThanOrEqual(SENDS_MAX);
+        expect(attempts.mayHaveRunCount).toBeLessThanOrEqual(SENDS_MAX);
         expect(attempts.count).toBeLessThanOrEqual(SENDS_MAX + NOT_RUN_EXTRA);
       },
     ),
@@ -91,12 +91,12 @@
 test("the wait that a refusal suggests is over before the caller is", () => {
   fc.assert(
     fc.property(fc.integer({ min: 0, max: 30_000 }), (lateMs) => {
-      const order = createOrder({
+      const order = createRequest({
         receivedMs: 0,
-        deadlineMs: 25_000,
-        limitMs: 20_000,
+        callerDeadlineMs: 25_000,
+        routeDeadlineMs: 20_000,
       });
-      const refusal = OrderAttempts.create(order).refusal("full", lateMs);
+      const refusal = AttemptHistory.create(order).refusal("full", lateMs);
       const leftS = Math.max(0, 20_000 - lateMs) / 1_000;
       expect(refusal.retryAfterS).toBeGreaterThan(0);
       expect(refusal.retryAfterS).toBeLessThanOrEqual(
--- a/src/request/attempt_record.ts
+++ b/src/request/attempt_progress.ts
@@ -27,7 +27,7 @@
  *
  * @param mayRepeat whether running the order again does no harm
  */
-export function maySendAgain(
+export function canRetry(
   attempts: readonly AttemptProgress[],
   mayRepeat: boolean,
 ): boolean {
--- a/src/request/call_service.ts
+++ b/src/request/call_service.ts
@@ -1,10 +1,10 @@
 /** `/services/NAME/PATH`: passes a call on to a plain service. */
 
 import { readBody } from "../connection/http_server.ts";
-import { callHttp, type HttpAnswer } from "../connection/http_call.ts";
-import { Refusal, RefusalType } from "../errors.ts";
+import { callHttp, type HttpResponse } from "../connection/http_call.ts";
+import { RequestError, RequestErrorType } from "../errors.ts";
 import type { EntryContext } from "../process/entry_context.ts";
-import type { Place } from "../process/dispatcher.ts";
+import type { Reservation } from "../process/dispatcher.ts";
 import {
   type Customer,
   type Rank,
@@ -44,13 +44,13 @@
 /** Servers that one idempotent call may be sent to. */
 const SENDS_MAX = 3;
 
-/** Waits for a server of the service. Errors: a `Refusal`, not run. */
+/** Waits for a server of the service. Errors: a `RequestError`, not run. */
 export function placeCall(
   { dispatcher }: EntryContext,
   call: ServiceCall,
   wait: { readonly waitMs: number; readonly excluded: ReadonlySet<string> },
-): Promise<Place> {
-  return dispatcher.place({
+): Promise<Reservation> {
+  return dispatcher.reserve({
     rank: call.rank,
     customer: call.customer.name,
     weight: call.customer.weight,
@@ -69,8 +69,8 @@
 /** Sends a call once, on a connection of its own. */
 export function sendCall(
   call: ServiceCall,
-  target: { readonly address: string; readonly onSending: () => void },
-): Promise<HttpAnswer> {
+  target: { readonly address: string; readonly onSent: () => void },
+): Promise<HttpResponse> {
   return callHttp({
     ...target,
     method: call.method,
@@ -85,7 +85,7 @@
 }
 
 /** Passes a service's answer on to the caller. */
-export function sendAnswer(
+export function sendResponse(
   { response, id }: Exchange,
   answer: {
     readonly status: number;
@@ -102,7 +102,7 @@
 }
 
 /** Returns the content type of an answer. */
-export function contentTypeOf({ headers }: HttpAnswer): string {
+export function contentTypeOf({ headers }: HttpResponse): string {
   return headers["content-type"] ?? "application/octet-stream";
 }
 
@@ -112,7 +112,7 @@
 ): Promise<void> {
   const signal = callerSignal(exchange);
   const body = await readBody(exchange.request, context.settings.bodyMaxBytes);
-  await context.guard.ready();
+  await context.pauseDetector.ready();
   const call = restoreCall(context, { exchange, body, signal });
   if (isNonIdempotent(call)) {
     await performAction(context, { exchange, call });
@@ -130,7 +130,7 @@
   },
 ): ServiceCall {
   const { exchange, body, signal } = input;
-  const { deployment } = context.store;
+  const { deployment } = context.revisionStore;
   const customer = authenticate(context, exchange);
   const { pathname, search } = exchange.url;
   const groups = CALL_PATH.exec(pathname)?.groups;
@@ -139,7 +139,10 @@
   const isServed = service?.form === ServiceForm.Plain &&
     customer.services.includes(service.name);
   if (service === undefined || rank === undefined || !isServed) {
-    throw new Refusal(RefusalType.NotFound, `no service at ${pathname}`);
+    throw new RequestError(
+      RequestErrorType.NotFound,
+      `no service at ${pathname}`,
+    );
   }
   const { method = "GET", headers } = exchange.request;
   return {
@@ -173,22 +176,28 @@
     try {
       const answer = await sendCall(call, {
         address: place.server.address,
-        onSending: () => mayHaveRun = true,
+        onSent: () => mayHaveRun = true,
       });
-      return sendAnswer(exchange, {
+      return sendResponse(exchange, {
         status: answer.status,
         contentType: contentTypeOf(answer),
         body: answer.body,
       });
     } catch {
       excluded.add(place.server.name);
-      context.fleet.eject(place.server.name);
+      context.serverPool.eject(place.server.name);
     } finally {
-      place.close();
+      place.release();
     }
   }
-  const type = mayHaveRun ? RefusalType.Interrupted : RefusalType.NotRun;
-  throw new Refusal(type, `no answer from ${SENDS_MAX} backend servers`, 1);
+  const type = mayHaveRun
+    ? RequestErrorType.Interrupted
+    : RequestErrorType.NotRun;
+  throw new RequestError(
+    type,
+    `no answer from ${SENDS_MAX} backend servers`,
+    1,
+  );
 }
 
 async function placeOrRefuse(
@@ -198,12 +207,12 @@
     readonly excluded: ReadonlySet<string>;
     readonly mayHaveRun: boolean;
   },
-): Promise<Place> {
+): Promise<Reservation> {
   try {
     const waitMs = call.rank.targetMs;
     return await placeCall(context, call, { waitMs, excluded });
   } catch (error) {
-    if (!mayHaveRun || !(error instanceof Refusal)) throw error;
-    throw new Refusal(RefusalType.Interrupted, error.message);
+    if (!mayHaveRun || !(error instanceof RequestError)) throw error;
+    throw new RequestError(RequestErrorType.Interrupted, error.message);
   }
 }
--- a/src/request/call_wait.ts
+++ b/src/request/call_timeouts.ts
@@ -7,8 +7,8 @@
  * answers are late anyway, take only places that nobody waits for.
  */
 
-import { LossCause } from "../errors.ts";
-import { endMs, type Order } from "./order.ts";
+import { FailureCause } from "../errors.ts";
+import { effectiveDeadlineMs, type ProxyRequest } from "./proxy_request.ts";
 
 /** Part of the target time that a call waits for a place; the rest is its work. */
 const WAIT_PART = 0.5;
@@ -18,23 +18,30 @@
 const PATIENCE_PART = 0.75;
 
 /** What is known when a call needs a place. */
-export interface CallSituation {
+export interface CallConditions {
   /** Time that its caller has most likely waited before it came here, in ms. */
-  readonly usedMs: number;
+  readonly priorWaitMs: number;
   /** Whether any server could take it, now or once that has room. */
-  readonly hasServer: boolean;
+  readonly hasEligibleServer: boolean;
   /** Whether its servers refused for want of room just now. */
-  readonly wasFull: boolean;
+  readonly wasAtCapacity: boolean;
   /** Monotonic clock, in ms. */
   readonly nowMs: number;
 }
 
 /** Returns how long a call waits for a place, in ms; `undefined` to refuse it. */
-export function placeWaitMs(
-  order: Order,
-  { usedMs, hasServer, wasFull, nowMs }: CallSituation,
+export function callQueueTimeoutMs(
+  order: ProxyRequest,
+  {
+    priorWaitMs: usedMs,
+    hasEligibleServer: hasServer,
+    wasAtCapacity: wasFull,
+    nowMs,
+  }: CallConditions,
 ): number | undefined {
-  if (!hasServer) return (endMs(order) - nowMs) * OUTAGE_WAIT_PART;
+  if (!hasServer) {
+    return (effectiveDeadlineMs(order) - nowMs) * OUTAGE_WAIT_PART;
+  }
   const { targetMs } = order.rank;
   const canBeOnTime = usedMs + nowMs - order.receivedMs < targetMs;
   if (canBeOnTime) return targetMs * WAIT_PART;
@@ -42,9 +49,9 @@
 }
 
 /** How long an answer is waited for, and what its absence means. */
-export interface AnswerPatience {
-  readonly ms: number;
-  readonly cause: LossCause;
+export interface ResponseTimeout {
+  readonly timeoutMs: number;
+  readonly cause: FailureCause;
 }
 
 /**
@@ -52,16 +59,16 @@
  *
  * @param mayTryElsewhere whether the call may be sent to another server
  */
-export function answerPatience(
-  order: Order,
-  { nowMs, mayTryElsewhere }: {
+export function responseTimeout(
+  order: ProxyRequest,
+  { nowMs, canRetryElsewhere: mayTryElsewhere }: {
     readonly nowMs: number;
-    readonly mayTryElsewhere: boolean;
+    readonly canRetryElsewhere: boolean;
   },
-): AnswerPatience {
-  const leftMs = endMs(order) - nowMs;
+): ResponseTimeout {
+  const leftMs = effectiveDeadlineMs(order) - nowMs;
   const ms = order.rank.targetMs * PATIENCE_PART;
   return mayTryElsewhere && ms < leftMs
-    ? { ms, cause: LossCause.Stalled }
-    : { ms: leftMs, cause: LossCause.TimeUp };
+    ? { timeoutMs: ms, cause: FailureCause.Stalled }
+    : { timeoutMs: leftMs, cause: FailureCause.DeadlineExceeded };
 }
--- a/src/request/choose_backup.ts
+++ b/src/request/choose_backup_server.ts
@@ -5,13 +5,13 @@
 
 import type { LiveServer } from "../process/live_server.ts";
 import type { LiveServers } from "../process/live_servers.ts";
-import type { Order } from "./order.ts";
+import type { ProxyRequest } from "./proxy_request.ts";
 
 /** Returns the least loaded server of another zone with room for a copy. */
-export function chooseBackup(
+export function chooseBackupServer(
   servers: LiveServers,
-  { order, server, excluded }: {
-    readonly order: Order;
+  { request: order, server, excluded }: {
+    readonly request: ProxyRequest;
     /** The server that will run the order. */
     readonly server: LiveServer;
     readonly excluded: ReadonlySet<string>;
@@ -19,7 +19,7 @@
 ): LiveServer | undefined {
   return servers.choose({
     service: order.service,
-    tokens: order.memoryTokens,
+    tokens: order.kvCacheTokens,
     excluded: new Set([...excluded, server.name]),
     excludedZone: server.zone,
   });
--- a/src/request/complete.ts
+++ b/src/request/complete.ts
@@ -1,11 +1,14 @@
 /** `POST /v1/completions`: generates an answer, streamed or whole. */
 
 import { readBody, sendJson } from "../connection/http_server.ts";
-import { Refusal } from "../errors.ts";
+import { RequestError } from "../errors.ts";
 import type { EntryContext } from "../process/entry_context.ts";
-import { EVENTS } from "../process/event_catalog.ts";
-import { AnswerStream } from "./answer_stream.ts";
-import { type CompletionOrder, restoreCompletion } from "./completion_order.ts";
+import { LOG_EVENTS } from "../process/log_events.ts";
+import { SseResponse } from "./sse_response.ts";
+import {
+  type CompletionRequest,
+  parseCompletionRequest,
+} from "./completion_request.ts";
 import {
   authenticate,
   callerSignal,
@@ -13,7 +16,7 @@
   type Route,
   singleHeader,
 } from "./exchange.ts";
-import { Generation, type Piece } from "./generation.ts";
+import { type CompletionChunk, Generation } from "./generation.ts";
 
 /** The route of generations. */
 export const COMPLETE_ROUTE: Route = {
@@ -29,8 +32,8 @@
   const signal = callerSignal(exchange);
   const order = await restoreOrder(context, exchange);
   const generation = Generation.create(context, {
-    request: exchange.id,
-    order,
+    requestId: exchange.id,
+    request: order,
     signal,
   });
   const sending = { context, exchange, generation, order };
@@ -42,7 +45,7 @@
       await sendWhole(sending);
     }
   } catch (error) {
-    outcome = error instanceof Refusal ? error.type : "error";
+    outcome = error instanceof RequestError ? error.type : "error";
     throw error;
   } finally {
     context.metrics.requests.inc({
@@ -56,11 +59,11 @@
 async function restoreOrder(
   context: EntryContext,
   exchange: Exchange,
-): Promise<CompletionOrder> {
-  const { settings, guard, store } = context;
+): Promise<CompletionRequest> {
+  const { settings, pauseDetector: guard, revisionStore: store } = context;
   const body = await readBody(exchange.request, settings.bodyMaxBytes);
   await guard.ready();
-  return restoreCompletion({
+  return parseCompletionRequest({
     body,
     customer: authenticate(context, exchange),
     deployment: store.deployment,
@@ -73,16 +76,16 @@
   readonly context: EntryContext;
   readonly exchange: Exchange;
   readonly generation: Generation;
-  readonly order: CompletionOrder;
+  readonly order: CompletionRequest;
 }
 
 async function sendStream(
   { context, exchange, generation, order }: Sending,
 ): Promise<void> {
   const observe = createObserver(context, order);
-  let stream: AnswerStream | undefined;
+  let stream: SseResponse | undefined;
   const open = () =>
-    stream ??= AnswerStream.create(exchange.response, {
+    stream ??= SseResponse.create(exchange.response, {
       request: exchange.id,
       generation: generation.id,
       model: order.service.name,
@@ -95,8 +98,8 @@
     }
     open().close();
   } catch (error) {
-    if (stream === undefined || !(error instanceof Refusal)) throw error;
-    context.log(EVENTS.generationInterrupted, {
+    if (stream === undefined || !(error instanceof RequestError)) throw error;
+    context.log(LOG_EVENTS.generationInterrupted, {
       request: exchange.id,
       generation: generation.id,
       reason: error.message,
@@ -111,11 +114,11 @@
 ): Promise<void> {
   const observe = createObserver(context, order);
   let text = "";
-  let finish: Piece["finish"];
+  let finish: CompletionChunk["finishReason"];
   for await (const piece of generation.run()) {
     observe();
     text += piece.text;
-    finish = piece.finish ?? finish;
+    finish = piece.finishReason ?? finish;
   }
   exchange.response.setHeader("x-request-id", exchange.id);
   sendJson(exchange.response, 200, {
@@ -131,16 +134,16 @@
 /** Returns what observes each piece: the time to the first, and the count. */
 function createObserver(
   { metrics, now }: EntryContext,
-  { rank }: CompletionOrder,
+  { rank }: CompletionRequest,
 ): () => void {
   const startMs = now();
   let isFirst = true;
   return () => {
     if (isFirst) {
       const seconds = (now() - startMs) / 1_000;
-      metrics.firstToken.observe({ rank: rank.name }, seconds);
+      metrics.firstTokenSeconds.observe({ rank: rank.name }, seconds);
     }
     isFirst = false;
-    metrics.pieces.inc();
+    metrics.deliveredEvents.inc();
   };
 }
--- a/src/request/completion_order.ts
+++ b/src/request/completion_request.ts
@@ -1,7 +1,7 @@
 /** Restores a completion request from an untrusted body. */
 
 import { PROMPT_MAX_CHARACTERS } from "../constants.ts";
-import { Refusal, RefusalType } from "../errors.ts";
+import { RequestError, RequestErrorType } from "../errors.ts";
 import { hashParts } from "../hashing.ts";
 import type { Fingerprint } from "../ids.ts";
 import type { Deployment } from "../version/deployment.ts";
@@ -12,11 +12,11 @@
   type Service,
   ServiceForm,
 } from "../version/types.ts";
-import { type Cursor, readCursor } from "./cursor.ts";
-import { hashAnswer } from "./text_hash.ts";
+import { type Cursor, parseCursor } from "./cursor.ts";
+import { hashResponseText } from "./text_hash.ts";
 
 /** A checked completion request. */
-export interface CompletionOrder {
+export interface CompletionRequest {
   readonly customer: Customer;
   readonly service: Service;
   readonly model: Model;
@@ -59,8 +59,10 @@
 const DEFAULT_MAX_TOKENS = 256;
 const CHARACTERS_PER_TOKEN = 4;
 
-/** Checks a request. Errors: a `Refusal` that names every wrong field. */
-export function restoreCompletion(input: CompletionInput): CompletionOrder {
+/** Checks a request. Errors: a `RequestError` that names every wrong field. */
+export function parseCompletionRequest(
+  input: CompletionInput,
+): CompletionRequest {
   const { customer, deployment } = input;
   const fields = restoreFields(input.body);
   const service = deployment.service(fields.model);
@@ -68,7 +70,10 @@
     customer.services.includes(service.name);
   const model = deployment.model(service?.model ?? "");
   if (service === undefined || model === undefined || !isServed) {
-    throw new Refusal(RefusalType.NotFound, `model: unknown "${fields.model}"`);
+    throw new RequestError(
+      RequestErrorType.NotFound,
+      `model: unknown "${fields.model}"`,
+    );
   }
   const rank = restoreRank(input, fields.rank ?? service.rank);
   const maxTokens = Math.min(fields.max_tokens, model.maxTokens);
@@ -92,7 +97,7 @@
 }
 
 /** Returns the estimated work of a request, in tokens. */
-export function estimateCost(order: CompletionOrder): number {
+export function estimateCost(order: CompletionRequest): number {
   const prompt = Math.ceil(order.prompt.length / CHARACTERS_PER_TOKEN);
   return prompt + order.maxTokens;
 }
@@ -125,7 +130,10 @@
     "resume_text: must be a string",
   );
   if (problems.length > 0) {
-    throw new Refusal(RefusalType.InvalidRequest, problems.join("; "));
+    throw new RequestError(
+      RequestErrorType.InvalidRequest,
+      problems.join("; "),
+    );
   }
   return { ...value, max_tokens: maxTokens, stream } as CompletionFields;
 }
@@ -135,22 +143,25 @@
   try {
     value = JSON.parse(body.toString());
   } catch (error) {
-    throw new Refusal(
-      RefusalType.InvalidRequest,
+    throw new RequestError(
+      RequestErrorType.InvalidRequest,
       `body: not JSON: ${(error as Error).message}`,
     );
   }
   if (typeof value === "object" && value !== null && !Array.isArray(value)) {
     return value as Record<string, unknown>;
   }
-  throw new Refusal(RefusalType.InvalidRequest, "body: must be an object");
+  throw new RequestError(
+    RequestErrorType.InvalidRequest,
+    "body: must be an object",
+  );
 }
 
 function restoreRank(input: CompletionInput, name: string): Rank {
   const rank = input.deployment.rank(name);
   if (rank === undefined || !input.customer.ranks.includes(name)) {
-    throw new Refusal(
-      RefusalType.InvalidRequest,
+    throw new RequestError(
+      RequestErrorType.InvalidRequest,
       `rank: "${name}" is not open to this customer`,
     );
   }
@@ -165,18 +176,20 @@
   },
 ): Resumption | undefined {
   if (input.lastEventId === undefined) return undefined;
-  const cursor = readCursor(input.cursorKey, input.lastEventId);
+  const cursor = parseCursor(input.cursorKey, input.lastEventId);
   const isOwn = cursor.customer === input.customer.name &&
     cursor.fingerprint === held.fingerprint;
   if (!isOwn) {
-    throw new Refusal(
-      RefusalType.Conflict,
+    throw new RequestError(
+      RequestErrorType.Conflict,
       "Last-Event-ID: cursor belongs to another request",
     );
   }
-  if (held.text !== undefined && hashAnswer(held.text) !== cursor.textHash) {
-    throw new Refusal(
-      RefusalType.Conflict,
+  if (
+    held.text !== undefined && hashResponseText(held.text) !== cursor.textHash
+  ) {
+    throw new RequestError(
+      RequestErrorType.Conflict,
       "resume_text: not the text that was delivered up to the cursor",
     );
   }
--- a/src/request/cursor.ts
+++ b/src/request/cursor.ts
@@ -4,7 +4,7 @@
  */
 
 import { createHmac, hash, timingSafeEqual } from "node:crypto";
-import { Refusal, RefusalType } from "../errors.ts";
+import { RequestError, RequestErrorType } from "../errors.ts";
 import type { Fingerprint, GenerationId, StreamId } from "../ids.ts";
 
 /** What stays the same for all cursors of one attempt. */
@@ -48,9 +48,9 @@
 /**
  * Reads a cursor that any entry wrote.
  *
- * Errors: a `Refusal` when it was cut, changed, or written with another key.
+ * Errors: a `RequestError` when it was cut, changed, or written with another key.
  */
-export function readCursor(key: string, text: string): Cursor {
+export function parseCursor(key: string, text: string): Cursor {
   const parts = text.split(".");
   const [encoded = "", position = "", textHash = "", mac = ""] = parts;
   const baseKey = deriveKey(key, encoded);
@@ -59,8 +59,8 @@
   const isGenuine = parts.length === PART_COUNT &&
     given.length === expected.length && timingSafeEqual(given, expected);
   if (!isGenuine) {
-    throw new Refusal(
-      RefusalType.InvalidRequest,
+    throw new RequestError(
+      RequestErrorType.InvalidRequest,
       "Last-Event-ID: not a cursor of this system, or cut",
     );
   }
--- a/src/request/error_answer.ts
+++ b/src/request/error_response.ts
@@ -2,28 +2,35 @@
 
 import type { ServerResponse } from "node:http";
 import { sendJson } from "../connection/http_server.ts";
-import { Refusal, REFUSAL_STATUS, RefusalType } from "../errors.ts";
+import {
+  REQUEST_ERROR_STATUS,
+  RequestError,
+  RequestErrorType,
+} from "../errors.ts";
 import type { RequestId } from "../ids.ts";
 
 /** Body of an error answer. */
 export interface ErrorBody {
   readonly error: {
-    readonly type: RefusalType;
+    readonly type: RequestErrorType;
     readonly message: string;
     readonly request: RequestId;
   };
 }
 
 /** Returns the body that tells a caller of a refusal. */
-export function errorBody(refusal: Refusal, request: RequestId): ErrorBody {
+export function errorBody(
+  refusal: RequestError,
+  request: RequestId,
+): ErrorBody {
   const { type, message } = refusal;
   return { error: { type, message, request } };
 }
 
 /** Answers a request with a refusal. */
-export function sendRefusal(
+export function sendErrorResponse(
   response: ServerResponse,
-  refusal: Refusal,
+  refusal: RequestError,
   request: RequestId,
 ): void {
   if (response.headersSent || response.destroyed) {
@@ -34,8 +41,12 @@
   if (refusal.retryAfterS !== undefined) {
     response.setHeader("retry-after", refusal.retryAfterS);
   }
-  if (refusal.type === RefusalType.TooLarge) {
+  if (refusal.type === RequestErrorType.TooLarge) {
     response.setHeader("connection", "close");
   }
-  sendJson(response, REFUSAL_STATUS[refusal.type], errorBody(refusal, request));
+  sendJson(
+    response,
+    REQUEST_ERROR_STATUS[refusal.type],
+    errorBody(refusal, request),
+  );
 }
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -1,7 +1,7 @@
 /** One HTTP exchange with a caller, as the routes see it. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { Refusal, RefusalType } from "../errors.ts";
+import { RequestError, RequestErrorType } from "../errors.ts";
 import type { RequestId } from "../ids.ts";
 import type { EntryContext } from "../process/entry_context.ts";
 import type { Customer } from "../version/types.ts";
@@ -24,16 +24,16 @@
 
 const BEARER = /^Bearer (\S+)$/;
 
-/** Returns the customer of a request. Errors: a `Refusal`. */
+/** Returns the customer of a request. Errors: a `RequestError`. */
 export function authenticate(
   context: EntryContext,
   { request }: Exchange,
 ): Customer {
   const key = BEARER.exec(request.headers.authorization ?? "")?.[1] ?? "";
-  const customer = context.store.deployment.customerOf(key);
+  const customer = context.revisionStore.deployment.customerByKey(key);
   if (customer === undefined) {
-    throw new Refusal(
-      RefusalType.Unauthorized,
+    throw new RequestError(
+      RequestErrorType.Unauthorized,
       "authorization: missing or unknown bearer key",
     );
   }
--- a/src/request/generation.ts
+++ b/src/request/generation.ts
@@ -10,45 +10,45 @@
   StreamEvent,
 } from "../connection/engine_protocol.ts";
 import { CancelResult, cancelStream } from "../connection/engine_stream.ts";
-import { LOSSES_MAX, RETRY_AFTER_S } from "../constants.ts";
+import { ATTEMPT_FAILURES_MAX, RETRY_AFTER_S } from "../constants.ts";
 import {
-  AttemptLoss,
-  interrupted,
-  LossCause,
-  Refusal,
-  RefusalType,
+  AttemptError,
+  createInterruptedError,
+  FailureCause,
+  RequestError,
+  RequestErrorType,
 } from "../errors.ts";
 import type { GenerationId, RequestId } from "../ids.ts";
 import type { EntryContext } from "../process/entry_context.ts";
-import { EVENTS } from "../process/event_catalog.ts";
+import { LOG_EVENTS } from "../process/log_events.ts";
 import {
   type Attempt,
-  type AttemptWish,
+  type AttemptOptions,
   canStart,
   findCursorStream,
   readAttempt,
   reattach,
   startAttempt,
-  type StreamPlace,
+  type StreamLocation,
 } from "./attempt.ts";
-import type { CompletionOrder } from "./completion_order.ts";
+import type { CompletionRequest } from "./completion_request.ts";
 import { createCursorWriter, type CursorWriter } from "./cursor.ts";
-import { type Addition, Journal } from "./journal.ts";
+import { Journal, type JournalUpdate } from "./journal.ts";
 import { chooseRecovery, RecoveryStep } from "./recovery.ts";
-import { isProven, recordServerLoss } from "./suspect.ts";
+import { isProvenHarmless, recordServerLoss } from "./suspect.ts";
 
 /** A part of the answer, ready for the caller. */
-export interface Piece {
+export interface CompletionChunk {
   readonly text: string;
   /** Cursor after this part. */
   readonly cursor: string;
-  readonly finish: FinishReason | undefined;
+  readonly finishReason: FinishReason | undefined;
 }
 
 /** What a generation is made for. */
 export interface GenerationOptions {
-  readonly request: RequestId;
-  readonly order: CompletionOrder;
+  readonly requestId: RequestId;
+  readonly request: CompletionRequest;
   /** Aborted when the caller has gone. */
   readonly signal: AbortSignal;
 }
@@ -85,7 +85,7 @@
     this.#context = context;
     this.#options = options;
     this.#startMs = context.now();
-    const { model, maxTokens, resumption } = options.order;
+    const { model, maxTokens, resumption } = options.request;
     this.#id = resumption?.cursor.generation ??
       randomUUID() as string as GenerationId;
     this.#modelVersion = resumption?.cursor.modelVersion ?? model.version;
@@ -120,9 +120,9 @@
   /**
    * Yields the parts of the answer in order, each once.
    *
-   * Errors: a `Refusal`, of type not run only if nothing can have run.
+   * Errors: a `RequestError`, of type not run only if nothing can have run.
    */
-  async *run(): AsyncGenerator<Piece> {
+  async *run(): AsyncGenerator<CompletionChunk> {
     this.#requireUnsuspected();
     let attempt = this.#reattachToCursor();
     while (!this.#journal.isFull) {
@@ -132,7 +132,7 @@
         this.#beginCursors(attempt);
         for await (const events of this.#read(attempt)) {
           for (const addition of this.#accept(events)) {
-            const isWhole = addition.finish !== undefined;
+            const isWhole = addition.finishReason !== undefined;
             if (isWhole) ending = Ending.Whole;
             if (addition.text !== "" || isWhole) yield this.#pieceOf(addition);
             if (isWhole) return this.#proveHarmless(attempt);
@@ -141,7 +141,7 @@
           this.#proveByProgress(attempt);
         }
       } catch (error) {
-        if (!(error instanceof AttemptLoss)) throw error;
+        if (!(error instanceof AttemptError)) throw error;
         ending = Ending.Lost;
         attempt.close();
         attempt = await this.#recover(attempt, error);
@@ -167,22 +167,24 @@
     cancelStream(attempt.address, attempt.stream);
   }
 
-  #requireNoGap({ gap }: Addition): void {
-    if (gap !== undefined) throw new AttemptLoss(LossCause.Gap, gap);
+  #requireNoGap({ gap }: JournalUpdate): void {
+    if (gap !== undefined) {
+      throw new AttemptError(FailureCause.PositionGap, gap);
+    }
   }
 
   #proveByProgress(attempt: Attempt): void {
     const tokens = this.#journal.position - attempt.streamStart;
-    if (isProven(tokens)) attempt.prove();
+    if (isProvenHarmless(tokens)) attempt.endIsolation();
   }
 
   #proveHarmless(attempt: Attempt): void {
-    attempt.prove();
-    this.#context.suspicions.clear(this.#options.order.fingerprint);
+    attempt.endIsolation();
+    this.#context.suspicions.clear(this.#options.request.fingerprint);
   }
 
   /** Takes events in; parts that the caller holds are not given out again. */
-  *#accept(events: readonly StreamEvent[]): Generator<Addition> {
+  *#accept(events: readonly StreamEvent[]): Generator<JournalUpdate> {
     const held = events.filter(({ p, end }) =>
       p < this.#deliverFrom && end === undefined
     );
@@ -198,17 +200,23 @@
     }
   }
 
-  #pieceOf({ text, position, textHash, finish }: Addition): Piece {
+  #pieceOf(
+    { text, position, textHash, finishReason: finish }: JournalUpdate,
+  ): CompletionChunk {
     if (this.#lostAtMs !== undefined) {
       const pauseMs = this.#context.now() - this.#lostAtMs;
       this.#context.metrics.resumeSeconds.observe(pauseMs / 1_000);
       this.#lostAtMs = undefined;
     }
-    return { text, finish, cursor: this.#writeCursor(position, textHash) };
+    return {
+      text,
+      finishReason: finish,
+      cursor: this.#writeCursor(position, textHash),
+    };
   }
 
   #beginCursors({ server, stream, streamStart }: Attempt): void {
-    const { customer, fingerprint } = this.#options.order;
+    const { customer, fingerprint } = this.#options.request;
     this.#writeCursor = createCursorWriter(this.#context.settings.cursorKey, {
       generation: this.#id,
       customer: customer.name,
@@ -222,7 +230,7 @@
 
   /** Returns the attempt that reads on in the cursor's stream, if possible. */
   #reattachToCursor(): Attempt | undefined {
-    const { resumption } = this.#options.order;
+    const { resumption } = this.#options.request;
     if (resumption === undefined || this.#journal.isFull) return undefined;
     const place = findCursorStream(this.#context, resumption);
     if (place === undefined) return undefined;
@@ -230,15 +238,15 @@
     return this.#cursorAttempt;
   }
 
-  #reattach(place: StreamPlace): Attempt {
+  #reattach(place: StreamLocation): Attempt {
     const from = this.#journal.position;
     return reattach(this.#context, { place, from });
   }
 
   /** Starts a stream on a server that has a place, in the queue's order. */
   async #start(): Promise<Attempt> {
-    await this.#context.guard.ready();
-    const wish: AttemptWish = {
+    await this.#context.pauseDetector.ready();
+    const wish: AttemptOptions = {
       ...this.#options,
       modelVersion: this.#modelVersion,
       journal: this.#journal,
@@ -254,7 +262,7 @@
     try {
       return await startAttempt(this.#context, wish);
     } catch (error) {
-      if (!(error instanceof Refusal)) throw error;
+      if (!(error instanceof RequestError)) throw error;
       throw this.#refuse(error.message, error.retryAfterS);
     }
   }
@@ -262,10 +270,10 @@
   /** Time left to find a server, in ms; refused servers count against it. */
   #remainingMs(): number {
     const { now, settings } = this.#context;
-    const { targetMs } = this.#options.order.rank;
+    const { targetMs } = this.#options.request.rank;
     const resumeMs = this.#wasPreempted
-      ? Math.max(targetMs, settings.resumeLimitMs)
-      : settings.resumeLimitMs;
+      ? Math.max(targetMs, settings.resumeTimeoutMs)
+      : settings.resumeTimeoutMs;
     const limitMs = this.#mayHaveRun ? resumeMs : targetMs;
     const sinceMs = this.#lostAtMs ?? this.#startMs;
     return Math.max(0, sinceMs + limitMs - now());
@@ -274,22 +282,26 @@
   /** Decides how to go on after a loss: reattach, start anew, or refuse. */
   async #recover(
     attempt: Attempt,
-    loss: AttemptLoss,
+    loss: AttemptError,
   ): Promise<Attempt | undefined> {
-    const { lossCause } = loss;
+    const { failureCause: lossCause } = loss;
     if (this.#options.signal.aborted) {
       cancelStream(attempt.address, attempt.stream);
       throw this.#refuse("caller has gone");
     }
-    if (lossCause === LossCause.Preempted) return this.#yieldPlace(attempt);
+    if (lossCause === FailureCause.Preempted) return this.#yieldPlace(attempt);
     this.#wasPreempted = false;
     this.#noteLoss(attempt, loss);
-    if (this.#losses > LOSSES_MAX) {
-      throw this.#refuse(`more than ${LOSSES_MAX} attempts were lost`);
+    if (this.#losses > ATTEMPT_FAILURES_MAX) {
+      throw this.#refuse(
+        `more than ${ATTEMPT_FAILURES_MAX} attempts were lost`,
+      );
     }
     const wasReattached = "stream" in attempt.source;
     if (wasReattached && this.#journal.position < this.#deliverFrom) {
-      throw interrupted("the stream is gone; repeat without a cursor");
+      throw createInterruptedError(
+        "the stream is gone; repeat without a cursor",
+      );
     }
     const isSilent = this.#journal.position === attempt.streamStart;
     const isFromCursor = attempt === this.#cursorAttempt;
@@ -309,16 +321,16 @@
     switch (step) {
       case RecoveryStep.Reattach:
         return this.#reattach(attempt);
-      case RecoveryStep.BlameServerLoss:
+      case RecoveryStep.SuspectRequest:
         this.#blameServerLoss(attempt);
         break;
-      case RecoveryStep.TryElsewhere:
+      case RecoveryStep.RetryElsewhere:
         await sleep(REFUSED_PAUSE_MS);
         break;
-      case RecoveryStep.Withdraw:
+      case RecoveryStep.CancelStream:
         await this.#withdraw(attempt);
         break;
-      case RecoveryStep.Abandon:
+      case RecoveryStep.EjectServer:
         this.#abandon(attempt);
         break;
     }
@@ -334,22 +346,23 @@
     return undefined;
   }
 
-  #noteLoss(attempt: Attempt, loss: AttemptLoss): void {
+  #noteLoss(attempt: Attempt, loss: AttemptError): void {
     const { log, metrics, now } = this.#context;
     if (loss.mayHaveRun) {
       this.#lostAtMs ??= now();
       this.#losses++;
     }
     const isSilent = this.#journal.position === attempt.streamStart;
-    const mayBeWithdrawn = loss.lossCause === LossCause.Stalled && isSilent;
+    const mayBeWithdrawn = loss.failureCause === FailureCause.Stalled &&
+      isSilent;
     if (loss.mayHaveRun && !mayBeWithdrawn) this.#mayHaveRun = true;
     this.#lostServers.add(attempt.server);
-    metrics.losses.inc({ cause: loss.lossCause });
-    log(EVENTS.attemptLost, {
-      request: this.#options.request,
+    metrics.attemptFailures.inc({ cause: loss.failureCause });
+    log(LOG_EVENTS.attemptFailed, {
+      request: this.#options.requestId,
       generation: this.#id,
       server: attempt.server,
-      cause: loss.lossCause,
+      cause: loss.failureCause,
       detail: loss.message,
       position: this.#journal.position,
     });
@@ -359,7 +372,7 @@
   #blameServerLoss(attempt: Attempt): void {
     this.#abandon(attempt);
     recordServerLoss(this.#context, {
-      fingerprint: this.#options.order.fingerprint,
+      fingerprint: this.#options.request.fingerprint,
       tokens: this.#journal.position - attempt.streamStart,
     });
     this.#requireUnsuspected();
@@ -369,30 +382,32 @@
   async #withdraw(attempt: Attempt): Promise<void> {
     const result = await cancelStream(attempt.address, attempt.stream);
     if (result !== CancelResult.NeverRan) this.#mayHaveRun = true;
-    if (result !== CancelResult.Unanswered) return;
-    this.#context.fleet.eject(attempt.server);
+    if (result !== CancelResult.NoResponse) return;
+    this.#context.serverPool.eject(attempt.server);
   }
 
   /** Gives a server up that can no longer be used for this generation. */
   #abandon(attempt: Attempt): void {
-    this.#context.fleet.eject(attempt.server);
+    this.#context.serverPool.eject(attempt.server);
     cancelStream(attempt.address, attempt.stream);
   }
 
   #requireUnsuspected(): void {
-    const { fingerprint } = this.#options.order;
+    const { fingerprint } = this.#options.request;
     if (!this.#context.suspicions.isRefused(fingerprint)) return;
     throw this.#refuse("this request is suspected of crashing backend servers");
   }
 
   #requireSameText(textHash: string): void {
-    const { resumption } = this.#options.order;
+    const { resumption } = this.#options.request;
     if (textHash === resumption?.cursor.textHash) return;
-    throw interrupted("the stream holds another text than was delivered");
+    throw createInterruptedError(
+      "the stream holds another text than was delivered",
+    );
   }
 
-  #refuse(message: string, retryAfterS = RETRY_AFTER_S): Refusal {
-    if (this.#mayHaveRun) return interrupted(message);
-    return new Refusal(RefusalType.NotRun, message, retryAfterS);
+  #refuse(message: string, retryAfterS = RETRY_AFTER_S): RequestError {
+    if (this.#mayHaveRun) return createInterruptedError(message);
+    return new RequestError(RequestErrorType.NotRun, message, retryAfterS);
   }
 }
--- a/src/request/journal.ts
+++ b/src/request/journal.ts
@@ -10,7 +10,7 @@
 import { TextHash } from "./text_hash.ts";
 
 /** What a batch of events added to a journal. */
-export interface Addition {
+export interface JournalUpdate {
   /** Text to deliver, empty when the caller has it already. */
   readonly text: string;
   /** Position after the accepted tokens. */
@@ -18,7 +18,7 @@
   /** Hash of the whole text up to `position`. */
   readonly textHash: string;
   /** Set once the generation has ended. */
-  readonly finish: FinishReason | undefined;
+  readonly finishReason: FinishReason | undefined;
   /** Set when a token arrived beyond the next position and was not taken. */
   readonly gap: string | undefined;
 }
@@ -76,7 +76,7 @@
   }
 
   /** Takes events of the current attempt in, up to the first gap. */
-  accept(events: readonly StreamEvent[]): Addition {
+  accept(events: readonly StreamEvent[]): JournalUpdate {
     let text = "";
     let finish: FinishReason | undefined;
     let gap: string | undefined;
@@ -96,7 +96,13 @@
     this.#append(text);
     if (this.isFull) finish ??= FinishReason.Length;
     const position = this.#position;
-    return { text, position, textHash: this.textHash, finish, gap };
+    return {
+      text,
+      position,
+      textHash: this.textHash,
+      finishReason: finish,
+      gap,
+    };
   }
 
   #append(text: string): void {
--- a/src/request/run_copies.ts
+++ b/src/request/kv_copy_manager.ts
@@ -5,23 +5,23 @@
  */
 
 import { messageOf } from "../errors.ts";
-import { EVENTS } from "../process/event_catalog.ts";
+import { LOG_EVENTS } from "../process/log_events.ts";
 import type { LiveServer, ServerLoad } from "../process/live_server.ts";
 import type { RelayContext } from "../process/relay_context.ts";
-import { chooseBackup } from "./choose_backup.ts";
-import type { Order } from "./order.ts";
-import { holdLoad, loadOfOrder } from "./place_order.ts";
+import { chooseBackupServer } from "./choose_backup_server.ts";
+import type { ProxyRequest } from "./proxy_request.ts";
+import { requestLoad, reserveLoad } from "./acquire_slot.ts";
 
 /** A copy of a run's memory, from which the run can go on. */
-export interface RunCopy {
+export interface KvCopy {
   /** Server that holds the copy. */
   readonly server: LiveServer;
   /** Name of a copy made later, with the server that made it. */
-  readonly made?: { readonly source: LiveServer; readonly handle: string };
+  readonly snapshot?: { readonly source: LiveServer; readonly handle: string };
 }
 
 /** A run whose memory is to be copied. */
-export interface CopyWish {
+export interface KvCopyRequest {
   /** Request id of the run. */
   readonly id: string;
   readonly source: LiveServer;
@@ -29,17 +29,17 @@
 }
 
 /** Copies a run's memory as it is now; resolves with its handle. Errors: rejects. */
-export type RunCopier = (wish: CopyWish) => Promise<string>;
+export type KvCopier = (wish: KvCopyRequest) => Promise<string>;
 
 /** Frees a copy that is no longer needed. Errors: rejects. */
-export type CopyReleaser = (
+export type KvCopyReleaser = (
   copy: { readonly source: LiveServer; readonly handle: string },
 ) => Promise<void>;
 
 /** What a keeper needs of its stream. */
-export interface RunCopiesOptions {
+export interface KvCopyManagerOptions {
   readonly context: RelayContext;
-  readonly order: Order;
+  readonly request: ProxyRequest;
   /** Server that runs the order. */
   readonly server: LiveServer;
   /** Names of servers that must not hold a copy. */
@@ -54,12 +54,12 @@
 const FAILURES_MAX = 2;
 
 /** Looks after the copy of one sending. */
-export class RunCopies {
-  readonly #options: RunCopiesOptions;
+export class KvCopyManager {
+  readonly #options: KvCopyManagerOptions;
   /** Server that the run's own server was asked to copy it to. */
-  readonly asked: LiveServer | undefined;
+  readonly backup: LiveServer | undefined;
   readonly #timer: NodeJS.Timeout;
-  #copy: RunCopy | undefined;
+  #copy: KvCopy | undefined;
   #release: () => void = () => undefined;
   #madeMs = 0;
   #failures = 0;
@@ -67,25 +67,25 @@
   #isCopying = false;
   #closed = false;
 
-  private constructor(options: RunCopiesOptions) {
+  private constructor(options: KvCopyManagerOptions) {
     this.#options = options;
-    this.asked = this.#choose();
-    if (this.asked !== undefined) this.#keepAt({ server: this.asked }, 0);
+    this.backup = this.#choose();
+    if (this.backup !== undefined) this.#keepAt({ server: this.backup }, 0);
     this.#timer = setInterval(() => this.#check(), CHECK_MS);
   }
 
   /** Chooses a server for the copy and begins to look after it. */
-  static create(options: RunCopiesOptions): RunCopies {
-    return new RunCopies(options);
+  static create(options: KvCopyManagerOptions): KvCopyManager {
+    return new KvCopyManager(options);
   }
 
   /** Notes that the run has made events; before that there is nothing to copy. */
-  noteEvents(): void {
+  markEventsSeen(): void {
     this.#hasEvents = true;
   }
 
   /** The copy to go on from when the run's server is lost, if there is one. */
-  get copy(): RunCopy | undefined {
+  get copy(): KvCopy | undefined {
     return this.#hasEvents ? this.#copy : undefined;
   }
 
@@ -94,23 +94,27 @@
     this.#closed = true;
     clearInterval(this.#timer);
     this.#release();
-    const made = this.#copy?.made;
+    const made = this.#copy?.snapshot;
     if (isOver && made !== undefined) this.#free(made);
   }
 
   #choose(): LiveServer | undefined {
-    const { context, order, server, excluded } = this.#options;
+    const { context, request: order, server, excluded } = this.#options;
     const { isResumable, service } = order;
-    if (!isResumable || !context.canBackUp(service)) return undefined;
-    return chooseBackup(context.servers, { order, server, excluded });
+    if (!isResumable || !context.supportsKvBackup(service)) return undefined;
+    return chooseBackupServer(context.servers, {
+      request: order,
+      server,
+      excluded,
+    });
   }
 
   /** Counts the memory at the server that holds the copy, and slots it takes. */
-  #keepAt(copy: RunCopy, requests: number): void {
+  #keepAt(copy: KvCopy, requests: number): void {
     this.#release();
-    const { context, order } = this.#options;
-    const load: ServerLoad = { ...loadOfOrder(order), requests };
-    this.#release = holdLoad(context, { name: copy.server.name, load });
+    const { context, request: order } = this.#options;
+    const load: ServerLoad = { ...requestLoad(order), requests };
+    this.#release = reserveLoad(context, { name: copy.server.name, load });
     this.#copy = copy;
   }
 
@@ -120,8 +124,8 @@
     const { context } = this.#options;
     const held = this.#copy;
     const isKept = held !== undefined &&
-      context.servers.isKeeping(held.server.name);
-    const isFresh = held?.made === undefined ||
+      context.servers.mayHoldBackup(held.server.name);
+    const isFresh = held?.snapshot === undefined ||
       context.now() - this.#madeMs < REFRESH_MS;
     if (isKept && isFresh) return;
     const target = isKept ? held.server : this.#choose();
@@ -132,33 +136,40 @@
   }
 
   async #make(target: LiveServer): Promise<void> {
-    const { context, order, server: source } = this.#options;
+    const { context, request: order, server: source } = this.#options;
     const line = {
       request: order.id,
       server: source.name,
       target: target.name,
     };
     try {
-      const handle = await context.copyRun({ id: order.id, source, target });
+      const handle = await context.copyKvCache({
+        id: order.id,
+        source,
+        target,
+      });
       if (this.#closed) return this.#free({ source, handle });
       this.#madeMs = context.now();
-      this.#keepAt({ server: target, made: { source, handle } }, 1);
-      context.log(EVENTS.copyMade, line);
+      this.#keepAt({ server: target, snapshot: { source, handle } }, 1);
+      context.log(LOG_EVENTS.kvCacheCopied, line);
     } catch (error) {
       this.#failures++;
-      context.log(EVENTS.copyFailed, { ...line, reason: messageOf(error) });
+      context.log(LOG_EVENTS.kvCacheCopyFailed, {
+        ...line,
+        reason: messageOf(error),
+      });
     }
   }
 
   async #free(
     made: { readonly source: LiveServer; readonly handle: string },
   ): Promise<void> {
-    const { context, order } = this.#options;
+    const { context, request: order } = this.#options;
     try {
-      await context.freeCopy(made);
+      await context.releaseKvCopy(made);
     } catch (error) {
       // The servers drop it themselves after some seconds.
-      context.log(EVENTS.copyFailed, {
+      context.log(LOG_EVENTS.kvCacheCopyFailed, {
         request: order.id,
         server: made.source.name,
         reason: messageOf(error),
--- a/src/request/perform_action.ts
+++ b/src/request/perform_action.ts
@@ -2,42 +2,42 @@
 
 import { randomUUID } from "node:crypto";
 import { match } from "ts-pattern";
-import type { HttpAnswer } from "../connection/http_call.ts";
+import type { HttpResponse } from "../connection/http_call.ts";
 import type { ObjectRevision } from "../ids.ts";
 import {
-  ACTION_ANSWER_MAX_BYTES,
-  ACTION_SEND_LIMIT_MS,
-  ACTION_SETTLE_MS,
+  ACTION_CLAIM_MAX_AGE_MS,
+  ACTION_OUTCOME_GRACE_MS,
+  ACTION_RESPONSE_MAX_BYTES,
 } from "../constants.ts";
-import { messageOf, Refusal, RefusalType } from "../errors.ts";
+import { messageOf, RequestError, RequestErrorType } from "../errors.ts";
 import { hashParts, hashText } from "../hashing.ts";
-import type { AttemptId, Fingerprint } from "../ids.ts";
-import type { Place } from "../process/dispatcher.ts";
+import type { ActionAttemptId, Fingerprint } from "../ids.ts";
+import type { Reservation } from "../process/dispatcher.ts";
 import type { EntryContext } from "../process/entry_context.ts";
-import { EVENTS } from "../process/event_catalog.ts";
-import { ClaimResult } from "../process/ledger.ts";
+import { LOG_EVENTS } from "../process/log_events.ts";
+import { ClaimResult } from "../process/action_store.ts";
 import {
-  type ActionAnswer,
   type ActionRecord,
+  type ActionResponse,
   ActionState,
 } from "./action_record.ts";
 import {
   contentTypeOf,
   placeCall,
-  sendAnswer,
   sendCall,
+  sendResponse,
   type ServiceCall,
 } from "./call_service.ts";
 import { type Exchange, singleHeader } from "./exchange.ts";
 
 /** A non-idempotent call and where its answer goes. */
-export interface ActionOrder {
+export interface ActionRequest {
   readonly exchange: Exchange;
   readonly call: ServiceCall;
 }
 
 /** An action whose record this attempt created. */
-interface OwnAction extends ActionOrder {
+interface OwnAction extends ActionRequest {
   readonly key: Fingerprint;
   readonly record: ActionRecord;
   readonly version: ObjectRevision;
@@ -51,21 +51,21 @@
 /**
  * Claims the action and sends it, or answers from the ledger.
  *
- * Errors: a `Refusal`; of type not run only if no attempt with this key sent.
+ * Errors: a `RequestError`; of type not run only if no attempt with this key sent.
  */
 export async function performAction(
   context: EntryContext,
-  order: ActionOrder,
+  order: ActionRequest,
 ): Promise<void> {
   const key = actionKey(order);
   const record: ActionRecord = {
-    attempt: randomUUID() as string as AttemptId,
+    attempt: randomUUID() as string as ActionAttemptId,
     entry: context.settings.id,
     fingerprint: fingerprintOf(order.call),
     state: ActionState.Claimed,
   };
   const claimedMs = context.now();
-  const claim = await context.ledger.claim(key, record);
+  const claim = await context.actionStore.claim(key, record);
   await match(claim)
     .with(
       { result: ClaimResult.Granted },
@@ -80,19 +80,19 @@
         fingerprint: record.fingerprint,
       }))
     .with({ result: ClaimResult.Absent }, () => {
-      throw refuse(RefusalType.NotRun, "the action could not be recorded");
+      throw refuse(RequestErrorType.NotRun, "the action could not be recorded");
     })
     .with({ result: ClaimResult.Unreadable }, () => {
-      throw refuse(RefusalType.NotSent, "the platform can't be read");
+      throw refuse(RequestErrorType.NotSent, "the platform can't be read");
     })
     .exhaustive();
 }
 
-function actionKey({ call, exchange }: ActionOrder): Fingerprint {
+function actionKey({ call, exchange }: ActionRequest): Fingerprint {
   const key = singleHeader(exchange, "idempotency-key") ?? "";
   if (!KEY.test(key)) {
-    throw new Refusal(
-      RefusalType.InvalidRequest,
+    throw new RequestError(
+      RequestErrorType.InvalidRequest,
       "idempotency-key: this call needs one, of 1 to 255 visible ASCII characters",
     );
   }
@@ -108,19 +108,19 @@
 async function send(context: EntryContext, action: OwnAction): Promise<void> {
   const place = await placeOrRetract(context, action);
   let mayHaveRun = false;
-  let answer: HttpAnswer;
+  let answer: HttpResponse;
   try {
     answer = await sendCall(action.call, {
       address: place.server.address,
-      onSending: () => mayHaveRun = true,
+      onSent: () => mayHaveRun = true,
     });
   } catch (error) {
-    context.fleet.eject(place.server.name);
+    context.serverPool.eject(place.server.name);
     if (mayHaveRun) return await endUnknown(context, action);
-    await context.ledger.retract(action.key, action.record.attempt);
-    throw refuse(RefusalType.NotRun, messageOf(error));
+    await context.actionStore.releaseClaim(action.key, action.record.attempt);
+    throw refuse(RequestErrorType.NotRun, messageOf(error));
   } finally {
-    place.close();
+    place.release();
   }
   await endAnswered(context, { action, answer });
 }
@@ -129,32 +129,32 @@
 async function placeOrRetract(
   context: EntryContext,
   { call, key, record, claimedMs }: OwnAction,
-): Promise<Place> {
-  const remainingMs = () => claimedMs + ACTION_SEND_LIMIT_MS - context.now();
+): Promise<Reservation> {
+  const remainingMs = () => claimedMs + ACTION_CLAIM_MAX_AGE_MS - context.now();
   let reason = "the claim grew too old before it could be sent";
   try {
-    await context.guard.ready();
+    await context.pauseDetector.ready();
     if (remainingMs() > 0) {
       const wait = { waitMs: remainingMs(), excluded: new Set<string>() };
       const place = await placeCall(context, call, wait);
       if (remainingMs() > 0) return place;
-      place.close();
+      place.release();
     }
   } catch (error) {
-    if (!(error instanceof Refusal)) throw error;
+    if (!(error instanceof RequestError)) throw error;
     reason = error.message;
   }
-  await context.ledger.retract(key, record.attempt);
-  throw refuse(RefusalType.NotRun, reason);
+  await context.actionStore.releaseClaim(key, record.attempt);
+  throw refuse(RequestErrorType.NotRun, reason);
 }
 
 async function endUnknown(
   context: EntryContext,
   { key, record, version }: OwnAction,
 ): Promise<never> {
-  context.log(EVENTS.actionUnknown, { key });
+  context.log(LOG_EVENTS.actionOutcomeUnknown, { key });
   const ended = { ...record, state: ActionState.Unknown };
-  await context.ledger.settle(key, { record: ended, version });
+  await context.actionStore.recordOutcome(key, { record: ended, version });
   throw unknownOutcome();
 }
 
@@ -162,32 +162,32 @@
   context: EntryContext,
   { action, answer }: {
     readonly action: OwnAction;
-    readonly answer: HttpAnswer;
+    readonly answer: HttpResponse;
   },
 ): Promise<void> {
   const { key, record, version, exchange } = action;
   const contentType = contentTypeOf(answer);
   const { status, body } = answer;
-  const kept: ActionAnswer = body.length > ACTION_ANSWER_MAX_BYTES
+  const kept: ActionResponse = body.length > ACTION_RESPONSE_MAX_BYTES
     ? { status, contentType }
     : { status, contentType, body: body.toString("base64") };
   const ended = { ...record, state: ActionState.Answered, answer: kept };
-  await context.ledger.settle(key, { record: ended, version });
-  sendAnswer(exchange, { status, contentType, body });
+  await context.actionStore.recordOutcome(key, { record: ended, version });
+  sendResponse(exchange, { status, contentType, body });
 }
 
 async function answerFromLedger(
   context: EntryContext,
   held: {
-    readonly order: ActionOrder;
+    readonly order: ActionRequest;
     readonly key: Fingerprint;
     readonly taken: ActionRecord;
     readonly fingerprint: Fingerprint;
   },
 ): Promise<void> {
   if (held.taken.fingerprint !== held.fingerprint) {
-    throw new Refusal(
-      RefusalType.Conflict,
+    throw new RequestError(
+      RequestErrorType.Conflict,
       "idempotency-key: used before for another call",
     );
   }
@@ -197,13 +197,13 @@
   const { answer } = record;
   if (answer === undefined) throw unknownOutcome();
   if (answer.body === undefined) {
-    throw new Refusal(
-      RefusalType.AnswerUnavailable,
+    throw new RequestError(
+      RequestErrorType.AnswerUnavailable,
       "the action ran once; its answer was too large to keep",
     );
   }
   held.order.exchange.response.setHeader(REPLAYED_HEADER, "true");
-  sendAnswer(held.order.exchange, {
+  sendResponse(held.order.exchange, {
     status: answer.status,
     contentType: answer.contentType,
     body: Buffer.from(answer.body, "base64"),
@@ -213,29 +213,29 @@
 /** Waits until the claim's holder must have ended, if it still runs. */
 async function awaitEnd(
   context: EntryContext,
-  { key, order }: { readonly key: Fingerprint; readonly order: ActionOrder },
+  { key, order }: { readonly key: Fingerprint; readonly order: ActionRequest },
 ): Promise<ActionRecord> {
-  const waitMs = ACTION_SEND_LIMIT_MS + order.call.service.callLimitMs +
-    ACTION_SETTLE_MS;
+  const waitMs = ACTION_CLAIM_MAX_AGE_MS + order.call.service.callLimitMs +
+    ACTION_OUTCOME_GRACE_MS;
   let record: ActionRecord | undefined;
   try {
-    record = await context.ledger.awaitEnd(key, waitMs);
+    record = await context.actionStore.awaitOutcome(key, waitMs);
   } catch (error) {
-    throw refuse(RefusalType.NotSent, messageOf(error));
+    throw refuse(RequestErrorType.NotSent, messageOf(error));
   }
   if (record === undefined) {
-    throw refuse(RefusalType.NotRun, "the other attempt was not sent");
+    throw refuse(RequestErrorType.NotRun, "the other attempt was not sent");
   }
   return record;
 }
 
-function unknownOutcome(): Refusal {
-  return new Refusal(
-    RefusalType.OutcomeUnknown,
+function unknownOutcome(): RequestError {
+  return new RequestError(
+    RequestErrorType.OutcomeUnknown,
     "the action may have run and its end was not seen; it is not sent again",
   );
 }
 
-function refuse(type: RefusalType, message: string): Refusal {
-  return new Refusal(type, message, 1);
+function refuse(type: RequestErrorType, message: string): RequestError {
+  return new RequestError(type, message, 1);
 }
--- a/src/request/probe.ts
+++ b/src/request/probe.ts
@@ -17,7 +17,7 @@
   method: "GET",
   path: "/readyz",
   handle: (context, { response }) => {
-    const { revision } = context.store.deployment;
+    const { revision } = context.revisionStore.deployment;
     const isReady = revision > NO_REVISION && !context.isStopping();
     const status = isReady ? 200 : 503;
     return Promise.resolve(
@@ -30,7 +30,7 @@
 export const METRICS_ROUTE: Route = {
   method: "GET",
   path: "/metrics",
-  handle: async ({ metrics, fleet }, { response }) => {
+  handle: async ({ metrics, serverPool: fleet }, { response }) => {
     const { registry } = metrics;
     metrics.servingServers.set(fleet.servingCount());
     response.writeHead(200, { "content-type": registry.contentType });
--- a/src/request/order.ts
+++ b/src/request/proxy_request.ts
@@ -4,7 +4,7 @@
 import type { Rank } from "../version/types.ts";
 
 /** What a request may be repeated as. */
-export enum OrderKind {
+export enum RequestKind {
   /** Answered by events; runs once unless it may be resumed. */
   Stream = "stream",
   /** May run more than once. */
@@ -14,9 +14,9 @@
 }
 
 /** A request that has passed its checks and names a service. */
-export interface Order {
+export interface ProxyRequest {
   readonly id: RequestId;
-  readonly kind: OrderKind;
+  readonly kind: RequestKind;
   /** Whether a stream may go on at another server after its last event. */
   readonly isResumable: boolean;
   readonly service: string;
@@ -27,36 +27,36 @@
   /** The same for requests that are the same to a backend server. */
   readonly fingerprint: Fingerprint;
   /** Memory that it takes at most at a model engine, in tokens; else 0. */
-  readonly memoryTokens: number;
+  readonly kvCacheTokens: number;
   /** Length of its prompt, in tokens; 0 for plain services. */
   readonly promptTokens: number;
   /** Names its prompt, the same whenever it comes again; empty without one. */
-  readonly prompt: string;
+  readonly promptKey: string;
   /** Id of the last event that the caller holds already, if any. */
-  readonly resumeAfter: string | undefined;
+  readonly lastEventId: string | undefined;
   /** When it came, on the monotonic clock in ms. */
   readonly receivedMs: number;
   /** When the caller stops waiting, on the monotonic clock in ms. */
-  readonly deadlineMs: number;
+  readonly callerDeadlineMs: number;
   /** When the operator wants it ended, on the monotonic clock in ms. */
-  readonly limitMs: number;
+  readonly routeDeadlineMs: number;
   /** Backend servers that it may be sent to. */
-  readonly sendsMax: number;
+  readonly maxAttempts: number;
 }
 
 /** Whether running the order again does no harm. */
-export function mayRepeat(order: Order): boolean {
+export function isRetryable(order: ProxyRequest): boolean {
   switch (order.kind) {
-    case OrderKind.Idempotent:
+    case RequestKind.Idempotent:
       return true;
-    case OrderKind.NonIdempotent:
+    case RequestKind.NonIdempotent:
       return false;
-    case OrderKind.Stream:
+    case RequestKind.Stream:
       return order.isResumable;
   }
 }
 
 /** When the order must have its final answer, on the monotonic clock in ms. */
-export function endMs(order: Order): number {
-  return Math.min(order.deadlineMs, order.limitMs);
+export function effectiveDeadlineMs(order: ProxyRequest): number {
+  return Math.min(order.callerDeadlineMs, order.routeDeadlineMs);
 }
--- a/src/request/recovery.ts
+++ b/src/request/recovery.ts
@@ -1,25 +1,25 @@
 /** Decides how a generation goes on after the loss of an attempt. */
 
 import { match, P } from "ts-pattern";
-import { LossCause } from "../errors.ts";
+import { FailureCause } from "../errors.ts";
 
 /** What is done after a loss. */
 export enum RecoveryStep {
   /** Read on in the same stream, which may still run. */
   Reattach = "reattach",
   /** Blame the request for the server's death, then start elsewhere. */
-  BlameServerLoss = "blame_server_loss",
+  SuspectRequest = "blame_server_loss",
   /** Wait a moment, then start elsewhere; the server is well. */
-  TryElsewhere = "try_elsewhere",
+  RetryElsewhere = "try_elsewhere",
   /** Take a stream back that gave nothing, then start elsewhere. */
-  Withdraw = "withdraw",
+  CancelStream = "withdraw",
   /** Keep the server out of new work, then start elsewhere. */
-  Abandon = "abandon",
+  EjectServer = "abandon",
 }
 
 /** What is known of a lost attempt. */
-export interface LostAttempt {
-  readonly lossCause: LossCause;
+export interface FailedAttempt {
+  readonly lossCause: FailureCause;
   /** It was itself a reattachment. */
   readonly wasReattached: boolean;
   /** It read on in the stream of a caller's cursor, from another entry. */
@@ -29,28 +29,30 @@
 }
 
 /** Returns the step after a loss. */
-export function chooseRecovery(lost: LostAttempt): RecoveryStep {
+export function chooseRecovery(lost: FailedAttempt): RecoveryStep {
   return match(lost)
     .with({
-      lossCause: P.union(LossCause.Closed, LossCause.Gap),
+      lossCause: P.union(FailureCause.Closed, FailureCause.PositionGap),
       wasReattached: false,
     }, () => RecoveryStep.Reattach)
     // The engine has given the stream up because nobody read it.
     .with(
-      { lossCause: LossCause.Refused, isFromCursor: true },
-      () => RecoveryStep.TryElsewhere,
+      { lossCause: FailureCause.Rejected, isFromCursor: true },
+      () => RecoveryStep.RetryElsewhere,
     )
     .with({
-      lossCause: P.union(LossCause.Unreachable, LossCause.Refused),
+      lossCause: P.union(FailureCause.Unreachable, FailureCause.Rejected),
       wasReattached: true,
-    }, () => RecoveryStep.BlameServerLoss)
+    }, () => RecoveryStep.SuspectRequest)
     .with(
-      { lossCause: P.union(LossCause.Refused, LossCause.WrongVersion) },
-      () => RecoveryStep.TryElsewhere,
+      {
+        lossCause: P.union(FailureCause.Rejected, FailureCause.VersionMismatch),
+      },
+      () => RecoveryStep.RetryElsewhere,
     )
     .with(
-      { lossCause: LossCause.Stalled, isSilent: true },
-      () => RecoveryStep.Withdraw,
+      { lossCause: FailureCause.Stalled, isSilent: true },
+      () => RecoveryStep.CancelStream,
     )
-    .otherwise(() => RecoveryStep.Abandon);
+    .otherwise(() => RecoveryStep.EjectServer);
 }
--- a/src/request/recovery_test.ts
+++ b/src/request/recovery_test.ts
@@ -1,11 +1,11 @@
 /** The step after each kind of loss. */
 
 import { expect, test } from "vitest";
-import { LossCause } from "../errors.ts";
+import { FailureCause } from "../errors.ts";
 import { chooseRecovery, RecoveryStep } from "./recovery.ts";
 
 test("step after each loss", () => {
-  const rows = Object.values(LossCause).flatMap((lossCause) =>
+  const rows = Object.values(FailureCause).flatMap((lossCause) =>
     [false, true].flatMap((wasReattached) =>
       [false, true].map((isSilent) => {
         const isFromCursor = false;
@@ -63,10 +63,10 @@
 
 test("a stream that was given up is nobody's fault", () => {
   const step = chooseRecovery({
-    lossCause: LossCause.Refused,
+    lossCause: FailureCause.Rejected,
     wasReattached: true,
     isFromCursor: true,
     isSilent: true,
   });
-  expect(step).toBe(RecoveryStep.TryElsewhere);
+  expect(step).toBe(RecoveryStep.RetryElsewhere);
 });
--- a/src/request/relay_call.ts
+++ b/src/request/relay_call.ts
@@ -4,46 +4,50 @@
  */
 
 import {
-  type AnswerHead,
-  type BackendAnswer,
+  type BackendResponse,
   collectBody,
-} from "../connection/backend_answer.ts";
-import { AttemptLoss, LossCause, Refusal } from "../errors.ts";
-import type { Place } from "../process/dispatcher.ts";
+  type ResponseHead,
+} from "../connection/backend_request.ts";
+import { AttemptError, FailureCause, RequestError } from "../errors.ts";
+import type { Reservation } from "../process/dispatcher.ts";
 import type { LiveServer } from "../process/live_server.ts";
-import { ServerLoss } from "../process/server_avoidance.ts";
+import { ServerFailure } from "../process/server_ejection.ts";
 import type { RelayContext } from "../process/relay_context.ts";
-import { AttemptProgress } from "./attempt_record.ts";
-import { answerPatience, placeWaitMs } from "./call_wait.ts";
-import { isHarmful } from "./crash_blame.ts";
-import { logAttempt, noteLoss } from "./note_attempt.ts";
-import { endMs, mayRepeat, type Order } from "./order.ts";
-import { type AttemptEntry, OrderAttempts } from "./order_attempts.ts";
-import { placeOrder } from "./place_order.ts";
-import { type OrderExchange, OrderOutcome } from "./serve_order.ts";
+import { AttemptProgress } from "./attempt_progress.ts";
+import { callQueueTimeoutMs, responseTimeout } from "./call_timeouts.ts";
+import { isPoisonRequest } from "./poison_request.ts";
+import { logAttempt, recordAttemptFailure } from "./attempt_reporting.ts";
+import {
+  effectiveDeadlineMs,
+  isRetryable,
+  type ProxyRequest,
+} from "./proxy_request.ts";
+import { AttemptHistory, type AttemptRecord } from "./attempt_history.ts";
+import { acquireSlot } from "./acquire_slot.ts";
+import { type ProxyExchange, RequestOutcome } from "./serve_request.ts";
 
 const SERVER_ERROR = 500;
 
 /** A whole answer of a server. */
 interface WholeAnswer {
-  readonly head: AnswerHead;
+  readonly head: ResponseHead;
   readonly body: Buffer;
 }
 
-/** Relays one call. Errors: `Refusal`. */
+/** Relays one call. Errors: `RequestError`. */
 export function relayCall(
   context: RelayContext,
-  exchange: OrderExchange,
-): Promise<OrderOutcome> {
+  exchange: ProxyExchange,
+): Promise<RequestOutcome> {
   return CallRelay.create(context, exchange).run();
 }
 
 /** The state of one call between its caller and its servers. */
 class CallRelay {
   readonly #context: RelayContext;
-  readonly #exchange: OrderExchange;
-  readonly #order: Order;
-  readonly #attempts: OrderAttempts;
+  readonly #exchange: ProxyExchange;
+  readonly #order: ProxyRequest;
+  readonly #attempts: AttemptHistory;
   /** Servers that gave no answer. */
   readonly #lost = new Set<string>();
   /** Servers that were full or failed; tried once more when no other is left. */
@@ -55,21 +59,21 @@
   #failure: WholeAnswer | undefined;
   #reason = "no backend server took it in time";
 
-  private constructor(context: RelayContext, exchange: OrderExchange) {
-    const { order } = exchange;
+  private constructor(context: RelayContext, exchange: ProxyExchange) {
+    const { request: order } = exchange;
     this.#context = context;
     this.#exchange = exchange;
     this.#order = order;
-    this.#attempts = OrderAttempts.create(order);
-    const givenMs = order.deadlineMs - order.receivedMs;
-    this.#usedMs = context.callerTimes.note(order.route, givenMs);
+    this.#attempts = AttemptHistory.create(order);
+    const givenMs = order.callerDeadlineMs - order.receivedMs;
+    this.#usedMs = context.callerWaits.record(order.route, givenMs);
   }
 
-  static create(context: RelayContext, exchange: OrderExchange): CallRelay {
+  static create(context: RelayContext, exchange: ProxyExchange): CallRelay {
     return new CallRelay(context, exchange);
   }
 
-  async run(): Promise<OrderOutcome> {
+  async run(): Promise<RequestOutcome> {
     const { caller } = this.#exchange;
     while (!caller.signal.aborted && this.#maySend()) {
       const place = await this.#place();
@@ -77,37 +81,39 @@
       const answer = await this.#sendOnce(place);
       if (answer === undefined) continue;
       const isFailure = answer.head.status >= SERVER_ERROR;
-      if (!isFailure || !mayRepeat(this.#order)) return this.#passOn(answer);
+      if (!isFailure || !isRetryable(this.#order)) return this.#passOn(answer);
       this.#failure = answer;
     }
-    if (caller.signal.aborted) return OrderOutcome.CallerGone;
+    if (caller.signal.aborted) return RequestOutcome.CallerGone;
     if (this.#failure !== undefined) return this.#passOn(this.#failure);
     throw this.#attempts.refusal(this.#reason, this.#context.now());
   }
 
-  #passOn({ head, body }: WholeAnswer): OrderOutcome {
-    this.#exchange.caller.answer(head, body);
+  #passOn({ head, body }: WholeAnswer): RequestOutcome {
+    this.#exchange.caller.send(head, body);
     return head.status < SERVER_ERROR
-      ? OrderOutcome.Answered
-      : OrderOutcome.ServerFailed;
+      ? RequestOutcome.Answered
+      : RequestOutcome.ServerFailed;
   }
 
   #maySend(): boolean {
-    const { now, budget } = this.#context;
-    if (this.#isTimeUp || endMs(this.#order) <= now()) return false;
+    const { now, retryBudget: budget } = this.#context;
+    if (this.#isTimeUp || effectiveDeadlineMs(this.#order) <= now()) {
+      return false;
+    }
     if (this.#attempts.count === 0) return true;
-    return this.#attempts.maySendAgain &&
-      !isHarmful(this.#context, this.#order) &&
+    return this.#attempts.canRetry &&
+      !isPoisonRequest(this.#context, this.#order) &&
       budget.takeRetry(this.#order.service);
   }
 
   /** Waits for a place; `undefined` when there is none in time. */
-  async #place(): Promise<Place | undefined> {
+  async #place(): Promise<Reservation | undefined> {
     const { now, servers } = this.#context;
-    const waitMs = placeWaitMs(this.#order, {
-      usedMs: this.#usedMs,
-      hasServer: this.#hasServer() || this.#hasServerAgain(),
-      wasFull: servers.wasFull(this.#order.service),
+    const waitMs = callQueueTimeoutMs(this.#order, {
+      priorWaitMs: this.#usedMs,
+      hasEligibleServer: this.#hasServer() || this.#hasServerAgain(),
+      wasAtCapacity: servers.wasRecentlyFull(this.#order.service),
       nowMs: now(),
     });
     if (waitMs === undefined) {
@@ -115,21 +121,21 @@
       return undefined;
     }
     try {
-      return await placeOrder(this.#context, this.#order, {
+      return await acquireSlot(this.#context, this.#order, {
         excluded: this.#excluded,
         waitMs,
         signal: this.#exchange.caller.signal,
         isResumed: this.#attempts.count > 0,
       });
     } catch (error) {
-      if (!(error instanceof Refusal)) throw error;
+      if (!(error instanceof RequestError)) throw error;
       this.#reason = error.message;
       return undefined;
     }
   }
 
   #hasServer(): boolean {
-    const { service, memoryTokens } = this.#order;
+    const { service, kvCacheTokens: memoryTokens } = this.#order;
     return this.#context.servers.canServe({
       service,
       tokens: memoryTokens,
@@ -148,20 +154,20 @@
   }
 
   /** Sends the call to one server; `undefined` when that gave no answer. */
-  async #sendOnce(place: Place): Promise<WholeAnswer | undefined> {
+  async #sendOnce(place: Reservation): Promise<WholeAnswer | undefined> {
     const { caller, open } = this.#exchange;
     const server = place.server as LiveServer;
     const order = this.#order;
     const entry = this.#attempts.add(server.name);
     this.#tried.add(server.name);
-    logAttempt(this.#context, { order, server, details: {} });
+    logAttempt(this.#context, { request: order, server, details: {} });
     const limit = new AbortController();
     const timer = this.#startPatience(limit);
     try {
       const answer = await open({
         server,
-        leftMs: endMs(order) - this.#context.now(),
-        resumeAfter: undefined,
+        timeoutMs: effectiveDeadlineMs(order) - this.#context.now(),
+        lastEventId: undefined,
         copy: undefined,
         backup: undefined,
         signal: AbortSignal.any([caller.signal, limit.signal]),
@@ -169,50 +175,56 @@
       });
       return await this.#take(answer, { entry, server });
     } catch (error) {
-      if (!(error instanceof AttemptLoss)) throw error;
+      if (!(error instanceof AttemptError)) throw error;
       this.#lost.add(server.name);
       this.#reason = error.message;
-      this.#isTimeUp = error.lossCause === LossCause.TimeUp;
+      this.#isTimeUp = error.failureCause === FailureCause.DeadlineExceeded;
       if (!caller.signal.aborted) {
-        noteLoss(this.#context, { order, entry, server, error });
+        recordAttemptFailure(this.#context, {
+          request: order,
+          record: entry,
+          server,
+          error,
+        });
       }
       return undefined;
     } finally {
       clearTimeout(timer);
-      place.close();
+      place.release();
     }
   }
 
   /** Ends a sending through `limit` when its answer has been waited for enough. */
   #startPatience(limit: AbortController): NodeJS.Timeout {
     const order = this.#order;
-    const patience = answerPatience(order, {
+    const patience = responseTimeout(order, {
       nowMs: this.#context.now(),
-      mayTryElsewhere: mayRepeat(order) && this.#hasServer() &&
-        this.#attempts.ranCount + 1 < order.sendsMax,
+      canRetryElsewhere: isRetryable(order) && this.#hasServer() &&
+        this.#attempts.mayHaveRunCount + 1 < order.maxAttempts,
     });
     return setTimeout(() => {
-      limit.abort(new AttemptLoss(patience.cause, "no answer in time"));
-    }, patience.ms);
+      limit.abort(new AttemptError(patience.cause, "no answer in time"));
+    }, patience.timeoutMs);
   }
 
   async #take(
-    answer: BackendAnswer,
+    answer: BackendResponse,
     { entry, server }: {
-      readonly entry: AttemptEntry;
+      readonly entry: AttemptRecord;
       readonly server: LiveServer;
     },
   ): Promise<WholeAnswer | undefined> {
     const { servers } = this.#context;
     if (answer.hasNotRun) {
       entry.progress = AttemptProgress.KnownNotRun;
-      if (answer.isReplaced) servers.lose(server.name, ServerLoss.Replaced);
-      else servers.noteFull(server.name);
+      if (answer.isMisdirected) {
+        servers.eject(server.name, ServerFailure.Replaced);
+      } else servers.markFull(server.name);
       return undefined;
     }
     entry.progress = AttemptProgress.KnownRun;
     const body = await collectBody(answer);
-    servers.hear(server.name);
+    servers.recordActivity(server.name);
     return { head: answer.head, body };
   }
 }
