--- a/src/process/caller_wait_estimator.ts
+++ b/src/process/caller_wait_estimator.ts
@@ -1,53 +1,55 @@
 /**
- * Tells callers that have just come from those that come back, by the time that
- * they have left: answers to the latter are late whatever is done, so under more
- * calls than servers can answer they only take the place of answers on time.
+ * Estimates how long callers have waited before a request, from the time that
+ * they have left. Responses to repeated requests are late whatever is done, so
+ * under overload they only displace responses that would be on time.
  */
 
-/** Time over which the longest time of a route's callers is remembered, in ms. */
-const MEMORY_MS = 10_000;
+/** Window for the longest remaining time of a route's callers, in ms. */
+const WINDOW_MS = 10_000;
 
-interface RouteTimes {
-  /** Longest time left at arrival, in this span and in the one before, in ms. */
+interface RouteWindow {
+  /**
+   * Longest remaining time on arrival, in this and the previous window, in ms.
+   */
   longestMs: number;
-  longestBeforeMs: number;
-  spanStartMs: number;
+  previousLongestMs: number;
+  windowStartMs: number;
 }
 
-/** How long the callers of each route have lately been willing to wait. */
+/** Remaining times of recent callers, by route. */
 export class CallerWaitEstimator {
   readonly #now: () => number;
-  readonly #routes = new Map<string, RouteTimes>();
+  readonly #routes = new Map<string, RouteWindow>();
 
   private constructor(now: () => number) {
     this.#now = now;
   }
 
-  /** Starts without callers; `now` is a monotonic clock in ms. */
+  /** Creates an estimator; `now` is a monotonic clock in ms. */
   static create(now: () => number): CallerWaitEstimator {
     return new CallerWaitEstimator(now);
   }
 
   /**
-   * Notes a caller that has `leftMs` left; returns the time that it has most
-   * likely waited before it came here, in ms.
+   * Records a caller that can wait `remainingMs` more; returns the estimated
+   * time that it has waited before this request, in ms.
    */
-  record(route: string, leftMs: number): number {
-    const times = this.#timesOf(route);
-    times.longestMs = Math.max(times.longestMs, leftMs);
-    return Math.max(times.longestMs, times.longestBeforeMs) - leftMs;
+  record(route: string, remainingMs: number): number {
+    const window = this.#windowOf(route);
+    window.longestMs = Math.max(window.longestMs, remainingMs);
+    return Math.max(window.longestMs, window.previousLongestMs) - remainingMs;
   }
 
-  #timesOf(route: string): RouteTimes {
+  #windowOf(route: string): RouteWindow {
     const nowMs = this.#now();
-    const times = this.#routes.get(route) ??
-      { longestMs: 0, longestBeforeMs: 0, spanStartMs: nowMs };
-    this.#routes.set(route, times);
-    if (nowMs - times.spanStartMs >= MEMORY_MS) {
-      times.longestBeforeMs = times.longestMs;
-      times.longestMs = 0;
-      times.spanStartMs = nowMs;
+    const window = this.#routes.get(route) ??
+      { longestMs: 0, previousLongestMs: 0, windowStartMs: nowMs };
+    this.#routes.set(route, window);
+    if (nowMs - window.windowStartMs >= WINDOW_MS) {
+      window.previousLongestMs = window.longestMs;
+      window.longestMs = 0;
+      window.windowStartMs = nowMs;
     }
-    return times;
+    return window;
   }
 }
--- a/src/process/choose_server.ts
+++ b/src/process/choose_server.ts
@@ -1,9 +1,9 @@
 /**
- * Chooses the backend server for one request.
+ * Chooses the backend server for a request.
  *
- * Answers the load of many requests on engines that share a batch: memory binds
- * before slots, and a prompt that is being read delays every other request on
- * its engine.
+ * Engines run many requests in one batch, so their KV cache fills up before
+ * their slots, and the prefill of a prompt delays all other requests on the
+ * engine.
  */
 
 import { crc32 } from "node:zlib";
@@ -14,217 +14,242 @@
   type ServerLoad,
 } from "./live_server.ts";
 
-/** A zone in which a request lost a server. */
+/** Failure of a server that was handling the request. */
 export interface RecentFailure {
   readonly zone: string;
-  /** When, on the monotonic clock in ms. */
+  /** When it failed, on the monotonic clock in ms. */
   readonly atMs: number;
 }
 
-/** What is wanted of a server. */
+/** What a request requires of a server. */
 export interface SelectionCriteria {
   readonly service: string;
-  /** Memory that the request takes, in tokens. */
+  /** KV cache that the request needs, in tokens. */
   readonly tokens: number;
-  /** Prompt tokens that a server would have to read; 0 when it has them. */
+  /** Prompt tokens that a server has to prefill; 0 when it has them cached. */
   readonly unreadTokens?: number;
   /**
-   * Until then the request rather waits than lines up behind other prompts, and
-   * afterwards behind more of them the longer it waits; on the monotonic clock in
-   * ms. It lines up anywhere if absent.
+   * Until this time, on the monotonic clock in ms, the request waits rather
+   * than queues behind the prefill of other prompts; after it, the accepted
+   * backlog grows with the wait. Any backlog is accepted if absent.
    */
   readonly avoidBacklogUntilMs?: number;
   /** Names of servers that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
-  /** Name of the server to prefer while it has room, or empty. */
+  /** Name of the server to prefer while it has capacity, or empty. */
   readonly preferred?: string;
   /**
-   * Names the prompt, if any: of servers alike, each entry chooses the same for
-   * it, so that a request that comes again finds it cached without being told.
+   * Key of the prompt, if any. Among servers of equal load every entry chooses
+   * the same one for it, so a repeated request finds its prompt cached without
+   * coordination.
    */
   readonly prompt?: string;
   /**
-   * Zone in which this request just lost a server, if any: the servers of a zone
-   * fail together, so those not heard since come last.
+   * Recent failure of a server that was handling this request, if any. Servers
+   * of a zone fail together, so those of that zone without activity since come
+   * last.
    */
   readonly recentFailure?: RecentFailure;
   /** Zone whose servers must not be chosen, if any. */
   readonly excludedZone?: string;
-  /** Zones in which many servers were lost just now, with the time of it. */
+  /**
+   * Zones in which several servers failed at once, with the time of the last
+   * failure.
+   */
   readonly suspectZones: ReadonlyMap<string, number>;
 }
 
-/** Clock and chance of a choice. */
+/** Clock and random source of a choice. */
 export interface SelectionContext {
   /** Monotonic clock, in ms. */
   readonly nowMs: number;
-  /** Number from 0 up to 1. */
+  /** Returns a number in [0, 1). */
   readonly random: () => number;
 }
 
 /**
- * Unread prompt tokens that a server may hold before a patient request rather
- * waits: two seconds' reading, so that the server is not idle meanwhile.
+ * Unread prompt tokens, including the request's own, above which a request that
+ * can wait avoids a server: two seconds of prefill, so that the server is not
+ * idle meanwhile.
+ */
+const BACKLOG_MAX_TOKENS = 10_000;
+/**
+ * Calls per slot that a plain service's server may have: the load from peer
+ * entries is known 150 ms late, and with an empty queue the server would idle.
+ */
+const CALLS_PER_SLOT = 2;
+/**
+ * Weight of unread prompt tokens relative to tokens that only take KV cache.
  */
-const LINE_MAX_TOKENS = 10_000;
+const PREFILL_WEIGHT = 3;
 /**
- * Calls that a plain server may have for each of its slots: what other entries
- * gave it is known 150 ms late, and with an empty queue it would idle.
+ * Fraction of a prompt's prefill time that each running request loses: an
+ * engine prefills for 25 ms between decode steps of 4 ms.
  */
-const CALL_PLACES_FACTOR = 2;
-/** Weight of unread prompt tokens against tokens that only take memory. */
-const UNREAD_WEIGHT = 3;
+const PREFILL_DELAY_FRACTION = 0.85;
 /**
- * Part of the reading of a prompt that each running request beside it loses:
- * an engine reads 25 ms between steps of 4 ms.
+ * Weight of tokens that only take KV cache when a prompt is to be prefilled.
  */
-const DISTURBED_PART = 0.85;
-/** Weight of tokens that only take memory where a prompt is to be read. */
 const MEMORY_WEIGHT = 0.3;
 /**
- * Servers that one choice compares: their best is hardly worse than the best of
- * all, and the choice costs the same before 80 servers and before 6,800.
+ * Servers compared per choice: the best of them is hardly worse than the best
+ * of all, and a choice costs the same with 80 servers and with 6,800.
  */
 const CANDIDATES_MAX = 48;
-/** Added to the load of a server in a zone that lost others just now. */
-const SUSPECT_PENALTY = 10;
+/** Added to the cost of a server whose zone recently lost others. */
+const SUSPECT_ZONE_PENALTY = 10;
 /**
- * Servers whose loads differ by less are alike, as a share of a server: a copy
- * that is kept makes about a step, a run beside which a prompt is read three.
+ * Servers whose costs differ by less count as equal, as a fraction of a server:
+ * a KV cache backup adds about one step, a generation delayed by prefill three.
  */
-const LOAD_STEP = 0.04;
+const COST_STEP = 0.04;
 
-/** Whether a server may get the request once it is sound and has room. */
+/**
+ * Whether a server could serve the request once it is healthy and has capacity.
+ */
 export function isEligible(
-  { server, ejectedUntilMs: avoidUntilMs }: LiveServerView,
-  need: SelectionCriteria,
+  { server, ejectedUntilMs }: LiveServerView,
+  criteria: SelectionCriteria,
 ): boolean {
-  return server.service === need.service &&
+  return server.service === criteria.service &&
     !server.isLeaving &&
-    !need.excluded.has(server.name) &&
-    server.zone !== need.excludedZone &&
-    avoidUntilMs < Number.POSITIVE_INFINITY;
+    !criteria.excluded.has(server.name) &&
+    server.zone !== criteria.excludedZone &&
+    ejectedUntilMs < Number.POSITIVE_INFINITY;
 }
 
-/** Whether the prompts before it would hold the request up for long. */
-function isInLine(
+/**
+ * Whether the prompts queued on a server would delay the request for too long.
+ */
+function exceedsBacklogLimit(
   view: LiveServerView,
-  { need, nowMs }: { readonly need: SelectionCriteria; readonly nowMs: number },
+  { criteria, nowMs }: {
+    readonly criteria: SelectionCriteria;
+    readonly nowMs: number;
+  },
 ): boolean {
-  const { unreadTokens = 0, avoidBacklogUntilMs: patientUntilMs } = need;
-  if (patientUntilMs === undefined) return false;
-  const before = addLoad(view.ownLoad, view.peerLoad).unreadTokens;
-  // Lining up at once would have been no faster: this much was read meanwhile.
-  const readTokens = Math.max(0, nowMs - patientUntilMs) *
+  const { unreadTokens = 0, avoidBacklogUntilMs } = criteria;
+  if (avoidBacklogUntilMs === undefined) return false;
+  const backlogTokens = addLoad(view.ownLoad, view.peerLoad).unreadTokens;
+  // Queueing at once would have been no faster: this much was prefilled
+  // meanwhile.
+  const prefilledTokens = Math.max(0, nowMs - avoidBacklogUntilMs) *
     PREFILL_TOKENS_PER_MS;
-  return before > 0 && before + unreadTokens > LINE_MAX_TOKENS + readTokens;
+  return backlogTokens > 0 &&
+    backlogTokens + unreadTokens > BACKLOG_MAX_TOKENS + prefilledTokens;
 }
 
-/** Whether a server has slots and memory left for the request. */
-function hasRoomFor(view: LiveServerView, tokens: number): boolean {
+/** Whether a server has slots and KV cache left for the request. */
+function canFit(view: LiveServerView, tokens: number): boolean {
   const load = addLoad(view.ownLoad, view.peerLoad);
-  return load.requests < placesOf(view) &&
+  return load.requests < requestLimitOf(view) &&
     load.tokens + tokens <= view.kvCacheTokens;
 }
 
-/** Requests that a server may have at once, from all entries. */
-function placesOf(
-  { server, kvCacheTokens: memoryTokens }: LiveServerView,
+/** Concurrent requests that a server may have, from all entries. */
+function requestLimitOf(
+  { server, kvCacheTokens }: LiveServerView,
 ): number {
-  const isEngine = Number.isFinite(memoryTokens);
-  return isEngine ? server.slots : server.slots * CALL_PLACES_FACTOR;
+  const isEngine = Number.isFinite(kvCacheTokens);
+  return isEngine ? server.slots : server.slots * CALLS_PER_SLOT;
 }
 
 /**
- * Returns the least loaded server with room among the first `CANDIDATES_MAX` of
- * `views` that could take the request, if there is one. Where all are avoided
- * after losses, those are tried again that may have returned: a service is not
- * given up for losses on the way to it.
+ * Returns the server of lowest cost among the first `CANDIDATES_MAX` of `views`
+ * that can take the request, if there is one. If all eligible servers are
+ * ejected, those that may have recovered are tried: failures on the way to a
+ * service must not make it unavailable.
  */
 export function chooseServer(
   views: Iterable<LiveServerView>,
-  need: SelectionCriteria,
+  criteria: SelectionCriteria,
   { nowMs, random }: SelectionContext,
 ): LiveServerView | undefined {
-  const roomy = findCandidates(views, { need, nowMs });
-  // It has the prompt already, so nothing it still has to read matters.
-  const preferred = roomy.find(({ view }) =>
-    view.server.name === need.preferred
+  const candidates = findCandidates(views, { criteria, nowMs });
+  // It has the prompt cached, so its prefill backlog does not matter.
+  const preferred = candidates.find(({ view }) =>
+    view.server.name === criteria.preferred
   );
   if (preferred !== undefined) return preferred.view;
-  const usable = roomy
-    .filter(({ hasLine }) => !hasLine)
+  const ranked = candidates
+    .filter(({ isBacklogged }) => !isBacklogged)
     .map(({ view }) => ({
       view,
-      load: Math.round(scoreOf(view, need) / LOAD_STEP),
-      rank: need.prompt ? crc32(view.server.name + need.prompt) : random(),
+      cost: Math.round(costOf(view, criteria) / COST_STEP),
+      tieBreak: criteria.prompt
+        ? crc32(view.server.name + criteria.prompt)
+        : random(),
     }))
-    .sort((a, b) => a.load - b.load || a.rank - b.rank);
-  return usable[0]?.view;
+    .sort((a, b) => a.cost - b.cost || a.tieBreak - b.tieBreak);
+  return ranked[0]?.view;
 }
 
-/** A server with room for the request. */
+/** A server with capacity for the request. */
 interface Candidate {
   readonly view: LiveServerView;
-  /** Whether the request rather waits than lines up there. */
-  readonly hasLine: boolean;
+  /** Whether its prefill backlog is too long for the request. */
+  readonly isBacklogged: boolean;
 }
 
-/** Returns the sound ones, or those that are avoided where no sound one exists. */
+/** Returns the healthy servers, or the ejected ones if no server is healthy. */
 function findCandidates(
   views: Iterable<LiveServerView>,
-  { need, nowMs }: { readonly need: SelectionCriteria; readonly nowMs: number },
+  { criteria, nowMs }: {
+    readonly criteria: SelectionCriteria;
+    readonly nowMs: number;
+  },
 ): readonly Candidate[] {
-  const sound: Candidate[] = [];
-  const avoided: Candidate[] = [];
-  let hasSound = false;
-  let ready = 0;
+  const healthy: Candidate[] = [];
+  const ejected: Candidate[] = [];
+  let hasHealthy = false;
+  let readyCount = 0;
   for (const view of views) {
-    if (!isEligible(view, need)) continue;
-    const isSound = view.ejectedUntilMs <= nowMs;
-    hasSound ||= isSound;
-    if (view.fullUntilMs > nowMs || !hasRoomFor(view, need.tokens)) continue;
-    const hasLine = isInLine(view, { need, nowMs });
-    (isSound ? sound : avoided).push({ view, hasLine });
-    if (isSound && !hasLine && ++ready === CANDIDATES_MAX) break;
+    if (!isEligible(view, criteria)) continue;
+    const isHealthy = view.ejectedUntilMs <= nowMs;
+    hasHealthy ||= isHealthy;
+    if (view.fullUntilMs > nowMs || !canFit(view, criteria.tokens)) continue;
+    const isBacklogged = exceedsBacklogLimit(view, { criteria, nowMs });
+    (isHealthy ? healthy : ejected).push({ view, isBacklogged });
+    if (isHealthy && !isBacklogged && ++readyCount === CANDIDATES_MAX) break;
   }
-  return hasSound ? sound : avoided;
+  return hasHealthy ? healthy : ejected;
 }
 
 /**
- * Returns the delay that reading a prompt beside a load makes for all of them,
- * in prompt tokens. Copies of other servers' runs only take memory: nobody
- * waits for them.
+ * Returns the total delay from prefilling a prompt beside a load, in prompt
+ * tokens. KV cache backups only take memory: no request waits for them.
  */
-function delayBeside(
+function prefillDelayOf(
   { requests, tokens, unreadTokens }: ServerLoad,
   promptTokens: number,
 ): number {
   return MEMORY_WEIGHT * tokens +
-    UNREAD_WEIGHT * unreadTokens +
-    DISTURBED_PART * requests * promptTokens;
+    PREFILL_WEIGHT * unreadTokens +
+    PREFILL_DELAY_FRACTION * requests * promptTokens;
 }
 
-/** Returns how unwelcome a server is, from 0; a full server is about 1. */
-function scoreOf(view: LiveServerView, need: SelectionCriteria): number {
+/**
+ * Returns the cost of choosing a server, from 0; a full server costs about 1.
+ */
+function costOf(view: LiveServerView, criteria: SelectionCriteria): number {
   const load = addLoad(view.ownLoad, view.peerLoad);
-  const slots = load.requests / view.server.slots;
-  const work = need.unreadTokens === undefined
-    ? load.tokens + UNREAD_WEIGHT * load.unreadTokens
-    : delayBeside(load, need.unreadTokens);
-  const memory = work / view.kvCacheTokens;
-  return Math.max(slots, memory) +
-    (isSuspect(view, need) ? SUSPECT_PENALTY : 0);
+  const slotUse = load.requests / view.server.slots;
+  const loadTokens = criteria.unreadTokens === undefined
+    ? load.tokens + PREFILL_WEIGHT * load.unreadTokens
+    : prefillDelayOf(load, criteria.unreadTokens);
+  const kvCacheUse = loadTokens / view.kvCacheTokens;
+  return Math.max(slotUse, kvCacheUse) +
+    (isZoneSuspect(view, criteria) ? SUSPECT_ZONE_PENALTY : 0);
 }
 
-/** Whether a server may have been lost with others of its zone. */
-function isSuspect(
-  { server, lastActivityMs: heardMs }: LiveServerView,
-  { suspectZones, recentFailure: lostZone }: SelectionCriteria,
+/** Whether a server may have failed together with others of its zone. */
+function isZoneSuspect(
+  { server, lastActivityMs }: LiveServerView,
+  { suspectZones, recentFailure }: SelectionCriteria,
 ): boolean {
   const suspectedMs = suspectZones.get(server.zone) ?? Number.NEGATIVE_INFINITY;
-  const lostMs = lostZone?.zone === server.zone
-    ? lostZone.atMs
+  const failedMs = recentFailure?.zone === server.zone
+    ? recentFailure.atMs
     : Number.NEGATIVE_INFINITY;
-  return heardMs < Math.max(suspectedMs, lostMs);
+  return lastActivityMs < Math.max(suspectedMs, failedMs);
 }
--- a/src/process/choose_server_test.ts
+++ b/src/process/choose_server_test.ts
@@ -1,4 +1,4 @@
-/** Which server gets a request, by load, prompts in line, losses and zones. */
+/** Choice of a server by load, prefill backlog, ejections and zone failures. */
 
 import { expect, test } from "vitest";
 import { createServer } from "../../tests/relay/scripted.ts";
@@ -6,7 +6,7 @@
 import { type LiveServerView, NO_LOAD } from "./live_server.ts";
 import { NO_UNANSWERED_CALLS } from "./server_ejection.ts";
 
-const NEED: SelectionCriteria = {
+const CRITERIA: SelectionCriteria = {
   service: "engines",
   tokens: 6_000,
   unreadTokens: 5_000,
@@ -36,10 +36,10 @@
   changes: Partial<SelectionCriteria> = {},
 ): string | undefined {
   const context = { nowMs: 1_000, random: () => 0 };
-  return chooseServer(views, { ...NEED, ...changes }, context)?.server.name;
+  return chooseServer(views, { ...CRITERIA, ...changes }, context)?.server.name;
 }
 
-test("the work of other entries counts like our own", () => {
+test("load from peer entries counts like the entry's own", () => {
   const busy = view("a1", {
     peerLoad: { requests: 3, tokens: 18_000, unreadTokens: 0 },
   });
@@ -49,106 +49,108 @@
   expect(choose([busy, own])).toBe("b1");
 });
 
-test("a server that reads a prompt is avoided for one that only answers", () => {
-  const reading = view("a1", {
+test("a server that only decodes is preferred to one that prefills a prompt", () => {
+  const prefilling = view("a1", {
     peerLoad: { requests: 1, tokens: 6_000, unreadTokens: 5_000 },
   });
-  const answering = view("b1", {
+  const decoding = view("b1", {
     peerLoad: { requests: 2, tokens: 12_000, unreadTokens: 0 },
   });
-  expect(choose([reading, answering])).toBe("b1");
+  expect(choose([prefilling, decoding])).toBe("b1");
 });
 
-test("a prompt is read where copies are kept rather than where a stream would wait", () => {
-  const answering = view("a1", {
+test("a prompt is prefilled beside KV cache backups rather than beside a running request", () => {
+  const decoding = view("a1", {
     peerLoad: { requests: 1, tokens: 6_000, unreadTokens: 0 },
   });
-  const keeping = view("b1", {
+  const backingUp = view("b1", {
     peerLoad: { requests: 0, tokens: 12_000, unreadTokens: 0 },
   });
-  expect(choose([answering, keeping])).toBe("b1");
-  // A copy of a run disturbs nobody: it goes where memory is left.
-  expect(choose([answering, keeping], { unreadTokens: undefined })).toBe("a1");
+  expect(choose([decoding, backingUp])).toBe("b1");
+  // A KV cache backup delays no request, so it goes where more memory is free.
+  expect(choose([decoding, backingUp], { unreadTokens: undefined })).toBe("a1");
 });
 
-test("memory binds before slots", () => {
+test("a server without free KV cache is not chosen, even with free slots", () => {
   const full = view("a1", {
     ownLoad: { requests: 8, tokens: 50_000, unreadTokens: 0 },
   });
   expect(choose([full])).toBeUndefined();
 });
 
-test("a request waits rather than being third in line, unless it waited as long as that line takes", () => {
-  const lined = view("a1", {
+test("a request waits rather than queues behind two prompts, until it has waited as long as their prefill takes", () => {
+  const backlogged = view("a1", {
     peerLoad: { requests: 2, tokens: 12_000, unreadTokens: 10_000 },
   });
-  expect(choose([lined], { avoidBacklogUntilMs: 2_000 })).toBeUndefined();
-  expect(choose([lined], { avoidBacklogUntilMs: 1 })).toBeUndefined();
-  expect(choose([lined], { avoidBacklogUntilMs: 0 })).toBe("a1");
+  expect(choose([backlogged], { avoidBacklogUntilMs: 2_000 })).toBeUndefined();
+  expect(choose([backlogged], { avoidBacklogUntilMs: 1 })).toBeUndefined();
+  expect(choose([backlogged], { avoidBacklogUntilMs: 0 })).toBe("a1");
 });
 
-test("requests that waited for room do not all line up at the first server that has it", () => {
-  const returned = view("a1", {
+test("requests that waited for capacity do not all queue at the first server that recovers", () => {
+  const recovered = view("a1", {
     ownLoad: { requests: 8, tokens: 48_000, unreadTokens: 40_000 },
   });
-  expect(choose([returned], { avoidBacklogUntilMs: 0 })).toBeUndefined();
-  expect(choose([returned, view("b1")], { avoidBacklogUntilMs: 0 })).toBe("b1");
+  expect(choose([recovered], { avoidBacklogUntilMs: 0 })).toBeUndefined();
+  expect(choose([recovered, view("b1")], { avoidBacklogUntilMs: 0 })).toBe(
+    "b1",
+  );
 });
 
-test("a request goes where its prompt is cached, whatever that server still reads", () => {
-  const lined = view("a1", {
+test("a request goes where its prompt is cached, regardless of the prefill backlog there", () => {
+  const backlogged = view("a1", {
     peerLoad: { requests: 2, tokens: 12_000, unreadTokens: 10_000 },
   });
-  const need = { avoidBacklogUntilMs: 2_000, preferred: "a1" };
-  expect(choose([lined, view("b1")], need)).toBe("a1");
+  const criteria = { avoidBacklogUntilMs: 2_000, preferred: "a1" };
+  expect(choose([backlogged, view("b1")], criteria)).toBe("a1");
   const full = view("a1", {
     peerLoad: { requests: 2, tokens: 52_000, unreadTokens: 0 },
   });
-  expect(choose([full, view("b1")], need)).toBe("b1");
+  expect(choose([full, view("b1")], criteria)).toBe("b1");
 });
 
-test("of servers alike, each entry chooses the same for a prompt, and others for others", () => {
-  const alike = Array.from({ length: 30 }, (_, at) => view(`a${at}`));
+test("among servers of equal load the choice depends on the prompt alone, and differs between prompts", () => {
+  const equal = Array.from({ length: 30 }, (_, i) => view(`a${i}`));
   const chosen = (prompt: string) =>
-    choose(alike.toSorted(() => Math.random() - 0.5), { prompt });
-  const prompts = Array.from({ length: 30 }, (_, at) => `prompt-${at}`);
+    choose(equal.toSorted(() => Math.random() - 0.5), { prompt });
+  const prompts = Array.from({ length: 30 }, (_, i) => `prompt-${i}`);
   const first = prompts.map(chosen);
   expect(prompts.map(chosen)).toEqual(first);
   expect(new Set(first).size).toBeGreaterThan(10);
 });
 
-test("a server in a zone that just lost others comes last, unless it was heard", () => {
+test("a server in a suspect zone comes last, unless it was active since the failures", () => {
   const suspectZones = new Map([["a", 900]]);
   const busy = view("b1", {
     ownLoad: { requests: 6, tokens: 36_000, unreadTokens: 0 },
   });
   expect(choose([view("a1"), busy], { suspectZones })).toBe("b1");
-  const heard = view("a1", { lastActivityMs: 950 });
-  expect(choose([heard, busy], { suspectZones })).toBe("a1");
+  const active = view("a1", { lastActivityMs: 950 });
+  expect(choose([active, busy], { suspectZones })).toBe("a1");
 });
 
-test("a request that lost a server goes to another zone, unless it heard of that one since", () => {
+test("a request whose server failed goes to another zone, unless a server of the same zone was active since", () => {
   const busy = view("b1", {
     ownLoad: { requests: 6, tokens: 36_000, unreadTokens: 0 },
   });
-  const lostZone = { zone: "a", atMs: 900 };
-  expect(choose([view("a1"), busy], { recentFailure: lostZone })).toBe("b1");
-  expect(choose([view("a1")], { recentFailure: lostZone })).toBe("a1");
+  const recentFailure = { zone: "a", atMs: 900 };
+  expect(choose([view("a1"), busy], { recentFailure })).toBe("b1");
+  expect(choose([view("a1")], { recentFailure })).toBe("a1");
   expect(
     choose([view("a1", { lastActivityMs: 950 }), busy], {
-      recentFailure: lostZone,
+      recentFailure,
     }),
   ).toBe("a1");
 });
 
-test("an avoided server is used when there is no other, a replaced one never", () => {
-  const avoided = view("a1", { ejectedUntilMs: 5_000 });
+test("an ejected server is used only if there is no other, and a replaced one never", () => {
+  const ejected = view("a1", { ejectedUntilMs: 5_000 });
   const replaced = view("b1", { ejectedUntilMs: Number.POSITIVE_INFINITY });
-  expect(choose([avoided, replaced])).toBe("a1");
-  expect(choose([avoided, view("c1")])).toBe("c1");
+  expect(choose([ejected, replaced])).toBe("a1");
+  expect(choose([ejected, view("c1")])).toBe("c1");
   expect(choose([replaced])).toBeUndefined();
 });
 
-test("a copy is kept in another zone", () => {
+test("no server of an excluded zone is chosen", () => {
   expect(choose([view("a1"), view("b1")], { excludedZone: "a" })).toBe("b1");
 });
--- a/src/process/dispatcher.ts
+++ b/src/process/dispatcher.ts
@@ -1,6 +1,6 @@
 /**
- * Gives each request a place on a backend server, in the order of the fair
- * queue, or refuses it as not run.
+ * Assigns requests to slots of backend servers in the order of the fair queue,
+ * or rejects them before they run.
  */
 
 import { RETRY_AFTER_S } from "../constants.ts";
@@ -12,271 +12,298 @@
 import type { Log } from "./log.ts";
 import type { Policy } from "./settings.ts";
 
-/** What the dispatcher itself reads of a wish for a server. */
+/** What the dispatcher itself reads of a request's server criteria. */
 export interface DispatchCriteria {
   readonly service: string;
   /** Names of servers that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
-  /** Whether the request must be alone among suspected ones. */
+  /**
+   * Whether the request is suspected of crashing servers; it must not share a
+   * server with another suspect.
+   */
   readonly isSuspect: boolean;
 }
 
-/** The servers that a dispatcher gives places on. */
-export interface DispatchPool<Wish extends DispatchCriteria> {
-  /** Returns the server that a request goes to now, if one has room. */
-  readonly choose: (wish: Wish) => BackendServer | undefined;
-  /** Notes that a request goes to a server. */
-  readonly begin: (name: string, wish: Wish) => void;
-  /** Notes that a request has left a server. */
-  readonly end: (name: string, wish: Wish) => void;
+/** The servers whose slots a dispatcher assigns. */
+export interface DispatchPool<Criteria extends DispatchCriteria> {
+  /** Returns the server for a request, if one has capacity now. */
+  readonly choose: (criteria: Criteria) => BackendServer | undefined;
+  /** Counts a request that is assigned to a server. */
+  readonly begin: (name: string, criteria: Criteria) => void;
+  /** Counts a request that has left a server. */
+  readonly end: (name: string, criteria: Criteria) => void;
 }
 
-/** What any request asks of the dispatcher, whatever its wish for a server. */
+/** Queueing parameters of a request, independent of its server criteria. */
 export interface QueueingOptions extends QueueItem {
-  /** Longest wait for a place, in ms. */
+  /** Longest wait for a slot, in ms. */
   readonly waitMs: number;
-  /** Aborted when the caller has gone. */
+  /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
-  /** A resumed generation is served before those that have not begun. */
+  /**
+   * Whether part of the response was delivered; such a request is served before
+   * those that have not started.
+   */
   readonly isResumed: boolean;
-  /** Takes the place back for more urgent work; absent where that can't be. */
+  /**
+   * Called to reclaim the slot for another request; absent if the request can't
+   * be preempted.
+   */
   readonly onPreempt?: () => void;
 }
 
-/** What a request asks of the dispatcher. */
+/** A request for a slot. */
 export type DispatchRequest<
-  Wish extends DispatchCriteria = ServerPoolCriteria,
-> = QueueingOptions & Wish;
+  Criteria extends DispatchCriteria = ServerPoolCriteria,
+> = QueueingOptions & Criteria;
 
-/** A place on a backend server, held until `close`. */
+/** A slot on a backend server, held until `release`. */
 export interface Reservation {
   readonly server: BackendServer;
-  /** Gives the place back; further calls do nothing. */
+  /** Returns the slot; further calls do nothing. */
   readonly release: () => void;
 }
 
-/** What the dispatcher needs of its process. */
-export interface DispatcherOptions<Wish extends DispatchCriteria> {
+/** Dependencies and limits of a dispatcher. */
+export interface DispatcherOptions<Criteria extends DispatchCriteria> {
   /** Monotonic clock, in ms. */
   readonly now: () => number;
-  readonly pool: DispatchPool<Wish>;
-  /** Requests that may wait in one rank of a service. */
+  readonly pool: DispatchPool<Criteria>;
+  /** Requests that may wait per rank of a service. */
   readonly queueMaxLength: number;
   readonly policy: Policy;
   readonly log: Log;
 }
 
-/** A request that holds a place. */
-interface Running<Wish extends DispatchCriteria> {
-  readonly order: Waiting<Wish>;
+/** A request that holds a slot. */
+interface RunningRequest<Criteria extends DispatchCriteria> {
+  readonly request: QueuedRequest<Criteria>;
   readonly server: BackendServer;
   isPreempted: boolean;
 }
 
 /** The waiting and running requests of one service. */
-interface ServiceQueue<Wish extends DispatchCriteria> {
-  readonly waiting: FairQueue<Waiting<Wish>>;
-  /** In the order in which they got their places. */
-  readonly running: Set<Running<Wish>>;
+interface ServiceQueue<Criteria extends DispatchCriteria> {
+  readonly waiting: FairQueue<QueuedRequest<Criteria>>;
+  /** In the order of slot assignment. */
+  readonly running: Set<RunningRequest<Criteria>>;
 }
 
-type Waiting<Wish extends DispatchCriteria> = DispatchRequest<Wish> & {
-  readonly resolve: (place: Reservation) => void;
-};
+type QueuedRequest<Criteria extends DispatchCriteria> =
+  & DispatchRequest<Criteria>
+  & {
+    readonly resolve: (reservation: Reservation) => void;
+  };
 
-/** Heads of the queue that are tried when the first finds no server. */
-const CANDIDATES_TRIED = 16;
-/** Shorter queues are not judged by their estimated wait. */
+/** Waiting requests that are tried in turn until one can be assigned. */
+const CANDIDATES_MAX = 16;
+/** Queue length from which the estimated wait is used for early refusal. */
 const ESTIMATE_MIN_LENGTH = 8;
 
-/** The waiting requests of an entry, by service. */
-export class Dispatcher<Wish extends DispatchCriteria = ServerPoolCriteria> {
-  readonly #options: DispatcherOptions<Wish>;
-  readonly #queues = new Map<string, ServiceQueue<Wish>>();
+/** Queues of an entry's waiting requests, by service. */
+export class Dispatcher<
+  Criteria extends DispatchCriteria = ServerPoolCriteria,
+> {
+  readonly #options: DispatcherOptions<Criteria>;
+  readonly #queues = new Map<string, ServiceQueue<Criteria>>();
 
-  private constructor(options: DispatcherOptions<Wish>) {
+  private constructor(options: DispatcherOptions<Criteria>) {
     this.#options = options;
   }
 
-  /** Makes a dispatcher; the fleet must call `pump` when it has room. */
-  static create<Wish extends DispatchCriteria>(
-    options: DispatcherOptions<Wish>,
-  ): Dispatcher<Wish> {
+  /**
+   * Creates a dispatcher; the server pool must call `pump` when it has
+   * capacity.
+   */
+  static create<Criteria extends DispatchCriteria>(
+    options: DispatcherOptions<Criteria>,
+  ): Dispatcher<Criteria> {
     return new Dispatcher(options);
   }
 
-  /** Waits for a place. Errors: a `RequestError` of type not run. */
-  reserve(order: DispatchRequest<Wish>): Promise<Reservation> {
-    const queue = this.#queue(queueName(order));
-    const refusal = this.#refuseEarly(queue, order);
-    if (refusal !== undefined) return Promise.reject(refusal);
+  /** Waits for a slot. Errors: a `RequestError` of type `NotRun`. */
+  reserve(request: DispatchRequest<Criteria>): Promise<Reservation> {
+    const queue = this.#queue(queueName(request));
+    const rejection = this.#rejectEarly(queue, request);
+    if (rejection !== undefined) return Promise.reject(rejection);
     return new Promise((resolve, reject) => {
-      const stopWaiting = (refusal: RequestError) => {
+      const stopWaiting = (rejection: RequestError) => {
         settle();
         queue.waiting.remove(waiting);
-        reject(refusal);
+        reject(rejection);
       };
-      const onAbort = () => stopWaiting(refuse("caller has gone"));
+      const onAbort = () => stopWaiting(createRejection("caller disconnected"));
       const timer = setTimeout(() => {
-        stopWaiting(refuse("no backend server had room in time"));
-      }, order.waitMs);
+        stopWaiting(createRejection("no backend server had room in time"));
+      }, request.waitMs);
       const settle = () => {
         clearTimeout(timer);
-        order.signal.removeEventListener("abort", onAbort);
+        request.signal.removeEventListener("abort", onAbort);
       };
-      const waiting: Waiting<Wish> = {
-        ...order,
-        resolve: (place) => {
+      const waiting: QueuedRequest<Criteria> = {
+        ...request,
+        resolve: (reservation) => {
           settle();
-          resolve(place);
+          resolve(reservation);
         },
       };
-      order.signal.addEventListener("abort", onAbort);
-      queue.waiting.push(waiting, order.isResumed);
-      if (order.signal.aborted) return onAbort();
-      this.#pumpService(queue);
+      request.signal.addEventListener("abort", onAbort);
+      queue.waiting.push(waiting, request.isResumed);
+      if (request.signal.aborted) return onAbort();
+      this.#pumpQueue(queue);
     });
   }
 
-  /** Serves waiting requests while servers have room. */
+  /** Assigns waiting requests while servers have capacity. */
   pump(): void {
-    for (const queue of this.#queues.values()) this.#pumpService(queue);
+    for (const queue of this.#queues.values()) this.#pumpQueue(queue);
   }
 
-  /** Refuses what can't wait, or would wait in vain. */
-  #refuseEarly(
-    { waiting }: ServiceQueue<Wish>,
-    order: DispatchRequest<Wish>,
+  /** Rejects a request if the queue is full or its wait limit can't be met. */
+  #rejectEarly(
+    { waiting }: ServiceQueue<Criteria>,
+    request: DispatchRequest<Criteria>,
   ): RequestError | undefined {
-    const { rank, waitMs, isResumed } = order;
+    const { rank, waitMs, isResumed } = request;
     if (isResumed) return undefined;
-    const { queueMaxLength: queueLength, policy } = this.#options;
+    const { queueMaxLength, policy } = this.#options;
     const length = waiting.lengthOf(rank.name);
-    if (length >= queueLength) {
-      return refuse(`queue of rank ${rank.name} is full`);
+    if (length >= queueMaxLength) {
+      return createRejection(`queue of rank ${rank.name} is full`);
     }
     if (!policy.refusesEarly || length < ESTIMATE_MIN_LENGTH) return undefined;
-    const excessMs = waiting.estimateWaitMs(order) - waitMs;
-    if (excessMs <= 0) return undefined;
-    const retryAfterS = Math.ceil(excessMs / 1_000);
-    return refuse(`rank ${rank.name} can't be served in time`, retryAfterS);
+    const overrunMs = waiting.estimateWaitMs(request) - waitMs;
+    if (overrunMs <= 0) return undefined;
+    const retryAfterS = Math.ceil(overrunMs / 1_000);
+    return createRejection(
+      `rank ${rank.name} can't be served within the request's wait limit`,
+      retryAfterS,
+    );
   }
 
-  #pumpService(queue: ServiceQueue<Wish>): void {
-    while (this.#serveOne(queue)) continue;
+  #pumpQueue(queue: ServiceQueue<Criteria>): void {
+    while (this.#dispatchOne(queue)) continue;
     if (this.#options.policy.preempts) this.#preemptOne(queue);
   }
 
-  #serveOne(queue: ServiceQueue<Wish>): boolean {
+  #dispatchOne(queue: ServiceQueue<Criteria>): boolean {
     let tried = 0;
     for (const waiting of queue.waiting.candidates()) {
       const server = this.#options.pool.choose(waiting);
       if (server !== undefined) {
         queue.waiting.dequeue(waiting);
-        waiting.resolve(this.#occupy(queue, { order: waiting, server }));
+        waiting.resolve(this.#assign(queue, { request: waiting, server }));
         return true;
       }
-      if (++tried === CANDIDATES_TRIED) return false;
+      if (++tried === CANDIDATES_MAX) return false;
     }
     return false;
   }
 
-  /** Asks one running request to give its place to the first that waits. */
-  #preemptOne({ waiting, running }: ServiceQueue<Wish>): void {
+  /** Asks one running request to give up its slot for the first one waiting. */
+  #preemptOne({ waiting, running }: ServiceQueue<Criteria>): void {
     const [first] = waiting.candidates();
     if (first === undefined) return;
-    const asked = [...running].filter(({ isPreempted }) => isPreempted);
-    if (asked.length >= waiting.lengthOf(first.rank.name)) return;
+    const pending = [...running].filter(({ isPreempted }) => isPreempted);
+    if (pending.length >= waiting.lengthOf(first.rank.name)) return;
     const victim = [...running]
-      .filter((candidate) => mayTakeBack(candidate, first))
-      .filter(({ order }) => {
-        if (order.rank.order > first.rank.order) {
-          return waiting.canPreempt(order.rank);
+      .filter((candidate) => isPreemptible(candidate, first))
+      .filter(({ request }) => {
+        if (request.rank.order > first.rank.order) {
+          return waiting.canPreempt(request.rank);
         }
-        return order.rank.order === first.rank.order &&
-          isOverShare(running, { order, first });
+        return request.rank.order === first.rank.order &&
+          exceedsFairShare(running, { request, first });
       })
-      .sort((a, b) => a.order.rank.order - b.order.rank.order)
+      .sort((a, b) => a.request.rank.order - b.request.rank.order)
       .at(-1);
     if (victim === undefined) return;
     victim.isPreempted = true;
     this.#options.log(LOG_EVENTS.generationPreempted, {
       server: victim.server.name,
-      rank: victim.order.rank.name,
+      rank: victim.request.rank.name,
       for: first.rank.name,
     });
-    victim.order.onPreempt?.();
+    victim.request.onPreempt?.();
   }
 
-  #occupy(
-    queue: ServiceQueue<Wish>,
-    { order, server }: {
-      readonly order: Waiting<Wish>;
+  #assign(
+    queue: ServiceQueue<Criteria>,
+    { request, server }: {
+      readonly request: QueuedRequest<Criteria>;
       readonly server: BackendServer;
     },
   ): Reservation {
-    const { pool: fleet } = this.#options;
-    const running: Running<Wish> = { order, server, isPreempted: false };
+    const { pool } = this.#options;
+    const running: RunningRequest<Criteria> = {
+      request,
+      server,
+      isPreempted: false,
+    };
     queue.running.add(running);
-    fleet.begin(server.name, order);
+    pool.begin(server.name, request);
     return {
       server,
       release: () => {
         if (!queue.running.delete(running)) return;
-        queue.waiting.release(order);
-        fleet.end(server.name, order);
+        queue.waiting.release(request);
+        pool.end(server.name, request);
       },
     };
   }
 
-  #queue(name: string): ServiceQueue<Wish> {
+  #queue(name: string): ServiceQueue<Criteria> {
     const { now, policy } = this.#options;
     const queue = this.#queues.get(name) ?? {
-      waiting: FairQueue.create<Waiting<Wish>>({
+      waiting: FairQueue.create<QueuedRequest<Criteria>>({
         now,
         order: policy.queueOrder,
       }),
-      running: new Set<Running<Wish>>(),
+      running: new Set<RunningRequest<Criteria>>(),
     };
     this.#queues.set(name, queue);
     return queue;
   }
 }
 
-function mayTakeBack<Wish extends DispatchCriteria>(
-  { order, server, isPreempted }: Running<Wish>,
-  first: Waiting<Wish>,
+function isPreemptible<Criteria extends DispatchCriteria>(
+  { request, server, isPreempted }: RunningRequest<Criteria>,
+  first: QueuedRequest<Criteria>,
 ): boolean {
-  return !isPreempted && order.onPreempt !== undefined &&
+  return !isPreempted && request.onPreempt !== undefined &&
     !first.excluded.has(server.name);
 }
 
 /**
- * Whether a customer runs more than its share beside one of its rank that waits
- * and runs nothing: with one place less it still runs more by weight.
+ * Whether a customer exceeds its fair share compared with a waiting customer of
+ * the same rank that runs nothing: after preemption it would still run at least
+ * as much, by weight.
  */
-function isOverShare<Wish extends DispatchCriteria>(
-  running: ReadonlySet<Running<Wish>>,
-  { order, first }: {
-    readonly order: Waiting<Wish>;
-    readonly first: Waiting<Wish>;
+function exceedsFairShare<Criteria extends DispatchCriteria>(
+  running: ReadonlySet<RunningRequest<Criteria>>,
+  { request, first }: {
+    readonly request: QueuedRequest<Criteria>;
+    readonly first: QueuedRequest<Criteria>;
   },
 ): boolean {
   const countOf = (customer: string) =>
     [...running].filter((candidate) =>
-      candidate.order.customer === customer && !candidate.isPreempted &&
-      candidate.order.rank.name === order.rank.name
+      candidate.request.customer === customer && !candidate.isPreempted &&
+      candidate.request.rank.name === request.rank.name
     ).length;
   if (countOf(first.customer) > 0) return false;
-  const left = countOf(order.customer) - 1;
-  return left / order.weight >= 1 / first.weight;
+  const remaining = countOf(request.customer) - 1;
+  return remaining / request.weight >= 1 / first.weight;
 }
 
-/** Suspected requests wait apart, so that they hold up no others. */
+/** Suspected requests have a queue of their own, so they don't block others. */
 function queueName({ service, isSuspect }: DispatchCriteria): string {
   return isSuspect ? `${service} suspects` : service;
 }
 
-function refuse(message: string, retryAfterS = RETRY_AFTER_S): RequestError {
+function createRejection(
+  message: string,
+  retryAfterS = RETRY_AFTER_S,
+): RequestError {
   return new RequestError(RequestErrorType.NotRun, message, retryAfterS);
 }
--- a/src/process/duration_histogram.ts
+++ b/src/process/duration_histogram.ts
@@ -1,4 +1,4 @@
-/** Distributions of durations, by HDR histograms. */
+/** Distributions of durations, as HDR histograms. */
 
 import { build, type Histogram } from "hdr-histogram-js";
 
@@ -10,33 +10,33 @@
   readonly count: number;
 }
 
-const MICROSECONDS = 1_000;
+const MICROS_PER_MS = 1_000;
 
-/** Collects durations and gives percentiles. */
+/** Records durations and computes percentiles. */
 export class DurationHistogram {
   readonly #histogram: Histogram = build({ numberOfSignificantValueDigits: 3 });
 
   private constructor() {}
 
-  /** Makes an empty collection. */
+  /** Creates an empty histogram. */
   static create(): DurationHistogram {
     return new DurationHistogram();
   }
 
-  /** Adds a duration in ms. */
+  /** Records a duration in ms. */
   record(durationMs: number): void {
-    const micros = Math.max(0, Math.round(durationMs * MICROSECONDS));
+    const micros = Math.max(0, Math.round(durationMs * MICROS_PER_MS));
     this.#histogram.recordValue(micros);
   }
 
-  /** Returns percentiles in ms. */
+  /** Returns the percentiles in ms. */
   percentiles(): Percentiles {
     const at = (percentile: number) =>
-      this.#histogram.getValueAtPercentile(percentile) / MICROSECONDS;
+      this.#histogram.getValueAtPercentile(percentile) / MICROS_PER_MS;
     return {
       p50: at(50),
       p95: at(95),
-      max: this.#histogram.maxValue / MICROSECONDS,
+      max: this.#histogram.maxValue / MICROS_PER_MS,
       count: this.#histogram.totalCount,
     };
   }
--- a/src/process/fair_queue.ts
+++ b/src/process/fair_queue.ts
@@ -1,13 +1,13 @@
 /**
- * Order in which waiting requests are served: the most urgent rank first, but
- * for ranks below their floor; inside a rank fair between customers by weighted
- * cost in tokens.
+ * Order in which waiting requests are served: ranks below their guaranteed
+ * share first, then the most urgent rank; within a rank, weighted fair queueing
+ * between customers by estimated cost in tokens.
  */
 
 import type { Rank } from "../version/types.ts";
 import { QueueOrder } from "./settings.ts";
 
-/** What the order of a request depends on. */
+/** Properties of a request that determine its order. */
 export interface QueueItem {
   readonly rank: Rank;
   readonly customer: string;
@@ -16,147 +16,156 @@
   readonly cost: number;
 }
 
-/** What a queue needs of its process. */
+/** Clock and order of a queue. */
 export interface FairQueueOptions {
   /** Monotonic clock, in ms. */
   readonly now: () => number;
   readonly order: QueueOrder;
 }
 
-/** A customer's place in its rank; grows with the work it was given. */
-interface CustomerQueue<Waiting extends QueueItem> {
+/**
+ * Waiting requests of one customer within a rank; the virtual time grows with
+ * the weighted cost that was served.
+ */
+interface CustomerQueue<Item extends QueueItem> {
   virtualTime: number;
   weight: number;
-  /** Estimated work of all that waits, in tokens. */
+  /** Total cost of the waiting requests, in tokens. */
   work: number;
-  readonly tickets: Waiting[];
+  readonly items: Item[];
 }
 
-interface RankQueue<Waiting extends QueueItem> {
+interface RankQueue<Item extends QueueItem> {
   rank: Rank;
   length: number;
-  /** Estimated work of all that waits, in tokens. */
+  /** Total cost of the waiting requests, in tokens. */
   work: number;
-  /** Requests that were taken and have not been released. */
+  /** Requests that were dequeued and not released yet. */
   running: number;
-  /** Work given lately to requests that had waited, halved each half-life. */
+  /**
+   * Cost of served requests that had to wait, in tokens, with exponential
+   * decay.
+   */
   served: number;
   virtualTime: number;
-  readonly customers: Map<string, CustomerQueue<Waiting>>;
+  readonly customers: Map<string, CustomerQueue<Item>>;
 }
 
 const SERVED_HALF_LIFE_MS = 10_000;
-/** Time with a backlog before the rate of service is known, in ms. */
+/** Backlogged time needed to estimate the service rate, in ms. */
 const BACKLOG_MIN_MS = 1_000;
 const PERCENT = 100;
-const CUSTOMERS_IDLE_MAX = 1_000;
+const CUSTOMERS_CLEANUP_MIN = 1_000;
 
 /** The waiting requests of one service. */
-export class FairQueue<Waiting extends QueueItem> {
+export class FairQueue<Item extends QueueItem> {
   readonly #now: () => number;
   readonly #order: QueueOrder;
-  /** All waiting requests in the order of their coming, with its time. */
-  readonly #arrivals = new Map<Waiting, number>();
-  readonly #ranks = new Map<string, RankQueue<Waiting>>();
-  #decayedMs: number;
-  /** Time lately in which requests waited, halved each half-life, in ms. */
+  /** All waiting requests in order of arrival, with the time of it. */
+  readonly #arrivals = new Map<Item, number>();
+  readonly #ranks = new Map<string, RankQueue<Item>>();
+  #lastDecayMs: number;
+  /** Time during which requests waited, in ms, with exponential decay. */
   #backlogMs = 0;
 
   private constructor({ now, order }: FairQueueOptions) {
     this.#now = now;
     this.#order = order;
-    this.#decayedMs = now();
+    this.#lastDecayMs = now();
   }
 
-  /** Makes an empty queue. */
-  static create<Waiting extends QueueItem>(
+  /** Creates an empty queue. */
+  static create<Item extends QueueItem>(
     options: FairQueueOptions,
-  ): FairQueue<Waiting> {
-    return new FairQueue<Waiting>(options);
+  ): FairQueue<Item> {
+    return new FairQueue<Item>(options);
   }
 
-  /** Count of requests that wait in a rank. */
+  /** Returns the number of waiting requests of a rank. */
   lengthOf(rank: string): number {
     return this.#ranks.get(rank)?.length ?? 0;
   }
 
-  /** Adds a request; `atFront` puts one back that had been served already. */
-  push(ticket: Waiting, atFront = false): void {
+  /** Adds a request; `atFront` puts one first that was already being served. */
+  push(item: Item, atFront = false): void {
     this.#decay();
-    const queue = this.#rankQueue(ticket.rank);
-    const customer = queue.customers.get(ticket.customer) ??
+    const queue = this.#rankQueue(item.rank);
+    const customer = queue.customers.get(item.customer) ??
       {
         virtualTime: queue.virtualTime,
-        weight: ticket.weight,
+        weight: item.weight,
         work: 0,
-        tickets: [],
+        items: [],
       };
-    queue.customers.set(ticket.customer, customer);
-    if (customer.tickets.length === 0) {
+    queue.customers.set(item.customer, customer);
+    if (customer.items.length === 0) {
       customer.virtualTime = Math.max(customer.virtualTime, queue.virtualTime);
     }
-    if (atFront) customer.tickets.unshift(ticket);
-    else customer.tickets.push(ticket);
-    customer.weight = ticket.weight;
-    customer.work += ticket.cost;
-    this.#arrivals.set(ticket, this.#decayedMs);
+    if (atFront) customer.items.unshift(item);
+    else customer.items.push(item);
+    customer.weight = item.weight;
+    customer.work += item.cost;
+    this.#arrivals.set(item, this.#lastDecayMs);
     queue.length++;
-    queue.work += ticket.cost;
+    queue.work += item.cost;
   }
 
-  /** Removes a request that no longer waits. */
-  remove(ticket: Waiting): void {
-    const queue = this.#ranks.get(ticket.rank.name);
-    const customer = queue?.customers.get(ticket.customer);
-    const index = customer?.tickets.indexOf(ticket) ?? -1;
+  /** Removes a request that stops waiting. */
+  remove(item: Item): void {
+    const queue = this.#ranks.get(item.rank.name);
+    const customer = queue?.customers.get(item.customer);
+    const index = customer?.items.indexOf(item) ?? -1;
     if (queue === undefined || customer === undefined || index < 0) return;
-    customer.tickets.splice(index, 1);
-    customer.work -= ticket.cost;
-    this.#arrivals.delete(ticket);
+    customer.items.splice(index, 1);
+    customer.work -= item.cost;
+    this.#arrivals.delete(item);
     queue.length--;
-    queue.work -= ticket.cost;
+    queue.work -= item.cost;
   }
 
-  /** Yields waiting requests, the one to serve next first. */
-  *candidates(): Generator<Waiting> {
+  /** Yields the waiting requests in the order of service. */
+  *candidates(): Generator<Item> {
     if (this.#order === QueueOrder.Fifo) {
       yield* this.#arrivals.keys();
       return;
     }
-    for (const queue of this.#rankOrder()) yield* inOrder(queue.customers);
+    for (const queue of this.#sortedRanks()) yield* fairOrder(queue.customers);
   }
 
-  /** Takes a request out because it is served now, and charges its cost. */
-  dequeue(ticket: Waiting): void {
+  /** Removes a request that is assigned a slot, and charges its cost. */
+  dequeue(item: Item): void {
     this.#decay();
-    const hasWaited = (this.#arrivals.get(ticket) ?? 0) < this.#decayedMs;
-    this.remove(ticket);
-    const queue = this.#rankQueue(ticket.rank);
-    const customer = queue.customers.get(ticket.customer);
+    const hadToWait = (this.#arrivals.get(item) ?? 0) < this.#lastDecayMs;
+    this.remove(item);
+    const queue = this.#rankQueue(item.rank);
+    const customer = queue.customers.get(item.customer);
     queue.running++;
-    if (hasWaited) queue.served += ticket.cost;
+    if (hadToWait) queue.served += item.cost;
     if (customer === undefined) return;
     queue.virtualTime = Math.max(queue.virtualTime, customer.virtualTime);
-    customer.virtualTime += ticket.cost / ticket.weight;
-    if (queue.customers.size > CUSTOMERS_IDLE_MAX) dropIdle(queue);
+    customer.virtualTime += item.cost / item.weight;
+    if (queue.customers.size > CUSTOMERS_CLEANUP_MIN) dropIdleCustomers(queue);
   }
 
-  /** Notes that a request which was taken has ended. */
-  release(ticket: Waiting): void {
-    this.#rankQueue(ticket.rank).running--;
+  /** Records that a dequeued request has ended. */
+  release(item: Item): void {
+    this.#rankQueue(item.rank).running--;
   }
 
-  /** Ranks in the order of service; ranks below their floor come first. */
-  #rankOrder(): RankQueue<Waiting>[] {
+  /**
+   * Returns the ranks in the order of service: first those below their
+   * guaranteed share, the largest deficit first, then by urgency.
+   */
+  #sortedRanks(): RankQueue<Item>[] {
     return [...this.#ranks.values()]
       .filter(({ length }) => length > 0)
       .sort((a, b) =>
-        this.#lackOf(b) - this.#lackOf(a) || a.rank.order - b.rank.order
+        this.#deficitOf(b) - this.#deficitOf(a) || a.rank.order - b.rank.order
       );
   }
 
-  /** Running requests that a rank lacks to its floor, 0 when it has it. */
-  #lackOf({ rank, running }: RankQueue<Waiting>): number {
+  /** Running requests that a rank lacks to its guaranteed share; 0 if none. */
+  #deficitOf({ rank, running }: RankQueue<Item>): number {
     const floor = rank.floorPercent / PERCENT * this.#totalRunning();
     return Math.max(0, floor - running);
   }
@@ -168,41 +177,46 @@
   }
 
   /**
-   * Estimated time until a request that comes now is served, in ms; 0 until a
-   * backlog has lasted long enough to tell. What was served without waiting says
-   * how little was asked for, not how much can be served. Work of other customers counts as far as fairness
-   * lets it go first.
+   * Estimated time until a request that arrives now is served, in ms; 0 until a
+   * backlog has lasted long enough. Requests served without waiting are
+   * ignored: they show the demand, not the capacity. Other customers' work
+   * counts only as far as fair queueing serves it first.
    */
-  estimateWaitMs(ticket: QueueItem): number {
+  estimateWaitMs(item: QueueItem): number {
     this.#decay();
     if (this.#backlogMs < BACKLOG_MIN_MS) return 0;
-    const perMs = this.#totalServed() / this.#backlogMs;
-    if (perMs === 0) return 0;
-    const inRank = this.#workBefore(ticket);
-    let urgent = 0;
+    const tokensPerMs = this.#totalServed() / this.#backlogMs;
+    if (tokensPerMs === 0) return 0;
+    const rankWork = this.#workBefore(item);
+    let urgentWork = 0;
     for (const { rank, work } of this.#ranks.values()) {
-      if (rank.order < ticket.rank.order) urgent += work;
+      if (rank.order < item.rank.order) urgentWork += work;
     }
-    const allMs = (urgent + inRank) / perMs;
-    const floorPerMs = perMs * ticket.rank.floorPercent / PERCENT;
-    return floorPerMs > 0 ? Math.min(allMs, inRank / floorPerMs) : allMs;
+    const waitMs = (urgentWork + rankWork) / tokensPerMs;
+    const floorTokensPerMs = tokensPerMs * item.rank.floorPercent / PERCENT;
+    return floorTokensPerMs > 0
+      ? Math.min(waitMs, rankWork / floorTokensPerMs)
+      : waitMs;
   }
 
-  /** Work of a ticket's rank that is served before it, in tokens. */
-  #workBefore(ticket: QueueItem): number {
-    const customers = this.#ranks.get(ticket.rank.name)?.customers;
-    const own = customers?.get(ticket.customer)?.work ?? 0;
-    const perWeight = (own + ticket.cost) / ticket.weight;
-    let before = own;
+  /** Work of an item's rank that is served before it, in tokens. */
+  #workBefore(item: QueueItem): number {
+    const customers = this.#ranks.get(item.rank.name)?.customers;
+    const ownWork = customers?.get(item.customer)?.work ?? 0;
+    const workPerWeight = (ownWork + item.cost) / item.weight;
+    let workBefore = ownWork;
     for (const [name, { work, weight }] of customers ?? []) {
-      if (name !== ticket.customer) {
-        before += Math.min(work, perWeight * weight);
+      if (name !== item.customer) {
+        workBefore += Math.min(work, workPerWeight * weight);
       }
     }
-    return before;
+    return workBefore;
   }
 
-  /** Whether a rank keeps its floor when one of its requests is taken back. */
+  /**
+   * Whether a rank keeps its guaranteed share if one of its requests is
+   * preempted.
+   */
   canPreempt(rank: Rank): boolean {
     const { running } = this.#rankQueue(rank);
     const floor = rank.floorPercent / PERCENT * this.#totalRunning();
@@ -217,22 +231,22 @@
 
   #decay(): void {
     const now = this.#now();
-    const passedMs = now - this.#decayedMs;
-    if (passedMs === 0) return;
-    const factor = 0.5 ** (passedMs / SERVED_HALF_LIFE_MS);
-    this.#decayedMs = now;
+    const elapsedMs = now - this.#lastDecayMs;
+    if (elapsedMs === 0) return;
+    const factor = 0.5 ** (elapsedMs / SERVED_HALF_LIFE_MS);
+    this.#lastDecayMs = now;
     this.#backlogMs *= factor;
-    if (this.#arrivals.size > 0) this.#backlogMs += passedMs;
+    if (this.#arrivals.size > 0) this.#backlogMs += elapsedMs;
     for (const queue of this.#ranks.values()) queue.served *= factor;
   }
 
-  #rankQueue(rank: Rank): RankQueue<Waiting> {
-    const held = this.#ranks.get(rank.name);
-    if (held !== undefined) {
-      held.rank = rank;
-      return held;
+  #rankQueue(rank: Rank): RankQueue<Item> {
+    const existing = this.#ranks.get(rank.name);
+    if (existing !== undefined) {
+      existing.rank = rank;
+      return existing;
     }
-    const queue: RankQueue<Waiting> = {
+    const queue: RankQueue<Item> = {
       rank,
       length: 0,
       work: 0,
@@ -246,30 +260,32 @@
   }
 }
 
-/** Yields the first ticket of each customer, the least served first. */
-function* inOrder<Waiting extends QueueItem>(
-  customers: ReadonlyMap<string, CustomerQueue<Waiting>>,
-): Generator<Waiting> {
+/** Yields the first item of each customer, in the order of virtual time. */
+function* fairOrder<Item extends QueueItem>(
+  customers: ReadonlyMap<string, CustomerQueue<Item>>,
+): Generator<Item> {
   const waiting = new Set(
-    [...customers.values()].filter(({ tickets }) => tickets.length > 0),
+    [...customers.values()].filter(({ items }) => items.length > 0),
   );
   while (waiting.size > 0) {
-    let least: CustomerQueue<Waiting> | undefined;
+    let next: CustomerQueue<Item> | undefined;
     for (const customer of waiting) {
-      if (least === undefined || customer.virtualTime < least.virtualTime) {
-        least = customer;
+      if (next === undefined || customer.virtualTime < next.virtualTime) {
+        next = customer;
       }
     }
-    const [first] = least?.tickets ?? [];
-    if (least === undefined || first === undefined) return;
-    waiting.delete(least);
+    const [first] = next?.items ?? [];
+    if (next === undefined || first === undefined) return;
+    waiting.delete(next);
     yield first;
   }
 }
 
-function dropIdle<Waiting extends QueueItem>(queue: RankQueue<Waiting>): void {
-  for (const [name, { tickets, virtualTime }] of queue.customers) {
-    const isIdle = tickets.length === 0 && virtualTime <= queue.virtualTime;
+function dropIdleCustomers<Item extends QueueItem>(
+  queue: RankQueue<Item>,
+): void {
+  for (const [name, { items, virtualTime }] of queue.customers) {
+    const isIdle = items.length === 0 && virtualTime <= queue.virtualTime;
     if (isIdle) queue.customers.delete(name);
   }
 }
--- a/src/process/live_server.ts
+++ b/src/process/live_server.ts
@@ -1,43 +1,49 @@
-/** What an entry knows of a backend server that registered itself. */
+/**
+ * State that an entry keeps for a backend server registered with the platform.
+ */
 
 import type { BackendServer } from "../version/types.ts";
 import type { UnansweredCalls } from "./server_ejection.ts";
 
-/** A backend server as the platform lists it. */
+/** A backend server as listed by the platform. */
 export interface LiveServer extends BackendServer {
   readonly isLeaving: boolean;
-  /** When this incarnation started, on the server's clock in ms; 0 if unknown. */
+  /**
+   * When this incarnation started, in ms on the server's clock; 0 if unknown.
+   */
   readonly startedMs: number;
 }
 
-/** Work at a server. */
+/** Load of a server. */
 export interface ServerLoad {
   readonly requests: number;
-  /** Memory that the requests take at most, in tokens. */
+  /** KV cache that the requests use at most, in tokens. */
   readonly tokens: number;
-  /** Prompt tokens that have not been read yet. */
+  /** Prompt tokens that are not prefilled yet. */
   readonly unreadTokens: number;
 }
 
-/** No work. */
+/** An empty load. */
 export const NO_LOAD: ServerLoad = { requests: 0, tokens: 0, unreadTokens: 0 };
 
-/** An entry's knowledge of one server; replaced, never changed. */
+/** Immutable snapshot of what an entry knows of one server. */
 export interface LiveServerView {
   readonly server: LiveServer;
-  /** Memory of the server in tokens; infinite for plain services. */
+  /** KV cache capacity in tokens; infinite for plain services. */
   readonly kvCacheTokens: number;
-  /** Work that this entry gave it. */
+  /** Load from this entry's requests. */
   readonly ownLoad: ServerLoad;
-  /** Work that other entries say they gave it. */
+  /** Load from peer entries' requests, as they report it. */
   readonly peerLoad: ServerLoad;
-  /** No new work before this time, on the monotonic clock in ms. */
+  /** Gets no new requests before this time, on the monotonic clock in ms. */
   readonly ejectedUntilMs: number;
-  /** It said that it is full; no new work before this time, as above. */
+  /**
+   * End of the backoff after it refused a request as full, on the same clock.
+   */
   readonly fullUntilMs: number;
-  /** Answers that it lost of late, so it gets less and less work. */
+  /** Recent calls without a response; each one lengthens the next ejection. */
   readonly unansweredCalls: UnansweredCalls;
-  /** When bytes last came from it, on the monotonic clock in ms. */
+  /** When data was last received from it, on the monotonic clock in ms. */
   readonly lastActivityMs: number;
 }
 
@@ -50,7 +56,7 @@
   };
 }
 
-/** Returns a load without a part of it; never below zero. */
+/** Returns load `a` less load `b`, never below zero. */
 export function subtractLoad(a: ServerLoad, b: ServerLoad): ServerLoad {
   return {
     requests: Math.max(0, a.requests - b.requests),
--- a/src/process/live_servers.ts
+++ b/src/process/live_servers.ts
@@ -1,6 +1,7 @@
 /**
- * The backend servers that registered themselves, as this entry sees them: the
- * platform's list, this entry's own work and losses, and what others report.
+ * The backend servers registered with the platform, as this entry sees them:
+ * the platform's list, this entry's own requests and failures, and what peer
+ * entries report.
  */
 
 import {
@@ -28,121 +29,134 @@
 import { ServerRing } from "./server_ring.ts";
 import { ZoneFailureDetector } from "./zone_failure_detector.ts";
 
-/** What the servers need of their process. */
+/** Dependencies of the server set. */
 export interface LiveServersOptions {
   /** Monotonic clock, in ms. */
   readonly now: () => number;
-  /** Number from 0 up to 1. */
+  /** Returns a number in [0, 1). */
   readonly random: () => number;
   readonly log: Log;
-  /** Memory of a service's servers, in tokens; infinite for plain services. */
+  /**
+   * KV cache capacity of a service's servers, in tokens; infinite for plain
+   * services.
+   */
   readonly kvCacheTokensOf: (service: string) => number;
-  /** Called when a server may have become free. */
+  /** Called when a server may have capacity again. */
   readonly onCapacityAvailable: () => void;
 }
 
-/** What a request wants of a server, without what the process knows itself. */
+/** What a request requires of a server; suspect zones are added here. */
 export type ServerCriteria = Omit<SelectionCriteria, "suspectZones">;
 
-/** How long a server that said it is full gets nothing, in ms; calls take as long. */
-const FULL_MS = 50;
-/** How long a service counts as full after that; an entry may send it few calls, in ms. */
-const SERVICE_FULL_MS = 2_000;
+/**
+ * How long a server gets no new requests after it refused one as full, in ms:
+ * about the duration of a call.
+ */
+const FULL_BACKOFF_MS = 50;
+/**
+ * How long a service counts as full after a refusal, in ms; an entry may send
+ * it so few calls that refusals are rare.
+ */
+const SERVICE_FULL_WINDOW_MS = 2_000;
 
-/** A server that was heard so lately is not given up on another entry's word, in ms. */
-const HEARD_FRESH_MS = 400;
-/** How long other entries are told of a dead server, in ms: three digests. */
-const DEAD_NEWS_MS = 450;
+/** A server active this recently is not ejected on a peer's report, in ms. */
+const RECENT_ACTIVITY_MS = 400;
+/**
+ * How long peers are told of an unreachable server, in ms: three gossip
+ * digests.
+ */
+const UNREACHABLE_GOSSIP_MS = 450;
 
 /** All registered backend servers. */
 export class LiveServers {
   readonly #options: LiveServersOptions;
   readonly #views = new Map<string, LiveServerView>();
-  /** Names of the servers at an address, which may have been used again. */
-  readonly #names = new Map<string, Set<string>>();
-  /** Names of the servers that this entry gave work. */
-  readonly #busy = new Set<string>();
-  /** Names of the servers that other entries gave work. */
-  #busyElsewhere: ReadonlySet<string> = new Set();
+  /** Names of the servers listed at each address; addresses are reused. */
+  readonly #namesByAddress = new Map<string, Set<string>>();
+  /** Names of the servers with load from this entry. */
+  readonly #loaded = new Set<string>();
+  /** Names of the servers with load from peer entries. */
+  #peerLoaded: ReadonlySet<string> = new Set();
   /** Servers by service. */
   readonly #rings = new Map<string, ServerRing>();
-  /** When a server of each service last said that it is full. */
-  readonly #fullMs = new Map<string, number>();
-  readonly #zones: ZoneFailureDetector;
-  /** What the other entries do, until it is taken over. */
-  #newOthers: (() => ReadonlyMap<string, ServerLoad>) | undefined;
-  /** Servers that this entry found dead, with the time of it. */
-  readonly #dead = new Map<string, number>();
+  /** When a server of each service last refused a request as full. */
+  readonly #lastFullMs = new Map<string, number>();
+  readonly #zoneFailures: ZoneFailureDetector;
+  /** The latest load of peer entries, until it is applied. */
+  #pendingPeerLoads: (() => ReadonlyMap<string, ServerLoad>) | undefined;
+  /** Servers that this entry found unreachable, with the time of detection. */
+  readonly #downSince = new Map<string, number>();
 
   private constructor(options: LiveServersOptions) {
     this.#options = options;
-    this.#zones = ZoneFailureDetector.create(options.now);
+    this.#zoneFailures = ZoneFailureDetector.create(options.now);
   }
 
-  /** Starts without servers. */
+  /** Creates an empty set. */
   static create(options: LiveServersOptions): LiveServers {
     return new LiveServers(options);
   }
 
-  /** Returns all views. */
+  /** Returns the views of all servers. */
   views(): Iterable<LiveServerView> {
-    this.#takeOthers();
+    this.#applyPeerLoads();
     return this.#views.values();
   }
 
   /** Returns the view of a server by name. */
   view(name: string): LiveServerView | undefined {
-    this.#takeOthers();
+    this.#applyPeerLoads();
     return this.#views.get(name);
   }
 
-  /** Takes over what the list says of a server. */
+  /** Adds or updates a server from the platform's list. */
   set(server: LiveServer): void {
-    const held = this.#views.get(server.name);
-    const isSame = held !== undefined && isSameIncarnation(held.server, server);
-    const memoryTokens = this.#options.kvCacheTokensOf(server.service);
-    if (!isSame) this.#retireAddress(server);
-    if (held !== undefined && held.server.service !== server.service) {
-      this.#rings.get(held.server.service)?.delete(server.name);
+    const previous = this.#views.get(server.name);
+    const isSame = previous !== undefined &&
+      isSameIncarnation(previous.server, server);
+    const kvCacheTokens = this.#options.kvCacheTokensOf(server.service);
+    if (!isSame) this.#ejectOlderServers(server);
+    if (previous !== undefined && previous.server.service !== server.service) {
+      this.#rings.get(previous.server.service)?.delete(server.name);
     }
     this.#ringOf(server.service).add(server.name);
-    if (server.isLeaving && !held?.server.isLeaving) {
+    if (server.isLeaving && !previous?.server.isLeaving) {
       this.#options.log(LOG_EVENTS.serverDraining, {
         server: server.name,
         source: "list",
       });
     }
-    if (held !== undefined) this.#leaveAddress(held.server);
-    const names = this.#names.get(server.address) ?? new Set();
-    this.#names.set(server.address, names.add(server.name));
-    if (!isSame) this.#busy.delete(server.name);
+    if (previous !== undefined) this.#removeAddress(previous.server);
+    const names = this.#namesByAddress.get(server.address) ?? new Set();
+    this.#namesByAddress.set(server.address, names.add(server.name));
+    if (!isSame) this.#loaded.delete(server.name);
     this.#views.set(server.name, {
       server,
-      kvCacheTokens: memoryTokens,
-      ownLoad: isSame ? held.ownLoad : NO_LOAD,
-      peerLoad: isSame ? held.peerLoad : NO_LOAD,
-      ejectedUntilMs: isSame ? held.ejectedUntilMs : 0,
-      fullUntilMs: isSame ? held.fullUntilMs : 0,
-      unansweredCalls: isSame ? held.unansweredCalls : NO_UNANSWERED_CALLS,
-      lastActivityMs: isSame ? held.lastActivityMs : this.#options.now(),
+      kvCacheTokens,
+      ownLoad: isSame ? previous.ownLoad : NO_LOAD,
+      peerLoad: isSame ? previous.peerLoad : NO_LOAD,
+      ejectedUntilMs: isSame ? previous.ejectedUntilMs : 0,
+      fullUntilMs: isSame ? previous.fullUntilMs : 0,
+      unansweredCalls: isSame ? previous.unansweredCalls : NO_UNANSWERED_CALLS,
+      lastActivityMs: isSame ? previous.lastActivityMs : this.#options.now(),
     });
     this.#options.onCapacityAvailable();
   }
 
-  /** Drops a server that is gone from the list. */
+  /** Removes a server that is no longer listed. */
   delete(name: string): void {
     const server = this.#views.get(name)?.server;
     if (server === undefined) return;
     this.#rings.get(server.service)?.delete(name);
-    this.#leaveAddress(server);
-    this.#busy.delete(name);
+    this.#removeAddress(server);
+    this.#loaded.delete(name);
     this.#views.delete(name);
   }
 
-  #leaveAddress({ name, address }: LiveServer): void {
-    const names = this.#names.get(address);
+  #removeAddress({ name, address }: LiveServer): void {
+    const names = this.#namesByAddress.get(address);
     names?.delete(name);
-    if (names?.size === 0) this.#names.delete(address);
+    if (names?.size === 0) this.#namesByAddress.delete(address);
   }
 
   #ringOf(service: string): ServerRing {
@@ -151,225 +165,244 @@
     return ring;
   }
 
-  /** Yields the preferred server of a request, then those after its prompt's place. */
-  *#viewsFor(request: ServerCriteria): Generator<LiveServerView> {
-    this.#takeOthers();
+  /**
+   * Yields the preferred server, then the others from the prompt's position on
+   * the hash ring.
+   */
+  *#candidateViews(request: ServerCriteria): Generator<LiveServerView> {
+    this.#applyPeerLoads();
     const { service, preferred = "", prompt } = request;
-    const key = prompt || String(this.#options.random());
-    const first = this.#views.get(preferred);
-    if (first !== undefined) yield first;
-    for (const name of this.#ringOf(service).serversFrom(key)) {
+    const ringKey = prompt || String(this.#options.random());
+    const preferredView = this.#views.get(preferred);
+    if (preferredView !== undefined) yield preferredView;
+    for (const name of this.#ringOf(service).serversFrom(ringKey)) {
       const view = this.#views.get(name);
       if (view !== undefined && name !== preferred) yield view;
     }
   }
 
-  /** Recomputes the memory of all servers after a configuration changed. */
+  /**
+   * Updates the KV cache capacity of all servers after a configuration change.
+   */
   refreshMemoryLimits(): void {
     for (const [name, view] of this.#views) {
-      const memoryTokens = this.#options.kvCacheTokensOf(view.server.service);
-      this.#views.set(name, { ...view, kvCacheTokens: memoryTokens });
+      const kvCacheTokens = this.#options.kvCacheTokensOf(view.server.service);
+      this.#views.set(name, { ...view, kvCacheTokens });
     }
   }
 
-  /** Returns the server that a request goes to now, if one has room. */
+  /** Returns the server for a request, if one has capacity now. */
   choose(request: ServerCriteria): LiveServer | undefined {
     const { now, random } = this.#options;
-    const need = { ...request, suspectZones: this.#zones.suspectZones() };
+    const criteria = {
+      ...request,
+      suspectZones: this.#zoneFailures.suspectZones(),
+    };
     const context = { nowMs: now(), random };
-    return chooseServer(this.#viewsFor(request), need, context)?.server;
+    return chooseServer(this.#candidateViews(request), criteria, context)
+      ?.server;
   }
 
-  /** Whether any server could take the request now or after a wait. */
+  /** Whether any server could take the request, now or after a wait. */
   canServe(request: ServerCriteria): boolean {
-    const need = { ...request, suspectZones: new Map() };
-    for (const view of this.#viewsFor(request)) {
-      if (isEligible(view, need)) return true;
+    const criteria = { ...request, suspectZones: new Map() };
+    for (const view of this.#candidateViews(request)) {
+      if (isEligible(view, criteria)) return true;
     }
     return false;
   }
 
-  /** Whether a server may get new work now, whatever its load. */
+  /** Whether a server may get new requests now, regardless of its load. */
   isUsable(name: string): boolean {
     const view = this.#views.get(name);
     if (view === undefined || view.server.isLeaving) return false;
     return view.ejectedUntilMs <= this.#options.now();
   }
 
-  /** Whether a server that was given a copy to keep is still taken to have it. */
+  /**
+   * Whether a server that was asked to keep a KV cache backup is assumed to
+   * still have it.
+   */
   mayHoldBackup(name: string): boolean {
     const view = this.#views.get(name);
     if (view === undefined || view.server.isLeaving) return false;
-    const avoidedMs = view.ejectedUntilMs - this.#options.now();
-    return avoidedMs <= BROKEN_EJECTION_MS;
+    const ejectedForMs = view.ejectedUntilMs - this.#options.now();
+    return ejectedForMs <= BROKEN_EJECTION_MS;
   }
 
-  /** Notes work that goes to a server. */
+  /** Adds load to a server. */
   begin(name: string, load: ServerLoad): void {
-    this.#change(name, (view) => ({ ownLoad: addLoad(view.ownLoad, load) }));
+    this.#update(name, (view) => ({ ownLoad: addLoad(view.ownLoad, load) }));
   }
 
-  /** Notes that work has left a server. */
+  /** Removes load from a server. */
   end(name: string, load: ServerLoad): void {
-    this.#change(
+    this.#update(
       name,
       (view) => ({ ownLoad: subtractLoad(view.ownLoad, load) }),
     );
     this.#options.onCapacityAvailable();
   }
 
-  /** Notes that a server gave a sign of life. */
+  /** Records that data was received from a server. */
   recordActivity(name: string): void {
-    this.#change(name, () => ({ lastActivityMs: this.#options.now() }));
+    this.#update(name, () => ({ lastActivityMs: this.#options.now() }));
   }
 
   /**
-   * Takes over what the other entries do, by server name, when it is next
-   * needed: they tell it far more often than a server is chosen.
+   * Sets the load of peer entries by server name. It is applied when it is next
+   * read, because peers report far more often than a server is chosen.
    */
   setPeerLoads(loads: () => ReadonlyMap<string, ServerLoad>): void {
-    this.#newOthers = loads;
+    this.#pendingPeerLoads = loads;
     this.#options.onCapacityAvailable();
   }
 
-  #takeOthers(): void {
-    const loads = this.#newOthers?.();
+  #applyPeerLoads(): void {
+    const loads = this.#pendingPeerLoads?.();
     if (loads === undefined) return;
-    this.#newOthers = undefined;
-    for (const name of this.#busyElsewhere) {
-      if (!loads.has(name)) this.#change(name, () => ({ peerLoad: NO_LOAD }));
+    this.#pendingPeerLoads = undefined;
+    for (const name of this.#peerLoaded) {
+      if (!loads.has(name)) this.#update(name, () => ({ peerLoad: NO_LOAD }));
     }
-    for (const [name, others] of loads) {
-      this.#change(name, () => ({ peerLoad: others }));
+    for (const [name, peerLoad] of loads) {
+      this.#update(name, () => ({ peerLoad }));
     }
-    this.#busyElsewhere = new Set(loads.keys());
+    this.#peerLoaded = new Set(loads.keys());
   }
 
-  /** Returns the work that this entry gave to servers, by server name. */
+  /** Returns the load that this entry puts on servers, by server name. */
   ownLoads(): readonly (readonly [string, ServerLoad])[] {
-    return [...this.#busy].flatMap((name) => {
+    return [...this.#loaded].flatMap((name) => {
       const view = this.#views.get(name);
       return view === undefined ? [] : [[name, view.ownLoad] as const];
     });
   }
 
-  /** Keeps a server out of new work after a loss. */
-  eject(name: string, loss: ServerFailure): void {
+  /** Ejects a server after a failure: it gets no new requests for some time. */
+  eject(name: string, failure: ServerFailure): void {
     const view = this.#views.get(name);
     if (view === undefined) return;
     const nowMs = this.#options.now();
-    const isUnanswered = loss === ServerFailure.Unanswered;
-    // Calls that were under way when it became avoided say nothing new.
-    const isNew = isUnanswered && view.ejectedUntilMs <= nowMs;
-    const lostAnswers = isNew
+    const isUnanswered = failure === ServerFailure.Unanswered;
+    // Calls in flight when the server was ejected are no new evidence.
+    const isNewEvidence = isUnanswered && view.ejectedUntilMs <= nowMs;
+    const unansweredCalls = isNewEvidence
       ? addUnansweredCall(view.unansweredCalls, nowMs)
       : view.unansweredCalls;
-    const avoidMs = ejectionDurationMs(loss, lostAnswers);
-    const avoidUntilMs = Math.max(view.ejectedUntilMs, nowMs + avoidMs);
-    this.#change(
+    const durationMs = ejectionDurationMs(failure, unansweredCalls);
+    const ejectedUntilMs = Math.max(view.ejectedUntilMs, nowMs + durationMs);
+    this.#update(
       name,
-      () => ({ ejectedUntilMs: avoidUntilMs, unansweredCalls: lostAnswers }),
+      () => ({ ejectedUntilMs, unansweredCalls }),
     );
-    if (loss === ServerFailure.Unreachable) this.#dead.set(name, nowMs);
-    if (!isUnanswered) this.#noteZoneLoss(view.server);
+    if (failure === ServerFailure.Unreachable) this.#downSince.set(name, nowMs);
+    if (!isUnanswered) this.#recordZoneFailure(view.server);
     this.#options.log(LOG_EVENTS.serverEjected, {
       server: name,
       zone: view.server.zone,
-      cause: loss,
-      for_ms: String(avoidMs),
+      cause: failure,
+      for_ms: String(durationMs),
     });
   }
 
-  /** Notes that a server refused for want of room, so it gets nothing for a moment. */
+  /**
+   * Records that a server refused a request as full; it gets no new ones for a
+   * moment.
+   */
   markFull(name: string): void {
     const { now, log } = this.#options;
     const service = this.#views.get(name)?.server.service;
     if (service === undefined) return;
-    this.#fullMs.set(service, now());
-    this.#change(name, () => ({ fullUntilMs: now() + FULL_MS }));
-    log(LOG_EVENTS.serverAtCapacity, { server: name, for_ms: FULL_MS });
-    this.#awaitRoom(name);
+    this.#lastFullMs.set(service, now());
+    this.#update(name, () => ({ fullUntilMs: now() + FULL_BACKOFF_MS }));
+    log(LOG_EVENTS.serverAtCapacity, { server: name, for_ms: FULL_BACKOFF_MS });
+    this.#notifyAfterBackoff(name);
   }
 
-  /** Has requests that wait tried again once a server no longer counts as full. */
-  #awaitRoom(name: string): void {
+  /** Reports available capacity once the server's backoff is over. */
+  #notifyAfterBackoff(name: string): void {
     const fullUntilMs = this.#views.get(name)?.fullUntilMs ?? 0;
-    const leftMs = fullUntilMs - this.#options.now();
-    if (leftMs <= 0) return this.#options.onCapacityAvailable();
-    // A timer may end before the clock says so: it counts from the loop's last turn.
-    setTimeout(() => this.#awaitRoom(name), leftMs).unref();
+    const remainingMs = fullUntilMs - this.#options.now();
+    if (remainingMs <= 0) return this.#options.onCapacityAvailable();
+    // A timer may fire early by this clock: it counts from the event loop's
+    // last turn.
+    setTimeout(() => this.#notifyAfterBackoff(name), remainingMs).unref();
   }
 
-  /** Whether servers of a service refused for want of room just now. */
+  /** Whether a server of a service recently refused a request as full. */
   wasRecentlyFull(service: string): boolean {
-    const fullMs = this.#fullMs.get(service) ?? -Infinity;
-    return this.#options.now() - fullMs < SERVICE_FULL_MS;
+    const fullMs = this.#lastFullMs.get(service) ?? -Infinity;
+    return this.#options.now() - fullMs < SERVICE_FULL_WINDOW_MS;
   }
 
-  /** Takes back the avoidance of a server that proved to be sound. */
+  /** Ends the ejection of a server that proved healthy. */
   reinstate(name: string): void {
-    this.#change(name, () => ({
+    this.#update(name, () => ({
       ejectedUntilMs: 0,
       lastActivityMs: this.#options.now(),
     }));
     this.#options.onCapacityAvailable();
   }
 
-  /** Takes over that another entry found a server dead. */
+  /**
+   * Ejects a server that a peer entry found unreachable, unless it was active
+   * recently.
+   */
   applyPeerEjection(name: string): void {
     const view = this.#views.get(name);
     if (view === undefined) return;
     const nowMs = this.#options.now();
-    const isKnown = view.ejectedUntilMs > nowMs;
-    const isAlive = nowMs - view.lastActivityMs < HEARD_FRESH_MS;
-    if (isKnown || isAlive) return;
+    const isEjected = view.ejectedUntilMs > nowMs;
+    const isActive = nowMs - view.lastActivityMs < RECENT_ACTIVITY_MS;
+    if (isEjected || isActive) return;
     this.eject(name, ServerFailure.Unreachable);
-    this.#dead.delete(name);
+    this.#downSince.delete(name);
   }
 
-  /** Returns the servers that this entry found dead just now. */
+  /** Returns the servers that this entry recently found unreachable. */
   unreachableServers(): readonly string[] {
-    const sinceMs = this.#options.now() - DEAD_NEWS_MS;
-    for (const [name, foundMs] of this.#dead) {
-      if (foundMs < sinceMs) this.#dead.delete(name);
+    const sinceMs = this.#options.now() - UNREACHABLE_GOSSIP_MS;
+    for (const [name, detectedMs] of this.#downSince) {
+      if (detectedMs < sinceMs) this.#downSince.delete(name);
     }
-    return [...this.#dead.keys()];
+    return [...this.#downSince.keys()];
   }
 
-  /** Several losses in a zone at once make all of it suspect. */
-  #noteZoneLoss({ zone, name }: LiveServer): void {
-    const lost = this.#zones.record({ zone, name });
+  /** Several server failures in a zone at once make the whole zone suspect. */
+  #recordZoneFailure({ zone, name }: LiveServer): void {
+    const lost = this.#zoneFailures.record({ zone, name });
     if (lost > 0) {
       this.#options.log(LOG_EVENTS.zoneFailureSuspected, { zone, lost });
     }
   }
 
-  /** Whether several servers of a zone were lost at once just now. */
+  /** Whether several servers of a zone recently failed at once. */
   isZoneSuspect(zone: string): boolean {
-    return this.#zones.suspectZones().has(zone);
+    return this.#zoneFailures.suspectZones().has(zone);
   }
 
-  /** An address belongs to its newest owner; older ones have ended. */
-  #retireAddress({ name, address, startedMs }: LiveServer): void {
-    for (const other of this.#names.get(address) ?? []) {
+  /** Ejects earlier servers at an address: it belongs to its latest owner. */
+  #ejectOlderServers({ name, address, startedMs }: LiveServer): void {
+    for (const other of this.#namesByAddress.get(address) ?? []) {
       const view = this.#views.get(other);
       const isOlder = other !== name && view !== undefined &&
         view.server.startedMs <= startedMs;
-      if (isOlder) this.#change(other, () => ({ ejectedUntilMs: Infinity }));
+      if (isOlder) this.#update(other, () => ({ ejectedUntilMs: Infinity }));
     }
   }
 
-  #change(
+  #update(
     name: string,
-    change: (view: LiveServerView) => Partial<LiveServerView>,
+    update: (view: LiveServerView) => Partial<LiveServerView>,
   ): void {
     const view = this.#views.get(name);
     if (view === undefined) return;
-    const changed = { ...view, ...change(view) };
-    this.#views.set(name, changed);
-    const { requests, tokens, unreadTokens } = changed.ownLoad;
-    if (requests > 0 || tokens > 0 || unreadTokens > 0) this.#busy.add(name);
-    else this.#busy.delete(name);
+    const updated = { ...view, ...update(view) };
+    this.#views.set(name, updated);
+    const { requests, tokens, unreadTokens } = updated.ownLoad;
+    if (requests > 0 || tokens > 0 || unreadTokens > 0) this.#loaded.add(name);
+    else this.#loaded.delete(name);
   }
 }
 
--- a/src/process/peer_loads.ts
+++ b/src/process/peer_loads.ts
@@ -1,50 +1,50 @@
-/** Adds up the work that other entries say they gave to each server. */
+/** Adds up the load that peer entries report for each server. */
 
 import type { EntryId } from "../ids.ts";
 import { addLoad, NO_LOAD, type ServerLoad } from "./live_server.ts";
 
-/** Work by server name, as one entry told it. */
-type Loads = readonly (readonly [string, ServerLoad])[];
+/** Load by server name, as one entry reported it. */
+type ServerLoads = readonly (readonly [string, ServerLoad])[];
 
-interface EntryLoads {
-  readonly loads: Loads;
-  readonly heardMs: number;
+interface EntryReport {
+  readonly loads: ServerLoads;
+  readonly receivedMs: number;
 }
 
-/** Age at which an entry's word no longer counts, in ms; it speaks every 150 ms. */
-const FRESH_MS = 1_500;
+/** Age from which a report is ignored, in ms; entries report every 150 ms. */
+const REPORT_MAX_AGE_MS = 1_500;
 
-/** What each other entry said last. */
+/** The latest report of each peer entry. */
 export class PeerLoads {
   readonly #now: () => number;
-  readonly #entries = new Map<EntryId, EntryLoads>();
+  readonly #entries = new Map<EntryId, EntryReport>();
 
   private constructor(now: () => number) {
     this.#now = now;
   }
 
-  /** Starts without entries; `now` is a monotonic clock in ms. */
+  /** Creates an empty set; `now` is a monotonic clock in ms. */
   static create(now: () => number): PeerLoads {
     return new PeerLoads(now);
   }
 
-  /** Takes over what an entry says. */
-  set(entry: EntryId, loads: Loads): void {
-    this.#entries.set(entry, { loads, heardMs: this.#now() });
+  /** Stores an entry's latest report. */
+  set(entry: EntryId, loads: ServerLoads): void {
+    this.#entries.set(entry, { loads, receivedMs: this.#now() });
   }
 
-  /** Drops what an entry said whose process may have ended. */
+  /** Drops the report of an entry that may have ended. */
   forget(entry: EntryId): void {
     this.#entries.delete(entry);
   }
 
-  /** Count of entries heard of lately. */
+  /** Number of entries with a recent report. */
   get peerCount(): number {
     this.#dropStale();
     return this.#entries.size;
   }
 
-  /** Returns the sum over all entries heard of lately, by server name. */
+  /** Returns the total load over all recent reports, by server name. */
   total(): ReadonlyMap<string, ServerLoad> {
     this.#dropStale();
     const total = new Map<string, ServerLoad>();
@@ -57,9 +57,9 @@
   }
 
   #dropStale(): void {
-    const sinceMs = this.#now() - FRESH_MS;
-    for (const [entry, { heardMs }] of this.#entries) {
-      if (heardMs < sinceMs) this.#entries.delete(entry);
+    const sinceMs = this.#now() - REPORT_MAX_AGE_MS;
+    for (const [entry, { receivedMs }] of this.#entries) {
+      if (receivedMs < sinceMs) this.#entries.delete(entry);
     }
   }
 }
--- a/src/process/retry_budget.ts
+++ b/src/process/retry_budget.ts
@@ -1,30 +1,33 @@
 /**
- * Bounds what retries add to the load of a service: all entries together may
- * send a ratio of the callers' requests, and a fixed allowance, once more.
+ * Limits the load that retries add to a service: all entries together may retry
+ * a fixed fraction of the callers' requests, plus a fixed allowance.
  */
 
-/** What all entries together may repeat, and this entry's part of it. */
+/** Budget of all entries together, and how many share it. */
 export interface RetryBudgetOptions {
   /** Monotonic clock, in ms. */
   readonly now: () => number;
-  /** Retries for each request of callers. */
+  /** Retries per caller request. */
   readonly ratio: number;
-  /** Retries beyond the ratio in a window, for all entries together. */
+  /** Retries per window beyond the ratio, for all entries together. */
   readonly allowance: number;
   readonly windowMs: number;
-  /** Count of live entries, this one included. */
+  /** Returns the number of live entries, including this one. */
   readonly entryCount: () => number;
 }
 
 interface ServiceWindow {
-  readonly requestsMs: number[];
-  readonly retriesMs: number[];
+  readonly requestTimesMs: number[];
+  readonly retryTimesMs: number[];
 }
 
-/** Part of the budget that is used; the rest covers requests seen elsewhere. */
-const SAFE_PART = 0.8;
+/**
+ * Fraction of the budget that is used; the rest is a margin for requests seen
+ * at other entries.
+ */
+const USABLE_FRACTION = 0.8;
 
-/** Requests and retries of this entry in the last window, by service. */
+/** Requests and retries of this entry in the current window, by service. */
 export class RetryBudget {
   readonly #options: RetryBudgetOptions;
   readonly #services = new Map<string, ServiceWindow>();
@@ -33,39 +36,39 @@
     this.#options = options;
   }
 
-  /** Starts with an unused budget. */
+  /** Creates an unused budget. */
   static create(options: RetryBudgetOptions): RetryBudget {
     return new RetryBudget(options);
   }
 
-  /** Counts a caller's request for a service. */
+  /** Counts a caller's request to a service. */
   countRequest(service: string): void {
-    this.#window(service).requestsMs.push(this.#options.now());
+    this.#window(service).requestTimesMs.push(this.#options.now());
   }
 
-  /** Takes one retry from the budget; `false` when it is used up. */
+  /** Takes one retry from the budget; returns `false` if it is exhausted. */
   takeRetry(service: string): boolean {
     const window = this.#window(service);
     const { ratio, allowance, entryCount, now } = this.#options;
     const ownAllowance = allowance / Math.max(1, entryCount());
-    const limit = ratio * window.requestsMs.length + ownAllowance;
-    if (window.retriesMs.length + 1 > limit * SAFE_PART) return false;
-    window.retriesMs.push(now());
+    const limit = ratio * window.requestTimesMs.length + ownAllowance;
+    if (window.retryTimesMs.length + 1 > limit * USABLE_FRACTION) return false;
+    window.retryTimesMs.push(now());
     return true;
   }
 
   #window(service: string): ServiceWindow {
     const window = this.#services.get(service) ??
-      { requestsMs: [], retriesMs: [] };
+      { requestTimesMs: [], retryTimesMs: [] };
     this.#services.set(service, window);
     const sinceMs = this.#options.now() - this.#options.windowMs;
-    dropBefore(window.requestsMs, sinceMs);
-    dropBefore(window.retriesMs, sinceMs);
+    dropBefore(window.requestTimesMs, sinceMs);
+    dropBefore(window.retryTimesMs, sinceMs);
     return window;
   }
 }
 
 function dropBefore(timesMs: number[], sinceMs: number): void {
-  const first = timesMs.findIndex((timeMs) => timeMs >= sinceMs);
-  timesMs.splice(0, first < 0 ? timesMs.length : first);
+  const firstKept = timesMs.findIndex((timeMs) => timeMs >= sinceMs);
+  timesMs.splice(0, firstKept < 0 ? timesMs.length : firstKept);
 }
--- a/src/process/retry_budget_test.ts
+++ b/src/process/retry_budget_test.ts
@@ -5,7 +5,7 @@
 const RATIO = 0.8;
 const ALLOWANCE = 150;
 
-/** All entries send as many retries as they may; returns the sum. */
+/** Spends the whole budget of all entries; returns the number of retries. */
 function spendAll(entries: number, requestsEach: number): number {
   let spent = 0;
   for (let entry = 0; entry < entries; entry++) {
@@ -16,21 +16,21 @@
       windowMs: 10_000,
       entryCount: () => entries,
     });
-    for (let at = 0; at < requestsEach; at++) budget.countRequest(SERVICE);
+    for (let i = 0; i < requestsEach; i++) budget.countRequest(SERVICE);
     while (budget.takeRetry(SERVICE)) spent++;
   }
   return spent;
 }
 
 test.each([[1, 100], [6, 40], [59, 4], [390, 0]])(
-  "%i entries with %i requests each stay within what they may repeat together",
+  "%i entries with %i requests each stay within the shared retry budget",
   (entries, requestsEach) => {
     const limit = RATIO * entries * requestsEach + ALLOWANCE;
     expect(spendAll(entries, requestsEach)).toBeLessThanOrEqual(limit);
   },
 );
 
-test("a retry counts for the window only", () => {
+test("a retry counts only within the window", () => {
   const clock = { nowMs: 0 };
   const budget = RetryBudget.create({
     now: () => clock.nowMs,
@@ -39,9 +39,9 @@
     windowMs: 10_000,
     entryCount: () => 1,
   });
-  let first = 0;
-  while (budget.takeRetry(SERVICE)) first++;
-  expect(first).toBe(8);
+  let retries = 0;
+  while (budget.takeRetry(SERVICE)) retries++;
+  expect(retries).toBe(8);
   clock.nowMs = 10_001;
   expect(budget.takeRetry(SERVICE)).toBe(true);
 });
--- a/src/process/server_ejection.ts
+++ b/src/process/server_ejection.ts
@@ -1,67 +1,72 @@
-/** How long a server that was lost gets no new work. */
+/** How long a server is ejected after a failure. */
 
-/** How a server was lost, as far as it decides when it is tried again. */
+/** Kinds of server failure that differ in the time until a retry. */
 export enum ServerFailure {
-  /** The process that was listed no longer has the address. */
+  /** The listed process no longer has the address. */
   Replaced = "replaced",
-  /** Nothing listens, or nothing answered a connection. */
+  /** Nothing listens, or a connection attempt got no response. */
   Unreachable = "unreachable",
-  /** A connection broke or fell silent. */
+  /** A connection broke or timed out without data. */
   Broken = "broken",
-  /** A call got no answer, and nothing else speaks against the server. */
+  /** A call got no response, without other signs of failure. */
   Unanswered = "unanswered",
 }
 
-/** Answers that a server lost of late, as this entry saw it. */
+/** Recent calls to a server that got no response, as this entry saw them. */
 export interface UnansweredCalls {
   readonly count: number;
-  /** When the last one was lost, on the monotonic clock in ms. */
+  /** When the last one failed, on the monotonic clock in ms. */
   readonly lastMs: number;
 }
 
-/** No answer was lost. */
+/** No unanswered calls. */
 export const NO_UNANSWERED_CALLS: UnansweredCalls = {
   count: 0,
   lastMs: -Infinity,
 };
 
-/** How long a server gets no new work after a loss, in ms. */
-const AVOID_MS: Readonly<Record<ServerFailure, number>> = {
-  // Only a new entry in the list makes it usable again.
+/** Ejection after a failure, in ms. */
+const EJECTION_MS: Readonly<Record<ServerFailure, number>> = {
+  // Only a new record in the platform's list makes the server usable again.
   [ServerFailure.Replaced]: Number.POSITIVE_INFINITY,
-  // Crashed servers are back after 1 to 5 s, as a new incarnation in the list.
+  // Crashed servers return after 1 to 5 s, listed as a new incarnation.
   [ServerFailure.Unreachable]: 4_000,
   [ServerFailure.Broken]: 600,
   [ServerFailure.Unanswered]: 600,
 };
-/** How much longer a server is avoided after each further lost answer. */
-const UNANSWERED_GROWTH = 2;
-/** Longest avoidance of a server that lives, in ms; as for one that is dead. */
-const UNANSWERED_MAX_MS = AVOID_MS[ServerFailure.Unreachable];
-/** Time without a lost answer after which the earlier ones no longer count, in ms. */
-const LOST_ANSWERS_MEMORY_MS = 10_000;
+/** Growth of the ejection time per further unanswered call. */
+const UNANSWERED_GROWTH_FACTOR = 2;
+/**
+ * Longest ejection for unanswered calls, in ms: that of an unreachable server.
+ */
+const UNANSWERED_EJECTION_MAX_MS = EJECTION_MS[ServerFailure.Unreachable];
+/** Time without unanswered calls that resets their count, in ms. */
+const UNANSWERED_MEMORY_MS = 10_000;
 
-/** Avoidances up to this may come from a broken connection alone, in ms. */
-export const BROKEN_EJECTION_MS = AVOID_MS[ServerFailure.Broken];
+/** Longest remaining ejection explained by a broken connection alone, in ms. */
+export const BROKEN_EJECTION_MS = EJECTION_MS[ServerFailure.Broken];
 
-/** Counts one more lost answer at `nowMs`. */
+/** Adds an unanswered call at `nowMs`. */
 export function addUnansweredCall(
   { count, lastMs }: UnansweredCalls,
   nowMs: number,
 ): UnansweredCalls {
-  const isRecent = nowMs - lastMs < LOST_ANSWERS_MEMORY_MS;
+  const isRecent = nowMs - lastMs < UNANSWERED_MEMORY_MS;
   return { count: isRecent ? count + 1 : 1, lastMs: nowMs };
 }
 
 /**
- * Returns how long a server gets no new work after a loss, in ms. A server that
- * loses some answers still gives most, so it is avoided by how often that was.
+ * Returns the ejection time after a failure, in ms. A server that leaves some
+ * calls unanswered still answers most, so its ejection grows with their number.
  */
 export function ejectionDurationMs(
-  loss: ServerFailure,
+  failure: ServerFailure,
   { count }: UnansweredCalls,
 ): number {
-  const ms = AVOID_MS[loss];
-  if (loss !== ServerFailure.Unanswered) return ms;
-  return Math.min(ms * UNANSWERED_GROWTH ** (count - 1), UNANSWERED_MAX_MS);
+  const baseMs = EJECTION_MS[failure];
+  if (failure !== ServerFailure.Unanswered) return baseMs;
+  return Math.min(
+    baseMs * UNANSWERED_GROWTH_FACTOR ** (count - 1),
+    UNANSWERED_EJECTION_MAX_MS,
+  );
 }
--- a/src/process/server_ejection_test.ts
+++ b/src/process/server_ejection_test.ts
@@ -1,4 +1,4 @@
-/** How long a server is kept out of new work after a loss. */
+/** Ejection times by kind of failure and number of unanswered calls. */
 
 import { expect, test } from "vitest";
 import {
@@ -8,24 +8,26 @@
   ServerFailure,
 } from "./server_ejection.ts";
 
-function lose(times: readonly number[]) {
+function unansweredAt(times: readonly number[]) {
   return times.reduce(addUnansweredCall, NO_UNANSWERED_CALLS);
 }
 
-test("each lost answer doubles the time, up to that of a dead server", () => {
-  const spans = [[0], [0, 1], [0, 1, 2], [0, 1, 2, 3], [0, 1, 2, 3, 4]]
-    .map((times) => ejectionDurationMs(ServerFailure.Unanswered, lose(times)));
-  expect(spans).toEqual([600, 1_200, 2_400, 4_000, 4_000]);
+test("each unanswered call doubles the ejection, up to that of an unreachable server", () => {
+  const durations = [[0], [0, 1], [0, 1, 2], [0, 1, 2, 3], [0, 1, 2, 3, 4]]
+    .map((times) =>
+      ejectionDurationMs(ServerFailure.Unanswered, unansweredAt(times))
+    );
+  expect(durations).toEqual([600, 1_200, 2_400, 4_000, 4_000]);
 });
 
-test("answers lost long ago no longer count", () => {
-  const lost = lose([0, 1, 2, 10_002]);
-  expect(ejectionDurationMs(ServerFailure.Unanswered, lost)).toBe(600);
+test("unanswered calls of long ago no longer count", () => {
+  const unanswered = unansweredAt([0, 1, 2, 10_002]);
+  expect(ejectionDurationMs(ServerFailure.Unanswered, unanswered)).toBe(600);
 });
 
-test("lost answers do not change how long another loss counts", () => {
-  const lost = lose([0, 1, 2]);
-  expect(ejectionDurationMs(ServerFailure.Unreachable, lost)).toBe(4_000);
-  expect(ejectionDurationMs(ServerFailure.Broken, lost)).toBe(600);
-  expect(ejectionDurationMs(ServerFailure.Replaced, lost)).toBe(Infinity);
+test("unanswered calls do not change the ejection for other failures", () => {
+  const unanswered = unansweredAt([0, 1, 2]);
+  expect(ejectionDurationMs(ServerFailure.Unreachable, unanswered)).toBe(4_000);
+  expect(ejectionDurationMs(ServerFailure.Broken, unanswered)).toBe(600);
+  expect(ejectionDurationMs(ServerFailure.Replaced, unanswered)).toBe(Infinity);
 });
--- a/src/process/server_list.ts
+++ b/src/process/server_list.ts
@@ -1,6 +1,6 @@
 /**
  * The list of backend servers as this entry knows it, from the store or from
- * other entries: the higher revision of a server wins, whoever told it.
+ * peer entries. For each server the highest revision wins, whatever its source.
  */
 
 import { crc32 } from "node:zlib";
@@ -10,197 +10,214 @@
 } from "../connection/peer_protocol.ts";
 import type { EntryId, ObjectRevision } from "../ids.ts";
 
-/** What the list needs of its process. */
+/** Dependencies of the list. */
 export interface ServerListOptions {
   /** Monotonic clock, in ms. */
   readonly now: () => number;
 }
 
-/** How long gone servers are remembered, so that older news is told apart, in ms. */
-const GONE_KEPT_MS = 60_000;
 /**
- * How long changes are kept for other entries, in ms: longer than lists may
- * differ before they are read anew.
+ * How long removed servers are remembered, in ms, so that older changes of them
+ * are recognized.
  */
-const CHANGES_KEPT_MS = 10_000;
-/** Changes in one answer; more come with the next one, so that none is too large. */
-const CHANGES_MAX = 2_000;
-/** Time in which two entries' lists may differ: news is on its way, in ms. */
-const DIFFERENCE_MS = 1_500;
-/** Time after a reading in which another entry's different list means nothing, in ms. */
-const CONFIRMED_MS = 5_000;
+const REMOVED_RETENTION_MS = 60_000;
+/**
+ * How long changes are kept for peer entries, in ms: longer than lists may
+ * differ before they are reloaded.
+ */
+const CHANGES_RETENTION_MS = 10_000;
+/**
+ * Changes per batch; the rest follows in the next one, so that no response is
+ * too large.
+ */
+const CHANGE_BATCH_MAX = 2_000;
+/**
+ * How long a peer's list may differ before this one is reloaded, in ms: changes
+ * take time to arrive.
+ */
+const DIVERGENCE_GRACE_MS = 1_500;
+/** How long after loading the list it may differ from peers' lists, in ms. */
+const LOAD_GRACE_MS = 5_000;
 
 interface Change {
-  /** This list's count of changes at that one. */
-  readonly count: number;
+  /** Position in this list's sequence of changes. */
+  readonly sequence: number;
   readonly atMs: number;
 }
 
-/** What another entry says of its list. */
+/** State of a peer entry's list, as the peer reports it. */
 export interface PeerListState {
   readonly checksum: number;
-  /** Its count of changes. */
+  /** Number of changes so far. */
   readonly changeCount: number;
 }
 
-/** What is known of each server that is or was listed. */
+/** The latest record of each server that is or was listed. */
 export class ServerList {
   readonly #now: () => number;
-  readonly #held = new Map<string, ServerChangeRecord>();
+  readonly #records = new Map<string, ServerChangeRecord>();
   /** The latest change of each server, the oldest first. */
   readonly #changes = new Map<string, Change>();
-  #count = 0;
-  /** Changes of other entries that this list holds, by their own count. */
-  readonly #synced = new Map<EntryId, number>();
-  /** When servers were removed, the oldest first, in ms. */
-  readonly #goneMs = new Map<string, number>();
-  /** Since when another entry's list differs from this one, in ms. */
-  readonly #differsMs = new Map<EntryId, number>();
-  #confirmedMs = Number.NEGATIVE_INFINITY;
+  #changeCount = 0;
+  /** For each peer entry, how many of its changes this list includes. */
+  readonly #syncedCounts = new Map<EntryId, number>();
+  /** When servers were removed, in ms, the earliest first. */
+  readonly #removedMs = new Map<string, number>();
+  /** Since when a peer entry's list differs from this one, in ms. */
+  readonly #divergedMs = new Map<EntryId, number>();
+  #loadedMs = Number.NEGATIVE_INFINITY;
   #checksum = 0;
 
   private constructor(now: () => number) {
     this.#now = now;
   }
 
-  /** Starts with an empty list. */
+  /** Creates an empty list. */
   static create({ now }: ServerListOptions): ServerList {
     return new ServerList(now);
   }
 
-  /** The same for entries that hold the same list. */
+  /** Equal for entries with equal lists. */
   get checksum(): number {
     return this.#checksum;
   }
 
-  /** Takes over a change unless a newer one is known; returns whether it did. */
-  apply(news: ServerChangeRecord): boolean {
-    const held = this.#held.get(news.name);
-    if (held !== undefined && !isNewer(news, held)) return false;
-    const { name, revision, server } = news;
-    this.#held.set(name, { name, revision, server });
-    this.#add(-partOf(held));
-    this.#add(partOf(news));
-    this.#goneMs.delete(name);
-    if (server === null) this.#goneMs.set(name, this.#now());
-    // Each entry reads a first list of its own.
-    if (this.isLoaded) this.#noteChange(name);
-    this.#forgetGone();
+  /**
+   * Applies a change unless an equal or newer one is known; returns whether it
+   * did.
+   */
+  apply(change: ServerChangeRecord): boolean {
+    const record = this.#records.get(change.name);
+    if (record !== undefined && !isNewer(change, record)) return false;
+    const { name, revision, server } = change;
+    this.#records.set(name, { name, revision, server });
+    this.#addToChecksum(-checksumPartOf(record));
+    this.#addToChecksum(checksumPartOf(change));
+    this.#removedMs.delete(name);
+    if (server === null) this.#removedMs.set(name, this.#now());
+    // The initial load is not recorded: each entry loads the list itself.
+    if (this.isLoaded) this.#recordChange(name);
+    this.#dropExpiredRemovals();
     return true;
   }
 
-  /** Returns what is known of a server. */
+  /** Returns the latest record of a server. */
   find(name: string): ServerChangeRecord | undefined {
-    return this.#held.get(name);
+    return this.#records.get(name);
   }
 
-  /** Returns the held servers that a whole list at a revision does not name. */
+  /** Returns the listed servers that a complete list at a revision lacks. */
   missing(
     listed: ReadonlySet<string>,
     revision: ObjectRevision,
   ): readonly ServerChangeRecord[] {
-    return [...this.#held.values()].filter((held) =>
-      held.server !== null && held.revision <= revision &&
-      !listed.has(held.name)
+    return [...this.#records.values()].filter((record) =>
+      record.server !== null && record.revision <= revision &&
+      !listed.has(record.name)
     );
   }
 
-  /** Count of changes so far. */
+  /** Number of changes so far. */
   get changeCount(): number {
-    return this.#count;
+    return this.#changeCount;
   }
 
-  /** Returns recent changes after the first `after`, the oldest first. */
+  /** Returns the kept changes after the first `after`, the oldest first. */
   changesAfter(after: number): ServerChanges {
     const news: ServerChangeRecord[] = [];
-    for (const [name, { count }] of this.#changes) {
-      const held = this.#held.get(name);
-      if (count <= after || held === undefined) continue;
-      news.push(held);
-      if (news.length === CHANGES_MAX) return { upTo: count, news };
+    for (const [name, { sequence }] of this.#changes) {
+      const record = this.#records.get(name);
+      if (sequence <= after || record === undefined) continue;
+      news.push(record);
+      if (news.length === CHANGE_BATCH_MAX) return { upTo: sequence, news };
     }
-    return { upTo: Math.max(after, this.#count), news };
+    return { upTo: Math.max(after, this.#changeCount), news };
   }
 
-  #noteChange(name: string): void {
+  #recordChange(name: string): void {
     const atMs = this.#now();
     this.#changes.delete(name);
-    this.#changes.set(name, { count: ++this.#count, atMs });
-    for (const [old, change] of this.#changes) {
-      if (change.atMs >= atMs - CHANGES_KEPT_MS) return;
-      this.#changes.delete(old);
+    this.#changes.set(name, { sequence: ++this.#changeCount, atMs });
+    for (const [oldName, change] of this.#changes) {
+      if (change.atMs >= atMs - CHANGES_RETENTION_MS) return;
+      this.#changes.delete(oldName);
     }
   }
 
-  /** Whether the whole list was ever read from the store. */
+  /** Whether the complete list was ever loaded from the store. */
   get isLoaded(): boolean {
-    return this.#confirmedMs > Number.NEGATIVE_INFINITY;
+    return this.#loadedMs > Number.NEGATIVE_INFINITY;
   }
 
-  /** Notes that the whole list was read from the store. */
+  /** Records that the complete list was loaded from the store. */
   markLoaded(): void {
-    this.#confirmedMs = this.#now();
-    this.#differsMs.clear();
+    this.#loadedMs = this.#now();
+    this.#divergedMs.clear();
   }
 
   /**
-   * Compares another entry's list with this one. Returns up to which of its
-   * changes this list has them, if it has others that may be new here.
+   * Compares a peer entry's list with this one. If the peer has changes that
+   * may be missing here, returns how many of its changes are already included.
    */
   compare(
     entry: EntryId,
-    { checksum, changeCount: changes }: PeerListState,
+    { checksum, changeCount }: PeerListState,
   ): number | undefined {
     if (checksum === this.#checksum) {
-      this.#differsMs.delete(entry);
-      this.#synced.set(entry, changes);
+      this.#divergedMs.delete(entry);
+      this.#syncedCounts.set(entry, changeCount);
       return undefined;
     }
-    if (!this.#differsMs.has(entry)) this.#differsMs.set(entry, this.#now());
-    const synced = this.#synced.get(entry) ?? 0;
-    return changes > synced ? synced : undefined;
+    if (!this.#divergedMs.has(entry)) this.#divergedMs.set(entry, this.#now());
+    const synced = this.#syncedCounts.get(entry) ?? 0;
+    return changeCount > synced ? synced : undefined;
   }
 
-  /** Notes that the changes of another entry were taken over. */
+  /** Records how many of a peer entry's changes this list includes. */
   recordSynced(entry: EntryId, upTo: number): void {
-    this.#synced.set(entry, upTo);
+    this.#syncedCounts.set(entry, upTo);
   }
 
-  /** Forgets an entry whose process may have ended: its next one counts anew. */
+  /**
+   * Forgets a peer entry that may have ended: its next process counts from 0.
+   */
   forgetPeer(entry: EntryId): void {
-    this.#synced.delete(entry);
-    this.#differsMs.delete(entry);
+    this.#syncedCounts.delete(entry);
+    this.#divergedMs.delete(entry);
   }
 
-  /** Whether the list may lack changes and has to be read anew. */
+  /** Whether changes may be missing, so that the list has to be reloaded. */
   get needsRelist(): boolean {
     const nowMs = this.#now();
-    if (nowMs - this.#confirmedMs < CONFIRMED_MS) return false;
-    const sinceMs = Math.min(...this.#differsMs.values());
-    return nowMs - sinceMs > DIFFERENCE_MS;
+    if (nowMs - this.#loadedMs < LOAD_GRACE_MS) return false;
+    const sinceMs = Math.min(...this.#divergedMs.values());
+    return nowMs - sinceMs > DIVERGENCE_GRACE_MS;
   }
 
-  #forgetGone(): void {
-    const sinceMs = this.#now() - GONE_KEPT_MS;
-    for (const [name, goneMs] of this.#goneMs) {
-      if (goneMs >= sinceMs) return;
-      this.#goneMs.delete(name);
-      this.#held.delete(name);
+  #dropExpiredRemovals(): void {
+    const sinceMs = this.#now() - REMOVED_RETENTION_MS;
+    for (const [name, removedMs] of this.#removedMs) {
+      if (removedMs >= sinceMs) return;
+      this.#removedMs.delete(name);
+      this.#records.delete(name);
     }
   }
 
-  #add(part: number): void {
+  #addToChecksum(part: number): void {
     this.#checksum = (this.#checksum + part) >>> 0;
   }
 }
 
-function isNewer(news: ServerChangeRecord, held: ServerChangeRecord): boolean {
-  if (news.revision !== held.revision) return news.revision > held.revision;
-  // A removal bears the revision of what it removes.
-  return news.server === null && held.server !== null;
+function isNewer(
+  change: ServerChangeRecord,
+  old: ServerChangeRecord,
+): boolean {
+  if (change.revision !== old.revision) return change.revision > old.revision;
+  // A removal carries the revision of the record that it removes.
+  return change.server === null && old.server !== null;
 }
 
-function partOf(held: ServerChangeRecord | undefined): number {
-  if (held === undefined || held.server === null) return 0;
-  return crc32(`${held.name} ${held.revision}`);
+function checksumPartOf(record: ServerChangeRecord | undefined): number {
+  if (record === undefined || record.server === null) return 0;
+  return crc32(`${record.name} ${record.revision}`);
 }
--- a/src/process/server_reports.ts
+++ b/src/process/server_reports.ts
@@ -1,4 +1,6 @@
-/** Reports of backend servers, asked for once for all that need one at a time. */
+/**
+ * Reports of backend servers; callers that need one at the same time share it.
+ */
 
 import type {
   ReportFetcher,
@@ -6,40 +8,40 @@
 } from "../connection/backend_report.ts";
 import type { LiveServer } from "./live_server.ts";
 
-/** How long a report serves others that ask for it, in ms. */
-const SHARED_MS = 60;
+/** How long a report is reused for further requests, in ms. */
+const REUSE_MS = 60;
 
-interface HeldReport {
-  readonly askedMs: number;
+interface CachedReport {
+  readonly requestedMs: number;
   readonly report: Promise<ServerReport | undefined>;
 }
 
 /** The latest reports by server. */
 export class ServerReports {
   readonly #now: () => number;
-  readonly #ask: ReportFetcher;
-  readonly #held = new Map<string, HeldReport>();
+  readonly #fetchReport: ReportFetcher;
+  readonly #cache = new Map<string, CachedReport>();
 
-  private constructor(now: () => number, ask: ReportFetcher) {
+  private constructor(now: () => number, fetchReport: ReportFetcher) {
     this.#now = now;
-    this.#ask = ask;
+    this.#fetchReport = fetchReport;
   }
 
-  /** Starts without reports; `now` is a monotonic clock in ms. */
-  static create(now: () => number, ask: ReportFetcher): ServerReports {
-    return new ServerReports(now, ask);
+  /** Creates an empty cache; `now` is a monotonic clock in ms. */
+  static create(now: () => number, fetchReport: ReportFetcher): ServerReports {
+    return new ServerReports(now, fetchReport);
   }
 
-  /** Returns a fresh report; see `ReportFetcher`. */
+  /** Returns a recent report; see `ReportFetcher`. */
   fetch(server: LiveServer): Promise<ServerReport | undefined> {
     const nowMs = this.#now();
-    for (const [name, { askedMs }] of this.#held) {
-      if (nowMs - askedMs > SHARED_MS) this.#held.delete(name);
+    for (const [name, { requestedMs }] of this.#cache) {
+      if (nowMs - requestedMs > REUSE_MS) this.#cache.delete(name);
     }
-    const held = this.#held.get(server.name);
-    if (held !== undefined) return held.report;
-    const report = this.#ask(server);
-    this.#held.set(server.name, { askedMs: nowMs, report });
+    const cached = this.#cache.get(server.name);
+    if (cached !== undefined) return cached.report;
+    const report = this.#fetchReport(server);
+    this.#cache.set(server.name, { requestedMs: nowMs, report });
     return report;
   }
 }
--- a/src/process/server_ring.ts
+++ b/src/process/server_ring.ts
@@ -1,71 +1,74 @@
 /**
- * The servers of a service on a ring of hashes. Each prompt has a place on it,
- * the same at every entry; a choice looks at the servers that follow the place,
- * so that it costs the same however many servers there are.
+ * A hash ring of a service's servers. Each prompt has the same position on it
+ * at every entry; a choice looks at the servers from that position on, so its
+ * cost does not depend on the number of servers.
  */
 
 import { crc32 } from "node:zlib";
 import { hashText } from "../hashing.ts";
 
-/** Digits of a hash that make a share of all hashes. */
-const SHARE_DIGITS = 8;
+/** Hexadecimal digits of a hash that determine a key's position. */
+const POSITION_DIGITS = 8;
 
-interface Place {
-  readonly point: number;
+interface RingServer {
+  readonly hash: number;
   readonly name: string;
 }
 
-/** Names of servers in the order of their hashes. */
+/** Server names in the order of their hashes. */
 export class ServerRing {
-  readonly #places: Place[] = [];
+  readonly #servers: RingServer[] = [];
 
   private constructor() {}
 
-  /** Starts empty. */
+  /** Creates an empty ring. */
   static create(): ServerRing {
     return new ServerRing();
   }
 
-  /** Puts a server in its place; does nothing if it is there. */
+  /** Adds a server, unless it is on the ring. */
   add(name: string): void {
-    const at = this.#find(name);
-    if (this.#places[at]?.name === name) return;
-    this.#places.splice(at, 0, { point: crc32(name), name });
+    const index = this.#indexOf(name);
+    if (this.#servers[index]?.name === name) return;
+    this.#servers.splice(index, 0, { hash: crc32(name), name });
   }
 
-  /** Takes a server out. */
+  /** Removes a server. */
   delete(name: string): void {
-    const at = this.#find(name);
-    if (this.#places[at]?.name === name) this.#places.splice(at, 1);
+    const index = this.#indexOf(name);
+    if (this.#servers[index]?.name === name) this.#servers.splice(index, 1);
   }
 
-  /** Yields all servers once, those first that follow the place of `key`. */
+  /** Yields each server once, starting at the position of `key`. */
   *serversFrom(key: string): Generator<string> {
-    const { length } = this.#places;
-    // A share of the places, not a point: gaps between points are uneven.
-    const start = Math.floor(shareOf(key) * length);
-    for (let step = 0; step < length; step++) {
-      const place = this.#places[(start + step) % length];
-      if (place !== undefined) yield place.name;
+    const { length } = this.#servers;
+    // A fraction of the number of servers, not a hash: gaps between hashes are
+    // uneven.
+    const start = Math.floor(positionOf(key) * length);
+    for (let offset = 0; offset < length; offset++) {
+      const server = this.#servers[(start + offset) % length];
+      if (server !== undefined) yield server.name;
     }
   }
 
-  /** Returns where a server is, or would be put. */
-  #find(name: string): number {
-    const point = crc32(name);
-    return this.#search((place) =>
-      place.point > point || (place.point === point && place.name >= name)
+  /** Returns the index of a server, or where it would be inserted. */
+  #indexOf(name: string): number {
+    const hash = crc32(name);
+    return this.#findFirst((server) =>
+      server.hash > hash || (server.hash === hash && server.name >= name)
     );
   }
 
-  /** Returns the first place for which `isAfter` holds, as it does for all later. */
-  #search(isAfter: (place: Place) => boolean): number {
+  /**
+   * Returns the first index where `isAfter` holds; it must hold for all later.
+   */
+  #findFirst(isAfter: (server: RingServer) => boolean): number {
     let low = 0;
-    let high = this.#places.length;
+    let high = this.#servers.length;
     while (low < high) {
       const middle = (low + high) >>> 1;
-      const place = this.#places[middle];
-      if (place === undefined || isAfter(place)) high = middle;
+      const server = this.#servers[middle];
+      if (server === undefined || isAfter(server)) high = middle;
       else low = middle + 1;
     }
     return low;
@@ -73,10 +76,10 @@
 }
 
 /**
- * Returns a number from 0 up to 1 that belongs to a key. It has nothing to do
- * with its CRC-32, by which servers alike are told apart.
+ * Maps a key to a number in [0, 1). It must not depend on the CRC-32 that
+ * breaks ties between servers of equal load.
  */
-function shareOf(key: string): number {
-  const digits = hashText(key).slice(0, SHARE_DIGITS);
-  return Number.parseInt(digits, 16) / 16 ** SHARE_DIGITS;
+function positionOf(key: string): number {
+  const digits = hashText(key).slice(0, POSITION_DIGITS);
+  return Number.parseInt(digits, 16) / 16 ** POSITION_DIGITS;
 }
--- a/src/process/server_ring_test.ts
+++ b/src/process/server_ring_test.ts
@@ -1,4 +1,7 @@
-/** Each key has its own order of servers, which hardly changes with them. */
+/**
+ * Each key has its own order of servers; removing a server keeps the rest in
+ * order.
+ */
 
 import fc from "fast-check";
 import { expect, test } from "vitest";
@@ -10,34 +13,34 @@
   return ring;
 }
 
-test("every server is named once, whatever was added and taken out in between", () => {
+test("each server is yielded once after any additions and removals", () => {
   const name = fc.constantFrom(..."abcdefghij");
   const change = fc.record({ name, isAdded: fc.boolean() });
   fc.assert(
     fc.property(fc.array(change), fc.string(), (changes, key) => {
       const ring = ServerRing.create();
-      const held = new Set<string>();
+      const expected = new Set<string>();
       for (const { name, isAdded } of changes) {
         if (isAdded) ring.add(name);
         else ring.delete(name);
-        if (isAdded) held.add(name);
-        else held.delete(name);
+        if (isAdded) expected.add(name);
+        else expected.delete(name);
       }
-      const named = [...ring.serversFrom(key)];
-      expect(named.length).toBe(held.size);
-      expect(new Set(named)).toEqual(held);
+      const yielded = [...ring.serversFrom(key)];
+      expect(yielded.length).toBe(expected.size);
+      expect(new Set(yielded)).toEqual(expected);
     }),
   );
 });
 
-test("the order does not depend on the order of arrival", () => {
+test("the order does not depend on the order of insertion", () => {
   const names = ["i-1", "i-2", "i-3", "i-4", "i-5"];
   const order = [...ringOf(names).serversFrom("prompt")];
   expect([...ringOf(names.toReversed()).serversFrom("prompt")]).toEqual(order);
 });
 
-test("a server that leaves changes nothing in the order of the others", () => {
-  const names = Array.from({ length: 50 }, (_, at) => `i-${at}`);
+test("removing a server keeps the order of the others", () => {
+  const names = Array.from({ length: 50 }, (_, i) => `i-${i}`);
   const ring = ringOf(names);
   const before = [...ring.serversFrom("prompt")];
   ring.delete("i-7");
@@ -47,12 +50,12 @@
 });
 
 test("each server is among the first half for about half of the keys", () => {
-  const names = Array.from({ length: 40 }, (_, at) => `i-${at}`);
+  const names = Array.from({ length: 40 }, (_, i) => `i-${i}`);
   const ring = ringOf(names);
   const counts = new Map(names.map((name) => [name, 0]));
   const keys = 2_000;
-  for (let at = 0; at < keys; at++) {
-    for (const name of [...ring.serversFrom(`prompt-${at}`)].slice(0, 20)) {
+  for (let i = 0; i < keys; i++) {
+    for (const name of [...ring.serversFrom(`prompt-${i}`)].slice(0, 20)) {
       counts.set(name, (counts.get(name) ?? 0) + 1);
     }
   }
--- a/src/process/server_view.ts
+++ b/src/process/server_view.ts
@@ -1,30 +1,30 @@
-/** What an entry knows of one backend server. */
+/** State that an entry keeps for a backend server of its configuration. */
 
 import type { LoadReport } from "../connection/engine_protocol.ts";
 import { REPORT_MAX_AGE_MS } from "../constants.ts";
 import type { BackendServer } from "../version/types.ts";
 
-/** An entry's knowledge of one backend server; replaced, never changed. */
+/** Immutable snapshot of what an entry knows of one backend server. */
 export interface ServerView {
   readonly server: BackendServer;
   readonly report: LoadReport | undefined;
-  /** When the latest report was asked for, on the monotonic clock in ms. */
+  /** When the latest report was requested, on the monotonic clock in ms. */
   readonly reportRequestedMs: number;
-  /** The platform's list says that it is leaving. */
+  /** Whether the platform's list marks the server as leaving. */
   readonly isListedLeaving: boolean;
-  /** No new work before this time, on the monotonic clock in ms. */
+  /** Gets no new requests before this time, on the monotonic clock in ms. */
   readonly ejectedUntilMs: number;
-  /** Requests of this entry that it runs now. */
+  /** Requests of this entry in flight on the server. */
   readonly inFlight: number;
-  /** Suspected requests of this entry that have not proved harmless on it. */
+  /** Suspected requests of this entry that may still crash the server. */
   readonly unprovenSuspects: number;
-  /** Requests sent since the latest report was asked for. */
+  /** Requests sent since the latest report was requested. */
   readonly sentSinceReport: number;
-  /** Requests that ended since the latest report was asked for. */
+  /** Requests that ended since the latest report was requested. */
   readonly endedSinceReport: number;
 }
 
-/** What status says of a backend server. */
+/** Condition of a backend server, as the status shows it. */
 export enum ServerCondition {
   Serving = "serving",
   Leaving = "leaving",
@@ -32,7 +32,7 @@
   Unreported = "unreported",
 }
 
-/** Returns the view of a server of which nothing is known yet. */
+/** Returns the view of a server without reports or requests. */
 export function createServerView(server: BackendServer): ServerView {
   return {
     server,
@@ -59,8 +59,8 @@
 }
 
 /**
- * Whether this entry may send one more request: within its share of the slots,
- * or beyond it while the report shows free ones.
+ * Whether this entry may send one more request: always within its share of the
+ * slots, and beyond it while the report shows free ones.
  */
 export function hasCapacity(view: ServerView, entryCount: number): boolean {
   const share = Math.max(1, Math.floor(view.server.slots / entryCount));
@@ -69,14 +69,16 @@
   return report !== undefined && usedSlots(view) < report.slots;
 }
 
-/** Requests at a server by its report and what this entry did since. */
+/**
+ * Slots in use by the report, corrected by what this entry sent or ended since.
+ */
 function usedSlots(view: ServerView): number {
   const { report, sentSinceReport, endedSinceReport } = view;
   const reported = (report?.running ?? 0) + (report?.queued ?? 0);
   return reported + sentSinceReport - endedSinceReport;
 }
 
-/** Returns how full a server is, from 0; lower is better. */
+/** Returns the used slots as a fraction of all; above 1 when requests queue. */
 export function utilizationOf(view: ServerView): number {
   return Math.max(view.inFlight, usedSlots(view)) / view.server.slots;
 }
--- a/src/process/zone_failure_detector_test.ts
+++ b/src/process/zone_failure_detector_test.ts
@@ -1,31 +1,31 @@
-/** Zones are suspect after several losses at once, and for a while. */
+/** A zone is suspect for a while after several servers failed at once. */
 
 import { expect, test } from "vitest";
 import { ZoneFailureDetector } from "./zone_failure_detector.ts";
 
-function createLosses() {
+function createDetector() {
   const clock = { nowMs: 0 };
-  return { clock, losses: ZoneFailureDetector.create(() => clock.nowMs) };
+  return { clock, detector: ZoneFailureDetector.create(() => clock.nowMs) };
 }
 
-test("two servers of a zone lost at once make it suspect, one lost twice does not", () => {
-  const { losses } = createLosses();
-  expect(losses.record({ zone: "a", name: "a1" })).toBe(0);
-  expect(losses.record({ zone: "a", name: "a1" })).toBe(0);
-  expect(losses.record({ zone: "b", name: "b1" })).toBe(0);
-  expect(losses.suspectZones().size).toBe(0);
-  expect(losses.record({ zone: "a", name: "a2" })).toBe(2);
-  expect([...losses.suspectZones().keys()]).toEqual(["a"]);
+test("a zone is suspect if two of its servers fail at once, but not if one fails twice", () => {
+  const { detector } = createDetector();
+  expect(detector.record({ zone: "a", name: "a1" })).toBe(0);
+  expect(detector.record({ zone: "a", name: "a1" })).toBe(0);
+  expect(detector.record({ zone: "b", name: "b1" })).toBe(0);
+  expect(detector.suspectZones().size).toBe(0);
+  expect(detector.record({ zone: "a", name: "a2" })).toBe(2);
+  expect([...detector.suspectZones().keys()]).toEqual(["a"]);
 });
 
-test("losses far apart mean nothing, and suspicion ends and is told once", () => {
-  const { clock, losses } = createLosses();
-  losses.record({ zone: "a", name: "a1" });
+test("failures far apart do not count; a suspect zone is reported once, and only for a while", () => {
+  const { clock, detector } = createDetector();
+  detector.record({ zone: "a", name: "a1" });
   clock.nowMs = 400;
-  expect(losses.record({ zone: "a", name: "a2" })).toBe(0);
+  expect(detector.record({ zone: "a", name: "a2" })).toBe(0);
   clock.nowMs = 500;
-  expect(losses.record({ zone: "a", name: "a3" })).toBe(2);
-  expect(losses.record({ zone: "a", name: "a4" })).toBe(0);
+  expect(detector.record({ zone: "a", name: "a3" })).toBe(2);
+  expect(detector.record({ zone: "a", name: "a4" })).toBe(0);
   clock.nowMs = 2_100;
-  expect(losses.suspectZones().size).toBe(0);
+  expect(detector.suspectZones().size).toBe(0);
 });
