--- a/src/request/acquire_slot.ts
+++ b/src/request/acquire_slot.ts
@@ -1,4 +1,4 @@
-/** Gets an order a place on a backend server. */
+/** Acquires a slot on a backend server for a request. */
 
 import type { RecentFailure } from "../process/choose_server.ts";
 import { NO_LOAD, type ServerLoad } from "../process/live_server.ts";
@@ -11,78 +11,81 @@
 import type { RelayContext } from "../process/relay_context.ts";
 import type { ProxyRequest } from "./proxy_request.ts";
 
-/** A wish for a server, with the work that it will get. */
+/** The criteria for a server, with the load that it will get. */
 export interface SlotRequest extends ServerCriteria, DispatchCriteria {
   readonly load: ServerLoad;
-  /** Called with the server's name before the next order is placed. */
+  /** Called with the server's name before the next request is dispatched. */
   readonly onAssigned?: (name: string) => void;
 }
 
-/** How long and where an order may wait for a place. */
+/** How long a request may wait for a slot, and on which servers. */
 export interface SlotOptions {
+  /** Names of servers that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
+  /** Longest wait for a slot, in ms. */
   readonly waitMs: number;
+  /** Aborted when the caller has disconnected. */
   readonly signal: AbortSignal;
-  /** Whether part of the answer was delivered already. */
+  /** Whether to queue ahead of new requests; for begun streams and retries. */
   readonly isResumed: boolean;
-  /** Name of the server to prefer while it has room. */
+  /** Name of the server to prefer while it has capacity. */
   readonly preferred?: string;
-  /** Zone in which the order just lost a server. */
+  /** Zone in which an attempt of the request just failed. */
   readonly recentFailure?: RecentFailure;
-  /** Until then it rather waits than lines up behind other prompts; see `SelectionCriteria`. */
+  /** Until then servers with a backlog are avoided; see `SelectionCriteria`. */
   readonly avoidBacklogUntilMs?: number;
   /** See `SlotRequest`. */
   readonly onAssigned?: (name: string) => void;
 }
 
-/** Work of an order, apart from the reading of its prompt. */
-export function requestLoad(order: ProxyRequest): ServerLoad {
-  return { requests: 1, tokens: order.kvCacheTokens, unreadTokens: 0 };
+/** Returns the load of a request without the prefill of its prompt. */
+export function requestLoad(request: ProxyRequest): ServerLoad {
+  return { requests: 1, tokens: request.kvCacheTokens, unreadTokens: 0 };
 }
 
-/** A prompt that a server has to read before the order's first event. */
+/** Returns the load of a request's prefill, which ends with the first event. */
 export function prefillLoad({ promptTokens }: ProxyRequest): ServerLoad {
   return { ...NO_LOAD, unreadTokens: promptTokens };
 }
 
-/** Counts work at a server until the returned function is called. */
+/** Adds load to a server until the returned function is called. */
 export function reserveLoad(
   { servers }: RelayContext,
   { name, load }: { readonly name: string; readonly load: ServerLoad },
 ): () => void {
   servers.begin(name, load);
-  let isHeld = true;
+  let isReserved = true;
   return () => {
-    if (isHeld) servers.end(name, load);
-    isHeld = false;
+    if (isReserved) servers.end(name, load);
+    isReserved = false;
   };
 }
 
-/** Waits for a place. Errors: a `RequestError` of type not run. */
+/** Waits for a slot. Errors: `RequestError` of type not run. */
 export function acquireSlot(
   { dispatcher }: RelayContext,
-  order: ProxyRequest,
-  wait: SlotOptions,
+  request: ProxyRequest,
+  options: SlotOptions,
 ): Promise<Reservation> {
-  return dispatcher.reserve(createDispatchRequest(order, wait));
+  return dispatcher.reserve(createDispatchRequest(request, options));
 }
 
-/** Returns what the dispatcher and the servers are asked for an order. */
+/** Returns the criteria by which the dispatcher queues and places a request. */
 export function createDispatchRequest(
-  order: ProxyRequest,
-  wait: SlotOptions,
+  request: ProxyRequest,
+  options: SlotOptions,
 ): DispatchRequest<SlotRequest> {
   return {
-    rank: order.rank,
-    customer: order.customer,
+    rank: request.rank,
+    customer: request.customer,
     weight: 1,
-    cost: Math.max(1, order.kvCacheTokens),
-    service: order.service,
-    tokens: order.kvCacheTokens,
-    unreadTokens: order.promptTokens,
-    prompt: order.promptKey,
-    load: requestLoad(order),
+    cost: Math.max(1, request.kvCacheTokens),
+    service: request.service,
+    tokens: request.kvCacheTokens,
+    unreadTokens: request.promptTokens,
+    prompt: request.promptKey,
+    load: requestLoad(request),
     isSuspect: false,
-    ...wait,
+    ...options,
   };
 }
--- a/src/request/attempt_history.ts
+++ b/src/request/attempt_history.ts
@@ -1,4 +1,4 @@
-/** The sendings of one order: how many, how far they got, and the refusal that follows. */
+/** The attempts of one request, their progress, and the error that follows. */
 
 import { RequestError, RequestErrorType } from "../errors.ts";
 import { AttemptProgress, canRetry, mayHaveRun } from "./attempt_progress.ts";
@@ -8,79 +8,85 @@
   type ProxyRequest,
 } from "./proxy_request.ts";
 
-/** One sending, whose progress only grows. */
+/** One attempt; its progress only advances. */
 export interface AttemptRecord {
   readonly server: string;
   progress: AttemptProgress;
 }
 
 /**
- * Sendings beyond the route's limit that are made after servers said that they
- * did not run the order; the limit counts servers that ran it.
+ * Attempts allowed beyond the route's limit, which counts only attempts that
+ * may have run, not those that a server declined.
  */
-const NOT_RUN_EXTRA = 3;
-/** Suggested wait after a refusal for want of room, as part of the time left. */
-const RETRY_PART = 0.1;
-const RETRY_MIN_S = 0.02;
+const EXTRA_NOT_RUN_ATTEMPTS = 3;
+/** Suggested retry delay, as part of the time to the deadline. */
+const RETRY_AFTER_RATIO = 0.1;
+const RETRY_AFTER_MIN_S = 0.02;
 const MS_PER_S = 1_000;
 
-/** The record of an order's sendings. */
+/** The attempts of one request. */
 export class AttemptHistory {
-  readonly #order: ProxyRequest;
-  readonly #entries: AttemptRecord[] = [];
+  readonly #request: ProxyRequest;
+  readonly #records: AttemptRecord[] = [];
 
-  private constructor(order: ProxyRequest) {
-    this.#order = order;
+  private constructor(request: ProxyRequest) {
+    this.#request = request;
   }
 
-  /** Starts without sendings. */
-  static create(order: ProxyRequest): AttemptHistory {
-    return new AttemptHistory(order);
+  /** Starts without attempts. */
+  static create(request: ProxyRequest): AttemptHistory {
+    return new AttemptHistory(request);
   }
 
-  /** Adds a sending that has not left yet. */
+  /** Adds an attempt that has not been sent yet. */
   add(server: string): AttemptRecord {
-    const entry = { server, progress: AttemptProgress.NotSent };
-    this.#entries.push(entry);
-    return entry;
+    const record = { server, progress: AttemptProgress.NotSent };
+    this.#records.push(record);
+    return record;
   }
 
-  /** Count of sendings. */
+  /** Number of attempts. */
   get count(): number {
-    return this.#entries.length;
+    return this.#records.length;
   }
 
-  /** Whether the order can have run. */
+  /** Whether the request may have run on any server. */
   get mayHaveRun(): boolean {
     return mayHaveRun(this.#progress());
   }
 
-  /** Servers that can have run the order. */
+  /** Number of attempts that may have run. */
   get mayHaveRunCount(): number {
-    return this.#entries.filter(({ progress }) => mayHaveRun([progress]))
+    return this.#records.filter(({ progress }) => mayHaveRun([progress]))
       .length;
   }
 
-  /** Whether the order may be sent once more. */
+  /** Whether another attempt is allowed. */
   get canRetry(): boolean {
-    const { maxAttempts: sendsMax } = this.#order;
-    return this.mayHaveRunCount < sendsMax &&
-      this.#entries.length < sendsMax + NOT_RUN_EXTRA &&
-      canRetry(this.#progress(), isRetryable(this.#order));
+    const { maxAttempts } = this.#request;
+    return this.mayHaveRunCount < maxAttempts &&
+      this.#records.length < maxAttempts + EXTRA_NOT_RUN_ATTEMPTS &&
+      canRetry(this.#progress(), isRetryable(this.#request));
   }
 
-  /** Returns the truthful refusal at `nowMs`, on the monotonic clock. */
+  /**
+   * Returns the error for the caller: outcome unknown if the request may have
+   * run, else not run. `nowMs` is the time on the monotonic clock.
+   */
   refusal(message: string, nowMs: number): RequestError {
     if (this.mayHaveRun) {
       return new RequestError(RequestErrorType.OutcomeUnknown, message);
     }
-    const leftS = Math.max(0, effectiveDeadlineMs(this.#order) - nowMs) /
+    const remainingS = Math.max(0, effectiveDeadlineMs(this.#request) - nowMs) /
       MS_PER_S;
-    const retryAfterS = Math.max(RETRY_MIN_S, leftS * RETRY_PART);
+    const retryAfterS = Math.max(
+      RETRY_AFTER_MIN_S,
+      remainingS * RETRY_AFTER_RATIO,
+    );
     return new RequestError(RequestErrorType.NotRun, message, retryAfterS);
   }
 
   #progress(): readonly AttemptProgress[] {
-    return this.#entries.map(({ progress }) => progress);
+    return this.#records.map(({ progress }) => progress);
   }
 }
--- a/src/request/attempt_history_test.ts
+++ b/src/request/attempt_history_test.ts
@@ -1,4 +1,4 @@
-/** What an order may still do, and what its caller is told, after its sendings. */
+/** Tests whether a request may be retried, and which error refuses it. */
 
 import fc from "fast-check";
 import { expect, test } from "vitest";
@@ -8,9 +8,9 @@
 import { type ProxyRequest, RequestKind } from "./proxy_request.ts";
 import { AttemptHistory } from "./attempt_history.ts";
 
-const SENDS_MAX = 3;
-/** Sendings that did not run which are made beyond the route's limit. */
-const NOT_RUN_EXTRA = 3;
+const MAX_ATTEMPTS = 3;
+/** Attempts beyond the route's limit, for those that did not run. */
+const EXTRA_NOT_RUN_ATTEMPTS = 3;
 
 const progress = fc.constantFrom(...Object.values(AttemptProgress));
 const kind = fc.record({
@@ -18,33 +18,33 @@
   isResumable: fc.boolean(),
 });
 
-function follow(
+function createHistory(
   changes: Partial<ProxyRequest>,
-  reached: readonly AttemptProgress[],
+  progresses: readonly AttemptProgress[],
 ): AttemptHistory {
-  const attempts = AttemptHistory.create(
-    createRequest({ maxAttempts: SENDS_MAX, ...changes }),
+  const history = AttemptHistory.create(
+    createRequest({ maxAttempts: MAX_ATTEMPTS, ...changes }),
   );
-  reached.forEach((progress, at) => {
-    attempts.add(`server-${at}`).progress = progress;
+  progresses.forEach((progress, index) => {
+    history.add(`server-${index}`).progress = progress;
   });
-  return attempts;
+  return history;
 }
 
-function canHaveRun(progress: AttemptProgress): boolean {
+function mayHaveRun(progress: AttemptProgress): boolean {
   return progress === AttemptProgress.Sent ||
     progress === AttemptProgress.KnownRun;
 }
 
-test("'not run' is said only when no sending can have run", () => {
+test("a request is refused as not run only if no attempt may have run", () => {
   fc.assert(
     fc.property(
       kind,
       fc.array(progress, { maxLength: 8 }),
-      (order, reached) => {
-        const { type } = follow(order, reached).refusal("gone", 0);
+      (changes, progresses) => {
+        const { type } = createHistory(changes, progresses).refusal("gone", 0);
         expect(type).toBe(
-          reached.some(canHaveRun)
+          progresses.some(mayHaveRun)
             ? RequestErrorType.OutcomeUnknown
             : RequestErrorType.NotRun,
         );
@@ -53,54 +53,56 @@
   );
 });
 
-test("what may run once is never sent again after a sending that can have run", () => {
-  const once = fc.constantFrom(
+test("a request that must run at most once is not retried if it may have run", () => {
+  const runOnceKind = fc.constantFrom(
     { kind: RequestKind.NonIdempotent, isResumable: false },
     { kind: RequestKind.Stream, isResumable: false },
   );
   fc.assert(
     fc.property(
-      once,
+      runOnceKind,
       fc.array(progress, { maxLength: 8 }),
-      (order, reached) => {
-        fc.pre(reached.some(canHaveRun));
-        expect(follow(order, reached).canRetry).toBe(false);
+      (changes, progresses) => {
+        fc.pre(progresses.some(mayHaveRun));
+        expect(createHistory(changes, progresses).canRetry).toBe(false);
       },
     ),
   );
 });
 
-test("an order is sent to no more servers that can run it than its route allows", () => {
+test("the attempts that may have run never exceed the route's limit", () => {
   fc.assert(
     fc.property(
       kind,
       fc.array(progress, { maxLength: 12 }),
-      (order, reached) => {
-        const attempts = follow(order, []);
-        for (const next of reached) {
-          if (attempts.count > 0 && !attempts.canRetry) break;
-          attempts.add("server").progress = next;
+      (changes, progresses) => {
+        const history = createHistory(changes, []);
+        for (const next of progresses) {
+          if (history.count > 0 && !history.canRetry) break;
+          history.add("server").progress = next;
         }
-        expect(attempts.mayHaveRunCount).toBeLessThanOrEqual(SENDS_MAX);
-        expect(attempts.count).toBeLessThanOrEqual(SENDS_MAX + NOT_RUN_EXTRA);
+        expect(history.mayHaveRunCount).toBeLessThanOrEqual(MAX_ATTEMPTS);
+        expect(history.count).toBeLessThanOrEqual(
+          MAX_ATTEMPTS + EXTRA_NOT_RUN_ATTEMPTS,
+        );
       },
     ),
   );
 });
 
-test("the wait that a refusal suggests is over before the caller is", () => {
+test("the suggested retry delay ends before the request's deadline", () => {
   fc.assert(
-    fc.property(fc.integer({ min: 0, max: 30_000 }), (lateMs) => {
-      const order = createRequest({
+    fc.property(fc.integer({ min: 0, max: 30_000 }), (nowMs) => {
+      const request = createRequest({
         receivedMs: 0,
         callerDeadlineMs: 25_000,
         routeDeadlineMs: 20_000,
       });
-      const refusal = AttemptHistory.create(order).refusal("full", lateMs);
-      const leftS = Math.max(0, 20_000 - lateMs) / 1_000;
+      const refusal = AttemptHistory.create(request).refusal("full", nowMs);
+      const remainingS = Math.max(0, 20_000 - nowMs) / 1_000;
       expect(refusal.retryAfterS).toBeGreaterThan(0);
       expect(refusal.retryAfterS).toBeLessThanOrEqual(
-        Math.max(0.02, leftS / 3),
+        Math.max(0.02, remainingS / 3),
       );
     }),
   );
--- a/src/request/attempt_reporting.ts
+++ b/src/request/attempt_reporting.ts
@@ -1,4 +1,4 @@
-/** What the process keeps of each sending: log lines, metrics, lost servers. */
+/** Reports each attempt to the log, the metrics and the server ejection. */
 
 import { isRestarted } from "../connection/backend_report.ts";
 import { type AttemptError, FailureCause, messageOf } from "../errors.ts";
@@ -16,10 +16,10 @@
 } from "./proxy_request.ts";
 import type { AttemptRecord } from "./attempt_history.ts";
 
-/** Logs that an order goes to a server, and the view that decided it. */
+/** Logs the start of an attempt, with the server load it was chosen by. */
 export function logAttempt(
   { servers, log, now }: RelayContext,
-  { request: order, server, details }: {
+  { request, server, details }: {
     readonly request: ProxyRequest;
     readonly server: LiveServer;
     readonly details: LogDetails;
@@ -27,11 +27,11 @@
 ): void {
   const view = servers.view(server.name);
   log(LOG_EVENTS.attemptStarted, {
-    request: order.id,
+    request: request.id,
     server: server.name,
     zone: server.zone,
-    since_ms: Math.round(now() - order.receivedMs),
-    left_ms: Math.round(effectiveDeadlineMs(order) - now()),
+    since_ms: Math.round(now() - request.receivedMs),
+    left_ms: Math.round(effectiveDeadlineMs(request) - now()),
     own: view?.ownLoad.requests ?? 0,
     own_tokens: view?.ownLoad.tokens ?? 0,
     others: view?.peerLoad.requests ?? 0,
@@ -41,12 +41,12 @@
 }
 
 /**
- * Records a lost sending, and keeps its server out of new work for a while.
- * Resolves with whether the server proved to be sound at once; never rejects.
+ * Records a failed attempt, and ejects the server if that is at fault. Resolves
+ * with whether a report fetched at once shows a healthy server; never rejects.
  */
 export function recordAttemptFailure(
   context: RelayContext,
-  { request: order, record: entry, server, error }: {
+  { request, record, server, error }: {
     readonly request: ProxyRequest;
     readonly record: AttemptRecord;
     readonly server: LiveServer;
@@ -54,34 +54,34 @@
   },
 ): Promise<boolean> {
   const { servers, log, metrics } = context;
-  const loss = serverLossOf(error, order);
-  if (loss !== undefined) servers.eject(server.name, loss);
+  const serverFailure = serverFailureOf(error, request);
+  if (serverFailure !== undefined) servers.eject(server.name, serverFailure);
   metrics.attemptFailures.inc({ cause: error.failureCause });
   log(LOG_EVENTS.attemptFailed, {
-    request: order.id,
+    request: request.id,
     server: server.name,
     zone: server.zone,
-    progress: entry.progress,
+    progress: record.progress,
     detail: messageOf(error),
   });
   const mayHaveCrashed = error.failureCause === FailureCause.Closed &&
-    entry.progress !== AttemptProgress.NotSent;
+    record.progress !== AttemptProgress.NotSent;
   if (!mayHaveCrashed) return Promise.resolve(false);
-  attributeCrash(context, { order, server });
+  attributeCrash(context, { request, server });
   return checkServer(context, server);
 }
 
-/** Returns what a lost sending says of its server; `undefined` for nothing. */
-function serverLossOf(
-  { failureCause: lossCause }: AttemptError,
+/** Returns the server failure behind a failed attempt; `undefined` for none. */
+function serverFailureOf(
+  { failureCause }: AttemptError,
   { kind }: ProxyRequest,
 ): ServerFailure | undefined {
-  switch (lossCause) {
+  switch (failureCause) {
     case FailureCause.Unreachable:
     case FailureCause.Unresponsive:
       return ServerFailure.Unreachable;
     case FailureCause.DeadlineExceeded:
-      // A stream's server is judged by its silence; of a call it never answered.
+      // The stall detector judges a stream's server; a call got no response.
       return kind === RequestKind.Stream ? undefined : ServerFailure.Unanswered;
     default:
       return kind === RequestKind.Stream
@@ -90,21 +90,21 @@
   }
 }
 
-/** Learns whether a server that closed a connection is the one listed, and lives. */
+/** Whether a server that closed a connection is up and was not restarted. */
 async function checkServer(
   { servers, reports }: RelayContext,
   server: LiveServer,
 ): Promise<boolean> {
   try {
     const report = await reports.fetch(server);
-    // It lives, but may be another process by now.
+    // The server is up, but the process may have been replaced.
     if (report === undefined) return false;
-    const isSound = !isRestarted(report, server);
-    if (isSound) servers.reinstate(server.name);
+    const isHealthy = !isRestarted(report, server);
+    if (isHealthy) servers.reinstate(server.name);
     else servers.eject(server.name, ServerFailure.Replaced);
-    return isSound;
+    return isHealthy;
   } catch {
-    // `lose` logs it; a report that does not come is the answer here.
+    // `recordAttemptFailure` has logged the failure; no report confirms it.
     servers.eject(server.name, ServerFailure.Unreachable);
     return false;
   }
--- a/src/request/call_timeouts.ts
+++ b/src/request/call_timeouts.ts
@@ -1,74 +1,74 @@
 /**
- * Decides how long a call waits for a place, and for its answer.
+ * Decides how long a call waits for a slot and for its response.
  *
- * Answers the load of more calls than the servers of a plain service can do.
- * Calls that wait long are all answered late, so a call waits only as long as
- * it can still be on time, and callers that come back after a refusal, whose
- * answers are late anyway, take only places that nobody waits for.
+ * Handles overload of a plain service. If calls queued for long, every response
+ * would be late, so a call waits only while it can still meet its target time.
+ * A caller that retries after a refusal would get a late response anyway, so it
+ * gets only a slot that is free at once.
  */
 
 import { FailureCause } from "../errors.ts";
 import { effectiveDeadlineMs, type ProxyRequest } from "./proxy_request.ts";
 
-/** Part of the target time that a call waits for a place; the rest is its work. */
-const WAIT_PART = 0.5;
-/** Part of the time left that a call waits while no server can be used. */
-const OUTAGE_WAIT_PART = 0.5;
-/** Part of the target time after which a call that may be repeated is tried elsewhere. */
-const PATIENCE_PART = 0.75;
+/** Part of the target time that a call may wait for a slot before it runs. */
+const QUEUE_TIMEOUT_RATIO = 0.5;
+/** The same if no server is eligible, as part of the time to the deadline. */
+const OUTAGE_QUEUE_TIMEOUT_RATIO = 0.5;
+/** Part of the target time after which a retryable call is sent elsewhere. */
+const RESPONSE_TIMEOUT_RATIO = 0.75;
 
-/** What is known when a call needs a place. */
+/** What is known when a call needs a slot. */
 export interface CallConditions {
-  /** Time that its caller has most likely waited before it came here, in ms. */
+  /** Estimated time that the caller has waited in earlier tries, in ms. */
   readonly priorWaitMs: number;
-  /** Whether any server could take it, now or once that has room. */
+  /** Whether any server can serve the call, now or once it has capacity. */
   readonly hasEligibleServer: boolean;
-  /** Whether its servers refused for want of room just now. */
+  /** Whether servers of the service were recently at capacity. */
   readonly wasAtCapacity: boolean;
   /** Monotonic clock, in ms. */
   readonly nowMs: number;
 }
 
-/** Returns how long a call waits for a place, in ms; `undefined` to refuse it. */
+/** Returns how long a call waits for a slot in ms; `undefined` to refuse it. */
 export function callQueueTimeoutMs(
-  order: ProxyRequest,
+  request: ProxyRequest,
   {
-    priorWaitMs: usedMs,
-    hasEligibleServer: hasServer,
-    wasAtCapacity: wasFull,
+    priorWaitMs,
+    hasEligibleServer,
+    wasAtCapacity,
     nowMs,
   }: CallConditions,
 ): number | undefined {
-  if (!hasServer) {
-    return (effectiveDeadlineMs(order) - nowMs) * OUTAGE_WAIT_PART;
+  if (!hasEligibleServer) {
+    return (effectiveDeadlineMs(request) - nowMs) * OUTAGE_QUEUE_TIMEOUT_RATIO;
   }
-  const { targetMs } = order.rank;
-  const canBeOnTime = usedMs + nowMs - order.receivedMs < targetMs;
-  if (canBeOnTime) return targetMs * WAIT_PART;
-  return wasFull ? undefined : 0;
+  const { targetMs } = request.rank;
+  const canBeOnTime = priorWaitMs + nowMs - request.receivedMs < targetMs;
+  if (canBeOnTime) return targetMs * QUEUE_TIMEOUT_RATIO;
+  return wasAtCapacity ? undefined : 0;
 }
 
-/** How long an answer is waited for, and what its absence means. */
+/** How long to wait for a response, and the failure cause when none arrives. */
 export interface ResponseTimeout {
   readonly timeoutMs: number;
   readonly cause: FailureCause;
 }
 
 /**
- * Returns the patience with one sending of a call.
+ * Returns the response timeout of one attempt of a call.
  *
- * @param mayTryElsewhere whether the call may be sent to another server
+ * @param canRetryElsewhere whether the call may be sent to another server
  */
 export function responseTimeout(
-  order: ProxyRequest,
-  { nowMs, canRetryElsewhere: mayTryElsewhere }: {
+  request: ProxyRequest,
+  { nowMs, canRetryElsewhere }: {
     readonly nowMs: number;
     readonly canRetryElsewhere: boolean;
   },
 ): ResponseTimeout {
-  const leftMs = effectiveDeadlineMs(order) - nowMs;
-  const ms = order.rank.targetMs * PATIENCE_PART;
-  return mayTryElsewhere && ms < leftMs
-    ? { timeoutMs: ms, cause: FailureCause.Stalled }
-    : { timeoutMs: leftMs, cause: FailureCause.DeadlineExceeded };
+  const remainingMs = effectiveDeadlineMs(request) - nowMs;
+  const timeoutMs = request.rank.targetMs * RESPONSE_TIMEOUT_RATIO;
+  return canRetryElsewhere && timeoutMs < remainingMs
+    ? { timeoutMs, cause: FailureCause.Stalled }
+    : { timeoutMs: remainingMs, cause: FailureCause.DeadlineExceeded };
 }
--- a/src/request/call_timeouts_test.ts
+++ b/src/request/call_timeouts_test.ts
@@ -1,4 +1,4 @@
-/** How long a call waits for a place and for its answer. */
+/** Tests how long a call waits for a slot and for its response. */
 
 import { expect, test } from "vitest";
 import { createRequest } from "../../tests/relay/scripted.ts";
@@ -12,7 +12,7 @@
   callerDeadlineMs: 4_000,
   routeDeadlineMs: 5_000,
 });
-const CALM = {
+const CONDITIONS = {
   priorWaitMs: 0,
   hasEligibleServer: true,
   wasAtCapacity: false,
@@ -20,36 +20,40 @@
 };
 
 test.for([
-  { what: "it may be on time", changes: {}, waitMs: 500 },
-  { what: "servers were full", changes: { wasAtCapacity: true }, waitMs: 500 },
-  { what: "it comes late", changes: { priorWaitMs: 1_000 }, waitMs: 0 },
-  { what: "it became late here", changes: { nowMs: 1_000 }, waitMs: 0 },
+  { what: "it can meet its target", changes: {}, waitMs: 500 },
   {
-    what: "it comes late and servers were full",
+    what: "servers were at capacity",
+    changes: { wasAtCapacity: true },
+    waitMs: 500,
+  },
+  { what: "it arrives late", changes: { priorWaitMs: 1_000 }, waitMs: 0 },
+  { what: "it became late in the entry", changes: { nowMs: 1_000 }, waitMs: 0 },
+  {
+    what: "it arrives late and servers were at capacity",
     changes: { priorWaitMs: 1_000, wasAtCapacity: true },
     waitMs: undefined,
   },
   {
-    what: "no server is left",
+    what: "no server is eligible",
     changes: { hasEligibleServer: false, priorWaitMs: 1_000, nowMs: 1_000 },
     waitMs: 1_500,
   },
-])("wait for a place when $what", ({ changes, waitMs }) => {
-  expect(callQueueTimeoutMs(CALL, { ...CALM, ...changes })).toBe(waitMs);
+])("the wait of a call for a slot when $what", ({ changes, waitMs }) => {
+  expect(callQueueTimeoutMs(CALL, { ...CONDITIONS, ...changes })).toBe(waitMs);
 });
 
-test("an answer is waited for until the end, unless another server may be tried", () => {
-  const patience = (nowMs: number, mayTryElsewhere: boolean) =>
-    responseTimeout(CALL, { nowMs, canRetryElsewhere: mayTryElsewhere });
-  expect(patience(0, false)).toEqual({
+test("the response timeout is shorter if the call can be retried elsewhere", () => {
+  const timeoutAt = (nowMs: number, canRetryElsewhere: boolean) =>
+    responseTimeout(CALL, { nowMs, canRetryElsewhere });
+  expect(timeoutAt(0, false)).toEqual({
     timeoutMs: 4_000,
     cause: FailureCause.DeadlineExceeded,
   });
-  expect(patience(0, true)).toEqual({
+  expect(timeoutAt(0, true)).toEqual({
     timeoutMs: 750,
     cause: FailureCause.Stalled,
   });
-  expect(patience(3_900, true)).toEqual({
+  expect(timeoutAt(3_900, true)).toEqual({
     timeoutMs: 100,
     cause: FailureCause.DeadlineExceeded,
   });
--- a/src/request/choose_backup_server.ts
+++ b/src/request/choose_backup_server.ts
@@ -1,5 +1,5 @@
 /**
- * Chooses the server that keeps a copy of a run's memory. It stands in another
+ * Chooses the server that holds a copy of a run's KV cache. It is in another
  * availability zone, since the servers of one zone fail together.
  */
 
@@ -7,19 +7,20 @@
 import type { LiveServers } from "../process/live_servers.ts";
 import type { ProxyRequest } from "./proxy_request.ts";
 
-/** Returns the least loaded server of another zone with room for a copy. */
+/** Returns the least loaded server of another zone with capacity for a copy. */
 export function chooseBackupServer(
   servers: LiveServers,
-  { request: order, server, excluded }: {
+  { request, server, excluded }: {
     readonly request: ProxyRequest;
-    /** The server that will run the order. */
+    /** The server that will run the request. */
     readonly server: LiveServer;
+    /** Names of servers that must not be chosen. */
     readonly excluded: ReadonlySet<string>;
   },
 ): LiveServer | undefined {
   return servers.choose({
-    service: order.service,
-    tokens: order.kvCacheTokens,
+    service: request.service,
+    tokens: request.kvCacheTokens,
     excluded: new Set([...excluded, server.name]),
     excludedZone: server.zone,
   });
--- a/src/request/kv_copy_manager.ts
+++ b/src/request/kv_copy_manager.ts
@@ -1,7 +1,7 @@
 /**
- * Keeps a copy of a stream's run at another server, for as long as the stream
- * lasts: the server that was asked to keep it from the start, and another one
- * as soon as that is lost.
+ * Maintains a copy of a run's KV cache on another server while its stream is
+ * open. The run's server replicates to a backup server from the start; if that
+ * fails, snapshots are copied to another server.
  */
 
 import { messageOf } from "../errors.ts";
@@ -12,15 +12,15 @@
 import type { ProxyRequest } from "./proxy_request.ts";
 import { requestLoad, reserveLoad } from "./acquire_slot.ts";
 
-/** A copy of a run's memory, from which the run can go on. */
+/** A copy of a run's KV cache, from which the run can be resumed. */
 export interface KvCopy {
   /** Server that holds the copy. */
   readonly server: LiveServer;
-  /** Name of a copy made later, with the server that made it. */
+  /** A snapshot's handle and the server that made it; absent for a replica. */
   readonly snapshot?: { readonly source: LiveServer; readonly handle: string };
 }
 
-/** A run whose memory is to be copied. */
+/** A run whose KV cache is to be copied. */
 export interface KvCopyRequest {
   /** Request id of the run. */
   readonly id: string;
@@ -28,150 +28,156 @@
   readonly target: LiveServer;
 }
 
-/** Copies a run's memory as it is now; resolves with its handle. Errors: rejects. */
-export type KvCopier = (wish: KvCopyRequest) => Promise<string>;
+/** Copies a run's current KV cache; resolves with a handle. Errors: rejects. */
+export type KvCopier = (request: KvCopyRequest) => Promise<string>;
 
-/** Frees a copy that is no longer needed. Errors: rejects. */
+/** Releases a copy that is no longer needed. Errors: rejects. */
 export type KvCopyReleaser = (
   copy: { readonly source: LiveServer; readonly handle: string },
 ) => Promise<void>;
 
-/** What a keeper needs of its stream. */
+/** Options of a `KvCopyManager`. */
 export interface KvCopyManagerOptions {
   readonly context: RelayContext;
   readonly request: ProxyRequest;
-  /** Server that runs the order. */
+  /** Server that runs the request. */
   readonly server: LiveServer;
   /** Names of servers that must not hold a copy. */
   readonly excluded: ReadonlySet<string>;
 }
 
-/** How often a copy is looked after, in ms. */
-const CHECK_MS = 300;
-/** A copy made later is brought up to date so often, in ms; servers keep it for 4 s. */
-const REFRESH_MS = 1_200;
-/** Failures after which no further copy is made. */
-const FAILURES_MAX = 2;
+/** How often the copy is checked, in ms. */
+const CHECK_INTERVAL_MS = 300;
+/** How often a snapshot is renewed, in ms; servers drop one after 4 s. */
+const REFRESH_INTERVAL_MS = 1_200;
+/** Failed copies after which no further one is tried. */
+const COPY_FAILURES_MAX = 2;
 
-/** Looks after the copy of one sending. */
+/** Maintains the KV cache copy of one attempt. */
 export class KvCopyManager {
   readonly #options: KvCopyManagerOptions;
-  /** Server that the run's own server was asked to copy it to. */
+  /** Server that the run's server replicates the KV cache to, if any. */
   readonly backup: LiveServer | undefined;
   readonly #timer: NodeJS.Timeout;
   #copy: KvCopy | undefined;
-  #release: () => void = () => undefined;
-  #madeMs = 0;
-  #failures = 0;
+  #releaseLoad: () => void = () => undefined;
+  #snapshotMs = 0;
+  #failureCount = 0;
   #hasEvents = false;
   #isCopying = false;
-  #closed = false;
+  #isClosed = false;
 
   private constructor(options: KvCopyManagerOptions) {
     this.#options = options;
-    this.backup = this.#choose();
-    if (this.backup !== undefined) this.#keepAt({ server: this.backup }, 0);
-    this.#timer = setInterval(() => this.#check(), CHECK_MS);
+    this.backup = this.#chooseTarget();
+    if (this.backup !== undefined) this.#setCopy({ server: this.backup }, 0);
+    this.#timer = setInterval(() => this.#checkCopy(), CHECK_INTERVAL_MS);
   }
 
-  /** Chooses a server for the copy and begins to look after it. */
+  /** Chooses a backup server and starts to maintain the copy. */
   static create(options: KvCopyManagerOptions): KvCopyManager {
     return new KvCopyManager(options);
   }
 
-  /** Notes that the run has made events; before that there is nothing to copy. */
+  /** Records that the run has produced events; only then is a copy useful. */
   markEventsSeen(): void {
     this.#hasEvents = true;
   }
 
-  /** The copy to go on from when the run's server is lost, if there is one. */
+  /** The copy to resume from if the run's server fails, if there is one. */
   get copy(): KvCopy | undefined {
     return this.#hasEvents ? this.#copy : undefined;
   }
 
-  /** Stops looking after the copy; `isOver` frees one that nobody will use. */
-  close(isOver: boolean): void {
-    this.#closed = true;
+  /**
+   * Stops maintaining the copy.
+   *
+   * @param shouldReleaseCopy whether to release a snapshot that nobody will use
+   */
+  close(shouldReleaseCopy: boolean): void {
+    this.#isClosed = true;
     clearInterval(this.#timer);
-    this.#release();
-    const made = this.#copy?.snapshot;
-    if (isOver && made !== undefined) this.#free(made);
+    this.#releaseLoad();
+    const snapshot = this.#copy?.snapshot;
+    if (shouldReleaseCopy && snapshot !== undefined) {
+      this.#releaseSnapshot(snapshot);
+    }
   }
 
-  #choose(): LiveServer | undefined {
-    const { context, request: order, server, excluded } = this.#options;
-    const { isResumable, service } = order;
+  #chooseTarget(): LiveServer | undefined {
+    const { context, request, server, excluded } = this.#options;
+    const { isResumable, service } = request;
     if (!isResumable || !context.supportsKvBackup(service)) return undefined;
     return chooseBackupServer(context.servers, {
-      request: order,
+      request,
       server,
       excluded,
     });
   }
 
-  /** Counts the memory at the server that holds the copy, and slots it takes. */
-  #keepAt(copy: KvCopy, requests: number): void {
-    this.#release();
-    const { context, request: order } = this.#options;
-    const load: ServerLoad = { ...requestLoad(order), requests };
-    this.#release = reserveLoad(context, { name: copy.server.name, load });
+  /** Sets the copy and adds its tokens and `requests` to its server's load. */
+  #setCopy(copy: KvCopy, requests: number): void {
+    this.#releaseLoad();
+    const { context, request } = this.#options;
+    const load: ServerLoad = { ...requestLoad(request), requests };
+    this.#releaseLoad = reserveLoad(context, { name: copy.server.name, load });
     this.#copy = copy;
   }
 
-  async #check(): Promise<void> {
+  async #checkCopy(): Promise<void> {
     if (!this.#hasEvents || this.#isCopying) return;
-    if (this.#failures >= FAILURES_MAX) return;
+    if (this.#failureCount >= COPY_FAILURES_MAX) return;
     const { context } = this.#options;
-    const held = this.#copy;
-    const isKept = held !== undefined &&
-      context.servers.mayHoldBackup(held.server.name);
-    const isFresh = held?.snapshot === undefined ||
-      context.now() - this.#madeMs < REFRESH_MS;
-    if (isKept && isFresh) return;
-    const target = isKept ? held.server : this.#choose();
+    const copy = this.#copy;
+    const isHeld = copy !== undefined &&
+      context.servers.mayHoldBackup(copy.server.name);
+    const isFresh = copy?.snapshot === undefined ||
+      context.now() - this.#snapshotMs < REFRESH_INTERVAL_MS;
+    if (isHeld && isFresh) return;
+    const target = isHeld ? copy.server : this.#chooseTarget();
     if (target === undefined) return;
     this.#isCopying = true;
-    await this.#make(target);
+    await this.#createSnapshot(target);
     this.#isCopying = false;
   }
 
-  async #make(target: LiveServer): Promise<void> {
-    const { context, request: order, server: source } = this.#options;
-    const line = {
-      request: order.id,
+  async #createSnapshot(target: LiveServer): Promise<void> {
+    const { context, request, server: source } = this.#options;
+    const logDetails = {
+      request: request.id,
       server: source.name,
       target: target.name,
     };
     try {
       const handle = await context.copyKvCache({
-        id: order.id,
+        id: request.id,
         source,
         target,
       });
-      if (this.#closed) return this.#free({ source, handle });
-      this.#madeMs = context.now();
-      this.#keepAt({ server: target, snapshot: { source, handle } }, 1);
-      context.log(LOG_EVENTS.kvCacheCopied, line);
+      if (this.#isClosed) return this.#releaseSnapshot({ source, handle });
+      this.#snapshotMs = context.now();
+      this.#setCopy({ server: target, snapshot: { source, handle } }, 1);
+      context.log(LOG_EVENTS.kvCacheCopied, logDetails);
     } catch (error) {
-      this.#failures++;
+      this.#failureCount++;
       context.log(LOG_EVENTS.kvCacheCopyFailed, {
-        ...line,
+        ...logDetails,
         reason: messageOf(error),
       });
     }
   }
 
-  async #free(
-    made: { readonly source: LiveServer; readonly handle: string },
+  async #releaseSnapshot(
+    snapshot: { readonly source: LiveServer; readonly handle: string },
   ): Promise<void> {
-    const { context, request: order } = this.#options;
+    const { context, request } = this.#options;
     try {
-      await context.releaseKvCopy(made);
+      await context.releaseKvCopy(snapshot);
     } catch (error) {
-      // The servers drop it themselves after some seconds.
+      // The servers drop a snapshot themselves when it expires.
       context.log(LOG_EVENTS.kvCacheCopyFailed, {
-        request: order.id,
-        server: made.source.name,
+        request: request.id,
+        server: snapshot.source.name,
         reason: messageOf(error),
       });
     }
--- a/src/request/poison_request.ts
+++ b/src/request/poison_request.ts
@@ -1,6 +1,7 @@
 /**
- * Blames an order for the loss of its server when the server ended alone: one
- * that crashes whatever runs it is refused, here and at the other entries.
+ * Detects poison requests. A request is suspected when its server crashes and
+ * the rest of the zone is not failing; after several crashes all entries refuse
+ * it.
  */
 
 import { isRestarted } from "../connection/backend_report.ts";
@@ -10,19 +11,19 @@
 import { RequestError, RequestErrorType } from "../errors.ts";
 import type { ProxyRequest } from "./proxy_request.ts";
 
-/** Servers that an order may be blamed for before it is refused. */
-const BLAME_MAX = 3;
-/** Time after a loss in which other losses show a common cause, in ms. */
-const JUDGE_MS = 400;
-/** Suggested wait before such a request comes again, in s. */
+/** Server crashes attributed to a request after which it is refused. */
+const CRASH_BLAME_LIMIT = 3;
+/** Delay of the attribution, in ms; a zone failure shows up in that time. */
+const ATTRIBUTION_DELAY_MS = 400;
+/** Suggested retry delay for a poison request, in s. */
 const RETRY_AFTER_S = 5;
 
-/** Refuses an order that has crashed its servers. Errors: `RequestError`. */
+/** Refuses a poison request. Errors: `RequestError` of type not run. */
 export function rejectPoisonRequest(
   context: RelayContext,
-  order: ProxyRequest,
+  request: ProxyRequest,
 ): void {
-  if (!isPoisonRequest(context, order)) return;
+  if (!isPoisonRequest(context, request)) return;
   throw new RequestError(
     RequestErrorType.NotRun,
     "this request is suspected of crashing backend servers",
@@ -30,37 +31,40 @@
   );
 }
 
-/** Whether an order must not be sent once more. */
+/** Whether a request has crashed too many servers to be sent again. */
 export function isPoisonRequest(
   { suspicions }: RelayContext,
-  order: ProxyRequest,
+  request: ProxyRequest,
 ): boolean {
-  return suspicions.blameScore(order.fingerprint) >= BLAME_MAX;
+  return suspicions.blameScore(request.fingerprint) >= CRASH_BLAME_LIMIT;
 }
 
-/** Judges the loss of a server that ran an order, once others would show too. */
+/**
+ * Attributes the failure of a server to the request that it ran, if the server
+ * crashed and its zone is not failing. The check runs after a delay.
+ */
 export function attributeCrash(
   context: RelayContext,
-  { order, server }: {
-    readonly order: ProxyRequest;
+  { request, server }: {
+    readonly request: ProxyRequest;
     readonly server: LiveServer;
   },
 ): void {
   const { servers, reports, suspicions, log } = context;
-  const judge = async () => {
+  const attribute = async () => {
     if (servers.isZoneSuspect(server.zone)) return;
-    const hasEnded = await reports.fetch(server).then(
+    const hasCrashed = await reports.fetch(server).then(
       (report) => isRestarted(report, server),
       () => true,
     );
-    if (!hasEnded || servers.isZoneSuspect(server.zone)) return;
-    const blame = suspicions.blameScore(order.fingerprint) + 1;
-    suspicions.record(order.fingerprint, blame);
+    if (!hasCrashed || servers.isZoneSuspect(server.zone)) return;
+    const blame = suspicions.blameScore(request.fingerprint) + 1;
+    suspicions.record(request.fingerprint, blame);
     log(LOG_EVENTS.poisonRequestSuspected, {
-      request: order.id,
+      request: request.id,
       server: server.name,
       blame,
     });
   };
-  setTimeout(judge, JUDGE_MS).unref();
+  setTimeout(attribute, ATTRIBUTION_DELAY_MS).unref();
 }
--- a/src/request/proxy_request.ts
+++ b/src/request/proxy_request.ts
@@ -1,62 +1,62 @@
-/** An order: one caller's request, checked, as the core serves it. */
+/** A caller's request after validation, as the relay serves it. */
 
 import type { Fingerprint, RequestId } from "../ids.ts";
 import type { Rank } from "../version/types.ts";
 
-/** What a request may be repeated as. */
+/** How the response is delivered, and whether the request may run again. */
 export enum RequestKind {
-  /** Answered by events; runs once unless it may be resumed. */
+  /** Answered with a stream of events; runs at most once unless resumable. */
   Stream = "stream",
-  /** May run more than once. */
+  /** A call that may run more than once. */
   Idempotent = "idempotent",
-  /** Runs at most once. */
+  /** A call that runs at most once. */
   NonIdempotent = "non_idempotent",
 }
 
-/** A request that has passed its checks and names a service. */
+/** A validated request for a service. */
 export interface ProxyRequest {
   readonly id: RequestId;
   readonly kind: RequestKind;
-  /** Whether a stream may go on at another server after its last event. */
+  /** Whether another server may resume the stream after the last event. */
   readonly isResumable: boolean;
   readonly service: string;
   readonly route: string;
-  /** Name of the customer, empty where the route needs no key. */
+  /** Name of the customer; empty if the route needs no API key. */
   readonly customer: string;
   readonly rank: Rank;
-  /** The same for requests that are the same to a backend server. */
+  /** Equal for requests that are identical to a backend server. */
   readonly fingerprint: Fingerprint;
-  /** Memory that it takes at most at a model engine, in tokens; else 0. */
+  /** Largest KV cache at an engine, in tokens; 0 for plain services. */
   readonly kvCacheTokens: number;
-  /** Length of its prompt, in tokens; 0 for plain services. */
+  /** Prompt length in tokens; 0 for plain services. */
   readonly promptTokens: number;
-  /** Names its prompt, the same whenever it comes again; empty without one. */
+  /** Key of the prompt, equal for equal prompts; empty without a prompt. */
   readonly promptKey: string;
-  /** Id of the last event that the caller holds already, if any. */
+  /** Id of the last event that the caller has already received, if any. */
   readonly lastEventId: string | undefined;
-  /** When it came, on the monotonic clock in ms. */
+  /** When the request arrived, on the monotonic clock in ms. */
   readonly receivedMs: number;
   /** When the caller stops waiting, on the monotonic clock in ms. */
   readonly callerDeadlineMs: number;
-  /** When the operator wants it ended, on the monotonic clock in ms. */
+  /** When the route's time limit ends, on the monotonic clock in ms. */
   readonly routeDeadlineMs: number;
-  /** Backend servers that it may be sent to. */
+  /** Maximum number of attempts that may have run on a backend server. */
   readonly maxAttempts: number;
 }
 
-/** Whether running the order again does no harm. */
-export function isRetryable(order: ProxyRequest): boolean {
-  switch (order.kind) {
+/** Whether the request may safely run again. */
+export function isRetryable(request: ProxyRequest): boolean {
+  switch (request.kind) {
     case RequestKind.Idempotent:
       return true;
     case RequestKind.NonIdempotent:
       return false;
     case RequestKind.Stream:
-      return order.isResumable;
+      return request.isResumable;
   }
 }
 
-/** When the order must have its final answer, on the monotonic clock in ms. */
-export function effectiveDeadlineMs(order: ProxyRequest): number {
-  return Math.min(order.callerDeadlineMs, order.routeDeadlineMs);
+/** When the response must be complete, on the monotonic clock in ms. */
+export function effectiveDeadlineMs(request: ProxyRequest): number {
+  return Math.min(request.callerDeadlineMs, request.routeDeadlineMs);
 }
--- a/src/request/relay_call.ts
+++ b/src/request/relay_call.ts
@@ -1,6 +1,6 @@
 /**
- * Relays a call whose answer is passed on only once it is whole: the sending,
- * the retries that its kind allows, and the truthful refusal.
+ * Relays a call, whose response is forwarded only once it is complete. Retries
+ * as far as the kind of the call allows, and refuses it otherwise.
  */
 
 import {
@@ -28,8 +28,8 @@
 
 const SERVER_ERROR = 500;
 
-/** A whole answer of a server. */
-interface WholeAnswer {
+/** A complete response of a server. */
+interface CompleteResponse {
   readonly head: ResponseHead;
   readonly body: Buffer;
 }
@@ -46,27 +46,33 @@
 class CallRelay {
   readonly #context: RelayContext;
   readonly #exchange: ProxyExchange;
-  readonly #order: ProxyRequest;
+  readonly #request: ProxyRequest;
   readonly #attempts: AttemptHistory;
-  /** Servers that gave no answer. */
-  readonly #lost = new Set<string>();
-  /** Servers that were full or failed; tried once more when no other is left. */
-  readonly #tried = new Set<string>();
-  /** Time that the caller has most likely waited before it came here, in ms. */
-  readonly #usedMs: number;
-  #isTimeUp = false;
-  /** The last failure that a server answered with. */
-  #failure: WholeAnswer | undefined;
-  #reason = "no backend server took it in time";
+  /** Servers that sent no complete response. */
+  readonly #failedServers = new Set<string>();
+  /**
+   * Servers that the call was sent to. Those that were at capacity or responded
+   * with an error are tried again when no other server is left.
+   */
+  readonly #triedServers = new Set<string>();
+  /** Estimated time that the caller has waited in earlier tries, in ms. */
+  readonly #priorWaitMs: number;
+  #isDeadlineExceeded = false;
+  /** The last error response of a server. */
+  #errorResponse: CompleteResponse | undefined;
+  #failureReason = "no backend server accepted the request in time";
 
   private constructor(context: RelayContext, exchange: ProxyExchange) {
-    const { request: order } = exchange;
+    const { request } = exchange;
     this.#context = context;
     this.#exchange = exchange;
-    this.#order = order;
-    this.#attempts = AttemptHistory.create(order);
-    const givenMs = order.callerDeadlineMs - order.receivedMs;
-    this.#usedMs = context.callerWaits.record(order.route, givenMs);
+    this.#request = request;
+    this.#attempts = AttemptHistory.create(request);
+    const callerTimeoutMs = request.callerDeadlineMs - request.receivedMs;
+    this.#priorWaitMs = context.callerWaits.record(
+      request.route,
+      callerTimeoutMs,
+    );
   }
 
   static create(context: RelayContext, exchange: ProxyExchange): CallRelay {
@@ -75,53 +81,61 @@
 
   async run(): Promise<RequestOutcome> {
     const { caller } = this.#exchange;
-    while (!caller.signal.aborted && this.#maySend()) {
-      const place = await this.#place();
-      if (place === undefined) break;
-      const answer = await this.#sendOnce(place);
-      if (answer === undefined) continue;
-      const isFailure = answer.head.status >= SERVER_ERROR;
-      if (!isFailure || !isRetryable(this.#order)) return this.#passOn(answer);
-      this.#failure = answer;
+    while (!caller.signal.aborted && this.#canAttempt()) {
+      const reservation = await this.#acquireSlot();
+      if (reservation === undefined) break;
+      const response = await this.#runAttempt(reservation);
+      if (response === undefined) continue;
+      const isServerError = response.head.status >= SERVER_ERROR;
+      if (!isServerError || !isRetryable(this.#request)) {
+        return this.#sendToCaller(response);
+      }
+      this.#errorResponse = response;
     }
     if (caller.signal.aborted) return RequestOutcome.CallerGone;
-    if (this.#failure !== undefined) return this.#passOn(this.#failure);
-    throw this.#attempts.refusal(this.#reason, this.#context.now());
+    if (this.#errorResponse !== undefined) {
+      return this.#sendToCaller(this.#errorResponse);
+    }
+    throw this.#attempts.refusal(this.#failureReason, this.#context.now());
   }
 
-  #passOn({ head, body }: WholeAnswer): RequestOutcome {
+  #sendToCaller({ head, body }: CompleteResponse): RequestOutcome {
     this.#exchange.caller.send(head, body);
     return head.status < SERVER_ERROR
       ? RequestOutcome.Answered
       : RequestOutcome.ServerFailed;
   }
 
-  #maySend(): boolean {
-    const { now, retryBudget: budget } = this.#context;
-    if (this.#isTimeUp || effectiveDeadlineMs(this.#order) <= now()) {
+  #canAttempt(): boolean {
+    const { now, retryBudget } = this.#context;
+    if (
+      this.#isDeadlineExceeded || effectiveDeadlineMs(this.#request) <= now()
+    ) {
       return false;
     }
     if (this.#attempts.count === 0) return true;
     return this.#attempts.canRetry &&
-      !isPoisonRequest(this.#context, this.#order) &&
-      budget.takeRetry(this.#order.service);
+      !isPoisonRequest(this.#context, this.#request) &&
+      retryBudget.takeRetry(this.#request.service);
   }
 
-  /** Waits for a place; `undefined` when there is none in time. */
-  async #place(): Promise<Reservation | undefined> {
+  /** Waits for a slot; `undefined` if none becomes free in time. */
+  async #acquireSlot(): Promise<Reservation | undefined> {
     const { now, servers } = this.#context;
-    const waitMs = callQueueTimeoutMs(this.#order, {
-      priorWaitMs: this.#usedMs,
-      hasEligibleServer: this.#hasServer() || this.#hasServerAgain(),
-      wasAtCapacity: servers.wasRecentlyFull(this.#order.service),
+    const waitMs = callQueueTimeoutMs(this.#request, {
+      priorWaitMs: this.#priorWaitMs,
+      hasEligibleServer: this.#hasEligibleServer() ||
+        this.#hasServerAfterReset(),
+      wasAtCapacity: servers.wasRecentlyFull(this.#request.service),
       nowMs: now(),
     });
     if (waitMs === undefined) {
-      this.#reason = "its answer would be late, and the servers are full";
+      this.#failureReason =
+        "the response would be late, and the service is at capacity";
       return undefined;
     }
     try {
-      return await acquireSlot(this.#context, this.#order, {
+      return await acquireSlot(this.#context, this.#request, {
         excluded: this.#excluded,
         waitMs,
         signal: this.#exchange.caller.signal,
@@ -129,102 +143,107 @@
       });
     } catch (error) {
       if (!(error instanceof RequestError)) throw error;
-      this.#reason = error.message;
+      this.#failureReason = error.message;
       return undefined;
     }
   }
 
-  #hasServer(): boolean {
-    const { service, kvCacheTokens: memoryTokens } = this.#order;
+  #hasEligibleServer(): boolean {
+    const { service, kvCacheTokens } = this.#request;
     return this.#context.servers.canServe({
       service,
-      tokens: memoryTokens,
+      tokens: kvCacheTokens,
       excluded: this.#excluded,
     });
   }
 
-  /** The same when servers that were full or failed may be tried once more. */
-  #hasServerAgain(): boolean {
-    this.#tried.clear();
-    return this.#hasServer();
+  /** Allows tried servers again; returns whether any server is eligible. */
+  #hasServerAfterReset(): boolean {
+    this.#triedServers.clear();
+    return this.#hasEligibleServer();
   }
 
   get #excluded(): ReadonlySet<string> {
-    return new Set([...this.#lost, ...this.#tried]);
+    return new Set([...this.#failedServers, ...this.#triedServers]);
   }
 
-  /** Sends the call to one server; `undefined` when that gave no answer. */
-  async #sendOnce(place: Reservation): Promise<WholeAnswer | undefined> {
+  /** Sends the call to one server; `undefined` without a complete response. */
+  async #runAttempt(
+    reservation: Reservation,
+  ): Promise<CompleteResponse | undefined> {
     const { caller, open } = this.#exchange;
-    const server = place.server as LiveServer;
-    const order = this.#order;
-    const entry = this.#attempts.add(server.name);
-    this.#tried.add(server.name);
-    logAttempt(this.#context, { request: order, server, details: {} });
-    const limit = new AbortController();
-    const timer = this.#startPatience(limit);
+    const server = reservation.server as LiveServer;
+    const request = this.#request;
+    const record = this.#attempts.add(server.name);
+    this.#triedServers.add(server.name);
+    logAttempt(this.#context, { request, server, details: {} });
+    const abortController = new AbortController();
+    const responseTimer = this.#startResponseTimer(abortController);
     try {
-      const answer = await open({
+      const response = await open({
         server,
-        timeoutMs: effectiveDeadlineMs(order) - this.#context.now(),
+        timeoutMs: effectiveDeadlineMs(request) - this.#context.now(),
         lastEventId: undefined,
         copy: undefined,
         backup: undefined,
-        signal: AbortSignal.any([caller.signal, limit.signal]),
-        onSent: () => entry.progress = AttemptProgress.Sent,
+        signal: AbortSignal.any([caller.signal, abortController.signal]),
+        onSent: () => record.progress = AttemptProgress.Sent,
       });
-      return await this.#take(answer, { entry, server });
+      return await this.#receive(response, { record, server });
     } catch (error) {
       if (!(error instanceof AttemptError)) throw error;
-      this.#lost.add(server.name);
-      this.#reason = error.message;
-      this.#isTimeUp = error.failureCause === FailureCause.DeadlineExceeded;
+      this.#failedServers.add(server.name);
+      this.#failureReason = error.message;
+      this.#isDeadlineExceeded =
+        error.failureCause === FailureCause.DeadlineExceeded;
       if (!caller.signal.aborted) {
         recordAttemptFailure(this.#context, {
-          request: order,
-          record: entry,
+          request,
+          record,
           server,
           error,
         });
       }
       return undefined;
     } finally {
-      clearTimeout(timer);
-      place.release();
+      clearTimeout(responseTimer);
+      reservation.release();
     }
   }
 
-  /** Ends a sending through `limit` when its answer has been waited for enough. */
-  #startPatience(limit: AbortController): NodeJS.Timeout {
-    const order = this.#order;
-    const patience = responseTimeout(order, {
+  /** Aborts an attempt through `abortController` at the response timeout. */
+  #startResponseTimer(abortController: AbortController): NodeJS.Timeout {
+    const request = this.#request;
+    const timeout = responseTimeout(request, {
       nowMs: this.#context.now(),
-      canRetryElsewhere: isRetryable(order) && this.#hasServer() &&
-        this.#attempts.mayHaveRunCount + 1 < order.maxAttempts,
+      canRetryElsewhere: isRetryable(request) && this.#hasEligibleServer() &&
+        this.#attempts.mayHaveRunCount + 1 < request.maxAttempts,
     });
     return setTimeout(() => {
-      limit.abort(new AttemptError(patience.cause, "no answer in time"));
-    }, patience.timeoutMs);
+      abortController.abort(
+        new AttemptError(timeout.cause, "no response before the timeout"),
+      );
+    }, timeout.timeoutMs);
   }
 
-  async #take(
-    answer: BackendResponse,
-    { entry, server }: {
-      readonly entry: AttemptRecord;
+  async #receive(
+    response: BackendResponse,
+    { record, server }: {
+      readonly record: AttemptRecord;
       readonly server: LiveServer;
     },
-  ): Promise<WholeAnswer | undefined> {
+  ): Promise<CompleteResponse | undefined> {
     const { servers } = this.#context;
-    if (answer.hasNotRun) {
-      entry.progress = AttemptProgress.KnownNotRun;
-      if (answer.isMisdirected) {
+    if (response.hasNotRun) {
+      record.progress = AttemptProgress.KnownNotRun;
+      if (response.isMisdirected) {
         servers.eject(server.name, ServerFailure.Replaced);
       } else servers.markFull(server.name);
       return undefined;
     }
-    entry.progress = AttemptProgress.KnownRun;
-    const body = await collectBody(answer);
+    record.progress = AttemptProgress.KnownRun;
+    const body = await collectBody(response);
     servers.recordActivity(server.name);
-    return { head: answer.head, body };
+    return { head: response.head, body };
   }
 }
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -1,7 +1,7 @@
 /**
- * Relays a stream of events to its caller as one unbroken answer: when a server
- * is lost, the stream goes on at another one after the last event delivered,
- * from a copy of the run's memory where there is one.
+ * Relays a stream of events to its caller as one unbroken response. When an
+ * attempt fails, another server resumes the stream after the last event
+ * delivered, from a copy of the run's KV cache if there is one.
  */
 
 import {
@@ -33,19 +33,19 @@
 import { StreamAssembler } from "./stream_assembler.ts";
 import { streamQueueLimits } from "./stream_queue_limits.ts";
 
-/** How one sending ended. */
-enum Ending {
-  Whole,
-  /** A failure of the server that was passed on. */
+/** How one attempt ended. */
+enum AttemptOutcome {
+  Complete,
+  /** An error response of the server was forwarded to the caller. */
+  ServerError,
   Failed,
-  Lost,
 }
 
 const MS_PER_S = 1_000;
 const SUCCESS_MIN = 200;
 const SUCCESS_MAX = 299;
 
-/** Relays one stream. Errors: `RequestError`, only before the answer began. */
+/** Relays one stream. Errors: `RequestError` before the response begins. */
 export function relayStream(
   context: RelayContext,
   exchange: ProxyExchange,
@@ -57,30 +57,30 @@
 class StreamRelay {
   readonly #context: RelayContext;
   readonly #exchange: ProxyExchange;
-  readonly #order: ProxyRequest;
+  readonly #request: ProxyRequest;
   readonly #attempts: AttemptHistory;
-  readonly #lost = new Set<string>();
-  /** Servers that lost an answer and got the stream once more. */
-  readonly #returned = new Set<string>();
-  readonly #splice: StreamAssembler;
+  readonly #failedServers = new Set<string>();
+  /** Healthy servers that were allowed another attempt after a failed one. */
+  readonly #reusedServers = new Set<string>();
+  readonly #assembler: StreamAssembler;
   #hasBegun = false;
-  #lostAtMs: number | undefined;
-  /** Where the last sending was lost, unless its server was sound. */
-  #lostZone: RecentFailure | undefined;
-  /** Copy of the run as the last sending left it. */
-  #copy: KvCopy | undefined;
-  #isTimeUp = false;
-  #reason = "no backend server took it in time";
+  #interruptedAtMs: number | undefined;
+  /** Zone of the last failed attempt, unless its server is healthy. */
+  #recentFailure: RecentFailure | undefined;
+  /** Copy of the run's KV cache that the last attempt left. */
+  #kvCopy: KvCopy | undefined;
+  #isDeadlineExceeded = false;
+  #failureReason = "no backend server accepted the request in time";
 
   private constructor(context: RelayContext, exchange: ProxyExchange) {
     this.#context = context;
     this.#exchange = exchange;
-    this.#order = exchange.request;
+    this.#request = exchange.request;
     this.#attempts = AttemptHistory.create(exchange.request);
-    const { isResumable, lastEventId: resumeAfter } = exchange.request;
-    // Elsewhere a server need not go on where the caller asks it to.
-    this.#splice = StreamAssembler.create(
-      isResumable ? resumeAfter : undefined,
+    const { isResumable, lastEventId } = exchange.request;
+    // Only a resumable stream is sure to start after the caller's last event.
+    this.#assembler = StreamAssembler.create(
+      isResumable ? lastEventId : undefined,
     );
   }
 
@@ -90,293 +90,309 @@
 
   async run(): Promise<RequestOutcome> {
     const release = this.#context.promptCacheIndex.trackOpenStream(
-      this.#order.promptKey,
+      this.#request.promptKey,
     );
     try {
-      return await this.#runHeld();
+      return await this.#runAttempts();
     } finally {
       release();
     }
   }
 
-  async #runHeld(): Promise<RequestOutcome> {
+  async #runAttempts(): Promise<RequestOutcome> {
     const { caller } = this.#exchange;
-    while (!caller.signal.aborted && this.#maySend()) {
-      const seat = this.#seatOnCopy() ?? await this.#seat();
-      if (seat === undefined) break;
-      const ending = await this.#sendOnce(seat);
-      if (ending === Ending.Whole) return RequestOutcome.Answered;
-      if (ending === Ending.Failed) return RequestOutcome.ServerFailed;
+    while (!caller.signal.aborted && this.#canAttempt()) {
+      const slot = this.#reserveKvCopySlot() ?? await this.#acquireSlot();
+      if (slot === undefined) break;
+      const outcome = await this.#runAttempt(slot);
+      if (outcome === AttemptOutcome.Complete) return RequestOutcome.Answered;
+      if (outcome === AttemptOutcome.ServerError) {
+        return RequestOutcome.ServerFailed;
+      }
     }
     if (caller.signal.aborted) return RequestOutcome.CallerGone;
-    return this.#giveUp();
+    return this.#endIncomplete();
   }
 
-  /** Ends the answer truthfully: a refusal, or a break that can't look whole. */
-  #giveUp(): RequestOutcome {
+  /**
+   * Refuses the request, or aborts a response that has begun, so that it can't
+   * look complete to the caller.
+   */
+  #endIncomplete(): RequestOutcome {
     if (!this.#hasBegun) {
-      throw this.#attempts.refusal(this.#reason, this.#context.now());
+      throw this.#attempts.refusal(this.#failureReason, this.#context.now());
     }
     this.#context.log(LOG_EVENTS.generationInterrupted, {
-      request: this.#order.id,
-      after: this.#splice.lastEventId ?? "",
-      reason: this.#reason,
+      request: this.#request.id,
+      after: this.#assembler.lastEventId ?? "",
+      reason: this.#failureReason,
       sendings: this.#attempts.count,
     });
     this.#exchange.caller.abort();
     return RequestOutcome.BrokenOff;
   }
 
-  #maySend(): boolean {
+  #canAttempt(): boolean {
     if (
-      this.#isTimeUp || effectiveDeadlineMs(this.#order) <= this.#context.now()
+      this.#isDeadlineExceeded ||
+      effectiveDeadlineMs(this.#request) <= this.#context.now()
     ) {
-      this.#reason = "time limit reached";
+      this.#failureReason = "request deadline exceeded";
       return false;
     }
     if (this.#attempts.count === 0) return true;
     if (!this.#attempts.canRetry) return false;
-    if (isPoisonRequest(this.#context, this.#order)) return false;
-    return this.#context.retryBudget.takeRetry(this.#order.service);
+    if (isPoisonRequest(this.#context, this.#request)) return false;
+    return this.#context.retryBudget.takeRetry(this.#request.service);
   }
 
-  /** Goes on at the server that holds a copy, whatever its load. */
-  #seatOnCopy(): StreamSlot | undefined {
-    const copy = this.#copy;
-    this.#copy = undefined;
-    if (copy === undefined) return undefined;
-    const { server } = copy;
+  /** Reserves the server that holds the KV cache copy, whatever its load. */
+  #reserveKvCopySlot(): StreamSlot | undefined {
+    const kvCopy = this.#kvCopy;
+    this.#kvCopy = undefined;
+    if (kvCopy === undefined) return undefined;
+    const { server } = kvCopy;
     if (!this.#context.servers.isUsable(server.name)) return undefined;
-    const load = requestLoad(this.#order);
-    const close = reserveLoad(this.#context, { name: server.name, load });
+    const load = requestLoad(this.#request);
+    const release = reserveLoad(this.#context, { name: server.name, load });
     return {
       server,
-      kvCopy: copy,
-      release: close,
+      kvCopy,
+      release,
       endPrefill: () => undefined,
     };
   }
 
-  /** Waits for a place; `undefined` when there is none in time. */
-  async #seat(): Promise<StreamSlot | undefined> {
-    const { now, promptCacheIndex: prompts } = this.#context;
-    const order = this.#order;
-    if (!this.#hasServer()) this.#lost.clear();
-    const load = prefillLoad(order);
-    let endReading = () => {};
+  /** Waits for a slot; `undefined` if none becomes free in time. */
+  async #acquireSlot(): Promise<StreamSlot | undefined> {
+    const { now, promptCacheIndex } = this.#context;
+    const request = this.#request;
+    if (!this.#hasEligibleServer()) this.#failedServers.clear();
+    const load = prefillLoad(request);
+    let endPrefill = () => {};
     try {
-      const place = await acquireSlot(this.#context, order, {
-        ...streamQueueLimits(order, { hasBegun: this.#hasBegun, nowMs: now() }),
-        excluded: this.#lost,
+      const reservation = await acquireSlot(this.#context, request, {
+        ...streamQueueLimits(request, {
+          hasBegun: this.#hasBegun,
+          nowMs: now(),
+        }),
+        excluded: this.#failedServers,
         signal: this.#exchange.caller.signal,
         isResumed: this.#hasBegun,
-        ...(this.#lostZone === undefined
+        ...(this.#recentFailure === undefined
           ? {}
-          : { recentFailure: this.#lostZone }),
-        preferred: prompts.findServer(order.promptKey),
+          : { recentFailure: this.#recentFailure }),
+        preferred: promptCacheIndex.findServer(request.promptKey),
         onAssigned: (name) => {
-          endReading = reserveLoad(this.#context, { name, load });
+          endPrefill = reserveLoad(this.#context, { name, load });
         },
       });
-      const server = place.server as LiveServer;
-      return { server, release: place.release, endPrefill: endReading };
+      const server = reservation.server as LiveServer;
+      return { server, release: reservation.release, endPrefill };
     } catch (error) {
       if (!(error instanceof RequestError)) throw error;
-      this.#reason = error.message;
+      this.#failureReason = error.message;
       return undefined;
     }
   }
 
-  /** Whether any server that did not lose the stream could take it. */
-  #hasServer(): boolean {
-    const { service, kvCacheTokens: memoryTokens } = this.#order;
+  /** Whether any server on which the stream has not failed could serve it. */
+  #hasEligibleServer(): boolean {
+    const { service, kvCacheTokens } = this.#request;
     return this.#context.servers.canServe({
       service,
-      tokens: memoryTokens,
-      excluded: this.#lost,
+      tokens: kvCacheTokens,
+      excluded: this.#failedServers,
     });
   }
 
-  async #sendOnce(seat: StreamSlot): Promise<Ending> {
+  async #runAttempt(slot: StreamSlot): Promise<AttemptOutcome> {
     const { caller } = this.#exchange;
-    this.#splice.beginSegment();
-    const sending = StreamAttempt.create({
+    this.#assembler.beginSegment();
+    const attempt = StreamAttempt.create({
       context: this.#context,
-      request: this.#order,
-      slot: seat,
-      record: this.#attempts.add(seat.server.name),
-      excluded: this.#lost,
-      eventCount: () => this.#splice.eventCount,
+      request: this.#request,
+      slot,
+      record: this.#attempts.add(slot.server.name),
+      excluded: this.#failedServers,
+      eventCount: () => this.#assembler.eventCount,
     });
-    this.#log(sending);
+    this.#logAttempt(attempt);
     try {
-      const answer = await this.#open(sending);
-      if (answer.hasNotRun) {
-        this.#noteNotRun(sending, answer);
-        return Ending.Lost;
+      const response = await this.#sendToServer(attempt);
+      if (response.hasNotRun) {
+        this.#handleNotRun(attempt, response);
+        return AttemptOutcome.Failed;
       }
-      sending.record.progress = AttemptProgress.KnownRun;
+      attempt.record.progress = AttemptProgress.KnownRun;
       this.#context.promptCacheIndex.record(
-        this.#order.promptKey,
-        seat.server.name,
+        this.#request.promptKey,
+        slot.server.name,
       );
-      return await this.#take(answer, sending);
+      return await this.#handleResponse(response, attempt);
     } catch (error) {
       if (!(error instanceof AttemptError)) throw error;
-      if (!caller.signal.aborted) await this.#noteLoss(sending, error);
-      return Ending.Lost;
+      if (!caller.signal.aborted) await this.#handleFailure(attempt, error);
+      return AttemptOutcome.Failed;
     } finally {
-      sending.close(this.#copy === undefined);
+      attempt.close(this.#kvCopy === undefined);
     }
   }
 
-  #log({ slot: seat, kvCopyManager: copies }: StreamAttempt): void {
-    const { promptKey: prompt } = this.#order;
+  #logAttempt({ slot, kvCopyManager }: StreamAttempt): void {
+    const { promptKey: prompt } = this.#request;
     logAttempt(this.#context, {
-      request: this.#order,
-      server: seat.server,
+      request: this.#request,
+      server: slot.server,
       details: {
-        from_copy: seat.kvCopy !== undefined,
-        after: this.#splice.lastEventId ?? "",
-        backup: copies.backup?.name ?? "",
+        from_copy: slot.kvCopy !== undefined,
+        after: this.#assembler.lastEventId ?? "",
+        backup: kvCopyManager.backup?.name ?? "",
         prompt,
         read_at: this.#context.promptCacheIndex.findServer(prompt) ?? "",
       },
     });
   }
 
-  #open(
-    { slot: seat, kvCopyManager: copies, record: entry, signal }: StreamAttempt,
+  #sendToServer(
+    { slot, kvCopyManager, record, signal }: StreamAttempt,
   ): Promise<BackendResponse> {
     const { caller, open } = this.#exchange;
     return open({
-      server: seat.server,
-      timeoutMs: effectiveDeadlineMs(this.#order) - this.#context.now(),
-      lastEventId: this.#splice.lastEventId ?? this.#order.lastEventId,
-      copy: seat.kvCopy,
-      backup: copies.backup,
+      server: slot.server,
+      timeoutMs: effectiveDeadlineMs(this.#request) - this.#context.now(),
+      lastEventId: this.#assembler.lastEventId ?? this.#request.lastEventId,
+      copy: slot.kvCopy,
+      backup: kvCopyManager.backup,
       signal: AbortSignal.any([caller.signal, signal]),
-      onSent: () => entry.progress = AttemptProgress.Sent,
+      onSent: () => record.progress = AttemptProgress.Sent,
     });
   }
 
-  #noteNotRun(
-    { slot: seat, record: entry }: StreamAttempt,
-    { isMisdirected: isReplaced }: BackendResponse,
+  #handleNotRun(
+    { slot, record }: StreamAttempt,
+    { isMisdirected }: BackendResponse,
   ): void {
     const { servers } = this.#context;
-    const { server, kvCopy: copy } = seat;
-    entry.progress = AttemptProgress.KnownNotRun;
-    // A server without the copy is sound; the order starts anew.
-    if (isReplaced) servers.eject(server.name, ServerFailure.Replaced);
-    else if (copy === undefined) servers.markFull(server.name);
+    const { server, kvCopy } = slot;
+    record.progress = AttemptProgress.KnownNotRun;
+    // A server without the copy is healthy; a later attempt prefills again.
+    if (isMisdirected) servers.eject(server.name, ServerFailure.Replaced);
+    else if (kvCopy === undefined) servers.markFull(server.name);
   }
 
-  async #noteLoss(sending: StreamAttempt, error: AttemptError): Promise<void> {
-    const { slot: seat, record: entry, kvCopyManager: copies } = sending;
-    const { server } = seat;
-    this.#copy = copies.copy;
-    this.#reason = error.message;
-    this.#isTimeUp = error.failureCause === FailureCause.DeadlineExceeded;
-    const isAlive = error.failureCause === FailureCause.Stalled ||
+  async #handleFailure(
+    attempt: StreamAttempt,
+    error: AttemptError,
+  ): Promise<void> {
+    const { slot, record, kvCopyManager } = attempt;
+    const { server } = slot;
+    this.#kvCopy = kvCopyManager.copy;
+    this.#failureReason = error.message;
+    this.#isDeadlineExceeded =
+      error.failureCause === FailureCause.DeadlineExceeded;
+    const isReachable = error.failureCause === FailureCause.Stalled ||
       error.failureCause === FailureCause.Rejected;
-    this.#lostZone = isAlive
+    this.#recentFailure = isReachable
       ? undefined
       : { zone: server.zone, atMs: this.#context.now() };
-    this.#lost.add(server.name);
-    if (this.#hasBegun) this.#lostAtMs ??= this.#context.now();
-    const loss = { request: this.#order, record: entry, server, error };
-    const provesSound = recordAttemptFailure(this.#context, loss);
-    if (this.#copy !== undefined || !sending.mayHavePrefilled) return;
+    this.#failedServers.add(server.name);
+    if (this.#hasBegun) this.#interruptedAtMs ??= this.#context.now();
+    const failure = { request: this.#request, record, server, error };
+    const healthCheck = recordAttemptFailure(this.#context, failure);
+    if (this.#kvCopy !== undefined || !attempt.mayHavePrefilled) return;
     if (!this.#attempts.canRetry) return;
-    if (await provesSound) this.#returnTo(server);
+    if (await healthCheck) this.#allowReuse(server);
   }
 
-  /** Lets the stream go once more to a server that lives and has read its prompt. */
-  #returnTo({ name }: LiveServer): void {
-    if (this.#returned.has(name)) return;
-    this.#returned.add(name);
-    this.#lost.delete(name);
-    this.#lostZone = undefined;
-    this.#context.promptCacheIndex.record(this.#order.promptKey, name);
+  /** Allows another attempt on a healthy server that has the prompt cached. */
+  #allowReuse({ name }: LiveServer): void {
+    if (this.#reusedServers.has(name)) return;
+    this.#reusedServers.add(name);
+    this.#failedServers.delete(name);
+    this.#recentFailure = undefined;
+    this.#context.promptCacheIndex.record(this.#request.promptKey, name);
   }
 
-  async #take(
-    answer: BackendResponse,
-    sending: StreamAttempt,
-  ): Promise<Ending> {
-    const { status } = answer.head;
+  async #handleResponse(
+    response: BackendResponse,
+    attempt: StreamAttempt,
+  ): Promise<AttemptOutcome> {
+    const { status } = response.head;
     const isSuccess = status >= SUCCESS_MIN && status <= SUCCESS_MAX;
-    if (isSuccess) return await this.#relay(answer, sending);
-    const body = await collectBody(answer);
-    const mayRetry = this.#attempts.canRetry;
-    if (this.#hasBegun || mayRetry) {
-      this.#lost.add(sending.slot.server.name);
-      throw new AttemptError(FailureCause.Rejected, `status ${status}`);
+    if (isSuccess) return await this.#forwardEvents(response, attempt);
+    const body = await collectBody(response);
+    const canRetry = this.#attempts.canRetry;
+    if (this.#hasBegun || canRetry) {
+      this.#failedServers.add(attempt.slot.server.name);
+      throw new AttemptError(
+        FailureCause.Rejected,
+        `expected a 2xx response status, got ${status}`,
+      );
     }
-    this.#exchange.caller.send(answer.head, body);
-    return Ending.Failed;
+    this.#exchange.caller.send(response.head, body);
+    return AttemptOutcome.ServerError;
   }
 
-  /** Passes whole events on; what a lost server left unfinished is dropped. */
-  async #relay(
-    answer: BackendResponse,
-    sending: StreamAttempt,
-  ): Promise<Ending> {
-    const { slot: seat, stallDetector: guard } = sending;
+  /** Forwards complete events; drops the partial event of a failed attempt. */
+  async #forwardEvents(
+    response: BackendResponse,
+    attempt: StreamAttempt,
+  ): Promise<AttemptOutcome> {
+    const { slot, stallDetector } = attempt;
     const { caller } = this.#exchange;
     const { servers, now } = this.#context;
     const splitter = EventSplitter.create();
-    const spacing = AdaptiveStallTimeout.create(now);
-    for await (const bytes of answer.body()) {
-      servers.recordActivity(seat.server.name);
+    const stallTimeout = AdaptiveStallTimeout.create(now);
+    for await (const bytes of response.body()) {
+      servers.recordActivity(slot.server.name);
       const events = [...splitter.push(bytes)];
-      guard.recordActivity(spacing.observeEvent());
+      stallDetector.recordActivity(stallTimeout.observeEvent());
       if (events.length === 0) continue;
-      sending.markEventsSeen();
-      const fresh = this.#splice.accept(events);
-      if (fresh.length === 0) continue;
-      guard.pause();
-      if (!this.#hasBegun) this.#begin(answer);
-      this.#noteResumed(fresh);
-      await caller.write(Buffer.concat(fresh.map((event) => event.bytes)));
-      guard.resume();
+      attempt.markEventsSeen();
+      const newEvents = this.#assembler.accept(events);
+      if (newEvents.length === 0) continue;
+      stallDetector.pause();
+      if (!this.#hasBegun) this.#beginResponse(response);
+      this.#recordResume(newEvents);
+      await caller.write(Buffer.concat(newEvents.map((event) => event.bytes)));
+      stallDetector.resume();
     }
     if (splitter.hasPartialEvent) {
       throw new AttemptError(
         FailureCause.Closed,
-        "stream ended inside an event",
+        "stream ended in the middle of an event",
       );
     }
-    if (!this.#hasBegun) this.#begin(answer);
+    if (!this.#hasBegun) this.#beginResponse(response);
     caller.end();
-    return Ending.Whole;
+    return AttemptOutcome.Complete;
   }
 
-  #begin(answer: BackendResponse): void {
+  #beginResponse(response: BackendResponse): void {
     const { metrics, now } = this.#context;
     this.#hasBegun = true;
-    const tookMs = now() - this.#order.receivedMs;
+    const elapsedMs = now() - this.#request.receivedMs;
     this.#context.log(LOG_EVENTS.streamStarted, {
-      request: this.#order.id,
-      took_ms: Math.round(tookMs),
+      request: this.#request.id,
+      took_ms: Math.round(elapsedMs),
       sendings: this.#attempts.count,
     });
     metrics.firstByteSeconds.observe(
-      { route: this.#order.route },
-      tookMs / MS_PER_S,
+      { route: this.#request.route },
+      elapsedMs / MS_PER_S,
     );
-    this.#exchange.caller.writeHead(answer.head);
+    this.#exchange.caller.writeHead(response.head);
   }
 
-  #noteResumed([first]: readonly RawEvent[]): void {
-    if (this.#lostAtMs === undefined) return;
+  #recordResume([first]: readonly RawEvent[]): void {
+    if (this.#interruptedAtMs === undefined) return;
     const { metrics, log, now } = this.#context;
-    const pauseMs = now() - this.#lostAtMs;
-    this.#lostAtMs = undefined;
+    const pauseMs = now() - this.#interruptedAtMs;
+    this.#interruptedAtMs = undefined;
     metrics.resumeSeconds.observe(pauseMs / MS_PER_S);
     log(LOG_EVENTS.generationResumed, {
-      request: this.#order.id,
+      request: this.#request.id,
       after: first?.id ?? "",
       pause_ms: Math.round(pauseMs),
     });
--- a/src/request/serve_request.ts
+++ b/src/request/serve_request.ts
@@ -1,4 +1,4 @@
-/** Serves one order from its acceptance to its final answer. */
+/** Serves one request from its acceptance to the end of its response. */
 
 import type { BackendSender } from "../connection/backend_request.ts";
 import type { ResponseWriter } from "../connection/response_writer.ts";
@@ -10,75 +10,78 @@
 import { relayCall } from "./relay_call.ts";
 import { relayStream } from "./relay_stream.ts";
 
-/** An order with the two parties it connects. */
+/** A request with the connections to its caller and its backend servers. */
 export interface ProxyExchange {
   readonly request: ProxyRequest;
+  /** Writes the response to the caller. */
   readonly caller: ResponseWriter;
+  /** Sends the request to a backend server. */
   readonly open: BackendSender;
 }
 
-/** How an order ended, as metrics and logs name it. */
+/** How a request ended, as metrics and logs name it. */
 export enum RequestOutcome {
   Answered = "answered",
-  /** The server's own failure was passed on. */
+  /** A backend server's error response was forwarded. */
   ServerFailed = "server_failed",
   Refused = "refused",
-  /** The answer was broken off. */
+  /** The response was aborted after it had begun. */
   BrokenOff = "broken_off",
   CallerGone = "caller_gone",
 }
 
-/** Serves an order to its end; never rejects. */
+/** Serves a request until its response ends; never rejects. */
 export async function serveRequest(
   context: RelayContext,
   exchange: ProxyExchange,
 ): Promise<void> {
-  const { request: order, caller } = exchange;
-  const { metrics, log, now, retryBudget: budget } = context;
+  const { request, caller } = exchange;
+  const { metrics, log, now, retryBudget } = context;
   metrics.openRequests.inc();
-  budget.countRequest(order.service);
+  retryBudget.countRequest(request.service);
   let outcome = RequestOutcome.Refused;
   try {
-    rejectPoisonRequest(context, order);
-    outcome = order.kind === RequestKind.Stream
+    rejectPoisonRequest(context, request);
+    outcome = request.kind === RequestKind.Stream
       ? await relayStream(context, exchange)
       : await relayCall(context, exchange);
   } catch (error) {
     outcome = RequestOutcome.Refused;
-    refuseOrder(context, { order, caller, error });
+    refuseRequest(context, { request, caller, error });
   } finally {
     metrics.openRequests.dec();
-    metrics.orders.inc({ route: order.route, outcome });
+    metrics.orders.inc({ route: request.route, outcome });
     log(LOG_EVENTS.requestEnded, {
-      request: order.id,
-      route: order.route,
-      service: order.service,
-      customer: order.customer,
+      request: request.id,
+      route: request.route,
+      service: request.service,
+      customer: request.customer,
       outcome,
-      took_ms: Math.round(now() - order.receivedMs),
+      took_ms: Math.round(now() - request.receivedMs),
     });
   }
 }
 
-function refuseOrder(
+function refuseRequest(
   { log }: RelayContext,
-  { order, caller, error }: {
-    readonly order: ProxyRequest;
+  { request, caller, error }: {
+    readonly request: ProxyRequest;
     readonly caller: ResponseWriter;
     readonly error: unknown;
   },
 ): void {
-  const refusal = error instanceof RequestError
-    ? error
-    : new RequestError(RequestErrorType.OutcomeUnknown, "unexpected error");
+  const refusal = error instanceof RequestError ? error : new RequestError(
+    RequestErrorType.OutcomeUnknown,
+    "internal error in the entry",
+  );
   if (!(error instanceof RequestError)) {
     log(LOG_EVENTS.unexpectedError, {
-      request: order.id,
+      request: request.id,
       reason: messageOf(error),
     });
   }
   log(LOG_EVENTS.requestRefused, {
-    request: order.id,
+    request: request.id,
     type: refusal.type,
     reason: refusal.message,
   });
--- a/src/request/shutdown_admission.ts
+++ b/src/request/shutdown_admission.ts
@@ -1,29 +1,34 @@
 /**
- * Which orders an entry still takes after a planned stop was asked for. Callers
- * go on using open connections; a stream that begins late would be cut.
+ * Decides which requests an entry still accepts during a graceful shutdown.
+ * Callers keep using open connections, and a stream that starts too late would
+ * be cut off when the process exits.
  */
 
 import { RequestError, RequestErrorType } from "../errors.ts";
 import { type ProxyRequest, RequestKind } from "./proxy_request.ts";
 
 /**
- * Streams that come so long after the request to stop are refused, in ms; the
- * balancer sends none after 2 s, and a stream needs the 5 s that are left.
+ * Time after the start of a shutdown in which streams are accepted, in ms. The
+ * load balancer sends none after 2 s, and a stream needs the remaining 5 s.
  */
-const STREAM_ACCEPT_MS = 2_600;
-/** Suggested wait, in s; other entries are free. */
+const STREAM_ACCEPT_WINDOW_MS = 2_600;
+/** Suggested retry delay, in s; short, since other entries accept requests. */
 const RETRY_AFTER_S = 0.02;
 
-/** Refuses an order that can't end before the process does. Errors: `RequestError`. */
+/**
+ * Refuses a request that can't complete before the process exits.
+ *
+ * Errors: `RequestError` of type not run.
+ */
 export function admitDuringShutdown(
-  order: ProxyRequest,
-  sinceStopMs: number,
+  request: ProxyRequest,
+  sinceShutdownMs: number,
 ): void {
-  if (order.kind !== RequestKind.Stream) return;
-  if (sinceStopMs <= STREAM_ACCEPT_MS) return;
+  if (request.kind !== RequestKind.Stream) return;
+  if (sinceShutdownMs <= STREAM_ACCEPT_WINDOW_MS) return;
   throw new RequestError(
     RequestErrorType.NotRun,
-    "this entry is about to stop; another one serves at once",
+    "this entry is shutting down; retry at another entry",
     RETRY_AFTER_S,
   );
 }
--- a/src/request/stall_detector.ts
+++ b/src/request/stall_detector.ts
@@ -1,7 +1,7 @@
 /**
- * Watches a stream for silence. A silent server is asked for a report before it
- * is given up: reading a long prompt again costs far more than asking, and an
- * engine that reads another prompt is slow, not lost.
+ * Detects stalled streams. The report of a stalled server is fetched before the
+ * attempt is given up: prefilling a long prompt again costs far more than a
+ * report, and an engine that prefills another prompt is slow, not failed.
  */
 
 import { StallTimer } from "../connection/stall_timer.ts";
@@ -10,17 +10,17 @@
 import type { LiveServer } from "../process/live_server.ts";
 import { classifyStall, StallVerdict } from "./stall_policy.ts";
 
-/** What a guard needs of its stream. */
+/** Options of a `StallDetector`. */
 export interface StallDetectorOptions {
   readonly reports: ServerReports;
   readonly server: LiveServer;
   /** Request id of the run. */
   readonly id: string;
-  /** Silence before the first event after which the server is asked, in ms. */
+  /** Time without a first event after which the report is fetched, in ms. */
   readonly firstEventStallMs: number;
   /** Longest time to the first event, in ms. */
   readonly firstEventTimeoutMs: number;
-  /** Events received so far. */
+  /** Returns the number of events received so far. */
   readonly eventCount: () => number;
   /** Monotonic clock, in ms. */
   readonly now: () => number;
@@ -28,85 +28,89 @@
   readonly onLost: (cause: FailureCause, detail: string) => void;
 }
 
-/** Guards one sending of a stream. */
+/** Detects stalls of one attempt of a stream. */
 export class StallDetector {
   readonly #options: StallDetectorOptions;
   readonly #timer: StallTimer;
   readonly #startMs: number;
-  #heardCount = 0;
-  #absences = 0;
-  #closed = false;
+  #activityCount = 0;
+  #absentReports = 0;
+  #isClosed = false;
 
   private constructor(options: StallDetectorOptions) {
     this.#options = options;
     this.#startMs = options.now();
     this.#timer = StallTimer.create(
       options.firstEventStallMs,
-      () => this.#check(),
+      () => this.#checkServer(),
     );
   }
 
-  /** Starts to watch. */
+  /** Starts the stall timeout. */
   static create(options: StallDetectorOptions): StallDetector {
     return new StallDetector(options);
   }
 
-  /** Notes bytes from the server; `limitMs` is the silence borne from now. */
-  recordActivity(limitMs: number): void {
-    this.#heardCount++;
-    this.#absences = 0;
-    this.#timer.setLimit(limitMs);
+  /** Records bytes from the server; the next stall timeout is `timeoutMs`. */
+  recordActivity(timeoutMs: number): void {
+    this.#activityCount++;
+    this.#absentReports = 0;
+    this.#timer.setLimit(timeoutMs);
     this.#timer.reset();
   }
 
-  /** Lets silence pass while the reader itself does not read. */
+  /** Pauses the detection while nothing is read from the server. */
   pause(): void {
     this.#timer.suspend();
   }
 
-  /** Counts silence again, from now. */
+  /** Resumes the detection with a new stall timeout. */
   resume(): void {
     this.#timer.resume();
   }
 
-  /** Stops watching. */
+  /** Stops the detection. */
   close(): void {
-    this.#closed = true;
+    this.#isClosed = true;
     this.#timer.close();
   }
 
-  async #check(): Promise<void> {
-    const heardCount = this.#heardCount;
-    const { reports, server, id, eventCount: events, onLost } = this.#options;
-    const { now, firstEventTimeoutMs: firstMaxMs } = this.#options;
-    const isOver = () => this.#closed || this.#heardCount !== heardCount;
+  async #checkServer(): Promise<void> {
+    const activityCount = this.#activityCount;
+    const { reports, server, id, eventCount, onLost } = this.#options;
+    const { now, firstEventTimeoutMs } = this.#options;
+    const isOutdated = () =>
+      this.#isClosed || this.#activityCount !== activityCount;
     try {
       const report = await reports.fetch(server);
-      if (isOver()) return;
+      if (isOutdated()) return;
       if (report === undefined) {
         return onLost(
           FailureCause.Stalled,
-          "its server no longer gives reports",
+          "the server no longer returns reports",
         );
       }
       const verdict = classifyStall(report, {
         id,
         server,
-        eventCount: events(),
-        isOverdue: now() - this.#startMs > firstMaxMs,
-        absentReports: this.#absences,
+        eventCount: eventCount(),
+        isOverdue: now() - this.#startMs > firstEventTimeoutMs,
+        absentReports: this.#absentReports,
       });
       if (verdict === StallVerdict.Lost) {
         return onLost(
           FailureCause.Stalled,
-          "the report shows that it has ended",
+          "the server's report shows that the run is lost",
         );
       }
-      if (verdict === StallVerdict.Absent) this.#absences++;
+      if (verdict === StallVerdict.Absent) this.#absentReports++;
       this.#timer.reset();
     } catch (error) {
-      if (isOver()) return;
-      onLost(FailureCause.Unresponsive, `no report: ${messageOf(error)}`);
+      if (isOutdated()) return;
+      onLost(
+        FailureCause.Unresponsive,
+        `the server returned no report: ${messageOf(error)}`,
+      );
     }
   }
 }
--- a/src/request/stall_policy.ts
+++ b/src/request/stall_policy.ts
@@ -1,4 +1,4 @@
-/** Which silence of a stream is unusual, and what a report says of a silent run. */
+/** When a stream counts as stalled, and what a report says of a stalled run. */
 
 import { PREFILL_TOKENS_PER_MS } from "../constants.ts";
 import {
@@ -7,87 +7,97 @@
 } from "../connection/backend_report.ts";
 import type { LiveServer } from "../process/live_server.ts";
 
-/** Silence before the first event after which the server is asked, in ms. */
+/** Time without a first event after which the report is fetched, in ms. */
 export const FIRST_EVENT_STALL_MS = 500;
-/** The same for a run that goes on from a copy and reads nothing again, in ms. */
+/** The same for a run resumed from a KV copy, which needs no prefill, in ms. */
 export const KV_COPY_FIRST_EVENT_STALL_MS = 250;
-/** Shortest silence between events that is unusual, in ms; they come every 30 to 60 ms. */
-const SILENCE_MIN_MS = 250;
-/** Longest silence before the server is asked, in ms; the sheets allow pauses of 700. */
-const SILENCE_MAX_MS = 450;
-/** Silence that is unusual, as a multiple of the widest recent spacing. */
-const SPACING_FACTOR = 1.5;
-/** How fast a wide spacing is forgotten, per event. */
-const SPACING_DECAY = 0.9;
-/** Events that a server may be ahead of us; a report is older than what we got. */
+/** Shortest stall timeout between events, in ms; they are 30 to 60 ms apart. */
+const STALL_TIMEOUT_MIN_MS = 250;
+/**
+ * Longest stall timeout between events, in ms. Engines may pause for 700 ms,
+ * but a stall only causes a report to be fetched.
+ */
+const STALL_TIMEOUT_MAX_MS = 450;
+/** Stall timeout as a multiple of the longest recent interval of events. */
+const EVENT_INTERVAL_FACTOR = 1.5;
+/** Factor by which a long interval decays with each event. */
+const EVENT_INTERVAL_DECAY = 0.9;
+/**
+ * Events that a report may list beyond those received before the run counts as
+ * lost; a report is normally older than the stream.
+ */
 const EVENTS_AHEAD_MAX = 5;
-/** Reports without the run after which it counts as lost; one may be too old. */
-const ABSENCES_MAX = 2;
+/** Reports without the run after which it counts as lost; one may be stale. */
+const ABSENT_REPORTS_MAX = 2;
 
-/** How many times longer than the known prompts a first event may take: others come unseen. */
-const READ_FACTOR = 3;
-/** Time that a first event may take besides, in ms. */
-const FIRST_EVENT_SLACK_MS = 1_000;
+/**
+ * Multiple of the expected prefill time that a first event may take; the server
+ * may have prompts that this entry does not know of.
+ */
+const PREFILL_TIMEOUT_FACTOR = 3;
+/** Time allowed for a first event in addition to the prefill, in ms. */
+const FIRST_EVENT_MARGIN_MS = 1_000;
 
 /**
- * Returns how long a sound server may take to the first event of a run, in ms.
+ * Returns how long a healthy server may take to a run's first event, in ms.
  *
- * @param unreadTokens prompt tokens that the server has still to read, this
- * run's included
+ * @param unreadTokens prompt tokens that the server has still to prefill,
+ * including those of this run
  */
 export function firstEventTimeoutMs(unreadTokens: number): number {
-  return FIRST_EVENT_SLACK_MS +
-    READ_FACTOR * unreadTokens / PREFILL_TOKENS_PER_MS;
+  return FIRST_EVENT_MARGIN_MS +
+    PREFILL_TIMEOUT_FACTOR * unreadTokens / PREFILL_TOKENS_PER_MS;
 }
 
-/** What is known of a run that fell silent. */
+/** What is known of a stalled run. */
 export interface StalledRun {
   readonly id: string;
   readonly server: LiveServer;
   /** Events received; 0 before the first. */
   readonly eventCount: number;
-  /** Whether its first event should have come long ago. */
+  /** Whether the timeout for its first event has passed. */
   readonly isOverdue: boolean;
-  /** Earlier reports in this silence that did not list the run. */
+  /** Earlier reports during this stall that did not list the run. */
   readonly absentReports: number;
 }
 
-/** What a report means for a silent run. */
+/** What a report means for a stalled run. */
 export enum StallVerdict {
-  /** The run goes on, or nothing speaks against it. */
+  /** The run is in progress, or the report does not contradict that. */
   Alive = "alive",
-  /** The report does not list the run, which may be for its age. */
+  /** The report does not list the run, but it may be stale. */
   Absent = "absent",
-  /** The run has ended, or its events no longer reach us. */
+  /** The run has ended, or its events no longer reach this entry. */
   Lost = "lost",
 }
 
-/** Judges a silent run by its server's report. */
+/** Classifies a stalled run by its server's report. */
 export function classifyStall(
   report: ServerReport,
-  { id, server, eventCount: events, isOverdue, absentReports: absences }:
-    StalledRun,
+  { id, server, eventCount, isOverdue, absentReports }: StalledRun,
 ): StallVerdict {
   if (isRestarted(report, server)) return StallVerdict.Lost;
-  // Until its first event a run is only counted.
-  const mayBeRead = report.prefilling === undefined || report.prefilling > 0;
-  const isReading = events === 0 && !isOverdue && mayBeRead;
-  if (report.runs === undefined || isReading) return StallVerdict.Alive;
+  // Before its first event a run is not listed, only counted as prefilling.
+  const mayPrefill = report.prefilling === undefined || report.prefilling > 0;
+  const isPrefilling = eventCount === 0 && !isOverdue && mayPrefill;
+  if (report.runs === undefined || isPrefilling) return StallVerdict.Alive;
   const run = report.runs.get(id);
   if (run !== undefined) {
-    const isAhead = run.events > events + EVENTS_AHEAD_MAX;
+    const isAhead = run.events > eventCount + EVENTS_AHEAD_MAX;
     return isAhead ? StallVerdict.Lost : StallVerdict.Alive;
   }
-  // A preempted run waits for its place in the batch.
+  // A preempted run waits for a slot in the batch and is not listed meanwhile.
   if (report.waiting > 0) return StallVerdict.Alive;
-  return absences + 1 >= ABSENCES_MAX ? StallVerdict.Lost : StallVerdict.Absent;
+  return absentReports + 1 >= ABSENT_REPORTS_MAX
+    ? StallVerdict.Lost
+    : StallVerdict.Absent;
 }
 
-/** Learns from the spacing of events which silence is unusual. */
+/** Adapts the stall timeout to the intervals between events. */
 export class AdaptiveStallTimeout {
   readonly #now: () => number;
-  #lastMs: number | undefined;
-  #spacingMs = 0;
+  #lastEventMs: number | undefined;
+  #intervalMs = 0;
 
   private constructor(now: () => number) {
     this.#now = now;
@@ -98,13 +108,19 @@
     return new AdaptiveStallTimeout(now);
   }
 
-  /** Notes an event; returns the silence after it that is unusual, in ms. */
+  /** Records an event; returns the stall timeout after it, in ms. */
   observeEvent(): number {
     const nowMs = this.#now();
-    const lastMs = this.#lastMs ?? nowMs;
-    this.#lastMs = nowMs;
-    this.#spacingMs = Math.max(this.#spacingMs * SPACING_DECAY, nowMs - lastMs);
-    const limitMs = this.#spacingMs * SPACING_FACTOR;
-    return Math.min(SILENCE_MAX_MS, Math.max(SILENCE_MIN_MS, limitMs));
+    const lastEventMs = this.#lastEventMs ?? nowMs;
+    this.#lastEventMs = nowMs;
+    this.#intervalMs = Math.max(
+      this.#intervalMs * EVENT_INTERVAL_DECAY,
+      nowMs - lastEventMs,
+    );
+    const timeoutMs = this.#intervalMs * EVENT_INTERVAL_FACTOR;
+    return Math.min(
+      STALL_TIMEOUT_MAX_MS,
+      Math.max(STALL_TIMEOUT_MIN_MS, timeoutMs),
+    );
   }
 }
--- a/src/request/stream_assembler.ts
+++ b/src/request/stream_assembler.ts
@@ -1,75 +1,77 @@
 /**
- * Joins what several servers make of one stream: each event reaches the caller
- * once, in the order of its id, and nothing is left out where two parts meet.
+ * Joins the segments of one stream that several servers produce: each event
+ * reaches the caller once, in the order of ids, with no gap between segments.
  */
 
 import type { RawEvent } from "../connection/event_splitter.ts";
 import { AttemptError, FailureCause } from "../errors.ts";
 
-/** How far the answer to one stream has come. */
+/** The position of one stream's response. */
 export class StreamAssembler {
-  #lastId: string | undefined;
-  /** Whether all ids so far were one higher than the one before. */
-  #isCounting = true;
-  /** Whether the next event is the first of another part. */
-  #isJoint = true;
-  /** Count of events from the present server, or its highest id. */
-  #events = 0;
+  #lastEventId: string | undefined;
+  /** Whether each id so far was one higher than the one before. */
+  #hasConsecutiveIds = true;
+  /** Whether the next event is the first of a segment. */
+  #isSegmentStart = true;
+  /** Highest id, or the number of events from the current server. */
+  #eventCount = 0;
 
   private constructor(resumeAfter: string | undefined) {
-    this.#lastId = resumeAfter;
+    this.#lastEventId = resumeAfter;
   }
 
-  /** Starts after the event that the caller has already, if it said so. */
+  /** Starts after the event id that the caller sent as its last, if any. */
   static create(resumeAfter: string | undefined): StreamAssembler {
     return new StreamAssembler(resumeAfter);
   }
 
-  /** Id of the last event passed on. */
+  /** Id of the last event accepted. */
   get lastEventId(): string | undefined {
-    return this.#lastId;
+    return this.#lastEventId;
   }
 
-  /** Events of the run that its present server is known to have made. */
+  /** Events of the run that the current server is known to have reached. */
   get eventCount(): number {
-    return this.#events;
+    return this.#eventCount;
   }
 
-  /** Notes that the next events come from another server. */
+  /** Starts a segment: the next events come from another attempt. */
   beginSegment(): void {
-    this.#isJoint = true;
-    this.#events = 0;
+    this.#isSegmentStart = true;
+    this.#eventCount = 0;
   }
 
   /**
-   * Returns the events to pass on; those that were passed on before are left out.
+   * Returns the events to forward, without those that were forwarded before.
    *
-   * Errors: `AttemptError` when events are missing between two parts.
+   * Errors: `AttemptError` if events are missing between two segments.
    */
   accept(events: readonly RawEvent[]): readonly RawEvent[] {
-    const fresh = events.filter((event) => this.#take(event));
-    // Ids count the events of a run from 1, across the servers it ran on.
-    this.#events = Number(this.#lastId) || this.#events + events.length;
-    return fresh;
+    const newEvents = events.filter((event) => this.#acceptEvent(event));
+    // Engines number the events of a run from 1, across the servers it ran on.
+    this.#eventCount = Number(this.#lastEventId) ||
+      this.#eventCount + events.length;
+    return newEvents;
   }
 
-  #take({ id }: RawEvent): boolean {
-    // The protocol gives every event an id; one without can't be a repetition.
+  #acceptEvent({ id }: RawEvent): boolean {
+    // The protocol gives every event an id; one without can't be a duplicate.
     if (id === undefined) return true;
-    if (this.#lastId !== undefined) {
-      const step = Number(id) - Number(this.#lastId);
+    if (this.#lastEventId !== undefined) {
+      const step = Number(id) - Number(this.#lastEventId);
       if (step <= 0) return false;
-      this.#checkStep(step, id);
+      this.#checkGap(step, id);
     }
-    this.#isJoint = false;
-    this.#lastId = id;
+    this.#isSegmentStart = false;
+    this.#lastEventId = id;
     return true;
   }
 
-  #checkStep(step: number, id: string): void {
-    if (!this.#isJoint && step !== 1) this.#isCounting = false;
-    if (!this.#isJoint || !this.#isCounting || step === 1) return;
-    const detail = `goes on with event ${id} after ${this.#lastId}`;
+  #checkGap(step: number, id: string): void {
+    if (!this.#isSegmentStart && step !== 1) this.#hasConsecutiveIds = false;
+    if (!this.#isSegmentStart || !this.#hasConsecutiveIds || step === 1) return;
+    const detail =
+      `segment starts at event ${id}, but the last was ${this.#lastEventId}`;
     throw new AttemptError(FailureCause.PositionGap, detail);
   }
 }
--- a/src/request/stream_assembler_test.ts
+++ b/src/request/stream_assembler_test.ts
@@ -1,4 +1,4 @@
-/** Parts of a stream that several servers made join to one whole. */
+/** Tests that segments of a stream from several servers form one stream. */
 
 import fc from "fast-check";
 import { expect, test } from "vitest";
@@ -17,7 +17,7 @@
 function events(from: number, to: number): RawEvent[] {
   return Array.from(
     { length: Math.max(0, to - from + 1) },
-    (_, at) => event(from + at),
+    (_, index) => event(from + index),
   );
 }
 
@@ -25,65 +25,71 @@
   return accepted.map(({ id }) => id);
 }
 
-test("however many parts begin where, each event is passed on once and in order", () => {
-  const part = fc.record({
-    /** How far before the next event the part begins. */
-    back: fc.nat(5),
+test("overlapping segments in any chunks yield each event once and in order", () => {
+  const segment = fc.record({
+    /** Number of events of the segment that were already accepted. */
+    overlap: fc.nat(5),
     length: fc.nat(12),
-    /** Places where the bytes of the part arrive in separate pieces. */
-    pieces: fc.array(fc.integer({ min: 1, max: 4 }), { maxLength: 6 }),
+    /** Numbers of events that arrive together. */
+    chunkSizes: fc.array(fc.integer({ min: 1, max: 4 }), { maxLength: 6 }),
   });
   fc.assert(
-    fc.property(fc.nat(9), fc.array(part, { maxLength: 6 }), (after, parts) => {
-      const splice = StreamAssembler.create(String(after));
-      const passed: (string | undefined)[] = [];
-      for (const { back, length, pieces } of parts) {
-        splice.beginSegment();
-        const last = Number(splice.lastEventId);
-        const from = Math.max(1, last + 1 - back);
-        const made = events(from, from + length - 1);
-        for (const size of [...pieces, made.length]) {
-          passed.push(...ids(splice.accept(made.splice(0, size))));
+    fc.property(
+      fc.nat(9),
+      fc.array(segment, { maxLength: 6 }),
+      (after, segments) => {
+        const assembler = StreamAssembler.create(String(after));
+        const forwardedIds: (string | undefined)[] = [];
+        for (const { overlap, length, chunkSizes } of segments) {
+          assembler.beginSegment();
+          const last = Number(assembler.lastEventId);
+          const from = Math.max(1, last + 1 - overlap);
+          const produced = events(from, from + length - 1);
+          for (const size of [...chunkSizes, produced.length]) {
+            forwardedIds.push(
+              ...ids(assembler.accept(produced.splice(0, size))),
+            );
+          }
         }
-      }
-      expect(passed).toEqual(
-        passed.map((_, at) => String(after + 1 + at)),
-      );
-    }),
+        expect(forwardedIds).toEqual(
+          forwardedIds.map((_, index) => String(after + 1 + index)),
+        );
+      },
+    ),
   );
 });
 
-test("a part that leaves events out is not passed on", () => {
-  const splice = StreamAssembler.create(undefined);
-  splice.accept(events(1, 4));
-  splice.beginSegment();
-  const accept = () => splice.accept(events(6, 9));
+test("a segment that starts after a gap is rejected", () => {
+  const assembler = StreamAssembler.create(undefined);
+  assembler.accept(events(1, 4));
+  assembler.beginSegment();
+  const accept = () => assembler.accept(events(6, 9));
   expect(accept).toThrow(AttemptError);
   expect(accept).toThrow(FailureCause.PositionGap);
-  expect(splice.lastEventId).toBe("4");
-  splice.beginSegment();
-  expect(ids(splice.accept(events(5, 6)))).toEqual(["5", "6"]);
+  expect(assembler.lastEventId).toBe("4");
+  assembler.beginSegment();
+  expect(ids(assembler.accept(events(5, 6)))).toEqual(["5", "6"]);
 });
 
 test("the first event may have any id", () => {
   for (const first of [0, 1, 7]) {
-    const splice = StreamAssembler.create(undefined);
-    expect(ids(splice.accept(events(first, first + 1)))).toEqual(
+    const assembler = StreamAssembler.create(undefined);
+    expect(ids(assembler.accept(events(first, first + 1)))).toEqual(
       [String(first), String(first + 1)],
     );
   }
 });
 
-test("where ids do not count events, a step between parts is no gap", () => {
-  const splice = StreamAssembler.create(undefined);
-  splice.accept([event(1), event(8), event(15)]);
-  splice.beginSegment();
-  expect(ids(splice.accept([event(15), event(22)]))).toEqual(["22"]);
+test("if ids are not consecutive, a step between segments is not a gap", () => {
+  const assembler = StreamAssembler.create(undefined);
+  assembler.accept([event(1), event(8), event(15)]);
+  assembler.beginSegment();
+  expect(ids(assembler.accept([event(15), event(22)]))).toEqual(["22"]);
 });
 
-test("events without an id pass, and an event sent twice passes once", () => {
-  const splice = StreamAssembler.create(undefined);
+test("events without an id are accepted, and duplicate events are dropped", () => {
+  const assembler = StreamAssembler.create(undefined);
   const sent = [event(1), event(undefined), event(2), event(2), event(3)];
-  expect(ids(splice.accept(sent))).toEqual(["1", undefined, "2", "3"]);
-  expect(splice.eventCount).toBe(3);
+  expect(ids(assembler.accept(sent))).toEqual(["1", undefined, "2", "3"]);
+  expect(assembler.eventCount).toBe(3);
 });
--- a/src/request/stream_attempt.ts
+++ b/src/request/stream_attempt.ts
@@ -1,7 +1,6 @@
 /**
- * One sending of a stream to a server, from its first byte to its end: the
- * limits under which it is given up, the copy of its run, and the work that it
- * counts as at its server.
+ * One attempt of a stream at one server: its deadline and stall detection, the
+ * copy of its KV cache, and the load that it adds to the server.
  */
 
 import { PREFILL_TOKENS_PER_MS } from "../constants.ts";
@@ -18,30 +17,30 @@
 } from "./stall_policy.ts";
 import { StallDetector } from "./stall_detector.ts";
 
-/** A place for one sending of a stream. */
+/** A reserved slot for one attempt of a stream. */
 export interface StreamSlot {
   readonly server: LiveServer;
-  /** The copy of the run that the server holds, if it does. */
+  /** The copy of the run's KV cache that the server holds, if any. */
   readonly kvCopy?: KvCopy;
-  /** Gives the place back. */
+  /** Releases the slot. */
   readonly release: () => void;
-  /** Notes that the server has no more of the prompt to read. */
+  /** Removes the prefill of the prompt from the server's load. */
   readonly endPrefill: () => void;
 }
 
-/** What a sending needs of its stream. */
+/** Options of a `StreamAttempt`. */
 export interface StreamAttemptOptions {
   readonly context: RelayContext;
   readonly request: ProxyRequest;
   readonly slot: StreamSlot;
   readonly record: AttemptRecord;
-  /** Servers that must not keep a copy. */
+  /** Names of servers that must not hold a copy. */
   readonly excluded: ReadonlySet<string>;
-  /** Events of the run received so far. */
+  /** Returns the number of events of the run received so far. */
   readonly eventCount: () => number;
 }
 
-/** A stream at one server. */
+/** An attempt with its timers and its KV cache copy. */
 export class StreamAttempt {
   readonly slot: StreamSlot;
   readonly record: AttemptRecord;
@@ -49,85 +48,91 @@
   readonly kvCopyManager: KvCopyManager;
   readonly #options: StreamAttemptOptions;
   readonly #startMs: number;
-  readonly #stop = new AbortController();
-  readonly #limit: NodeJS.Timeout;
+  readonly #abortController = new AbortController();
+  readonly #deadlineTimer: NodeJS.Timeout;
 
   private constructor(options: StreamAttemptOptions) {
     const {
       context,
-      request: order,
-      slot: seat,
-      record: entry,
+      request,
+      slot,
+      record,
       excluded,
-      eventCount: events,
+      eventCount,
     } = options;
-    const { server, kvCopy: copy } = seat;
+    const { server, kvCopy } = slot;
     this.#options = options;
     this.#startMs = context.now();
-    this.slot = seat;
-    this.record = entry;
+    this.slot = slot;
+    this.record = record;
     this.kvCopyManager = KvCopyManager.create({
       context,
-      request: order,
+      request,
       server,
       excluded,
     });
-    this.#limit = setTimeout(
-      () => this.#lose(FailureCause.DeadlineExceeded, "time limit reached"),
-      effectiveDeadlineMs(order) - context.now(),
+    this.#deadlineTimer = setTimeout(
+      () =>
+        this.#fail(FailureCause.DeadlineExceeded, "request deadline exceeded"),
+      effectiveDeadlineMs(request) - context.now(),
     );
     this.stallDetector = StallDetector.create({
       reports: context.reports,
       server,
-      id: order.id,
-      firstEventStallMs: copy === undefined
+      id: request.id,
+      firstEventStallMs: kvCopy === undefined
         ? FIRST_EVENT_STALL_MS
         : KV_COPY_FIRST_EVENT_STALL_MS,
       firstEventTimeoutMs: firstEventTimeoutMs(unreadTokensAt(context, server)),
-      eventCount: events,
+      eventCount,
       now: context.now,
-      onLost: (cause, detail) => this.#lose(cause, detail),
+      onLost: (cause, detail) => this.#fail(cause, detail),
     });
   }
 
-  /** Begins to guard a sending. */
+  /** Starts the timers of an attempt. */
   static create(options: StreamAttemptOptions): StreamAttempt {
     return new StreamAttempt(options);
   }
 
-  /** Aborts with an `AttemptError` when the sending is given up. */
+  /** Aborts with an `AttemptError` when the attempt has failed. */
   get signal(): AbortSignal {
-    return this.#stop.signal;
+    return this.#abortController.signal;
   }
 
-  /** Whether the server had the time to read the prompt. */
+  /** Whether enough time has passed for the server to prefill the prompt. */
   get mayHavePrefilled(): boolean {
-    const { context, request: order } = this.#options;
-    const tookMs = context.now() - this.#startMs;
-    return tookMs >= order.promptTokens / PREFILL_TOKENS_PER_MS;
+    const { context, request } = this.#options;
+    const elapsedMs = context.now() - this.#startMs;
+    return elapsedMs >= request.promptTokens / PREFILL_TOKENS_PER_MS;
   }
 
-  /** Notes that the server made events, so it has read the prompt. */
+  /** Records that the server produced events, so the prefill is complete. */
   markEventsSeen(): void {
     this.slot.endPrefill();
     this.kvCopyManager.markEventsSeen();
   }
 
-  /** Ends all guards; `isOver` frees the copy of a run that nobody goes on with. */
-  close(isOver: boolean): void {
-    clearTimeout(this.#limit);
+  /**
+   * Stops the timers and releases the slot.
+   *
+   * @param shouldReleaseCopy whether to release the copy of a run that will not
+   * be resumed
+   */
+  close(shouldReleaseCopy: boolean): void {
+    clearTimeout(this.#deadlineTimer);
     this.stallDetector.close();
     this.slot.endPrefill();
     this.slot.release();
-    this.kvCopyManager.close(isOver);
+    this.kvCopyManager.close(shouldReleaseCopy);
   }
 
-  #lose(cause: FailureCause, detail: string): void {
-    this.#stop.abort(new AttemptError(cause, detail));
+  #fail(cause: FailureCause, detail: string): void {
+    this.#abortController.abort(new AttemptError(cause, detail));
   }
 }
 
-/** Prompt tokens that a server has still to read, as far as is known here. */
+/** Returns the prompt tokens a server has still to prefill; 0 if unknown. */
 function unreadTokensAt(
   { servers }: RelayContext,
   { name }: LiveServer,
--- a/src/request/stream_queue_limits.ts
+++ b/src/request/stream_queue_limits.ts
@@ -1,47 +1,49 @@
 /**
- * Decides how long a stream waits for a place, and before how long a line.
+ * Decides how long a stream waits for a slot, and how long it avoids engines
+ * with a prefill backlog.
  *
- * Answers the load of more prompts than engines can read at once, which comes
- * when a zone is lost: reading goes one prompt after the other, so a place behind
- * many of them is no gain over waiting for another engine.
+ * Handles more prompts than the engines can prefill at once, as after a zone
+ * failure. An engine prefills one prompt after the other, so a slot behind many
+ * prompts is no better than waiting for another engine.
  */
 
 import { effectiveDeadlineMs, type ProxyRequest } from "./proxy_request.ts";
 
-/** Part of the time to the target that a stream waits for a place. */
+/** Part of the target time that a stream may wait for a slot. */
 export const QUEUE_TIMEOUT_RATIO = 0.6;
-/** Part of the target time in which it rather waits than lines up behind others. */
-const PATIENCE_PART = 0.3;
+/** Part of the target time in which a stream avoids engines with a backlog. */
+const BACKLOG_AVOIDANCE_RATIO = 0.3;
 
-/** The limits of a stream's wait for a place. */
+/** The limits of a stream's wait for a slot. */
 export interface StreamQueueLimits {
+  /** Longest wait, in ms. */
   readonly waitMs: number;
   /** See `SelectionCriteria`. */
   readonly avoidBacklogUntilMs: number;
 }
 
 /**
- * Returns how a stream waits for a place.
+ * Returns the limits of a stream's wait for a slot.
  *
- * @param hasBegun whether its caller got part of the answer; nothing is gained
- * then by giving it up early
+ * @param hasBegun whether part of the response was delivered; such a stream
+ * waits until its deadline, since refusing it early gains nothing
  */
 export function streamQueueLimits(
-  order: ProxyRequest,
+  request: ProxyRequest,
   { hasBegun, nowMs }: { readonly hasBegun: boolean; readonly nowMs: number },
 ): StreamQueueLimits {
   if (hasBegun) {
     return {
-      waitMs: effectiveDeadlineMs(order) - nowMs,
+      waitMs: effectiveDeadlineMs(request) - nowMs,
       avoidBacklogUntilMs: nowMs,
     };
   }
-  const { receivedMs, rank } = order;
+  const { receivedMs, rank } = request;
   return {
     waitMs: Math.max(
       0,
       receivedMs + rank.targetMs * QUEUE_TIMEOUT_RATIO - nowMs,
     ),
-    avoidBacklogUntilMs: receivedMs + rank.targetMs * PATIENCE_PART,
+    avoidBacklogUntilMs: receivedMs + rank.targetMs * BACKLOG_AVOIDANCE_RATIO,
   };
 }
--- a/src/request/stream_queue_limits_test.ts
+++ b/src/request/stream_queue_limits_test.ts
@@ -1,40 +1,40 @@
-/** How long a stream waits for a place, and when it lines up behind others. */
+/** Tests how long a stream waits for a slot and avoids a prefill backlog. */
 
 import { expect, test } from "vitest";
 import { createRequest } from "../../tests/relay/scripted.ts";
 import { streamQueueLimits } from "./stream_queue_limits.ts";
 
-const ORDER = createRequest({
+const REQUEST = createRequest({
   receivedMs: 10_000,
   callerDeadlineMs: 30_000,
   routeDeadlineMs: 25_000,
 });
 /** Target time of the rank of `createRequest`, in ms. */
-const TARGET_MS = ORDER.rank.targetMs;
+const TARGET_MS = REQUEST.rank.targetMs;
 
-test("a stream waits only while its first event can still be in time", () => {
-  const { waitMs } = streamQueueLimits(ORDER, {
+test("a stream waits only while its first event can still meet the target", () => {
+  const { waitMs } = streamQueueLimits(REQUEST, {
     hasBegun: false,
     nowMs: 10_100,
   });
   expect(waitMs).toBeGreaterThan(0);
   expect(waitMs).toBeLessThan(TARGET_MS - 100);
-  const late = streamQueueLimits(ORDER, { hasBegun: false, nowMs: 12_000 });
+  const late = streamQueueLimits(REQUEST, { hasBegun: false, nowMs: 12_000 });
   expect(late.waitMs).toBe(0);
 });
 
-test("its patience ends before its wait does", () => {
-  const { waitMs, avoidBacklogUntilMs: patientUntilMs } = streamQueueLimits(
-    ORDER,
+test("a stream stops avoiding engines with a backlog before its wait ends", () => {
+  const { waitMs, avoidBacklogUntilMs } = streamQueueLimits(
+    REQUEST,
     {
       hasBegun: false,
-      nowMs: ORDER.receivedMs,
+      nowMs: REQUEST.receivedMs,
     },
   );
-  expect(patientUntilMs).toBeLessThan(ORDER.receivedMs + waitMs);
+  expect(avoidBacklogUntilMs).toBeLessThan(REQUEST.receivedMs + waitMs);
 });
 
-test("a stream that has begun waits until its time ends", () => {
-  const wait = streamQueueLimits(ORDER, { hasBegun: true, nowMs: 12_000 });
-  expect(wait).toEqual({ waitMs: 13_000, avoidBacklogUntilMs: 12_000 });
+test("a stream that has begun waits until its deadline", () => {
+  const limits = streamQueueLimits(REQUEST, { hasBegun: true, nowMs: 12_000 });
+  expect(limits).toEqual({ waitMs: 13_000, avoidBacklogUntilMs: 12_000 });
 });
--- a/tests/relay/scripted.ts
+++ b/tests/relay/scripted.ts
@@ -51,7 +51,7 @@
   };
 }
 
-/** Returns an order that arrives now. */
+/** Returns a request that arrives now. */
 export function createRequest(
   changes: Partial<ProxyRequest> = {},
 ): ProxyRequest {
@@ -84,21 +84,21 @@
   };
 }
 
-/** What a test gives to its relay; what is absent fails or does nothing. */
+/** Options of a test's relay; absent functions reject or do nothing. */
 interface ScriptedRelay {
   readonly fetchReport?: ReportFetcher;
   readonly copyKvCache?: KvCopier;
   readonly onStreamPlaced?: () => void;
-  /** Monotonic clock, in ms; the process's own if absent. */
+  /** Monotonic clock, in ms; that of the process if absent. */
   readonly now?: () => number;
 }
 
-/** Returns a relay that knows `servers`. */
+/** Returns a relay with `servers` in its server list. */
 export function createRelay(
   servers: readonly LiveServer[],
   {
-    fetchReport = () => Promise.reject(new Error("no report")),
-    copyKvCache = () => Promise.reject(new Error("no copy")),
+    fetchReport = () => Promise.reject(new Error("test sets no fetchReport")),
+    copyKvCache = () => Promise.reject(new Error("test sets no copyKvCache")),
     onStreamPlaced = () => undefined,
     now = () => performance.now(),
   }: ScriptedRelay = {},
@@ -118,9 +118,9 @@
   });
   relay.adopt(createRouteTable(1), "test");
   relay.replaceServerList(
-    servers.map((server, at) => ({
+    servers.map((server, index) => ({
       name: server.name,
-      revision: at + 1 as ObjectRevision,
+      revision: index + 1 as ObjectRevision,
       server,
     })),
     { revision: servers.length as ObjectRevision, isAfterOutage: false },
@@ -128,7 +128,7 @@
   return relay;
 }
 
-/** Returns a configuration with one service of engines and one plain one. */
+/** Returns a route table with one service of engines and one plain service. */
 export function createRouteTable(version: number): RouteTable {
   return RouteTable.create({
     version,
@@ -150,9 +150,9 @@
   });
 }
 
-/** What a caller was given. */
+/** A caller that records the response. */
 export class RecordedCaller implements ResponseWriter {
-  readonly #gone = new AbortController();
+  readonly #disconnected = new AbortController();
   text = "";
   status = 0;
   ending = "open";
@@ -165,16 +165,16 @@
   }
 
   get signal(): AbortSignal {
-    return this.#gone.signal;
+    return this.#disconnected.signal;
   }
 
-  /** One line that says all that the caller was given. */
+  /** The status, the ending and the text of the response in one line. */
   get summary(): string {
     return `${this.status} ${this.ending}: ${this.text}`;
   }
 
   disconnect(): void {
-    this.#gone.abort();
+    this.#disconnected.abort();
   }
 
   readonly send: ResponseWriter["send"] = ({ status }, body) => {
@@ -202,10 +202,10 @@
   };
 }
 
-/** What a scripted server does with one sending. */
+/** What a scripted server does in one attempt. */
 export type ServerScript = (target: BackendRequest) => Promise<BackendResponse>;
 
-/** Returns an opener that follows `scripts` in turn and notes what it was asked. */
+/** Returns a sender that runs `scripts` in turn and records its arguments. */
 export function createScriptedOpener(
   scripts: readonly ServerScript[],
 ): { readonly open: BackendSender; readonly targets: BackendRequest[] } {
@@ -215,7 +215,7 @@
     open: (target) => {
       const script = scripts[targets.length];
       targets.push(target);
-      if (script === undefined) throw new Error("one sending too many");
+      if (script === undefined) throw new Error("unscripted attempt");
       return script(target);
     },
   };
@@ -246,7 +246,7 @@
   };
 }
 
-/** A server that answers a call whole. */
+/** A server that sends a complete response to a call. */
 export function responds(status: number, body = "body"): ServerScript {
   return (target) => {
     target.onSent();
@@ -261,20 +261,20 @@
   };
 }
 
-/** A server that says that it did not run the order. */
+/** A server that reports that it did not run the request. */
 export function reportsNotRun(isMisdirected = false): ServerScript {
   return (target) => {
     target.onSent();
     return Promise.resolve({
       head: { status: 503, headers: [], isFramed: true },
       hasNotRun: true,
-      isMisdirected: isMisdirected,
+      isMisdirected,
       body: async function* () {},
     });
   };
 }
 
-/** A server that is lost, before or after the request was sent. */
+/** A server that fails before or after the request was sent. */
 export function failsWith(cause: FailureCause): ServerScript {
   return (target) => {
     if (cause !== FailureCause.Unreachable) target.onSent();
@@ -282,7 +282,7 @@
   };
 }
 
-/** A server that never answers. */
+/** A server that never responds. */
 export function hangs(): ServerScript {
   return async (target) => {
     target.onSent();
