--- a/src/request/action_record.ts
+++ b/src/request/action_record.ts
@@ -1,31 +1,31 @@
-/** The record of one non-idempotent action, kept in the platform. */
+/** The record of one non-idempotent action, stored in the platform. */
 
 import type { ActionAttemptId, EntryId, Fingerprint } from "../ids.ts";
 
-/** The answer of an action, kept for repeats. */
+/** The response of an action, stored for repeated requests. */
 export interface ActionResponse {
   readonly status: number;
   readonly contentType: string;
-  /** Body in base64; absent when it was too large to keep. */
+  /** Body in base64; absent when it was too large to store. */
   readonly body?: string;
 }
 
-/** How far an action has come. */
+/** State of an action. */
 export enum ActionState {
-  /** Somebody may be sending it, or may have sent it. */
+  /** The attempt that claimed it may yet send it or may have sent it. */
   Claimed = "claimed",
-  /** It ran once and this is its answer. */
+  /** It ran once; the record holds its response. */
   Answered = "answered",
-  /** It was sent and its end was not seen. */
+  /** It may have been sent, but no response was recorded. */
   Unknown = "unknown",
 }
 
-/** What is stored under an action's key. */
+/** The value stored under an action's key. */
 export interface ActionRecord {
   readonly attempt: ActionAttemptId;
-  /** Entry that claimed it. */
+  /** The entry that claimed the action. */
   readonly entry: EntryId;
-  /** What the action consists of, to tell a key's reuse for another one. */
+  /** Hash of the call, to detect that a key is reused for another call. */
   readonly fingerprint: Fingerprint;
   readonly state: ActionState;
   readonly answer?: ActionResponse;
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -22,7 +22,7 @@
 import type { Journal } from "./journal.ts";
 import { isolate, isSuspect } from "./suspect.ts";
 
-/** What tells a stream from all others. */
+/** Identifies a stream among those of all backend servers. */
 export interface StreamLocation {
   /** Name of the backend server. */
   readonly server: string;
@@ -36,15 +36,15 @@
 /** A stream that this entry reads. */
 export interface Attempt extends StreamLocation {
   readonly source: StreamStart | StreamReattach;
-  /** Takes the attempt back. */
+  /** Aborted to end the attempt, for example on preemption. */
   readonly controller: AbortController;
-  /** Ends the isolation of a suspected request. */
+  /** Ends the isolation of a suspected request on its server. */
   readonly endIsolation: () => void;
-  /** Gives the place on the server back, and ends the isolation. */
+  /** Releases the slot on the server and ends the isolation. */
   readonly close: () => void;
 }
 
-/** What an attempt is started for. */
+/** Options of `startAttempt`. */
 export interface AttemptOptions {
   readonly requestId: RequestId;
   readonly request: CompletionRequest;
@@ -52,70 +52,74 @@
   readonly journal: Journal;
   /** Names of servers that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
-  /** Longest wait for a place, in ms. */
+  /** Longest wait for a slot, in ms. */
   readonly waitMs: number;
+  /** Whether the generation has begun before. */
   readonly isResumed: boolean;
-  /** Aborted when the caller has gone. */
+  /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
 }
 
-/** How an attempt is read. */
+/** Options of `readAttempt`. */
 export interface ReadAttemptOptions {
   readonly attempt: Attempt;
   readonly modelVersion: string;
-  /** Aborted when the caller has gone. */
+  /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
 }
 
 /**
- * Waits for a place and prepares a stream there.
+ * Waits for a slot on a backend server and returns an attempt that uses it.
  *
  * Errors: a `RequestError` of type not run.
  */
 export async function startAttempt(
   context: EntryContext,
-  wish: AttemptOptions,
+  options: AttemptOptions,
 ): Promise<Attempt> {
-  const { request: order, journal } = wish;
+  const { request, journal } = options;
   const controller = new AbortController();
   const preempted = new AttemptError(FailureCause.Preempted);
-  const place = await context.dispatcher.reserve({
-    rank: order.rank,
-    customer: order.customer.name,
-    weight: order.customer.weight,
-    cost: estimateCost(order) - journal.position,
-    ...serverWish(context, wish),
-    waitMs: wish.waitMs,
-    signal: wish.signal,
-    isResumed: wish.isResumed,
+  const reservation = await context.dispatcher.reserve({
+    rank: request.rank,
+    customer: request.customer.name,
+    weight: request.customer.weight,
+    cost: estimateCost(request) - journal.position,
+    ...serverCriteria(context, options),
+    waitMs: options.waitMs,
+    signal: options.signal,
+    isResumed: options.isResumed,
     onPreempt: () => controller.abort(preempted),
   });
   const stream = randomUUID() as string as StreamId;
-  const server = place.server.name;
-  const { fingerprint } = order;
-  const prove = isolate(context, { server, fingerprint });
+  const server = reservation.server.name;
+  const { fingerprint } = request;
+  const endIsolation = isolate(context, { server, fingerprint });
   return {
     server,
-    address: place.server.address,
+    address: reservation.server.address,
     stream,
     streamStart: journal.position,
-    source: { request: createStreamOrder(stream, wish) },
+    source: { request: createStreamRequest(stream, options) },
     controller,
-    endIsolation: prove,
+    endIsolation,
     close: () => {
-      prove();
-      place.release();
+      endIsolation();
+      reservation.release();
     },
   };
 }
 
-/** Returns an attempt that reads on in a stream which may still run. */
+/** Returns an attempt that continues to read a stream that may still run. */
 export function reattach(
-  { serverPool: fleet }: EntryContext,
-  { place, from }: { readonly place: StreamLocation; readonly from: number },
+  { serverPool }: EntryContext,
+  { location, from }: {
+    readonly location: StreamLocation;
+    readonly from: number;
+  },
 ): Attempt {
-  const { server, address, stream, streamStart } = place;
-  fleet.begin(server);
+  const { server, address, stream, streamStart } = location;
+  serverPool.begin(server);
   return {
     server,
     address,
@@ -124,36 +128,37 @@
     source: { stream, from },
     controller: new AbortController(),
     endIsolation: () => undefined,
-    close: () => fleet.end(server),
+    close: () => serverPool.end(server),
   };
 }
 
 /**
  * Returns the stream that a caller's cursor names, or `undefined` when its
- * server is gone and the caller's text can go on elsewhere.
+ * server is gone and the generation can resume on another server.
  *
- * Errors: a `RequestError` of type interrupted when only that stream could go on.
+ * Errors: a `RequestError` of type interrupted when the generation can resume
+ * only with the caller's text, or only on a server that is gone.
  */
 export function findCursorStream(
-  { serverPool: fleet }: EntryContext,
+  { serverPool }: EntryContext,
   { cursor, text }: Resumption,
 ): StreamLocation | undefined {
-  const mustRebuild = text === undefined;
-  if (mustRebuild && cursor.streamStart > 0) {
+  const hasNoText = text === undefined;
+  if (hasNoText && cursor.streamStart > 0) {
     throw createInterruptedError(
-      "send the text received as resume_text to go on",
+      "resume_text: required to resume from this cursor, but missing",
     );
   }
   const { server, stream, streamStart } = cursor;
-  const view = fleet.view(server);
+  const view = serverPool.view(server);
   if (view !== undefined) {
     return { server, address: view.server.address, stream, streamStart };
   }
-  if (mustRebuild) throw createInterruptedError("the backend server is gone");
+  if (hasNoText) throw createInterruptedError("the cursor's server is gone");
   return undefined;
 }
 
-/** Yields an attempt's events. Errors: `AttemptError`. */
+/** Yields the events of an attempt's stream. Errors: `AttemptError`. */
 export function readAttempt(
   { settings }: EntryContext,
   { attempt, modelVersion, signal }: ReadAttemptOptions,
@@ -169,37 +174,40 @@
   });
 }
 
-/** Whether any server could take the attempt, now or after a wait. */
-export function canStart(context: EntryContext, wish: AttemptOptions): boolean {
-  return context.serverPool.canServe(serverWish(context, wish));
+/** Whether any server could run the attempt, now or after a wait. */
+export function canStart(
+  context: EntryContext,
+  options: AttemptOptions,
+): boolean {
+  return context.serverPool.canServe(serverCriteria(context, options));
 }
 
-function serverWish(
+function serverCriteria(
   context: EntryContext,
-  { request: order, modelVersion, excluded }: AttemptOptions,
+  { request, modelVersion, excluded }: AttemptOptions,
 ) {
   return {
-    service: order.service.name,
+    service: request.service.name,
     modelVersion,
     excluded,
     preferred: "",
-    isSuspect: isSuspect(context, order.fingerprint),
+    isSuspect: isSuspect(context, request.fingerprint),
   };
 }
 
-function createStreamOrder(
+function createStreamRequest(
   stream: StreamId,
-  { requestId: request, request: order, modelVersion, journal }: AttemptOptions,
+  { requestId, request, modelVersion, journal }: AttemptOptions,
 ) {
   return {
     stream,
-    request,
-    model: order.model.name,
+    request: requestId,
+    model: request.model.name,
     modelVersion,
-    prompt: order.prompt,
+    prompt: request.prompt,
     journal: journal.text,
     position: journal.position,
-    maxTokens: order.maxTokens,
-    priority: order.rank.order,
+    maxTokens: request.maxTokens,
+    priority: request.rank.order,
   };
 }
--- a/src/request/attempt_progress.ts
+++ b/src/request/attempt_progress.ts
@@ -1,21 +1,21 @@
 /**
- * How far the sendings of an order got. Refusals are derived from this record,
- * never from an error, so that "not run" is said only when it is true.
+ * How far the attempts of a request got. The error type that a caller sees is
+ * derived from this, not from an exception, so that "not run" is always true.
  */
 
-/** The furthest point that one sending reached. */
+/** The furthest point that one attempt reached. */
 export enum AttemptProgress {
-  /** No byte of the request left this process for a connected server. */
+  /** No byte of the request was sent to a connected server. */
   NotSent = "not_sent",
-  /** The request may have reached the server; nothing is known of it. */
+  /** The request may have reached the server; its outcome is unknown. */
   Sent = "sent",
-  /** The server said that it did not run the request and never will. */
+  /** The server reported that it did not run the request and never will. */
   KnownNotRun = "known_not_run",
-  /** The server answered or sent a part of the answer. */
+  /** The server sent a response or part of one. */
   KnownRun = "known_run",
 }
 
-/** Whether an order can have run, given all its sendings. */
+/** Whether any attempt of a request may have run it. */
 export function mayHaveRun(attempts: readonly AttemptProgress[]): boolean {
   return attempts.some((progress) =>
     progress === AttemptProgress.Sent || progress === AttemptProgress.KnownRun
@@ -23,9 +23,9 @@
 }
 
 /**
- * Whether an order may be sent once more.
+ * Whether a request may be sent again.
  *
- * @param mayRepeat whether running the order again does no harm
+ * @param mayRepeat whether it is safe to run the request more than once
  */
 export function canRetry(
   attempts: readonly AttemptProgress[],
--- a/src/request/call_service.ts
+++ b/src/request/call_service.ts
@@ -1,4 +1,4 @@
-/** `/services/NAME/PATH`: passes a call on to a plain service. */
+/** `/services/NAME/PATH`: forwards a call to a plain service. */
 
 import { readBody } from "../connection/http_server.ts";
 import { callHttp, type HttpResponse } from "../connection/http_call.ts";
@@ -26,13 +26,13 @@
   handle: callService,
 };
 
-/** A checked call to a plain service. */
+/** A validated call to a plain service. */
 export interface ServiceCall {
   readonly customer: Customer;
   readonly service: Service;
   readonly rank: Rank;
   readonly method: string;
-  /** Path at the service, with its query. */
+  /** Path at the service, with the query string. */
   readonly path: string;
   readonly contentType: string;
   readonly body: Buffer;
@@ -41,14 +41,14 @@
 
 const CALL_PATH = /^\/services\/(?<name>[^/]+)(?<path>\/.*)$/;
 const CALL_COST_TOKENS = 1;
-/** Servers that one idempotent call may be sent to. */
-const SENDS_MAX = 3;
+/** Attempts of one idempotent call, each on another server. */
+const ATTEMPTS_MAX = 3;
 
-/** Waits for a server of the service. Errors: a `RequestError`, not run. */
+/** Waits for a slot on a server. Errors: a `RequestError` of type not run. */
 export function placeCall(
   { dispatcher }: EntryContext,
   call: ServiceCall,
-  wait: { readonly waitMs: number; readonly excluded: ReadonlySet<string> },
+  options: { readonly waitMs: number; readonly excluded: ReadonlySet<string> },
 ): Promise<Reservation> {
   return dispatcher.reserve({
     rank: call.rank,
@@ -57,16 +57,16 @@
     cost: CALL_COST_TOKENS,
     service: call.service.name,
     modelVersion: "",
-    excluded: wait.excluded,
+    excluded: options.excluded,
     preferred: "",
     isSuspect: false,
-    waitMs: wait.waitMs,
+    waitMs: options.waitMs,
     signal: call.signal,
     isResumed: false,
   });
 }
 
-/** Sends a call once, on a connection of its own. */
+/** Sends a call once, on a new connection. */
 export function sendCall(
   call: ServiceCall,
   target: { readonly address: string; readonly onSent: () => void },
@@ -84,24 +84,24 @@
   });
 }
 
-/** Passes a service's answer on to the caller. */
+/** Sends a service's response to the caller. */
 export function sendResponse(
   { response, id }: Exchange,
-  answer: {
+  serviceResponse: {
     readonly status: number;
     readonly contentType: string;
     readonly body: Buffer;
   },
 ): void {
-  response.writeHead(answer.status, {
-    "content-type": answer.contentType,
-    "content-length": answer.body.length,
+  response.writeHead(serviceResponse.status, {
+    "content-type": serviceResponse.contentType,
+    "content-length": serviceResponse.body.length,
     "x-request-id": id,
   });
-  response.end(answer.body);
+  response.end(serviceResponse.body);
 }
 
-/** Returns the content type of an answer. */
+/** Returns a response's content type, or that of arbitrary bytes if unset. */
 export function contentTypeOf({ headers }: HttpResponse): string {
   return headers["content-type"] ?? "application/octet-stream";
 }
@@ -113,7 +113,7 @@
   const signal = callerSignal(exchange);
   const body = await readBody(exchange.request, context.settings.bodyMaxBytes);
   await context.pauseDetector.ready();
-  const call = restoreCall(context, { exchange, body, signal });
+  const call = parseCall(context, { exchange, body, signal });
   if (isNonIdempotent(call)) {
     await performAction(context, { exchange, call });
   } else {
@@ -121,7 +121,7 @@
   }
 }
 
-function restoreCall(
+function parseCall(
   context: EntryContext,
   input: {
     readonly exchange: Exchange;
@@ -136,12 +136,12 @@
   const groups = CALL_PATH.exec(pathname)?.groups;
   const service = deployment.service(groups?.name ?? "");
   const rank = deployment.rank(service?.rank ?? "");
-  const isServed = service?.form === ServiceForm.Plain &&
+  const isAvailable = service?.form === ServiceForm.Plain &&
     customer.services.includes(service.name);
-  if (service === undefined || rank === undefined || !isServed) {
+  if (service === undefined || rank === undefined || !isAvailable) {
     throw new RequestError(
       RequestErrorType.NotFound,
-      `no service at ${pathname}`,
+      `no service found at ${pathname}`,
     );
   }
   const { method = "GET", headers } = exchange.request;
@@ -171,23 +171,27 @@
 ): Promise<void> {
   const excluded = new Set<string>();
   let mayHaveRun = false;
-  for (let send = 1; send <= SENDS_MAX; send++) {
-    const place = await placeOrRefuse(context, { call, excluded, mayHaveRun });
+  for (let attempt = 1; attempt <= ATTEMPTS_MAX; attempt++) {
+    const reservation = await reserveServer(context, {
+      call,
+      excluded,
+      mayHaveRun,
+    });
     try {
-      const answer = await sendCall(call, {
-        address: place.server.address,
+      const response = await sendCall(call, {
+        address: reservation.server.address,
         onSent: () => mayHaveRun = true,
       });
       return sendResponse(exchange, {
-        status: answer.status,
-        contentType: contentTypeOf(answer),
-        body: answer.body,
+        status: response.status,
+        contentType: contentTypeOf(response),
+        body: response.body,
       });
     } catch {
-      excluded.add(place.server.name);
-      context.serverPool.eject(place.server.name);
+      excluded.add(reservation.server.name);
+      context.serverPool.eject(reservation.server.name);
     } finally {
-      place.release();
+      reservation.release();
     }
   }
   const type = mayHaveRun
@@ -195,12 +199,12 @@
     : RequestErrorType.NotRun;
   throw new RequestError(
     type,
-    `no answer from ${SENDS_MAX} backend servers`,
+    `no response from ${ATTEMPTS_MAX} backend servers`,
     1,
   );
 }
 
-async function placeOrRefuse(
+async function reserveServer(
   context: EntryContext,
   { call, excluded, mayHaveRun }: {
     readonly call: ServiceCall;
--- a/src/request/complete.ts
+++ b/src/request/complete.ts
@@ -1,4 +1,4 @@
-/** `POST /v1/completions`: generates an answer, streamed or whole. */
+/** `POST /v1/completions`: generates a completion, streamed or whole. */
 
 import { readBody, sendJson } from "../connection/http_server.ts";
 import { RequestError } from "../errors.ts";
@@ -18,7 +18,7 @@
 } from "./exchange.ts";
 import { type CompletionChunk, Generation } from "./generation.ts";
 
-/** The route of generations. */
+/** The route of completions. */
 export const COMPLETE_ROUTE: Route = {
   method: "POST",
   path: "/v1/completions",
@@ -30,73 +30,73 @@
   exchange: Exchange,
 ): Promise<void> {
   const signal = callerSignal(exchange);
-  const order = await restoreOrder(context, exchange);
+  const request = await parseRequest(context, exchange);
   const generation = Generation.create(context, {
     requestId: exchange.id,
-    request: order,
+    request,
     signal,
   });
-  const sending = { context, exchange, generation, order };
+  const completion = { context, exchange, generation, request };
   let outcome = "complete";
   try {
-    if (order.isStreamed) {
-      await sendStream(sending);
+    if (request.isStreamed) {
+      await sendStream(completion);
     } else {
-      await sendWhole(sending);
+      await sendFull(completion);
     }
   } catch (error) {
     outcome = error instanceof RequestError ? error.type : "error";
     throw error;
   } finally {
     context.metrics.requests.inc({
-      service: order.service.name,
-      rank: order.rank.name,
+      service: request.service.name,
+      rank: request.rank.name,
       outcome: signal.aborted ? "caller_gone" : outcome,
     });
   }
 }
 
-async function restoreOrder(
+async function parseRequest(
   context: EntryContext,
   exchange: Exchange,
 ): Promise<CompletionRequest> {
-  const { settings, pauseDetector: guard, revisionStore: store } = context;
+  const { settings, pauseDetector, revisionStore } = context;
   const body = await readBody(exchange.request, settings.bodyMaxBytes);
-  await guard.ready();
+  await pauseDetector.ready();
   return parseCompletionRequest({
     body,
     customer: authenticate(context, exchange),
-    deployment: store.deployment,
+    deployment: revisionStore.deployment,
     lastEventId: singleHeader(exchange, "last-event-id"),
     cursorKey: settings.cursorKey,
   });
 }
 
-interface Sending {
+interface CompletionExchange {
   readonly context: EntryContext;
   readonly exchange: Exchange;
   readonly generation: Generation;
-  readonly order: CompletionRequest;
+  readonly request: CompletionRequest;
 }
 
 async function sendStream(
-  { context, exchange, generation, order }: Sending,
+  { context, exchange, generation, request }: CompletionExchange,
 ): Promise<void> {
-  const observe = createObserver(context, order);
+  const observeChunk = createChunkObserver(context, request);
   let stream: SseResponse | undefined;
-  const open = () =>
+  const openStream = () =>
     stream ??= SseResponse.create(exchange.response, {
       request: exchange.id,
       generation: generation.id,
-      model: order.service.name,
+      model: request.service.name,
     });
   try {
-    for await (const piece of generation.run()) {
-      observe();
-      const written = open().write(piece);
-      if (written !== undefined) await written;
+    for await (const chunk of generation.run()) {
+      observeChunk();
+      const drained = openStream().write(chunk);
+      if (drained !== undefined) await drained;
     }
-    open().close();
+    openStream().close();
   } catch (error) {
     if (stream === undefined || !(error instanceof RequestError)) throw error;
     context.log(LOG_EVENTS.generationInterrupted, {
@@ -109,30 +109,30 @@
   }
 }
 
-async function sendWhole(
-  { context, exchange, generation, order }: Sending,
+async function sendFull(
+  { context, exchange, generation, request }: CompletionExchange,
 ): Promise<void> {
-  const observe = createObserver(context, order);
+  const observeChunk = createChunkObserver(context, request);
   let text = "";
-  let finish: CompletionChunk["finishReason"];
-  for await (const piece of generation.run()) {
-    observe();
-    text += piece.text;
-    finish = piece.finishReason ?? finish;
+  let finishReason: CompletionChunk["finishReason"];
+  for await (const chunk of generation.run()) {
+    observeChunk();
+    text += chunk.text;
+    finishReason = chunk.finishReason ?? finishReason;
   }
   exchange.response.setHeader("x-request-id", exchange.id);
   sendJson(exchange.response, 200, {
     id: generation.id,
     object: "text_completion",
     created: Math.floor(Date.now() / 1_000),
-    model: order.service.name,
-    choices: [{ index: 0, text, logprobs: null, finish_reason: finish }],
+    model: request.service.name,
+    choices: [{ index: 0, text, logprobs: null, finish_reason: finishReason }],
     usage: { completion_tokens: generation.position },
   });
 }
 
-/** Returns what observes each piece: the time to the first, and the count. */
-function createObserver(
+/** Returns a function that counts chunks and times the first one. */
+function createChunkObserver(
   { metrics, now }: EntryContext,
   { rank }: CompletionRequest,
 ): () => void {
--- a/src/request/completion_request.ts
+++ b/src/request/completion_request.ts
@@ -1,4 +1,4 @@
-/** Restores a completion request from an untrusted body. */
+/** Parses a completion request from an untrusted body. */
 
 import { PROMPT_MAX_CHARACTERS } from "../constants.ts";
 import { RequestError, RequestErrorType } from "../errors.ts";
@@ -15,7 +15,7 @@
 import { type Cursor, parseCursor } from "./cursor.ts";
 import { hashResponseText } from "./text_hash.ts";
 
-/** A checked completion request. */
+/** A validated completion request. */
 export interface CompletionRequest {
   readonly customer: Customer;
   readonly service: Service;
@@ -24,20 +24,20 @@
   readonly prompt: string;
   readonly maxTokens: number;
   readonly isStreamed: boolean;
-  /** The same for all requests with the same work. */
+  /** The same for requests with equal service, prompt and token limit. */
   readonly fingerprint: Fingerprint;
-  /** Where a repeated request goes on. */
+  /** Where a repeated request resumes; absent on a new request. */
   readonly resumption: Resumption | undefined;
 }
 
-/** What a caller holds of an answer. */
+/** The part of an earlier response that the caller has received. */
 export interface Resumption {
   readonly cursor: Cursor;
   /** The text received, when the caller sent it. */
   readonly text: string | undefined;
 }
 
-/** What a request consists of. */
+/** Input of `parseCompletionRequest`. */
 export interface CompletionInput {
   readonly body: Buffer;
   readonly customer: Customer;
@@ -59,27 +59,27 @@
 const DEFAULT_MAX_TOKENS = 256;
 const CHARACTERS_PER_TOKEN = 4;
 
-/** Checks a request. Errors: a `RequestError` that names every wrong field. */
+/** Parses a request. Errors: a `RequestError` that names all invalid fields. */
 export function parseCompletionRequest(
   input: CompletionInput,
 ): CompletionRequest {
   const { customer, deployment } = input;
-  const fields = restoreFields(input.body);
+  const fields = parseFields(input.body);
   const service = deployment.service(fields.model);
-  const isServed = service?.form === ServiceForm.Generation &&
+  const isAvailable = service?.form === ServiceForm.Generation &&
     customer.services.includes(service.name);
   const model = deployment.model(service?.model ?? "");
-  if (service === undefined || model === undefined || !isServed) {
+  if (service === undefined || model === undefined || !isAvailable) {
     throw new RequestError(
       RequestErrorType.NotFound,
       `model: unknown "${fields.model}"`,
     );
   }
-  const rank = restoreRank(input, fields.rank ?? service.rank);
+  const rank = findRank(input, fields.rank ?? service.rank);
   const maxTokens = Math.min(fields.max_tokens, model.maxTokens);
-  const work = [service.name, fields.prompt, String(maxTokens)];
-  const fingerprint = hashParts(work) as string as Fingerprint;
-  const order = {
+  const parts = [service.name, fields.prompt, String(maxTokens)];
+  const fingerprint = hashParts(parts) as string as Fingerprint;
+  const request = {
     customer,
     service,
     model,
@@ -89,24 +89,24 @@
     isStreamed: fields.stream,
     fingerprint,
   };
-  const resumption = restoreResumption(input, {
+  const resumption = parseResumption(input, {
     fingerprint,
     text: fields.resume_text,
   });
-  return { ...order, resumption };
+  return { ...request, resumption };
 }
 
-/** Returns the estimated work of a request, in tokens. */
-export function estimateCost(order: CompletionRequest): number {
-  const prompt = Math.ceil(order.prompt.length / CHARACTERS_PER_TOKEN);
-  return prompt + order.maxTokens;
+/** Returns the estimated cost of a request, in tokens. */
+export function estimateCost(request: CompletionRequest): number {
+  const promptTokens = Math.ceil(request.prompt.length / CHARACTERS_PER_TOKEN);
+  return promptTokens + request.maxTokens;
 }
 
-function restoreFields(body: Buffer): CompletionFields {
+function parseFields(body: Buffer): CompletionFields {
   const value = parseObject(body);
   const problems: string[] = [];
-  const check = (isRight: boolean, problem: string) => {
-    if (!isRight) problems.push(problem);
+  const check = (isValid: boolean, problem: string) => {
+    if (!isValid) problems.push(problem);
   };
   const { model, prompt, rank, resume_text: resumeText } = value;
   const maxTokens = value.max_tokens ?? DEFAULT_MAX_TOKENS;
@@ -157,41 +157,42 @@
   );
 }
 
-function restoreRank(input: CompletionInput, name: string): Rank {
+function findRank(input: CompletionInput, name: string): Rank {
   const rank = input.deployment.rank(name);
   if (rank === undefined || !input.customer.ranks.includes(name)) {
     throw new RequestError(
       RequestErrorType.InvalidRequest,
-      `rank: "${name}" is not open to this customer`,
+      `rank: "${name}" is not allowed for this customer`,
     );
   }
   return rank;
 }
 
-function restoreResumption(
+function parseResumption(
   input: CompletionInput,
-  held: {
+  request: {
     readonly fingerprint: Fingerprint;
     readonly text: string | undefined;
   },
 ): Resumption | undefined {
   if (input.lastEventId === undefined) return undefined;
   const cursor = parseCursor(input.cursorKey, input.lastEventId);
-  const isOwn = cursor.customer === input.customer.name &&
-    cursor.fingerprint === held.fingerprint;
-  if (!isOwn) {
+  const isSameRequest = cursor.customer === input.customer.name &&
+    cursor.fingerprint === request.fingerprint;
+  if (!isSameRequest) {
     throw new RequestError(
       RequestErrorType.Conflict,
       "Last-Event-ID: cursor belongs to another request",
     );
   }
   if (
-    held.text !== undefined && hashResponseText(held.text) !== cursor.textHash
+    request.text !== undefined &&
+    hashResponseText(request.text) !== cursor.textHash
   ) {
     throw new RequestError(
       RequestErrorType.Conflict,
-      "resume_text: not the text that was delivered up to the cursor",
+      "resume_text: must equal the text delivered up to the cursor",
     );
   }
-  return { cursor, text: held.text };
+  return { cursor, text: request.text };
 }
--- a/src/request/cursor.ts
+++ b/src/request/cursor.ts
@@ -1,13 +1,13 @@
 /**
- * The cursor that a caller holds for each event: where its answer stands, and
- * on which stream, authenticated with a key that all entries share.
+ * The cursor sent as the ID of each event: the position in the output and the
+ * stream that produces it, authenticated with a key that all entries share.
  */
 
 import { createHmac, hash, timingSafeEqual } from "node:crypto";
 import { RequestError, RequestErrorType } from "../errors.ts";
 import type { Fingerprint, GenerationId, StreamId } from "../ids.ts";
 
-/** What stays the same for all cursors of one attempt. */
+/** The fields that all cursors of one attempt share. */
 export interface CursorBase {
   readonly generation: GenerationId;
   readonly customer: string;
@@ -19,20 +19,20 @@
   readonly streamStart: number;
 }
 
-/** Where an answer stands. */
+/** A position in the output of a generation. */
 export interface Cursor extends CursorBase {
   /** Position of the next token. */
   readonly position: number;
-  /** Hash of the whole text up to `position`. */
+  /** Hash of all text up to `position`. */
   readonly textHash: string;
 }
 
-/** Writes the cursors of one attempt. */
+/** Encodes the cursors of one attempt. */
 export type CursorWriter = (position: number, textHash: string) => string;
 
 const PART_COUNT = 4;
 
-/** Returns a writer whose cursors share `base`. */
+/** Returns a writer of cursors that share `base`. */
 export function createCursorWriter(
   key: string,
   base: CursorBase,
@@ -46,22 +46,23 @@
 }
 
 /**
- * Reads a cursor that any entry wrote.
+ * Decodes a cursor that any entry wrote.
  *
- * Errors: a `RequestError` when it was cut, changed, or written with another key.
+ * Errors: a `RequestError` when the cursor was truncated, altered, or signed
+ * with another key.
  */
 export function parseCursor(key: string, text: string): Cursor {
   const parts = text.split(".");
   const [encoded = "", position = "", textHash = "", mac = ""] = parts;
   const baseKey = deriveKey(key, encoded);
   const expected = Buffer.from(sign(baseKey, `${position}.${textHash}`));
-  const given = Buffer.from(mac);
-  const isGenuine = parts.length === PART_COUNT &&
-    given.length === expected.length && timingSafeEqual(given, expected);
-  if (!isGenuine) {
+  const actual = Buffer.from(mac);
+  const isAuthentic = parts.length === PART_COUNT &&
+    actual.length === expected.length && timingSafeEqual(actual, expected);
+  if (!isAuthentic) {
     throw new RequestError(
       RequestErrorType.InvalidRequest,
-      "Last-Event-ID: not a cursor of this system, or cut",
+      "Last-Event-ID: must be a cursor of this service, complete and unaltered",
     );
   }
   const base = JSON.parse(
@@ -70,12 +71,12 @@
   return { ...base, position: Number(position), textHash };
 }
 
-/** A key for one attempt, so that each cursor costs one short hash. */
+/** Returns the key of one attempt, so that each cursor costs one short hash. */
 function deriveKey(key: string, encoded: string): string {
   return createHmac("sha256", key).update(encoded).digest("hex");
 }
 
-/** BLAKE2s can't be extended, so that a leading key authenticates. */
+/** A key prefix suffices: BLAKE2s is not open to length extension. */
 function sign(baseKey: string, text: string): string {
   return hash("blake2s256", `${baseKey}.${text}`, "base64url");
 }
--- a/src/request/error_response.ts
+++ b/src/request/error_response.ts
@@ -1,4 +1,4 @@
-/** The one JSON shape of all error answers. */
+/** Error responses, which all have the same JSON shape. */
 
 import type { ServerResponse } from "node:http";
 import { sendJson } from "../connection/http_server.ts";
@@ -9,7 +9,7 @@
 } from "../errors.ts";
 import type { RequestId } from "../ids.ts";
 
-/** Body of an error answer. */
+/** Body of an error response. */
 export interface ErrorBody {
   readonly error: {
     readonly type: RequestErrorType;
@@ -18,19 +18,19 @@
   };
 }
 
-/** Returns the body that tells a caller of a refusal. */
+/** Returns the response body that reports an error to a caller. */
 export function errorBody(
-  refusal: RequestError,
+  error: RequestError,
   request: RequestId,
 ): ErrorBody {
-  const { type, message } = refusal;
+  const { type, message } = error;
   return { error: { type, message, request } };
 }
 
-/** Answers a request with a refusal. */
+/** Sends an error response, or closes a response that has already begun. */
 export function sendErrorResponse(
   response: ServerResponse,
-  refusal: RequestError,
+  error: RequestError,
   request: RequestId,
 ): void {
   if (response.headersSent || response.destroyed) {
@@ -38,15 +38,15 @@
     return;
   }
   response.setHeader("x-request-id", request);
-  if (refusal.retryAfterS !== undefined) {
-    response.setHeader("retry-after", refusal.retryAfterS);
+  if (error.retryAfterS !== undefined) {
+    response.setHeader("retry-after", error.retryAfterS);
   }
-  if (refusal.type === RequestErrorType.TooLarge) {
+  if (error.type === RequestErrorType.TooLarge) {
     response.setHeader("connection", "close");
   }
   sendJson(
     response,
-    REQUEST_ERROR_STATUS[refusal.type],
-    errorBody(refusal, request),
+    REQUEST_ERROR_STATUS[error.type],
+    errorBody(error, request),
   );
 }
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -1,4 +1,4 @@
-/** One HTTP exchange with a caller, as the routes see it. */
+/** One HTTP exchange with a caller, as the route handlers see it. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { RequestError, RequestErrorType } from "../errors.ts";
@@ -6,7 +6,7 @@
 import type { EntryContext } from "../process/entry_context.ts";
 import type { Customer } from "../version/types.ts";
 
-/** A request with the response to write. */
+/** A request and the response to it. */
 export interface Exchange {
   readonly id: RequestId;
   readonly request: IncomingMessage;
@@ -14,22 +14,23 @@
   readonly url: URL;
 }
 
-/** Something that callers can ask of an entry. */
+/** A route of the entry's HTTP interface. */
 export interface Route {
+  /** HTTP method; empty for any. */
   readonly method: string;
-  /** Start of the paths that it serves; exact unless it ends with `/`. */
+  /** Path to match; a prefix if it ends with `/`, otherwise exact. */
   readonly path: string;
   readonly handle: (context: EntryContext, exchange: Exchange) => Promise<void>;
 }
 
-const BEARER = /^Bearer (\S+)$/;
+const BEARER_KEY = /^Bearer (\S+)$/;
 
-/** Returns the customer of a request. Errors: a `RequestError`. */
+/** Returns the customer that the bearer key names. Errors: `RequestError`. */
 export function authenticate(
   context: EntryContext,
   { request }: Exchange,
 ): Customer {
-  const key = BEARER.exec(request.headers.authorization ?? "")?.[1] ?? "";
+  const key = BEARER_KEY.exec(request.headers.authorization ?? "")?.[1] ?? "";
   const customer = context.revisionStore.deployment.customerByKey(key);
   if (customer === undefined) {
     throw new RequestError(
@@ -40,7 +41,7 @@
   return customer;
 }
 
-/** Returns a header that may stand at most once. */
+/** Returns the value of a header; repeated values are joined. */
 export function singleHeader(
   { request }: Exchange,
   name: string,
@@ -49,7 +50,7 @@
   return Array.isArray(value) ? value.join(", ") : value;
 }
 
-/** Returns a signal that is aborted when the caller goes before the end. */
+/** Returns a signal that aborts when the caller disconnects early. */
 export function callerSignal({ response }: Exchange): AbortSignal {
   const controller = new AbortController();
   response.once("close", () => {
--- a/src/request/generation.ts
+++ b/src/request/generation.ts
@@ -1,6 +1,6 @@
 /**
- * One generation: the answer to one request, produced by one or more attempts
- * on backend servers that carry the same model version.
+ * One generation: the output of one completion request, produced by one or more
+ * attempts on backend servers that serve the same model version.
  */
 
 import { randomUUID } from "node:crypto";
@@ -37,49 +37,53 @@
 import { chooseRecovery, RecoveryStep } from "./recovery.ts";
 import { isProvenHarmless, recordServerLoss } from "./suspect.ts";
 
-/** A part of the answer, ready for the caller. */
+/** A part of the output, ready to be sent to the caller. */
 export interface CompletionChunk {
   readonly text: string;
-  /** Cursor after this part. */
+  /** Cursor after this chunk. */
   readonly cursor: string;
   readonly finishReason: FinishReason | undefined;
 }
 
-/** What a generation is made for. */
+/** Options of a generation. */
 export interface GenerationOptions {
   readonly requestId: RequestId;
   readonly request: CompletionRequest;
-  /** Aborted when the caller has gone. */
+  /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
 }
 
 /** How reading an attempt ended. */
-enum Ending {
-  Whole,
-  Lost,
-  /** The caller has gone or the answer was refused. */
+enum ReadOutcome {
+  Completed,
+  Failed,
+  /** The caller disconnected or the request was refused. */
   Abandoned,
 }
 
-const REFUSED_PAUSE_MS = 50;
+/** Delay before the next attempt after a server rejected one, in ms. */
+const REJECTED_RETRY_DELAY_MS = 50;
 
-/** Produces the answer to one request. */
+/** Produces the output of one request. */
 export class Generation {
   readonly #context: EntryContext;
   readonly #options: GenerationOptions;
   readonly #id: GenerationId;
   readonly #modelVersion: string;
   readonly #journal: Journal;
-  /** Parts before this position are held by the caller already. */
+  /** The caller already has the tokens before this position. */
   readonly #deliverFrom: number;
-  readonly #lostServers = new Set<string>();
+  /** Names of servers on which an attempt failed. */
+  readonly #failedServers = new Set<string>();
   #writeCursor: CursorWriter = () => "";
+  /** Whether a server may have run part of the request. */
   #mayHaveRun: boolean;
   readonly #startMs: number;
-  #losses = 0;
+  #failures = 0;
   #wasPreempted = false;
   #cursorAttempt: Attempt | undefined;
-  #lostAtMs: number | undefined;
+  /** When the output was interrupted, on the monotonic clock in ms. */
+  #interruptedAtMs: number | undefined;
 
   private constructor(context: EntryContext, options: GenerationOptions) {
     this.#context = context;
@@ -99,7 +103,7 @@
       });
   }
 
-  /** Makes the generation of a request; `run` starts it. */
+  /** Creates the generation for a request; `run` starts it. */
   static create(
     context: EntryContext,
     options: GenerationOptions,
@@ -107,51 +111,52 @@
     return new Generation(context, options);
   }
 
-  /** Names the generation in the answer. */
+  /** ID of the generation in the response. */
   get id(): GenerationId {
     return this.#id;
   }
 
-  /** Count of tokens in the answer so far. */
+  /** Number of tokens generated so far. */
   get position(): number {
     return this.#journal.position;
   }
 
   /**
-   * Yields the parts of the answer in order, each once.
+   * Yields the chunks of the output in order, each once.
    *
-   * Errors: a `RequestError`, of type not run only if nothing can have run.
+   * Errors: a `RequestError`; its type is not run only if no server can have
+   * run any part of the request.
    */
   async *run(): AsyncGenerator<CompletionChunk> {
-    this.#requireUnsuspected();
+    this.#rejectPoisonRequest();
     let attempt = this.#reattachToCursor();
     while (!this.#journal.isFull) {
-      attempt ??= await this.#start();
-      let ending = Ending.Abandoned;
+      attempt ??= await this.#startAttempt();
+      let outcome = ReadOutcome.Abandoned;
       try {
-        this.#beginCursors(attempt);
-        for await (const events of this.#read(attempt)) {
-          for (const addition of this.#accept(events)) {
-            const isWhole = addition.finishReason !== undefined;
-            if (isWhole) ending = Ending.Whole;
-            if (addition.text !== "" || isWhole) yield this.#pieceOf(addition);
-            if (isWhole) return this.#proveHarmless(attempt);
-            this.#requireNoGap(addition);
+        this.#createCursorWriter(attempt);
+        for await (const events of this.#readAttempt(attempt)) {
+          for (const update of this.#acceptEvents(events)) {
+            const isComplete = update.finishReason !== undefined;
+            if (isComplete) outcome = ReadOutcome.Completed;
+            if (update.text !== "" || isComplete) yield this.#toChunk(update);
+            if (isComplete) return this.#clearSuspicion(attempt);
+            this.#checkNoGap(update);
           }
-          this.#proveByProgress(attempt);
+          this.#endIsolationOnProgress(attempt);
         }
       } catch (error) {
         if (!(error instanceof AttemptError)) throw error;
-        ending = Ending.Lost;
+        outcome = ReadOutcome.Failed;
         attempt.close();
         attempt = await this.#recover(attempt, error);
       } finally {
-        if (ending !== Ending.Lost) this.#leave(attempt, ending);
+        if (outcome !== ReadOutcome.Failed) this.#endAttempt(attempt, outcome);
       }
     }
   }
 
-  #read(attempt: Attempt): AsyncGenerator<readonly StreamEvent[]> {
+  #readAttempt(attempt: Attempt): AsyncGenerator<readonly StreamEvent[]> {
     return readAttempt(this.#context, {
       attempt,
       modelVersion: this.#modelVersion,
@@ -159,63 +164,63 @@
     });
   }
 
-  /** Gives the place back; a stream that is not whole is cancelled. */
-  #leave(attempt: Attempt | undefined, ending: Ending): void {
+  /** Releases the attempt's slot; cancels a stream that did not complete. */
+  #endAttempt(attempt: Attempt | undefined, outcome: ReadOutcome): void {
     if (attempt === undefined) return;
     attempt.close();
-    if (ending === Ending.Whole) return;
+    if (outcome === ReadOutcome.Completed) return;
     cancelStream(attempt.address, attempt.stream);
   }
 
-  #requireNoGap({ gap }: JournalUpdate): void {
+  #checkNoGap({ gap }: JournalUpdate): void {
     if (gap !== undefined) {
       throw new AttemptError(FailureCause.PositionGap, gap);
     }
   }
 
-  #proveByProgress(attempt: Attempt): void {
+  #endIsolationOnProgress(attempt: Attempt): void {
     const tokens = this.#journal.position - attempt.streamStart;
     if (isProvenHarmless(tokens)) attempt.endIsolation();
   }
 
-  #proveHarmless(attempt: Attempt): void {
+  #clearSuspicion(attempt: Attempt): void {
     attempt.endIsolation();
     this.#context.suspicions.clear(this.#options.request.fingerprint);
   }
 
-  /** Takes events in; parts that the caller holds are not given out again. */
-  *#accept(events: readonly StreamEvent[]): Generator<JournalUpdate> {
-    const held = events.filter(({ p, end }) =>
+  /** Adds events to the journal; yields only what the caller does not have. */
+  *#acceptEvents(events: readonly StreamEvent[]): Generator<JournalUpdate> {
+    const delivered = events.filter(({ p, end }) =>
       p < this.#deliverFrom && end === undefined
     );
-    if (held.length > 0) {
-      const addition = this.#journal.accept(held);
-      if (addition.gap !== undefined) yield { ...addition, text: "" };
-      if (addition.position === this.#deliverFrom) {
-        this.#requireSameText(addition.textHash);
+    if (delivered.length > 0) {
+      const update = this.#journal.accept(delivered);
+      if (update.gap !== undefined) yield { ...update, text: "" };
+      if (update.position === this.#deliverFrom) {
+        this.#checkResumedText(update.textHash);
       }
     }
-    if (held.length < events.length) {
-      yield this.#journal.accept(events.slice(held.length));
+    if (delivered.length < events.length) {
+      yield this.#journal.accept(events.slice(delivered.length));
     }
   }
 
-  #pieceOf(
-    { text, position, textHash, finishReason: finish }: JournalUpdate,
+  #toChunk(
+    { text, position, textHash, finishReason }: JournalUpdate,
   ): CompletionChunk {
-    if (this.#lostAtMs !== undefined) {
-      const pauseMs = this.#context.now() - this.#lostAtMs;
-      this.#context.metrics.resumeSeconds.observe(pauseMs / 1_000);
-      this.#lostAtMs = undefined;
+    if (this.#interruptedAtMs !== undefined) {
+      const interruptionMs = this.#context.now() - this.#interruptedAtMs;
+      this.#context.metrics.resumeSeconds.observe(interruptionMs / 1_000);
+      this.#interruptedAtMs = undefined;
     }
     return {
       text,
-      finishReason: finish,
+      finishReason,
       cursor: this.#writeCursor(position, textHash),
     };
   }
 
-  #beginCursors({ server, stream, streamStart }: Attempt): void {
+  #createCursorWriter({ server, stream, streamStart }: Attempt): void {
     const { customer, fingerprint } = this.#options.request;
     this.#writeCursor = createCursorWriter(this.#context.settings.cursorKey, {
       generation: this.#id,
@@ -228,93 +233,95 @@
     });
   }
 
-  /** Returns the attempt that reads on in the cursor's stream, if possible. */
+  /** Returns an attempt that resumes the cursor's stream, if possible. */
   #reattachToCursor(): Attempt | undefined {
     const { resumption } = this.#options.request;
     if (resumption === undefined || this.#journal.isFull) return undefined;
-    const place = findCursorStream(this.#context, resumption);
-    if (place === undefined) return undefined;
-    this.#cursorAttempt = this.#reattach(place);
+    const location = findCursorStream(this.#context, resumption);
+    if (location === undefined) return undefined;
+    this.#cursorAttempt = this.#reattach(location);
     return this.#cursorAttempt;
   }
 
-  #reattach(place: StreamLocation): Attempt {
+  #reattach(location: StreamLocation): Attempt {
     const from = this.#journal.position;
-    return reattach(this.#context, { place, from });
+    return reattach(this.#context, { location, from });
   }
 
-  /** Starts a stream on a server that has a place, in the queue's order. */
-  async #start(): Promise<Attempt> {
+  /** Waits in the dispatcher's queue for a slot and starts a stream there. */
+  async #startAttempt(): Promise<Attempt> {
     await this.#context.pauseDetector.ready();
-    const wish: AttemptOptions = {
+    const options: AttemptOptions = {
       ...this.#options,
       modelVersion: this.#modelVersion,
       journal: this.#journal,
-      excluded: this.#lostServers,
+      excluded: this.#failedServers,
       waitMs: this.#remainingMs(),
       isResumed: this.#mayHaveRun,
     };
-    // Lost servers are tried again when no other is left.
-    if (!canStart(this.#context, wish)) this.#lostServers.clear();
-    if (wish.waitMs === 0) {
-      throw this.#refuse("no backend server took it in time");
+    // Failed servers are tried again when no other server is left.
+    if (!canStart(this.#context, options)) this.#failedServers.clear();
+    if (options.waitMs === 0) {
+      throw this.#createError("no backend server accepted the request in time");
     }
     try {
-      return await startAttempt(this.#context, wish);
+      return await startAttempt(this.#context, options);
     } catch (error) {
       if (!(error instanceof RequestError)) throw error;
-      throw this.#refuse(error.message, error.retryAfterS);
+      throw this.#createError(error.message, error.retryAfterS);
     }
   }
 
-  /** Time left to find a server, in ms; refused servers count against it. */
+  /** Time left to find a server, in ms; rejected attempts use it up too. */
   #remainingMs(): number {
     const { now, settings } = this.#context;
     const { targetMs } = this.#options.request.rank;
-    const resumeMs = this.#wasPreempted
+    const resumeTimeoutMs = this.#wasPreempted
       ? Math.max(targetMs, settings.resumeTimeoutMs)
       : settings.resumeTimeoutMs;
-    const limitMs = this.#mayHaveRun ? resumeMs : targetMs;
-    const sinceMs = this.#lostAtMs ?? this.#startMs;
-    return Math.max(0, sinceMs + limitMs - now());
+    const timeoutMs = this.#mayHaveRun ? resumeTimeoutMs : targetMs;
+    const sinceMs = this.#interruptedAtMs ?? this.#startMs;
+    return Math.max(0, sinceMs + timeoutMs - now());
   }
 
-  /** Decides how to go on after a loss: reattach, start anew, or refuse. */
+  /** Handles a failed attempt: reattaches, starts a new one, or throws. */
   async #recover(
     attempt: Attempt,
-    loss: AttemptError,
+    failure: AttemptError,
   ): Promise<Attempt | undefined> {
-    const { failureCause: lossCause } = loss;
+    const { failureCause } = failure;
     if (this.#options.signal.aborted) {
       cancelStream(attempt.address, attempt.stream);
-      throw this.#refuse("caller has gone");
+      throw this.#createError("caller disconnected");
+    }
+    if (failureCause === FailureCause.Preempted) {
+      return this.#handlePreemption(attempt);
     }
-    if (lossCause === FailureCause.Preempted) return this.#yieldPlace(attempt);
     this.#wasPreempted = false;
-    this.#noteLoss(attempt, loss);
-    if (this.#losses > ATTEMPT_FAILURES_MAX) {
-      throw this.#refuse(
-        `more than ${ATTEMPT_FAILURES_MAX} attempts were lost`,
+    this.#recordFailure(attempt, failure);
+    if (this.#failures > ATTEMPT_FAILURES_MAX) {
+      throw this.#createError(
+        `more than ${ATTEMPT_FAILURES_MAX} attempts failed`,
       );
     }
     const wasReattached = "stream" in attempt.source;
     if (wasReattached && this.#journal.position < this.#deliverFrom) {
       throw createInterruptedError(
-        "the stream is gone; repeat without a cursor",
+        "the cursor's stream is gone; repeat the request without Last-Event-ID",
       );
     }
     const isSilent = this.#journal.position === attempt.streamStart;
     const isFromCursor = attempt === this.#cursorAttempt;
     const step = chooseRecovery({
-      lossCause,
+      lossCause: failureCause,
       wasReattached,
       isFromCursor,
       isSilent,
     });
-    return await this.#take(step, attempt);
+    return await this.#performRecovery(step, attempt);
   }
 
-  async #take(
+  async #performRecovery(
     step: RecoveryStep,
     attempt: Attempt,
   ): Promise<Attempt | undefined> {
@@ -322,91 +329,93 @@
       case RecoveryStep.Reattach:
         return this.#reattach(attempt);
       case RecoveryStep.SuspectRequest:
-        this.#blameServerLoss(attempt);
+        this.#suspectRequest(attempt);
         break;
       case RecoveryStep.RetryElsewhere:
-        await sleep(REFUSED_PAUSE_MS);
+        await sleep(REJECTED_RETRY_DELAY_MS);
         break;
       case RecoveryStep.CancelStream:
-        await this.#withdraw(attempt);
+        await this.#cancelStalledStream(attempt);
         break;
       case RecoveryStep.EjectServer:
-        this.#abandon(attempt);
+        this.#ejectServer(attempt);
         break;
     }
     return undefined;
   }
 
-  /** Leaves a server to more urgent work; the journal goes on later. */
-  #yieldPlace(attempt: Attempt): undefined {
+  /** Cancels a preempted stream; its journal is resumed later. */
+  #handlePreemption(attempt: Attempt): undefined {
     this.#mayHaveRun = true;
     this.#wasPreempted = true;
-    this.#lostAtMs ??= this.#context.now();
+    this.#interruptedAtMs ??= this.#context.now();
     cancelStream(attempt.address, attempt.stream);
     return undefined;
   }
 
-  #noteLoss(attempt: Attempt, loss: AttemptError): void {
+  #recordFailure(attempt: Attempt, failure: AttemptError): void {
     const { log, metrics, now } = this.#context;
-    if (loss.mayHaveRun) {
-      this.#lostAtMs ??= now();
-      this.#losses++;
+    if (failure.mayHaveRun) {
+      this.#interruptedAtMs ??= now();
+      this.#failures++;
     }
     const isSilent = this.#journal.position === attempt.streamStart;
-    const mayBeWithdrawn = loss.failureCause === FailureCause.Stalled &&
+    const isDecidedByCancel = failure.failureCause === FailureCause.Stalled &&
       isSilent;
-    if (loss.mayHaveRun && !mayBeWithdrawn) this.#mayHaveRun = true;
-    this.#lostServers.add(attempt.server);
-    metrics.attemptFailures.inc({ cause: loss.failureCause });
+    if (failure.mayHaveRun && !isDecidedByCancel) this.#mayHaveRun = true;
+    this.#failedServers.add(attempt.server);
+    metrics.attemptFailures.inc({ cause: failure.failureCause });
     log(LOG_EVENTS.attemptFailed, {
       request: this.#options.requestId,
       generation: this.#id,
       server: attempt.server,
-      cause: loss.failureCause,
-      detail: loss.message,
+      cause: failure.failureCause,
+      detail: failure.message,
       position: this.#journal.position,
     });
   }
 
-  /** The server no longer knows the stream: it died under this request. */
-  #blameServerLoss(attempt: Attempt): void {
-    this.#abandon(attempt);
+  /** Handles a server that lost the stream: it crashed during the request. */
+  #suspectRequest(attempt: Attempt): void {
+    this.#ejectServer(attempt);
     recordServerLoss(this.#context, {
       fingerprint: this.#options.request.fingerprint,
       tokens: this.#journal.position - attempt.streamStart,
     });
-    this.#requireUnsuspected();
+    this.#rejectPoisonRequest();
   }
 
-  /** Takes back a stream that gave no token, and learns whether it ran. */
-  async #withdraw(attempt: Attempt): Promise<void> {
+  /** Cancels a stream without output and records whether it may have run. */
+  async #cancelStalledStream(attempt: Attempt): Promise<void> {
     const result = await cancelStream(attempt.address, attempt.stream);
     if (result !== CancelResult.NeverRan) this.#mayHaveRun = true;
     if (result !== CancelResult.NoResponse) return;
     this.#context.serverPool.eject(attempt.server);
   }
 
-  /** Gives a server up that can no longer be used for this generation. */
-  #abandon(attempt: Attempt): void {
+  /** Ejects the server from new work and cancels the stream on it. */
+  #ejectServer(attempt: Attempt): void {
     this.#context.serverPool.eject(attempt.server);
     cancelStream(attempt.address, attempt.stream);
   }
 
-  #requireUnsuspected(): void {
+  #rejectPoisonRequest(): void {
     const { fingerprint } = this.#options.request;
     if (!this.#context.suspicions.isRefused(fingerprint)) return;
-    throw this.#refuse("this request is suspected of crashing backend servers");
+    throw this.#createError(
+      "this request is suspected of crashing backend servers",
+    );
   }
 
-  #requireSameText(textHash: string): void {
+  #checkResumedText(textHash: string): void {
     const { resumption } = this.#options.request;
     if (textHash === resumption?.cursor.textHash) return;
     throw createInterruptedError(
-      "the stream holds another text than was delivered",
+      "text of the resumed stream differs from the text delivered before",
     );
   }
 
-  #refuse(message: string, retryAfterS = RETRY_AFTER_S): RequestError {
+  #createError(message: string, retryAfterS = RETRY_AFTER_S): RequestError {
     if (this.#mayHaveRun) return createInterruptedError(message);
     return new RequestError(RequestErrorType.NotRun, message, retryAfterS);
   }
--- a/src/request/journal.ts
+++ b/src/request/journal.ts
@@ -1,5 +1,5 @@
 /**
- * The accepted text of one generation. A token is taken only at the next
+ * The accepted text of one generation. A token is accepted only at the next
  * position, whichever attempt it comes from.
  */
 
@@ -9,9 +9,9 @@
 } from "../connection/engine_protocol.ts";
 import { TextHash } from "./text_hash.ts";
 
-/** What a batch of events added to a journal. */
+/** What a batch of events added to the journal. */
 export interface JournalUpdate {
-  /** Text to deliver, empty when the caller has it already. */
+  /** Newly accepted text, empty when the journal already held all of it. */
   readonly text: string;
   /** Position after the accepted tokens. */
   readonly position: number;
@@ -19,44 +19,45 @@
   readonly textHash: string;
   /** Set once the generation has ended. */
   readonly finishReason: FinishReason | undefined;
-  /** Set when a token arrived beyond the next position and was not taken. */
+  /** Describes a token beyond the next position, which was not accepted. */
   readonly gap: string | undefined;
 }
 
-const PARTS_MAX = 64;
+/** Number of pending parts at which they are joined to the text. */
+const PENDING_PARTS_MAX = 64;
 
-/** Text and position of one generation; only grows. */
+/** The accepted text and position of one generation; both only grow. */
 export class Journal {
   readonly #maxTokens: number;
   readonly #hash = TextHash.create();
   #text = "";
-  /** Parts not joined to the text yet; joined text takes the least memory. */
-  #parts: string[] = [];
+  /** Parts not yet joined to the text; a joined string takes less memory. */
+  #pendingParts: string[] = [];
   #position = 0;
 
   private constructor(maxTokens: number) {
     this.#maxTokens = maxTokens;
   }
 
-  /** Starts an empty journal of at most `maxTokens`. */
+  /** Creates an empty journal of at most `maxTokens`. */
   static create(maxTokens: number): Journal {
     return new Journal(maxTokens);
   }
 
-  /** Goes on after text that has been checked against its cursor. */
+  /** Creates a journal with text that was verified against its cursor. */
   static restore(
     maxTokens: number,
-    held: { readonly text: string; readonly position: number },
+    accepted: { readonly text: string; readonly position: number },
   ): Journal {
     const journal = new Journal(maxTokens);
-    journal.#append(held.text);
-    journal.#position = held.position;
+    journal.#append(accepted.text);
+    journal.#position = accepted.position;
     return journal;
   }
 
   /** The text of all accepted tokens. */
   get text(): string {
-    this.#join();
+    this.#joinParts();
     return this.#text;
   }
 
@@ -70,50 +71,50 @@
     return this.#hash.digest();
   }
 
-  /** Whether the text has its full length, even if no end was seen. */
+  /** Whether the text has `maxTokens`, even if no end event arrived. */
   get isFull(): boolean {
     return this.#position >= this.#maxTokens;
   }
 
-  /** Takes events of the current attempt in, up to the first gap. */
+  /** Accepts events of the current attempt up to the first gap. */
   accept(events: readonly StreamEvent[]): JournalUpdate {
     let text = "";
-    let finish: FinishReason | undefined;
+    let finishReason: FinishReason | undefined;
     let gap: string | undefined;
     for (const event of events) {
       if (event.p < this.#position) continue;
       if (event.p > this.#position) {
-        gap = `position ${event.p} instead of ${this.#position}`;
+        gap = `got position ${event.p}, expected ${this.#position}`;
         break;
       }
       if (event.end !== undefined) {
-        finish = event.end;
+        finishReason = event.end;
         break;
       }
       text += event.t ?? "";
       this.#position++;
     }
     this.#append(text);
-    if (this.isFull) finish ??= FinishReason.Length;
+    if (this.isFull) finishReason ??= FinishReason.Length;
     const position = this.#position;
     return {
       text,
       position,
       textHash: this.textHash,
-      finishReason: finish,
+      finishReason,
       gap,
     };
   }
 
   #append(text: string): void {
-    this.#parts.push(text);
-    if (this.#parts.length >= PARTS_MAX) this.#join();
+    this.#pendingParts.push(text);
+    if (this.#pendingParts.length >= PENDING_PARTS_MAX) this.#joinParts();
     this.#hash.update(text);
   }
 
-  #join(): void {
-    if (this.#parts.length === 0) return;
-    this.#text = [this.#text, ...this.#parts].join("");
-    this.#parts = [];
+  #joinParts(): void {
+    if (this.#pendingParts.length === 0) return;
+    this.#text = [this.#text, ...this.#pendingParts].join("");
+    this.#pendingParts = [];
   }
 }
--- a/src/request/journal_test.ts
+++ b/src/request/journal_test.ts
@@ -1,4 +1,7 @@
-/** A journal takes each position once, whatever the order of arrival. */
+/**
+ * Guards against doubled or skipped tokens: batches of several attempts may
+ * overlap, arrive late or start anywhere, yet each position counts once.
+ */
 
 import fc from "fast-check";
 import { expect, test } from "vitest";
@@ -10,9 +13,9 @@
   { length: LENGTH },
   (_, p): StreamEvent => ({ p, t: ` t${p}` }),
 );
-const WHOLE = TOKENS.map(({ t }) => t).join("");
+const FULL_TEXT = TOKENS.map(({ t }) => t).join("");
 
-test("repeated, late and cut batches never double or skip a token", () => {
+test("repeated, late and partial batches never double or skip a token", () => {
   const range = fc.tuple(fc.nat(LENGTH), fc.nat(LENGTH));
   fc.assert(
     fc.property(fc.array(range, { maxLength: 40 }), (ranges) => {
@@ -22,19 +25,19 @@
         const { text } = journal.accept(TOKENS.slice(from, from + length));
         delivered += text;
       }
-      expect(WHOLE.startsWith(delivered)).toBe(true);
+      expect(FULL_TEXT.startsWith(delivered)).toBe(true);
       expect(journal.text).toBe(delivered);
       delivered += journal.accept(TOKENS).text;
-      expect(delivered).toBe(WHOLE);
+      expect(delivered).toBe(FULL_TEXT);
     }),
     { seed: 20_261_204 },
   );
 });
 
-test("the text's hash does not depend on how it was cut", () => {
-  const whole = Journal.create(LENGTH);
-  whole.accept(TOKENS);
-  const cut = Journal.create(LENGTH);
-  for (const token of TOKENS) cut.accept([token]);
-  expect(cut.textHash).toBe(whole.textHash);
+test("the text hash does not depend on how the text was split", () => {
+  const joint = Journal.create(LENGTH);
+  joint.accept(TOKENS);
+  const split = Journal.create(LENGTH);
+  for (const token of TOKENS) split.accept([token]);
+  expect(split.textHash).toBe(joint.textHash);
 });
--- a/src/request/perform_action.ts
+++ b/src/request/perform_action.ts
@@ -1,4 +1,4 @@
-/** Runs a non-idempotent call at most once, resting on the ledger. */
+/** Runs a non-idempotent call at most once, by a claim in the action store. */
 
 import { randomUUID } from "node:crypto";
 import { match } from "ts-pattern";
@@ -30,38 +30,39 @@
 } from "./call_service.ts";
 import { type Exchange, singleHeader } from "./exchange.ts";
 
-/** A non-idempotent call and where its answer goes. */
+/** A non-idempotent call and the exchange that receives its response. */
 export interface ActionRequest {
   readonly exchange: Exchange;
   readonly call: ServiceCall;
 }
 
-/** An action whose record this attempt created. */
-interface OwnAction extends ActionRequest {
+/** An action that this attempt has claimed. */
+interface ClaimedAction extends ActionRequest {
   readonly key: Fingerprint;
   readonly record: ActionRecord;
   readonly version: ObjectRevision;
-  /** When the claim began, on the monotonic clock in ms. */
+  /** When the claim was requested, on the monotonic clock in ms. */
   readonly claimedMs: number;
 }
 
-const KEY = /^[\x21-\x7e]{1,255}$/;
+const IDEMPOTENCY_KEY = /^[\x21-\x7e]{1,255}$/;
 const REPLAYED_HEADER = "x-gypsumridge-replayed";
 
 /**
- * Claims the action and sends it, or answers from the ledger.
+ * Claims the action and sends it, or responds from the stored record.
  *
- * Errors: a `RequestError`; of type not run only if no attempt with this key sent.
+ * Errors: a `RequestError`; its type is not run only if no attempt with this
+ * key was sent.
  */
 export async function performAction(
   context: EntryContext,
-  order: ActionRequest,
+  request: ActionRequest,
 ): Promise<void> {
-  const key = actionKey(order);
+  const key = actionKey(request);
   const record: ActionRecord = {
     attempt: randomUUID() as string as ActionAttemptId,
     entry: context.settings.id,
-    fingerprint: fingerprintOf(order.call),
+    fingerprint: fingerprintOf(request.call),
     state: ActionState.Claimed,
   };
   const claimedMs = context.now();
@@ -70,30 +71,36 @@
     .with(
       { result: ClaimResult.Granted },
       ({ version }) =>
-        send(context, { ...order, key, record, version, claimedMs }),
+        sendAction(context, { ...request, key, record, version, claimedMs }),
     )
     .with({ result: ClaimResult.Taken }, (taken) =>
-      answerFromLedger(context, {
-        order,
+      respondFromRecord(context, {
+        request,
         key,
-        taken: taken.record,
+        existing: taken.record,
         fingerprint: record.fingerprint,
       }))
     .with({ result: ClaimResult.Absent }, () => {
-      throw refuse(RequestErrorType.NotRun, "the action could not be recorded");
+      throw createError(
+        RequestErrorType.NotRun,
+        "the action's record could not be created",
+      );
     })
     .with({ result: ClaimResult.Unreadable }, () => {
-      throw refuse(RequestErrorType.NotSent, "the platform can't be read");
+      throw createError(
+        RequestErrorType.NotSent,
+        "the action's record could not be read",
+      );
     })
     .exhaustive();
 }
 
 function actionKey({ call, exchange }: ActionRequest): Fingerprint {
   const key = singleHeader(exchange, "idempotency-key") ?? "";
-  if (!KEY.test(key)) {
+  if (!IDEMPOTENCY_KEY.test(key)) {
     throw new RequestError(
       RequestErrorType.InvalidRequest,
-      "idempotency-key: this call needs one, of 1 to 255 visible ASCII characters",
+      "idempotency-key: required, must be 1 to 255 visible ASCII characters",
     );
   }
   const parts = [call.customer.name, call.service.name, key];
@@ -105,137 +112,146 @@
   return hashParts(parts) as string as Fingerprint;
 }
 
-async function send(context: EntryContext, action: OwnAction): Promise<void> {
-  const place = await placeOrRetract(context, action);
+async function sendAction(
+  context: EntryContext,
+  action: ClaimedAction,
+): Promise<void> {
+  const reservation = await reserveServer(context, action);
   let mayHaveRun = false;
-  let answer: HttpResponse;
+  let response: HttpResponse;
   try {
-    answer = await sendCall(action.call, {
-      address: place.server.address,
+    response = await sendCall(action.call, {
+      address: reservation.server.address,
       onSent: () => mayHaveRun = true,
     });
   } catch (error) {
-    context.serverPool.eject(place.server.name);
-    if (mayHaveRun) return await endUnknown(context, action);
+    context.serverPool.eject(reservation.server.name);
+    if (mayHaveRun) return await recordUnknownOutcome(context, action);
     await context.actionStore.releaseClaim(action.key, action.record.attempt);
-    throw refuse(RequestErrorType.NotRun, messageOf(error));
+    throw createError(RequestErrorType.NotRun, messageOf(error));
   } finally {
-    place.release();
+    reservation.release();
   }
-  await endAnswered(context, { action, answer });
+  await recordResponse(context, { action, response });
 }
 
-/** Finds a server in time; a claim that grew old is given back unsent. */
-async function placeOrRetract(
+/** Reserves a server; releases the claim if it expires first. */
+async function reserveServer(
   context: EntryContext,
-  { call, key, record, claimedMs }: OwnAction,
+  { call, key, record, claimedMs }: ClaimedAction,
 ): Promise<Reservation> {
   const remainingMs = () => claimedMs + ACTION_CLAIM_MAX_AGE_MS - context.now();
-  let reason = "the claim grew too old before it could be sent";
+  let reason = "the claim expired before the call was sent";
   try {
     await context.pauseDetector.ready();
     if (remainingMs() > 0) {
-      const wait = { waitMs: remainingMs(), excluded: new Set<string>() };
-      const place = await placeCall(context, call, wait);
-      if (remainingMs() > 0) return place;
-      place.release();
+      const options = { waitMs: remainingMs(), excluded: new Set<string>() };
+      const reservation = await placeCall(context, call, options);
+      if (remainingMs() > 0) return reservation;
+      reservation.release();
     }
   } catch (error) {
     if (!(error instanceof RequestError)) throw error;
     reason = error.message;
   }
   await context.actionStore.releaseClaim(key, record.attempt);
-  throw refuse(RequestErrorType.NotRun, reason);
+  throw createError(RequestErrorType.NotRun, reason);
 }
 
-async function endUnknown(
+async function recordUnknownOutcome(
   context: EntryContext,
-  { key, record, version }: OwnAction,
+  { key, record, version }: ClaimedAction,
 ): Promise<never> {
   context.log(LOG_EVENTS.actionOutcomeUnknown, { key });
-  const ended = { ...record, state: ActionState.Unknown };
-  await context.actionStore.recordOutcome(key, { record: ended, version });
-  throw unknownOutcome();
+  const outcome = { ...record, state: ActionState.Unknown };
+  await context.actionStore.recordOutcome(key, { record: outcome, version });
+  throw createUnknownOutcomeError();
 }
 
-async function endAnswered(
+async function recordResponse(
   context: EntryContext,
-  { action, answer }: {
-    readonly action: OwnAction;
-    readonly answer: HttpResponse;
+  { action, response }: {
+    readonly action: ClaimedAction;
+    readonly response: HttpResponse;
   },
 ): Promise<void> {
   const { key, record, version, exchange } = action;
-  const contentType = contentTypeOf(answer);
-  const { status, body } = answer;
-  const kept: ActionResponse = body.length > ACTION_RESPONSE_MAX_BYTES
+  const contentType = contentTypeOf(response);
+  const { status, body } = response;
+  const stored: ActionResponse = body.length > ACTION_RESPONSE_MAX_BYTES
     ? { status, contentType }
     : { status, contentType, body: body.toString("base64") };
-  const ended = { ...record, state: ActionState.Answered, answer: kept };
-  await context.actionStore.recordOutcome(key, { record: ended, version });
+  const outcome = { ...record, state: ActionState.Answered, answer: stored };
+  await context.actionStore.recordOutcome(key, { record: outcome, version });
   sendResponse(exchange, { status, contentType, body });
 }
 
-async function answerFromLedger(
+async function respondFromRecord(
   context: EntryContext,
-  held: {
-    readonly order: ActionRequest;
+  repeat: {
+    readonly request: ActionRequest;
     readonly key: Fingerprint;
-    readonly taken: ActionRecord;
+    readonly existing: ActionRecord;
     readonly fingerprint: Fingerprint;
   },
 ): Promise<void> {
-  if (held.taken.fingerprint !== held.fingerprint) {
+  if (repeat.existing.fingerprint !== repeat.fingerprint) {
     throw new RequestError(
       RequestErrorType.Conflict,
-      "idempotency-key: used before for another call",
+      "idempotency-key: already used for a different call",
     );
   }
-  const record = held.taken.state === ActionState.Claimed
-    ? await awaitEnd(context, held)
-    : held.taken;
-  const { answer } = record;
-  if (answer === undefined) throw unknownOutcome();
-  if (answer.body === undefined) {
+  const record = repeat.existing.state === ActionState.Claimed
+    ? await awaitOtherAttempt(context, repeat)
+    : repeat.existing;
+  const { answer: response } = record;
+  if (response === undefined) throw createUnknownOutcomeError();
+  if (response.body === undefined) {
     throw new RequestError(
       RequestErrorType.AnswerUnavailable,
-      "the action ran once; its answer was too large to keep",
+      "the action ran once; its response was too large to store",
     );
   }
-  held.order.exchange.response.setHeader(REPLAYED_HEADER, "true");
-  sendResponse(held.order.exchange, {
-    status: answer.status,
-    contentType: answer.contentType,
-    body: Buffer.from(answer.body, "base64"),
+  repeat.request.exchange.response.setHeader(REPLAYED_HEADER, "true");
+  sendResponse(repeat.request.exchange, {
+    status: response.status,
+    contentType: response.contentType,
+    body: Buffer.from(response.body, "base64"),
   });
 }
 
-/** Waits until the claim's holder must have ended, if it still runs. */
-async function awaitEnd(
+/** Waits for the attempt that holds the claim, as long as it can run. */
+async function awaitOtherAttempt(
   context: EntryContext,
-  { key, order }: { readonly key: Fingerprint; readonly order: ActionRequest },
+  { key, request }: {
+    readonly key: Fingerprint;
+    readonly request: ActionRequest;
+  },
 ): Promise<ActionRecord> {
-  const waitMs = ACTION_CLAIM_MAX_AGE_MS + order.call.service.callLimitMs +
+  const waitMs = ACTION_CLAIM_MAX_AGE_MS + request.call.service.callLimitMs +
     ACTION_OUTCOME_GRACE_MS;
   let record: ActionRecord | undefined;
   try {
     record = await context.actionStore.awaitOutcome(key, waitMs);
   } catch (error) {
-    throw refuse(RequestErrorType.NotSent, messageOf(error));
+    throw createError(RequestErrorType.NotSent, messageOf(error));
   }
   if (record === undefined) {
-    throw refuse(RequestErrorType.NotRun, "the other attempt was not sent");
+    throw createError(
+      RequestErrorType.NotRun,
+      "the other attempt with this key was not sent",
+    );
   }
   return record;
 }
 
-function unknownOutcome(): RequestError {
+function createUnknownOutcomeError(): RequestError {
   return new RequestError(
     RequestErrorType.OutcomeUnknown,
-    "the action may have run and its end was not seen; it is not sent again",
+    "the action may have run, but no response arrived; it is not sent again",
   );
 }
 
-function refuse(type: RequestErrorType, message: string): RequestError {
+function createError(type: RequestErrorType, message: string): RequestError {
   return new RequestError(type, message, 1);
 }
--- a/src/request/probe.ts
+++ b/src/request/probe.ts
@@ -1,10 +1,10 @@
-/** `/healthz`, `/readyz` and `/metrics`, for balancers and monitors. */
+/** `/healthz`, `/readyz` and `/metrics`, for load balancers and monitoring. */
 
 import { sendJson } from "../connection/http_server.ts";
 import { NO_REVISION } from "../ids.ts";
 import type { Route } from "./exchange.ts";
 
-/** Says that the process runs. */
+/** Reports that the process is running. */
 export const HEALTH_ROUTE: Route = {
   method: "GET",
   path: "/healthz",
@@ -12,7 +12,7 @@
     Promise.resolve(sendJson(response, 200, { status: "ok" })),
 };
 
-/** Says whether new requests should be sent here. */
+/** Reports whether new requests should be sent to this entry. */
 export const READY_ROUTE: Route = {
   method: "GET",
   path: "/readyz",
@@ -26,13 +26,13 @@
   },
 };
 
-/** Gives the metrics to Prometheus. */
+/** Returns the metrics in the format of Prometheus. */
 export const METRICS_ROUTE: Route = {
   method: "GET",
   path: "/metrics",
-  handle: async ({ metrics, serverPool: fleet }, { response }) => {
+  handle: async ({ metrics, serverPool }, { response }) => {
     const { registry } = metrics;
-    metrics.servingServers.set(fleet.servingCount());
+    metrics.servingServers.set(serverPool.servingCount());
     response.writeHead(200, { "content-type": registry.contentType });
     response.end(await registry.metrics());
   },
--- a/src/request/recovery.ts
+++ b/src/request/recovery.ts
@@ -1,41 +1,41 @@
-/** Decides how a generation goes on after the loss of an attempt. */
+/** Decides how a generation continues after an attempt failed. */
 
 import { match, P } from "ts-pattern";
 import { FailureCause } from "../errors.ts";
 
-/** What is done after a loss. */
+/** The recovery from a failed attempt. */
 export enum RecoveryStep {
-  /** Read on in the same stream, which may still run. */
+  /** Continue to read the same stream, which may still run. */
   Reattach = "reattach",
-  /** Blame the request for the server's death, then start elsewhere. */
+  /** Suspect the request of a server crash, then retry on another server. */
   SuspectRequest = "blame_server_loss",
-  /** Wait a moment, then start elsewhere; the server is well. */
+  /** Retry on another server after a short delay; the server is healthy. */
   RetryElsewhere = "try_elsewhere",
-  /** Take a stream back that gave nothing, then start elsewhere. */
+  /** Cancel a stream without output, then retry on another server. */
   CancelStream = "withdraw",
-  /** Keep the server out of new work, then start elsewhere. */
+  /** Eject the server from new work, then retry on another server. */
   EjectServer = "abandon",
 }
 
-/** What is known of a lost attempt. */
+/** What is known about a failed attempt. */
 export interface FailedAttempt {
   readonly lossCause: FailureCause;
-  /** It was itself a reattachment. */
+  /** Whether the attempt itself was a reattachment. */
   readonly wasReattached: boolean;
-  /** It read on in the stream of a caller's cursor, from another entry. */
+  /** Whether it resumed the stream of a caller's cursor. */
   readonly isFromCursor: boolean;
-  /** Its stream gave no token. */
+  /** Whether its stream produced no token. */
   readonly isSilent: boolean;
 }
 
-/** Returns the step after a loss. */
-export function chooseRecovery(lost: FailedAttempt): RecoveryStep {
-  return match(lost)
+/** Returns how to recover from a failed attempt. */
+export function chooseRecovery(attempt: FailedAttempt): RecoveryStep {
+  return match(attempt)
     .with({
       lossCause: P.union(FailureCause.Closed, FailureCause.PositionGap),
       wasReattached: false,
     }, () => RecoveryStep.Reattach)
-    // The engine has given the stream up because nobody read it.
+    // The engine ended the stream because it had no reader; it did not crash.
     .with(
       { lossCause: FailureCause.Rejected, isFromCursor: true },
       () => RecoveryStep.RetryElsewhere,
--- a/src/request/recovery_test.ts
+++ b/src/request/recovery_test.ts
@@ -1,10 +1,10 @@
-/** The step after each kind of loss. */
+/** Guards the choice of the recovery step for each kind of failure. */
 
 import { expect, test } from "vitest";
 import { FailureCause } from "../errors.ts";
 import { chooseRecovery, RecoveryStep } from "./recovery.ts";
 
-test("step after each loss", () => {
+test("each failure has its recovery step", () => {
   const rows = Object.values(FailureCause).flatMap((lossCause) =>
     [false, true].flatMap((wasReattached) =>
       [false, true].map((isSilent) => {
@@ -61,7 +61,7 @@
   `);
 });
 
-test("a stream that was given up is nobody's fault", () => {
+test("a stream that lost its reader does not implicate the request", () => {
   const step = chooseRecovery({
     lossCause: FailureCause.Rejected,
     wasReattached: true,
--- a/src/request/routes.ts
+++ b/src/request/routes.ts
@@ -1,4 +1,4 @@
-/** All that callers can ask of an entry, in one table. */
+/** The table of all routes of an entry, and their matching to requests. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { randomUUID } from "node:crypto";
@@ -12,7 +12,7 @@
 import type { Route } from "./exchange.ts";
 import { HEALTH_ROUTE, METRICS_ROUTE, READY_ROUTE } from "./probe.ts";
 
-/** The routes, in the order in which they are tried. */
+/** The routes, in the order in which they are matched. */
 export const ROUTES: readonly Route[] = [
   COMPLETE_ROUTE,
   SERVICE_ROUTE,
@@ -21,7 +21,7 @@
   METRICS_ROUTE,
 ];
 
-/** Serves one request to its end; never rejects. */
+/** Handles one request until it ends; never rejects. */
 export async function serve(
   context: EntryContext,
   request: IncomingMessage,
@@ -36,8 +36,8 @@
     const route = findRoute(request.method ?? "GET", url.pathname);
     await route.handle(context, { id, request, response, url });
   } catch (error) {
-    const refusal = asRefusal(context, { error, id });
-    sendErrorResponse(response, refusal, id);
+    const requestError = toRequestError(context, { error, id });
+    sendErrorResponse(response, requestError, id);
   } finally {
     context.metrics.openRequests.dec();
   }
@@ -45,19 +45,20 @@
 
 function findRoute(method: string, path: string): Route {
   const route = ROUTES.find((candidate) => {
-    const fits = candidate.path.endsWith("/")
+    const matchesPath = candidate.path.endsWith("/")
       ? path.startsWith(candidate.path)
       : path === candidate.path;
-    return fits && (candidate.method === "" || candidate.method === method);
+    return matchesPath &&
+      (candidate.method === "" || candidate.method === method);
   });
   if (route !== undefined) return route;
   throw new RequestError(
     RequestErrorType.NotFound,
-    `nothing at ${method} ${path}`,
+    `no route for ${method} ${path}`,
   );
 }
 
-function asRefusal(
+function toRequestError(
   { log }: EntryContext,
   { error, id }: { readonly error: unknown; readonly id: RequestId },
 ): RequestError {
--- a/src/request/sse_response.ts
+++ b/src/request/sse_response.ts
@@ -1,4 +1,4 @@
-/** Writes an answer as server-sent events, no faster than the caller reads. */
+/** Writes a completion as server-sent events, at the pace of the caller. */
 
 import type { ServerResponse } from "node:http";
 import { RequestError } from "../errors.ts";
@@ -6,54 +6,54 @@
 import type { CompletionChunk } from "./generation.ts";
 import { errorBody } from "./error_response.ts";
 
-/** What stays the same in all events of an answer. */
+/** The fields that all events of a response share. */
 export interface SseResponseOptions {
   readonly request: RequestId;
   readonly generation: string;
-  /** Name of the service, as the caller asked for it. */
+  /** Name of the service, as the caller requested it. */
   readonly model: string;
 }
 
-/** A caller that reads nothing for so long is cut off, in ms. */
-const WRITE_STALL_MS = 60_000;
+/** A caller that reads nothing for this long is disconnected, in ms. */
+const WRITE_STALL_TIMEOUT_MS = 60_000;
 
-/** One event stream towards a caller. */
+/** One event stream to a caller. */
 export class SseResponse {
   readonly #response: ServerResponse;
-  readonly #before: string;
+  readonly #eventPrefix: string;
 
-  private constructor(response: ServerResponse, header: SseResponseOptions) {
+  private constructor(response: ServerResponse, options: SseResponseOptions) {
     this.#response = response;
     const fields = JSON.stringify({
-      id: header.generation,
+      id: options.generation,
       object: "text_completion",
       created: Math.floor(Date.now() / 1_000),
-      model: header.model,
+      model: options.model,
     });
-    this.#before = `\ndata: ${
+    this.#eventPrefix = `\ndata: ${
       fields.slice(0, -1)
     },"choices":[{"index":0,"text":`;
     response.writeHead(200, {
       "content-type": "text/event-stream",
       "cache-control": "no-store",
-      "x-request-id": header.request,
+      "x-request-id": options.request,
     });
   }
 
-  /** Opens the stream by sending its headers. */
+  /** Opens the stream by sending the response headers. */
   static create(
     response: ServerResponse,
-    header: SseResponseOptions,
+    options: SseResponseOptions,
   ): SseResponse {
-    return new SseResponse(response, header);
+    return new SseResponse(response, options);
   }
 
-  /** Writes a part; resolves when the caller can take more. */
+  /** Writes a chunk; returns a promise to await while the buffer is full. */
   write(
-    { text, cursor, finishReason: finish }: CompletionChunk,
+    { text, cursor, finishReason }: CompletionChunk,
   ): Promise<void> | undefined {
-    const reason = finish === undefined ? "null" : `"${finish}"`;
-    const event = `id: ${cursor}${this.#before}${JSON.stringify(text)}` +
+    const reason = finishReason === undefined ? "null" : `"${finishReason}"`;
+    const event = `id: ${cursor}${this.#eventPrefix}${JSON.stringify(text)}` +
       `,"logprobs":null,"finish_reason":${reason}}]}\n\n`;
     if (this.#response.write(event) || this.#response.destroyed) {
       return undefined;
@@ -61,21 +61,21 @@
     return waitForDrain(this.#response);
   }
 
-  /** Ends a whole answer. */
+  /** Ends a complete response. */
   close(): void {
     this.#response.end("data: [DONE]\n\n");
   }
 
-  /** Ends an answer that is not whole. */
-  fail(refusal: RequestError, request: RequestId): void {
-    const body = JSON.stringify(errorBody(refusal, request));
+  /** Ends an incomplete response with an error event. */
+  fail(error: RequestError, request: RequestId): void {
+    const body = JSON.stringify(errorBody(error, request));
     this.#response.end(`event: error\ndata: ${body}\n\n`);
   }
 }
 
 function waitForDrain(response: ServerResponse): Promise<void> {
   return new Promise((resolve) => {
-    const timer = setTimeout(() => response.destroy(), WRITE_STALL_MS);
+    const timer = setTimeout(() => response.destroy(), WRITE_STALL_TIMEOUT_MS);
     const settle = () => {
       clearTimeout(timer);
       response.off("drain", settle);
--- a/src/request/suspect.ts
+++ b/src/request/suspect.ts
@@ -1,4 +1,4 @@
-/** Handling of requests that may crash the backend servers which run them. */
+/** Handling of requests suspected of crashing backend servers. */
 
 import {
   SUSPICION_BLAME_AFTER_PROGRESS,
@@ -9,7 +9,7 @@
 import type { EntryContext } from "../process/entry_context.ts";
 import { LOG_EVENTS } from "../process/log_events.ts";
 
-/** Whether a backend server was lost under a request lately. */
+/** Whether a backend server was recently lost while running the request. */
 export function isSuspect(
   { suspicions }: EntryContext,
   fingerprint: Fingerprint,
@@ -17,7 +17,7 @@
   return suspicions.blameScore(fingerprint) > 0;
 }
 
-/** Keeps other suspected requests off a server; returns what ends that. */
+/** Keeps other suspected requests off a server until the result is called. */
 export function isolate(
   context: EntryContext,
   { server, fingerprint }: {
@@ -25,22 +25,23 @@
     readonly fingerprint: Fingerprint;
   },
 ): () => void {
-  let isUnproven = isSuspect(context, fingerprint);
-  if (isUnproven) context.serverPool.addSuspect(server);
+  let isIsolated = isSuspect(context, fingerprint);
+  if (isIsolated) context.serverPool.addSuspect(server);
   return () => {
-    if (isUnproven) context.serverPool.removeSuspect(server);
-    isUnproven = false;
+    if (isIsolated) context.serverPool.removeSuspect(server);
+    isIsolated = false;
   };
 }
 
-/** Whether a stream that gave so many tokens has proved harmless for now. */
+/** Whether a stream with this many tokens counts as harmless for now. */
 export function isProvenHarmless(tokens: number): boolean {
   return tokens >= SUSPICION_PROGRESS_TOKENS;
 }
 
 /**
- * Records that a server was lost under a request which had given `tokens` there.
- * The first loss counts in full, later ones less if the request was proven.
+ * Records that a server was lost while running a request, which had produced
+ * `tokens` tokens there. The first loss counts in full, later ones less if the
+ * request had proved harmless.
  */
 export function recordServerLoss(
   { log, suspicions }: EntryContext,
@@ -49,14 +50,14 @@
     readonly tokens: number;
   },
 ): void {
-  const earlier = suspicions.blameScore(fingerprint);
-  const isFullBlame = earlier === 0 || !isProvenHarmless(tokens);
-  const added = isFullBlame
+  const previousScore = suspicions.blameScore(fingerprint);
+  const isFullBlame = previousScore === 0 || !isProvenHarmless(tokens);
+  const addedScore = isFullBlame
     ? SUSPICION_BLAME_BEFORE_PROGRESS
     : SUSPICION_BLAME_AFTER_PROGRESS;
-  suspicions.record(fingerprint, earlier + added);
+  suspicions.record(fingerprint, previousScore + addedScore);
   log(LOG_EVENTS.poisonRequestSuspected, {
     fingerprint,
-    blame: earlier + added,
+    blame: previousScore + addedScore,
   });
 }
--- a/src/request/text_hash.ts
+++ b/src/request/text_hash.ts
@@ -1,32 +1,32 @@
 /**
- * Running hash of an answer's text. It guards against honest mistakes only; the
- * cursor that carries it is authenticated.
+ * Incremental, non-cryptographic hash of a completion's text. It detects only
+ * accidental changes; the cursor that carries it is authenticated.
  */
 
 import xxhash from "xxhash-wasm";
 
 const { create64 } = await xxhash();
-const BASE = 36;
+const RADIX = 36;
 
-/** Hash of all text given so far, however it was cut into parts. */
+/** Hash of all text added so far, independent of how it was split. */
 export class TextHash {
   readonly #hash = create64();
 
   private constructor() {}
 
-  /** Starts with the empty text. */
+  /** Creates the hash of the empty text. */
   static create(): TextHash {
     return new TextHash();
   }
 
-  /** Adds text. */
+  /** Appends text. */
   update(text: string): void {
     this.#hash.update(text);
   }
 
-  /** Returns the hash of all text so far. */
+  /** Returns the hash of all text added so far. */
   digest(): string {
-    return this.#hash.digest().toString(BASE);
+    return this.#hash.digest().toString(RADIX);
   }
 }
 
