Sharpen comments of the request code after a second reading

Cause: some comments of the engine path's request code named a result or a unit only loosely.

Change: comments only.

--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -54,7 +54,7 @@
   readonly excluded: ReadonlySet<string>;
   /** Longest wait for a slot, in ms. */
   readonly waitMs: number;
-  /** Whether the generation has begun before. */
+  /** Whether an earlier attempt may have run. */
   readonly isResumed: boolean;
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
--- a/src/request/attempt_progress.ts
+++ b/src/request/attempt_progress.ts
@@ -1,6 +1,7 @@
 /**
  * How far the attempts of a request got. The error type that a caller sees is
- * derived from this, not from an exception, so that "not run" is always true.
+ * derived from this, not from an exception, so that "not run" is reported only
+ * when it is true.
  */
 
 /** The furthest point that one attempt reached. */
--- a/src/request/call_service.ts
+++ b/src/request/call_service.ts
@@ -101,7 +101,7 @@
   response.end(serviceResponse.body);
 }
 
-/** Returns a response's content type, or that of arbitrary bytes if unset. */
+/** Returns a response's content type, by default that of arbitrary bytes. */
 export function contentTypeOf({ headers }: HttpResponse): string {
   return headers["content-type"] ?? "application/octet-stream";
 }
--- a/src/request/complete.ts
+++ b/src/request/complete.ts
@@ -1,4 +1,4 @@
-/** `POST /v1/completions`: generates a completion, streamed or whole. */
+/** `POST /v1/completions`: generates a completion, streamed or in full. */
 
 import { readBody, sendJson } from "../connection/http_server.ts";
 import { RequestError } from "../errors.ts";
@@ -131,7 +131,7 @@
   });
 }
 
-/** Returns a function that counts chunks and times the first one. */
+/** Returns a function that counts chunks and records the time to the first. */
 function createChunkObserver(
   { metrics, now }: EntryContext,
   { rank }: CompletionRequest,
--- a/src/request/error_response.ts
+++ b/src/request/error_response.ts
@@ -27,7 +27,7 @@
   return { error: { type, message, request } };
 }
 
-/** Sends an error response, or closes a response that has already begun. */
+/** Sends an error response; destroys a response that has already begun. */
 export function sendErrorResponse(
   response: ServerResponse,
   error: RequestError,
--- a/src/request/journal.ts
+++ b/src/request/journal.ts
@@ -15,7 +15,7 @@
   readonly text: string;
   /** Position after the accepted tokens. */
   readonly position: number;
-  /** Hash of the whole text up to `position`. */
+  /** Hash of all text up to `position`. */
   readonly textHash: string;
   /** Set once the generation has ended. */
   readonly finishReason: FinishReason | undefined;
@@ -39,7 +39,7 @@
     this.#maxTokens = maxTokens;
   }
 
-  /** Creates an empty journal of at most `maxTokens`. */
+  /** Creates an empty journal for at most `maxTokens` tokens. */
   static create(maxTokens: number): Journal {
     return new Journal(maxTokens);
   }
@@ -71,7 +71,7 @@
     return this.#hash.digest();
   }
 
-  /** Whether the text has `maxTokens`, even if no end event arrived. */
+  /** Whether it holds `maxTokens` tokens, even if no end event arrived. */
   get isFull(): boolean {
     return this.#position >= this.#maxTokens;
   }
--- a/src/request/recovery.ts
+++ b/src/request/recovery.ts
@@ -22,7 +22,7 @@
   readonly lossCause: FailureCause;
   /** Whether the attempt itself was a reattachment. */
   readonly wasReattached: boolean;
-  /** Whether it resumed the stream of a caller's cursor. */
+  /** Whether it reattached to a cursor's stream, perhaps of another entry. */
   readonly isFromCursor: boolean;
   /** Whether its stream produced no token. */
   readonly isSilent: boolean;
--- a/src/request/recovery_test.ts
+++ b/src/request/recovery_test.ts
@@ -1,4 +1,7 @@
-/** Guards the choice of the recovery step for each kind of failure. */
+/**
+ * Guards the recovery step of each failure: a wrong one suspects a harmless
+ * request, or keeps a failed server in use.
+ */
 
 import { expect, test } from "vitest";
 import { FailureCause } from "../errors.ts";
--- a/src/request/routes.ts
+++ b/src/request/routes.ts
@@ -1,4 +1,4 @@
-/** The table of all routes of an entry, and their matching to requests. */
+/** The HTTP routes of an entry, and the dispatch of requests to them. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { randomUUID } from "node:crypto";
--- a/src/request/suspect.ts
+++ b/src/request/suspect.ts
@@ -17,7 +17,10 @@
   return suspicions.blameScore(fingerprint) > 0;
 }
 
-/** Keeps other suspected requests off a server until the result is called. */
+/**
+ * Keeps other suspected requests off a server while a suspected one runs there.
+ * Returns a function that ends the isolation.
+ */
 export function isolate(
   context: EntryContext,
   { server, fingerprint }: {
