--- a/src/connection/backend_report.ts
+++ b/src/connection/backend_report.ts
@@ -1,34 +1,34 @@
-/** What a backend server reports of itself when it is asked. */
+/** Load reports of backend servers. */
 
 import type { LiveServer } from "../process/live_server.ts";
 
-/** A run that a server reports. */
+/** A run listed in a report. */
 export interface ReportedRun {
   /** Events produced so far. */
   readonly events: number;
 }
 
-/** A server's report, which is some hundred ms old. */
+/** A server's report, which is a few hundred ms old. */
 export interface ServerReport {
-  /** When this incarnation started, on the server's clock in ms; 0 if unknown. */
+  /** Start of this incarnation on the server's clock, in ms; 0 if unknown. */
   readonly startedMs: number;
   /** Runs by request id; `undefined` where the server does not list them. */
   readonly runs: ReadonlyMap<string, ReportedRun> | undefined;
-  /** Requests that wait for a place in its batch. */
+  /** Requests that wait for a place in the batch. */
   readonly waiting: number;
-  /** Requests in its batch without an event yet; `undefined` if it does not say. */
+  /** Requests in the batch without an event yet; `undefined` if unknown. */
   readonly prefilling: number | undefined;
 }
 
 /**
- * Asks a server for its report; `undefined` when it answers without one, as
- * plain servers do. Errors: rejects when it gives no answer in time.
+ * Fetches a server's report; `undefined` when the response has none, as with
+ * plain servers. Errors: rejects when there is no response in time.
  */
 export type ReportFetcher = (
   server: LiveServer,
 ) => Promise<ServerReport | undefined>;
 
-/** Whether a report comes from a later incarnation than the one listed. */
+/** Whether a report comes from another incarnation than the listed one. */
 export function isRestarted(
   report: ServerReport | undefined,
   listed: { readonly startedMs: number },
--- a/src/connection/backend_request.ts
+++ b/src/connection/backend_request.ts
@@ -1,68 +1,68 @@
-/** What the core asks of a backend server for an order, and what comes back. */
+/** An attempt to serve a request on a backend server, and its response. */
 
 import { AttemptError, FailureCause } from "../errors.ts";
 import type { LiveServer } from "../process/live_server.ts";
 import type { KvCopy } from "../request/kv_copy_manager.ts";
 
-/** One sending of an order to a server. */
+/** One attempt to serve a request on a server. */
 export interface BackendRequest {
   readonly server: LiveServer;
-  /** Time that the server may take, in ms. */
+  /** Time left for the server's response, in ms. */
   readonly timeoutMs: number;
-  /** Id of the last event that the caller got, if any. */
+  /** Id of the last event that the caller received, if any. */
   readonly lastEventId: string | undefined;
-  /** The copy of this run that the server holds, to go on from. */
+  /** KV cache copy on this server from which the run resumes, if any. */
   readonly copy: KvCopy | undefined;
-  /** Server to which the run's memory is copied as it grows, if any. */
+  /** Server that receives a backup of the KV cache as it grows, if any. */
   readonly backup: LiveServer | undefined;
-  /** Ends the attempt. */
+  /** Aborts the attempt. */
   readonly signal: AbortSignal;
   /** Called once the request may have reached the server. */
   readonly onSent: () => void;
 }
 
-/** Status and headers as the server sent them, but for those of the connection. */
+/** Status and headers that the server sent, without hop-by-hop headers. */
 export interface ResponseHead {
   readonly status: number;
-  /** Names and values in turn, as on the wire. */
+  /** Alternating names and values, as on the wire. */
   readonly headers: readonly string[];
   /**
-   * Whether the body's end is told by a length or a last chunk. Without that an
-   * answer that was cut can look whole, so it is passed on in the same form.
+   * Whether a length or a last chunk marks the end of the body. Without either,
+   * a truncated response can look complete, so it is forwarded unframed too.
    */
   readonly isFramed: boolean;
 }
 
-/** The start of a server's answer, which belongs to the order for certain. */
+/** A response that was verified to belong to the request. */
 export interface BackendResponse {
   readonly head: ResponseHead;
-  /** Whether the server says that it did not run the order and never will. */
+  /** Whether the server states that it did not and will not run the request. */
   readonly hasNotRun: boolean;
-  /** Whether another process has the server's address. */
+  /** Whether another process now uses the server's address. */
   readonly isMisdirected: boolean;
   /**
    * Yields the body as it arrives.
    *
-   * Errors: `AttemptError` unless the body came whole.
+   * Errors: `AttemptError` unless the body is complete.
    */
   readonly body: () => AsyncGenerator<Buffer>;
 }
 
-/** Sends an order to a server. Errors: `AttemptError`. */
+/** Sends a request to a server. Errors: `AttemptError`. */
 export type BackendSender = (
-  target: BackendRequest,
+  attempt: BackendRequest,
 ) => Promise<BackendResponse>;
 
-/** Collects a whole body. Errors: `AttemptError`. */
-export async function collectBody(answer: BackendResponse): Promise<Buffer> {
-  const parts: Buffer[] = [];
-  for await (const part of answer.body()) parts.push(part);
-  return Buffer.concat(parts);
+/** Collects a complete body. Errors: `AttemptError`. */
+export async function collectBody(response: BackendResponse): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of response.body()) chunks.push(chunk);
+  return Buffer.concat(chunks);
 }
 
-/** Returns why an attempt was ended: its own loss, or that of its caller. */
+/** Returns an aborted attempt's error: the signal's, or a caller disconnect. */
 export function abortError({ reason }: AbortSignal): AttemptError {
   return reason instanceof AttemptError
     ? reason
-    : new AttemptError(FailureCause.Closed, "caller has gone");
+    : new AttemptError(FailureCause.Closed, "caller disconnected");
 }
--- a/src/connection/batch_queue.ts
+++ b/src/connection/batch_queue.ts
@@ -1,4 +1,4 @@
-/** Hands batches from a flowing source to one reader, with backpressure. */
+/** A queue between a pausable source and one reader, with backpressure. */
 
 /** A source that can be paused. */
 export interface Pausable {
@@ -6,26 +6,27 @@
   readonly resume: () => unknown;
 }
 
+/** Unread items at which the source is paused. */
 const ITEMS_MAX = 256;
 
-/** Items that arrived and were not read yet. */
+/** Items that arrived and were not read yet, taken in batches. */
 export class BatchQueue<Item> {
   readonly #source: Pausable;
   #items: Item[] = [];
   #isEnded = false;
   #isPaused = false;
-  #wake: (() => void) | undefined;
+  #wakeReader: (() => void) | undefined;
 
   private constructor(source: Pausable) {
     this.#source = source;
   }
 
-  /** Makes an empty inbox that pauses `source` while it is full. */
+  /** Creates an empty queue that pauses `source` while it is full. */
   static create<Item>(source: Pausable): BatchQueue<Item> {
     return new BatchQueue<Item>(source);
   }
 
-  /** Adds items; many unread ones pause the source. */
+  /** Adds items, and pauses the source when the queue is full. */
   push(items: readonly Item[]): void {
     if (items.length === 0) return;
     for (const item of items) this.#items.push(item);
@@ -33,21 +34,21 @@
       this.#isPaused = true;
       this.#source.pause();
     }
-    this.#wake?.();
+    this.#wakeReader?.();
   }
 
-  /** Says that nothing more comes. */
+  /** Marks the end of the source. */
   end(): void {
     this.#isEnded = true;
-    this.#wake?.();
+    this.#wakeReader?.();
   }
 
   /** Resolves with all unread items, or with none once the source has ended. */
   async take(): Promise<readonly Item[]> {
     while (this.#items.length === 0 && !this.#isEnded) {
-      await new Promise<void>((resolve) => this.#wake = resolve);
+      await new Promise<void>((resolve) => this.#wakeReader = resolve);
     }
-    this.#wake = undefined;
+    this.#wakeReader = undefined;
     const items = this.#items;
     this.#items = [];
     if (this.#isPaused) {
--- a/src/connection/completion_client.ts
+++ b/src/connection/completion_client.ts
@@ -1,11 +1,11 @@
-/** A caller of the system: asks for a completion and keeps what it receives. */
+/** Client of the completions API that records the streamed response. */
 
 import { type ClientRequest, request } from "node:http";
 import { performance } from "node:perf_hooks";
 import { createParser } from "eventsource-parser";
 import { splitAddress } from "./http_call.ts";
 
-/** What a caller asks for. */
+/** Parameters of a completion request. */
 export interface CompletionClientOptions {
   /** IP and port of an entry. */
   readonly address: string;
@@ -20,7 +20,7 @@
   readonly resumeText?: string;
 }
 
-/** How an answer ended. */
+/** How a response ended. */
 export interface CompletionResult {
   readonly status: number;
   /** `done`, the type of an error, or `cut` when the connection closed. */
@@ -28,7 +28,7 @@
   readonly message: string;
 }
 
-/** A streamed answer that grows as its events arrive. */
+/** A streamed response and the timing of its events. */
 export class CompletionClient {
   readonly #outgoing: ClientRequest;
   readonly #startMs = performance.now();
@@ -37,20 +37,20 @@
   #text = "";
   #cursor = "";
   #eventCount = 0;
-  #firstMs = Number.NaN;
-  #lastMs = 0;
-  readonly #pausesMs: number[] = [];
-  #end: CompletionResult | undefined;
+  #firstEventMs = Number.NaN;
+  #lastEventMs = 0;
+  readonly #eventGapsMs: number[] = [];
+  #result: CompletionResult | undefined;
 
-  private constructor(ask: CompletionClientOptions) {
-    const { host, port } = splitAddress(ask.address);
+  private constructor(options: CompletionClientOptions) {
+    const { host, port } = splitAddress(options.address);
     const body = JSON.stringify({
-      model: ask.service,
-      prompt: ask.prompt,
-      max_tokens: ask.maxTokens,
+      model: options.service,
+      prompt: options.prompt,
+      max_tokens: options.maxTokens,
       stream: true,
-      rank: ask.rank,
-      resume_text: ask.resumeText,
+      rank: options.rank,
+      resume_text: options.resumeText,
     });
     this.#outgoing = request({
       host,
@@ -59,23 +59,23 @@
       path: "/v1/completions",
       agent: false,
       headers: {
-        authorization: `Bearer ${ask.key}`,
+        authorization: `Bearer ${options.key}`,
         "content-type": "application/json",
-        ...(ask.lastEventId === undefined
+        ...(options.lastEventId === undefined
           ? {}
-          : { "last-event-id": ask.lastEventId }),
+          : { "last-event-id": options.lastEventId }),
       },
     });
-    this.ended = this.#read();
+    this.ended = this.#receive();
     this.#outgoing.end(body);
   }
 
   /** Sends the request. */
-  static create(ask: CompletionClientOptions): CompletionClient {
-    return new CompletionClient(ask);
+  static create(options: CompletionClientOptions): CompletionClient {
+    return new CompletionClient(options);
   }
 
-  /** Count of events received. */
+  /** Number of events received. */
   get eventCount(): number {
     return this.#eventCount;
   }
@@ -85,56 +85,56 @@
     return this.#text;
   }
 
-  /** Count of tokens received; each begins with a space. */
+  /** Number of tokens received; each begins with a space. */
   get tokenCount(): number {
     return this.#text.split(" ").length - 1;
   }
 
-  /** Cursor of the last event. */
+  /** Cursor of the last event, for resuming the stream. */
   get cursor(): string {
     return this.#cursor;
   }
 
   /** Time to the first event, in ms. */
   get firstEventMs(): number {
-    return this.#firstMs;
+    return this.#firstEventMs;
   }
 
-  /** Times between one event and the next, in ms. */
+  /** Times between consecutive events, in ms. */
   get eventGapsMs(): readonly number[] {
-    return this.#pausesMs;
+    return this.#eventGapsMs;
   }
 
-  /** Longest time between two events, in ms. */
+  /** Longest time between consecutive events, in ms. */
   get longestEventGapMs(): number {
-    return Math.max(0, ...this.#pausesMs);
+    return Math.max(0, ...this.#eventGapsMs);
   }
 
   /** Time from the request to its last event, in ms. */
   get totalMs(): number {
-    return this.#lastMs - this.#startMs;
+    return this.#lastEventMs - this.#startMs;
   }
 
-  /** Goes away without waiting for the end. */
+  /** Disconnects without waiting for the end. */
   close(): void {
     this.#outgoing.destroy();
   }
 
-  /** Resolves once so many tokens have arrived, or the answer has ended. */
+  /** Resolves once `count` tokens have arrived or the response has ended. */
   async waitForTokens(count: number): Promise<void> {
-    while (this.tokenCount < count && this.#end === undefined) {
+    while (this.tokenCount < count && this.#result === undefined) {
       await new Promise<void>((resolve) => this.#waiters.add(resolve));
     }
   }
 
-  #read(): Promise<CompletionResult> {
+  #receive(): Promise<CompletionResult> {
     return new Promise((resolve) => {
       let status = 0;
       const finish = (outcome: string, message = "") => {
-        if (this.#end !== undefined) return;
-        this.#end = { status, outcome, message };
-        this.#wake();
-        resolve(this.#end);
+        if (this.#result !== undefined) return;
+        this.#result = { status, outcome, message };
+        this.#wakeWaiters();
+        resolve(this.#result);
       };
       const parser = createParser({
         onEvent: ({ event, data, id }) => {
@@ -143,7 +143,7 @@
           if (event === "error") {
             return finish(value.error.type, value.error.message);
           }
-          this.#take(value.choices[0].text, id ?? "");
+          this.#recordEvent(value.choices[0].text, id ?? "");
         },
       });
       this.#outgoing.once("response", (response) => {
@@ -165,18 +165,18 @@
     });
   }
 
-  #take(text: string, cursor: string): void {
+  #recordEvent(text: string, cursor: string): void {
     const now = performance.now();
-    if (this.#eventCount === 0) this.#firstMs = now - this.#startMs;
-    else this.#pausesMs.push(now - this.#lastMs);
+    if (this.#eventCount === 0) this.#firstEventMs = now - this.#startMs;
+    else this.#eventGapsMs.push(now - this.#lastEventMs);
     this.#eventCount++;
-    this.#lastMs = now;
+    this.#lastEventMs = now;
     this.#text += text;
     this.#cursor = cursor;
-    this.#wake();
+    this.#wakeWaiters();
   }
 
-  #wake(): void {
+  #wakeWaiters(): void {
     for (const wake of this.#waiters) wake();
     this.#waiters.clear();
   }
--- a/src/connection/engine_protocol.ts
+++ b/src/connection/engine_protocol.ts
@@ -1,4 +1,4 @@
-/** The published protocol of the model engines, as far as the system uses it. */
+/** The part of the model engines' published protocol that is used here. */
 
 import type { RequestId, StreamId } from "../ids.ts";
 
@@ -9,11 +9,11 @@
   readonly model: string;
   readonly modelVersion: string;
   readonly prompt: string;
-  /** Text generated so far, and its length in tokens. */
+  /** Text generated so far; `position` is its length in tokens. */
   readonly journal: string;
   readonly position: number;
   readonly maxTokens: number;
-  /** Lower runs first. */
+  /** Lower values run first. */
   readonly priority: number;
 }
 
@@ -25,30 +25,30 @@
 
 /** One event of a stream: a token or the end. */
 export interface StreamEvent {
-  /** Position of the token, from 0; at the end, the count of tokens. */
+  /** Position of the token, from 0; in the end event, the number of tokens. */
   readonly p: number;
   /** Text of the token. */
   readonly t?: string;
   readonly end?: FinishReason;
 }
 
-/** Answer of `GET /v1/load`, which lags behind the truth. */
+/** Response of `GET /v1/load`, which may be stale. */
 export interface LoadReport {
   readonly slots: number;
   readonly running: number;
   readonly queued: number;
-  /** The server stops soon and wants no new work. */
+  /** Whether the server is about to stop and accepts no new requests. */
   readonly leaving: boolean;
   readonly modelVersion: string;
 }
 
-/** Answer of `DELETE /v1/streams/ID`, which cancels a stream. */
+/** Response of `DELETE /v1/streams/ID`, which cancels a stream. */
 export interface StreamCancelled {
   /** Whether any part of the stream has run. */
   readonly ran: boolean;
 }
 
-/** Header that names the model version of a stream. */
+/** Header with the model version of a stream. */
 export const MODEL_VERSION_HEADER = "x-model-version";
 /** Path of the load report, on every kind of backend server. */
 export const LOAD_PATH = "/v1/load";
--- a/src/connection/engine_stream.ts
+++ b/src/connection/engine_stream.ts
@@ -1,4 +1,4 @@
-/** One stream of tokens from a model engine: starting, reading, cancelling. */
+/** Starts, reads and cancels streams of tokens from a model engine. */
 
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import { createParser } from "eventsource-parser";
@@ -16,115 +16,120 @@
 import { BatchQueue } from "./batch_queue.ts";
 import { StallTimer } from "./stall_timer.ts";
 
-/** Starts a stream. */
+/** Starts a new stream. */
 export interface StreamStart {
   readonly request: StartStreamRequest;
 }
 
-/** Reads on in a stream that runs. */
+/** Reattaches to a running stream. */
 export interface StreamReattach {
   readonly stream: StreamId;
-  /** Position of the first token wanted. */
+  /** Position of the first token to read. */
   readonly from: number;
 }
 
-/** What is read and how long silence is borne. */
+/** Which stream is read, and when it counts as stalled. */
 export interface ReadStreamOptions {
   /** IP and port of the engine. */
   readonly address: string;
   readonly modelVersion: string;
   readonly source: StreamStart | StreamReattach;
-  /** Silence before the first token that is borne, in ms. */
+  /** Longest time without bytes before the first token, in ms. */
   readonly firstTokenStallMs: number;
-  /** Time to the first token that is borne without silence, in ms. */
+  /** Timeout of the first token, in ms, even while bytes arrive. */
   readonly firstTokenLimitMs: number;
-  /** Silence between tokens that is borne, in ms. */
+  /** Longest time without bytes after the first token, in ms. */
   readonly tokenStallMs: number;
-  /** Ends the reading; an `AttemptError` as its reason says how it counts. */
+  /** Aborts reading; an `AttemptError` as its reason sets the failure cause. */
   readonly signal: AbortSignal;
 }
 
 const CANCEL_TIMEOUT_MS = 300;
 
 /**
- * Yields the events of a stream, as many at a time as arrived together.
+ * Yields the events of a stream in the batches in which they arrived.
  *
  * Errors: `AttemptError` when the stream ends before its end event.
  */
 export async function* readStream(
-  read: ReadStreamOptions,
+  options: ReadStreamOptions,
 ): AsyncGenerator<readonly StreamEvent[]> {
-  const outgoing = openRequest(read);
-  let loss: AttemptError | undefined;
-  const lose = (cause: FailureCause, detail: string) => {
-    loss ??= new AttemptError(cause, detail);
+  const outgoing = openRequest(options);
+  let abortedBy: AttemptError | undefined;
+  const abort = (cause: FailureCause, detail: string) => {
+    abortedBy ??= new AttemptError(cause, detail);
     outgoing.destroy();
   };
   const stall = StallTimer.create(
-    read.firstTokenStallMs,
-    () => lose(FailureCause.Stalled, "silence"),
+    options.firstTokenStallMs,
+    () => abort(FailureCause.Stalled, "no bytes within the stall limit"),
   );
   const firstToken = setTimeout(
-    () => lose(FailureCause.Stalled, "no first token"),
-    read.firstTokenLimitMs,
+    () =>
+      abort(FailureCause.Stalled, "no token within the first-token timeout"),
+    options.firstTokenLimitMs,
   );
   const onAbort = () => {
-    const { reason } = read.signal;
+    const { reason } = options.signal;
     const cause = reason instanceof AttemptError
       ? reason.failureCause
       : FailureCause.Closed;
-    lose(cause, "reader has gone");
+    abort(cause, "reading was aborted");
   };
-  read.signal.addEventListener("abort", onAbort);
-  if (read.signal.aborted) onAbort();
+  options.signal.addEventListener("abort", onAbort);
+  if (options.signal.aborted) onAbort();
   try {
     const response = await receiveResponse(outgoing);
-    requireAccepted(response, read.modelVersion);
-    const inbox = receiveEvents(response, () => stall.reset());
+    requireAccepted(response, options.modelVersion);
+    const queue = receiveEvents(response, () => stall.reset());
     while (true) {
-      const events = await inbox.take();
+      const events = await queue.take();
       if (events.length === 0) break;
       clearTimeout(firstToken);
-      stall.setLimit(read.tokenStallMs);
+      stall.setLimit(options.tokenStallMs);
       stall.suspend();
       yield events;
       stall.resume();
     }
-    throw loss ?? new AttemptError(FailureCause.Closed, "stream ended early");
+    throw abortedBy ??
+      new AttemptError(
+        FailureCause.Closed,
+        "stream ended before its end event",
+      );
   } catch (error) {
-    if (loss !== undefined) throw loss;
+    if (abortedBy !== undefined) throw abortedBy;
     if (error instanceof AttemptError) throw error;
     throw new AttemptError(FailureCause.Closed, messageOf(error));
   } finally {
     stall.close();
     clearTimeout(firstToken);
-    read.signal.removeEventListener("abort", onAbort);
+    options.signal.removeEventListener("abort", onAbort);
     outgoing.destroy();
   }
 }
 
-/** What is known of a stream after its cancellation. */
+/** What is known of a cancelled stream. */
 export enum CancelResult {
-  /** The engine says that no part of it ran. */
+  /** The engine states that no part of it ran. */
   NeverRan = "never_ran",
   Cancelled = "cancelled",
   NoResponse = "unanswered",
 }
 
-/** Cancels a stream unless somebody else reads it. */
+/** Cancels a stream unless another reader is attached. */
 export async function cancelStream(
   address: string,
   stream: StreamId,
 ): Promise<CancelResult> {
   try {
-    const answer = await callHttp({
+    const response = await callHttp({
       address,
       method: "DELETE",
       path: `${STREAMS_PATH}/${stream}`,
       timeoutMs: CANCEL_TIMEOUT_MS,
     });
-    if (answer.status !== 200) return CancelResult.Cancelled;
-    const { ran } = JSON.parse(answer.body.toString()) as StreamCancelled;
+    if (response.status !== 200) return CancelResult.Cancelled;
+    const { ran } = JSON.parse(response.body.toString()) as StreamCancelled;
     return ran ? CancelResult.Cancelled : CancelResult.NeverRan;
   } catch {
     return CancelResult.NoResponse;
@@ -164,7 +169,12 @@
       reject(new AttemptError(cause, error.message));
     });
     outgoing.once("close", () => {
-      reject(new AttemptError(FailureCause.Closed, "closed without an answer"));
+      reject(
+        new AttemptError(
+          FailureCause.Closed,
+          "connection closed before a response",
+        ),
+      );
     });
   });
 }
@@ -180,31 +190,34 @@
       .with(409, () => FailureCause.VersionMismatch)
       .with(404, 416, 429, 503, () => FailureCause.Rejected)
       .otherwise(() => FailureCause.Closed);
-    throw new AttemptError(cause, `status ${status}`);
+    throw new AttemptError(cause, `expected status 200, got ${status}`);
   }
-  const carried = response.headers[MODEL_VERSION_HEADER];
-  if (carried !== modelVersion) {
-    throw new AttemptError(FailureCause.VersionMismatch, `carries ${carried}`);
+  const actualVersion = response.headers[MODEL_VERSION_HEADER];
+  if (actualVersion !== modelVersion) {
+    throw new AttemptError(
+      FailureCause.VersionMismatch,
+      `expected the requested model version, got ${actualVersion}`,
+    );
   }
 }
 
 function receiveEvents(
   response: IncomingMessage,
-  onText: () => void,
+  onData: () => void,
 ): BatchQueue<StreamEvent> {
-  const inbox = BatchQueue.create<StreamEvent>(response);
+  const queue = BatchQueue.create<StreamEvent>(response);
   let events: StreamEvent[] = [];
   const parser = createParser({
     onEvent: ({ data }) => events.push(JSON.parse(data) as StreamEvent),
   });
   response.setEncoding("utf8");
   response.on("data", (text: string) => {
-    onText();
+    onData();
     events = [];
     parser.feed(text);
-    inbox.push(events);
+    queue.push(events);
   });
-  response.once("error", () => inbox.end());
-  response.once("close", () => inbox.end());
-  return inbox;
+  response.once("error", () => queue.end());
+  response.once("close", () => queue.end());
+  return queue;
 }
--- a/src/connection/event_splitter.ts
+++ b/src/connection/event_splitter.ts
@@ -1,6 +1,6 @@
-/** Splits the bytes of an event stream into whole events. */
+/** Splits the bytes of an event stream into complete events. */
 
-/** A whole event as it stood on the wire, with its closing blank line. */
+/** A complete event as on the wire, with its closing blank line. */
 export interface RawEvent {
   readonly bytes: Buffer;
   /** Its `id` field, or `undefined` if it has none. */
@@ -11,51 +11,53 @@
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = /^id: ?(?<id>.*)$/m;
 
-/** Holds back the bytes of an event until it is whole. */
+/** Buffers the bytes of an event until it is complete. */
 export class EventSplitter {
-  #rest: Buffer = Buffer.alloc(0);
+  #buffered: Buffer = Buffer.alloc(0);
 
   private constructor() {}
 
-  /** Starts at the beginning of a stream. */
+  /** Creates a splitter for a new stream. */
   static create(): EventSplitter {
     return new EventSplitter();
   }
 
-  /** Whether bytes of an unfinished event are held back. */
+  /** Whether bytes of an incomplete event are buffered. */
   get hasPartialEvent(): boolean {
-    return this.#rest.length > 0;
+    return this.#buffered.length > 0;
   }
 
-  /** Takes bytes in and yields the events that they complete. */
+  /** Appends bytes and yields the events that they complete. */
   *push(bytes: Buffer): Generator<RawEvent> {
-    this.#rest = this.#rest.length === 0
+    this.#buffered = this.#buffered.length === 0
       ? bytes
-      : Buffer.concat([this.#rest, bytes]);
+      : Buffer.concat([this.#buffered, bytes]);
     while (true) {
-      const end = endOfEvent(this.#rest);
+      const end = endOfEvent(this.#buffered);
       if (end === undefined) return;
-      const event = this.#rest.subarray(0, end);
-      this.#rest = this.#rest.subarray(end);
+      const event = this.#buffered.subarray(0, end);
+      this.#buffered = this.#buffered.subarray(end);
       yield { bytes: event, id: idOf(event) };
     }
   }
 }
 
-/** Returns the position after the first blank line that closes an event. */
+/** Returns the offset after the first blank line that closes an event. */
 function endOfEvent(bytes: Buffer): number | undefined {
   let lineStart = 0;
   let hasField = false;
   while (true) {
-    const feed = bytes.indexOf(LINE_FEED, lineStart);
-    if (feed < 0) return undefined;
-    const lineEnd = bytes[feed - 1] === CARRIAGE_RETURN ? feed - 1 : feed;
+    const lineFeed = bytes.indexOf(LINE_FEED, lineStart);
+    if (lineFeed < 0) return undefined;
+    const lineEnd = bytes[lineFeed - 1] === CARRIAGE_RETURN
+      ? lineFeed - 1
+      : lineFeed;
     if (lineEnd <= lineStart) {
-      if (hasField) return feed + 1;
+      if (hasField) return lineFeed + 1;
     } else {
       hasField = true;
     }
-    lineStart = feed + 1;
+    lineStart = lineFeed + 1;
   }
 }
 
--- a/src/connection/event_splitter_test.ts
+++ b/src/connection/event_splitter_test.ts
@@ -1,62 +1,68 @@
-/** Events are passed on whole and once, however their bytes arrive. */
+/** Events are yielded complete and once, however their bytes arrive. */
 
 import fc from "fast-check";
 import { expect, test } from "vitest";
 import { EventSplitter } from "./event_splitter.ts";
 
-/** Cuts bytes at the given places. */
-function cut(bytes: Buffer, places: readonly number[]): Buffer[] {
-  const ends = [...new Set([...places, bytes.length])]
-    .filter((place) => place <= bytes.length)
+/** Splits bytes at the given offsets. */
+function splitAt(bytes: Buffer, offsets: readonly number[]): Buffer[] {
+  const ends = [...new Set([...offsets, bytes.length])]
+    .filter((offset) => offset <= bytes.length)
     .sort((a, b) => a - b);
   return ends.map((end, at) => bytes.subarray(ends[at - 1] ?? 0, end));
 }
 
-function eventText(id: number, data: string, feed: string): string {
-  return `id: ${id}${feed}data: ${data}${feed}${feed}`;
+function eventText(id: number, data: string, newline: string): string {
+  return `id: ${id}${newline}data: ${data}${newline}${newline}`;
 }
 
-test("any cuts give the same events, and what is unfinished is held back", () => {
+test("any split yields the same events and buffers an incomplete one", () => {
   fc.assert(
     fc.property(
       fc.array(fc.stringMatching(/^[a-z0-9 .:]{0,20}$/), { maxLength: 8 }),
       fc.array(fc.nat(400), { maxLength: 12 }),
       fc.constantFrom("\n", "\r\n"),
       fc.constantFrom("", "id: 99", "id: 99\ndata: half"),
-      (datas, places, feed, unfinished) => {
-        const texts = datas.map((data, at) => eventText(at + 1, data, feed));
-        const stream = Buffer.from(texts.join("") + unfinished);
+      (payloads, offsets, newline, incomplete) => {
+        const texts = payloads.map((data, at) =>
+          eventText(at + 1, data, newline)
+        );
+        const stream = Buffer.from(texts.join("") + incomplete);
         const splitter = EventSplitter.create();
-        const events = cut(stream, places)
+        const events = splitAt(stream, offsets)
           .flatMap((bytes) => [...splitter.push(bytes)]);
         expect(events.map(({ bytes }) => bytes.toString())).toEqual(texts);
         expect(events.map(({ id }) => id)).toEqual(
-          datas.map((_, at) => String(at + 1)),
+          payloads.map((_, at) => String(at + 1)),
         );
-        expect(splitter.hasPartialEvent).toBe(unfinished !== "");
+        expect(splitter.hasPartialEvent).toBe(incomplete !== "");
       },
     ),
   );
 });
 
-test("the parts of two servers join without loss or repetition at any cut", () => {
+test("resuming at any offset neither loses nor repeats events", () => {
   fc.assert(
     fc.property(
       fc.integer({ min: 1, max: 20 }),
       fc.nat(2_000),
-      (count, cutAt) => {
+      (count, cutOffset) => {
         const texts = Array.from(
           { length: count },
           (_, at) => eventText(at + 1, "x".repeat(at), "\n"),
         );
         const first = EventSplitter.create();
-        const whole = Buffer.from(texts.join(""));
-        const delivered = [...first.push(whole.subarray(0, cutAt))];
-        // The next server goes on after the last event that was delivered.
+        const fullStream = Buffer.from(texts.join(""));
+        const delivered = [...first.push(fullStream.subarray(0, cutOffset))];
+        // The second server resumes after the last event that was delivered.
         const last = Number(delivered.at(-1)?.id ?? 0);
         const second = EventSplitter.create();
-        const rest = [...second.push(Buffer.from(texts.slice(last).join("")))];
-        const joined = [...delivered, ...rest].map(({ bytes }) => `${bytes}`);
+        const resumed = [
+          ...second.push(Buffer.from(texts.slice(last).join(""))),
+        ];
+        const joined = [...delivered, ...resumed].map(({ bytes }) =>
+          `${bytes}`
+        );
         expect(joined.join("")).toBe(texts.join(""));
       },
     ),
--- a/src/connection/http_call.ts
+++ b/src/connection/http_call.ts
@@ -1,4 +1,4 @@
-/** One HTTP call with a time limit, without retries. */
+/** HTTP calls with a timeout and without retries. */
 
 import {
   type Agent,
@@ -7,7 +7,7 @@
   request,
 } from "node:http";
 
-/** What is asked of an HTTP server. */
+/** An HTTP call. */
 export interface HttpCall {
   /** IP and port. */
   readonly address: string;
@@ -16,13 +16,13 @@
   readonly headers?: OutgoingHttpHeaders;
   readonly body?: string | Buffer;
   readonly timeoutMs: number;
-  /** Keeps connections; without one each call opens its own. */
+  /** Reuses connections; without an agent each call opens its own. */
   readonly agent?: Agent;
   /** Called once the request may have reached the server. */
   readonly onSent?: () => void;
 }
 
-/** The whole answer to a call. */
+/** The complete response to a call. */
 export interface HttpResponse {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
@@ -30,10 +30,10 @@
 }
 
 /**
- * Makes one call and collects its answer.
+ * Makes one call and collects its response.
  *
- * Errors: rejects when no connection is made, when the connection closes
- * before the answer ends, and when the time limit passes.
+ * Errors: rejects when no connection is established, when the connection closes
+ * before the response is complete, and when the timeout expires.
  */
 export function callHttp(call: HttpCall): Promise<HttpResponse> {
   const { host, port } = splitAddress(call.address);
@@ -47,9 +47,9 @@
       agent: call.agent ?? false,
     });
     const expire = () => {
-      outgoing.destroy(new Error(`no answer within ${call.timeoutMs} ms`));
+      outgoing.destroy(new Error(`no response within ${call.timeoutMs} ms`));
     };
-    // An answer that arrived while this process stood still is read first.
+    // Reads a response that arrived while the event loop was blocked.
     let timer: NodeJS.Timeout | NodeJS.Immediate = setTimeout(() => {
       timer = setImmediate(expire);
     }, call.timeoutMs);
@@ -67,29 +67,33 @@
       else socket.once("connect", () => call.onSent?.());
     });
     outgoing.once("response", (incoming) => {
-      const parts: Buffer[] = [];
-      incoming.on("data", (part: Buffer) => parts.push(part));
+      const chunks: Buffer[] = [];
+      incoming.on("data", (chunk: Buffer) => chunks.push(chunk));
       incoming.once("error", fail);
       incoming.once("end", () => {
         stopTimer();
         if (!incoming.complete) {
-          return reject(new Error("connection closed before the answer ended"));
+          return reject(
+            new Error("connection closed before the response was complete"),
+          );
         }
         resolve({
           status: incoming.statusCode ?? 0,
           headers: incoming.headers,
-          body: Buffer.concat(parts),
+          body: Buffer.concat(chunks),
         });
       });
       incoming.once("close", () => {
-        if (!incoming.complete) fail(new Error("connection closed early"));
+        if (!incoming.complete) {
+          fail(new Error("connection closed before the response was complete"));
+        }
       });
     });
     outgoing.end(call.body);
   });
 }
 
-/** Splits `IP:port`. */
+/** Splits `IP:port`; an IPv6 address may have brackets. */
 export function splitAddress(
   address: string,
 ): { readonly host: string; readonly port: number } {
--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -1,4 +1,4 @@
-/** Small helpers for Node's HTTP server: bodies, JSON answers, listening. */
+/** Helpers for Node's HTTP server: request bodies, JSON, listening. */
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -13,13 +13,13 @@
   request: IncomingMessage,
   limitBytes: number,
 ): Promise<Buffer> {
-  const parts: Buffer[] = [];
+  const chunks: Buffer[] = [];
   let length = 0;
   try {
-    for await (const part of request) {
-      length += (part as Buffer).length;
+    for await (const chunk of request) {
+      length += (chunk as Buffer).length;
       if (length > limitBytes) break;
-      parts.push(part as Buffer);
+      chunks.push(chunk as Buffer);
     }
   } catch {
     throw new RequestError(
@@ -33,10 +33,10 @@
       `request body exceeds ${limitBytes} bytes`,
     );
   }
-  return Buffer.concat(parts);
+  return Buffer.concat(chunks);
 }
 
-/** Answers with JSON and ends the response. */
+/** Sends a JSON response. */
 export function sendJson(
   response: ServerResponse,
   status: number,
--- a/src/connection/instance.ts
+++ b/src/connection/instance.ts
@@ -1,16 +1,16 @@
-/** What the platform says of the instances of a deployment. */
+/** Instances of a deployment, as the platform lists them. */
 
-/** Whether an instance serves on. */
+/** Whether an instance keeps serving. */
 export enum InstanceState {
   Live = "live",
   Leaving = "leaving",
 }
 
-/** One row of the platform's list of instances, which lags. */
+/** One item of the platform's list of instances, which may be stale. */
 export interface Instance {
   /** Name of an entry or of a backend server. */
   readonly name: string;
-  /** IP and port: the peer port of an entry. */
+  /** IP and port; for an entry, its peer port. */
   readonly address: string;
   readonly role: "entry" | "backend-server";
   readonly state: InstanceState;
--- a/src/connection/key_value_store.ts
+++ b/src/connection/key_value_store.ts
@@ -1,6 +1,6 @@
 /**
- * Named values on the shared objects: texts with versions and conditional
- * updates. The part of a name before the first slash is the object's kind.
+ * Key-value store on the object store: strings with versions and conditional
+ * updates. The part of a name before the first slash selects the object's kind.
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
@@ -16,31 +16,31 @@
   readonly value: string;
 }
 
-/** One row of a listing, without the value. */
+/** An item of a list, without the value. */
 export interface ValueMetadata {
   readonly name: string;
   readonly version: ObjectRevision;
-  /** Writer's time of the last write, ms since the epoch. */
+  /** Time of the last write on the writer's clock, in ms since the epoch. */
   readonly updatedMs: number;
 }
 
-/** What values are kept on. */
+/** Backing store and instance list of a key-value store. */
 export interface KeyValueStoreOptions {
   readonly objects: ObjectStore;
   /** Reads the platform's list of instances. Errors: `PlatformUnavailable`. */
   readonly listInstances: () => Promise<readonly Instance[]>;
 }
 
-/** Where a name lies among the shared objects. */
-interface ObjectPlace {
+/** Object that stores a value. */
+interface ObjectKey {
   readonly kind: string;
   readonly name: string;
 }
 
-/** Start of the kinds that are the system's own. */
+/** Prefix of the object kinds of key-value stores. */
 const KIND_PREFIX = "gypsumridge-";
 
-/** Named values; writes are never retried by themselves. */
+/** Values by name; writes are never retried automatically. */
 export class KeyValueStore {
   readonly #options: KeyValueStoreOptions;
   #closed = false;
@@ -49,7 +49,7 @@
     this.#options = options;
   }
 
-  /** Makes a store; connections open at the first call. */
+  /** Creates a store; connections open at the first call. */
   static create(options: KeyValueStoreOptions): KeyValueStore {
     return new KeyValueStore(options);
   }
@@ -62,33 +62,38 @@
 
   /** Reads a value. Errors: `PlatformUnavailable`. */
   async read(name: string): Promise<StoredValue | undefined> {
-    const place = placeOf(name);
-    const object = await this.#options.objects.read(place.kind, place.name);
-    return object === undefined ? undefined : restoreValue(object);
+    const key = objectKeyOf(name);
+    const object = await this.#options.objects.read(key.kind, key.name);
+    return object === undefined ? undefined : parseValue(object);
   }
 
   /**
    * Creates a value.
    *
-   * Errors: `VersionConflict` when it exists; `PlatformUnavailable` when the
-   * write may or may not have taken effect.
+   * Errors: `VersionConflict` when it already exists; `PlatformUnavailable`
+   * when the write may or may not have taken effect.
    */
   async create(name: string, value: string): Promise<ObjectRevision> {
-    const place = placeOf(name);
-    const object = { name: place.name, spec: createSpec(value) };
-    const created = await this.#options.objects.create(place.kind, object);
+    const key = objectKeyOf(name);
+    const object = { name: key.name, spec: createSpec(value) };
+    const created = await this.#options.objects.create(key.kind, object);
     return created.revision;
   }
 
-  /** Replaces a value at `version`. Errors: as for `create`. */
+  /**
+   * Replaces a value at `version`.
+   *
+   * Errors: `VersionConflict` when it has another version or does not exist;
+   * `PlatformUnavailable` as for `create`.
+   */
   async update(
     name: string,
     version: ObjectRevision,
     value: string,
   ): Promise<ObjectRevision> {
-    const place = placeOf(name);
-    const replaced = await this.#options.objects.replace(place.kind, {
-      name: place.name,
+    const key = objectKeyOf(name);
+    const replaced = await this.#options.objects.replace(key.kind, {
+      name: key.name,
       spec: createSpec(value),
       revision: version,
     });
@@ -96,27 +101,32 @@
     return replaced.revision;
   }
 
-  /** Writes a value whatever its version. Errors: `PlatformUnavailable`. */
+  /** Writes a value regardless of its version. Errors: as for `create`. */
   async write(name: string, value: string): Promise<ObjectRevision> {
-    const place = placeOf(name);
-    const object = { name: place.name, spec: createSpec(value) };
-    const replaced = await this.#options.objects.replace(place.kind, object);
+    const key = objectKeyOf(name);
+    const object = { name: key.name, spec: createSpec(value) };
+    const replaced = await this.#options.objects.replace(key.kind, object);
     if (replaced !== undefined) return replaced.revision;
-    return (await this.#options.objects.create(place.kind, object)).revision;
+    return (await this.#options.objects.create(key.kind, object)).revision;
   }
 
-  /** Removes a value at `version`. Errors: as for `create`. */
+  /**
+   * Removes a value at `version`, if it exists.
+   *
+   * Errors: `VersionConflict` when it has another version;
+   * `PlatformUnavailable` as for `create`.
+   */
   async remove(name: string, version: ObjectRevision): Promise<void> {
-    const place = placeOf(name);
-    await this.#options.objects.remove(place.kind, {
-      name: place.name,
+    const key = objectKeyOf(name);
+    await this.#options.objects.remove(key.kind, {
+      name: key.name,
       revision: version,
     });
   }
 
-  /** Lists values by the start of their name. Errors: `PlatformUnavailable`. */
+  /** Lists values by prefix of their name. Errors: `PlatformUnavailable`. */
   async list(prefix: string): Promise<readonly ValueMetadata[]> {
-    const { kind, name } = placeOf(prefix);
+    const { kind, name } = objectKeyOf(prefix);
     const { objects } = await this.#options.objects.list({ kind });
     const [group = ""] = prefix.split("/");
     return objects
@@ -124,7 +134,7 @@
       .map((object) => ({
         name: `${group}/${object.name}`,
         version: object.revision,
-        updatedMs: readSpec(object).writtenMs,
+        updatedMs: parseSpec(object).writtenMs,
       }));
   }
 
@@ -134,40 +144,40 @@
   }
 
   /**
-   * Yields a value each time its version differs from the last one seen, and
-   * `undefined` each time the platform could not be reached.
+   * Yields a value whenever its version changes, and `undefined` after each
+   * failed call to the platform.
    */
   async *watch(name: string): AsyncGenerator<StoredValue | undefined> {
-    const place = placeOf(name);
+    const key = objectKeyOf(name);
     const { objects } = this.#options;
-    let from: ObjectRevision | undefined;
-    let seen: ObjectRevision | undefined;
+    let sinceRevision: ObjectRevision | undefined;
+    let lastVersion: ObjectRevision | undefined;
     while (!this.#closed) {
       try {
         let found: StoredObject | undefined;
-        if (from === undefined) {
-          const list = await objects.list({ kind: place.kind });
-          found = list.objects.find((object) => object.name === place.name);
-          from = list.revision;
+        if (sinceRevision === undefined) {
+          const list = await objects.list({ kind: key.kind });
+          found = list.objects.find((object) => object.name === key.name);
+          sinceRevision = list.revision;
         } else {
           const waitMs = WATCH_TIMEOUT_MS;
           const watched = await objects.watch({
-            kind: place.kind,
-            sinceRevision: from,
+            kind: key.kind,
+            sinceRevision,
             waitMs,
           });
           found = watched.changes.findLast(({ object, isDeleted }) =>
-            object.name === place.name && !isDeleted
+            object.name === key.name && !isDeleted
           )?.object;
-          from = watched.revision;
+          sinceRevision = watched.revision;
         }
-        if (found === undefined || found.revision === seen) continue;
-        seen = found.revision;
-        yield restoreValue(found);
+        if (found === undefined || found.revision === lastVersion) continue;
+        lastVersion = found.revision;
+        yield parseValue(found);
       } catch (error) {
         if (this.#closed) return;
         if (error instanceof PlatformHistoryGone) {
-          from = undefined;
+          sinceRevision = undefined;
           continue;
         }
         yield undefined;
@@ -177,8 +187,8 @@
   }
 }
 
-/** A name without a slash is the only one of its kind. */
-function placeOf(name: string): ObjectPlace {
+/** Returns the object of a name; without a slash the kind has only this one. */
+function objectKeyOf(name: string): ObjectKey {
   const slash = name.indexOf("/");
   if (slash < 0) return { kind: `${KIND_PREFIX}${name}`, name };
   return {
@@ -191,7 +201,7 @@
   return { value, writtenMs: Date.now() };
 }
 
-function readSpec(
+function parseSpec(
   { spec }: StoredObject,
 ): { readonly value: string; readonly writtenMs: number } {
   const fields = (spec ?? {}) as { value?: unknown; writtenMs?: unknown };
@@ -201,6 +211,6 @@
   };
 }
 
-function restoreValue(object: StoredObject): StoredValue {
-  return { version: object.revision, value: readSpec(object).value };
+function parseValue(object: StoredObject): StoredValue {
+  return { version: object.revision, value: parseSpec(object).value };
 }
--- a/src/connection/object_store.ts
+++ b/src/connection/object_store.ts
@@ -1,8 +1,8 @@
-/** What all entries share: objects by kind and name, kept by the platform. */
+/** The platform's object store: shared objects by kind and name. */
 
 import type { ObjectRevision } from "../ids.ts";
 
-/** A stored object; `spec` and `status` are untrusted until restored. */
+/** A stored object; `spec` and `status` are untrusted until parsed. */
 export interface StoredObject {
   readonly name: string;
   /** Revision of the object's last change. */
@@ -14,7 +14,7 @@
 /** All objects of a kind at one revision of the store. */
 export interface ObjectList {
   readonly objects: readonly StoredObject[];
-  /** The store's revision, from which a watch goes on. */
+  /** The store's revision, from which a watch can continue. */
   readonly revision: ObjectRevision;
 }
 
@@ -24,46 +24,51 @@
   readonly isDeleted: boolean;
 }
 
-/** What a watch returned; no changes when its wait ran out. */
+/** Result of a watch; without changes when its wait expired. */
 export interface WatchResult {
   readonly changes: readonly ObjectChange[];
   readonly revision: ObjectRevision;
 }
 
-/** How a kind is watched. */
+/** Options of a watch. */
 export interface WatchOptions {
   readonly kind: string;
-  /** Revision after which changes are wanted. */
+  /** Revision after which changes are returned. */
   readonly sinceRevision: ObjectRevision;
-  /** Longest time that the store holds the call, in ms. */
+  /** Longest time to wait for changes, in ms. */
   readonly waitMs: number;
 }
 
-/** How a kind is listed. */
+/** Options of a list. */
 export interface ListOptions {
   readonly kind: string;
-  /** Accepts data that is seconds old at a tenth of the price. */
+  /** Accepts data that is seconds old, at a tenth of the cost. */
   readonly allowsStale?: boolean;
 }
 
-/** The calls on shared objects; writes are never retried by themselves. */
+/** Operations of the store; writes are never retried automatically. */
 export interface ObjectStore {
   /** Lists all objects of a kind. Errors: `PlatformUnavailable`. */
-  readonly list: (wish: ListOptions) => Promise<ObjectList>;
+  readonly list: (options: ListOptions) => Promise<ObjectList>;
   /** Reads one object. Errors: `PlatformUnavailable`. */
   readonly read: (
     kind: string,
     name: string,
   ) => Promise<StoredObject | undefined>;
-  /** Waits for changes. Errors: `PlatformHistoryGone`, `PlatformUnavailable`. */
-  readonly watch: (wish: WatchOptions) => Promise<WatchResult>;
+  /**
+   * Waits for changes.
+   *
+   * Errors: `PlatformHistoryGone`, `PlatformUnavailable`.
+   */
+  readonly watch: (options: WatchOptions) => Promise<WatchResult>;
   /** Creates an object. Errors: `VersionConflict`, `PlatformUnavailable`. */
   readonly create: (
     kind: string,
     object: { readonly name: string; readonly spec: unknown },
   ) => Promise<StoredObject>;
   /**
-   * Replaces an object; `undefined` when there is none.
+   * Replaces an object's spec, at `revision` if given; `undefined` when the
+   * object does not exist.
    *
    * Errors: `VersionConflict`, `PlatformUnavailable`.
    */
--- a/src/connection/peer_link.ts
+++ b/src/connection/peer_link.ts
@@ -1,4 +1,4 @@
-/** One WebSocket to a peer entry, the same on the dialling and accepting side. */
+/** A WebSocket link to a peer entry, for either side of the connection. */
 
 import { match } from "ts-pattern";
 import { WebSocket } from "ws";
@@ -19,26 +19,26 @@
   unpackMessage,
 } from "./peer_protocol.ts";
 
-/** What a link does with what it receives. */
+/** Handlers of a link's messages and state changes. */
 export interface PeerLinkHandlers {
   readonly onDigest: (digest: GossipDigest, link: PeerLink) => void;
-  /** Returns a chunk that this entry holds. */
+  /** Returns a chunk, or `undefined` if this entry does not hold it. */
   readonly readChunk: (hash: ContentHash) => string | undefined;
-  /** Returns changes of this entry's list of servers; none if absent. */
+  /** Returns changes to this entry's list of servers; without it, none. */
   readonly readChanges?: (after: number) => ServerChanges;
-  /** `wasOpen` says whether the link had been open before. */
+  /** `wasOpen` tells whether the link was ever open. */
   readonly onClose: (link: PeerLink, wasOpen: boolean) => void;
   readonly onOpen: () => void;
 }
 
-type AnswerWaiter = (answer: PeerResponse | undefined) => void;
+type ResponseHandler = (response: PeerResponse | undefined) => void;
 
 /** An open or opening link. */
 export class PeerLink {
   readonly #socket: WebSocket;
   readonly #handlers: PeerLinkHandlers;
-  readonly #waiting = new Map<number, AnswerWaiter>();
-  #correlation = 0;
+  readonly #pendingRequests = new Map<number, ResponseHandler>();
+  #lastCorrelation = 0;
   #wasOpen: boolean;
 
   private constructor(socket: WebSocket, handlers: PeerLinkHandlers) {
@@ -49,17 +49,17 @@
       this.#wasOpen = true;
       handlers.onOpen();
     });
-    socket.on("message", (data) => this.#receive(data as Buffer));
+    socket.on("message", (data) => this.#handleMessage(data as Buffer));
     socket.on("error", () => socket.terminate());
-    socket.on("close", () => this.#ended());
+    socket.on("close", () => this.#handleClose());
   }
 
-  /** Wraps a socket that a peer opened. */
+  /** Wraps the socket of an accepted connection. */
   static create(socket: WebSocket, handlers: PeerLinkHandlers): PeerLink {
     return new PeerLink(socket, handlers);
   }
 
-  /** Opens a link to a peer at `address`. */
+  /** Connects to a peer at `address`. */
   static dial(
     address: string,
     options: { readonly key: string; readonly handlers: PeerLinkHandlers },
@@ -83,81 +83,82 @@
     this.#socket.terminate();
   }
 
-  /** Sends a message, or drops it when the link is not open. */
+  /** Sends a message; drops it when the link is not open. */
   send(message: PeerMessage): void {
     this.sendPacked(packMessage(message));
   }
 
-  /** Sends what `packMessage` returned, which serves several links. */
+  /** Sends bytes of `packMessage`, so that links can share the packing. */
   sendPacked(bytes: Buffer): void {
     if (this.isOpen) this.#socket.send(bytes);
   }
 
-  /** Asks the peer for a chunk; `undefined` when it gives none in time. */
+  /** Requests a chunk; `undefined` when none arrives in time. */
   async requestChunk(hash: ContentHash): Promise<string | undefined> {
     const kind = PeerMessageKind.ChunkRequest;
-    const answer = await this.#ask((correlation) => ({
+    const response = await this.#request((correlation) => ({
       kind,
       correlation,
       hash,
     }));
-    const isChunk = answer?.kind === PeerMessageKind.ChunkResponse;
-    return isChunk ? answer.text ?? undefined : undefined;
+    const isChunk = response?.kind === PeerMessageKind.ChunkResponse;
+    return isChunk ? response.text ?? undefined : undefined;
   }
 
-  /** Asks the peer for changes; `undefined` when it gives none in time. */
+  /** Requests changes; `undefined` when none arrive in time. */
   async requestChanges(after: number): Promise<ServerChanges | undefined> {
     const kind = PeerMessageKind.ChangesRequest;
-    const answer = await this.#ask((correlation) => ({
+    const response = await this.#request((correlation) => ({
       kind,
       correlation,
       after,
     }));
-    const isChanges = answer?.kind === PeerMessageKind.ChangesResponse;
-    return isChanges ? answer : undefined;
+    const isChanges = response?.kind === PeerMessageKind.ChangesResponse;
+    return isChanges ? response : undefined;
   }
 
-  #ask(
+  #request(
     createRequest: (correlation: number) => PeerMessage,
   ): Promise<PeerResponse | undefined> {
-    const correlation = ++this.#correlation;
+    const correlation = ++this.#lastCorrelation;
     return new Promise((resolve) => {
       const timer = setTimeout(() => settle(undefined), PEER_CHUNK_TIMEOUT_MS);
-      const settle: AnswerWaiter = (answer) => {
+      const settle: ResponseHandler = (response) => {
         clearTimeout(timer);
-        this.#waiting.delete(correlation);
-        resolve(answer);
+        this.#pendingRequests.delete(correlation);
+        resolve(response);
       };
-      this.#waiting.set(correlation, settle);
+      this.#pendingRequests.set(correlation, settle);
       this.send(createRequest(correlation));
     });
   }
 
-  #receive(data: Buffer): void {
+  #handleMessage(data: Buffer): void {
     match(unpackMessage(data))
       .with({ kind: PeerMessageKind.Digest }, (digest) => {
         this.#handlers.onDigest(digest, this);
       })
       .with({ kind: PeerMessageKind.ChunkRequest }, (request) => {
-        this.#answerChunk(request);
+        this.#sendChunk(request);
       })
       .with({ kind: PeerMessageKind.ChangesRequest }, (request) => {
-        this.#answerChanges(request);
+        this.#sendChanges(request);
       })
       .with(
         { kind: PeerMessageKind.ChunkResponse },
         { kind: PeerMessageKind.ChangesResponse },
-        (answer) => this.#waiting.get(answer.correlation)?.(answer),
+        (response) =>
+          this.#pendingRequests.get(response.correlation)?.(response),
       )
       .otherwise(() => this.close());
   }
 
-  #answerChunk({ correlation, hash }: ChunkRequest): void {
+  #sendChunk({ correlation, hash }: ChunkRequest): void {
     const text = this.#handlers.readChunk(hash) ?? null;
     this.send({ kind: PeerMessageKind.ChunkResponse, correlation, text });
   }
 
-  #answerChanges({ correlation, after }: ChangesRequest): void {
+  #sendChanges({ correlation, after }: ChangesRequest): void {
     const changes = this.#handlers.readChanges?.(after) ??
       { upTo: after, news: [] };
     this.send({
@@ -167,8 +168,8 @@
     });
   }
 
-  #ended(): void {
-    for (const settle of [...this.#waiting.values()]) settle(undefined);
+  #handleClose(): void {
+    for (const settle of [...this.#pendingRequests.values()]) settle(undefined);
     this.#handlers.onClose(this, this.#wasOpen);
   }
 }
--- a/src/connection/peer_link_test.ts
+++ b/src/connection/peer_link_test.ts
@@ -14,7 +14,7 @@
 } from "./peer_protocol.ts";
 
 const server = createServer();
-const acceptor = new WebSocketServer({ server });
+const webSocketServer = new WebSocketServer({ server });
 const HANDLERS: PeerLinkHandlers = {
   onDigest: () => undefined,
   readChunk: () => undefined,
@@ -23,14 +23,14 @@
 };
 
 afterEach(() => {
-  acceptor.close();
+  webSocketServer.close();
   server.close();
 });
 
-test("answers out of order reach the request they belong to", async () => {
+test("responses out of order resolve the requests they belong to", async () => {
   const port = await listen(server, "127.0.0.1", 0);
   const requests: ChunkRequest[] = [];
-  acceptor.on("connection", (socket) => {
+  webSocketServer.on("connection", (socket) => {
     socket.on("message", (data) => {
       requests.push(unpackMessage(data as Buffer) as ChunkRequest);
       if (requests.length < 3) return;
@@ -38,7 +38,7 @@
         const text = `chunk ${hash}`;
         const kind = PeerMessageKind.ChunkResponse;
         socket.send(packMessage({ kind, correlation, text }));
-        socket.send(packMessage({ kind, correlation, text: "late copy" }));
+        socket.send(packMessage({ kind, correlation, text: "duplicate" }));
       }
     });
   });
@@ -55,13 +55,13 @@
   link.close();
 });
 
-test("a link that closes leaves no request waiting", async () => {
+test("closing a link resolves its pending requests", async () => {
   const port = await listen(server, "127.0.0.1", 0).catch(() => 0);
   const closed = PeerLink.dial(`127.0.0.1:${port}`, {
     key: "key",
     handlers: HANDLERS,
   });
-  const asked = closed.requestChunk(hashText("a"));
+  const pending = closed.requestChunk(hashText("a"));
   closed.close();
-  expect(await asked).toBeUndefined();
+  expect(await pending).toBeUndefined();
 });
--- a/src/connection/peer_protocol.ts
+++ b/src/connection/peer_protocol.ts
@@ -20,38 +20,39 @@
   ChangesResponse = "changes_answer",
 }
 
-/** How much a request is to blame for losses of backend servers. */
+/** Suspicion that a request crashes backend servers. */
 export interface Suspicion {
   readonly fingerprint: Fingerprint;
+  /** Weighted number of server losses; the first one counts 1. */
   readonly blame: number;
-  /** Time until it expires, in ms, so that clocks need not agree. */
+  /** Time until it expires, in ms, as the clocks of entries may differ. */
   readonly remainingMs: number;
 }
 
-/** What the platform's list said of one server, for entries cut off from it. */
+/** One change to the list of servers, for entries that can't read the store. */
 export interface ServerChangeRecord {
   readonly name: string;
-  /** Revision of the list's change; the higher one is right. */
+  /** Revision of the change; the highest one is valid. */
   readonly revision: ObjectRevision;
-  /** `null` when the server is gone. */
+  /** `null` when the server was removed. */
   readonly server: LiveServer | null;
 }
 
-/** What an entry that relays orders tells the others. */
+/** State that a relaying entry shares with its peers. */
 export interface RelayDigest {
-  /** Version of the configuration in force, and -1 before the first. */
+  /** Version of the active configuration; -1 before the first. */
   readonly configuration: number;
-  /** Work that the entry gave to servers, by server name. */
+  /** Load that the entry placed on servers, by server name. */
   readonly loads: readonly (readonly [string, ServerLoad])[];
-  /** Servers that read prompts lately, by prompt. */
+  /** Pairs of prompt key and server for recently prefilled prompts. */
   readonly prompts: readonly (readonly [string, string])[];
-  /** Count of changes of that entry's list of servers; see `ChangesRequest`. */
+  /** Number of changes to the entry's list of servers; see `ChangesRequest`. */
   readonly changes: number;
-  /** Checksum of the list of servers that the entry holds. */
+  /** Checksum of the entry's list of servers. */
   readonly listed: number;
-  /** Entries that read the platform for all. */
+  /** Entries that read the platform's store for all entries. */
   readonly readers: readonly ReaderLiveness[];
-  /** Names of servers that the entry found dead just now. */
+  /** Names of servers that the entry recently found dead. */
   readonly dead: readonly string[];
 }
 
@@ -72,7 +73,7 @@
   readonly hash: ContentHash;
 }
 
-/** Answers a chunk request; no text when the peer does not hold it. */
+/** Response to a chunk request; `null` when the peer does not hold it. */
 export interface ChunkResponse {
   readonly kind: PeerMessageKind.ChunkResponse;
   readonly correlation: number;
@@ -80,25 +81,25 @@
 }
 
 /**
- * Asks a peer for the latest changes of its list of servers. An entry whose list
- * differs asks one peer at a time, so that each change reaches it about once,
- * however many peers it has.
+ * Requests the latest changes to a peer's list of servers. An entry whose list
+ * differs asks one peer at a time, so it receives each change about once
+ * regardless of the number of peers.
  */
 export interface ChangesRequest {
   readonly kind: PeerMessageKind.ChangesRequest;
   readonly correlation: number;
-  /** Changes of the peer's list that are known already, by its own count. */
+  /** Number of the peer's changes that the entry already knows. */
   readonly after: number;
 }
 
-/** Changes of an entry's list of servers, the oldest first. */
+/** Changes to an entry's list of servers, oldest first. */
 export interface ServerChanges {
-  /** The entry's count of changes at the last one of these. */
+  /** The entry's number of changes up to and including the last of `news`. */
   readonly upTo: number;
   readonly news: readonly ServerChangeRecord[];
 }
 
-/** Answers a request for changes. */
+/** Response to a changes request. */
 export interface ChangesResponse extends ServerChanges {
   readonly kind: PeerMessageKind.ChangesResponse;
   readonly correlation: number;
@@ -112,25 +113,25 @@
   | ChangesRequest
   | ChangesResponse;
 
-/** A message that answers another one. */
+/** Any response to a request. */
 export type PeerResponse = ChunkResponse | ChangesResponse;
 
-/** Path of the peers' WebSocket. */
+/** Path of the WebSocket between entries. */
 export const PEER_PATH = "/peer";
-/** Header that carries the peers' shared key. */
+/** Header with the shared key of the entries. */
 export const PEER_KEY_HEADER = "x-peer-key";
 /** Largest message that a peer accepts, in bytes. */
 export const PEER_MESSAGE_MAX_BYTES = 1_200_000;
 
-/** Names the fields of repeated objects once a message, which saves a quarter. */
+/** Writes field names once per message, which saves a quarter of its size. */
 const PACKER = new Packr({ useRecords: true });
 
-/** Returns a message as it is sent. */
+/** Serializes a message. */
 export function packMessage(message: PeerMessage): Buffer {
   return PACKER.pack(message);
 }
 
-/** Reads a message; its shape is not checked. Errors: throws on damaged bytes. */
+/** Parses a message without validating it. Errors: throws on invalid bytes. */
 export function unpackMessage(bytes: Buffer): PeerMessage {
   return PACKER.unpack(bytes) as PeerMessage;
 }
--- a/src/connection/response_writer.ts
+++ b/src/connection/response_writer.ts
@@ -1,22 +1,22 @@
-/** The caller of an order, as the core sees it. */
+/** Writes the response to a caller's request. */
 
 import type { RequestError } from "../errors.ts";
 import type { ResponseHead } from "./backend_request.ts";
 
-/** Where the answer to one order goes. */
+/** Writer of the response to one request. */
 export interface ResponseWriter {
-  /** Aborted when the caller has gone. */
+  /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
-  /** Sends a whole answer. */
+  /** Sends a complete response. */
   readonly send: (head: ResponseHead, body: Buffer) => void;
-  /** Sends the start of a streamed answer. */
+  /** Sends the head of a streamed response. */
   readonly writeHead: (head: ResponseHead) => void;
-  /** Sends a part of the body; resolves when more can be taken. */
+  /** Sends a chunk of the body; resolves when more can be written. */
   readonly write: (bytes: Buffer) => Promise<void>;
-  /** Ends a streamed answer that is whole. */
+  /** Ends a complete streamed response. */
   readonly end: () => void;
-  /** Breaks off a streamed answer, so that it can't look whole. */
+  /** Aborts a streamed response, so that it can't look complete. */
   readonly abort: () => void;
-  /** Answers with a failure of our own. */
-  readonly sendError: (refusal: RequestError) => void;
+  /** Sends an error response of the entry itself. */
+  readonly sendError: (requestError: RequestError) => void;
 }
--- a/src/connection/stall_timer.ts
+++ b/src/connection/stall_timer.ts
@@ -1,12 +1,12 @@
-/** A timer for silence, which does not blame the peer for a pause of our own. */
+/** A timer for stalled peers that tolerates pauses of this process. */
 
-/** Fires when nothing was heard for the limit. */
+/** Fires when there was no activity for the limit. */
 export class StallTimer {
   readonly #onStall: () => void;
   #timer: NodeJS.Timeout;
   #limitMs: number;
-  #heard = false;
-  #isHeld = false;
+  #hasActivity = false;
+  #isSuspended = false;
 
   private constructor(limitMs: number, onStall: () => void) {
     this.#onStall = onStall;
@@ -19,9 +19,9 @@
     return new StallTimer(limitMs, onStall);
   }
 
-  /** Starts the silence anew. */
+  /** Records activity and restarts the timer. */
   reset(): void {
-    this.#heard = true;
+    this.#hasActivity = true;
     this.#timer.refresh();
   }
 
@@ -33,14 +33,14 @@
     this.#timer = this.#start();
   }
 
-  /** Lets silence pass while the reader itself does not read. */
+  /** Ignores inactivity while the reader itself does not read. */
   suspend(): void {
-    this.#isHeld = true;
+    this.#isSuspended = true;
   }
 
-  /** Counts silence again, from now. */
+  /** Counts inactivity again, from now. */
   resume(): void {
-    this.#isHeld = false;
+    this.#isSuspended = false;
     this.#timer.refresh();
   }
 
@@ -53,12 +53,12 @@
     return setTimeout(() => this.#expire(), this.#limitMs);
   }
 
-  /** What arrived while this process stood still is read before judging. */
+  /** Reads what arrived while the event loop was blocked before it fires. */
   #expire(): void {
-    if (this.#isHeld) return;
-    this.#heard = false;
+    if (this.#isSuspended) return;
+    this.#hasActivity = false;
     setImmediate(() => {
-      if (!this.#heard) this.#onStall();
+      if (!this.#hasActivity) this.#onStall();
     });
   }
 }
