--- a/src/connection/http_call.ts
+++ b/src/connection/http_call.ts
@@ -49,7 +49,8 @@
     const expire = () => {
       outgoing.destroy(new Error(`no response within ${call.timeoutMs} ms`));
     };
-    // Reads a response that arrived while the event loop was blocked.
+    // If the event loop was blocked past the timeout, a response that arrived
+    // meanwhile is read first.
     let timer: NodeJS.Timeout | NodeJS.Immediate = setTimeout(() => {
       timer = setImmediate(expire);
     }, call.timeoutMs);
--- a/src/connection/peer_protocol.ts
+++ b/src/connection/peer_protocol.ts
@@ -32,7 +32,7 @@
 /** One change to the list of servers, for entries that can't read the store. */
 export interface ServerChangeRecord {
   readonly name: string;
-  /** Revision of the change; the highest one is valid. */
+  /** Revision of the change; the highest one takes precedence. */
   readonly revision: ObjectRevision;
   /** `null` when the server was removed. */
   readonly server: LiveServer | null;
--- a/src/connection/stall_timer.ts
+++ b/src/connection/stall_timer.ts
@@ -1,6 +1,6 @@
 /** A timer for stalled peers that tolerates pauses of this process. */
 
-/** Fires when there was no activity for the limit. */
+/** Fires after a given time without activity. */
 export class StallTimer {
   readonly #onStall: () => void;
   #timer: NodeJS.Timeout;
@@ -53,7 +53,7 @@
     return setTimeout(() => this.#expire(), this.#limitMs);
   }
 
-  /** Reads what arrived while the event loop was blocked before it fires. */
+  /** Before firing, reads data that arrived while the loop was blocked. */
   #expire(): void {
     if (this.#isSuspended) return;
     this.#hasActivity = false;
