Reword the entry, the relay and the server pool

After the exported names were renamed, comments and local names of these files still used the old words: a fleet, a wish for a server, orders, what is "told" and "taken over", and "entries" both for entry processes and for the registrations of backend servers.

Use one term each: server pool, criteria, request, digest, registration, and rename private members and locals after what they hold. No text that leaves the process has changed.

--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -1,4 +1,4 @@
-/** An entry: everything that one `gypsumridge-entry` process holds and runs. */
+/** The `gypsumridge-entry` process: HTTP server, server pool and peer links. */
 
 import { createServer, type Server } from "node:http";
 import { performance } from "node:perf_hooks";
@@ -35,12 +35,12 @@
   readonly peerPort: number;
 }
 
-/** How long new work waits after a pause for fresh views, in ms. */
-const REFRESH_LIMIT_MS = 1_000;
-/** Keeps all entries together to 100 readings of the list a second. */
-const LIST_MS_PER_ENTRY = 10;
+/** How long new requests wait for the refresh after a pause, in ms. */
+const REFRESH_TIMEOUT_MS = 1_000;
+/** Limits all entries together to 100 instance list calls a second. */
+const LIST_INTERVAL_PER_ENTRY_MS = 10;
 
-/** What an entry is made of. */
+/** Dependencies and settings of an entry. */
 export interface EntryOptions {
   readonly settings: EntrySettings;
   readonly log: Log;
@@ -56,10 +56,10 @@
   readonly #peers: Peers;
   readonly #context: EntryContext;
   readonly #server: Server;
-  readonly #status: EntryStatusWriter;
-  readonly #open = OpenRequests.create();
+  readonly #statusWriter: EntryStatusWriter;
+  readonly #openRequests = OpenRequests.create();
   #isStopping = false;
-  #closed = false;
+  #isClosed = false;
 
   private constructor({ settings, log, platform }: EntryOptions) {
     this.#settings = settings;
@@ -71,23 +71,23 @@
       key: settings.peerKey,
       log,
       createDigest: () => this.#createDigest(),
-      onDigest: (digest) => this.#takeDigest(digest),
+      onDigest: (digest) => this.#mergeDigest(digest),
       readChunk: (hash) => this.#context.revisionStore.chunk(hash),
     });
-    this.#status = EntryStatusWriter.create(this.#context);
+    this.#statusWriter = EntryStatusWriter.create(this.#context);
     this.#server = createServer((request, response) => {
-      this.#open.track(response);
+      this.#openRequests.track(response);
       serve(this.#context, request, response);
     });
     this.#server.keepAliveTimeout = 30_000;
   }
 
-  /** Makes an entry; `start` opens it. */
+  /** Creates an entry; `start` makes it listen. */
   static create(options: EntryOptions): Entry {
     return new Entry(options);
   }
 
-  /** Listens and starts the tasks that keep its views; resolves with ports. */
+  /** Listens and starts the background tasks; resolves with the ports. */
   async start(): Promise<EntryPorts> {
     const { host, port, peerPort } = this.#settings;
     const ports = {
@@ -97,38 +97,38 @@
     this.#log(LOG_EVENTS.listening, ports);
     this.#watchHead();
     this.#watchInstances();
-    this.#status.start();
+    this.#statusWriter.start();
     return ports;
   }
 
   /**
-   * Stops without cutting a request off: listens on until the balancer has had
-   * time to notice, then waits for open requests. Resolves with whether all
-   * of them ended before the deadline.
+   * Shuts down gracefully: keeps accepting until the load balancer has had time
+   * to notice, then waits for open requests. Resolves with whether all of them
+   * ended before the deadline.
    */
   async stop(): Promise<boolean> {
     const {
-      shutdownNoticeMs: stopNoticeMs,
-      shutdownDeadlineMs: stopDeadlineMs,
+      shutdownNoticeMs: noticeMs,
+      shutdownDeadlineMs: deadlineMs,
     } = this.#settings;
     this.#isStopping = true;
     return await shutDownGracefully({
       server: this.#server,
-      open: this.#open,
+      open: this.#openRequests,
       log: this.#log,
-      noticeMs: stopNoticeMs,
-      deadlineMs: stopDeadlineMs,
+      noticeMs,
+      deadlineMs,
       onDrained: () => Promise.resolve(this.close()),
     });
   }
 
-  /** Ends everything at once. */
+  /** Closes all connections and stops all tasks at once. */
   close(): void {
-    this.#closed = true;
+    this.#isClosed = true;
     this.#context.pauseDetector.close();
     this.#context.serverPool.close();
     this.#peers.close();
-    this.#status.close();
+    this.#statusWriter.close();
     this.#platform.close();
     this.#server.close();
     this.#server.closeAllConnections();
@@ -137,7 +137,7 @@
   #createContext(): EntryContext {
     const now = () => performance.now();
     const log = this.#log;
-    const fleet = ServerPool.create({
+    const serverPool = ServerPool.create({
       now,
       random: Math.random,
       log,
@@ -147,31 +147,33 @@
     });
     const dispatcher = Dispatcher.create({
       now,
-      pool: fleet,
+      pool: serverPool,
       queueMaxLength: this.#settings.queueMaxLength,
       policy: this.#settings.policy,
       log,
     });
     const metrics = Metrics.create();
-    const store = RevisionStore.create((hash) => this.#fetchChunk(hash));
-    store.subscribe((deployment) => {
+    const revisionStore = RevisionStore.create((hash) =>
+      this.#fetchChunk(hash)
+    );
+    revisionStore.subscribe((deployment) => {
       metrics.revision.set(deployment.revision);
       log(LOG_EVENTS.revisionAdopted, { revision: deployment.revision });
-      fleet.setDeployment(deployment);
-      this.#status.scheduleWrite();
+      serverPool.setDeployment(deployment);
+      this.#statusWriter.scheduleWrite();
     });
     return {
       settings: this.#settings,
       log,
       metrics,
       platform: this.#platform,
-      revisionStore: store,
-      serverPool: fleet,
+      revisionStore,
+      serverPool,
       dispatcher,
       actionStore: ActionStore.create({ platform: this.#platform, log, now }),
       suspicions: CrashSuspicions.create({
         now,
-        onRecord: () => this.#status.scheduleWrite(),
+        onRecord: () => this.#statusWriter.scheduleWrite(),
       }),
       pauseDetector: PauseDetector.create({
         now,
@@ -183,34 +185,34 @@
     };
   }
 
-  /** The platform first; during an outage a peer supplies the chunk. */
+  /** Reads a chunk from the platform, or from a peer if that fails. */
   async #fetchChunk(hash: ContentHash): Promise<string | undefined> {
     try {
       const stored = await this.#platform.read(chunkName(hash));
       if (stored !== undefined) return stored.value;
     } catch {
-      // The peers are asked instead.
+      // Fall through to the peers.
     }
     return await this.#peers.fetchChunk(hash);
   }
 
   async #watchHead(): Promise<void> {
-    let isReached = true;
+    let isReachable = true;
     for await (const stored of this.#platform.watch(HEAD_NAME)) {
       if (stored === undefined) {
-        if (isReached) this.#log(LOG_EVENTS.platformUnreachable);
-        isReached = false;
+        if (isReachable) this.#log(LOG_EVENTS.platformUnreachable);
+        isReachable = false;
         continue;
       }
-      if (!isReached) this.#log(LOG_EVENTS.platformRecovered);
-      isReached = true;
-      await this.#adopt(JSON.parse(stored.value) as Head);
+      if (!isReachable) this.#log(LOG_EVENTS.platformRecovered);
+      isReachable = true;
+      await this.#adoptHead(JSON.parse(stored.value) as Head);
     }
   }
 
-  /** Adopts a head, again and again until its chunks can be had. */
-  async #adopt(head: Head): Promise<void> {
-    while (!this.#closed) {
+  /** Adopts a head; retries until all of its chunks could be fetched. */
+  async #adoptHead(head: Head): Promise<void> {
+    while (!this.#isClosed) {
       if (await this.#context.revisionStore.adopt(head)) return;
       this.#log(LOG_EVENTS.revisionFailed, { revision: head.revision });
       await sleep(INSTANCE_LIST_INTERVAL_MS);
@@ -218,7 +220,7 @@
   }
 
   async #watchInstances(): Promise<void> {
-    while (!this.#closed) {
+    while (!this.#isClosed) {
       try {
         const instances = await this.#platform.instances();
         this.#context.serverPool.setInstances(instances);
@@ -226,14 +228,15 @@
         const { count } = this.#peers.entryPosition;
         this.#context.metrics.liveEntries.set(count);
       } catch {
-        // The last list stays in use; servers report their leaving themselves.
+        // Keep the last list; servers also report that they are leaving.
       }
-      const spreadMs = this.#peers.entryPosition.count * LIST_MS_PER_ENTRY;
-      await sleep(Math.max(INSTANCE_LIST_INTERVAL_MS, spreadMs));
+      const minIntervalMs = this.#peers.entryPosition.count *
+        LIST_INTERVAL_PER_ENTRY_MS;
+      await sleep(Math.max(INSTANCE_LIST_INTERVAL_MS, minIntervalMs));
     }
   }
 
-  /** After a pause: learn the head from the platform, or from a peer. */
+  /** Reads the head again after a pause of the process. */
   async #refresh(pausedMs: number): Promise<void> {
     this.#log(LOG_EVENTS.paused, { paused_ms: Math.round(pausedMs) });
     const read = async () => {
@@ -241,8 +244,8 @@
       if (stored === undefined) return;
       await this.#context.revisionStore.adopt(JSON.parse(stored.value) as Head);
     };
-    const limit = sleep(REFRESH_LIMIT_MS);
-    await Promise.race([read().catch(() => limit), limit]);
+    const timeout = sleep(REFRESH_TIMEOUT_MS);
+    await Promise.race([read().catch(() => timeout), timeout]);
   }
 
   #createDigest(): GossipDigest {
@@ -254,7 +257,7 @@
     };
   }
 
-  #takeDigest({ head, suspicions }: GossipDigest): void {
+  #mergeDigest({ head, suspicions }: GossipDigest): void {
     this.#context.suspicions.merge(suspicions);
     if (head !== null) this.#context.revisionStore.adopt(head);
   }
--- a/src/process/entry_context.ts
+++ b/src/process/entry_context.ts
@@ -1,4 +1,4 @@
-/** What an entry's requests share. */
+/** Dependencies that the requests of one entry share. */
 
 import type { KeyValueStore } from "../connection/key_value_store.ts";
 import type { RevisionStore } from "../version/revision_store.ts";
@@ -25,8 +25,8 @@
   readonly pauseDetector: PauseDetector;
   /** Monotonic clock, in ms. */
   readonly now: () => number;
-  /** Where this entry stands among the live ones. */
+  /** This entry's position among the live ones. */
   readonly entryPosition: () => EntryPosition;
-  /** Whether a planned stop is under way. */
+  /** Whether a graceful shutdown is in progress. */
   readonly isStopping: () => boolean;
 }
--- a/src/process/entry_status.ts
+++ b/src/process/entry_status.ts
@@ -1,4 +1,4 @@
-/** Writes what an entry makes of the deployment to its status object. */
+/** Writes an entry's view of the deployment to its status object. */
 
 import { STATUS_INTERVAL_MS } from "../constants.ts";
 import type { EntryId, Fingerprint, Revision } from "../ids.ts";
@@ -6,19 +6,19 @@
 import type { EntryContext } from "./entry_context.ts";
 import { conditionOf, type ServerCondition } from "./server_view.ts";
 
-/** Status of one entry. */
+/** Status of one entry, as written to the platform. */
 export interface EntryStatus {
   readonly entry: EntryId;
   readonly zone: string;
   readonly revision: Revision;
-  /** ISO 8601 time of writing. */
+  /** Time of the write, in ISO 8601. */
   readonly time: string;
   readonly stopping: boolean;
   readonly servers: readonly ServerStatus[];
   readonly suspicions: readonly SuspicionStatus[];
 }
 
-/** What an entry makes of one backend server. */
+/** An entry's view of one backend server. */
 export interface ServerStatus {
   readonly name: string;
   readonly service: string;
@@ -26,68 +26,71 @@
   readonly inFlight: number;
 }
 
-/** A request that an entry suspects. */
+/** A request that an entry suspects of crashing backend servers. */
 export interface SuspicionStatus {
   readonly fingerprint: Fingerprint;
   readonly blame: number;
   readonly expiresInS: number;
 }
 
-/** Pause before a write, so that changes which come together make one. */
-const MIN_PAUSE_MS = 100;
-/** Spreads the writes of all entries after a change to 200 a second. */
-const PAUSE_MS_PER_ENTRY = 5;
+/** Delay before a write, in ms, so that close changes are coalesced. */
+const WRITE_DELAY_MIN_MS = 100;
+/** Limits the writes of all entries after a change to 200 a second. */
+const WRITE_JITTER_PER_ENTRY_MS = 5;
 
-/** Writes an entry's status when it changes, and at an interval. */
+/** Writes an entry's status when it changes, and periodically. */
 export class EntryStatusWriter {
   readonly #context: EntryContext;
-  #timer: NodeJS.Timeout | undefined;
-  #pending: NodeJS.Timeout | undefined;
+  #interval: NodeJS.Timeout | undefined;
+  #pendingWrite: NodeJS.Timeout | undefined;
 
   private constructor(context: EntryContext) {
     this.#context = context;
   }
 
-  /** Makes a writer; `start` begins the interval. */
+  /** Creates a writer; `start` begins the periodic writes. */
   static create(context: EntryContext): EntryStatusWriter {
     return new EntryStatusWriter(context);
   }
 
-  /** Begins to write at an interval. */
+  /** Starts the periodic writes. */
   start(): void {
-    this.#timer = setInterval(() => this.scheduleWrite(), STATUS_INTERVAL_MS);
+    this.#interval = setInterval(
+      () => this.scheduleWrite(),
+      STATUS_INTERVAL_MS,
+    );
   }
 
   /** Stops writing. */
   close(): void {
-    clearInterval(this.#timer);
-    clearTimeout(this.#pending);
+    clearInterval(this.#interval);
+    clearTimeout(this.#pendingWrite);
   }
 
-  /** Writes the status soon; calls that come together make one write. */
+  /** Schedules a write of the status; calls until then are coalesced. */
   scheduleWrite(): void {
-    const spreadMs = this.#context.entryPosition().count * PAUSE_MS_PER_ENTRY;
-    const pauseMs = MIN_PAUSE_MS + Math.random() * spreadMs;
-    this.#pending ??= setTimeout(async () => {
-      this.#pending = undefined;
+    const maxJitterMs = this.#context.entryPosition().count *
+      WRITE_JITTER_PER_ENTRY_MS;
+    const delayMs = WRITE_DELAY_MIN_MS + Math.random() * maxJitterMs;
+    this.#pendingWrite ??= setTimeout(async () => {
+      this.#pendingWrite = undefined;
       const { platform, settings } = this.#context;
       const value = JSON.stringify(createEntryStatus(this.#context));
       await platform.write(entryStatusName(settings.id), value)
         .catch(() => undefined);
-    }, pauseMs);
+    }, delayMs);
   }
 }
 
 function createEntryStatus(context: EntryContext): EntryStatus {
-  const { settings, revisionStore: store, serverPool: fleet, suspicions, now } =
-    context;
+  const { settings, revisionStore, serverPool, suspicions, now } = context;
   return {
     entry: settings.id,
     zone: settings.zone,
-    revision: store.deployment.revision,
+    revision: revisionStore.deployment.revision,
     time: new Date().toISOString(),
     stopping: context.isStopping(),
-    servers: fleet.views().map((view) => ({
+    servers: serverPool.views().map((view) => ({
       name: view.server.name,
       service: view.server.service,
       condition: conditionOf(view, now()),
--- a/src/process/entry_view.ts
+++ b/src/process/entry_view.ts
@@ -1,42 +1,42 @@
-/** What an entry knows of its deployment, as it tells it in its log. */
+/** An entry's view of its deployment, written to its log. */
 
 import { LOG_EVENTS } from "./log_events.ts";
 import type { LiveServerView } from "./live_server.ts";
 import type { Log, LogDetails } from "./log.ts";
 
-/** What an entry knows at one moment. */
+/** Snapshot of an entry's view of its deployment. */
 export interface EntryView {
-  /** Version of the configuration in force, -1 before the first. */
+  /** Version of the adopted configuration; -1 before the first. */
   readonly configuration: number;
-  /** The same for entries that hold the same list of backend servers. */
+  /** Checksum of the server list; equal for entries with equal lists. */
   readonly listed: string;
-  /** Whether the entry reads the store for others. */
+  /** Whether the entry reads the store for all entries. */
   readonly isReading: boolean;
-  /** Entries heard of or registered, this one included. */
+  /** Number of entries, this one included; see `Relay.entryCount`. */
   readonly entries: number;
-  /** Count of servers that get new work. */
+  /** Number of servers that get new requests. */
   readonly serving: number;
-  /** Names of servers that finish their work and get no more. */
+  /** Names of servers that finish their requests and get no new ones. */
   readonly leaving: readonly string[];
-  /** Names of servers that get no new work for a while after a loss. */
+  /** Names of servers that get no new requests for a while after a failure. */
   readonly ejected: readonly string[];
 }
 
-/** What the writer of views needs of its process. */
+/** Dependencies of an `EntryViewWriter`. */
 export interface EntryViewWriterOptions {
   readonly log: Log;
-  /** Returns what is known now. */
+  /** Returns the current view. */
   readonly view: () => EntryView;
 }
 
-/** How often a changed view is looked for, in ms; a line a second would be half the log. */
-const CHECK_MS = 2_000;
-/** A view is written so often without a change too, so that silence shows, in ms. */
+/** Interval of checks, in ms; a line a second would be half of the log. */
+const CHECK_INTERVAL_MS = 2_000;
+/** Interval for logging an unchanged view, in ms; shows that the entry runs. */
 export const ENTRY_VIEW_REPEAT_MS = 60_000;
-/** Names in one line; more of them are a lost zone, which has a line of its own. */
-const NAMES_MAX = 24;
+/** Names per line; only a failed zone has more, and has its own log event. */
+const LOGGED_NAMES_MAX = 24;
 
-/** Sorts servers by whether they get new work. */
+/** Groups servers by whether they get new requests. */
 export function groupServersByState(
   servers: Iterable<LiveServerView>,
   nowMs: number,
@@ -44,57 +44,60 @@
   const leaving: string[] = [];
   const ejected: string[] = [];
   let serving = 0;
-  for (const { server, ejectedUntilMs: avoidUntilMs } of servers) {
+  for (const { server, ejectedUntilMs } of servers) {
     if (server.isLeaving) leaving.push(server.name);
-    else if (avoidUntilMs > nowMs) ejected.push(server.name);
+    else if (ejectedUntilMs > nowMs) ejected.push(server.name);
     else serving++;
   }
   return { serving, leaving: leaving.sort(), ejected: ejected.sort() };
 }
 
-/** Writes an entry's view to the log when it has changed, and at an interval. */
+/** Logs an entry's view when it has changed, and periodically. */
 export class EntryViewWriter {
   readonly #options: EntryViewWriterOptions;
-  #timer: NodeJS.Timeout | undefined;
-  #written = "";
-  #checksLeft = 0;
+  #interval: NodeJS.Timeout | undefined;
+  #lastLogged = "";
+  #checksUntilRepeat = 0;
 
   private constructor(options: EntryViewWriterOptions) {
     this.#options = options;
   }
 
-  /** Makes a writer; `start` begins the checks. */
+  /** Creates a writer; `start` begins the checks. */
   static create(options: EntryViewWriterOptions): EntryViewWriter {
     return new EntryViewWriter(options);
   }
 
-  /** Begins to look for changes. */
+  /** Starts the periodic checks. */
   start(): void {
-    this.#timer = setInterval(() => this.writeIfChanged(), CHECK_MS);
+    this.#interval = setInterval(
+      () => this.writeIfChanged(),
+      CHECK_INTERVAL_MS,
+    );
   }
 
-  /** Ends the checks. */
+  /** Stops the checks. */
   close(): void {
-    clearInterval(this.#timer);
+    clearInterval(this.#interval);
   }
 
-  /** Writes the view if it differs from the written one, or that one is old. */
+  /** Logs the view if it has changed or `ENTRY_VIEW_REPEAT_MS` have passed. */
   writeIfChanged(): void {
-    const details = describeView(this.#options.view());
+    const details = createLogDetails(this.#options.view());
     const text = JSON.stringify(details);
-    if (text === this.#written && --this.#checksLeft > 0) return;
-    this.#written = text;
-    this.#checksLeft = ENTRY_VIEW_REPEAT_MS / CHECK_MS;
+    if (text === this.#lastLogged && --this.#checksUntilRepeat > 0) return;
+    this.#lastLogged = text;
+    this.#checksUntilRepeat = ENTRY_VIEW_REPEAT_MS / CHECK_INTERVAL_MS;
     this.#options.log(LOG_EVENTS.entryView, details);
   }
 }
 
-function describeView(view: EntryView): LogDetails {
+function createLogDetails(view: EntryView): LogDetails {
   return {
     ...view,
-    leaving: view.leaving.slice(0, NAMES_MAX),
+    leaving: view.leaving.slice(0, LOGGED_NAMES_MAX),
     leavingCount: view.leaving.length,
-    ejected: view.ejected.slice(0, NAMES_MAX),
+    ejected: view.ejected.slice(0, LOGGED_NAMES_MAX),
     ejectedCount: view.ejected.length,
   };
 }
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -1,4 +1,7 @@
-/** The core of an entry that relays orders: its views, its queue, its budget. */
+/**
+ * Shared state of an entry that proxies requests: the server list, the request
+ * queue, the retry budget and what it exchanges with other entries.
+ */
 
 import type { ReportFetcher } from "../connection/backend_report.ts";
 import {
@@ -30,7 +33,7 @@
 import { ReaderElection } from "./reader_election.ts";
 import { CrashSuspicions } from "./crash_suspicions.ts";
 
-/** What a relay needs of its process. */
+/** Dependencies and settings of a relay. */
 export interface RelayOptions {
   readonly entry: EntryId;
   readonly log: Log;
@@ -39,86 +42,91 @@
   readonly releaseKvCopy: KvCopyReleaser;
   /** Monotonic clock, in ms. */
   readonly now: () => number;
-  /** Number from 0 up to 1. */
+  /** Returns a random number in [0, 1). */
   readonly random: () => number;
   readonly retryRatio: number;
   readonly retryAllowance: number;
   readonly retryWindowMs: number;
-  /** Which waiting order is served first; fair if absent. */
+  /** Which queued request is served first; fair if absent. */
   readonly queueOrder?: QueueOrder;
-  /** Called when a stream was given to a server. */
+  /** Called when a stream was assigned to a server. */
   readonly onStreamPlaced?: () => void;
-  /** Called when the store told of a change that other entries may not know. */
+  /** Called when the store reported a change that peers may not have yet. */
   readonly onStoreChange?: () => void;
 }
 
-/** A change of the platform's list of servers. */
+/** A change in the platform's server list. */
 export interface ServerChange {
   readonly name: string;
   readonly revision: ObjectRevision;
-  /** `undefined` when the server is gone or can't be used. */
+  /** `undefined` when the server was removed or can't be used. */
   readonly server: LiveServer | undefined;
 }
 
-/** Requests that may wait in one rank of a service at one entry. */
-const QUEUE_LENGTH = 200;
-/** Checksums are printed in hexadecimal digits. */
+/** Requests that an entry queues per service and priority rank. */
+const QUEUE_MAX_LENGTH = 200;
+/** Checksums are printed in hexadecimal. */
 const CHECKSUM_RADIX = 16;
-/** Time for entries to return that lapsed while the store was away, in ms. */
-const RETURN_MS = 1_900;
+/**
+ * Time for servers to register again whose registrations expired during an
+ * outage of the store, in ms.
+ */
+const REREGISTRATION_GRACE_MS = 1_900;
 
-/** What the orders of one process share. */
+/** State that all requests of one entry process share. */
 export class Relay {
   readonly context: RelayContext;
   readonly servers: LiveServers;
   readonly #options: RelayOptions;
-  readonly #others: PeerLoads;
-  readonly #list: ServerList;
-  /** Decides whether this entry reads the store for all. */
+  readonly #peerLoads: PeerLoads;
+  readonly #serverList: ServerList;
+  /** Decides whether this entry reads the store for all entries. */
   readonly readerElection: ReaderElection;
-  /** Resolves once the first configuration is in force. */
+  /** Resolves once the first configuration has been adopted. */
   readonly configured: Promise<void>;
-  #setConfigured: () => void = () => undefined;
+  #resolveConfigured: () => void = () => undefined;
   #routes: RouteTable | undefined;
-  #registered = 1;
+  #registeredEntryCount = 1;
 
   private constructor(options: RelayOptions) {
     this.#options = options;
-    this.configured = new Promise((resolve) => this.#setConfigured = resolve);
+    this.configured = new Promise((resolve) =>
+      this.#resolveConfigured = resolve
+    );
     const { entry, log, now, random } = options;
-    this.#list = ServerList.create({ now });
+    this.#serverList = ServerList.create({ now });
     this.readerElection = ReaderElection.create({
       entry,
       now,
       isPartialMesh: () => this.entryCount >= PARTIAL_MESH_MIN_ENTRIES,
       onStoreUnreachable: () => options.onStoreChange?.(),
     });
-    this.#others = PeerLoads.create(now);
+    this.#peerLoads = PeerLoads.create(now);
     this.servers = LiveServers.create({
       now,
       random,
       log,
-      kvCacheTokensOf: (service) => this.#memoryTokensOf(service),
+      kvCacheTokensOf: (service) => this.#kvCacheTokensOf(service),
       onCapacityAvailable: () => dispatcher.pump(),
     });
     const { servers } = this;
     const dispatcher = Dispatcher.create<SlotRequest>({
       now,
       log,
-      queueMaxLength: QUEUE_LENGTH,
+      queueMaxLength: QUEUE_MAX_LENGTH,
       policy: {
         queueOrder: options.queueOrder ?? QueueOrder.Fair,
         routing: Routing.LeastLoaded,
-        // Engines preempt by priority themselves.
+        // Engines preempt by priority on their own.
         preempts: false,
         refusesEarly: true,
       },
       pool: {
-        choose: (wish) => servers.choose(wish),
-        begin: (name, { load, onAssigned: onPlaced }) => {
+        choose: (criteria) => servers.choose(criteria),
+        begin: (name, { load, onAssigned }) => {
           servers.begin(name, load);
-          onPlaced?.(name);
-          // Others that choose in the same moment would choose the same server.
+          onAssigned?.(name);
+          // Announced at once, or peers that choose now pick the same server.
           if (load.tokens > 0) options.onStreamPlaced?.();
         },
         end: (name, { load }) => servers.end(name, load),
@@ -148,49 +156,52 @@
     };
   }
 
-  /** Makes a relay that knows no configuration and no servers. */
+  /** Creates a relay without a configuration and without servers. */
   static create(options: RelayOptions): Relay {
     return new Relay(options);
   }
 
-  /** The configuration in force; `undefined` before the first. */
+  /** The adopted configuration; `undefined` before the first. */
   get routes(): RouteTable | undefined {
     return this.#routes;
   }
 
-  /** Version of the configuration in force, and -1 before the first. */
+  /** Version of the adopted configuration; -1 before the first. */
   get configurationVersion(): number {
     return this.#routes?.version ?? -1;
   }
 
-  /** Count of entries, this one included: those heard of, or registered. */
+  /**
+   * Number of entries, this one included: the larger of those registered and
+   * those whose digests arrive.
+   */
   get entryCount(): number {
-    return Math.max(this.#registered, this.#others.peerCount + 1);
+    return Math.max(this.#registeredEntryCount, this.#peerLoads.peerCount + 1);
   }
 
-  /** Takes over how many entries are registered; links reach only some. */
+  /** Sets the number of registered entries; peer links reach only some. */
   setRegisteredEntryCount(count: number): void {
-    this.#registered = count;
+    this.#registeredEntryCount = count;
   }
 
-  /** Notes that a link to an entry ended, most likely with its process. */
+  /** Drops the state of a peer whose link closed; it has most likely exited. */
   removePeer(entry: EntryId): void {
     this.readerElection.forget(entry);
-    this.#list.forgetPeer(entry);
-    this.#others.forget(entry);
-    this.servers.setPeerLoads(() => this.#others.total());
+    this.#serverList.forgetPeer(entry);
+    this.#peerLoads.forget(entry);
+    this.servers.setPeerLoads(() => this.#peerLoads.total());
   }
 
-  /** Whether the list of servers has to be read from the store anew. */
+  /** Whether the server list has to be read from the store again. */
   get needsServerRelist(): boolean {
-    return this.#list.needsRelist;
+    return this.#serverList.needsRelist;
   }
 
-  /** Puts a configuration in force unless it is older; returns whether it did. */
+  /** Adopts a configuration if it is newer; returns whether it did. */
   adopt(table: RouteTable, source: string): boolean {
     if (table.version <= this.configurationVersion) return false;
     this.#routes = table;
-    this.#setConfigured();
+    this.#resolveConfigured();
     this.servers.refreshMemoryLimits();
     this.context.metrics.configurationVersion.set(table.version);
     this.#options.log(LOG_EVENTS.revisionAdopted, {
@@ -201,10 +212,11 @@
   }
 
   /**
-   * Takes over the whole list of servers at a revision of the store.
+   * Replaces the server list by a complete one at a revision of the store.
    *
-   * @param isAfterOutage whether entries may be missing that lapsed while the
-   * store was away; their servers stay in use until they had time to return
+   * @param isAfterOutage whether registrations may be missing because they
+   * expired during an outage of the store; their servers stay in use until they
+   * had time to register again
    */
   replaceServerList(
     servers: readonly ServerChange[],
@@ -213,64 +225,69 @@
       readonly isAfterOutage: boolean;
     },
   ): void {
-    for (const change of servers) this.#takeFromStore(change);
-    const listed = new Set(servers.map(({ name }) => name));
-    for (const missing of this.#list.missing(listed, revision)) {
-      this.#drop(missing, isAfterOutage);
+    for (const change of servers) this.#applyStoreChange(change);
+    const listedNames = new Set(servers.map(({ name }) => name));
+    for (const missing of this.#serverList.missing(listedNames, revision)) {
+      this.#remove(missing, isAfterOutage);
     }
-    this.#list.markLoaded();
+    this.#serverList.markLoaded();
   }
 
-  /** Takes over changes of the list; see `replaceServerList`. */
+  /** Applies changes from the store; see `replaceServerList`. */
   applyServerChanges(
     changes: readonly ServerChange[],
     isAfterOutage: boolean,
   ): void {
     for (const change of changes) {
-      if (change.server === undefined) this.#drop(change, isAfterOutage);
-      else this.#takeFromStore(change);
+      if (change.server === undefined) this.#remove(change, isAfterOutage);
+      else this.#applyStoreChange(change);
     }
   }
 
-  #drop(
+  #remove(
     { name, revision }: Pick<ServerChange, "name" | "revision">,
     isAfterOutage: boolean,
   ): void {
-    const gone: ServerChange = { name, revision, server: undefined };
-    if (!isAfterOutage) return this.#takeFromStore(gone);
-    const held = this.#list.find(name)?.revision;
+    const removal: ServerChange = { name, revision, server: undefined };
+    if (!isAfterOutage) return this.#applyStoreChange(removal);
+    const knownRevision = this.#serverList.find(name)?.revision;
     setTimeout(() => {
-      const isBack = this.#list.find(name)?.revision !== held;
-      if (!isBack) this.#takeFromStore(gone);
-    }, RETURN_MS).unref();
+      const hasReregistered =
+        this.#serverList.find(name)?.revision !== knownRevision;
+      if (!hasReregistered) this.#applyStoreChange(removal);
+    }, REREGISTRATION_GRACE_MS).unref();
   }
 
-  /** Takes over a change that the store told, and has it passed on at once. */
-  #takeFromStore(change: ServerChange): void {
-    if (this.#changeServer(change)) this.#options.onStoreChange?.();
+  /** Applies a change read from the store and has it sent to peers at once. */
+  #applyStoreChange(change: ServerChange): void {
+    if (this.#applyChange(change)) this.#options.onStoreChange?.();
   }
 
-  /** Takes over a change unless a newer one is known; returns whether it did. */
-  #changeServer({ name, revision, server }: ServerChange): boolean {
-    const isNew = this.#list.apply({ name, revision, server: server ?? null });
+  /** Applies a change unless a newer one is known; returns whether it did. */
+  #applyChange({ name, revision, server }: ServerChange): boolean {
+    const isNew = this.#serverList.apply({
+      name,
+      revision,
+      server: server ?? null,
+    });
     if (!isNew) return false;
     if (server === undefined) this.servers.delete(name);
     else this.servers.set(server);
     return true;
   }
 
-  /** Returns what this entry knows, for its log. */
+  /** Returns a snapshot of the entry's state, for its log. */
   view(): EntryView {
     return {
       configuration: this.configurationVersion,
-      listed: this.#list.checksum.toString(CHECKSUM_RADIX),
+      listed: this.#serverList.checksum.toString(CHECKSUM_RADIX),
       isReading: this.readerElection.mustRead,
       entries: this.entryCount,
       ...groupServersByState(this.servers.views(), this.#options.now()),
     };
   }
 
-  /** Returns what other entries are told. */
+  /** Returns the digest that is sent to peers. */
   createDigest(): GossipDigest {
     return {
       kind: PeerMessageKind.Digest,
@@ -281,12 +298,12 @@
     };
   }
 
-  /** Takes over what another entry tells. */
+  /** Merges a peer's digest. */
   mergeDigest({ entry, orders, suspicions }: GossipDigest): void {
     this.context.suspicions.merge(suspicions);
     if (orders === undefined || entry === this.#options.entry) return;
-    this.#others.set(entry, orders.loads);
-    this.servers.setPeerLoads(() => this.#others.total());
+    this.#peerLoads.set(entry, orders.loads);
+    this.servers.setPeerLoads(() => this.#peerLoads.total());
     for (const [prompt, server] of orders.prompts) {
       this.context.promptCacheIndex.record(prompt, server, false);
     }
@@ -295,26 +312,27 @@
   }
 
   /**
-   * Compares another entry's list of servers with this one; returns after which
-   * of its changes this entry should ask for more, if any may be new.
+   * Compares a peer's server list with this one. Returns the number of the last
+   * of the peer's changes known here when later ones may be missing, else
+   * `undefined`.
    */
   compareServerList({ entry, orders }: GossipDigest): number | undefined {
     if (orders === undefined) return undefined;
     const { listed: checksum, changes } = orders;
-    return this.#list.compare(entry, { checksum, changeCount: changes });
+    return this.#serverList.compare(entry, { checksum, changeCount: changes });
   }
 
-  /** Returns changes of this entry's list of servers. */
+  /** Returns the changes to this entry's server list after number `after`. */
   changesAfter(after: number): ServerChanges {
-    return this.#list.changesAfter(after);
+    return this.#serverList.changesAfter(after);
   }
 
-  /** Takes over changes of another entry's list of servers. */
+  /** Merges changes to a peer's server list. */
   mergeServerChanges(entry: EntryId, { upTo, news }: ServerChanges): void {
     for (const { server, ...change } of news) {
-      this.#changeServer({ ...change, server: server ?? undefined });
+      this.#applyChange({ ...change, server: server ?? undefined });
     }
-    this.#list.recordSynced(entry, upTo);
+    this.#serverList.recordSynced(entry, upTo);
   }
 
   #createOrderDigest(): RelayDigest {
@@ -322,14 +340,14 @@
       configuration: this.configurationVersion,
       loads: this.servers.ownLoads(),
       prompts: this.context.promptCacheIndex.digest(),
-      changes: this.#list.changeCount,
-      listed: this.#list.checksum,
+      changes: this.#serverList.changeCount,
+      listed: this.#serverList.checksum,
       readers: this.readerElection.liveness(),
       dead: this.servers.unreachableServers(),
     };
   }
 
-  #memoryTokensOf(service: string): number {
+  #kvCacheTokensOf(service: string): number {
     const engine = this.#routes?.service(service)?.engine;
     return engine?.kvCacheTokens ?? Number.POSITIVE_INFINITY;
   }
--- a/src/process/relay_context.ts
+++ b/src/process/relay_context.ts
@@ -1,4 +1,4 @@
-/** What the orders of one entry share. */
+/** Dependencies that the requests of one relaying entry share. */
 
 import type { SlotRequest } from "../request/acquire_slot.ts";
 import type { KvCopier, KvCopyReleaser } from "../request/kv_copy_manager.ts";
@@ -12,7 +12,7 @@
 import type { ServerReports } from "./server_reports.ts";
 import type { CrashSuspicions } from "./crash_suspicions.ts";
 
-/** The parts of an entry process that orders use. */
+/** The parts of an entry process that requests use. */
 export interface RelayContext {
   readonly log: Log;
   readonly metrics: RelayMetrics;
@@ -23,7 +23,7 @@
   readonly dispatcher: Dispatcher<SlotRequest>;
   readonly retryBudget: RetryBudget;
   readonly callerWaits: CallerWaitEstimator;
-  /** Whether the engines of a service can keep copies of each other's runs. */
+  /** Whether a service's engines can back up each other's KV caches. */
   readonly supportsKvBackup: (service: string) => boolean;
   readonly copyKvCache: KvCopier;
   readonly releaseKvCopy: KvCopyReleaser;
--- a/src/process/relay_metrics.ts
+++ b/src/process/relay_metrics.ts
@@ -1,10 +1,10 @@
-/** Metrics of the orders that an entry serves, for Prometheus. */
+/** Prometheus metrics of a relaying entry. */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 const SECONDS_BUCKETS = [0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 10, 25];
 
-/** The metrics of one process, in a registry of its own. */
+/** The metrics of one process, in their own registry. */
 export class RelayMetrics {
   readonly registry = new Registry();
   readonly orders = new Counter({
@@ -50,7 +50,7 @@
 
   private constructor() {}
 
-  /** Makes the metrics of a process. */
+  /** Creates the metrics of a process. */
   static create(): RelayMetrics {
     return new RelayMetrics();
   }
--- a/src/process/server_pool.ts
+++ b/src/process/server_pool.ts
@@ -1,6 +1,6 @@
 /**
- * The backend servers as this entry sees them: reports asked for by one task a
- * server, the platform's list, failures, and the choice of a server.
+ * The backend servers of the adopted deployment: polls their load reports,
+ * tracks ejections and this entry's requests, and chooses servers.
  */
 
 import { Agent } from "node:http";
@@ -28,36 +28,36 @@
   utilizationOf,
 } from "./server_view.ts";
 
-/** What the fleet needs of its process. */
+/** Dependencies and settings of a server pool. */
 export interface ServerPoolOptions {
   /** Monotonic clock, in ms. */
   readonly now: () => number;
-  /** Number from 0 up to 1. */
+  /** Returns a random number in [0, 1). */
   readonly random: () => number;
   readonly log: Log;
   readonly routing: Routing;
-  /** Where this entry stands among the live ones, which share the slots. */
+  /** This entry's position among the live ones, which share the slots. */
   readonly entryPosition: () => EntryPosition;
-  /** Called when a server may have become free. */
+  /** Called when a server may have got a free slot. */
   readonly onCapacityAvailable: () => void;
 }
 
-/** Place of an entry in the sorted list of live entries. */
+/** Position of an entry in the sorted list of live entries. */
 export interface EntryPosition {
   readonly index: number;
   readonly count: number;
 }
 
-/** Which server is wanted. */
+/** Criteria for choosing a server. */
 export interface ServerPoolCriteria {
   readonly service: string;
-  /** Model version that it must carry; empty for plain services. */
+  /** Model version that the server must run; empty for plain services. */
   readonly modelVersion: string;
   /** Names of servers that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
-  /** Name of the server to prefer while it has room, or empty. */
+  /** Name of the server to prefer while it has capacity, or empty. */
   readonly preferred: string;
-  /** Whether the request must be alone among suspected ones. */
+  /** Whether the request is suspected, and must run isolated from others. */
   readonly isSuspect: boolean;
 }
 
@@ -66,25 +66,25 @@
   readonly #options: ServerPoolOptions;
   readonly #agent = new Agent({ keepAlive: true });
   readonly #views = new Map<string, ServerView>();
-  #leavingListed: ReadonlySet<string> = new Set();
-  #closed = false;
+  #listedLeaving: ReadonlySet<string> = new Set();
+  #isClosed = false;
 
   private constructor(options: ServerPoolOptions) {
     this.#options = options;
   }
 
-  /** Makes a fleet without servers. */
+  /** Creates a pool without servers. */
   static create(options: ServerPoolOptions): ServerPool {
     return new ServerPool(options);
   }
 
-  /** Ends all tasks. */
+  /** Stops all polling. */
   close(): void {
-    this.#closed = true;
+    this.#isClosed = true;
     this.#agent.destroy();
   }
 
-  /** Takes over the servers of an adopted deployment. */
+  /** Replaces the servers by those of an adopted deployment. */
   setDeployment(deployment: Deployment): void {
     const wanted = new Set(deployment.servers().map(({ name }) => name));
     for (const name of this.#views.keys()) {
@@ -94,16 +94,16 @@
     this.#options.onCapacityAvailable();
   }
 
-  /** Takes over the platform's list of instances. */
+  /** Applies the platform's instance list. */
   setInstances(instances: readonly Instance[]): void {
     const leaving = instances
       .filter(({ state }) => state === InstanceState.Leaving)
       .map(({ name }) => name);
-    this.#leavingListed = new Set(leaving);
+    this.#listedLeaving = new Set(leaving);
     for (const { server, isListedLeaving } of this.#views.values()) {
-      const isLeaving = this.#leavingListed.has(server.name);
+      const isLeaving = this.#listedLeaving.has(server.name);
       if (isLeaving === isListedLeaving) continue;
-      this.#change(server.name, { isListedLeaving: isLeaving });
+      this.#updateView(server.name, { isListedLeaving: isLeaving });
       if (isLeaving) this.#logLeaving(server.name, "list");
     }
     this.#options.onCapacityAvailable();
@@ -114,7 +114,7 @@
     return [...this.#views.values()];
   }
 
-  /** Count of servers that may get new work. */
+  /** Number of servers that may get new requests. */
   servingCount(): number {
     const now = this.#options.now();
     return this.views().filter((view) =>
@@ -127,15 +127,15 @@
     return this.#views.get(name);
   }
 
-  /** Returns the server that a request goes to now, if one has room. */
-  choose(wish: ServerPoolCriteria): BackendServer | undefined {
+  /** Returns the server for a request, or `undefined` if none has capacity. */
+  choose(criteria: ServerPoolCriteria): BackendServer | undefined {
     const { count } = this.#options.entryPosition();
-    const serving = wish.isSuspect
-      ? this.#isolated(wish.service, this.#serving(wish))
-      : this.#serving(wish);
+    const serving = criteria.isSuspect
+      ? this.#isolatedViews(criteria.service, this.#servingViews(criteria))
+      : this.#servingViews(criteria);
     const candidates = serving.filter((view) => hasCapacity(view, count));
     const preferred = candidates.find(({ server }) =>
-      server.name === wish.preferred
+      server.name === criteria.preferred
     );
     if (preferred !== undefined) return preferred.server;
     const chosen = this.#options.routing === Routing.Random
@@ -144,84 +144,92 @@
     return chosen?.server;
   }
 
-  /** Whether any server could take the request now or after a wait. */
-  canServe(wish: ServerPoolCriteria): boolean {
-    return this.#serving(wish).length > 0;
+  /** Whether any server could serve the request now or once it has capacity. */
+  canServe(criteria: ServerPoolCriteria): boolean {
+    return this.#servingViews(criteria).length > 0;
   }
 
-  /** Notes that a request goes to a server. */
+  /** Records that a request is sent to a server. */
   begin(name: string): void {
     const view = this.#views.get(name);
     if (view === undefined) return;
-    this.#change(name, {
+    this.#updateView(name, {
       inFlight: view.inFlight + 1,
       sentSinceReport: view.sentSinceReport + 1,
     });
   }
 
-  /** Notes that a suspected request must prove harmless on a server. */
+  /** Records that a suspected request must prove harmless on a server. */
   addSuspect(name: string): void {
     const view = this.#views.get(name);
     if (view !== undefined) {
-      this.#change(name, { unprovenSuspects: view.unprovenSuspects + 1 });
+      this.#updateView(name, { unprovenSuspects: view.unprovenSuspects + 1 });
     }
   }
 
-  /** Notes that a suspected request proved harmless or has left. */
+  /** Records that a suspected request proved harmless or ended. */
   removeSuspect(name: string): void {
     const view = this.#views.get(name);
     if (view === undefined) return;
-    this.#change(name, {
+    this.#updateView(name, {
       unprovenSuspects: Math.max(0, view.unprovenSuspects - 1),
     });
     this.#options.onCapacityAvailable();
   }
 
-  /** Notes that a request has left a server. */
+  /** Records that a request on a server ended. */
   end(name: string): void {
     const view = this.#views.get(name);
     if (view === undefined) return;
-    this.#change(name, {
+    this.#updateView(name, {
       inFlight: Math.max(0, view.inFlight - 1),
       endedSinceReport: view.endedSinceReport + 1,
     });
     this.#options.onCapacityAvailable();
   }
 
-  /** Keeps a failed server out of new work for a while. */
+  /** Gives a failed server no new requests for `EJECTION_DURATION_MS`. */
   eject(name: string): void {
     const view = this.#views.get(name);
     if (view === undefined || !this.#mayEject(view)) return;
     const ejectedUntilMs = this.#options.now() + EJECTION_DURATION_MS;
-    this.#change(name, { ejectedUntilMs });
+    this.#updateView(name, { ejectedUntilMs });
     this.#options.log(LOG_EVENTS.serverEjected, { server: name });
   }
 
-  #serving(wish: ServerPoolCriteria): ServerView[] {
+  #servingViews(criteria: ServerPoolCriteria): ServerView[] {
     const now = this.#options.now();
     return this.views().filter((view) =>
-      view.server.service === wish.service &&
-      !wish.excluded.has(view.server.name) &&
+      view.server.service === criteria.service &&
+      !criteria.excluded.has(view.server.name) &&
       conditionOf(view, now) === ServerCondition.Serving &&
-      view.report?.modelVersion === wish.modelVersion
+      view.report?.modelVersion === criteria.modelVersion
     );
   }
 
   /**
-   * Servers on which a suspected request is alone: none that holds another one
-   * of this entry, and each entry keeps to its own slice while it has servers.
-   * Slices go by the deployment, which entries share, not by health.
+   * Servers on which a suspected request runs isolated from other suspects: no
+   * server that runs another one of this entry, and while any of them serves,
+   * only those assigned to this entry. The assignment follows the deployment,
+   * which is the same for all entries, and not health.
    */
-  #isolated(service: string, serving: readonly ServerView[]): ServerView[] {
+  #isolatedViews(
+    service: string,
+    serving: readonly ServerView[],
+  ): ServerView[] {
     const { index, count } = this.#options.entryPosition();
     const names = this.views()
       .filter(({ server }) => server.service === service)
       .map(({ server }) => server.name)
       .sort();
-    const own = new Set(names.filter((_, at) => at % count === index));
-    const slice = serving.filter(({ server }) => own.has(server.name));
-    const usable = slice.length > 0 ? slice : serving;
-    return usable.filter(({ unprovenSuspects: unproven }) => unproven === 0);
+    const assignedNames = new Set(
+      names.filter((_, at) => at % count === index),
+    );
+    const assigned = serving.filter(({ server }) =>
+      assignedNames.has(server.name)
+    );
+    const usable = assigned.length > 0 ? assigned : serving;
+    return usable.filter(({ unprovenSuspects }) => unprovenSuspects === 0);
   }
 
   #leastLoaded(candidates: readonly ServerView[]): ServerView | undefined {
@@ -231,80 +239,82 @@
     for (const view of candidates) {
       const load = utilizationOf(view);
       ties = load === bestLoad ? ties + 1 : 1;
-      const wins = load < bestLoad ||
+      const isBetter = load < bestLoad ||
         (load === bestLoad && this.#options.random() * ties < 1);
-      if (!wins) continue;
+      if (!isBetter) continue;
       best = view;
       bestLoad = load;
     }
     return best;
   }
 
-  /** Ejections are limited, so that a common cause does not empty a service. */
+  /** Limits ejections, so that a common cause doesn't eject a whole service. */
   #mayEject(view: ServerView): boolean {
     const now = this.#options.now();
-    const peers = this.views().filter(({ server }) =>
+    const sameService = this.views().filter(({ server }) =>
       server.service === view.server.service
     );
-    const ejected = peers.filter(({ ejectedUntilMs }) => ejectedUntilMs > now);
-    return ejected.length + 1 <= peers.length * EJECTION_MAX_FRACTION;
+    const ejected = sameService.filter(({ ejectedUntilMs }) =>
+      ejectedUntilMs > now
+    );
+    return ejected.length + 1 <= sameService.length * EJECTION_MAX_FRACTION;
   }
 
   #setServer(server: BackendServer): void {
-    const held = this.#views.get(server.name);
-    if (held !== undefined && held.server.address === server.address) {
-      this.#views.set(server.name, { ...held, server });
+    const existing = this.#views.get(server.name);
+    if (existing !== undefined && existing.server.address === server.address) {
+      this.#views.set(server.name, { ...existing, server });
       return;
     }
-    const isListedLeaving = this.#leavingListed.has(server.name);
+    const isListedLeaving = this.#listedLeaving.has(server.name);
     const view = { ...createServerView(server), isListedLeaving };
     this.#views.set(server.name, view);
-    this.#watch(server);
+    this.#pollReports(server);
   }
 
-  /** Asks one server for its report until the server is withdrawn or moved. */
-  async #watch({ name, address }: BackendServer): Promise<void> {
-    while (this.#isWatched(name, address)) {
-      const askedMs = this.#options.now();
-      const report = await this.#askReport(address);
-      if (report !== undefined && this.#isWatched(name, address)) {
-        this.#takeReport(name, { report, askedMs });
+  /** Polls a server's report until it is removed or its address changes. */
+  async #pollReports({ name, address }: BackendServer): Promise<void> {
+    while (this.#isPolled(name, address)) {
+      const requestedMs = this.#options.now();
+      const report = await this.#fetchReport(address);
+      if (report !== undefined && this.#isPolled(name, address)) {
+        this.#applyReport(name, { report, requestedMs });
       }
       await sleep(REPORT_INTERVAL_MS);
     }
   }
 
-  #isWatched(name: string, address: string): boolean {
-    return !this.#closed && this.#views.get(name)?.server.address === address;
+  #isPolled(name: string, address: string): boolean {
+    return !this.#isClosed && this.#views.get(name)?.server.address === address;
   }
 
-  async #askReport(address: string): Promise<LoadReport | undefined> {
+  async #fetchReport(address: string): Promise<LoadReport | undefined> {
     try {
-      const answer = await callHttp({
+      const response = await callHttp({
         address,
         method: "GET",
         path: LOAD_PATH,
         timeoutMs: REPORT_TIMEOUT_MS,
         agent: this.#agent,
       });
-      return JSON.parse(answer.body.toString()) as LoadReport;
+      return JSON.parse(response.body.toString()) as LoadReport;
     } catch {
       return undefined;
     }
   }
 
-  #takeReport(
+  #applyReport(
     name: string,
-    { report, askedMs }: {
+    { report, requestedMs }: {
       readonly report: LoadReport;
-      readonly askedMs: number;
+      readonly requestedMs: number;
     },
   ): void {
     const wasLeaving = this.#views.get(name)?.report?.leaving === true;
     if (report.leaving && !wasLeaving) this.#logLeaving(name, "report");
-    this.#change(name, {
+    this.#updateView(name, {
       report,
-      reportRequestedMs: askedMs,
+      reportRequestedMs: requestedMs,
       sentSinceReport: 0,
       endedSinceReport: 0,
     });
@@ -315,7 +325,7 @@
     this.#options.log(LOG_EVENTS.serverDraining, { server, source });
   }
 
-  #change(name: string, change: Partial<ServerView>): void {
+  #updateView(name: string, change: Partial<ServerView>): void {
     const view = this.#views.get(name);
     if (view !== undefined) this.#views.set(name, { ...view, ...change });
   }
