--- a/src/process/action_store.ts
+++ b/src/process/action_store.ts
@@ -1,7 +1,7 @@
 /**
- * The ledger of non-idempotent actions: one record an action, created by a
- * conditional write before the action is sent. At most once rests on this
- * write alone, whichever entries take part.
+ * Stores one record for each non-idempotent action. A conditional write creates
+ * the record before the action is sent; this write alone guarantees that the
+ * action runs at most once, whichever entries take part.
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
@@ -18,25 +18,25 @@
 import { LOG_EVENTS } from "./log_events.ts";
 import type { Log } from "./log.ts";
 
-/** What came of an attempt to claim an action. */
+/** Result of an attempt to claim an action. */
 export enum ClaimResult {
-  /** The action is this attempt's alone to send. */
+  /** This attempt, and no other, may send the action. */
   Granted = "granted",
-  /** Another attempt has it. */
+  /** Another attempt has claimed it. */
   Taken = "taken",
-  /** This attempt may not send, and no other attempt was on record. */
+  /** This attempt may not send the action; no record was found. */
   Absent = "absent",
-  /** This attempt may not send, and what is on record can't be read. */
+  /** This attempt may not send the action; the record could not be read. */
   Unreadable = "unreadable",
 }
 
-/** A claim and what stands in the ledger. */
+/** Result of a claim, with the stored record or its version. */
 export type Claim =
   | { readonly result: ClaimResult.Granted; readonly version: ObjectRevision }
   | { readonly result: ClaimResult.Taken; readonly record: ActionRecord }
   | { readonly result: ClaimResult.Absent | ClaimResult.Unreadable };
 
-/** What the ledger needs of its process. */
+/** Dependencies of an action store. */
 export interface ActionStoreOptions {
   readonly platform: KeyValueStore;
   readonly log: Log;
@@ -44,10 +44,10 @@
   readonly now: () => number;
 }
 
-/** Pause between follow-ups of an unconfirmed write, in ms. */
-const FOLLOW_UP_PAUSE_MS = 500;
+/** Interval for retrying an unconfirmed write, in ms. */
+const RECONCILE_INTERVAL_MS = 500;
 
-/** Access to the records of actions. */
+/** Creates, reads and updates the records of actions. */
 export class ActionStore {
   readonly #options: ActionStoreOptions;
 
@@ -55,7 +55,7 @@
     this.#options = options;
   }
 
-  /** Makes a ledger on the platform's object API. */
+  /** Creates an action store on the platform's key-value store. */
   static create(options: ActionStoreOptions): ActionStore {
     return new ActionStore(options);
   }
@@ -73,27 +73,28 @@
     try {
       const stored = await platform.read(name);
       if (stored === undefined) {
-        this.#removeWhenItAppears(key, record.attempt);
+        this.#removeIfCreatedLate(key, record.attempt);
         return { result: ClaimResult.Absent };
       }
-      const held = JSON.parse(stored.value) as ActionRecord;
-      if (held.attempt !== record.attempt) {
-        return { result: ClaimResult.Taken, record: held };
+      const existing = JSON.parse(stored.value) as ActionRecord;
+      if (existing.attempt !== record.attempt) {
+        return { result: ClaimResult.Taken, record: existing };
       }
       return { result: ClaimResult.Granted, version: stored.version };
     } catch (error) {
       if (!isPlatformError(error)) throw error;
-      this.#removeWhenItAppears(key, record.attempt);
+      this.#removeIfCreatedLate(key, record.attempt);
       return { result: ClaimResult.Unreadable };
     }
   }
 
   /**
-   * Waits for the end of an action that another attempt has claimed. A claim
-   * that outlasts `waitMs` is marked as unknown for good, before anybody is told
-   * so. Resolves with `undefined` when the claim was retracted unsent.
+   * Waits for the outcome of an action that another attempt has claimed. After
+   * `waitMs` it sets the stored state to unknown before it resolves with that.
+   * Resolves with `undefined` when the claim was released without sending the
+   * action.
    *
-   * Errors: `PlatformUnavailable`, `VersionConflict`; nothing is decided then.
+   * Errors: `PlatformUnavailable`, `VersionConflict`; the outcome stays open.
    */
   async awaitOutcome(
     key: Fingerprint,
@@ -117,19 +118,19 @@
   }
 
   /**
-   * Stores the end of an action that this attempt claimed. Goes on in the
-   * background when the platform can't be reached at once.
+   * Stores the outcome of an action that this attempt claimed. Retries in the
+   * background if the first write fails.
    */
   async recordOutcome(
     key: Fingerprint,
-    settled: {
+    outcome: {
       readonly record: ActionRecord;
       readonly version: ObjectRevision;
     },
   ): Promise<void> {
-    const write = () => this.#writeEnd(key, settled);
+    const write = () => this.#writeOutcome(key, outcome);
     if (await tryPlatform(write)) return;
-    this.#followUp(write, () => {
+    this.#reconcile(write, () => {
       this.#options.log(LOG_EVENTS.actionOutcomeNotStored, { key });
     });
   }
@@ -139,21 +140,21 @@
     key: Fingerprint,
     attempt: ActionAttemptId,
   ): Promise<void> {
-    const remove = () => this.#removeOwn(key, attempt);
+    const remove = () => this.#removeOwnClaim(key, attempt);
     if (await tryPlatform(remove)) return;
-    this.#followUp(remove, () => undefined);
+    this.#reconcile(remove, () => undefined);
   }
 
-  /** The write of an unconfirmed record may still take effect. */
-  #removeWhenItAppears(key: Fingerprint, attempt: ActionAttemptId): void {
+  /** Removes this attempt's record if its failed create takes effect later. */
+  #removeIfCreatedLate(key: Fingerprint, attempt: ActionAttemptId): void {
     const remove = async () => {
-      const wasThere = await this.#removeOwn(key, attempt);
-      if (!wasThere) throw new PlatformUnavailable("record may yet appear");
+      const isFound = await this.#removeOwnClaim(key, attempt);
+      if (!isFound) throw new PlatformUnavailable("action record not found");
     };
-    this.#followUp(remove, () => undefined);
+    this.#reconcile(remove, () => undefined);
   }
 
-  async #writeEnd(
+  async #writeOutcome(
     key: Fingerprint,
     { record, version }: {
       readonly record: ActionRecord;
@@ -166,15 +167,16 @@
       await platform.update(name, version, JSON.stringify(record));
     } catch (error) {
       if (!(error instanceof VersionConflict)) throw error;
-      await this.#writeEndOverUnknown(key, record);
+      await this.#replaceOwnUnknown(key, record);
     }
   }
 
   /**
-   * The record changed since the claim: an earlier try of this write took
-   * effect, or a repeat marked the claim as unknown, which the answer replaces.
+   * Handles a record that changed since the claim: either an earlier try of
+   * this write took effect, or a repeated request set the state to unknown,
+   * which the response replaces.
    */
-  async #writeEndOverUnknown(
+  async #replaceOwnUnknown(
     key: Fingerprint,
     record: ActionRecord,
   ): Promise<void> {
@@ -182,14 +184,14 @@
     const name = actionName(key);
     const stored = await platform.read(name);
     if (stored === undefined) return;
-    const held = JSON.parse(stored.value) as ActionRecord;
-    const isOwnUnknown = held.attempt === record.attempt &&
-      held.state === ActionState.Unknown;
+    const existing = JSON.parse(stored.value) as ActionRecord;
+    const isOwnUnknown = existing.attempt === record.attempt &&
+      existing.state === ActionState.Unknown;
     if (!isOwnUnknown) return;
     await platform.update(name, stored.version, JSON.stringify(record));
   }
 
-  async #removeOwn(
+  async #removeOwnClaim(
     key: Fingerprint,
     attempt: ActionAttemptId,
   ): Promise<boolean> {
@@ -197,22 +199,22 @@
     const name = actionName(key);
     const stored = await platform.read(name);
     if (stored === undefined) return false;
-    const held = JSON.parse(stored.value) as ActionRecord;
-    const isOwnClaim = held.attempt === attempt &&
-      held.state === ActionState.Claimed;
+    const existing = JSON.parse(stored.value) as ActionRecord;
+    const isOwnClaim = existing.attempt === attempt &&
+      existing.state === ActionState.Claimed;
     if (!isOwnClaim) return true;
     await platform.remove(name, stored.version);
     log(LOG_EVENTS.actionClaimReleased, { key });
     return true;
   }
 
-  async #followUp(
+  async #reconcile(
     action: () => Promise<unknown>,
     onGivenUp: () => void,
   ): Promise<void> {
     const deadline = this.#options.now() + ACTION_RECONCILE_TIMEOUT_MS;
     while (this.#options.now() < deadline) {
-      await sleep(FOLLOW_UP_PAUSE_MS);
+      await sleep(RECONCILE_INTERVAL_MS);
       if (await tryPlatform(action)) return;
     }
     onGivenUp();
--- a/src/process/graceful_shutdown.ts
+++ b/src/process/graceful_shutdown.ts
@@ -1,37 +1,37 @@
-/** The planned stop of an HTTP server: no request that was taken is cut off. */
+/** Graceful shutdown of an HTTP server: accepted requests may complete. */
 
 import type { Server, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { LOG_EVENTS } from "./log_events.ts";
 import type { Log } from "./log.ts";
 
-/** How a stop goes on. */
+/** Dependencies and time limits of a shutdown. */
 export interface GracefulShutdownOptions {
   readonly server: Server;
   readonly open: OpenRequests;
   readonly log: Log;
-  /** Time in which the balancer notices that no more requests are wanted, in ms. */
+  /** Time for the load balancer to stop sending requests, in ms. */
   readonly noticeMs: number;
-  /** Time from the start of the stop in which open requests may end, in ms. */
+  /** Time from the start of the shutdown for open requests to end, in ms. */
   readonly deadlineMs: number;
-  /** Called once requests have ended, before the stop is logged. */
+  /** Called after the wait for open requests, before the shutdown is logged. */
   readonly onDrained?: () => Promise<void>;
 }
 
-const POLL_MS = 20;
+const POLL_INTERVAL_MS = 20;
 
-/** Counts the requests that a server has taken and not answered. */
+/** Counts the requests that a server has accepted and not answered yet. */
 export class OpenRequests {
   #count = 0;
 
   private constructor() {}
 
-  /** Starts at none. */
+  /** Creates a counter that starts at zero. */
   static create(): OpenRequests {
     return new OpenRequests();
   }
 
-  /** Count of open requests. */
+  /** Number of open requests. */
   get count(): number {
     return this.#count;
   }
@@ -44,8 +44,9 @@
 }
 
 /**
- * Serves on until the balancer has noticed, then waits for the open requests.
- * Resolves with whether all of them ended before the deadline.
+ * Keeps serving until the load balancer has had time to notice, then closes the
+ * server and waits for the open requests. Resolves with whether all of them
+ * ended before the deadline.
  */
 export async function shutDownGracefully(
   options: GracefulShutdownOptions,
@@ -57,7 +58,7 @@
   server.close();
   server.closeIdleConnections();
   while (open.count > 0 && performance.now() - startMs < deadlineMs) {
-    await sleep(POLL_MS);
+    await sleep(POLL_INTERVAL_MS);
   }
   const isClean = open.count === 0;
   await options.onDrained?.();
--- a/src/process/lease.ts
+++ b/src/process/lease.ts
@@ -1,7 +1,8 @@
 /**
- * A lease kept as one object in the platform. Nobody's wall clock counts: a
- * candidate takes over only after it saw the same version for the whole lease
- * time on its own monotonic clock, and the version is the fencing number.
+ * A lease stored as one object in the platform. It doesn't rely on wall clocks:
+ * a candidate acquires it only after the object's version hasn't changed for
+ * the lease duration on the candidate's own monotonic clock. The version is the
+ * fencing token.
  */
 
 import type { ObjectRevision } from "../ids.ts";
@@ -11,7 +12,7 @@
 } from "../connection/key_value_store.ts";
 import type { EntryId } from "../ids.ts";
 
-/** What a lease is held on. */
+/** Dependencies and settings of a lease. */
 export interface LeaseOptions {
   readonly platform: KeyValueStore;
   /** Name of the lease's object. */
@@ -22,59 +23,62 @@
   readonly now: () => number;
 }
 
-interface Seen {
+interface ObservedVersion {
   readonly version: ObjectRevision | undefined;
   readonly sinceMs: number;
 }
 
-/** One candidate's side of a lease. */
+/** One candidate's handle on a lease. */
 export class Lease {
   readonly #options: LeaseOptions;
-  #held: ObjectRevision | undefined;
+  #heldVersion: ObjectRevision | undefined;
   #validUntilMs = Number.NEGATIVE_INFINITY;
-  #seen: Seen | undefined;
+  #observed: ObservedVersion | undefined;
 
   private constructor(options: LeaseOptions) {
     this.#options = options;
   }
 
-  /** Makes a candidate that does not hold the lease yet. */
+  /** Creates a candidate that does not hold the lease yet. */
   static create(options: LeaseOptions): Lease {
     return new Lease(options);
   }
 
-  /** The fencing number while the lease is surely held, else `undefined`. */
+  /** The fencing token while the lease is surely held, else `undefined`. */
   get fencingToken(): ObjectRevision | undefined {
-    return this.#options.now() < this.#validUntilMs ? this.#held : undefined;
+    return this.#options.now() < this.#validUntilMs
+      ? this.#heldVersion
+      : undefined;
   }
 
   /**
-   * Renews the lease or tries to take it over; call it several times a lease.
+   * Renews the lease or tries to acquire it; call it several times per lease
+   * duration.
    *
-   * Errors: `PlatformUnavailable`, `VersionConflict`; the lease then runs out
+   * Errors: `PlatformUnavailable`, `VersionConflict`; the lease then expires
    * unless a later call renews it.
    */
   async renew(): Promise<void> {
     const { platform, name, now } = this.#options;
     const startMs = now();
     const stored = await platform.read(name);
-    if (!this.#mayTake(stored)) return;
+    if (!this.#canAcquire(stored)) return;
     const value = JSON.stringify({ holder: this.#options.holder });
     const version = stored === undefined
       ? await platform.create(name, value)
       : await platform.update(name, stored.version, value);
-    this.#held = version;
+    this.#heldVersion = version;
     this.#validUntilMs = startMs + this.#options.leaseMs;
   }
 
-  #mayTake(stored: StoredValue | undefined): boolean {
+  #canAcquire(stored: StoredValue | undefined): boolean {
     if (stored === undefined) return true;
-    if (stored.version === this.#held) return true;
+    if (stored.version === this.#heldVersion) return true;
     const nowMs = this.#options.now();
-    if (this.#seen?.version !== stored.version) {
-      this.#seen = { version: stored.version, sinceMs: nowMs };
+    if (this.#observed?.version !== stored.version) {
+      this.#observed = { version: stored.version, sinceMs: nowMs };
       return false;
     }
-    return nowMs - this.#seen.sinceMs > this.#options.leaseMs;
+    return nowMs - this.#observed.sinceMs > this.#options.leaseMs;
   }
 }
--- a/src/process/load_generator.ts
+++ b/src/process/load_generator.ts
@@ -1,6 +1,6 @@
 /**
- * Open-loop load: requests are sent at the times of a seeded schedule, whether
- * or not earlier ones have been answered.
+ * Open-loop load generator: sends requests at the times of a seeded schedule,
+ * whether or not earlier ones have been answered.
  */
 
 import { performance } from "node:perf_hooks";
@@ -10,14 +10,14 @@
 import { CompletionClient } from "../connection/completion_client.ts";
 import { DurationHistogram, type Percentiles } from "./duration_histogram.ts";
 
-/** One kind of request in a load. */
+/** One class of requests in a load. */
 export interface LoadClass {
   readonly name: string;
   /** Bearer key of the customer. */
   readonly key: string;
   readonly service: string;
   readonly rank: string;
-  /** Mean arrivals in a second. */
+  /** Mean arrivals per second. */
   readonly ratePerS: number;
   readonly startS: number;
   readonly endS: number;
@@ -27,28 +27,28 @@
   readonly targetMs: number;
 }
 
-/** A whole load. */
+/** A load: the classes of requests, and where they are sent. */
 export interface LoadProfile {
-  /** IP and port of each entry; they take turns. */
+  /** IP and port of each entry; requests go to them in round-robin order. */
   readonly entries: readonly string[];
   readonly classes: readonly LoadClass[];
   readonly seed: number;
-  /** Time in which delivered tokens are counted, in s from the start. */
+  /** Measurement window for delivered tokens, in s from the start. */
   readonly window: { readonly startS: number; readonly endS: number };
 }
 
-/** What became of one class. */
+/** Results of one class of requests. */
 export interface ClassResults {
   readonly name: string;
   readonly sent: number;
   readonly outcomes: Readonly<Record<string, number>>;
-  /** Share of sent requests whose first token came in the target time. */
+  /** Fraction of sent requests whose first token came within `targetMs`. */
   readonly attainment: number;
   /** Time to the first token, in ms. */
   readonly first: Percentiles;
   /** Time to the last token, in ms. */
   readonly total: Percentiles;
-  /** Tokens delivered in the load's window, in a second. */
+  /** Tokens per second delivered in the measurement window. */
   readonly tokensPerS: number;
 }
 
@@ -59,7 +59,7 @@
 
 const MS_PER_S = 1_000;
 
-/** Sends a load and resolves once every request has ended. */
+/** Sends a load; resolves with the results once every request has ended. */
 export async function runLoad(
   load: LoadProfile,
 ): Promise<readonly ClassResults[]> {
@@ -68,30 +68,30 @@
   );
   const startMs = performance.now();
   const { window } = load;
-  const all = [...tallies.values()];
+  const allTallies = [...tallies.values()];
   setTimeout(() => {
-    for (const tally of all) tally.openWindow();
+    for (const tally of allTallies) tally.openWindow();
   }, window.startS * MS_PER_S);
   setTimeout(() => {
-    for (const tally of all) tally.closeWindow();
+    for (const tally of allTallies) tally.closeWindow();
   }, window.endS * MS_PER_S);
-  const asks: Promise<void>[] = [];
+  const requests: Promise<void>[] = [];
   let count = 0;
-  for (const { atMs, loadClass } of schedule(load)) {
+  for (const { atMs, loadClass } of createSchedule(load)) {
     const waitMs = startMs + atMs - performance.now();
     if (waitMs > 0) await sleep(waitMs);
     const address = load.entries[count % load.entries.length] ?? "";
     const prompt = createPrompt(loadClass, count++);
     const tally = tallies.get(loadClass);
-    if (tally !== undefined) asks.push(tally.ask(address, prompt));
+    if (tally !== undefined) requests.push(tally.sendRequest(address, prompt));
   }
-  await Promise.all(asks);
+  await Promise.all(requests);
   const windowS = window.endS - window.startS;
-  return all.map((tally) => tally.figures(windowS));
+  return allTallies.map((tally) => tally.results(windowS));
 }
 
-/** Returns the arrivals of all classes in the order of their times. */
-function schedule({ classes, seed }: LoadProfile): readonly Arrival[] {
+/** Returns the arrivals of all classes, sorted by time. */
+function createSchedule({ classes, seed }: LoadProfile): readonly Arrival[] {
   const random = xoroshiro128plus(seed);
   const arrivals: Arrival[] = [];
   for (const loadClass of classes) {
@@ -110,18 +110,18 @@
   return `${loadClass.name} ${index} `.padEnd(loadClass.promptCharacters, "x");
 }
 
-/** Counts what becomes of one class. */
+/** Sends the requests of one class and collects its results. */
 class ClassTally {
   readonly #class: LoadClass;
-  readonly #first = DurationHistogram.create();
-  readonly #total = DurationHistogram.create();
+  readonly #firstTokenTimes = DurationHistogram.create();
+  readonly #totalTimes = DurationHistogram.create();
   readonly #outcomes: Record<string, number> = {};
-  readonly #open = new Set<CompletionClient>();
-  /** Tokens of answers that have ended. */
-  #ended = 0;
+  readonly #openClients = new Set<CompletionClient>();
+  /** Tokens of responses that have ended. */
+  #endedTokens = 0;
   #sent = 0;
-  #inTarget = 0;
-  #tokens = 0;
+  #withinTarget = 0;
+  #windowTokens = 0;
 
   private constructor(loadClass: LoadClass) {
     this.#class = loadClass;
@@ -132,17 +132,17 @@
   }
 
   openWindow(): void {
-    this.#tokens -= this.#delivered();
+    this.#windowTokens -= this.#deliveredTokens();
   }
 
   closeWindow(): void {
-    this.#tokens += this.#delivered();
+    this.#windowTokens += this.#deliveredTokens();
   }
 
-  async ask(address: string, prompt: string): Promise<void> {
+  async sendRequest(address: string, prompt: string): Promise<void> {
     this.#sent++;
     const { key, service, rank, maxTokens, targetMs } = this.#class;
-    const caller = CompletionClient.create({
+    const client = CompletionClient.create({
       address,
       key,
       service,
@@ -150,33 +150,33 @@
       prompt,
       maxTokens,
     });
-    this.#open.add(caller);
-    const { outcome } = await caller.ended;
-    this.#open.delete(caller);
-    this.#ended += caller.tokenCount;
+    this.#openClients.add(client);
+    const { outcome } = await client.ended;
+    this.#openClients.delete(client);
+    this.#endedTokens += client.tokenCount;
     this.#outcomes[outcome] = (this.#outcomes[outcome] ?? 0) + 1;
-    if (Number.isNaN(caller.firstEventMs)) return;
-    this.#first.record(caller.firstEventMs);
-    this.#total.record(caller.totalMs);
-    if (caller.firstEventMs <= targetMs) this.#inTarget++;
+    if (Number.isNaN(client.firstEventMs)) return;
+    this.#firstTokenTimes.record(client.firstEventMs);
+    this.#totalTimes.record(client.totalMs);
+    if (client.firstEventMs <= targetMs) this.#withinTarget++;
   }
 
-  figures(windowS: number): ClassResults {
+  results(windowS: number): ClassResults {
     const { name } = this.#class;
     return {
       name,
       sent: this.#sent,
       outcomes: this.#outcomes,
-      attainment: this.#sent === 0 ? 1 : this.#inTarget / this.#sent,
-      first: this.#first.percentiles(),
-      total: this.#total.percentiles(),
-      tokensPerS: this.#tokens / windowS,
+      attainment: this.#sent === 0 ? 1 : this.#withinTarget / this.#sent,
+      first: this.#firstTokenTimes.percentiles(),
+      total: this.#totalTimes.percentiles(),
+      tokensPerS: this.#windowTokens / windowS,
     };
   }
 
-  #delivered(): number {
-    let tokens = this.#ended;
-    for (const caller of this.#open) tokens += caller.tokenCount;
+  #deliveredTokens(): number {
+    let tokens = this.#endedTokens;
+    for (const client of this.#openClients) tokens += client.tokenCount;
     return tokens;
   }
 }
--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -1,6 +1,6 @@
 /**
- * Which entries there are: each registers itself among the shared objects, and
- * reads who else is there. Links to the others tell who lives.
+ * Registers this entry in the shared store and lists the registered entries.
+ * Whether an entry is live shows from the peer link to it.
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
@@ -17,58 +17,61 @@
   readonly address: string;
 }
 
-/** What membership needs of its process. */
+/** Dependencies of the membership task. */
 export interface MembershipOptions {
   readonly objects: ObjectStore;
   readonly self: Member;
   readonly log: Log;
-  /** Number from 0 up to 1; spreads the calls of many entries. */
+  /** Returns a random number in [0, 1); used as jitter between entries. */
   readonly random: () => number;
   readonly onMembers: (members: readonly Member[]) => void;
 }
 
-/** Kind under which entries register. */
+/** Object kind under which entries register. */
 export const ENTRY_KIND = "gypsumridge-entries";
-/** Readings while a deployment starts, and the pause between them, in ms. */
-const EARLY_READINGS = 4;
-const EARLY_MS = 1_500;
-/** Pause between later readings, in ms; links show sooner who has ended. */
-const LATE_MS = 15_000;
-/** Pause before a failed call is tried again, in ms. */
-const RETRY_MS = 500;
+/** Number of lists at the shorter interval, while a deployment starts. */
+const STARTUP_LISTS = 4;
+/** Interval between the first lists, in ms. */
+const STARTUP_LIST_INTERVAL_MS = 1_500;
+/** Interval between later lists, in ms; closed links show exits sooner. */
+const LIST_INTERVAL_MS = 15_000;
+/** Delay before a failed call is retried, in ms. */
+const RETRY_DELAY_MS = 500;
 
-/** Registers this entry and follows the others. */
+/** Registers this entry and lists the others periodically. */
 export class Membership {
   readonly #options: MembershipOptions;
-  #closed = false;
+  #isClosed = false;
 
   private constructor(options: MembershipOptions) {
     this.#options = options;
   }
 
-  /** Makes a membership; `run` starts it. */
+  /** Creates the membership task; `run` starts it. */
   static create(options: MembershipOptions): Membership {
     return new Membership(options);
   }
 
-  /** Registers and reads until closed; never rejects. */
+  /** Registers, then lists entries until closed; never rejects. */
   async run(): Promise<void> {
     await this.#retry(() => this.#register());
-    for (let reading = 0; !this.#closed; reading++) {
-      await this.#retry(() => this.#read());
-      const pauseMs = reading < EARLY_READINGS ? EARLY_MS : LATE_MS;
-      await sleep(pauseMs * (0.5 + this.#options.random()));
+    for (let listCount = 0; !this.#isClosed; listCount++) {
+      await this.#retry(() => this.#listMembers());
+      const intervalMs = listCount < STARTUP_LISTS
+        ? STARTUP_LIST_INTERVAL_MS
+        : LIST_INTERVAL_MS;
+      await sleep(intervalMs * (0.5 + this.#options.random()));
     }
   }
 
-  /** Stops reading and takes the registration back. */
+  /** Stops listing and removes the registration. */
   async close(): Promise<void> {
-    this.#closed = true;
+    this.#isClosed = true;
     const { objects, self, log } = this.#options;
     try {
       await objects.remove(ENTRY_KIND, { name: self.entry });
     } catch (error) {
-      // The others drop this entry when its links end.
+      // The other entries drop this one when its links close.
       log(LOG_EVENTS.platformUnreachable, {
         kind: ENTRY_KIND,
         reason: messageOf(error),
@@ -87,13 +90,13 @@
     }
   }
 
-  async #read(): Promise<void> {
+  async #listMembers(): Promise<void> {
     const { objects, onMembers } = this.#options;
     onMembers(await listMembers(objects));
   }
 
   async #retry(call: () => Promise<void>): Promise<void> {
-    while (!this.#closed) {
+    while (!this.#isClosed) {
       try {
         return await call();
       } catch (error) {
@@ -102,21 +105,25 @@
           kind: ENTRY_KIND,
           reason: messageOf(error),
         });
-        await sleep(RETRY_MS * (0.5 + random()));
+        await sleep(RETRY_DELAY_MS * (0.5 + random()));
       }
     }
   }
 }
 
-/** Reads the registered entries, some seconds old. Errors: `PlatformUnavailable`. */
+/**
+ * Lists the registered entries; the list may be seconds old.
+ *
+ * Errors: `PlatformUnavailable`.
+ */
 export async function listMembers(
   objects: ObjectStore,
 ): Promise<readonly Member[]> {
   const list = await objects.list({ kind: ENTRY_KIND, allowsStale: true });
-  return list.objects.flatMap((object) => restoreMember(object) ?? []);
+  return list.objects.flatMap((object) => parseMember(object) ?? []);
 }
 
-function restoreMember({ name, spec }: StoredObject): Member | undefined {
+function parseMember({ name, spec }: StoredObject): Member | undefined {
   const isObject = typeof spec === "object" && spec !== null;
   if (!isObject || !("address" in spec)) return undefined;
   const { address } = spec;
--- a/src/process/object_watch.ts
+++ b/src/process/object_watch.ts
@@ -1,6 +1,7 @@
 /**
- * Follows one kind of shared objects: lists it, then watches it, and lists anew
- * after an outage or when the store has dropped its history.
+ * Follows one kind of objects in the shared store: lists it, then watches it
+ * for changes, and lists it again on request or when the store has dropped the
+ * change history.
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
@@ -15,25 +16,25 @@
 import type { Log } from "./log.ts";
 import type { ReaderElection, ReaderLiveness } from "./reader_election.ts";
 
-/** What a watch needs of its process. */
+/** Dependencies and settings of a watch. */
 export interface ObjectWatchOptions {
   readonly objects: ObjectStore;
   readonly kind: string;
   readonly log: Log;
-  /** Number from 0 up to 1; spreads calls of many entries. */
+  /** Returns a random number in [0, 1); used as jitter between entries. */
   readonly random: () => number;
-  /** Longest time that the store holds one call, in ms. */
+  /** Longest time that the store blocks a watch call, in ms. */
   readonly waitMs: number;
-  /** Pause after changes before more are asked for, so that they come together, in ms. */
+  /** Delay after changes, so that the next call returns a batch, in ms. */
   readonly batchDelayMs: number;
   /**
-   * Shortest time without the store in which entries of its servers may lapse,
-   * in ms; what is gone after a shorter one has left.
+   * Shortest outage of the store in which registrations may expire, in ms; what
+   * is missing after a shorter one was removed on purpose.
    */
   readonly outageThresholdMs: number;
-  /** Which entries read for all; absent where each reads for itself. */
+  /** Which entries read for all; if absent, each reads for itself. */
   readonly readerElection?: ReaderElection;
-  /** Called with all objects, after the start and after each outage. */
+  /** Called with all objects after each list. */
   readonly onList: (list: ObjectList, isAfterOutage: boolean) => void;
   readonly onChanges: (
     changes: readonly ObjectChange[],
@@ -41,166 +42,181 @@
   ) => void;
 }
 
-/** First and longest pause after a failed call, in ms. */
-const RETRY_MIN_MS = 100;
-const RETRY_MAX_MS = 800;
-/** Longer pause of an entry that relies on others to try the store, as a multiple. */
-const SPARED_FACTOR = 4;
-/** How often an entry that need not read looks whether it has to, in ms. */
-const REST_MS = 100;
-/** Pause after the first list, in which other entries may say that they read, in ms. */
-const START_REST_MS = 700;
-/** Longest random pause before it reads again, in ms; the first to do so spares the others. */
-const TURN_MAX_MS = 150;
-
-/** A task that follows one kind until it is closed. */
+/** Delay after the first failed call, in ms; doubles with each further one. */
+const RETRY_DELAY_MIN_MS = 100;
+/** Limit of that delay, in ms, before `NON_PROBER_DELAY_FACTOR` applies. */
+const RETRY_DELAY_MAX_MS = 800;
+/** Factor on retry delays of entries that leave probing the store to others. */
+const NON_PROBER_DELAY_FACTOR = 4;
+/** Interval at which an idle entry checks whether it has to read, in ms. */
+const IDLE_CHECK_INTERVAL_MS = 100;
+/** Wait after the first list, in ms, so that digests can name the readers. */
+const STARTUP_WAIT_MS = 700;
+/**
+ * Longest random delay before an idle entry starts to read, in ms; the entries
+ * with the shortest one make the reads of the others unnecessary.
+ */
+const TAKEOVER_JITTER_MAX_MS = 150;
+
+/** Follows one kind of objects until it is closed. */
 export class ObjectWatch {
   readonly #options: ObjectWatchOptions;
-  #closed = false;
-  /** Revision from which the next watch goes on, once the kind was listed. */
+  #isClosed = false;
+  /** Revision from which the next watch continues; set by the first list. */
   #revision: ObjectRevision | undefined;
-  /** Failed calls in a row. */
+  /** Consecutive failed calls. */
   #failures = 0;
-  #isLost = false;
-  #mustList = true;
+  #isUnreachable = false;
+  #mustRelist = true;
   #isReading = true;
-  /** Whether nobody reached the store for a while before this entry reads again. */
-  #isUnsure = false;
+  /** Whether, before this read, no entry reached the store for too long. */
+  #hadReaderOutage = false;
 
   private constructor(options: ObjectWatchOptions) {
     this.#options = options;
   }
 
-  /** Makes a watch; `run` starts it. */
+  /** Creates a watch; `run` starts it. */
   static create(options: ObjectWatchOptions): ObjectWatch {
     return new ObjectWatch(options);
   }
 
   /**
-   * Lists the kind anew, also while other entries read for this one; returns
-   * whether that was not due already.
+   * Has the kind listed again, also while other entries read for this one.
+   * Returns whether no list was pending already.
    */
   requestRelist(): boolean {
-    const isNew = !this.#mustList;
-    this.#mustList = true;
+    const isNew = !this.#mustRelist;
+    this.#mustRelist = true;
     return isNew;
   }
 
-  /** Ends the task after its current call. */
+  /** Stops after the current call. */
   close(): void {
-    this.#closed = true;
+    this.#isClosed = true;
   }
 
   /** Lists and watches until closed; never rejects. */
   async run(): Promise<void> {
-    while (!this.#closed) {
+    while (!this.#isClosed) {
       const mustRead = this.#options.readerElection?.mustRead !== false;
       this.#setReading(mustRead);
-      if (mustRead || this.#mustList) await this.#read();
-      else await this.#rest();
+      if (mustRead || this.#mustRelist) await this.#read();
+      else await this.#idle();
     }
   }
 
-  /** Asks the store once. */
+  /** Makes one list or watch call. */
   async #read(): Promise<void> {
-    const { readerElection: readers } = this.#options;
-    if ((readers?.lastSuccessAgeMs ?? 0) > this.#options.outageThresholdMs) {
-      this.#isUnsure = true;
+    const { readerElection } = this.#options;
+    if (
+      (readerElection?.lastSuccessAgeMs ?? 0) > this.#options.outageThresholdMs
+    ) {
+      this.#hadReaderOutage = true;
     }
     const isFirst = this.#revision === undefined;
     try {
-      this.#revision = this.#mustList || this.#revision === undefined
+      this.#revision = this.#mustRelist || this.#revision === undefined
         ? await this.#list()
         : await this.#watch(this.#revision);
       this.#failures = 0;
-      this.#setLost(false, "");
-      if (isFirst && readers !== undefined) await sleep(START_REST_MS);
+      this.#setUnreachable(false, "");
+      if (isFirst && readerElection !== undefined) await sleep(STARTUP_WAIT_MS);
     } catch (error) {
-      if (this.#closed) return;
+      if (this.#isClosed) return;
       if (error instanceof PlatformHistoryGone) {
-        this.#mustList = true;
+        this.#mustRelist = true;
         return;
       }
-      // Changes may have been missed only if their history is gone, which
-      // the next watch reports; so the revision stays.
-      this.#setLost(true, messageOf(error));
-      await sleep(this.#retryMs(this.#failures++));
+      // Keep the revision: the next watch returns the changes since then, or
+      // reports that their history was dropped.
+      this.#setUnreachable(true, messageOf(error));
+      await sleep(this.#retryDelayMs(this.#failures++));
     }
   }
 
   #setReading(isReading: boolean): void {
-    const { log, kind, readerElection: readers } = this.#options;
-    if (isReading === this.#isReading || readers === undefined) return;
+    const { log, kind, readerElection } = this.#options;
+    if (isReading === this.#isReading || readerElection === undefined) return;
     this.#isReading = isReading;
     const event = isReading
       ? LOG_EVENTS.storeReadsStarted
       : LOG_EVENTS.storeReadsStopped;
-    log(event, { kind, readers: readers.liveness().map(describeSign) });
+    log(event, {
+      kind,
+      readers: readerElection.liveness().map(describeLiveness),
+    });
   }
 
-  /** Waits until this entry may have to read. */
-  async #rest(): Promise<void> {
-    const { readerElection: readers, random } = this.#options;
-    await sleep(REST_MS);
-    if (readers?.mustRead !== false) await sleep(TURN_MAX_MS * random());
+  /** Waits before the next check whether this entry has to read. */
+  async #idle(): Promise<void> {
+    const { readerElection, random } = this.#options;
+    await sleep(IDLE_CHECK_INTERVAL_MS);
+    if (readerElection?.mustRead !== false) {
+      await sleep(TAKEOVER_JITTER_MAX_MS * random());
+    }
   }
 
   async #list(): Promise<ObjectRevision> {
     const { objects, kind, onList } = this.#options;
-    this.#mustList = false;
+    this.#mustRelist = false;
     try {
       const list = await objects.list({ kind });
       onList(list, this.#isAfterOutage);
       return list.revision;
     } catch (error) {
-      this.#mustList = true;
+      this.#mustRelist = true;
       throw error;
     }
   }
 
-  async #watch(from: ObjectRevision): Promise<ObjectRevision> {
-    const { objects, kind, waitMs, batchDelayMs: gatherMs, onChanges } =
-      this.#options;
+  async #watch(sinceRevision: ObjectRevision): Promise<ObjectRevision> {
+    const { objects, kind, waitMs, batchDelayMs, onChanges } = this.#options;
     const { changes, revision } = await objects.watch({
       kind,
-      sinceRevision: from,
+      sinceRevision,
       waitMs,
     });
     if (changes.length > 0) {
       onChanges(changes, this.#isAfterOutage);
-      await sleep(gatherMs);
+      await sleep(batchDelayMs);
     }
     return revision;
   }
 
-  /** Whether what is missing now may have lapsed while the store was away. */
+  /** Whether missing objects may have expired during an outage of the store. */
   get #isAfterOutage(): boolean {
     return this.#options.readerElection === undefined
-      ? this.#isLost
-      : this.#isUnsure;
+      ? this.#isUnreachable
+      : this.#hadReaderOutage;
   }
 
-  #retryMs(failures: number): number {
-    const limitMs = Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** failures);
-    const { readerElection: readers, random } = this.#options;
-    const factor = readers?.isProber === false ? SPARED_FACTOR : 1;
-    return limitMs * factor * (0.5 + 0.5 * random());
+  #retryDelayMs(failures: number): number {
+    const maxDelayMs = Math.min(
+      RETRY_DELAY_MAX_MS,
+      RETRY_DELAY_MIN_MS * 2 ** failures,
+    );
+    const { readerElection, random } = this.#options;
+    const factor = readerElection?.isProber === false
+      ? NON_PROBER_DELAY_FACTOR
+      : 1;
+    return maxDelayMs * factor * (0.5 + 0.5 * random());
   }
 
-  #setLost(isLost: boolean, reason: string): void {
-    const { log, kind, readerElection: readers } = this.#options;
-    if (isLost) readers?.recordFailure(kind);
+  #setUnreachable(isUnreachable: boolean, reason: string): void {
+    const { log, kind, readerElection } = this.#options;
+    if (isUnreachable) readerElection?.recordFailure(kind);
     else {
-      this.#isUnsure = false;
-      readers?.recordSuccess(kind);
+      this.#hadReaderOutage = false;
+      readerElection?.recordSuccess(kind);
     }
-    if (isLost === this.#isLost) return;
-    this.#isLost = isLost;
-    if (isLost) log(LOG_EVENTS.platformUnreachable, { kind, reason });
+    if (isUnreachable === this.#isUnreachable) return;
+    this.#isUnreachable = isUnreachable;
+    if (isUnreachable) log(LOG_EVENTS.platformUnreachable, { kind, reason });
     else log(LOG_EVENTS.platformRecovered, { kind });
   }
 }
 
-function describeSign({ entry, ageMs }: ReaderLiveness): string {
+function describeLiveness({ entry, ageMs }: ReaderLiveness): string {
   return `${entry} ${ageMs} ms ago`;
 }
--- a/src/process/object_watch_test.ts
+++ b/src/process/object_watch_test.ts
@@ -1,4 +1,4 @@
-/** When an entry asks the store, and what it makes of an outage. */
+/** Which entries read the store, and which changes count as after an outage. */
 
 import { afterEach, expect, test } from "vitest";
 import type { ObjectStore, WatchResult } from "../connection/object_store.ts";
@@ -7,7 +7,7 @@
 import { ReaderElection } from "./reader_election.ts";
 
 const SELF = "entry-self" as EntryId;
-const OTHERS = Array.from(
+const OTHER_ENTRIES = Array.from(
   { length: 40 },
   (_, at) => `other-${at}` as EntryId,
 );
@@ -23,7 +23,10 @@
 
 /** A store at revision 7 whose watches end after 20 ms with one change. */
 function createStore(calls: Calls): ObjectStore {
-  const unused = () => Promise.reject(new Error("not used"));
+  const unexpectedCall = () =>
+    Promise.reject(
+      new Error("unexpected call: a watch only lists and watches"),
+    );
   return {
     list: () => {
       calls.lists++;
@@ -38,10 +41,10 @@
       };
       return new Promise((resolve) => setTimeout(() => resolve(answer), 20));
     },
-    read: unused,
-    create: unused,
-    replace: unused,
-    remove: unused,
+    read: unexpectedCall,
+    create: unexpectedCall,
+    replace: unexpectedCall,
+    remove: unexpectedCall,
     close: () => undefined,
   };
 }
@@ -50,7 +53,7 @@
   const calls: Calls = { lists: 0, watchedFrom: [] };
   const clock = { nowMs: 0 };
   const outages: boolean[] = [];
-  const readers = ReaderElection.create({
+  const readerElection = ReaderElection.create({
     entry: SELF,
     now: () => clock.nowMs,
   });
@@ -62,20 +65,20 @@
     waitMs: 20,
     batchDelayMs: 0,
     outageThresholdMs: 2_200,
-    readerElection: readers,
+    readerElection,
     onList: () => undefined,
     onChanges: (_, isAfterOutage) => outages.push(isAfterOutage),
   });
-  const hearOthers = () => {
-    const signs = OTHERS.map((entry) => ({ entry, ageMs: 0 }));
-    readers.merge(OTHERS[0] as EntryId, signs);
+  const receiveLiveness = () => {
+    const liveness = OTHER_ENTRIES.map((entry) => ({ entry, ageMs: 0 }));
+    readerElection.merge(OTHER_ENTRIES[0] as EntryId, liveness);
   };
-  return { calls, clock, outages, hearOthers };
+  return { calls, clock, outages, receiveLiveness };
 }
 
-test("an entry lists once, and leaves watching to others that it hears of", async () => {
-  const { calls, hearOthers } = createWatch();
-  hearOthers();
+test("an entry lists once and doesn't watch while others read", async () => {
+  const { calls, receiveLiveness } = createWatch();
+  receiveLiveness();
   watch.run();
   await expect.poll(() => calls.lists).toBe(1);
   await new Promise((resolve) => setTimeout(resolve, 1_200));
@@ -85,9 +88,9 @@
   await expect.poll(() => calls.lists).toBe(2);
 });
 
-test("what is gone after a short time without readers has left, and did not lapse", async () => {
-  const { calls, clock, outages, hearOthers } = createWatch();
-  hearOthers();
+test("a short time without readers is no outage", async () => {
+  const { calls, clock, outages, receiveLiveness } = createWatch();
+  receiveLiveness();
   watch.run();
   await expect.poll(() => calls.lists).toBe(1);
   clock.nowMs = 1_900;
@@ -96,14 +99,14 @@
   expect(outages[0]).toBe(false);
 });
 
-test("when the others fall silent it goes on from where it was, as after an outage", async () => {
-  const { calls, clock, outages, hearOthers } = createWatch();
-  hearOthers();
+test("silent readers make the watch resume as after an outage", async () => {
+  const { calls, clock, outages, receiveLiveness } = createWatch();
+  receiveLiveness();
   watch.run();
   await expect.poll(() => calls.lists).toBe(1);
   clock.nowMs = 60_000;
   await expect.poll(() => calls.watchedFrom[0], { timeout: 3_000 }).toBe(7);
   await expect.poll(() => outages.length).toBeGreaterThan(1);
-  // Nobody reached the store for a while; its own answer ends that.
+  // No entry reached the store for a while; this entry's first read ends that.
   expect(outages.slice(0, 2)).toEqual([true, false]);
 });
--- a/src/process/pause_detector.ts
+++ b/src/process/pause_detector.ts
@@ -1,56 +1,56 @@
 /**
- * Notices when the process itself stood still, so that nothing is decided on
- * views from before the pause.
+ * Detects that the process was suspended, so that no decision is based on state
+ * from before the pause.
  */
 
-/** How a guard measures time and renews views. */
+/** Dependencies of a pause detector. */
 export interface PauseDetectorOptions {
   /** Monotonic clock, in ms. */
   readonly now: () => number;
-  /** Called after a pause, before new work; must end by itself. */
+  /** Called after a pause, before new requests; must have its own timeout. */
   readonly refresh: (pausedMs: number) => Promise<void>;
 }
 
-const BEAT_MS = 100;
-/** A gap between beats beyond this counts as a pause, in ms. */
+const CHECK_INTERVAL_MS = 100;
+/** Gap between two checks from which on it counts as a pause, in ms. */
 export const PAUSE_THRESHOLD_MS = 1_000;
 
-/** Holds new work back after a pause until the views are refreshed. */
+/** Delays new requests after a pause until the refresh has ended. */
 export class PauseDetector {
   readonly #options: PauseDetectorOptions;
   readonly #timer: NodeJS.Timeout;
-  #lastBeatMs: number;
-  #refreshing: Promise<void> | undefined;
+  #lastCheckMs: number;
+  #pendingRefresh: Promise<void> | undefined;
 
   private constructor(options: PauseDetectorOptions) {
     this.#options = options;
-    this.#lastBeatMs = options.now();
-    this.#timer = setInterval(() => this.#beat(), BEAT_MS);
+    this.#lastCheckMs = options.now();
+    this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS);
   }
 
-  /** Starts watching for pauses. */
+  /** Creates a detector and starts its checks. */
   static create(options: PauseDetectorOptions): PauseDetector {
     return new PauseDetector(options);
   }
 
-  /** Stops watching. */
+  /** Stops the checks. */
   close(): void {
     clearInterval(this.#timer);
   }
 
-  /** Resolves once no refresh after a pause is outstanding. */
+  /** Resolves once no refresh after a pause is pending. */
   async ready(): Promise<void> {
-    this.#beat();
-    await this.#refreshing;
+    this.#check();
+    await this.#pendingRefresh;
   }
 
-  #beat(): void {
+  #check(): void {
     const now = this.#options.now();
-    const pausedMs = now - this.#lastBeatMs;
-    this.#lastBeatMs = now;
+    const pausedMs = now - this.#lastCheckMs;
+    this.#lastCheckMs = now;
     if (pausedMs < PAUSE_THRESHOLD_MS) return;
-    this.#refreshing = this.#options.refresh(pausedMs).finally(() => {
-      this.#refreshing = undefined;
+    this.#pendingRefresh = this.#options.refresh(pausedMs).finally(() => {
+      this.#pendingRefresh = undefined;
     });
   }
 }
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -1,6 +1,6 @@
 /**
- * The peers of an entry: who is live by the platform's list, links to a bounded
- * number of them, and the exchange of digests.
+ * The peers of an entry: the live entries of the platform's list, links to a
+ * bounded number of them, and the gossip of digests.
  */
 
 import { createServer, type IncomingMessage, type Server } from "node:http";
@@ -23,79 +23,79 @@
 import type { EntryPosition } from "./server_pool.ts";
 import type { Log } from "./log.ts";
 
-/** What the exchange needs of its entry. */
+/** Dependencies and settings of the links to peers. */
 export interface PeersOptions {
   readonly entry: EntryId;
   readonly key: string;
   readonly log: Log;
   readonly createDigest: () => GossipDigest;
   readonly onDigest: (digest: GossipDigest, link: PeerLink) => void;
-  /** Called when a link to an entry ended. */
+  /** Called when a link to an entry closed. */
   readonly onPeerLost?: (entry: EntryId) => void;
   readonly readChunk: (hash: ContentHash) => string | undefined;
-  /** Returns changes of this entry's list of servers; none if absent. */
+  /** Returns changes to this entry's server list; none if absent. */
   readonly readChanges?: (after: number) => ServerChanges;
-  /** How often digests are sent, in ms. */
+  /** Interval between digests, in ms. */
   readonly digestIntervalMs?: number;
 }
 
-/** Only each second digest is sent where there are many entries. */
-const CROWDED_TURNS = 2;
+/** In a partial mesh, a digest is sent in one of this many rounds. */
+const PARTIAL_MESH_DIGEST_ROUNDS = 2;
 /**
- * Entries from which on links reach only a part of them. Placing then rests on
- * what an entry sees itself: in the emulator (59 entries) streams take as long
- * with digests each 600 ms as each 150 ms.
+ * Number of entries from which on links reach only some of them. Servers are
+ * then chosen mostly by what an entry sees itself: with 59 emulated entries,
+ * streams take as long with digests every 600 ms as every 150 ms.
  */
 export const PARTIAL_MESH_MIN_ENTRIES = 2 * DIGEST_FANOUT + 2;
-/** Time in which news gathers before it is sent, in ms; prompts come some ms apart. */
-const NEWS_GATHER_MS = 10;
+/** Delay that batches changes into a digest, in ms; prompts come ms apart. */
+const BROADCAST_DELAY_MS = 10;
 
-/** Pause before an entry is dialled again that could not be reached, in ms. */
-const REDIAL_MIN_MS = 150;
-/** Longest such pause, in ms: an entry that is back dials others itself at once. */
-const REDIAL_MAX_MS = 1_200;
-/** How much longer each such pause is than the one before. */
-const REDIAL_GROWTH = 2;
+/** Delay before an unreachable entry is dialled again, in ms. */
+const REDIAL_DELAY_MIN_MS = 150;
+/** Longest such delay, in ms; a restarted entry dials its peers at once. */
+const REDIAL_DELAY_MAX_MS = 1_200;
+/** Factor by which the delay grows with each failure. */
+const REDIAL_DELAY_FACTOR = 2;
 
-/** When an entry is dialled again that could not be reached. */
+/** When to dial an unreachable entry again. */
 interface Redial {
   /** On the monotonic clock, in ms. */
-  readonly atMs: number;
-  readonly pauseMs: number;
+  readonly notBeforeMs: number;
+  readonly delayMs: number;
 }
 
-/** Links to other entries. */
+/** Links to other entries, and the digests sent over them. */
 export class Peers {
   readonly #options: PeersOptions;
   readonly #server: Server = createServer();
-  readonly #acceptor = new WebSocketServer({
+  readonly #webSocketServer = new WebSocketServer({
     noServer: true,
     maxPayload: PEER_MESSAGE_MAX_BYTES,
     perMessageDeflate: false,
   });
-  readonly #dialled = new Map<string, PeerLink>();
-  readonly #accepted = new Set<PeerLink>();
-  /** By address, the entries that could not be reached. */
+  readonly #outboundLinks = new Map<string, PeerLink>();
+  readonly #inboundLinks = new Set<PeerLink>();
+  /** Unreachable entries, by address. */
   readonly #redials = new Map<string, Redial>();
-  /** Entries that dialled the accepted links, once they have said who they are. */
-  readonly #named = new WeakMap<PeerLink, EntryId>();
-  readonly #timer: NodeJS.Timeout;
-  #turn = 0;
-  #announcement: NodeJS.Timeout | undefined;
-  #entries: readonly Instance[] = [];
+  /** Entries at the far end of inbound links, known from their first digest. */
+  readonly #inboundPeers = new WeakMap<PeerLink, EntryId>();
+  readonly #digestTimer: NodeJS.Timeout;
+  #digestRound = 0;
+  #scheduledBroadcast: NodeJS.Timeout | undefined;
+  #liveEntries: readonly Instance[] = [];
   /** Entries to dial, by address. */
-  #chosen: ReadonlyMap<string, Instance> = new Map();
+  #chosenPeers: ReadonlyMap<string, Instance> = new Map();
 
   private constructor(options: PeersOptions) {
     this.#options = options;
     this.#server.on("upgrade", (request, socket, head) => {
-      this.#accept(request, socket, head);
+      this.#acceptLink(request, socket, head);
     });
-    const { digestIntervalMs: intervalMs = DIGEST_INTERVAL_MS } = options;
-    this.#timer = setInterval(() => this.#exchange(), intervalMs);
+    const { digestIntervalMs = DIGEST_INTERVAL_MS } = options;
+    this.#digestTimer = setInterval(() => this.#tick(), digestIntervalMs);
   }
 
-  /** Starts the exchange; `listen` opens it to other entries. */
+  /** Creates the links and starts the digests; `listen` accepts peers. */
   static create(options: PeersOptions): Peers {
     return new Peers(options);
   }
@@ -105,74 +105,75 @@
     return listen(this.#server, host, port);
   }
 
-  /** Ends all links. */
+  /** Closes all links and stops listening. */
   close(): void {
-    clearInterval(this.#timer);
-    clearTimeout(this.#announcement);
-    for (const link of this.#links()) link.close();
-    this.#acceptor.close();
+    clearInterval(this.#digestTimer);
+    clearTimeout(this.#scheduledBroadcast);
+    for (const link of this.#allLinks()) link.close();
+    this.#webSocketServer.close();
     this.#server.close();
   }
 
-  /** Takes over the entries of the platform's latest list. */
+  /** Applies the platform's latest instance list. */
   setInstances(instances: readonly Instance[]): void {
-    this.#entries = instances.filter(({ role, state }) =>
+    this.#liveEntries = instances.filter(({ role, state }) =>
       role === "entry" && state === InstanceState.Live
     );
-    this.#chosen = this.#choose();
-    this.#dialChosen();
+    this.#chosenPeers = this.#choosePeers();
+    this.#reconcileLinks();
   }
 
-  /** Where this entry stands among the live ones, itself included. */
+  /** This entry's position among the live ones, itself included. */
   get entryPosition(): EntryPosition {
-    const names = this.#others().map(({ name }) => name);
-    const before = names.filter((name) => name < this.#options.entry);
-    return { index: before.length, count: names.length + 1 };
+    const peerNames = this.#otherEntries().map(({ name }) => name);
+    const before = peerNames.filter((name) => name < this.#options.entry);
+    return { index: before.length, count: peerNames.length + 1 };
   }
 
-  /** Sends a digest now, to every peer that is linked. */
+  /** Sends a digest to every linked peer now. */
   broadcastDigest(): void {
     const bytes = packMessage(this.#options.createDigest());
-    for (const link of this.#linkedOnce()) link.sendPacked(bytes);
+    for (const link of this.#oneLinkPerPeer()) link.sendPacked(bytes);
   }
 
-  /** Links by peer: one that dialled this entry too hears on this entry's link. */
-  #linkedOnce(): PeerLink[] {
-    const dialled = new Set(
-      this.#others()
-        .filter(({ address }) => this.#dialled.get(address)?.isOpen)
+  /** One link per peer: the outbound one where both entries dialled. */
+  #oneLinkPerPeer(): PeerLink[] {
+    const outboundPeers = new Set(
+      this.#otherEntries()
+        .filter(({ address }) => this.#outboundLinks.get(address)?.isOpen)
         .map(({ name }) => name),
     );
-    const accepted = [...this.#accepted].filter((link) =>
-      !dialled.has(this.#named.get(link) ?? "")
+    const inboundOnly = [...this.#inboundLinks].filter((link) =>
+      !outboundPeers.has(this.#inboundPeers.get(link) ?? "")
     );
-    return [...this.#dialled.values(), ...accepted];
+    return [...this.#outboundLinks.values(), ...inboundOnly];
   }
 
-  /** Sends a digest soon, together with other news of the next moments. */
+  /** Sends a digest soon; calls until then are batched into it. */
   scheduleDigestBroadcast(): void {
-    this.#announcement ??= setTimeout(() => {
-      this.#announcement = undefined;
+    this.#scheduledBroadcast ??= setTimeout(() => {
+      this.#scheduledBroadcast = undefined;
       this.broadcastDigest();
-    }, NEWS_GATHER_MS);
+    }, BROADCAST_DELAY_MS);
   }
 
   /**
-   * Tells soon where work went. Among many entries that would cost a digest a
-   * link for each stream, 82 a second at letter 1's size, and reach few of them.
+   * Announces an assigned stream soon, unless the links form a partial mesh:
+   * there a digest per link and stream would be 82 a second at the specified
+   * deployment size, and reach few entries.
    */
   schedulePlacementBroadcast(): void {
-    if (!this.#isCrowded) this.scheduleDigestBroadcast();
+    if (!this.#isPartialMesh) this.scheduleDigestBroadcast();
   }
 
-  get #isCrowded(): boolean {
-    return this.#accepted.size > DIGEST_FANOUT ||
-      this.#entries.length >= PARTIAL_MESH_MIN_ENTRIES;
+  get #isPartialMesh(): boolean {
+    return this.#inboundLinks.size > DIGEST_FANOUT ||
+      this.#liveEntries.length >= PARTIAL_MESH_MIN_ENTRIES;
   }
 
-  /** Asks the open links, one after the other, for a chunk. */
+  /** Requests a chunk from the linked peers, one after the other. */
   async fetchChunk(hash: ContentHash): Promise<string | undefined> {
-    for (const link of this.#links()) {
+    for (const link of this.#allLinks()) {
       if (!link.isOpen) continue;
       const text = await link.requestChunk(hash);
       if (text !== undefined) return text;
@@ -180,33 +181,33 @@
     return undefined;
   }
 
-  #others(): readonly Instance[] {
-    return this.#entries.filter(({ name }) => name !== this.#options.entry);
+  #otherEntries(): readonly Instance[] {
+    return this.#liveEntries.filter(({ name }) => name !== this.#options.entry);
   }
 
-  #links(): PeerLink[] {
-    return [...this.#dialled.values(), ...this.#accepted];
+  #allLinks(): PeerLink[] {
+    return [...this.#outboundLinks.values(), ...this.#inboundLinks];
   }
 
-  #accept(request: IncomingMessage, socket: Duplex, head: Buffer): void {
+  #acceptLink(request: IncomingMessage, socket: Duplex, head: Buffer): void {
     if (request.headers[PEER_KEY_HEADER] !== this.#options.key) {
       socket.destroy();
       return;
     }
-    this.#acceptor.handleUpgrade(request, socket, head, (webSocket) => {
+    this.#webSocketServer.handleUpgrade(request, socket, head, (webSocket) => {
       const link = PeerLink.create(webSocket, {
         ...this.#handlers(),
-        onDigest: (digest, from) => {
-          this.#named.set(from, digest.entry);
-          this.#options.onDigest(digest, from);
+        onDigest: (digest, sender) => {
+          this.#inboundPeers.set(sender, digest.entry);
+          this.#options.onDigest(digest, sender);
         },
-        onClose: (closed) => {
-          this.#accepted.delete(closed);
-          const entry = this.#named.get(closed);
+        onClose: (closedLink) => {
+          this.#inboundLinks.delete(closedLink);
+          const entry = this.#inboundPeers.get(closedLink);
           if (entry !== undefined) this.#options.onPeerLost?.(entry);
         },
       });
-      this.#accepted.add(link);
+      this.#inboundLinks.add(link);
     });
   }
 
@@ -221,47 +222,49 @@
     };
   }
 
-  /** Each entry dials the peers whose hash with its own name is lowest. */
-  #choose(): ReadonlyMap<string, Instance> {
+  /** Chooses the peers to dial by rendezvous hashing: the lowest hashes win. */
+  #choosePeers(): ReadonlyMap<string, Instance> {
     return new Map(
-      this.#others()
-        .map((peer) => ({ peer, rank: this.#rankOf(peer) }))
-        .sort((a, b) => (a.rank < b.rank ? -1 : 1))
+      this.#otherEntries()
+        .map((peer) => ({ peer, hash: this.#peerHash(peer) }))
+        .sort((a, b) => (a.hash < b.hash ? -1 : 1))
         .slice(0, DIGEST_FANOUT)
         .map(({ peer }) => [peer.address, peer] as const),
     );
   }
 
-  /** Ends links to entries that are not chosen, and dials those that are. */
-  #dialChosen(): void {
-    for (const [address, link] of this.#dialled) {
-      if (!this.#chosen.has(address)) link.close();
+  /** Closes links to entries that aren't chosen, and dials those that are. */
+  #reconcileLinks(): void {
+    for (const [address, link] of this.#outboundLinks) {
+      if (!this.#chosenPeers.has(address)) link.close();
     }
     for (const address of this.#redials.keys()) {
-      if (!this.#chosen.has(address)) this.#redials.delete(address);
+      if (!this.#chosenPeers.has(address)) this.#redials.delete(address);
     }
     const nowMs = performance.now();
-    for (const [address, peer] of this.#chosen) {
-      const { atMs = 0 } = this.#redials.get(address) ?? {};
-      if (!this.#dialled.has(address) && atMs <= nowMs) this.#dial(peer);
+    for (const [address, peer] of this.#chosenPeers) {
+      const { notBeforeMs = 0 } = this.#redials.get(address) ?? {};
+      if (!this.#outboundLinks.has(address) && notBeforeMs <= nowMs) {
+        this.#dialPeer(peer);
+      }
     }
   }
 
-  /** Notes that an entry could not be reached. */
-  #postpone(address: string): void {
-    const pastMs = this.#redials.get(address)?.pauseMs;
-    const pauseMs = pastMs === undefined
-      ? REDIAL_MIN_MS
-      : Math.min(REDIAL_MAX_MS, pastMs * REDIAL_GROWTH);
-    const atMs = performance.now() + pauseMs;
-    this.#redials.set(address, { atMs, pauseMs });
+  /** Records that an entry was unreachable, and when to dial it again. */
+  #scheduleRedial(address: string): void {
+    const previousDelayMs = this.#redials.get(address)?.delayMs;
+    const delayMs = previousDelayMs === undefined
+      ? REDIAL_DELAY_MIN_MS
+      : Math.min(REDIAL_DELAY_MAX_MS, previousDelayMs * REDIAL_DELAY_FACTOR);
+    const notBeforeMs = performance.now() + delayMs;
+    this.#redials.set(address, { notBeforeMs, delayMs });
   }
 
-  #rankOf(peer: Instance): string {
+  #peerHash(peer: Instance): string {
     return hashParts([this.#options.entry, peer.name]);
   }
 
-  #dial({ address, name }: Instance): void {
+  #dialPeer({ address, name }: Instance): void {
     const link = PeerLink.dial(address, {
       key: this.#options.key,
       handlers: {
@@ -271,19 +274,20 @@
           this.#options.log(LOG_EVENTS.peerConnected, { peer: name });
         },
         onClose: (_, wasOpen) => {
-          this.#dialled.delete(address);
-          if (!wasOpen) return this.#postpone(address);
+          this.#outboundLinks.delete(address);
+          if (!wasOpen) return this.#scheduleRedial(address);
           this.#options.log(LOG_EVENTS.peerDisconnected, { peer: name });
           this.#options.onPeerLost?.(name as EntryId);
         },
       },
     });
-    this.#dialled.set(address, link);
+    this.#outboundLinks.set(address, link);
   }
 
-  #exchange(): void {
-    this.#dialChosen();
-    this.#turn = (this.#turn + 1) % (this.#isCrowded ? CROWDED_TURNS : 1);
-    if (this.#turn === 0) this.broadcastDigest();
+  #tick(): void {
+    this.#reconcileLinks();
+    this.#digestRound = (this.#digestRound + 1) %
+      (this.#isPartialMesh ? PARTIAL_MESH_DIGEST_ROUNDS : 1);
+    if (this.#digestRound === 0) this.broadcastDigest();
   }
 }
--- a/src/process/reader_election.ts
+++ b/src/process/reader_election.ts
@@ -1,172 +1,186 @@
 /**
- * Decides which entries ask the shared store for changes. A few read it for
- * all; the others hear from them in digests, and read for themselves as soon
- * as too few readers are known to reach the store.
+ * Elects the entries that read the shared store. A few read it for all; the
+ * others learn of changes from digests, and read the store themselves as soon
+ * as too few readers are known to reach it.
  *
- * Answers the load of many entries on a store whose calls are limited and paid:
- * calls grow with the readers, not with the entries.
+ * Calls to the store are rate-limited and billed. With the election they grow
+ * with the number of readers and not with the number of entries.
  */
 
 import { hashText } from "../hashing.ts";
 import type { EntryId } from "../ids.ts";
 
-/** How long ago an entry last had an answer of the store, or found that it has none. */
+/** When the store last answered an entry, or if `isLost` last failed to. */
 export interface ReaderLiveness {
   readonly entry: EntryId;
   readonly ageMs: number;
   readonly isLost?: boolean;
 }
 
-/** What the choice of readers needs of its process. */
+/** Dependencies of a reader election. */
 export interface ReaderElectionOptions {
   readonly entry: EntryId;
   /** Monotonic clock, in ms. */
   readonly now: () => number;
-  /** Whether links reach only a part of the entries; all of them if absent. */
+  /** Whether peer links reach only some of the entries; if absent, all. */
   readonly isPartialMesh?: () => boolean;
-  /** Called when this entry lost the store, which others should hear at once. */
+  /** Called when the store stops answering this entry; tell peers at once. */
   readonly onStoreUnreachable?: () => void;
 }
 
-/** Entries that read for all; one may be lost without a gap. */
-const READERS = 2;
+/** Number of entries that read for all; one may fail without a gap. */
+const READER_COUNT = 2;
 /**
- * Age of a sign at which a reader no longer counts, in ms: one wait of a watch
- * (600), a slow answer of the store (300) and two digests (150 each). A server
- * that leaves must be known everywhere 2,000 ms after the store knew it.
+ * Age at which an answer of the store no longer counts, in ms: one blocking
+ * watch (600), a slow response (300) and two digests (150 each). All entries
+ * must know of a leaving server 2,000 ms after the store does.
  */
-const SIGN_MAX_MS = 1_200;
-/** The same where signs take three digests of 300 ms each. */
-const CROWDED_SIGN_MAX_MS = 1_800;
-/** A sign counts after a loss only if it is so much younger, in ms: links take time. */
-const LOSS_SLACK_MS = 100;
-/** Time of an answer that there was not. */
+const LIVENESS_MAX_AGE_MS = 1_200;
+/** The same in a partial mesh, with three digests of 300 ms each. */
+const PARTIAL_MESH_MAX_AGE_MS = 1_800;
+/**
+ * An answer of the store counts only if it is newer than the entry's last
+ * failure by more than this, in ms; allows for link latency.
+ */
+const FAILURE_MARGIN_MS = 100;
+/** Time of an answer that never came. */
 const NEVER_MS = Number.NEGATIVE_INFINITY;
-/** Signs passed on beyond the readers needed, so that a lost one is replaced. */
-const SPARE_SIGNS = 2;
+/** Readers in a digest beyond those needed, to replace failed ones. */
+const SPARE_READERS = 2;
 
-/** When each reader known here last reached the store. */
+/** Tracks which entries reach the store, and elects the readers among them. */
 export class ReaderElection {
   readonly #options: ReaderElectionOptions;
-  /** Hash of each entry's name; hashing it at each question costs too much. */
-  readonly #ranks = new Map<EntryId, string>();
-  /** When the store last answered an entry, on this entry's clock in ms. */
-  readonly #contactMs = new Map<EntryId, number>();
-  /** When an entry last found that the store does not answer it, in ms. */
-  readonly #lostMs = new Map<EntryId, number>();
-  /** The same of this entry alone, by kind of objects. */
-  readonly #ownContactMs = new Map<string, number>();
+  /** Cached hash of each entry's name; hashing on each call costs too much. */
+  readonly #hashes = new Map<EntryId, string>();
+  /** When the store last answered each entry, on this entry's clock in ms. */
+  readonly #successMs = new Map<EntryId, number>();
+  /** When the store last failed to answer each entry, in ms. */
+  readonly #failureMs = new Map<EntryId, number>();
+  /** When the store last answered this entry, by object kind, in ms. */
+  readonly #ownSuccessMs = new Map<string, number>();
   /** When the store last answered any entry, in ms. */
-  #reachedMs: number;
-  /** When other entries last sent anything, in ms. */
-  readonly #heardMs = new Map<EntryId, number>();
+  #lastSuccessMs: number;
+  /** When the last digest of each other entry arrived, in ms. */
+  readonly #lastDigestMs = new Map<EntryId, number>();
 
   private constructor(options: ReaderElectionOptions) {
     this.#options = options;
-    this.#reachedMs = options.now();
+    this.#lastSuccessMs = options.now();
   }
 
-  /** Starts without signs, so that the entry reads for itself. */
+  /** Creates an election that knows of no readers, so that this entry reads. */
   static create(options: ReaderElectionOptions): ReaderElection {
     return new ReaderElection(options);
   }
 
-  /** Notes that the store answered this entry about a kind. */
+  /** Records that the store answered this entry about a kind of objects. */
   recordSuccess(kind: string): void {
     const nowMs = this.#options.now();
-    this.#ownContactMs.set(kind, nowMs);
-    this.#reachedMs = nowMs;
-    // An entry reads for others only what it reads of every kind.
-    const oldestMs = Math.min(...this.#ownContactMs.values());
-    this.#contactMs.set(this.#options.entry, oldestMs);
+    this.#ownSuccessMs.set(kind, nowMs);
+    this.#lastSuccessMs = nowMs;
+    // An entry counts as a reader only as long as it reads every kind.
+    const oldestMs = Math.min(...this.#ownSuccessMs.values());
+    this.#successMs.set(this.#options.entry, oldestMs);
   }
 
-  /** Notes that the store did not answer this entry about a kind. */
+  /** Records that the store failed to answer this entry about a kind. */
   recordFailure(kind: string): void {
-    const { entry, now, onStoreUnreachable: onLoss } = this.#options;
-    const wasReached = this.#ownContactMs.get(kind) !== NEVER_MS;
-    this.#ownContactMs.set(kind, NEVER_MS);
-    this.#contactMs.delete(entry);
-    this.#lostMs.set(entry, now());
-    if (wasReached) onLoss?.();
+    const { entry, now, onStoreUnreachable } = this.#options;
+    const wasReachable = this.#ownSuccessMs.get(kind) !== NEVER_MS;
+    this.#ownSuccessMs.set(kind, NEVER_MS);
+    this.#successMs.delete(entry);
+    this.#failureMs.set(entry, now());
+    if (wasReachable) onStoreUnreachable?.();
   }
 
-  /** Time since the store last answered any entry, as far as is known, in ms. */
+  /** Time since the store last answered any entry, as far as known, in ms. */
   get lastSuccessAgeMs(): number {
-    return this.#options.now() - this.#reachedMs;
+    return this.#options.now() - this.#lastSuccessMs;
   }
 
-  /** Takes over what another entry knows of the readers. */
-  merge(sender: EntryId, signs: readonly ReaderLiveness[]): void {
+  /** Merges another entry's liveness records of the readers. */
+  merge(sender: EntryId, liveness: readonly ReaderLiveness[]): void {
     const nowMs = this.#options.now();
-    this.#heardMs.set(sender, nowMs);
-    for (const { entry, ageMs, isLost } of signs) {
-      // An entry's own contact is known best by itself.
+    this.#lastDigestMs.set(sender, nowMs);
+    for (const { entry, ageMs, isLost } of liveness) {
+      // This entry's own records are more recent.
       if (entry === this.#options.entry) continue;
-      const times = isLost ? this.#lostMs : this.#contactMs;
-      const heldMs = times.get(entry) ?? NEVER_MS;
-      times.set(entry, Math.max(heldMs, nowMs - ageMs));
-      if (!isLost) this.#reachedMs = Math.max(this.#reachedMs, nowMs - ageMs);
+      const times = isLost ? this.#failureMs : this.#successMs;
+      const knownMs = times.get(entry) ?? NEVER_MS;
+      times.set(entry, Math.max(knownMs, nowMs - ageMs));
+      if (!isLost) {
+        this.#lastSuccessMs = Math.max(this.#lastSuccessMs, nowMs - ageMs);
+      }
     }
   }
 
-  /** Drops a reader whose process has ended. */
+  /** Drops an entry whose process has ended. */
   forget(entry: EntryId): void {
-    this.#contactMs.delete(entry);
-    this.#lostMs.delete(entry);
-    this.#heardMs.delete(entry);
+    this.#successMs.delete(entry);
+    this.#failureMs.delete(entry);
+    this.#lastDigestMs.delete(entry);
   }
 
-  /** Returns the signs that other entries are told. */
+  /** Returns the liveness records that digests carry. */
   liveness(): readonly ReaderLiveness[] {
-    const lost = this.#fresh(this.#lostMs)
-      .map((entry) => ({ ...this.#sign(entry, this.#lostMs), isLost: true }));
-    const contacts = this.#reached()
-      .sort((a, b) => this.#rankOf(a) < this.#rankOf(b) ? -1 : 1)
-      .slice(0, READERS + SPARE_SIGNS)
-      .map((entry) => this.#sign(entry, this.#contactMs));
-    return [...contacts, ...lost];
-  }
-
-  #sign(entry: EntryId, times: ReadonlyMap<EntryId, number>): ReaderLiveness {
+    const failed = this.#recentEntries(this.#failureMs)
+      .map((entry) => ({
+        ...this.#livenessOf(entry, this.#failureMs),
+        isLost: true,
+      }));
+    const succeeded = this.#entriesReachingStore()
+      .sort((a, b) => this.#hashOf(a) < this.#hashOf(b) ? -1 : 1)
+      .slice(0, READER_COUNT + SPARE_READERS)
+      .map((entry) => this.#livenessOf(entry, this.#successMs));
+    return [...succeeded, ...failed];
+  }
+
+  #livenessOf(
+    entry: EntryId,
+    times: ReadonlyMap<EntryId, number>,
+  ): ReaderLiveness {
     const nowMs = this.#options.now();
     return { entry, ageMs: Math.round(nowMs - (times.get(entry) ?? nowMs)) };
   }
 
   /** Whether this entry has to read the store itself. */
   get mustRead(): boolean {
-    return this.#countBefore(this.#reached()) < READERS;
+    return this.#countRankedBefore(this.#entriesReachingStore()) < READER_COUNT;
   }
 
-  /** Whether any entry, this one included, reached the store lately. */
+  /** Whether any entry, this one included, has recently reached the store. */
   get isStoreReachable(): boolean {
-    return this.#reached().length > 0;
+    return this.#entriesReachingStore().length > 0;
   }
 
   /**
-   * Whether this entry is among those that keep trying a store which nobody
-   * reaches; the others try more seldom.
+   * Whether this entry keeps probing a store that no entry reaches; the others
+   * probe it less often.
    */
   get isProber(): boolean {
-    return this.#countBefore(this.#fresh(this.#heardMs)) < READERS;
+    return this.#countRankedBefore(this.#recentEntries(this.#lastDigestMs)) <
+      READER_COUNT;
   }
 
-  #countBefore(entries: readonly EntryId[]): number {
-    const own = this.#rankOf(this.#options.entry);
-    return entries.filter((entry) => this.#rankOf(entry) < own).length;
+  #countRankedBefore(entries: readonly EntryId[]): number {
+    const ownHash = this.#hashOf(this.#options.entry);
+    return entries.filter((entry) => this.#hashOf(entry) < ownHash).length;
   }
 
-  /** Entries that reached the store lately and have not lost it since. */
-  #reached(): EntryId[] {
-    return this.#fresh(this.#contactMs).filter((entry) => {
-      const lostMs = this.#lostMs.get(entry) ?? NEVER_MS;
-      return (this.#contactMs.get(entry) ?? 0) > lostMs + LOSS_SLACK_MS;
+  /** Entries that recently reached the store and have not failed to since. */
+  #entriesReachingStore(): EntryId[] {
+    return this.#recentEntries(this.#successMs).filter((entry) => {
+      const failedMs = this.#failureMs.get(entry) ?? NEVER_MS;
+      return (this.#successMs.get(entry) ?? 0) > failedMs + FAILURE_MARGIN_MS;
     });
   }
 
-  #fresh(times: Map<EntryId, number>): EntryId[] {
-    const { now, isPartialMesh: isCrowded } = this.#options;
-    const maxMs = isCrowded?.() ? CROWDED_SIGN_MAX_MS : SIGN_MAX_MS;
+  #recentEntries(times: Map<EntryId, number>): EntryId[] {
+    const { now, isPartialMesh } = this.#options;
+    const maxMs = isPartialMesh?.()
+      ? PARTIAL_MESH_MAX_AGE_MS
+      : LIVENESS_MAX_AGE_MS;
     const sinceMs = now() - maxMs;
     for (const [entry, timeMs] of times) {
       if (timeMs < sinceMs) times.delete(entry);
@@ -174,9 +188,9 @@
     return [...times.keys()];
   }
 
-  #rankOf(entry: EntryId): string {
-    const rank = this.#ranks.get(entry) ?? hashText(entry);
-    this.#ranks.set(entry, rank);
-    return rank;
+  #hashOf(entry: EntryId): string {
+    const hash = this.#hashes.get(entry) ?? hashText(entry);
+    this.#hashes.set(entry, hash);
+    return hash;
   }
 }
--- a/src/process/reader_election_test.ts
+++ b/src/process/reader_election_test.ts
@@ -3,147 +3,149 @@
 import { ReaderElection } from "./reader_election.ts";
 
 const KIND = "servers";
-const COUNT = 60;
-/** One exchange of digests between entries, in ms. */
-const ROUND_MS = 300;
+const ENTRY_COUNT = 60;
+/** Interval between exchanges of digests, in ms. */
+const DIGEST_ROUND_MS = 300;
 
-/** Entries in a ring of links, each to three others, on one clock. */
-function createFleet() {
+/** Creates entries that share one clock, each linked to three others. */
+function createEntries() {
   const clock = { nowMs: 0 };
-  const entries = Array.from({ length: COUNT }, (_, at) => {
+  const entries = Array.from({ length: ENTRY_COUNT }, (_, at) => {
     const entry = `entry-${at}` as EntryId;
-    const readers = ReaderElection.create({
+    const election = ReaderElection.create({
       entry,
       now: () => clock.nowMs,
       isPartialMesh: () => true,
     });
-    return { entry, readers, isAlive: true, reachesStore: true };
+    return { entry, election, isAlive: true, reachesStore: true };
   });
-  const exchange = () => {
+  const exchangeDigests = () => {
     entries.forEach((sender, at) => {
       if (!sender.isAlive) return;
       for (const step of [1, 7, 23]) {
-        const receiver = entries[(at + step) % COUNT];
+        const receiver = entries[(at + step) % ENTRY_COUNT];
         if (receiver === undefined || !receiver.isAlive) continue;
-        receiver.readers.merge(sender.entry, sender.readers.liveness());
-        sender.readers.merge(receiver.entry, receiver.readers.liveness());
+        receiver.election.merge(sender.entry, sender.election.liveness());
+        sender.election.merge(receiver.entry, receiver.election.liveness());
       }
     });
   };
-  /** Lets time pass; returns who reads the store at its end. */
-  const run = (ms: number) => {
+  /** Advances the clock; returns the entries that then read the store. */
+  const advance = (ms: number) => {
     const endMs = clock.nowMs + ms;
     while (clock.nowMs < endMs) {
-      clock.nowMs += ROUND_MS;
-      for (const { readers, isAlive, reachesStore } of entries) {
-        if (isAlive && reachesStore && readers.mustRead) {
-          readers.recordSuccess(KIND);
+      clock.nowMs += DIGEST_ROUND_MS;
+      for (const { election, isAlive, reachesStore } of entries) {
+        if (isAlive && reachesStore && election.mustRead) {
+          election.recordSuccess(KIND);
         }
       }
-      exchange();
+      exchangeDigests();
     }
-    return entries.filter(({ isAlive, readers }) =>
-      isAlive && readers.mustRead
+    return entries.filter(({ isAlive, election }) =>
+      isAlive && election.mustRead
     );
   };
-  return { entries, run };
+  return { entries, advance };
 }
 
 test("two of sixty entries read the store", () => {
-  const { run } = createFleet();
-  expect(run(3_000).length).toBe(2);
+  const { advance } = createEntries();
+  expect(advance(3_000).length).toBe(2);
 });
 
-test("readers that end, or no longer reach the store, are replaced within two seconds", () => {
-  const { entries, run } = createFleet();
-  const [first, second] = run(3_000);
+test("readers that exit or lose the store are replaced within 2 s", () => {
+  const { entries, advance } = createEntries();
+  const [first, second] = advance(3_000);
   if (first) first.isAlive = false;
   if (second) second.reachesStore = false;
-  const readers = run(2_100).filter(({ reachesStore }) => reachesStore);
+  const readers = advance(2_100).filter(({ reachesStore }) => reachesStore);
   expect(readers.length).toBeGreaterThanOrEqual(2);
-  expect(run(3_000).filter(({ reachesStore }) => reachesStore).length).toBe(2);
-  expect(entries.filter(({ isAlive }) => isAlive).length).toBe(COUNT - 1);
+  expect(advance(3_000).filter(({ reachesStore }) => reachesStore).length).toBe(
+    2,
+  );
+  expect(entries.filter(({ isAlive }) => isAlive).length).toBe(ENTRY_COUNT - 1);
 });
 
-test("readers that say that they lost the store are replaced at once", () => {
-  const { run } = createFleet();
-  const lost = run(3_000);
-  for (const reader of lost) {
+test("readers that report losing the store are replaced at once", () => {
+  const { advance } = createEntries();
+  const formerReaders = advance(3_000);
+  for (const reader of formerReaders) {
     reader.reachesStore = false;
-    reader.readers.recordFailure(KIND);
+    reader.election.recordFailure(KIND);
   }
-  const others = run(900).filter(({ reachesStore }) => reachesStore);
-  expect(others.length).toBeGreaterThanOrEqual(2);
+  const newReaders = advance(900).filter(({ reachesStore }) => reachesStore);
+  expect(newReaders.length).toBeGreaterThanOrEqual(2);
 });
 
-test("an entry that is answered about one kind only is no reader", () => {
+test("an entry that the store answers about only one kind is no reader", () => {
   const clock = { nowMs: 0 };
-  const readers = ReaderElection.create({
+  const election = ReaderElection.create({
     entry: "entry-1" as EntryId,
     now: () => clock.nowMs,
   });
-  for (const kind of [KIND, "config"]) readers.recordSuccess(kind);
-  expect(readers.liveness().map(({ isLost }) => isLost)).toEqual([undefined]);
-  readers.recordFailure(KIND);
+  for (const kind of [KIND, "config"]) election.recordSuccess(kind);
+  expect(election.liveness().map(({ isLost }) => isLost)).toEqual([undefined]);
+  election.recordFailure(KIND);
   clock.nowMs = 500;
-  readers.recordSuccess("config");
-  expect(readers.liveness().map(({ isLost }) => isLost)).toEqual([true]);
-  readers.recordSuccess(KIND);
-  expect(readers.isStoreReachable).toBe(true);
+  election.recordSuccess("config");
+  expect(election.liveness().map(({ isLost }) => isLost)).toEqual([true]);
+  election.recordSuccess(KIND);
+  expect(election.isStoreReachable).toBe(true);
 });
 
-test("others are told once that the store is lost, not at each failing call", () => {
-  let told = 0;
-  const readers = ReaderElection.create({
+test("the loss of the store is announced once, not on each failed call", () => {
+  let callCount = 0;
+  const election = ReaderElection.create({
     entry: "entry-1" as EntryId,
     now: () => 0,
-    onStoreUnreachable: () => told++,
+    onStoreUnreachable: () => callCount++,
   });
-  readers.recordSuccess(KIND);
-  for (let failure = 0; failure < 5; failure++) readers.recordFailure(KIND);
-  expect(told).toBe(1);
+  election.recordSuccess(KIND);
+  for (let failure = 0; failure < 5; failure++) election.recordFailure(KIND);
+  expect(callCount).toBe(1);
 });
 
-test("where few entries are, a reader that falls silent counts for 1.2 s", () => {
+test("in a full mesh a silent reader counts for 1.2 s", () => {
   const clock = { nowMs: 0 };
-  const readers = ReaderElection.create({
+  const election = ReaderElection.create({
     entry: "entry-1" as EntryId,
     now: () => clock.nowMs,
   });
-  const others = Array.from({ length: 5 }, (_, at) => ({
+  const liveness = Array.from({ length: 5 }, (_, at) => ({
     entry: `other-${at}` as EntryId,
     ageMs: 0,
   }));
-  readers.merge("other-0" as EntryId, others);
+  election.merge("other-0" as EntryId, liveness);
   clock.nowMs = 1_100;
-  const before = readers.isStoreReachable;
+  const before = election.isStoreReachable;
   clock.nowMs = 1_300;
-  expect([before, readers.isStoreReachable]).toEqual([true, false]);
+  expect([before, election.isStoreReachable]).toEqual([true, false]);
 });
 
-test("an entry that hears nobody reads for itself", () => {
+test("an entry without digests from readers reads the store itself", () => {
   const clock = { nowMs: 0 };
-  const readers = ReaderElection.create({
+  const election = ReaderElection.create({
     entry: "entry-1" as EntryId,
     now: () => clock.nowMs,
   });
-  expect(readers.mustRead).toBe(true);
-  const others = Array.from({ length: 40 }, (_, at) => ({
+  expect(election.mustRead).toBe(true);
+  const liveness = Array.from({ length: 40 }, (_, at) => ({
     entry: `other-${at}` as EntryId,
     ageMs: 0,
   }));
-  readers.merge("other-0" as EntryId, others);
-  expect(readers.mustRead).toBe(false);
+  election.merge("other-0" as EntryId, liveness);
+  expect(election.mustRead).toBe(false);
   clock.nowMs = 1_900;
-  expect(readers.mustRead).toBe(true);
-  expect(readers.isStoreReachable).toBe(false);
+  expect(election.mustRead).toBe(true);
+  expect(election.isStoreReachable).toBe(false);
 });
 
-test("while nobody reaches the store, only the first of the entries heard keep trying", () => {
-  const { entries, run } = createFleet();
+test("while no entry reaches the store, only up to half probe it often", () => {
+  const { entries, advance } = createEntries();
   for (const entry of entries) entry.reachesStore = false;
-  run(3_000);
-  const probers = entries.filter(({ readers }) => readers.isProber);
+  advance(3_000);
+  const probers = entries.filter(({ election }) => election.isProber);
   expect(probers.length).toBeGreaterThan(0);
-  expect(probers.length).toBeLessThanOrEqual(COUNT / 2);
+  expect(probers.length).toBeLessThanOrEqual(ENTRY_COUNT / 2);
 });
--- a/src/process/steward.ts
+++ b/src/process/steward.ts
@@ -1,6 +1,6 @@
 /**
- * The steward: duties that one process of all does at a time, chosen by lease:
- * the summary of status, and the removal of old revisions and records.
+ * The steward process: background tasks that only the holder of a lease runs.
+ * It writes the status summary and removes unused chunks and expired records.
  */
 
 import { performance } from "node:perf_hooks";
@@ -29,20 +29,20 @@
 
 /** Summary of all entries' status. */
 export interface StatusSummary {
-  /** Revision in force. */
+  /** Revision that the head object names. */
   readonly revision: number;
-  /** Entries by the revision that they have adopted. */
+  /** Number of entries by the revision that they have adopted. */
   readonly entriesByRevision: Readonly<Record<string, number>>;
 }
 
-/** An entry's status is removed after it was silent for so long, in ms. */
-const STATUS_KEEP_MS = 86_400_000;
-/** Renewals of the lease for each round of duties. */
-const DUTIES_EVERY = 10;
-/** Records removed in one round, to leave writes to others. */
-const REMOVALS_MAX = 50;
+/** Age at which an entry's status is removed, in ms. */
+const STATUS_RETENTION_MS = 86_400_000;
+/** Lease renewals per round of tasks. */
+const RENEWALS_PER_TASK_ROUND = 10;
+/** Objects removed per round and prefix; leaves write capacity to others. */
+const REMOVALS_PER_ROUND_MAX = 50;
 
-/** What a steward is made of. */
+/** Dependencies and settings of a steward. */
 export interface StewardOptions {
   readonly settings: StewardSettings;
   readonly log: Log;
@@ -56,9 +56,9 @@
   readonly #log: Log;
   readonly #platform: KeyValueStore;
   readonly #lease: Lease;
-  #summary = "";
-  #nextDutiesMs = 0;
-  #closed = false;
+  #lastSummary = "";
+  #nextTasksMs = 0;
+  #isClosed = false;
 
   private constructor({ settings, log, platform }: StewardOptions) {
     this.#settings = settings;
@@ -73,7 +73,7 @@
     });
   }
 
-  /** Makes a steward; `run` starts it. */
+  /** Creates a steward; `run` starts it. */
   static create(options: StewardOptions): Steward {
     return new Steward(options);
   }
@@ -83,22 +83,22 @@
     return this.#lease.fencingToken !== undefined;
   }
 
-  /** Ends the duties. */
+  /** Stops the tasks and closes the platform's store. */
   close(): void {
-    this.#closed = true;
+    this.#isClosed = true;
     this.#platform.close();
   }
 
-  /** Does the duties whenever the lease is held, until closed. */
+  /** Renews the lease and runs the tasks while it is held, until closed. */
   async run(): Promise<void> {
     let wasHolder = false;
-    while (!this.#closed) {
+    while (!this.#isClosed) {
       try {
         await this.#lease.renew();
-        if (this.isLeaseHolder && this.#isDue()) await this.#doDuties();
+        if (this.isLeaseHolder && this.#areTasksDue()) await this.#runTasks();
       } catch (error) {
-        if (!isExpected(error)) throw error;
-        if (!this.#closed) {
+        if (!isPlatformError(error)) throw error;
+        if (!this.#isClosed) {
           this.#log(LOG_EVENTS.stewardTaskFailed, { reason: messageOf(error) });
         }
       }
@@ -111,38 +111,39 @@
     }
   }
 
-  #isDue(): boolean {
+  #areTasksDue(): boolean {
     const now = performance.now();
-    if (now < this.#nextDutiesMs) return false;
-    this.#nextDutiesMs = now + DUTIES_EVERY * this.#settings.intervalMs;
+    if (now < this.#nextTasksMs) return false;
+    this.#nextTasksMs = now +
+      RENEWALS_PER_TASK_ROUND * this.#settings.intervalMs;
     return true;
   }
 
-  async #doDuties(): Promise<void> {
+  async #runTasks(): Promise<void> {
     const stored = await this.#platform.read(HEAD_NAME);
     if (stored === undefined) return;
     const head = JSON.parse(stored.value) as Head;
-    await this.#summarise(head);
-    const nowMs = await this.#platformNow();
-    await this.#expireChunks(head, nowMs);
-    await this.#expire({
+    await this.#writeSummary(head);
+    const nowMs = await this.#leaseTimeMs();
+    await this.#removeUnusedChunks(head, nowMs);
+    await this.#removeExpired({
       prefix: ACTION_PREFIX,
       olderThanMs: nowMs - this.#settings.actionRetentionMs,
     });
-    await this.#expire({
+    await this.#removeExpired({
       prefix: ENTRY_STATUS_PREFIX,
-      olderThanMs: nowMs - STATUS_KEEP_MS,
+      olderThanMs: nowMs - STATUS_RETENTION_MS,
     });
   }
 
-  /** The platform's clock, as shown by the lease that was just renewed. */
-  async #platformNow(): Promise<number> {
+  /** Time of the lease's last renewal, from which object ages are counted. */
+  async #leaseTimeMs(): Promise<number> {
     const [lease] = await this.#platform.list(STEWARD_LEASE_NAME);
-    if (lease === undefined) throw new PlatformUnavailable("lease is missing");
+    if (lease === undefined) throw new PlatformUnavailable("no steward lease");
     return lease.updatedMs;
   }
 
-  async #summarise({ revision }: Head): Promise<void> {
+  async #writeSummary({ revision }: Head): Promise<void> {
     const listed = await this.#platform.list(ENTRY_STATUS_PREFIX);
     const entriesByRevision: Record<string, number> = {};
     for (const { name } of listed) {
@@ -154,52 +155,56 @@
     }
     const summary: StatusSummary = { revision, entriesByRevision };
     const text = JSON.stringify(summary);
-    if (text === this.#summary) return;
+    if (text === this.#lastSummary) return;
     await this.#platform.write(SUMMARY_NAME, text);
-    this.#summary = text;
+    this.#lastSummary = text;
   }
 
-  /** Removes chunks that no kept revision uses. */
-  async #expireChunks(head: Head, nowMs: number): Promise<void> {
-    const used = new Set<string>();
+  /** Removes old chunks that no retained revision uses. */
+  async #removeUnusedChunks(head: Head, nowMs: number): Promise<void> {
+    const usedNames = new Set<string>();
     let hash = head.manifest;
-    for (let kept = 0; kept <= this.#settings.retainedRevisions; kept++) {
+    for (
+      let index = 0;
+      index <= this.#settings.retainedRevisions;
+      index++
+    ) {
       const manifest = await readManifest(this.#platform, hash);
-      used.add(chunkName(hash));
-      for (const chunk of manifest.chunks) used.add(chunkName(chunk));
+      usedNames.add(chunkName(hash));
+      for (const chunk of manifest.chunks) usedNames.add(chunkName(chunk));
       if (manifest.parent === "") break;
       const parent = await this.#platform.read(chunkName(manifest.parent));
       if (parent === undefined) break;
       hash = manifest.parent;
     }
-    await this.#expire({
+    await this.#removeExpired({
       prefix: CHUNK_PREFIX,
       olderThanMs: nowMs - this.#settings.chunkRetentionMs,
-      used,
+      usedNames,
     });
   }
 
-  /** Removes old objects; each only at the version that was judged. */
-  async #expire(rule: {
+  /** Removes old, unused objects, each only if unchanged since the list. */
+  async #removeExpired(rule: {
     readonly prefix: string;
     readonly olderThanMs: number;
-    readonly used?: ReadonlySet<string>;
+    readonly usedNames?: ReadonlySet<string>;
   }): Promise<void> {
     const listed = await this.#platform.list(rule.prefix);
-    const old = listed.filter(({ name, updatedMs }: ValueMetadata) =>
-      updatedMs < rule.olderThanMs && rule.used?.has(name) !== true
+    const expired = listed.filter(({ name, updatedMs }: ValueMetadata) =>
+      updatedMs < rule.olderThanMs && rule.usedNames?.has(name) !== true
     );
-    for (const { name, version } of old.slice(0, REMOVALS_MAX)) {
+    for (const { name, version } of expired.slice(0, REMOVALS_PER_ROUND_MAX)) {
       if (!this.isLeaseHolder) return;
       await this.#platform.remove(name, version);
     }
-    if (old.length === 0) return;
-    const removed = Math.min(old.length, REMOVALS_MAX);
+    if (expired.length === 0) return;
+    const removed = Math.min(expired.length, REMOVALS_PER_ROUND_MAX);
     this.#log(LOG_EVENTS.recordsExpired, { prefix: rule.prefix, removed });
   }
 }
 
-function isExpected(error: unknown): boolean {
+function isPlatformError(error: unknown): boolean {
   return error instanceof PlatformUnavailable ||
     error instanceof VersionConflict;
 }
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -1,7 +1,7 @@
 /**
- * Keeps a relay's configuration and list of servers up to date: from the shared
- * store, which a few entries read for all, and from the other entries, also
- * while the store turns this one away.
+ * Keeps a relay's configuration and server list in sync with the shared store,
+ * which a few entries read for all, and with peers, also while this entry can't
+ * reach the store.
  */
 
 import { type Instance, InstanceState } from "../connection/instance.ts";
@@ -20,98 +20,104 @@
 import { Peers } from "./peers.ts";
 import type { Relay, ServerChange } from "./relay.ts";
 
-/** Where the configuration is kept, and how it is read. */
+/** Where the configuration is stored, and how it is parsed. */
 export interface ConfigurationSource {
   readonly kind: string;
   readonly name: string;
-  /** Errors: throws when the configuration is not whole. */
+  /** Errors: throws when the configuration is incomplete or invalid. */
   readonly parse: (spec: unknown) => RouteTable;
 }
 
-/** Where backend servers register, and how their entries are read. */
+/** Where backend servers register, and how registrations are parsed. */
 export interface ServerSource {
   readonly kind: string;
-  /** Returns `undefined` for an entry that names no server to use. */
+  /** Returns `undefined` for a registration without a usable server. */
   readonly parse: (object: StoredObject) => LiveServer | undefined;
 }
 
-/** What a follower needs of its process. */
+/** Dependencies and settings of a store sync. */
 export interface StoreSyncOptions {
   readonly entry: EntryId;
-  /** IP for the traffic between entries. */
+  /** IP address for traffic between entries. */
   readonly host: string;
-  /** Port for it. */
+  /** Port for traffic between entries. */
   readonly peerPort: number;
-  /** The same for the entries of one deployment, and for no others. */
+  /** Identifies the deployment; its hash is the peers' shared key. */
   readonly deployment: string;
   readonly objects: ObjectStore;
   readonly configuration: ConfigurationSource;
   readonly servers: ServerSource;
-  /** How often backend servers renew their entries, in ms. */
+  /** Interval at which backend servers renew their registrations, in ms. */
   readonly heartbeatMs: number;
   readonly relay: Relay;
   readonly log: Log;
-  /** Number from 0 up to 1. */
+  /** Returns a random number in [0, 1). */
   readonly random: () => number;
-  /** Called when a configuration has come into force. */
+  /** Called when a configuration was adopted. */
   readonly onConfiguration: (table: RouteTable) => void;
 }
 
-/** Longest time that the store holds a watch, in ms; its end is a sign of life for all. */
+/**
+ * Longest time that the store blocks a watch call, in ms. Its response also
+ * shows all entries that the store is reachable.
+ */
 const WATCH_WAIT_MS = 600;
 /**
- * Outage after which entries may have lapsed, in heartbeats: they lapse after
- * three without a sign, of which one may have passed before; less some jitter.
+ * Outage after which registrations may have expired, in heartbeats: they expire
+ * after three missed ones, of which one may precede the outage; less jitter.
  */
 const OUTAGE_MIN_HEARTBEATS = 1.85;
-/** Pause after changes so that those of one event come together, in ms. */
-const GATHER_MS = 100;
-/** How often entries tell each other their work, in ms; a prompt is read for 1 s. */
-const DIGEST_MS = 150;
-/** Time for a peer to tell its changes before another one is asked, in ms. */
-const CHANGES_PATIENCE_MS = 250;
-/** Names the configuration among what peers ask each other for. */
+/** Delay after changes that batches those of one event, in ms. */
+const SERVER_BATCH_DELAY_MS = 100;
+/** Interval between digests, in ms; servers take 1 s to read a prompt. */
+const DIGEST_INTERVAL_MS = 150;
+/** Time for a peer to send its changes before another one is asked, in ms. */
+const CHANGES_TIMEOUT_MS = 250;
+/** Chunk name under which peers request the configuration. */
 const CONFIGURATION_CHUNK = "configuration" as ContentHash;
-/** The same, given only while it is small enough to be copied from peer to peer. */
+/** The same, answered only if small enough to be copied between peers. */
 const SMALL_CONFIGURATION_CHUNK = "small-configuration" as ContentHash;
-/** Larger configurations are read from the store; a slow link carries this in 0.1 s. */
+/**
+ * Largest configuration answered under that name; a slow link transfers it in
+ * 0.1 s. Larger ones are read from the store.
+ */
 const SMALL_CONFIGURATION_MAX_CHARACTERS = 65_536;
 
-/** Follows the store and the peers until it is closed. */
+/** Follows the store and the peers until closed. */
 export class StoreSync {
   readonly #options: StoreSyncOptions;
   readonly #peers: Peers;
   readonly #membership: Membership;
   readonly #configurationWatch: ObjectWatch;
   readonly #serverWatch: ObjectWatch;
-  /** The object that holds the configuration in force. */
-  #configuration: StoredObject | undefined;
-  /** The same as JSON, once a peer has asked for it. */
-  #configurationText: string | undefined;
-  #hasServers = false;
-  #isFetching = false;
-  /** When the peer was asked that has not answered with its changes yet, in ms. */
-  #askedChangesMs: number | undefined;
+  /** The object that holds the adopted configuration. */
+  #configurationObject: StoredObject | undefined;
+  /** The same as JSON, cached once a peer has requested it. */
+  #configurationJson: string | undefined;
+  #hasServerList = false;
+  #isFetchingConfiguration = false;
+  /** When the pending request for a peer's changes was sent, in ms. */
+  #changesRequestedMs: number | undefined;
 
   private constructor(options: StoreSyncOptions) {
     this.#options = options;
-    this.#configurationWatch = this.#watchConfiguration();
-    this.#serverWatch = this.#watchServers();
+    this.#configurationWatch = this.#createConfigurationWatch();
+    this.#serverWatch = this.#createServerWatch();
     this.#peers = this.#createPeers();
     this.#membership = this.#createMembership();
   }
 
-  /** Makes a follower; `start` lets it follow. */
+  /** Creates a store sync; `start` starts it. */
   static create(options: StoreSyncOptions): StoreSync {
     return new StoreSync(options);
   }
 
-  /** Whether the list of servers was read. */
+  /** Whether the server list has been read. */
   get hasServerList(): boolean {
-    return this.#hasServers;
+    return this.#hasServerList;
   }
 
-  /** Listens for peers and starts to follow. */
+  /** Listens for peers and starts the watches and the membership task. */
   async start(): Promise<void> {
     await this.#peers.listen(this.#options.host, this.#options.peerPort);
     this.#configurationWatch.run();
@@ -119,22 +125,22 @@
     this.#membership.run();
   }
 
-  /** Tells other entries soon what the store told this one. */
+  /** Sends a digest soon, to pass on changes read from the store. */
   scheduleDigestBroadcast(): void {
     this.#peers.scheduleDigestBroadcast();
   }
 
-  /** Tells other entries soon where work went, where they are few. */
+  /** Announces an assigned stream soon, unless peers form a partial mesh. */
   schedulePlacementBroadcast(): void {
     this.#peers.schedulePlacementBroadcast();
   }
 
-  /** Takes the registration back; links stay until `close`. */
+  /** Removes the registration; links stay open until `close`. */
   deregister(): Promise<void> {
     return this.#membership.close();
   }
 
-  /** Ends all tasks and links. */
+  /** Stops all tasks, closes all links and removes the registration. */
   async close(): Promise<void> {
     this.#configurationWatch.close();
     this.#serverWatch.close();
@@ -148,10 +154,10 @@
       entry,
       key: hashText(deployment),
       log,
-      digestIntervalMs: DIGEST_MS,
+      digestIntervalMs: DIGEST_INTERVAL_MS,
       createDigest: () => relay.createDigest(),
-      onDigest: (digest, link) => this.#takeDigest(digest, link),
-      onPeerLost: (lost) => relay.removePeer(lost),
+      onDigest: (digest, link) => this.#mergeDigest(digest, link),
+      onPeerLost: (peer) => relay.removePeer(peer),
       readChunk: (name) => this.#readChunk(name),
       readChanges: (after) => relay.changesAfter(after),
     });
@@ -178,38 +184,38 @@
     });
   }
 
-  #watchConfiguration(): ObjectWatch {
+  #createConfigurationWatch(): ObjectWatch {
     const { kind, name } = this.#options.configuration;
-    const take = (objects: readonly StoredObject[]) => {
-      const main = objects.find((object) => object.name === name);
-      if (main !== undefined) this.#adopt(main);
+    const adoptFrom = (objects: readonly StoredObject[]) => {
+      const found = objects.find((object) => object.name === name);
+      if (found !== undefined) this.#adoptConfiguration(found);
     };
     return ObjectWatch.create({
-      ...this.#watchOptions(),
+      ...this.#createWatchOptions(),
       kind,
       batchDelayMs: 0,
-      onList: ({ objects }) => take(objects),
+      onList: ({ objects }) => adoptFrom(objects),
       onChanges: (changes) => {
-        const kept = changes.filter(({ isDeleted }) => !isDeleted);
-        take(kept.map(({ object }) => object).toReversed());
+        const existing = changes.filter(({ isDeleted }) => !isDeleted);
+        adoptFrom(existing.map(({ object }) => object).toReversed());
       },
     });
   }
 
-  #watchServers(): ObjectWatch {
+  #createServerWatch(): ObjectWatch {
     const { relay, servers } = this.#options;
     return ObjectWatch.create({
-      ...this.#watchOptions(),
+      ...this.#createWatchOptions(),
       kind: servers.kind,
-      batchDelayMs: GATHER_MS,
+      batchDelayMs: SERVER_BATCH_DELAY_MS,
       onList: ({ objects, revision }, isAfterOutage) => {
-        const listed = objects.map((object) => this.#readServer(object));
+        const listed = objects.map((object) => this.#parseServer(object));
         relay.replaceServerList(listed, { revision, isAfterOutage });
-        this.#hasServers = true;
+        this.#hasServerList = true;
       },
       onChanges: (changes, isAfterOutage) => {
         const changed = changes.map(({ object, isDeleted }) => ({
-          ...this.#readServer(object),
+          ...this.#parseServer(object),
           ...(isDeleted ? { server: undefined } : {}),
         }));
         relay.applyServerChanges(changed, isAfterOutage);
@@ -217,7 +223,7 @@
     });
   }
 
-  #watchOptions() {
+  #createWatchOptions() {
     const { objects, log, random, relay } = this.#options;
     return {
       objects,
@@ -229,30 +235,30 @@
     };
   }
 
-  #readServer(object: StoredObject): ServerChange {
+  #parseServer(object: StoredObject): ServerChange {
     const { name, revision } = object;
     const server = this.#options.servers.parse(object);
     return { name, revision, server };
   }
 
-  #adopt(main: StoredObject, source = "platform"): void {
+  #adoptConfiguration(object: StoredObject, source = "platform"): void {
     const { configuration, relay, log, onConfiguration } = this.#options;
     try {
-      const table = configuration.parse(main.spec);
+      const table = configuration.parse(object.spec);
       if (!relay.adopt(table, source)) return;
-      this.#configuration = main;
-      this.#configurationText = undefined;
+      this.#configurationObject = object;
+      this.#configurationJson = undefined;
       onConfiguration(table);
       this.#peers.broadcastDigest();
     } catch (error) {
       log(LOG_EVENTS.revisionFailed, {
-        revision: main.revision,
+        revision: object.revision,
         reason: messageOf(error),
       });
     }
   }
 
-  async #takeDigest(digest: GossipDigest, link: PeerLink): Promise<void> {
+  async #mergeDigest(digest: GossipDigest, link: PeerLink): Promise<void> {
     const { relay, log } = this.#options;
     relay.mergeDigest(digest);
     this.#fetchChanges(digest, link);
@@ -260,8 +266,10 @@
       log(LOG_EVENTS.serverListMismatch, { peer: digest.entry });
     }
     const version = digest.orders?.configuration ?? -1;
-    if (version <= relay.configurationVersion || this.#isFetching) return;
-    this.#isFetching = true;
+    if (
+      version <= relay.configurationVersion || this.#isFetchingConfiguration
+    ) return;
+    this.#isFetchingConfiguration = true;
     try {
       await this.#fetchConfiguration(digest.entry, link);
     } catch (error) {
@@ -270,47 +278,49 @@
         reason: messageOf(error),
       });
     } finally {
-      this.#isFetching = false;
+      this.#isFetchingConfiguration = false;
     }
   }
 
-  /** Takes over what a peer's list of servers has and this entry's has not. */
+  /** Fetches and merges changes to a peer's server list that this one lacks. */
   async #fetchChanges(digest: GossipDigest, link: PeerLink): Promise<void> {
     const { relay } = this.#options;
     const after = relay.compareServerList(digest);
-    const askedMs = this.#askedChangesMs ?? Number.NEGATIVE_INFINITY;
+    const requestedMs = this.#changesRequestedMs ?? Number.NEGATIVE_INFINITY;
     const nowMs = performance.now();
-    if (after === undefined || nowMs - askedMs < CHANGES_PATIENCE_MS) return;
-    this.#askedChangesMs = nowMs;
+    if (after === undefined || nowMs - requestedMs < CHANGES_TIMEOUT_MS) return;
+    this.#changesRequestedMs = nowMs;
     const changes = await link.requestChanges(after);
     if (changes !== undefined) relay.mergeServerChanges(digest.entry, changes);
-    if (this.#askedChangesMs === nowMs) this.#askedChangesMs = undefined;
+    if (this.#changesRequestedMs === nowMs) {
+      this.#changesRequestedMs = undefined;
+    }
   }
 
-  /** Gets a newer configuration where it is cheapest: a peer, else the store. */
+  /** Fetches a newer configuration: from the peer if small, else the store. */
   async #fetchConfiguration(peer: EntryId, link: PeerLink): Promise<void> {
     const { objects, log } = this.#options;
     const { kind, name } = this.#options.configuration;
-    const take = (text: string | undefined) => {
-      if (text !== undefined) this.#adopt(JSON.parse(text), peer);
-      return text !== undefined;
+    const adoptFrom = (json: string | undefined) => {
+      if (json !== undefined) this.#adoptConfiguration(JSON.parse(json), peer);
+      return json !== undefined;
     };
-    if (take(await link.requestChunk(SMALL_CONFIGURATION_CHUNK))) return;
+    if (adoptFrom(await link.requestChunk(SMALL_CONFIGURATION_CHUNK))) return;
     try {
-      const main = await objects.read(kind, name);
-      if (main !== undefined) this.#adopt(main);
+      const stored = await objects.read(kind, name);
+      if (stored !== undefined) this.#adoptConfiguration(stored);
     } catch (error) {
       log(LOG_EVENTS.platformUnreachable, { kind, reason: messageOf(error) });
-      take(await link.requestChunk(CONFIGURATION_CHUNK));
+      adoptFrom(await link.requestChunk(CONFIGURATION_CHUNK));
     }
   }
 
   #readChunk(name: ContentHash): string | undefined {
-    if (this.#configuration === undefined) return undefined;
-    this.#configurationText ??= JSON.stringify(this.#configuration);
-    const { length } = this.#configurationText;
-    const isRefused = name === SMALL_CONFIGURATION_CHUNK &&
+    if (this.#configurationObject === undefined) return undefined;
+    this.#configurationJson ??= JSON.stringify(this.#configurationObject);
+    const { length } = this.#configurationJson;
+    const isTooLarge = name === SMALL_CONFIGURATION_CHUNK &&
       length > SMALL_CONFIGURATION_MAX_CHARACTERS;
-    return isRefused ? undefined : this.#configurationText;
+    return isTooLarge ? undefined : this.#configurationJson;
   }
 }
