Correct five comments of the relay, the watch and the stores

They had lost a detail in the rewording: that the relay's callback also reports the loss of the store, that a flag of the object watch follows `outageThresholdMs`, that a claim's create was unconfirmed and not failed, and which entries a random delay spares.

--- a/src/process/action_store.ts
+++ b/src/process/action_store.ts
@@ -145,7 +145,7 @@
     this.#reconcile(remove, () => undefined);
   }
 
-  /** Removes this attempt's record if its failed create takes effect later. */
+  /** Removes this attempt's record if its unconfirmed create takes effect. */
   #removeIfCreatedLate(key: Fingerprint, attempt: ActionAttemptId): void {
     const remove = async () => {
       const isFound = await this.#removeOwnClaim(key, attempt);
--- a/src/process/entry_status.ts
+++ b/src/process/entry_status.ts
@@ -33,7 +33,7 @@
   readonly expiresInS: number;
 }
 
-/** Delay before a write, in ms, so that close changes are coalesced. */
+/** Delay before a write, in ms, so that a burst of changes makes one write. */
 const WRITE_DELAY_MIN_MS = 100;
 /** Limits the writes of all entries after a change to 200 a second. */
 const WRITE_JITTER_PER_ENTRY_MS = 5;
--- a/src/process/object_watch.ts
+++ b/src/process/object_watch.ts
@@ -53,8 +53,8 @@
 /** Wait after the first list, in ms, so that digests can name the readers. */
 const STARTUP_WAIT_MS = 700;
 /**
- * Longest random delay before an idle entry starts to read, in ms; the entries
- * with the shortest one make the reads of the others unnecessary.
+ * Longest random delay before an idle entry starts to read, in ms. Once the
+ * first ones read, the others need not.
  */
 const TAKEOVER_JITTER_MAX_MS = 150;
 
@@ -69,7 +69,7 @@
   #isUnreachable = false;
   #mustRelist = true;
   #isReading = true;
-  /** Whether, before this read, no entry reached the store for too long. */
+  /** Whether no entry reached the store for `outageThresholdMs` until now. */
   #hadReaderOutage = false;
 
   private constructor(options: ObjectWatchOptions) {
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -51,7 +51,10 @@
   readonly queueOrder?: QueueOrder;
   /** Called when a stream was assigned to a server. */
   readonly onStreamPlaced?: () => void;
-  /** Called when the store reported a change that peers may not have yet. */
+  /**
+   * Called when peers should get a digest at once: the store reported a change
+   * or became unreachable.
+   */
   readonly onStoreChange?: () => void;
 }
 
