--- a/bench/child.ts
+++ b/bench/child.ts
@@ -1,4 +1,4 @@
-/** One real process of a local cluster: start, signals, control, logs. */
+/** A child process of a local cluster: startup, signals, control and logs. */
 
 import { type ChildProcess, spawn } from "node:child_process";
 import process from "node:process";
@@ -6,39 +6,42 @@
 import { callHttp, type HttpResponse } from "../src/connection/http_call.ts";
 import { LOG_EVENTS } from "../src/process/log_events.ts";
 
-/** How a process is started. */
+/** Options for starting a process. */
 export interface ChildOptions {
-  /** Compiled module, relative to the compiled root. */
+  /** Path of the compiled module, relative to the build output. */
   readonly module: string;
   readonly args: readonly string[];
-  /** Options of Node itself. */
+  /** Command-line options for Node itself. */
   readonly nodeOptions?: readonly string[];
-  /** Variables beside those of this process. */
+  /** Environment variables added to those of this process. */
   readonly env?: Readonly<Record<string, string>>;
-  /** Ports that are known before; the process then says by its log that it listens. */
+  /**
+   * Ports known in advance. If given, the process counts as started once its
+   * log says that it listens; otherwise once it has printed its ports.
+   */
   readonly ports?: Readonly<Record<string, number>>;
 }
 
-/** A log line of a daemon. */
+/** A structured log line of a process. */
 export interface LogLine {
   readonly event: number;
   readonly [detail: string]: unknown;
 }
 
-const LISTENING = LOG_EVENTS.listening.number;
+const LISTENING_EVENT = LOG_EVENTS.listening.number;
 const ROOT = new URL("../", import.meta.url);
-const START_LIMIT_MS = 15_000;
-/** Silence after which no gathered line is left; processes gather for 50 ms. */
-const OUTPUT_QUIET_MS = 400;
+const START_TIMEOUT_MS = 15_000;
+/** Quiet time after which output is complete; logs are buffered for 50 ms. */
+const OUTPUT_IDLE_MS = 400;
 const CONTROL_TIMEOUT_MS = 5_000;
 
-/** Processes that run; none of them outlives this one. */
-const started = new Set<ChildProcess>();
+/** Running child processes, killed when this process exits. */
+const runningChildren = new Set<ChildProcess>();
 process.once("exit", () => {
-  for (const child of started) child.kill("SIGKILL");
+  for (const child of runningChildren) child.kill("SIGKILL");
 });
 
-/** A started process that has reported its ports. */
+/** A started process whose ports are known. */
 export class Child {
   readonly #process: ChildProcess;
   readonly #stdout: string[];
@@ -60,7 +63,11 @@
     this.ports = parts.ports;
   }
 
-  /** Starts a process and waits for the line with its ports. */
+  /**
+   * Starts a process and waits until it listens.
+   *
+   * Errors: rejects if it exits first or does not listen within 15 s.
+   */
   static async create(options: ChildOptions): Promise<Child> {
     const module = new URL(options.module, compiledRoot()).pathname;
     const child = spawn(
@@ -71,8 +78,8 @@
         env: { ...process.env, ...options.env },
       },
     );
-    started.add(child);
-    child.once("exit", () => started.delete(child));
+    runningChildren.add(child);
+    child.once("exit", () => runningChildren.delete(child));
     const stdout: string[] = [];
     const stderr: string[] = [];
     child.stdout.setEncoding("utf8");
@@ -85,42 +92,42 @@
     const ports = await readPorts(child, {
       stdout,
       stderr,
-      known: options.ports,
+      knownPorts: options.ports,
     });
     return new Child({ process: child, stdout, stderr, exited, ports });
   }
 
-  /** Address of the first port. */
+  /** Loopback IP and main port of the process. */
   get address(): string {
     return `127.0.0.1:${this.port}`;
   }
 
-  /** The first port. */
+  /** The main port; 0 if the process has none. */
   get port(): number {
     return this.ports.port ?? 0;
   }
 
-  /** Process id. */
+  /** Process id; 0 if the process could not be spawned. */
   get pid(): number {
     return this.#process.pid ?? 0;
   }
 
-  /** Resolves with the exit code, `null` after a signal. */
+  /** Resolves with the exit code, or `null` if a signal ended the process. */
   get exited(): Promise<number | null> {
     return this.#exited;
   }
 
-  /** Whether the process has ended. */
+  /** Whether the process has exited. */
   get hasExited(): boolean {
     return this.#process.exitCode !== null || this.#process.signalCode !== null;
   }
 
-  /** All that was written to standard error. */
+  /** Everything written to standard error so far. */
   get stderr(): string {
     return this.#stderr.join("");
   }
 
-  /** Keys of the runs that a stand-in announced, also before a kill. */
+  /** Keys of the runs that a stand-in printed, also if it has been killed. */
   announcedRuns(): string[] {
     return this.#stdout.join("").split("\n")
       .filter((line) => line.startsWith('{"run"'))
@@ -134,37 +141,37 @@
       .map((line) => JSON.parse(line) as LogLine);
   }
 
-  /** Resolves once output that was gathered has been written. */
+  /** Resolves once the process's buffered output has been written. */
   async waitForOutput(): Promise<void> {
-    let seen = -1;
-    while (seen !== this.#stdout.length) {
-      seen = this.#stdout.length;
-      await sleep(OUTPUT_QUIET_MS);
+    let chunksSeen = -1;
+    while (chunksSeen !== this.#stdout.length) {
+      chunksSeen = this.#stdout.length;
+      await sleep(OUTPUT_IDLE_MS);
     }
   }
 
-  /** Sends a signal. */
+  /** Sends a signal to the process. */
   signal(name: NodeJS.Signals): void {
     this.#process.kill(name);
   }
 
-  /** Kills the process and waits for its end. */
+  /** Kills the process and waits for its exit. */
   async kill(): Promise<void> {
     this.signal("SIGKILL");
     await this.#exited;
   }
 
-  /** Stops the process where it stands. */
+  /** Suspends the process (SIGSTOP). */
   freeze(): void {
     this.signal("SIGSTOP");
   }
 
-  /** Lets a frozen process go on. */
+  /** Resumes a suspended process (SIGCONT). */
   thaw(): void {
     this.signal("SIGCONT");
   }
 
-  /** Sets switches of a stand-in. */
+  /** Sets the given switches of a stand-in; the others keep their values. */
   async control(switches: Readonly<Record<string, unknown>>): Promise<void> {
     await callHttp({
       address: this.address,
@@ -175,16 +182,16 @@
     });
   }
 
-  /** Reads a JSON document from the process. */
+  /** Fetches a JSON document from the process. Errors: rejects after 5 s. */
   async get<Value>(path: string): Promise<Value> {
-    const answer = await this.#call(path);
-    return JSON.parse(answer.body.toString()) as Value;
+    const response = await this.#call(path);
+    return JSON.parse(response.body.toString()) as Value;
   }
 
-  /** Returns the status of a path; 0 when its answer does not end. */
+  /** Returns the response status for a path; 0 without a complete response. */
   async status(path: string): Promise<number> {
-    const answer = await this.#call(path).catch(() => undefined);
-    return answer?.status ?? 0;
+    const response = await this.#call(path).catch(() => undefined);
+    return response?.status ?? 0;
   }
 
   #call(path: string): Promise<HttpResponse> {
@@ -197,12 +204,12 @@
   }
 }
 
-/** Children run compiled code, also when this module runs from source. */
+/** Child processes run compiled code even if this module runs from source. */
 function compiledRoot(): URL {
   return ROOT.pathname.endsWith("/dist/") ? ROOT : new URL("dist/", ROOT);
 }
 
-function eventOf(line: string): number {
+function eventNumber(line: string): number {
   return (JSON.parse(line) as LogLine).event;
 }
 
@@ -212,30 +219,43 @@
 
 function readPorts(
   child: ChildProcess,
-  { stdout, stderr, known }: {
+  { stdout, stderr, knownPorts }: {
     readonly stdout: readonly string[];
     readonly stderr: readonly string[];
-    readonly known: Readonly<Record<string, number>> | undefined;
+    readonly knownPorts: Readonly<Record<string, number>> | undefined;
   },
 ): Promise<Readonly<Record<string, number>>> {
   return new Promise((resolve, reject) => {
     const timer = setTimeout(
-      () => reject(new Error("process did not start in time")),
-      START_LIMIT_MS,
+      () =>
+        reject(
+          new Error(
+            "process neither printed ports nor logged `listening` in 15 s",
+          ),
+        ),
+      START_TIMEOUT_MS,
     );
     child.once("exit", (code) => {
       clearTimeout(timer);
-      reject(new Error(`process ended with ${code}: ${stderr.join("")}`));
+      reject(
+        new Error(
+          `process exited with code ${code} before it listened: ${
+            stderr.join("")
+          }`,
+        ),
+      );
     });
     child.stdout?.on("data", () => {
-      // The piece after the last line feed is not a whole line yet.
+      // The text after the last line feed is an incomplete line.
       const lines = stdout.join("").split("\n").slice(0, -1);
-      const isListening = known !== undefined &&
-        lines.some((line) => isLogLine(line) && eventOf(line) === LISTENING);
-      const printed = lines.find((line) => !isLogLine(line));
-      if (!isListening && printed === undefined) return;
+      const isListening = knownPorts !== undefined &&
+        lines.some((line) =>
+          isLogLine(line) && eventNumber(line) === LISTENING_EVENT
+        );
+      const portsLine = lines.find((line) => !isLogLine(line));
+      if (!isListening && portsLine === undefined) return;
       clearTimeout(timer);
-      resolve(known ?? JSON.parse(printed ?? "{}"));
+      resolve(knownPorts ?? JSON.parse(portsLine ?? "{}"));
     });
   });
 }
--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -1,10 +1,13 @@
-/** `npm run demo`: a generation that outlives the engine it runs on. */
+/** `npm run demo`: a generation that survives the crash of its engine. */
 
 import process from "node:process";
 import { expectedText } from "../standins/text.ts";
 import { engineName, LocalCluster } from "./local_cluster.ts";
 
-const ASKED = { prompt: "Survey of the Dolpo glasshouse roof", maxTokens: 120 };
+const REQUEST = {
+  prompt: "Survey of the Dolpo glasshouse roof",
+  maxTokens: 120,
+};
 const TOKENS_BEFORE_KILL = 40;
 const TOKEN_MS = 30;
 
@@ -21,26 +24,30 @@
 });
 try {
   print((await cluster.runCommand(["audit"])).stdout.trimEnd());
-  print(`\nasking an entry for ${ASKED.maxTokens} tokens ...`);
-  const caller = cluster.complete(ASKED);
+  print(`\nrequesting ${REQUEST.maxTokens} tokens from an entry ...`);
+  const caller = cluster.complete(REQUEST);
   await caller.waitForTokens(TOKENS_BEFORE_KILL);
-  const serving = await cluster.servingEngineIndex();
-  const engine = cluster.engine(serving);
-  print(`${caller.tokenCount} tokens received; killing ${engineName(serving)}`);
-  print(`  (pid ${engine.pid}) under it`);
+  const servingIndex = await cluster.servingEngineIndex();
+  const engine = cluster.engine(servingIndex);
+  print(
+    `${caller.tokenCount} tokens received; killing ${engineName(servingIndex)}`,
+  );
+  print(`  (pid ${engine.pid}), which generates them`);
   await engine.kill();
   const { outcome } = await caller.ended;
   const expected = expectedText(
-    { prompt: ASKED.prompt, modelVersion: "1" },
-    ASKED.maxTokens,
+    { prompt: REQUEST.prompt, modelVersion: "1" },
+    REQUEST.maxTokens,
   );
-  const isWhole = caller.text === expected;
+  const isComplete = caller.text === expected;
   print(`${caller.text.trim().slice(0, 60)} ...`);
-  print(`answer ended: ${outcome}, ${caller.tokenCount} tokens`);
-  print(`no token lost, doubled or mixed: ${isWhole ? "yes" : "NO"}`);
-  print(`output paused for ${caller.longestEventGapMs.toFixed(0)} ms`);
-  if (!isWhole || outcome !== "done") process.exitCode = 1;
+  print(`response ended: ${outcome}, ${caller.tokenCount} tokens`);
+  print(`no token lost, duplicated or changed: ${isComplete ? "yes" : "NO"}`);
+  print(
+    `longest gap between two events: ${caller.longestEventGapMs.toFixed(0)} ms`,
+  );
+  if (!isComplete || outcome !== "done") process.exitCode = 1;
 } finally {
   await cluster.close();
-  print("everything is stopped");
+  print("all processes stopped");
 }
--- a/bench/emulate_main.ts
+++ b/bench/emulate_main.ts
@@ -1,4 +1,4 @@
-/** `npm run emulate`: what callers get from emulated entries and engines. */
+/** `npm run emulate`: service quality with emulated entries and engines. */
 
 import process from "node:process";
 import yargs from "yargs";
@@ -16,23 +16,23 @@
   .option("dialled", {
     type: "number",
     default: 6,
-    describe: "entries that each entry dials",
+    describe: "peers to which each entry opens a link",
   })
   .option("rate", {
     type: "number",
     default: 18.7,
-    describe: "streams a second, a tenth of them urgent",
+    describe: "streams per second, 10 % of them urgent",
   })
   .option("slots", { type: "number", default: REFERENCE_ENGINE.slots })
   .option("burst", {
     type: "number",
     default: 1,
-    describe: "how many times as many routine streams come from 3 to 9 s",
+    describe: "factor on the rate of routine streams from 3 to 9 s",
   })
   .option("slow", {
     type: "number",
     default: 0,
-    describe: "engines that take four times as long from 8 to 14 s",
+    describe: "number of engines that run at a quarter speed from 8 to 14 s",
   })
   .option("seconds", { type: "number", default: 40 })
   .option("backups", { type: "boolean", default: true })
@@ -40,7 +40,7 @@
   .strict()
   .parse();
 
-/** The two kinds of streams of the users' larger deployments. */
+/** The two request classes of the users' larger deployments. */
 const URGENT: RequestClass = {
   name: "urgent",
   arrivalsPerS: args.rate * 0.1,
@@ -61,7 +61,7 @@
   bursts: [{ factor: args.burst, fromMs: 3_000, toMs: 9_000 }],
 };
 
-const figures = await emulate({
+const results = await emulate({
   ...args,
   supportsKvBackup: args.backups,
   engine: { ...REFERENCE_ENGINE, slots: args.slots },
@@ -71,4 +71,4 @@
   durationMs: args.seconds * MS_PER_S,
   classes: [URGENT, ROUTINE],
 });
-for (const line of figures) process.stdout.write(`${JSON.stringify(line)}\n`);
+for (const line of results) process.stdout.write(`${JSON.stringify(line)}\n`);
--- a/bench/emulator/emulated_caller.ts
+++ b/bench/emulator/emulated_caller.ts
@@ -1,72 +1,72 @@
-/** A caller of an emulated stream, which notes how well it was served. */
+/** A caller in an emulation, which records how its request was served. */
 
 import type { ResponseWriter } from "../../src/connection/response_writer.ts";
 
-/** What a caller wants of a stream. */
+/** Latency that a caller expects of a request. */
 export interface LatencyTarget {
-  /** Time in which the first event is on time, in ms. */
+  /** Longest time to the first event, or to a whole response, in ms. */
   readonly targetMs: number;
-  /** Longest pause between events that is on time, in ms. */
+  /** Longest pause between two events, in ms. */
   readonly maxPauseMs: number;
 }
 
-/** How a stream ended for its caller. */
+/** How a request ended for its caller; `open` until then. */
 export type StreamOutcome = "open" | "on time" | "late" | "refused" | "broken";
 
 const MS_PER_S = 1_000;
 const STATUS_OK = 200;
 
-/** One caller. */
+/** The caller of one request; it receives the response. */
 export class EmulatedCaller implements ResponseWriter {
   readonly signal = new AbortController().signal;
   readonly customer: string;
   readonly #now: () => number;
-  readonly #aim: LatencyTarget;
-  /** When it first asked, in ms. */
+  readonly #target: LatencyTarget;
+  /** When its request was first sent, in virtual ms. */
   readonly startMs: number;
-  #heardMs: number;
+  #lastEventMs: number;
   #isLate = false;
   #hasEvents = false;
-  /** How the stream ended. */
+  /** How the request ended. */
   outcome: StreamOutcome = "open";
-  /** Time until it ended, in ms. */
+  /** Time from the request to its end, in ms. */
   durationMs = 0;
-  /** When it was told to come back after its last refusal, in ms from then. */
+  /** Retry-After of the last refusal, in ms. */
   retryAfterMs = 0;
-  /** Called once the stream has ended. */
+  /** Called once the request has ended. */
   onEnd: () => void = () => undefined;
 
   private constructor(
     now: () => number,
-    aim: LatencyTarget & { readonly customer: string },
+    target: LatencyTarget & { readonly customer: string },
   ) {
     this.#now = now;
-    this.#aim = aim;
-    this.customer = aim.customer;
+    this.#target = target;
+    this.customer = target.customer;
     this.startMs = now();
-    this.#heardMs = now();
+    this.#lastEventMs = now();
   }
 
-  /** Begins to wait now. */
+  /** Creates a caller whose request is sent now. */
   static create(
     now: () => number,
-    aim: LatencyTarget & { readonly customer: string },
+    target: LatencyTarget & { readonly customer: string },
   ): EmulatedCaller {
-    return new EmulatedCaller(now, aim);
+    return new EmulatedCaller(now, target);
   }
 
   readonly send: ResponseWriter["send"] = ({ status }) => {
-    const isLate = this.#now() - this.startMs > this.#aim.targetMs;
+    const isLate = this.#now() - this.startMs > this.#target.targetMs;
     if (status !== STATUS_OK) this.#end("broken");
     else this.#end(isLate ? "late" : "on time");
   };
   readonly writeHead: ResponseWriter["writeHead"] = () => undefined;
   readonly write: ResponseWriter["write"] = () => {
-    const pauseMs = this.#now() - this.#heardMs;
-    const { targetMs, maxPauseMs: pauseMaxMs } = this.#aim;
-    this.#isLate ||= pauseMs > (this.#hasEvents ? pauseMaxMs : targetMs);
+    const pauseMs = this.#now() - this.#lastEventMs;
+    const { targetMs, maxPauseMs } = this.#target;
+    this.#isLate ||= pauseMs > (this.#hasEvents ? maxPauseMs : targetMs);
     this.#hasEvents = true;
-    this.#heardMs = this.#now();
+    this.#lastEventMs = this.#now();
     return Promise.resolve();
   };
   readonly end = () => this.#end(this.#isLate ? "late" : "on time");
@@ -76,8 +76,8 @@
     this.#end("refused");
   };
 
-  #end(ending: StreamOutcome): void {
-    this.outcome = ending;
+  #end(outcome: StreamOutcome): void {
+    this.outcome = outcome;
     this.durationMs = this.#now() - this.startMs;
     this.onEnd();
   }
--- a/bench/emulator/emulated_cluster.ts
+++ b/bench/emulator/emulated_cluster.ts
@@ -1,4 +1,4 @@
-/** Entries and engines in virtual time; entries hear of each other by digests. */
+/** Entries and backend servers in virtual time; entries exchange digests. */
 
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
@@ -33,79 +33,90 @@
 } from "./emulated_service.ts";
 import type { VirtualClock } from "./virtual_time.ts";
 
-/** What is emulated. */
+/** Size and load of an emulation. */
 export interface EmulationOptions extends LoadOptions {
-  /** Count of engines. */
+  /** Number of engines. */
   readonly servers: number;
-  /** Count of plain servers; none if absent. */
+  /** Number of the plain service's backend servers; 0 if absent. */
   readonly plainServers?: number;
   readonly plainModel?: ServiceModel;
-  /** Entries that each entry dials; it hears those that dial it too. */
+  /** Peers to which each entry opens a link; digests flow both ways. */
   readonly dialled: number;
-  /** Whether engines keep copies of each other's runs; they do if absent. */
+  /** Whether engines hold KV cache backups for each other; true if absent. */
   readonly supportsKvBackup?: boolean;
   readonly engine?: EngineModel;
-  /** Fair if absent. */
+  /** `Fair` if absent. */
   readonly queueOrder?: QueueOrder;
-  /** Engines that are slower for a while. */
+  /** Periods in which engines are slower. */
   readonly slowdowns?: readonly Slowdown[];
 }
 
-/** A time in which the first engines are slower than the others. */
+/** A period in which the first `engines` engines are slower. */
 export interface Slowdown {
   readonly engines: number;
   readonly slowdownFactor: number;
-  /** From the start, in ms. */
+  /** Start and end, in ms since the start of the load. */
   readonly fromMs: number;
   readonly toMs: number;
 }
 
-const SERVICE = "engines";
-const PLAIN = "plain";
-/** Shortest deadline that callers of a class give, as part of the longest. */
-const DEADLINE_MIN_PART = 0.825;
+const ENGINE_SERVICE = "engines";
+const PLAIN_SERVICE = "plain";
+/** Shortest deadline of a class, as a fraction of the longest. */
+const DEADLINE_MIN_FRACTION = 0.825;
 const DEADLINE_STEPS = 10;
 const ZONES = ["zone-a", "zone-b", "zone-c"];
-/** As the entries on the platform send digests, in ms. */
-const DIGEST_MS = 150;
-/** Only each second digest is sent where there are so many entries, as there. */
-const CROWD_MIN = 14;
-/** As the entries on the platform gather news, in ms. */
-const NEWS_GATHER_MS = 10;
-/** One way between two entries, in ms. */
-const LINK_MS = 1;
+/** Interval between an entry's digests, as on the platform, in ms. */
+const DIGEST_INTERVAL_MS = 150;
+/** With this many entries every other digest is skipped, as on the platform. */
+const LARGE_CLUSTER_MIN_ENTRIES = 14;
+/** Delay that merges placements into one digest, as on the platform, in ms. */
+const DIGEST_COALESCE_MS = 10;
+/** One-way latency between two entries, in ms. */
+const LINK_LATENCY_MS = 1;
 const TOKENS_PER_EVENT = 7;
 
-/** The entries and engines of one emulation. */
+/** The entries and backend servers of one emulation. */
 export class EmulatedCluster {
   readonly #options: EmulationOptions;
   readonly #clock: VirtualClock;
-  readonly #engine: EngineModel;
+  readonly #engineModel: EngineModel;
   readonly #engines = new Map<string, EmulatedEngine>();
   readonly #services = new Map<string, EmulatedService>();
   readonly #relays: readonly Relay[];
-  /** The relays that hear each relay, by its index. */
-  readonly #heard: Set<Relay>[] = [];
-  /** Relays that will tell something soon. */
-  readonly #telling = new Set<number>();
+  /** The peers that receive the digests of each relay, by its index. */
+  readonly #peers: Set<Relay>[] = [];
+  /** Indexes of the relays with a scheduled digest. */
+  readonly #scheduledDigests = new Set<number>();
 
   private constructor(options: EmulationOptions, clock: VirtualClock) {
     this.#options = options;
     this.#clock = clock;
-    this.#engine = options.engine ?? REFERENCE_ENGINE;
+    this.#engineModel = options.engine ?? REFERENCE_ENGINE;
     const engines = Array.from({ length: options.servers }, (_, at) => {
       const name = `server-${at}`;
-      this.#engines.set(name, EmulatedEngine.create(this.#engine));
-      return describeServer(at, { ...this.#engine, name, service: SERVICE });
+      this.#engines.set(name, EmulatedEngine.create(this.#engineModel));
+      return describeServer(at, {
+        ...this.#engineModel,
+        name,
+        service: ENGINE_SERVICE,
+      });
     });
-    const model = options.plainModel ?? REFERENCE_SERVICE;
+    const serviceModel = options.plainModel ?? REFERENCE_SERVICE;
     const random = xoroshiro128plus(options.seed);
-    const plain = Array.from({ length: options.plainServers ?? 0 }, (_, at) => {
-      const name = `plain-${at}`;
-      this.#services.set(name, EmulatedService.create(model, random));
-      return describeServer(at, { ...model, name, service: PLAIN });
-    });
-    const servers = [...engines, ...plain];
+    const plainServers = Array.from(
+      { length: options.plainServers ?? 0 },
+      (_, at) => {
+        const name = `plain-${at}`;
+        this.#services.set(name, EmulatedService.create(serviceModel, random));
+        return describeServer(at, {
+          ...serviceModel,
+          name,
+          service: PLAIN_SERVICE,
+        });
+      },
+    );
+    const servers = [...engines, ...plainServers];
     this.#relays = Array.from(
       { length: options.entries },
       (_, at) => this.#createRelay(at, servers),
@@ -113,7 +124,7 @@
     this.#link();
   }
 
-  /** Makes entries that know the servers and are linked. */
+  /** Creates linked entries that know all backend servers. */
   static create(
     options: EmulationOptions,
     clock: VirtualClock,
@@ -121,70 +132,79 @@
     return new EmulatedCluster(options, clock);
   }
 
-  /** Sends one request to an entry; the returned caller notes what it gets. */
+  /** Sends a request to an entry; the returned caller records the outcome. */
   send(
-    kind: RequestClass,
+    requestClass: RequestClass,
     { entry, index }: { readonly entry: number; readonly index: number },
   ): EmulatedCaller {
-    const order = this.#createOrder(kind, {
+    const request = this.#createRequest(requestClass, {
       index,
       startMs: this.#clock.now(),
     });
     const caller = EmulatedCaller.create(this.#clock.now, {
-      ...kind,
-      customer: order.customer,
+      ...requestClass,
+      customer: request.customer,
     });
-    this.#serve(order, { caller, kind, entry }).then(() => {
-      if (caller.outcome !== "refused" || kind.retryDelayMs === undefined) {
+    this.#serve(request, { caller, requestClass, entry }).then(() => {
+      if (
+        caller.outcome !== "refused" || requestClass.retryDelayMs === undefined
+      ) {
         return;
       }
       const { startMs } = caller;
       setTimeout(() => {
-        const again = this.#createOrder(kind, { index, startMs });
-        const elsewhere = (entry + 1) % this.#relays.length;
-        this.#serve(again, { caller, kind, entry: elsewhere });
-      }, caller.retryAfterMs + kind.retryDelayMs);
+        const retry = this.#createRequest(requestClass, { index, startMs });
+        const otherEntry = (entry + 1) % this.#relays.length;
+        this.#serve(retry, { caller, requestClass, entry: otherEntry });
+      }, caller.retryAfterMs + requestClass.retryDelayMs);
     });
     return caller;
   }
 
   async #serve(
-    order: ProxyRequest,
-    { caller, kind, entry }: {
+    request: ProxyRequest,
+    { caller, requestClass, entry }: {
       readonly caller: EmulatedCaller;
-      readonly kind: RequestClass;
+      readonly requestClass: RequestClass;
       readonly entry: number;
     },
   ): Promise<void> {
     const relay = this.#relays[entry];
     if (relay === undefined) return;
     await serveRequest(relay.context, {
-      request: order,
+      request,
       caller,
       open: (target) => {
         const service = this.#services.get(target.server.name);
         if (service !== undefined) return service.open(target);
         const engine = this.#engines.get(target.server.name);
-        if (engine === undefined) throw new Error("server is not emulated");
-        const keeper = this.#engines.get(target.backup?.name ?? "");
-        const release = keeper?.reserveKvCopy(order);
+        if (engine === undefined) {
+          throw new Error(
+            "no emulated engine has the name of the chosen server",
+          );
+        }
+        const backup = this.#engines.get(target.backup?.name ?? "");
+        const release = backup?.reserveKvCopy(request);
         target.signal.addEventListener("abort", () => release?.());
         caller.onEnd = () => release?.();
-        return engine.open(order, { target, eventsTotal: kind.eventCount });
+        return engine.open(request, {
+          target,
+          eventsTotal: requestClass.eventCount,
+        });
       },
     });
   }
 
-  /** Makes engines slower for a while. */
+  /** Schedules a slowdown of engines. */
   applySlowdown(
-    { engines, slowdownFactor: slowness, fromMs, toMs }: Slowdown,
+    { engines, slowdownFactor, fromMs, toMs }: Slowdown,
   ): void {
     const chosen = [...this.#engines.values()].slice(0, engines);
-    const set = (to: number) => {
-      for (const engine of chosen) engine.slowdownFactor = to;
+    const setFactor = (factor: number) => {
+      for (const engine of chosen) engine.slowdownFactor = factor;
     };
-    setTimeout(() => set(slowness), fromMs);
-    setTimeout(() => set(1), toMs);
+    setTimeout(() => setFactor(slowdownFactor), fromMs);
+    setTimeout(() => setFactor(1), toMs);
   }
 
   #createRelay(at: number, servers: readonly LiveServer[]): Relay {
@@ -195,10 +215,11 @@
       fetchReport: ({ name }) => {
         const report = this.#engines.get(name)?.report();
         return report === undefined
-          ? Promise.reject(new Error(`${name} is not emulated`))
+          ? Promise.reject(new Error(`no emulated engine is named ${name}`))
           : Promise.resolve(report);
       },
-      copyKvCache: () => Promise.reject(new Error("not emulated")),
+      copyKvCache: () =>
+        Promise.reject(new Error("KV cache copies are not emulated")),
       releaseKvCopy: () => Promise.resolve(),
       now: this.#clock.now,
       random: () => uniformFloat64(random),
@@ -206,10 +227,13 @@
       retryAllowance: 100,
       retryWindowMs: 10_000,
       queueOrder: this.#options.queueOrder ?? QueueOrder.Fair,
-      onStreamPlaced: () => this.#tellSoon(at),
+      onStreamPlaced: () => this.#scheduleDigest(at),
     });
-    const { supportsKvBackup: canBackUp = true } = this.#options;
-    relay.adopt(createTable(this.#engine, canBackUp), "emulation");
+    const { supportsKvBackup = true } = this.#options;
+    relay.adopt(
+      createRouteTable(this.#engineModel, supportsKvBackup),
+      "emulation",
+    );
     relay.setRegisteredEntryCount(this.#options.entries);
     relay.replaceServerList(
       servers.map((server) => ({
@@ -222,82 +246,91 @@
     return relay;
   }
 
-  /** Links each entry to some others, both ways, and lets digests go round. */
+  /** Links each entry to random peers, both ways, and starts the digests. */
   #link(): void {
     const random = xoroshiro128plus(this.#options.seed);
-    const heard = this.#heard;
-    for (const _ of this.#relays) heard.push(new Set<Relay>());
+    const peersByEntry = this.#peers;
+    for (const _ of this.#relays) peersByEntry.push(new Set<Relay>());
     this.#relays.forEach((relay, at) => {
-      const others = Math.min(this.#options.dialled, this.#relays.length - 1);
+      const peerCount = Math.min(
+        this.#options.dialled,
+        this.#relays.length - 1,
+      );
       const chosen = new Set<number>();
-      while (chosen.size < others) {
+      while (chosen.size < peerCount) {
         const other = uniformInt(random, 0, this.#relays.length - 1);
         if (other !== at) chosen.add(other);
       }
       for (const other of chosen) {
         const peer = this.#relays[other];
         if (peer === undefined) continue;
-        heard[at]?.add(peer);
-        heard[other]?.add(relay);
+        peersByEntry[at]?.add(peer);
+        peersByEntry[other]?.add(relay);
       }
     });
     this.#relays.forEach((relay, at) => {
-      const peers = heard[at] ?? new Set();
-      const everyMs = this.#isCrowded ? 2 * DIGEST_MS : DIGEST_MS;
+      const peers = peersByEntry[at] ?? new Set();
+      const intervalMs = this.#isLargeCluster
+        ? 2 * DIGEST_INTERVAL_MS
+        : DIGEST_INTERVAL_MS;
       setTimeout(() => {
-        setInterval(() => this.#tell(relay, peers), everyMs);
-      }, uniformInt(random, 0, everyMs));
+        setInterval(() => this.#sendDigest(relay, peers), intervalMs);
+      }, uniformInt(random, 0, intervalMs));
     });
   }
 
-  get #isCrowded(): boolean {
-    return this.#options.entries >= CROWD_MIN;
+  get #isLargeCluster(): boolean {
+    return this.#options.entries >= LARGE_CLUSTER_MIN_ENTRIES;
   }
 
-  /** Tells what was decided just now, once for the decisions of a moment. */
-  #tellSoon(at: number): void {
-    if (this.#isCrowded || this.#telling.has(at)) return;
-    this.#telling.add(at);
+  /** Sends new placements soon, those of 10 ms in one digest. */
+  #scheduleDigest(at: number): void {
+    if (this.#isLargeCluster || this.#scheduledDigests.has(at)) return;
+    this.#scheduledDigests.add(at);
     setTimeout(() => {
-      this.#telling.delete(at);
+      this.#scheduledDigests.delete(at);
       const relay = this.#relays[at];
-      if (relay !== undefined) this.#tell(relay, this.#heard[at] ?? new Set());
-    }, NEWS_GATHER_MS);
+      if (relay !== undefined) {
+        this.#sendDigest(relay, this.#peers[at] ?? new Set());
+      }
+    }, DIGEST_COALESCE_MS);
   }
 
-  #tell(relay: Relay, peers: ReadonlySet<Relay>): void {
+  #sendDigest(relay: Relay, peers: ReadonlySet<Relay>): void {
     const digest = relay.createDigest();
     setTimeout(() => {
       for (const peer of peers) peer.mergeDigest(digest);
-    }, LINK_MS);
+    }, LINK_LATENCY_MS);
   }
 
-  #createOrder(
-    kind: RequestClass,
+  #createRequest(
+    requestClass: RequestClass,
     { index, startMs }: { readonly index: number; readonly startMs: number },
   ): ProxyRequest {
-    const id = `${kind.name}-${index}`;
-    const orderKind = kind.kind ?? RequestKind.Stream;
-    const isStream = orderKind === RequestKind.Stream;
-    const part = isStream ? 1 : deadlinePart(index);
-    const endMs = startMs + kind.deadlineMs * part;
+    const id = `${requestClass.name}-${index}`;
+    const requestKind = requestClass.kind ?? RequestKind.Stream;
+    const isStream = requestKind === RequestKind.Stream;
+    const fraction = isStream ? 1 : deadlineFraction(index);
+    const endMs = startMs + requestClass.deadlineMs * fraction;
     return {
       id: id as RequestId,
-      kind: orderKind,
+      kind: requestKind,
       isResumable: isStream,
-      service: isStream ? SERVICE : PLAIN,
-      route: kind.name,
-      customer: kind.customers[index % kind.customers.length] ?? "",
+      service: isStream ? ENGINE_SERVICE : PLAIN_SERVICE,
+      route: requestClass.name,
+      customer: requestClass.customers[index % requestClass.customers.length] ??
+        "",
       rank: {
         kind: ObjectKind.Rank,
-        name: `priority-${kind.priority}`,
-        order: kind.priority,
-        targetMs: kind.targetMs,
+        name: `priority-${requestClass.priority}`,
+        order: requestClass.priority,
+        targetMs: requestClass.targetMs,
         floorPercent: 0,
       },
       fingerprint: id as Fingerprint,
-      kvCacheTokens: kind.promptTokens + kind.eventCount * TOKENS_PER_EVENT,
-      promptTokens: kind.promptTokens,
+      kvCacheTokens: requestClass.promptTokens +
+        requestClass.eventCount * TOKENS_PER_EVENT,
+      promptTokens: requestClass.promptTokens,
       promptKey: isStream ? id : "",
       lastEventId: undefined,
       receivedMs: this.#clock.now(),
@@ -308,10 +341,10 @@
   }
 }
 
-/** Spreads the deadlines of calls, as the users' callers do. */
-function deadlinePart(index: number): number {
-  const part = (index % DEADLINE_STEPS) / DEADLINE_STEPS;
-  return 1 - part * (1 - DEADLINE_MIN_PART);
+/** Spreads the deadlines of calls, as those of the users' callers are. */
+function deadlineFraction(index: number): number {
+  const fraction = (index % DEADLINE_STEPS) / DEADLINE_STEPS;
+  return 1 - fraction * (1 - DEADLINE_MIN_FRACTION);
 }
 
 function describeServer(
@@ -331,19 +364,19 @@
   };
 }
 
-function createTable(
-  { kvCacheTokens: memoryTokens }: EngineModel,
-  canBackUp: boolean,
+function createRouteTable(
+  { kvCacheTokens }: EngineModel,
+  supportsKvBackup: boolean,
 ): RouteTable {
   return RouteTable.create({
     version: 1,
     routes: [],
     services: [
       {
-        name: SERVICE,
-        engine: { kvCacheTokens: memoryTokens, supportsKvBackup: canBackUp },
+        name: ENGINE_SERVICE,
+        engine: { kvCacheTokens, supportsKvBackup },
       },
-      { name: PLAIN, engine: undefined },
+      { name: PLAIN_SERVICE, engine: undefined },
     ],
     customers: undefined,
     limits: {
--- a/bench/emulator/emulated_engine.ts
+++ b/bench/emulator/emulated_engine.ts
@@ -1,6 +1,6 @@
 /**
- * An engine in virtual time: requests share a batch of slots and a memory in
- * tokens, prompts are read in chunks between the events of running requests.
+ * A model engine in virtual time, with continuous batching: requests share the
+ * batch slots and the KV cache, and prefill is chunked between decoding steps.
  */
 
 import {
@@ -14,21 +14,21 @@
 /** Size and speed of an engine. */
 export interface EngineModel {
   readonly slots: number;
-  /** Memory for running requests, in tokens. */
+  /** KV cache for running requests, in tokens. */
   readonly kvCacheTokens: number;
-  /** Duration of a step with one running request, in ms. */
+  /** Fixed part of the duration of a decoding step, in ms. */
   readonly stepMs: number;
-  /** Longer by this for each further one, in ms. */
+  /** Increase of the step's duration with each running request, in ms. */
   readonly stepMsPerRun: number;
-  /** Prompt tokens read in a ms. */
+  /** Prefill speed, in prompt tokens per ms. */
   readonly prefillTokensPerMs: number;
-  /** Prompt tokens read in one step. */
+  /** Most prompt tokens prefilled in one step. */
   readonly prefillChunkTokens: number;
-  /** Steps that make one event. */
+  /** Decoding steps per event of a stream. */
   readonly stepsPerEvent: number;
 }
 
-/** The engines of the users' site files. */
+/** The engines that the users' site files describe. */
 export const REFERENCE_ENGINE: EngineModel = {
   slots: 12,
   kvCacheTokens: 55_000,
@@ -40,41 +40,41 @@
 };
 
 interface Run {
-  readonly order: ProxyRequest;
+  readonly request: ProxyRequest;
   readonly eventsTotal: number;
   unreadTokens: number;
   events: number;
-  /** Called with each event, and with `undefined` after the last. */
+  /** Called with the id of each event, and with `undefined` at the end. */
   readonly onEvent: (id: number | undefined) => void;
 }
 
-/** One engine. */
+/** A model engine whose steps take virtual time. */
 export class EmulatedEngine {
   readonly #model: EngineModel;
   readonly #running = new Set<Run>();
   readonly #waiting: Run[] = [];
-  /** Memory that copies of other engines' runs take, in tokens. */
-  #copyTokens = 0;
+  /** KV cache held by copies of other engines' runs, in tokens. */
+  #copiedKvTokens = 0;
   #isStepping = false;
-  /** Prompt tokens read so far. */
+  /** Prompt tokens prefilled so far. */
   prefilledTokens = 0;
-  /** How many times longer than the model's each step takes. */
+  /** Factor on the duration of each step; 1 is the model's own speed. */
   slowdownFactor = 1;
 
   private constructor(model: EngineModel) {
     this.#model = model;
   }
 
-  /** Makes an idle engine. */
+  /** Creates an idle engine. */
   static create(model: EngineModel = REFERENCE_ENGINE): EmulatedEngine {
     return new EmulatedEngine(model);
   }
 
-  /** What it says of itself. */
+  /** Returns its load report. */
   report(): ServerReport {
     const runs = [...this.#running]
       .filter(({ events }) => events > 0)
-      .map(({ order, events }) => [String(order.id), { events }] as const);
+      .map(({ request, events }) => [String(request.id), { events }] as const);
     return {
       startedMs: 1,
       runs: new Map(runs),
@@ -83,15 +83,15 @@
     };
   }
 
-  /** Keeps a copy of a run elsewhere until the returned function is called. */
-  reserveKvCopy({ kvCacheTokens: memoryTokens }: ProxyRequest): () => void {
-    this.#copyTokens += memoryTokens;
-    return () => this.#copyTokens -= memoryTokens;
+  /** Reserves KV cache for a copy of a run until the returned function runs. */
+  reserveKvCopy({ kvCacheTokens }: ProxyRequest): () => void {
+    this.#copiedKvTokens += kvCacheTokens;
+    return () => this.#copiedKvTokens -= kvCacheTokens;
   }
 
-  /** Serves a stream of `eventsTotal` events. */
+  /** Queues a stream of `eventsTotal` events and returns its response. */
   open(
-    order: ProxyRequest,
+    request: ProxyRequest,
     { target, eventsTotal }: {
       readonly target: BackendRequest;
       readonly eventsTotal: number;
@@ -100,9 +100,9 @@
     const events: (number | undefined)[] = [];
     let wake: () => void = () => undefined;
     const run: Run = {
-      order,
+      request,
       eventsTotal,
-      unreadTokens: order.promptTokens,
+      unreadTokens: request.promptTokens,
       events: Number(target.lastEventId ?? 0),
       onEvent: (id) => {
         events.push(id);
@@ -143,44 +143,50 @@
     if (at >= 0) this.#waiting.splice(at, 1);
   }
 
-  /** Admits the most urgent first, while slots and memory last. */
+  /** Admits waiting requests by rank while slots and KV cache suffice. */
   #admit(): void {
-    const { slots, kvCacheTokens: memoryTokens } = this.#model;
-    this.#waiting.sort((a, b) => a.order.rank.order - b.order.rank.order);
+    const { slots, kvCacheTokens } = this.#model;
+    this.#waiting.sort((a, b) => a.request.rank.order - b.request.rank.order);
     while (this.#waiting.length > 0 && this.#running.size < slots) {
-      const held = [...this.#running].reduce(
-        (sum, { order }) => sum + order.kvCacheTokens,
-        this.#copyTokens,
+      const usedTokens = [...this.#running].reduce(
+        (sum, { request }) => sum + request.kvCacheTokens,
+        this.#copiedKvTokens,
       );
       const next = this.#waiting[0];
       if (next === undefined) return;
-      if (held + next.order.kvCacheTokens > memoryTokens) return;
+      if (usedTokens + next.request.kvCacheTokens > kvCacheTokens) return;
       this.#waiting.shift();
       this.#running.add(next);
     }
   }
 
-  /** The steps of one event, or of one chunk while nothing else runs. */
+  /** Runs the steps of one event; just one step if nothing is decoding. */
   #step(): void {
     if (this.#isStepping) return;
     this.#admit();
     if (this.#running.size === 0) return;
-    const writers = [...this.#running].filter((run) => run.unreadTokens === 0);
-    const reader = [...this.#running].find((run) => run.unreadTokens > 0);
-    const { stepMs, stepMsPerRun: stepPerRunMs, stepsPerEvent } = this.#model;
-    const { prefillTokensPerMs: readPerMs, prefillChunkTokens: chunkTokens } =
-      this.#model;
-    const steps = writers.length > 0 ? stepsPerEvent : 1;
-    const read = Math.min(steps * chunkTokens, reader?.unreadTokens ?? 0);
-    const runsMs = stepPerRunMs * this.#running.size;
+    const decoding = [...this.#running].filter((run) => run.unreadTokens === 0);
+    const prefilling = [...this.#running].find((run) => run.unreadTokens > 0);
+    const { stepMs, stepMsPerRun, stepsPerEvent } = this.#model;
+    const { prefillTokensPerMs, prefillChunkTokens } = this.#model;
+    const steps = decoding.length > 0 ? stepsPerEvent : 1;
+    const prefillTokens = Math.min(
+      steps * prefillChunkTokens,
+      prefilling?.unreadTokens ?? 0,
+    );
+    const batchMs = stepMsPerRun * this.#running.size;
     this.#isStepping = true;
-    setTimeout(() => {
-      this.#isStepping = false;
-      if (reader !== undefined) reader.unreadTokens -= read;
-      this.prefilledTokens += read;
-      for (const run of writers) this.#advance(run);
-      this.#step();
-    }, this.slowdownFactor * (steps * (stepMs + runsMs) + read / readPerMs));
+    setTimeout(
+      () => {
+        this.#isStepping = false;
+        if (prefilling !== undefined) prefilling.unreadTokens -= prefillTokens;
+        this.prefilledTokens += prefillTokens;
+        for (const run of decoding) this.#advance(run);
+        this.#step();
+      },
+      this.slowdownFactor *
+        (steps * (stepMs + batchMs) + prefillTokens / prefillTokensPerMs),
+    );
   }
 
   #advance(run: Run): void {
--- a/bench/emulator/emulated_load.ts
+++ b/bench/emulator/emulated_load.ts
@@ -1,94 +1,94 @@
-/** The load of an emulation: which requests come when, at which entry. */
+/** The load of an emulation: when requests arrive, and at which entry. */
 
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { RequestKind } from "../../src/request/proxy_request.ts";
 import type { LatencyTarget } from "./emulated_caller.ts";
 
-/** One kind of request of a load. */
+/** A class of requests with the same sizes and targets. */
 export interface RequestClass extends LatencyTarget {
   readonly name: string;
-  /** A stream if absent. */
+  /** `Stream` if absent. */
   readonly kind?: RequestKind;
   /**
-   * Time beyond Retry-After until a refused caller comes back, which it does
-   * once, in ms; never if absent.
+   * Delay beyond Retry-After before a refused request is retried, once, in ms;
+   * no retry if absent.
    */
   readonly retryDelayMs?: number;
-  /** Mean arrivals in a second, over all entries. */
+  /** Mean arrivals per second, over all entries. */
   readonly arrivalsPerS: number;
-  /** Times in which more arrive. */
+  /** Periods with a higher arrival rate. */
   readonly bursts?: readonly Burst[];
   readonly promptTokens: number;
   readonly eventCount: number;
-  /** Longest time to the end, in ms. */
+  /** Longest time until the request's deadline, in ms. */
   readonly deadlineMs: number;
   /** 0 is the most urgent. */
   readonly priority: number;
-  /** Customers that send it alike. */
+  /** Customers that send it, in equal shares. */
   readonly customers: readonly string[];
 }
 
-/** A time in which a class arrives more often. */
+/** A period in which the arrival rate of a class is multiplied. */
 export interface Burst {
-  /** How many times as often. */
+  /** Factor on the arrival rate. */
   readonly factor: number;
-  /** From the start, in ms. */
+  /** Start and end, in ms since the start of the load. */
   readonly fromMs: number;
   readonly toMs: number;
 }
 
-/** What decides when requests come. */
+/** What determines the arrivals. */
 export interface LoadOptions {
   readonly entries: number;
-  /** Relative shares of the entries in the arrivals; all 1 if absent. */
+  /** Relative share of the arrivals at each entry; all 1 if absent. */
   readonly entryWeights?: readonly number[];
   readonly classes: readonly RequestClass[];
   readonly seed: number;
-  /** Time in which requests arrive, in ms. */
+  /** Duration of the load, in ms. */
   readonly durationMs: number;
 }
 
-/** One request that comes. */
+/** One arriving request. */
 export interface Arrival {
-  /** From the start, in ms. */
+  /** Time since the start of the load, in ms. */
   readonly atMs: number;
   readonly requestClass: RequestClass;
-  /** Index of the entry that gets it. */
+  /** Index of the entry that receives it. */
   readonly entry: number;
-  /** Counts the requests of its class. */
+  /** Index of the request within its class. */
   readonly index: number;
 }
 
 const MS_PER_S = 1_000;
 
-/** Returns seeded arrivals, which do not depend on how requests are served. */
+/** Returns a seed's arrivals, which do not depend on how they are served. */
 export function scheduleArrivals(options: LoadOptions): readonly Arrival[] {
   const {
     classes,
     entries,
     seed,
-    durationMs: lengthMs,
-    entryWeights: weights,
+    durationMs,
+    entryWeights,
   } = options;
   const random = xoroshiro128plus(seed);
-  const shares = weights ?? Array.from({ length: entries }, () => 1);
+  const shares = entryWeights ?? Array.from({ length: entries }, () => 1);
   const total = shares.reduce((sum, share) => sum + share, 0);
   const drawEntry = () => {
-    let left = uniformFloat64(random) * total;
-    return shares.findIndex((share) => (left -= share) < 0);
+    let remaining = uniformFloat64(random) * total;
+    return shares.findIndex((share) => (remaining -= share) < 0);
   };
   const arrivals: Arrival[] = [];
-  for (const kind of classes) {
+  for (const requestClass of classes) {
     let atMs = 0;
     for (let index = 0;; index++) {
-      const rate = rateAt(kind, atMs);
-      const gap = -Math.log(1 - uniformFloat64(random)) / rate;
-      atMs += gap * MS_PER_S;
-      if (atMs >= lengthMs) break;
+      const ratePerS = arrivalRateAt(requestClass, atMs);
+      const gapS = -Math.log(1 - uniformFloat64(random)) / ratePerS;
+      atMs += gapS * MS_PER_S;
+      if (atMs >= durationMs) break;
       arrivals.push({
         atMs,
-        requestClass: kind,
+        requestClass,
         entry: Math.max(0, drawEntry()),
         index,
       });
@@ -97,12 +97,12 @@
   return arrivals;
 }
 
-function rateAt(
-  { arrivalsPerS: perSecond, bursts = [] }: RequestClass,
+function arrivalRateAt(
+  { arrivalsPerS, bursts = [] }: RequestClass,
   atMs: number,
 ) {
   const burst = bursts.find(({ fromMs, toMs }) =>
     atMs >= fromMs && atMs < toMs
   );
-  return perSecond * (burst?.factor ?? 1);
+  return arrivalsPerS * (burst?.factor ?? 1);
 }
--- a/bench/emulator/emulated_service.ts
+++ b/bench/emulator/emulated_service.ts
@@ -1,6 +1,6 @@
 /**
- * A plain server in virtual time: it works on as many calls as it has slots,
- * queues a few more, and rejects the rest as not run.
+ * A backend server of a plain service in virtual time: it runs one call per
+ * slot, queues a bounded number of others, and rejects the rest as not run.
  */
 
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
@@ -11,31 +11,31 @@
   type BackendResponse,
 } from "../../src/connection/backend_request.ts";
 
-/** Size and speed of a plain server. */
+/** Size and speed of a plain service's backend server. */
 export interface ServiceModel {
   readonly slots: number;
-  /** Calls that may wait for a slot. */
+  /** Most calls that wait for a slot. */
   readonly queueMaxLength: number;
-  /** Mean work of a call, in ms; single calls take 0.5 to 1.5 of it. */
+  /** Mean service time, in ms; a single call takes 0.5 to 1.5 times as long. */
   readonly meanServiceTimeMs: number;
 }
 
-/** The plain servers of the users' site files. */
+/** The plain services' backend servers that the users' site files describe. */
 export const REFERENCE_SERVICE: ServiceModel = {
   slots: 6,
   queueMaxLength: 12,
   meanServiceTimeMs: 42.9,
 };
 
-const WORK_MIN_PART = 0.5;
+const SERVICE_TIME_MIN_FACTOR = 0.5;
 const STATUS_OK = 200;
 const STATUS_FULL = 503;
 
-/** One plain server. */
+/** A plain service's backend server whose calls take virtual time. */
 export class EmulatedService {
   readonly #model: ServiceModel;
   readonly #random: RandomGenerator;
-  /** Starts the work of each call that waits for a slot. */
+  /** Functions that start the calls waiting for a slot. */
   readonly #queue: (() => void)[] = [];
   #running = 0;
 
@@ -44,49 +44,48 @@
     this.#random = random;
   }
 
-  /** Makes an idle server. */
+  /** Creates an idle server. */
   static create(model: ServiceModel, random: RandomGenerator): EmulatedService {
     return new EmulatedService(model, random);
   }
 
-  /** Serves a call; one whose sender leaves keeps no slot. */
+  /** Serves a call; an aborted call releases its slot or place in the queue. */
   async open({ signal, onSent }: BackendRequest): Promise<BackendResponse> {
     onSent();
-    const { slots, queueMaxLength: queueLength, meanServiceTimeMs: workMs } =
-      this.#model;
-    if (this.#running >= slots && this.#queue.length >= queueLength) {
-      return createAnswer(STATUS_FULL);
+    const { slots, queueMaxLength, meanServiceTimeMs } = this.#model;
+    if (this.#running >= slots && this.#queue.length >= queueMaxLength) {
+      return createResponse(STATUS_FULL);
     }
-    const part = WORK_MIN_PART + uniformFloat64(this.#random);
+    const factor = SERVICE_TIME_MIN_FACTOR + uniformFloat64(this.#random);
     await new Promise<void>((resolve, reject) => {
       let timer: NodeJS.Timeout | undefined;
       const start = () => {
         this.#running++;
         timer = setTimeout(() => {
-          this.#leave();
+          this.#releaseSlot();
           resolve();
-        }, part * workMs);
+        }, factor * meanServiceTimeMs);
       };
       signal.addEventListener("abort", () => {
         reject(abortError(signal));
         const at = this.#queue.indexOf(start);
         if (at >= 0) this.#queue.splice(at, 1);
-        else if (timer !== undefined) this.#leave();
+        else if (timer !== undefined) this.#releaseSlot();
         clearTimeout(timer);
       });
       if (this.#running < slots) start();
       else this.#queue.push(start);
     });
-    return createAnswer(STATUS_OK);
+    return createResponse(STATUS_OK);
   }
 
-  #leave(): void {
+  #releaseSlot(): void {
     this.#running--;
     this.#queue.shift()?.();
   }
 }
 
-function createAnswer(status: number): BackendResponse {
+function createResponse(status: number): BackendResponse {
   return {
     head: { status, headers: [], isFramed: true },
     hasNotRun: status !== STATUS_OK,
--- a/bench/emulator/emulation.ts
+++ b/bench/emulator/emulation.ts
@@ -1,6 +1,6 @@
 /**
- * Entries that know of each other only by digests, before emulated engines, in
- * virtual time: what callers get under a load, whichever way places are chosen.
+ * Emulates entries, which know each other's placements only from digests, and
+ * their backend servers in virtual time, and counts how callers are served.
  */
 
 import type { EmulatedCaller } from "./emulated_caller.ts";
@@ -8,66 +8,74 @@
 import { EmulatedCluster, type EmulationOptions } from "./emulated_cluster.ts";
 import { runInVirtualTime } from "./virtual_time.ts";
 
-/** What became of one class. */
+/** Outcomes of the requests of one class. */
 export interface EmulatedClassResults {
   readonly name: string;
   readonly sent: number;
-  /** Whole answers that kept their target, pauses and deadline. */
+  /** Complete responses within the target, longest pause and deadline. */
   readonly onTime: number;
   readonly late: number;
   readonly refused: number;
   readonly broken: number;
-  /** Mean time to the end of an answer on time, in ms. */
+  /** Mean time to the end of a response on time, in ms. */
   readonly wholeAfterMs: number;
   /** Mean time to a refusal, in ms. */
   readonly refusedAfterMs: number;
-  /** Share on time of the worst-served customer of the class. */
+  /** Lowest fraction on time among the customers of the class. */
   readonly worstCustomer: number;
 }
 
-/** Runs a load to its end. */
+/** Emulates a load until its last deadline; returns results by class. */
 export async function emulate(
   options: EmulationOptions,
 ): Promise<readonly EmulatedClassResults[]> {
   const callers = new Map<RequestClass, EmulatedCaller[]>(
-    options.classes.map((kind) => [kind, []]),
+    options.classes.map((requestClass) => [requestClass, []]),
   );
-  const longestMs = Math.max(...options.classes.map((kind) => kind.deadlineMs));
-  await runInVirtualTime(options.durationMs + longestMs, (clock) => {
-    const world = EmulatedCluster.create(options, clock);
-    for (const span of options.slowdowns ?? []) world.applySlowdown(span);
+  const maxDeadlineMs = Math.max(
+    ...options.classes.map((requestClass) => requestClass.deadlineMs),
+  );
+  await runInVirtualTime(options.durationMs + maxDeadlineMs, (clock) => {
+    const cluster = EmulatedCluster.create(options, clock);
+    for (const slowdown of options.slowdowns ?? []) {
+      cluster.applySlowdown(slowdown);
+    }
     for (
-      const { atMs, requestClass: kind, entry, index } of scheduleArrivals(
+      const { atMs, requestClass, entry, index } of scheduleArrivals(
         options,
       )
     ) {
       setTimeout(() => {
-        callers.get(kind)?.push(world.send(kind, { entry, index }));
+        callers.get(requestClass)?.push(
+          cluster.send(requestClass, { entry, index }),
+        );
       }, atMs);
     }
   });
-  return [...callers].map(([kind, held]) => countFigures(kind.name, held));
+  return [...callers].map(([requestClass, classCallers]) =>
+    summarizeClass(requestClass.name, classCallers)
+  );
 }
 
-function countFigures(
+function summarizeClass(
   name: string,
   callers: readonly EmulatedCaller[],
 ): EmulatedClassResults {
   const count = (wanted: EmulatedCaller["outcome"]) =>
-    callers.filter(({ outcome: ending }) => ending === wanted).length;
+    callers.filter(({ outcome }) => outcome === wanted).length;
   const meanMs = (wanted: EmulatedCaller["outcome"]) => {
-    const ended = callers.filter(({ outcome: ending }) => ending === wanted);
+    const ended = callers.filter(({ outcome }) => outcome === wanted);
     const sumMs = ended.reduce(
-      (sum, { durationMs: tookMs }) => sum + tookMs,
+      (sum, { durationMs }) => sum + durationMs,
       0,
     );
     return Math.round(sumMs / Math.max(1, ended.length));
   };
   const customers = [...new Set(callers.map(({ customer }) => customer))];
   const shares = customers.map((customer) => {
-    const own = callers.filter((caller) => caller.customer === customer);
-    return own.filter(({ outcome: ending }) => ending === "on time").length /
-      own.length;
+    const requests = callers.filter((caller) => caller.customer === customer);
+    return requests.filter(({ outcome }) => outcome === "on time").length /
+      requests.length;
   });
   return {
     name,
--- a/bench/emulator/virtual_time.ts
+++ b/bench/emulator/virtual_time.ts
@@ -1,28 +1,32 @@
-/** Lets the product's own code run in virtual time, far faster than the clock. */
+/** Runs production code in virtual time, much faster than real time. */
 
 import { install } from "@sinonjs/fake-timers";
 
-/** Timers are the process's, so one emulation runs at a time. */
+/** Timers are global to the process, so only one emulation runs at a time. */
 let isRunning = false;
 
-/** Runs `act` with timers that fire in virtual time, until `endMs`. */
+/**
+ * Calls `start`, then fires its timers in virtual time until `endMs`.
+ *
+ * Errors: rejects if another emulation is running in this process.
+ */
 export async function runInVirtualTime(
   endMs: number,
-  act: (clock: VirtualClock) => void,
+  start: (clock: VirtualClock) => void,
 ): Promise<void> {
-  if (isRunning) throw new Error("another emulation is running");
+  if (isRunning) throw new Error("an emulation is already running");
   isRunning = true;
-  const settle = setImmediate;
+  const scheduleImmediate = setImmediate;
   const clock = install({
     now: 0,
     toFake: ["setTimeout", "clearTimeout", "setInterval", "clearInterval"],
   });
   try {
-    act({ now: () => clock.now });
+    start({ now: () => clock.now });
     while (clock.now < endMs && clock.countTimers() > 0) {
       clock.next();
-      // Promises that the timer resolved go on before the next one fires.
-      await new Promise((resolve) => settle(resolve));
+      // Continues promises that the timer resolved before the next one fires.
+      await new Promise((resolve) => scheduleImmediate(resolve));
     }
   } finally {
     clock.uninstall();
--- a/bench/figures.ts
+++ b/bench/figures.ts
@@ -1,13 +1,13 @@
-/** Figures of a measurement: histograms, bounds, and the one JSON line. */
+/** Report of a measurement: figures, bounds and their output as JSON. */
 
 import process from "node:process";
 
-/** A value that must not be exceeded. */
+/** A measured value and its limit. */
 export interface Bound {
   readonly name: string;
   readonly value: number;
   readonly limit: number;
-  /** Whether the value must stay below or above the limit. */
+  /** Whether the limit is an upper or a lower one. */
   readonly side: "at_most" | "at_least";
 }
 
@@ -19,27 +19,27 @@
   readonly bounds: readonly Bound[];
 }
 
-const DECIMALS = 1_000;
+const ROUNDING_FACTOR = 1_000;
 
 /** Rounds to three decimals. */
 export function round(value: number): number {
-  return Math.round(value * DECIMALS) / DECIMALS;
+  return Math.round(value * ROUNDING_FACTOR) / ROUNDING_FACTOR;
 }
 
-/** Whether a bound holds. */
+/** Whether a value is within its limit. */
 export function isWithinBound({ value, limit, side }: Bound): boolean {
   return side === "at_most" ? value <= limit : value >= limit;
 }
 
-/** Prints a report as one JSON line; the exit code says whether it holds. */
+/** Prints a report as one JSON line and sets exit code 1 if a bound fails. */
 export function printReport(report: Report): void {
   const bounds = report.bounds.map((bound) => ({
     ...bound,
     value: round(bound.value),
     holds: isWithinBound(bound),
   }));
-  const isRight = bounds.every((bound) => bound.holds);
-  const line = { ...report, bounds, passed: isRight };
+  const hasPassed = bounds.every((bound) => bound.holds);
+  const line = { ...report, bounds, passed: hasPassed };
   process.stdout.write(`${JSON.stringify(line)}\n`);
-  process.exitCode = isRight ? 0 : 1;
+  process.exitCode = hasPassed ? 0 : 1;
 }
--- a/bench/local_cluster.ts
+++ b/bench/local_cluster.ts
@@ -1,6 +1,6 @@
 /**
- * A whole system on loopback: stand-ins, entries and the command line, each a
- * process of its own. Tests, the demo and measurements act through it.
+ * A complete deployment on loopback for tests, the demo and measurements:
+ * stand-ins, entries and the command line, each in its own process.
  */
 
 import { execFile } from "node:child_process";
@@ -25,7 +25,7 @@
   PLAIN_SERVICE,
 } from "./local_deployment.ts";
 
-/** What a cluster consists of. */
+/** Size and settings of a cluster. */
 export interface ClusterOptions {
   readonly engines?: number;
   readonly services?: number;
@@ -33,7 +33,7 @@
   readonly slots?: number;
   readonly customers?: readonly LocalCustomer[];
   readonly modelVersion?: string;
-  /** Switches of every engine. */
+  /** Stand-in switches of every engine. */
   readonly engineSwitches?: Readonly<Record<string, unknown>>;
   /** Lines of the entries' `[limits]` and `[stop]` sections. */
   readonly limits?: readonly string[];
@@ -42,11 +42,11 @@
   readonly policy?: readonly string[];
   readonly urgentTargetMs?: number;
   readonly patientTargetMs?: number;
-  /** Options of Node for the entries. */
+  /** Command-line options for Node in the entries. */
   readonly entryNodeOptions?: readonly string[];
 }
 
-/** Result of the operators' command line. */
+/** Result of a call of the operators' command line. */
 export interface CommandResult {
   readonly code: number;
   readonly stdout: string;
@@ -63,24 +63,24 @@
   readonly idempotencyKey?: string;
 }
 
-const WAIT_LIMIT_MS = 20_000;
-const WAIT_POLL_MS = 10;
+const WAIT_TIMEOUT_MS = 20_000;
+const WAIT_POLL_INTERVAL_MS = 10;
 const CALL_TIMEOUT_MS = 30_000;
 
-/** Resolves once `condition` holds. Errors: rejects after a limit. */
+/** Resolves once `condition` is true. Errors: rejects after about 20 s. */
 export async function waitFor(
-  what: string,
+  description: string,
   condition: () => boolean | Promise<boolean>,
 ): Promise<void> {
-  const polls = WAIT_LIMIT_MS / WAIT_POLL_MS;
+  const polls = WAIT_TIMEOUT_MS / WAIT_POLL_INTERVAL_MS;
   for (let poll = 0; poll < polls; poll++) {
     if (await condition()) return;
-    await sleep(WAIT_POLL_MS);
+    await sleep(WAIT_POLL_INTERVAL_MS);
   }
-  throw new Error(`waited too long: ${what}`);
+  throw new Error(`condition not met after 20 s: ${description}`);
 }
 
-/** The processes of one system. */
+/** The processes of one deployment. */
 export class LocalCluster {
   readonly #options: ClusterOptions;
   readonly #folder: string;
@@ -88,7 +88,7 @@
   readonly engines: Child[] = [];
   readonly services: Child[] = [];
   readonly entries: Child[] = [];
-  readonly #leaving = new Set<string>();
+  readonly #drainingEngines = new Set<string>();
   platform!: Child;
 
   private constructor(options: ClusterOptions, folder: string) {
@@ -96,7 +96,7 @@
     this.#folder = folder;
   }
 
-  /** Starts everything, publishes the deployment and waits until it serves. */
+  /** Starts the processes, publishes the deployment, waits until it serves. */
   static async create(options: ClusterOptions = {}): Promise<LocalCluster> {
     const folder = await mkdtemp(join(tmpdir(), "gypsumridge-"));
     const cluster = new LocalCluster(options, folder);
@@ -109,26 +109,26 @@
     return cluster;
   }
 
-  /** Ends every process that this cluster started. */
+  /** Kills all processes that this cluster started. */
   async close(): Promise<void> {
     for (const child of this.#children) child.signal("SIGKILL");
     await Promise.all(this.#children.map(({ exited }) => exited));
     await rm(this.#folder, { recursive: true, force: true });
   }
 
-  /** The entry at an index. */
+  /** Returns the entry at an index. Errors: throws if there is none. */
   entry(index = 0): Child {
-    return itemAt(this.entries, index);
+    return childAt(this.entries, index);
   }
 
-  /** The engine at an index. */
+  /** Returns the engine at an index. Errors: throws if there is none. */
   engine(index = 0): Child {
-    return itemAt(this.engines, index);
+    return childAt(this.engines, index);
   }
 
-  /** Index of the engine that runs a stream, once one does. */
+  /** Waits until an engine runs a stream; returns the engine's index. */
   async servingEngineIndex(): Promise<number> {
-    let found = -1;
+    let engineIndex = -1;
     await waitFor("an engine runs a stream", async () => {
       const running = await Promise.all(
         this.engines.map((engine) =>
@@ -137,25 +137,25 @@
             .catch(() => 0)
         ),
       );
-      found = running.findIndex((count) => count > 0);
-      return found >= 0;
+      engineIndex = running.findIndex((count) => count > 0);
+      return engineIndex >= 0;
     });
-    return found;
+    return engineIndex;
   }
 
-  /** The plain service at an index. */
+  /** Returns the plain service at an index. Errors: throws if there is none. */
   service(index = 0): Child {
-    return itemAt(this.services, index);
+    return childAt(this.services, index);
   }
 
-  /** Asks for a streamed completion. */
+  /** Requests a streamed completion. */
   complete(
-    ask: Omit<CompletionClientOptions, "address" | "key" | "service"> & {
+    options: Omit<CompletionClientOptions, "address" | "key" | "service"> & {
       readonly entry?: Child;
       readonly customer?: string;
     },
   ): CompletionClient {
-    const { entry = this.entry(), customer = "alpha", ...rest } = ask;
+    const { entry = this.entry(), customer = "alpha", ...rest } = options;
     return CompletionClient.create({
       address: entry.address,
       key: bearerKey(customer),
@@ -164,87 +164,92 @@
     });
   }
 
-  /** Asks for a completion that is not streamed. */
+  /** Requests a completion that is not streamed. */
   async completeUnstreamed(
-    ask: { readonly prompt: string; readonly maxTokens: number },
+    options: { readonly prompt: string; readonly maxTokens: number },
   ): Promise<{ readonly status: number; readonly text: string }> {
-    const answer = await callHttp({
+    const response = await callHttp({
       address: this.entry().address,
       method: "POST",
       path: "/v1/completions",
       headers: { authorization: `Bearer ${bearerKey("alpha")}` },
       body: JSON.stringify({
         model: GENERATION_SERVICE,
-        prompt: ask.prompt,
-        max_tokens: ask.maxTokens,
+        prompt: options.prompt,
+        max_tokens: options.maxTokens,
       }),
       timeoutMs: CALL_TIMEOUT_MS,
     });
-    const body = JSON.parse(answer.body.toString());
-    return { status: answer.status, text: body.choices?.[0].text ?? "" };
+    const body = JSON.parse(response.body.toString());
+    return { status: response.status, text: body.choices?.[0].text ?? "" };
   }
 
-  /** Calls a plain service. */
-  callService(ask: PlainServiceCall): Promise<HttpResponse> {
+  /** Sends a call to a plain service through an entry. */
+  callService(options: PlainServiceCall): Promise<HttpResponse> {
     return callHttp({
-      address: ask.entry.address,
-      method: ask.method,
-      path: `/services/${PLAIN_SERVICE}${ask.path}`,
+      address: options.entry.address,
+      method: options.method,
+      path: `/services/${PLAIN_SERVICE}${options.path}`,
       headers: {
-        authorization: `Bearer ${bearerKey(ask.customer ?? "alpha")}`,
+        authorization: `Bearer ${bearerKey(options.customer ?? "alpha")}`,
         "content-type": "application/json",
-        ...(ask.idempotencyKey === undefined
+        ...(options.idempotencyKey === undefined
           ? {}
-          : { "idempotency-key": ask.idempotencyKey }),
+          : { "idempotency-key": options.idempotencyKey }),
       },
-      body: ask.body ?? "",
+      body: options.body ?? "",
       timeoutMs: CALL_TIMEOUT_MS,
     });
   }
 
-  /** Runs the operators' command line. */
+  /** Runs the operators' command line against this cluster's platform. */
   async runCommand(args: readonly string[]): Promise<CommandResult> {
     const program = new URL("../src/bin/gypsumridge.js", import.meta.url);
     const compiled = program.pathname.includes("/dist/")
       ? program.pathname
       : new URL("../dist/src/bin/gypsumridge.js", import.meta.url).pathname;
-    const all = [compiled, ...args, "--platform", this.platform.address];
+    const commandArgs = [
+      compiled,
+      ...args,
+      "--platform",
+      this.platform.address,
+    ];
     return await new Promise((resolve) => {
-      execFile(process.execPath, all, (error, stdout, stderr) => {
+      execFile(process.execPath, commandArgs, (error, stdout, stderr) => {
         const code = error === null ? 0 : Number(error.code);
         resolve({ code, stdout, stderr });
       });
     });
   }
 
-  /** Writes a file into the cluster's folder; returns its path. */
+  /** Writes a file into the cluster's temporary folder; returns its path. */
   async writeFile(name: string, text: string): Promise<string> {
     const path = join(this.#folder, name);
     await writeFile(path, text);
     return path;
   }
 
-  /** Publishes the cluster's deployment, changed by `change`. */
+  /** Publishes the cluster's deployment with the given overrides. */
   async publish(
-    change: {
+    overrides: {
       readonly operator?: string;
       readonly reason?: string;
       readonly customers?: readonly LocalCustomer[];
       readonly modelVersion?: string;
     } = {},
   ): Promise<CommandResult> {
-    const { operator = "operator", reason = "test" } = change;
+    const { operator = "operator", reason = "test" } = overrides;
     const file = await this.writeFile(
       `deployment-${operator}.ini`,
-      this.deploymentText(change),
+      this.deploymentText(overrides),
     );
-    const names = ["--operator", operator, "--reason", reason];
-    return await this.runCommand(["publish", file, ...names]);
+    const operatorArgs = ["--operator", operator, "--reason", reason];
+    return await this.runCommand(["publish", file, ...operatorArgs]);
   }
 
-  /** The deployment's text. */
+  /** Returns the deployment as INI text, with the given overrides. */
   deploymentText(
-    change: {
+    overrides: {
       readonly customers?: readonly LocalCustomer[];
       readonly modelVersion?: string;
     } = {},
@@ -264,16 +269,16 @@
     const { slots = 8, modelVersion = "1" } = this.#options;
     return formatLocalDeployment({
       servers,
-      customers: change.customers ?? this.#options.customers ??
+      customers: overrides.customers ?? this.#options.customers ??
         [{ name: "alpha" }, { name: "beta" }],
       slots,
-      modelVersion: change.modelVersion ?? modelVersion,
+      modelVersion: overrides.modelVersion ?? modelVersion,
       urgentTargetMs: this.#options.urgentTargetMs,
       patientTargetMs: this.#options.patientTargetMs,
     });
   }
 
-  /** Starts one more entry, or one again under its old name. */
+  /** Starts another entry, or restarts the one at an index under its name. */
   async startEntry(index = this.entries.length): Promise<Child> {
     const settings = await this.writeFile(
       `entry-${index}.ini`,
@@ -287,7 +292,7 @@
     return entry;
   }
 
-  /** Starts a steward with lines of its `[steward]` section. */
+  /** Starts a steward with the given lines in its `[steward]` section. */
   async startSteward(id: string, lines: readonly string[]): Promise<Child> {
     const settings = await this.writeFile(
       `${id}.ini`,
@@ -305,7 +310,7 @@
     ]);
   }
 
-  /** Starts an engine again on the port it had. */
+  /** Starts an engine on the port of the one that it replaces. */
   async restartEngine(index: number): Promise<Child> {
     const port = String(this.engine(index).port);
     const engine = await this.#start("standins/engine.js", ["--port", port]);
@@ -314,12 +319,12 @@
     return engine;
   }
 
-  /** Starts an engine that answers on many ports, as if it were many. */
+  /** Starts one engine process that listens on `count` extra ports. */
   startManyEngines(count: number): Promise<Child> {
     return this.#start("standins/engine.js", ["--extra-ports", String(count)]);
   }
 
-  /** Starts a plain service again on the port it had. */
+  /** Starts a plain service on the port of the one that it replaces. */
   async restartService(index: number): Promise<Child> {
     const port = String(this.service(index).port);
     const service = await this.#start("standins/service.js", ["--port", port]);
@@ -327,13 +332,13 @@
     return service;
   }
 
-  /** Marks an engine as leaving in the platform's list. */
+  /** Marks an engine as draining in the platform's list of instances. */
   async listEngineDraining(index: number): Promise<void> {
-    this.#leaving.add(engineName(index));
+    this.#drainingEngines.add(engineName(index));
     await this.publishInstances();
   }
 
-  /** Gives the platform the list of instances as it is now. */
+  /** Sets the platform's list of instances to the cluster's current ones. */
   async publishInstances(): Promise<void> {
     const entries = this.entries.map((entry, index): Instance => ({
       name: entryName(index),
@@ -345,19 +350,19 @@
       name: engineName(index),
       address: engine.address,
       role: "backend-server",
-      state: this.#leaving.has(engineName(index))
+      state: this.#drainingEngines.has(engineName(index))
         ? InstanceState.Leaving
         : InstanceState.Live,
     }));
     await this.platform.control({ instances: [...entries, ...engines] });
   }
 
-  /** Keys of all runs that stand-ins announced, ended ones included. */
+  /** Keys of all runs that stand-ins printed, including killed stand-ins. */
   announcedRuns(): string[] {
     return this.#children.flatMap((child) => child.announcedRuns());
   }
 
-  /** Writes the object at a path of the platform whatever its revision. */
+  /** Overwrites the object at a path of the platform, whatever its revision. */
   async putObject(path: string, spec: unknown): Promise<void> {
     await callHttp({
       address: this.platform.address,
@@ -368,7 +373,7 @@
     });
   }
 
-  /** Revision that an entry has adopted. */
+  /** Returns the revision that an entry has adopted. */
   async revisionOf(entry: Child): Promise<number> {
     const ready = await entry.get<{ readonly revision: number }>("/readyz");
     return ready.revision;
@@ -378,21 +383,23 @@
     const { engines = 2, services = 0, entries = 1 } = this.#options;
     this.platform = await this.#start("standins/platform.js", []);
     for (let index = 0; index < engines; index++) {
-      const engine = await this.#startOnKnownPort("standins/engine.js");
+      const engine = await this.#startOnReservedPort("standins/engine.js");
       await engine.control(this.#engineSwitches());
       this.engines.push(engine);
     }
     for (let index = 0; index < services; index++) {
-      this.services.push(await this.#startOnKnownPort("standins/service.js"));
+      this.services.push(
+        await this.#startOnReservedPort("standins/service.js"),
+      );
     }
     for (let index = 0; index < entries; index++) await this.startEntry(index);
     await this.publishInstances();
-    const published = await this.publish({ reason: "first deployment" });
-    if (published.code !== 0) throw new Error(published.stderr);
+    const result = await this.publish({ reason: "first deployment" });
+    if (result.code !== 0) throw new Error(result.stderr);
     await this.waitUntilServing();
   }
 
-  /** Resolves once every entry serves on all servers and knows its peers. */
+  /** Resolves once every entry uses all backend servers and knows its peers. */
   async waitUntilServing(): Promise<void> {
     for (const entry of this.entries) {
       await waitFor("entry serves", async () => {
@@ -438,7 +445,7 @@
 `;
   }
 
-  /** Starts a process that drains streams from entries or engines. */
+  /** Starts a process that opens and reads streams at entries or engines. */
   startStreamReader(options: {
     readonly from: readonly Child[];
     readonly isDirect: boolean;
@@ -452,8 +459,8 @@
     ]);
   }
 
-  /** Starts a stand-in on a port that it can take again after a restart. */
-  async #startOnKnownPort(module: string): Promise<Child> {
+  /** Starts a stand-in on a reserved port, which a restart can reuse. */
+  async #startOnReservedPort(module: string): Promise<Child> {
     return this.#start(module, ["--port", String(await reservePort())]);
   }
 
@@ -468,12 +475,12 @@
   }
 }
 
-/** Name of an entry by index. */
+/** Returns the name of the entry at an index. */
 export function entryName(index: number): string {
   return `entry-${index}`;
 }
 
-/** Name of an engine by index. */
+/** Returns the name of the engine at an index. */
 export function engineName(index: number): string {
   return `engine-${index}`;
 }
@@ -482,8 +489,10 @@
   return `service-${index}`;
 }
 
-function itemAt(children: readonly Child[], index: number): Child {
+function childAt(children: readonly Child[], index: number): Child {
   const child = children[index];
-  if (child === undefined) throw new Error(`nothing at index ${index}`);
+  if (child === undefined) {
+    throw new Error(`cluster has no process at index ${index}`);
+  }
   return child;
 }
--- a/bench/local_deployment.ts
+++ b/bench/local_deployment.ts
@@ -15,21 +15,21 @@
   readonly weight?: number;
 }
 
-/** What the deployment holds besides its fixed objects. */
+/** The variable parts of a local cluster's deployment. */
 export interface LocalDeployment {
   readonly servers: readonly LocalServer[];
   readonly customers: readonly LocalCustomer[];
   readonly slots: number;
   readonly modelVersion: string;
-  /** Target time of the urgent rank, in ms. */
+  /** Target time of the `urgent` rank, in ms; 5,000 if absent. */
   readonly urgentTargetMs?: number;
-  /** Target time of the patient rank, in ms. */
+  /** Target time of the `patient` rank, in ms; 60,000 if absent. */
   readonly patientTargetMs?: number;
 }
 
-/** Service that generates. */
+/** Name of the generation service. */
 export const GENERATION_SERVICE = "reports";
-/** Service that takes plain calls. */
+/** Name of the plain service. */
 export const PLAIN_SERVICE = "bookings";
 const ZONES = ["zone-a", "zone-b", "zone-c"];
 
@@ -61,7 +61,7 @@
       `slots = ${deployment.slots}`,
     ].join("\n")
   );
-  const fixed = `[model writer]
+  const fixedObjects = `[model writer]
 version = ${deployment.modelVersion}
 max_tokens = 20000
 
@@ -85,5 +85,5 @@
 rank = urgent
 non_idempotent = POST /bookings, POST /payments
 call_limit_ms = 2000`;
-  return [fixed, ...zones, ...customers, ...servers, ""].join("\n\n");
+  return [fixedObjects, ...zones, ...customers, ...servers, ""].join("\n\n");
 }
--- a/bench/measure.ts
+++ b/bench/measure.ts
@@ -1,4 +1,4 @@
-/** `npm run measure -- NAME`: measurements, each one JSON line. */
+/** `npm run measure -- NAME`: runs a measurement and prints a JSON report. */
 
 import process from "node:process";
 import yargs from "yargs";
--- a/bench/measure_policy.ts
+++ b/bench/measure_policy.ts
@@ -1,7 +1,7 @@
 /**
  * `measure ranks`, `flood` and `customers`: service by rank and by customer
- * under load, beside a baseline in the same run that serves by arrival, routes
- * at random and neither preempts nor refuses early.
+ * under load, compared with a baseline in the same run that serves in order of
+ * arrival, routes at random, does not preempt and does not refuse early.
  */
 
 import {
@@ -33,7 +33,7 @@
 ];
 const NO_PREEMPTION = ["preempt = off"];
 
-/** Share of the capacity that a class asks for. */
+/** Offered load of a class; `share` is its fraction of the capacity. */
 interface Demand {
   readonly name: string;
   readonly customer: string;
@@ -56,70 +56,77 @@
   share: 0.4,
 } as const;
 
-/** Attainment by rank: alone, mixed, and a patient flood. */
+/** Measures target attainment by rank: alone, mixed, and under overload. */
 export async function measureRanks(seed: number): Promise<Report> {
   const flood: readonly Demand[] = [
     { ...PATIENT, share: 5 * PATIENT.share },
     { ...URGENT, startS: PHASE_S / 3 },
   ];
-  const alone = await play(seed, { demands: [URGENT] });
-  const mixed = await play(seed, { demands: [URGENT, PATIENT] });
-  const flooded = await play(seed, { demands: flood });
-  const noPreemption = await play(seed, {
+  const alone = await runScenario(seed, { demands: [URGENT] });
+  const mixed = await runScenario(seed, { demands: [URGENT, PATIENT] });
+  const flooded = await runScenario(seed, { demands: flood });
+  const noPreemption = await runScenario(seed, {
     demands: flood,
     policy: NO_PREEMPTION,
   });
-  const baseline = await play(seed, { demands: flood, policy: BASELINE });
+  const baseline = await runScenario(seed, {
+    demands: flood,
+    policy: BASELINE,
+  });
   return {
     measurement: "ranks",
     seed,
     figures: { alone, mixed, flooded, noPreemption, baseline },
     bounds: [
-      atLeast(
+      lowerBound(
         "urgent in target, alone",
-        find(alone, "urgent").attainment,
+        findClass(alone, "urgent").attainment,
         0.99,
       ),
-      atLeast(
+      lowerBound(
         "urgent in target, mixed",
-        find(mixed, "urgent").attainment,
+        findClass(mixed, "urgent").attainment,
         0.99,
       ),
-      atLeast(
+      lowerBound(
         "urgent in target, 5x patient flood",
-        find(flooded, "urgent").attainment,
+        findClass(flooded, "urgent").attainment,
         0.99,
       ),
     ],
   };
 }
 
-/** What the patient rank keeps while urgent work floods in after its flood. */
+/** Measures what the patient rank keeps when urgent requests overload it. */
 export async function measureFlood(seed: number): Promise<Report> {
   const demands: readonly Demand[] = [
     { ...PATIENT, share: 2 },
     { ...URGENT, share: 3, startS: PHASE_S / 3 },
     { ...PATIENT, name: "patient in flood", share: 0.5, startS: PHASE_S / 3 },
   ];
-  const fromS = PHASE_S / 3 + 1;
-  const flooded = await play(seed, { demands, fromS });
-  const baseline = await play(seed, { demands, fromS, policy: BASELINE });
-  const kept = find(flooded, "patient").tokensPerS +
-    find(flooded, "patient in flood").tokensPerS;
-  const total = sumTokens(flooded);
+  const countFromS = PHASE_S / 3 + 1;
+  const flooded = await runScenario(seed, { demands, countFromS });
+  const baseline = await runScenario(seed, {
+    demands,
+    countFromS,
+    policy: BASELINE,
+  });
+  const patientTokensPerS = findClass(flooded, "patient").tokensPerS +
+    findClass(flooded, "patient in flood").tokensPerS;
+  const totalTokensPerS = sumTokens(flooded);
   return {
     measurement: "flood",
     seed,
-    figures: { flooded, baseline, keptTokensPerS: round(kept) },
+    figures: { flooded, baseline, keptTokensPerS: round(patientTokensPerS) },
     bounds: [
-      atLeast(
+      lowerBound(
         "patient tokens kept, share of its floor",
-        kept / (PATIENT_FLOOR * CAPACITY_TOKENS_PER_S),
+        patientTokensPerS / (PATIENT_FLOOR * CAPACITY_TOKENS_PER_S),
         0.9,
       ),
-      atLeast(
+      lowerBound(
         "goodput in the flood, share of the capacity",
-        total / CAPACITY_TOKENS_PER_S,
+        totalTokensPerS / CAPACITY_TOKENS_PER_S,
         0.95,
       ),
     ],
@@ -127,8 +134,8 @@
 }
 
 /**
- * Small customers beside one that asks for ten times as much and more: the time
- * to their whole answers, and what all get.
+ * Measures small customers beside one with 20 times the load of each: the time
+ * to their complete responses, and the fairness among all.
  */
 export async function measureCustomers(seed: number): Promise<Report> {
   const small: readonly Demand[] = Array.from({ length: 5 }, (_, index) => ({
@@ -143,15 +150,15 @@
     customer: "large",
     share: 1.6,
   };
-  const alone = await play(seed, { demands: small });
-  const beside = await play(seed, { demands: [...small, large] });
-  const baseline = await play(seed, {
+  const alone = await runScenario(seed, { demands: small });
+  const beside = await runScenario(seed, { demands: [...small, large] });
+  const baseline = await runScenario(seed, {
     demands: [...small, large],
     policy: BASELINE,
   });
-  const p95 = (figures: readonly ClassResults[]) =>
+  const p95 = (results: readonly ClassResults[]) =>
     Math.max(
-      ...figures
+      ...results
         .filter(({ name }) => name.startsWith("small"))
         .map(({ total }) => total.p95),
     );
@@ -175,7 +182,7 @@
         limit: 1.2,
         side: "at_most",
       },
-      atLeast(
+      lowerBound(
         "goodput at 2x overload, share of the capacity",
         sumTokens(beside) / CAPACITY_TOKENS_PER_S,
         0.95,
@@ -184,21 +191,21 @@
   };
 }
 
-async function play(
+async function runScenario(
   seed: number,
-  { demands, policy = [], fromS = 1 }: {
+  { demands, policy = [], countFromS = 1 }: {
     readonly demands: readonly Demand[];
-    /** Start of the time in which tokens are counted, in s. */
-    readonly fromS?: number;
+    /** Start of the period in which tokens are counted, in s. */
+    readonly countFromS?: number;
     readonly policy?: readonly string[];
   },
 ): Promise<readonly ClassResults[]> {
-  const names = new Set(demands.map(({ customer }) => customer));
+  const customers = new Set(demands.map(({ customer }) => customer));
   const cluster = await LocalCluster.create({
     entries: ENTRIES,
     engines: ENGINES,
     slots: SLOTS,
-    customers: [...names].map((name) => ({ name })),
+    customers: [...customers].map((name) => ({ name })),
     urgentTargetMs: URGENT_TARGET_MS,
     patientTargetMs: PATIENT_TARGET_MS,
     engineSwitches: { tokenMs: TOKEN_MS, announceRuns: false },
@@ -209,7 +216,7 @@
       entries: cluster.entries.map(({ address }) => address),
       classes: demands.map(createClass),
       seed,
-      window: { startS: fromS, endS: PHASE_S },
+      window: { startS: countFromS, endS: PHASE_S },
     });
   } finally {
     await cluster.close();
@@ -233,26 +240,29 @@
   };
 }
 
-function find(figures: readonly ClassResults[], name: string): ClassResults {
-  const found = figures.find((candidate) => candidate.name === name);
-  if (found === undefined) throw new Error(`no class ${name}`);
+function findClass(
+  results: readonly ClassResults[],
+  name: string,
+): ClassResults {
+  const found = results.find((candidate) => candidate.name === name);
+  if (found === undefined) throw new Error(`no results of load class ${name}`);
   return found;
 }
 
-function sumTokens(figures: readonly ClassResults[]): number {
-  return figures.reduce((sum, { tokensPerS }) => sum + tokensPerS, 0);
+function sumTokens(results: readonly ClassResults[]): number {
+  return results.reduce((sum, { tokensPerS }) => sum + tokensPerS, 0);
 }
 
-/** 1 when all customers get the same share of what they ask for. */
-function jainIndex(figures: readonly ClassResults[]): number {
-  const shares = figures.map(({ outcomes, sent }) =>
+/** Jain's fairness index; 1 if equal fractions of all classes succeed. */
+function jainIndex(results: readonly ClassResults[]): number {
+  const shares = results.map(({ outcomes, sent }) =>
     (outcomes.done ?? 0) / Math.max(1, sent)
   );
   const sum = shares.reduce((total, share) => total + share, 0);
-  const squares = shares.reduce((total, share) => total + share ** 2, 0);
-  return round(sum ** 2 / (shares.length * squares));
+  const sumOfSquares = shares.reduce((total, share) => total + share ** 2, 0);
+  return round(sum ** 2 / (shares.length * sumOfSquares));
 }
 
-function atLeast(name: string, value: number, limit: number): Bound {
+function lowerBound(name: string, value: number, limit: number): Bound {
   return { name, value, limit, side: "at_least" };
 }
--- a/bench/measure_resume.ts
+++ b/bench/measure_resume.ts
@@ -1,6 +1,6 @@
 /**
  * `measure resume`: the pause that a caller sees when its engine is killed or
- * frozen, and the extra work, beside a plain restart from nothing.
+ * suspended, and the extra work, compared with a restart from the first token.
  */
 
 import { randomUUID } from "node:crypto";
@@ -16,14 +16,14 @@
 import type { CompletionClient } from "../src/connection/completion_client.ts";
 import { LocalCluster } from "./local_cluster.ts";
 
-/** The brief's pace of tokens. */
+/** Time between two tokens of a stream in the requirements, in ms. */
 const TOKEN_MS = 63;
 const PREFILL_US = 50;
 const MAX_TOKENS = 160;
 const STREAMS = 36;
 const ENGINES = 4;
-const INTERRUPTIONS = 200;
-const ROUND_PAUSE_MS = 1_500;
+const INTERRUPTIONS_MIN = 200;
+const CYCLE_PAUSE_MS = 1_500;
 const KILL_P95_MAX_MS = 1_000;
 const FREEZE_MAX_MS = 4_000;
 const BASELINE_STREAMS = 12;
@@ -39,12 +39,12 @@
   readonly decodedTokens: number;
 }
 
-/** Measures and reports. */
+/** Measures pauses and extra work after engine failures. */
 export async function measureResume(seed: number): Promise<Report> {
-  const kill = await interrupt(Failure.Kill);
-  const freeze = await interrupt(Failure.Freeze);
-  const restart = await restartFromNothing();
-  const wrong = kill.wrongAnswers + freeze.wrongAnswers;
+  const kill = await measureInterruptions(Failure.Kill);
+  const freeze = await measureInterruptions(Failure.Freeze);
+  const restart = await measureRestart();
+  const wrongAnswers = kill.wrongAnswers + freeze.wrongAnswers;
   return {
     measurement: "resume",
     seed,
@@ -64,45 +64,45 @@
       },
       {
         name: "answers with a token lost, repeated or mixed",
-        value: wrong,
+        value: wrongAnswers,
         limit: 0,
         side: "at_most",
       },
       {
         name: "interruptions",
         value: Math.min(kill.interruptions, freeze.interruptions),
-        limit: INTERRUPTIONS,
+        limit: INTERRUPTIONS_MIN,
         side: "at_least",
       },
     ],
   };
 }
 
-async function interrupt(failure: Failure) {
+async function measureInterruptions(failure: Failure) {
   const cluster = await LocalCluster.create({
     engines: ENGINES,
     slots: STREAMS,
     engineSwitches: { tokenMs: TOKEN_MS, prefillUs: PREFILL_US },
   });
   const pause = DurationHistogram.create();
-  const spent = { prefillTokens: 0, decodedTokens: 0 };
+  const engineCounts = { prefillTokens: 0, decodedTokens: 0 };
   let usefulTokens = 0;
   let interruptions = 0;
   let wrongAnswers = 0;
-  let interrupted = 0;
+  let interruptedAnswers = 0;
   let isClosed = false;
-  const follow = async (index: number) => {
+  const runCaller = async (index: number) => {
     await sleep(index * MAX_TOKENS * TOKEN_MS / STREAMS);
-    for (let at = 0; !isClosed; at++) {
-      const prompt = `survey ${index}.${at} ${"x".repeat(400)}`;
+    for (let answerIndex = 0; !isClosed; answerIndex++) {
+      const prompt = `survey ${index}.${answerIndex} ${"x".repeat(400)}`;
       const caller = cluster.complete({ prompt, maxTokens: MAX_TOKENS });
       const { outcome } = await caller.ended;
       const expected = expectedText({ prompt, modelVersion: "1" }, MAX_TOKENS);
-      if (outcome === RequestErrorType.Interrupted) interrupted++;
-      const isTrue = outcome === "done"
+      if (outcome === RequestErrorType.Interrupted) interruptedAnswers++;
+      const isCorrect = outcome === "done"
         ? caller.text === expected
         : expected.startsWith(caller.text);
-      if (!isTrue) wrongAnswers++;
+      if (!isCorrect) wrongAnswers++;
       usefulTokens += caller.tokenCount;
       for (const pauseMs of longPauses(caller)) {
         pause.record(pauseMs);
@@ -110,27 +110,30 @@
       }
     }
   };
-  const tasks = Array.from({ length: STREAMS }, (_, index) => follow(index));
+  const callers = Array.from(
+    { length: STREAMS },
+    (_, index) => runCaller(index),
+  );
   try {
     await sleep(MAX_TOKENS * TOKEN_MS);
-    for (let round = 0; interruptions < INTERRUPTIONS; round++) {
-      const index = round % ENGINES;
+    for (let cycle = 0; interruptions < INTERRUPTIONS_MIN; cycle++) {
+      const index = cycle % ENGINES;
       const engine = cluster.engine(index);
       if (failure === Failure.Kill) {
-        add(spent, await engine.get<Counts>("/standin/counts"));
+        addCounts(engineCounts, await engine.get<Counts>("/standin/counts"));
         await engine.kill();
         await cluster.restartEngine(index);
       } else {
         engine.freeze();
-        await sleep(2 * ROUND_PAUSE_MS);
+        await sleep(2 * CYCLE_PAUSE_MS);
         engine.thaw();
       }
-      await sleep(ROUND_PAUSE_MS);
+      await sleep(CYCLE_PAUSE_MS);
     }
     isClosed = true;
-    await Promise.all(tasks);
+    await Promise.all(callers);
     for (const engine of cluster.engines) {
-      add(spent, await engine.get<Counts>("/standin/counts"));
+      addCounts(engineCounts, await engine.get<Counts>("/standin/counts"));
     }
   } finally {
     await cluster.close();
@@ -142,26 +145,29 @@
     pause: pause.percentiles(),
     wrongAnswers,
     answers: Math.round(usefulTokens / MAX_TOKENS),
-    refusedAsInterrupted: interrupted,
-    extraDecodeRatio: round(spent.decodedTokens / usefulTokens - 1),
+    refusedAsInterrupted: interruptedAnswers,
+    extraDecodeRatio: round(engineCounts.decodedTokens / usefulTokens - 1),
     extraPrefillTokensPerInterruption: round(
-      (spent.prefillTokens - answers * promptTokens) / interruptions,
+      (engineCounts.prefillTokens - answers * promptTokens) / interruptions,
     ),
   };
 }
 
-function add(sum: { -readonly [Key in keyof Counts]: number }, part: Counts) {
-  sum.prefillTokens += part.prefillTokens;
-  sum.decodedTokens += part.decodedTokens;
+function addCounts(
+  sum: { -readonly [Key in keyof Counts]: number },
+  counts: Counts,
+) {
+  sum.prefillTokens += counts.prefillTokens;
+  sum.decodedTokens += counts.decodedTokens;
 }
 
-/** Pauses that no pace of tokens explains. */
+/** Returns pauses too long for the regular time between tokens, in ms. */
 function longPauses(caller: CompletionClient): readonly number[] {
   return caller.eventGapsMs.filter((pauseMs) => pauseMs > 1.5 * TOKEN_MS);
 }
 
-/** A caller without the system: on a loss it begins again elsewhere. */
-async function restartFromNothing() {
+/** Measures callers without an entry: they restart at another engine. */
+async function measureRestart() {
   const cluster = await LocalCluster.create({
     engines: 2,
     slots: STREAMS,
@@ -170,13 +176,15 @@
   const pause = DurationHistogram.create();
   try {
     const [first, second] = cluster.engines;
-    if (first === undefined || second === undefined) throw new Error("engines");
+    if (first === undefined || second === undefined) {
+      throw new Error("the cluster has fewer than 2 engines");
+    }
     const runs = Array.from({ length: BASELINE_STREAMS }, async (_, index) => {
       await sleep(index * BASELINE_TOKENS * TOKEN_MS / BASELINE_STREAMS);
-      const reached = await readTo(first, Number.POSITIVE_INFINITY);
-      const lostMs = performance.now();
-      await readTo(second, reached + 1);
-      pause.record(performance.now() - lostMs);
+      const position = await readUntil(first, Number.POSITIVE_INFINITY);
+      const failedMs = performance.now();
+      await readUntil(second, position + 1);
+      pause.record(performance.now() - failedMs);
     });
     await sleep(BASELINE_TOKENS * TOKEN_MS);
     await first.kill();
@@ -187,11 +195,11 @@
   return { pause: pause.percentiles() };
 }
 
-/** Reads a new stream up to a position or its loss; returns the position. */
-async function readTo(engine: Child, limit: number): Promise<number> {
+/** Reads a new stream up to a position or a failure; returns the position. */
+async function readUntil(engine: Child, endPosition: number): Promise<number> {
   const controller = new AbortController();
   const stream = randomUUID() as string as StartStreamRequest["stream"];
-  const order: StartStreamRequest = {
+  const request: StartStreamRequest = {
     stream,
     request: stream as string as StartStreamRequest["request"],
     model: "writer",
@@ -207,7 +215,7 @@
     const batches = readStream({
       address: engine.address,
       modelVersion: "1",
-      source: { request: order },
+      source: { request },
       firstTokenStallMs: 3_000,
       firstTokenLimitMs: 10_000,
       tokenStallMs: 1_500,
@@ -215,7 +223,7 @@
     });
     for await (const events of batches) {
       position += events.length;
-      if (position >= limit) break;
+      if (position >= endPosition) break;
     }
   } catch {
     return position;
--- a/bench/measure_slopes.ts
+++ b/bench/measure_slopes.ts
@@ -1,6 +1,6 @@
 /**
- * `measure slopes`: what each unit of load costs an entry in memory, processor
- * time and traffic, at three or more sizes with a fitted line.
+ * `measure slopes`: the cost of each unit of load to an entry in memory, CPU
+ * time and traffic, as a line fitted through three or more sizes.
  */
 
 import { Agent } from "node:http";
@@ -31,18 +31,18 @@
 import { LocalCluster, waitFor } from "./local_cluster.ts";
 import { readUsage } from "./measure_path.ts";
 
-/** One measured size. */
+/** A value measured at one size. */
 interface Point {
   readonly size: number;
   readonly value: number;
 }
 
-/** A fitted line through points. */
+/** A line fitted through points. */
 interface Slope {
   readonly unit: string;
   readonly perUnit: number;
   readonly fixed: number;
-  /** Share of the variance that the line explains. */
+  /** Coefficient of determination: the variance that the line explains. */
   readonly fit: number;
   readonly points: readonly Point[];
 }
@@ -53,11 +53,11 @@
 const PEER_SIZES = [1, 6, 12];
 const CHANGE_COUNTS = [0, 10, 20];
 const TOKEN_MS = 60;
-const WATCHED_MS = 4_000;
+const MEASURE_MS = 4_000;
 const FIT_MIN = 0.9;
 const BYTES_PER_MB = 1_048_576;
 
-/** Measures and reports. */
+/** Measures the costs per unit of load. */
 export async function measureSlopes(seed: number): Promise<Report> {
   const streams = await measureStreams();
   const customers = measureObjects("customer", createCustomer);
@@ -100,24 +100,24 @@
       entryNodeOptions: ["--expose-gc"],
     });
     try {
-      const drain = await cluster.startStreamReader({
+      const reader = await cluster.startStreamReader({
         from: cluster.entries,
         isDirect: false,
         streams: size,
       });
-      await waitFor("streams run", async () => {
-        const { opened } = await drain.get<StreamReaderResults>("/");
+      await waitFor("all streams have delivered a token", async () => {
+        const { opened } = await reader.get<StreamReaderResults>("/");
         return opened === size;
       });
-      await drain.get("/reset");
+      await reader.get("/reset");
       const before = await readUsage(cluster.entry());
-      await sleep(WATCHED_MS);
+      await sleep(MEASURE_MS);
       const after = await readUsage(cluster.entry());
-      const { tokens } = await drain.get<StreamReaderResults>("/");
+      const { tokens } = await reader.get<StreamReaderResults>("/");
       memory.push({ size, value: after.residentMb * 1_024 });
       processor.push({
-        size: tokens / (WATCHED_MS / 1_000),
-        value: (after.cpuS - before.cpuS) / (WATCHED_MS / 1_000) * 1e6,
+        size: tokens / (MEASURE_MS / 1_000),
+        value: (after.cpuS - before.cpuS) / (MEASURE_MS / 1_000) * 1e6,
       });
     } finally {
       await cluster.close();
@@ -129,7 +129,7 @@
   };
 }
 
-/** Heap that the index of a revision and its chunks take per object. */
+/** Measures the heap per object of an indexed revision and its chunks. */
 function measureObjects(
   name: string,
   create: (index: number) => DeploymentObject,
@@ -141,21 +141,21 @@
     const chunks = splitIntoChunks(objects);
     const deployment = Deployment.create(1 as Revision, objects);
     globalThis.gc?.();
-    const used = process.memoryUsage().heapUsed - before;
-    const held = deployment.objects.length + chunks.length;
-    return { size, value: held > 0 ? used : 0 };
+    const usedBytes = process.memoryUsage().heapUsed - before;
+    const retainedCount = deployment.objects.length + chunks.length;
+    return { size, value: retainedCount > 0 ? usedBytes : 0 };
   });
   return fitLine(`bytes of heap per ${name}`, points);
 }
 
-/** Processor time to read all chunks of a revision and index them. */
+/** Measures the CPU time to parse all chunks of a revision and index them. */
 function measureAdoption(): Slope {
   const points = OBJECT_SIZES.map((size): Point => {
     const objects = Array.from({ length: size }, (_, at) => createCustomer(at));
     const chunks = splitIntoChunks(objects);
     const startMs = performance.now();
-    const read = chunks.flatMap(({ text }) => parseChunk(text));
-    const deployment = Deployment.create(1 as Revision, read);
+    const parsed = chunks.flatMap(({ text }) => parseChunk(text));
+    const deployment = Deployment.create(1 as Revision, parsed);
     const micros = (performance.now() - startMs) * 1_000;
     return { size, value: deployment.objects.length > 0 ? micros : 0 };
   });
@@ -168,12 +168,12 @@
   for (const size of SERVER_SIZES) {
     const cluster = await LocalCluster.create({ engines: 2, entries: 1 });
     try {
-      await publishPhantoms(cluster, size);
-      await sleep(WATCHED_MS / 2);
+      await publishSimulatedServers(cluster, size);
+      await sleep(MEASURE_MS / 2);
       const before = await readUsage(cluster.entry());
-      await sleep(WATCHED_MS);
+      await sleep(MEASURE_MS);
       const after = await readUsage(cluster.entry());
-      const cpuS = (after.cpuS - before.cpuS) / (WATCHED_MS / 1_000);
+      const cpuS = (after.cpuS - before.cpuS) / (MEASURE_MS / 1_000);
       points.push({ size, value: cpuS * 1e6 });
       reportBytes = await countReportBytes(cluster.engine());
     } finally {
@@ -184,7 +184,7 @@
   return { reports: fitLine(unit, points), reportBytes };
 }
 
-/** Bytes of one report call in both directions, on a kept connection. */
+/** Counts the bytes of one report call, both ways, on an open connection. */
 async function countReportBytes({ address }: Child): Promise<number> {
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
   const call = () =>
@@ -209,8 +209,8 @@
   return bytes;
 }
 
-/** Publishes so many servers, all answered by one process. */
-async function publishPhantoms(
+/** Publishes `count` backend servers that one process simulates. */
+async function publishSimulatedServers(
   cluster: LocalCluster,
   count: number,
 ): Promise<void> {
@@ -227,11 +227,11 @@
   );
   const text = `${cluster.deploymentText()}\n${servers.join("\n")}`;
   const file = await cluster.writeFile("phantoms.ini", text);
-  const names = ["--operator", "bench", "--reason", "slopes"];
+  const operatorArgs = ["--operator", "bench", "--reason", "slopes"];
   const { code, stderr } = await cluster.runCommand([
     "publish",
     file,
-    ...names,
+    ...operatorArgs,
   ]);
   if (code !== 0) throw new Error(stderr);
 }
@@ -242,9 +242,9 @@
     const cluster = await LocalCluster.create({ engines: 1, entries: size });
     try {
       const before = await readUsage(cluster.entry());
-      await sleep(WATCHED_MS);
+      await sleep(MEASURE_MS);
       const after = await readUsage(cluster.entry());
-      const cpuS = (after.cpuS - before.cpuS) / (WATCHED_MS / 1_000);
+      const cpuS = (after.cpuS - before.cpuS) / (MEASURE_MS / 1_000);
       points.push({ size: Math.min(size - 1, 6), value: cpuS * 1e6 });
     } finally {
       await cluster.close();
@@ -274,7 +274,7 @@
   return fitLine("us of processor time per configuration change", points);
 }
 
-/** Sizes of messages, in bytes on the wire without headers. */
+/** Returns the sizes of messages without headers. */
 function messageSizes() {
   const digest = (suspicions: number): GossipDigest => ({
     kind: PeerMessageKind.Digest,
@@ -326,22 +326,22 @@
   };
 }
 
-/** Least squares. */
+/** Fits a line by least squares. */
 function fitLine(unit: string, points: readonly Point[]): Slope {
   const count = points.length;
   const meanSize = points.reduce((sum, { size }) => sum + size, 0) / count;
   const meanValue = points.reduce((sum, { value }) => sum + value, 0) / count;
   let covariance = 0;
   let variance = 0;
-  let total = 0;
+  let totalVariance = 0;
   for (const { size, value } of points) {
     covariance += (size - meanSize) * (value - meanValue);
     variance += (size - meanSize) ** 2;
-    total += (value - meanValue) ** 2;
+    totalVariance += (value - meanValue) ** 2;
   }
   const perUnit = covariance / variance;
   const fixed = meanValue - perUnit * meanSize;
-  const rest = points.reduce(
+  const residual = points.reduce(
     (sum, { size, value }) => sum + (value - fixed - perUnit * size) ** 2,
     0,
   );
@@ -349,7 +349,7 @@
     unit,
     perUnit: round(perUnit),
     fixed: round(fixed),
-    fit: round(1 - rest / total),
+    fit: round(1 - residual / totalVariance),
     points: points.map(({ size, value }) => ({
       size: round(size),
       value: round(value),
--- a/bench/plot.ts
+++ b/bench/plot.ts
@@ -1,6 +1,6 @@
 /**
- * `npm run plot -- FILE`: draws the figures of `measure ranks` or `customers`
- * as an SVG beside the docs, from the JSON line of a run.
+ * `npm run plot -- --file FILE --out OUT`: reads the JSON report of `measure
+ * ranks` or `customers` from FILE and writes a bar chart as SVG to OUT.
  */
 
 import { readFile, writeFile } from "node:fs/promises";
@@ -27,13 +27,17 @@
 const report = JSON.parse(await readFile(file, "utf8")) as RunReport;
 await writeFile(out, draw(report));
 
-/** Returns a bar chart: a group for each run, a bar for each class. */
+/** Returns an SVG bar chart with a group per scenario and a bar per class. */
 function draw({ measurement, figures }: RunReport): string {
-  const runs = Object.entries(figures).filter((
-    run,
-  ): run is [string, readonly ClassResults[]] => Array.isArray(run[1]));
+  const scenarios = Object.entries(figures).filter((
+    scenario,
+  ): scenario is [string, readonly ClassResults[]] =>
+    Array.isArray(scenario[1])
+  );
   const names = [
-    ...new Set(runs.flatMap(([, classes]) => classes.map(({ name }) => name))),
+    ...new Set(
+      scenarios.flatMap(([, classes]) => classes.map(({ name }) => name)),
+    ),
   ];
   const chart = init(null, null, {
     renderer: "svg",
@@ -45,12 +49,12 @@
     animation: false,
     title: { text: `${measurement}: share of requests in their target time` },
     legend: { bottom: 0 },
-    xAxis: { type: "category", data: runs.map(([run]) => run) },
+    xAxis: { type: "category", data: scenarios.map(([scenario]) => scenario) },
     yAxis: { type: "value", min: 0, max: 1 },
     series: names.map((name) => ({
       name,
       type: "bar",
-      data: runs.map(([, classes]) =>
+      data: scenarios.map(([, classes]) =>
         classes.find((candidate) => candidate.name === name)?.attainment ?? null
       ),
     })),
--- a/bench/reserve_port.ts
+++ b/bench/reserve_port.ts
@@ -1,41 +1,42 @@
 /**
- * Ports of processes that must be known before they listen, or that are taken
- * again after a restart. A port that the system hands out by itself can be
- * taken meanwhile by any outgoing connection; these lie below that range, in
- * blocks that one process holds at a time.
+ * Ports that must be known before a process listens, or reused after a restart.
+ * An outgoing connection could meanwhile take an ephemeral port, so these lie
+ * below the ephemeral range, in blocks that one process at a time locks.
  */
 
 import { createServer, type Server } from "node:net";
 import process from "node:process";
 
-/** Lowest port of the blocks; the soak's fixed ports lie below. */
+/** First port of the first block; the soak's fixed ports are lower. */
 const FIRST_PORT = 10_000;
-/** Lowest port that Linux gives to outgoing connections unless told otherwise. */
-const OUTGOING_PORT = 32_768;
-/** Ports of a block; the first only shows that the block is held. */
-const BLOCK_PORTS = 100;
-const BLOCKS = Math.floor((OUTGOING_PORT - FIRST_PORT) / BLOCK_PORTS);
+/** First ephemeral port in Linux's default configuration. */
+const FIRST_EPHEMERAL_PORT = 32_768;
+/** Ports per block; the first one serves as the block's lock. */
+const PORTS_PER_BLOCK = 100;
+const BLOCK_COUNT = Math.floor(
+  (FIRST_EPHEMERAL_PORT - FIRST_PORT) / PORTS_PER_BLOCK,
+);
 const HOST = "127.0.0.1";
 
-/** Ports left of the block that this process holds. */
-let left: number[] = [];
-/** Work on the block is done one call after the other. */
-let turn: Promise<unknown> = Promise.resolve();
+/** Unused ports of the block that this process has locked. */
+let unusedPorts: number[] = [];
+/** Last reservation; each one starts after the one before. */
+let lastReservation: Promise<unknown> = Promise.resolve();
 
-/** Returns a loopback port that no other call of any process gets. */
+/** Returns a loopback port that no other call in any process returns. */
 export function reservePort(): Promise<number> {
-  const taken = turn.then(takeNext);
-  turn = taken.catch(() => undefined);
-  return taken;
+  const reservation = lastReservation.then(nextFreePort);
+  lastReservation = reservation.catch(() => undefined);
+  return reservation;
 }
 
-async function takeNext(): Promise<number> {
+async function nextFreePort(): Promise<number> {
   for (;;) {
-    const port = left.shift();
+    const port = unusedPorts.shift();
     if (port === undefined) {
-      left = await claimBlock();
+      unusedPorts = await lockBlock();
     } else {
-      const probe = await bind(port);
+      const probe = await tryListen(port);
       if (probe === undefined) continue;
       await new Promise((resolve) => probe.close(resolve));
       return port;
@@ -43,21 +44,26 @@
   }
 }
 
-/** Holds the first free block for the rest of this process's life. */
-async function claimBlock(): Promise<number[]> {
-  for (let tried = 0; tried < BLOCKS; tried++) {
-    const block = (process.pid + tried) % BLOCKS;
-    const first = FIRST_PORT + block * BLOCK_PORTS;
-    const holder = await bind(first);
-    if (holder === undefined) continue;
-    holder.unref();
-    return Array.from({ length: BLOCK_PORTS - 1 }, (_, at) => first + 1 + at);
+/** Locks the first free block until this process exits. */
+async function lockBlock(): Promise<number[]> {
+  for (let attempt = 0; attempt < BLOCK_COUNT; attempt++) {
+    const block = (process.pid + attempt) % BLOCK_COUNT;
+    const first = FIRST_PORT + block * PORTS_PER_BLOCK;
+    const lock = await tryListen(first);
+    if (lock === undefined) continue;
+    lock.unref();
+    return Array.from(
+      { length: PORTS_PER_BLOCK - 1 },
+      (_, at) => first + 1 + at,
+    );
   }
-  throw new Error(`none of ${BLOCKS} blocks of ports is free`);
+  throw new Error(
+    `no free port block: all ${BLOCK_COUNT} are locked by other processes`,
+  );
 }
 
 /** Listens on a port; undefined if it is in use. */
-function bind(port: number): Promise<Server | undefined> {
+function tryListen(port: number): Promise<Server | undefined> {
   const server = createServer();
   return new Promise((resolve, reject) => {
     server.once("error", (error: NodeJS.ErrnoException) => {
--- a/bench/soak/fault_proxy.ts
+++ b/bench/soak/fault_proxy.ts
@@ -1,4 +1,4 @@
-/** A loopback proxy that misbehaves on request, between two real processes. */
+/** A TCP proxy on loopback that injects network faults. */
 
 import {
   type AddressInfo,
@@ -8,22 +8,22 @@
   type Socket,
 } from "node:net";
 
-/** How a proxy treats its connections. */
+/** The fault that a proxy injects. */
 export enum ProxyFault {
   None = "none",
-  /** Bytes of both directions come late. */
+  /** Bytes in both directions are delayed. */
   Delay = "delay",
-  /** Open connections are reset, and new ones too. */
+  /** Open and new connections are reset. */
   Reset = "reset",
-  /** No byte passes in either direction, and nothing is closed. */
+  /** No bytes pass in either direction; connections stay open. */
   Blackhole = "silent",
-  /** Bytes towards the target are held up. */
+  /** No bytes pass towards the target. */
   CutToTarget = "cut_to_target",
-  /** Bytes towards the caller are held up. */
+  /** No bytes pass towards the caller. */
   CutToCaller = "cut_to_caller",
 }
 
-interface Pair {
+interface ProxiedConnection {
   readonly caller: Socket;
   readonly target: Socket;
 }
@@ -35,7 +35,7 @@
 export class FaultProxy {
   readonly #server: Server;
   readonly #targetPort: number;
-  readonly #pairs = new Set<Pair>();
+  readonly #connections = new Set<ProxiedConnection>();
   #fault = ProxyFault.None;
 
   private constructor(targetPort: number) {
@@ -43,7 +43,7 @@
     this.#server = createServer((caller) => this.#accept(caller));
   }
 
-  /** Listens on a free port. */
+  /** Creates a proxy that listens on a free port. */
   static async create(targetPort: number): Promise<FaultProxy> {
     const proxy = new FaultProxy(targetPort);
     await new Promise<void>((resolve) => {
@@ -52,21 +52,21 @@
     return proxy;
   }
 
-  /** IP and port for callers. */
+  /** IP and port on which the proxy listens. */
   get address(): string {
     return `${HOST}:${(this.#server.address() as AddressInfo).port}`;
   }
 
-  /** Begins or, with `None`, ends a fault. */
+  /** Starts injecting a fault; `None` ends it. */
   set fault(fault: ProxyFault) {
     this.#fault = fault;
-    for (const pair of this.#pairs) this.#apply(pair);
+    for (const connection of this.#connections) this.#apply(connection);
   }
 
-  /** Closes all connections. */
+  /** Stops listening and closes all connections. */
   close(): void {
     this.#server.close();
-    for (const { caller, target } of this.#pairs) {
+    for (const { caller, target } of this.#connections) {
       caller.destroy();
       target.destroy();
     }
@@ -74,54 +74,58 @@
 
   #accept(caller: Socket): void {
     const target = connect(this.#targetPort, HOST);
-    const pair: Pair = { caller, target };
-    this.#pairs.add(pair);
+    const connection: ProxiedConnection = { caller, target };
+    this.#connections.add(connection);
     this.#forward(caller, target);
     this.#forward(target, caller);
-    this.#apply(pair);
+    this.#apply(connection);
   }
 
   #forward(from: Socket, to: Socket): void {
     from.setNoDelay(true);
-    let waiting = 0;
-    const late = (act: () => void) => {
-      // What comes behind late bytes is late too, or it would overtake them.
-      if (this.#fault !== ProxyFault.Delay && waiting === 0) return act();
-      waiting++;
+    let delayedCount = 0;
+    const maybeDelay = (forward: () => void) => {
+      // Bytes that follow delayed bytes are delayed too, to keep their order.
+      if (this.#fault !== ProxyFault.Delay && delayedCount === 0) {
+        return forward();
+      }
+      delayedCount++;
       setTimeout(() => {
-        waiting--;
-        act();
+        delayedCount--;
+        forward();
       }, DELAY_MS);
     };
-    from.on("data", (bytes) => late(() => to.write(bytes)));
-    from.on("end", () => late(() => to.end()));
-    // A reset of one side is passed on to the other one.
+    from.on("data", (bytes) => maybeDelay(() => to.write(bytes)));
+    from.on("end", () => maybeDelay(() => to.end()));
+    // A reset on one side is forwarded to the other.
     from.on("error", () => to.resetAndDestroy());
-    from.on("close", () => this.#forget(from));
+    from.on("close", () => this.#removeClosed(from));
   }
 
-  #forget(socket: Socket): void {
-    for (const pair of this.#pairs) {
-      const isOver = pair.caller.destroyed && pair.target.destroyed;
-      const isMember = pair.caller === socket || pair.target === socket;
-      if (isMember && isOver) this.#pairs.delete(pair);
+  #removeClosed(socket: Socket): void {
+    for (const connection of this.#connections) {
+      const isClosed = connection.caller.destroyed &&
+        connection.target.destroyed;
+      const isMember = connection.caller === socket ||
+        connection.target === socket;
+      if (isMember && isClosed) this.#connections.delete(connection);
     }
   }
 
-  #apply({ caller, target }: Pair): void {
+  #apply({ caller, target }: ProxiedConnection): void {
     const fault = this.#fault;
     if (fault === ProxyFault.Reset) {
       caller.resetAndDestroy();
       target.resetAndDestroy();
       return;
     }
-    const isSilent = fault === ProxyFault.Blackhole;
-    flow(caller, !isSilent && fault !== ProxyFault.CutToTarget);
-    flow(target, !isSilent && fault !== ProxyFault.CutToCaller);
+    const isBlackhole = fault === ProxyFault.Blackhole;
+    setFlowing(caller, !isBlackhole && fault !== ProxyFault.CutToTarget);
+    setFlowing(target, !isBlackhole && fault !== ProxyFault.CutToCaller);
   }
 }
 
-function flow(socket: Socket, isOpen: boolean): void {
-  if (isOpen) socket.resume();
+function setFlowing(socket: Socket, isFlowing: boolean): void {
+  if (isFlowing) socket.resume();
   else socket.pause();
 }
--- a/bench/soak/fault_schedule.ts
+++ b/bench/soak/fault_schedule.ts
@@ -1,44 +1,45 @@
-/** Series of faults that a seed decides: several at once, one after the other. */
+/** Fault schedules: a seed determines several overlapping series of faults. */
 
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { ProxyFault } from "./fault_proxy.ts";
 
-/** What is done from outside to the processes. */
+/** A fault that is injected into the processes or their links. */
 export enum FaultKind {
-  /** A proxy before a backend server misbehaves. */
+  /** Network fault between the entries and one backend server. */
   ServerLink = "server_link",
-  /** A proxy between one entry and the store misbehaves. */
+  /** Network fault between one entry and the store. */
   StoreLink = "store_link",
-  /** The store can't be used by any entry. */
+  /** Network fault between all entries and the store. */
   StoreOutage = "store_away",
-  /** The store forgets its history. */
+  /** The store loses its history of changes. */
   StoreHistoryLoss = "store_forgets",
   ServerKill = "server_kill",
   ServerPause = "server_pause",
-  /** The server says that it leaves, serves on, and ends. */
+  /** The server is listed as draining, serves for a while, and is killed. */
   ServerDrain = "server_drain",
   EntryKill = "entry_kill",
   EntryPause = "entry_pause",
-  /** A planned stop and a new start. */
+  /** Graceful shutdown and restart. */
   EntryRestart = "entry_restart",
-  /** The operator publishes a configuration with another key. */
+  /** A configuration with a new bearer key is published. */
   Configuration = "configuration",
 }
 
-/** One fault of a series. */
+/** One fault of a schedule. */
 export interface Fault {
   readonly kind: FaultKind;
-  /** From the start of the series, in ms. */
+  /** Time from the start of the schedule, in ms. */
   readonly atMs: number;
+  /** Duration, in ms; only for network faults and pauses. */
   readonly forMs: number;
-  /** Index of the process it concerns, among those of its sort. */
+  /** Index of the affected process among the entries or backend servers. */
   readonly target: number;
-  /** What a proxy does, where one is concerned. */
+  /** Fault that the proxy injects; only for network faults. */
   readonly proxy: ProxyFault;
 }
 
-/** Bounds of a series. */
+/** What determines a schedule. */
 export interface FaultScheduleOptions {
   readonly seed: number;
   readonly durationMs: number;
@@ -49,23 +50,23 @@
 const KINDS = Object.values(FaultKind);
 const PROXY_FAULTS = Object.values(ProxyFault)
   .filter((fault) => fault !== ProxyFault.None);
-/** Series that run beside each other, so that faults overlap. */
-const SERIES = 3;
+/** Number of concurrent series, so that faults overlap. */
+const SERIES_COUNT = 3;
 const PAUSE_MIN_MS = 200;
 const PAUSE_MAX_MS = 1_500;
 const FAULT_MIN_MS = 300;
 const FAULT_MAX_MS = 2_500;
 
-/** Returns the faults of a seed, the earliest first. */
+/** Returns the faults of a seed in order of their start. */
 export function createFaultSchedule(
   options: FaultScheduleOptions,
 ): readonly Fault[] {
-  const generator = xoroshiro128plus(options.seed);
-  const draw = (from: number, to: number) => uniformInt(generator, from, to);
+  const random = xoroshiro128plus(options.seed);
+  const draw = (from: number, to: number) => uniformInt(random, from, to);
   const pick = <Value>(values: readonly Value[]): Value =>
     values[draw(0, values.length - 1)] as Value;
   const faults: Fault[] = [];
-  for (let series = 0; series < SERIES; series++) {
+  for (let series = 0; series < SERIES_COUNT; series++) {
     let atMs = draw(0, PAUSE_MAX_MS);
     while (atMs < options.durationMs) {
       const kind = pick(KINDS);
--- a/bench/soak/regression_seeds.ts
+++ b/bench/soak/regression_seeds.ts
@@ -1,13 +1,13 @@
-/** Seeds that failed once; `npm run soak -- --regression` plays them again. */
+/** Seeds that have failed; `npm run soak -- --regression` runs them again. */
 
-/** A seed with the size of its run and why it failed. */
+/** A seed with the duration of its faults and the cause of its failure. */
 export interface RegressionSeed {
   readonly seed: number;
   readonly seconds: number;
   readonly cause: string;
 }
 
-/** All of them; none is ever taken out. */
+/** All seeds that have failed; none is ever removed. */
 export const REGRESSION_SEEDS: readonly RegressionSeed[] = [
   {
     seed: 2_007,
--- a/bench/soak/run_soak.ts
+++ b/bench/soak/run_soak.ts
@@ -1,4 +1,4 @@
-/** One soak of a seed: load, faults, checks, and the recovery after the last fault. */
+/** Runs a soak test: load, faults, checks and recovery after the last fault. */
 
 import { setTimeout as sleep } from "node:timers/promises";
 import {
@@ -18,36 +18,36 @@
 import { SoakCluster, type SoakSize } from "./soak_cluster.ts";
 import { keyOfVersion } from "./soak_deployment.ts";
 
-/** What a soak is made of. */
+/** Size and faults of a soak. */
 export interface SoakOptions extends SoakSize {
   readonly seed: number;
-  /** Time in which faults begin, in ms. */
+  /** Period in which faults start, in ms. */
   readonly durationMs: number;
-  /** Faults to play in place of the seed's, for cases of their own. */
+  /** Faults to inject instead of the seed's. */
   readonly faults?: readonly Fault[];
 }
 
-/** What a soak found. */
+/** Result of a soak. */
 export interface SoakResult {
   readonly seed: number;
   readonly faults: readonly Fault[];
   readonly findings: readonly SoakFinding[];
-  /** Requests by sort and status. */
+  /** Number of requests by kind and status; 0 means no complete response. */
   readonly statuses: Readonly<Record<string, number>>;
   readonly runs: number;
-  /** Lines of the entries' logs. */
+  /** Log lines of the entries. */
   readonly logs: readonly string[];
 }
 
-/** Time for processes to find each other before faults begin, in ms. */
+/** Time for processes to discover each other before the first fault, in ms. */
 const WARM_UP_MS = 4_500;
-/** Time in which an accepted configuration is in force, in ms (`configApplyMs`). */
-const APPLY_MS = 2_000;
-/** Time after the last fault in which everything has to be served again, in ms. */
-const RECOVER_MS = 5_000;
+/** Bound on applying an acknowledged configuration, in ms (`configApplyMs`). */
+const CONFIG_APPLY_MAX_MS = 2_000;
+/** Bound on full recovery after the last fault, in ms. */
+const RECOVERY_MAX_MS = 5_000;
 const RECOVERY_REQUESTS = 5;
 
-/** Plays one soak; all its processes have ended when it resolves. */
+/** Runs a soak; resolves after all its processes have been killed. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const cluster = await SoakCluster.create(options);
   const callers = SoakCallers.create(cluster);
@@ -63,22 +63,24 @@
       if (fault.kind !== FaultKind.Configuration) return;
       findings.push(...await checkVersion(cluster, callers));
     }));
-    await sleep(RECOVER_MS);
+    await sleep(RECOVERY_MAX_MS);
     await callers.close();
     findings.push(...await checkRecovery(cluster, callers));
-    const ended = cluster.unexpectedlyExitedEntries();
-    findings.push(...ended.map((detail) => ({ rule: "ended", detail })));
-    // Lines of runs are still on their way from the servers.
+    const exitedEntries = cluster.unexpectedlyExitedEntries();
+    findings.push(
+      ...exitedEntries.map((detail) => ({ rule: "ended", detail })),
+    );
+    // Waits for run lines that the servers' pipes still hold.
     await sleep(200);
     const runs = cluster.runLines().map(parseRun);
     const { records } = callers;
-    const { faultWindows: spans, drains: leavings } = cluster;
+    const { faultWindows, drains } = cluster;
     findings.push(
       ...checkObservations({
         records,
         runs,
-        faultWindows: spans,
-        drains: leavings,
+        faultWindows,
+        drains,
       }),
     );
     return {
@@ -95,66 +97,69 @@
   }
 }
 
-/** Checks that the newest version is in force at each entry that is in touch. */
+/** Checks that each entry unaffected by faults applies the newest version. */
 async function checkVersion(
   cluster: SoakCluster,
   callers: SoakCallers,
 ): Promise<readonly SoakFinding[]> {
-  const accepted = cluster.versions.at(-1);
-  if (accepted === undefined) return [];
-  const { version, acceptedMs } = accepted;
-  await sleep(APPLY_MS + acceptedMs - Date.now());
+  const newestAccepted = cluster.versions.at(-1);
+  if (newestAccepted === undefined) return [];
+  const { version, acceptedMs } = newestAccepted;
+  await sleep(CONFIG_APPLY_MAX_MS + acceptedMs - Date.now());
   const findings: SoakFinding[] = [];
   await Promise.all(cluster.entries.map(async (entry) => {
     const sentMs = Date.now();
-    const read = (of: number) =>
+    const sendRead = (keyVersion: number) =>
       callers.send({
         kind: SoakRequestKind.Read,
         entry,
-        key: keyOfVersion(of),
+        key: keyOfVersion(keyVersion),
       });
-    const dropped = await read(version - 2);
-    const added = await read(version);
+    const withRemovedKey = await sendRead(version - 2);
+    const withNewKey = await sendRead(version);
     const newest = cluster.versions.at(-1)?.version ?? version;
-    const touch = {
+    const period = {
       entry: entry.index,
       fromMs: acceptedMs,
       toMs: Date.now(),
     };
-    if (!isEntryUnaffected(cluster.faultWindows, touch)) return;
+    if (!isEntryUnaffected(cluster.faultWindows, period)) return;
     const report = (detail: string) => {
       const place = `version ${version} at entry ${entry.index}`;
       const afterMs = sentMs - acceptedMs;
       findings.push({
         rule: "config",
-        detail: `${place}: ${detail} ${afterMs} ms after`,
+        detail: `${place}: ${detail} ${afterMs} ms after acknowledgement`,
       });
     };
-    if (dropped.status !== 401) report(`dropped key got ${dropped.status}`);
-    if (added.status === 401 && newest <= version + 1) {
-      report("new key was refused");
+    if (withRemovedKey.status !== 401) {
+      report(`removed key got status ${withRemovedKey.status}`);
+    }
+    if (withNewKey.status === 401 && newest <= version + 1) {
+      report("new key got status 401");
     }
   }));
   return findings;
 }
 
-/** Checks that every entry serves every sort of request again. */
+/** Checks that every entry serves every kind of request again. */
 async function checkRecovery(
   cluster: SoakCluster,
   callers: SoakCallers,
 ): Promise<readonly SoakFinding[]> {
   const records: CallerRecord[] = [];
   for (let round = 0; round < RECOVERY_REQUESTS; round++) {
-    for (const sort of Object.values(SoakRequestKind)) {
+    for (const kind of Object.values(SoakRequestKind)) {
       const sent = cluster.entries.map((entry) =>
-        callers.send({ kind: sort, entry, key: cluster.key })
+        callers.send({ kind, entry, key: cluster.key })
       );
       records.push(...await Promise.all(sent));
     }
   }
   return records.filter(({ status }) => status !== 200).map((record) => ({
     rule: "recover",
-    detail: `${record.kind} at entry ${record.entry} got ${record.status}`,
+    detail:
+      `${record.kind} at entry ${record.entry} got status ${record.status}`,
   }));
 }
 
@@ -167,8 +172,8 @@
   records: readonly CallerRecord[],
 ): Readonly<Record<string, number>> {
   const counts: Record<string, number> = {};
-  for (const { kind: sort, status } of records) {
-    const name = `${sort} ${status}`;
+  for (const { kind, status } of records) {
+    const name = `${kind} ${status}`;
     counts[name] = (counts[name] ?? 0) + 1;
   }
   return counts;
--- a/bench/soak/soak_callers.ts
+++ b/bench/soak/soak_callers.ts
@@ -1,4 +1,4 @@
-/** Callers of a soak: they keep connections open and use them until they end. */
+/** Callers of a soak, which keep and reuse their connections. */
 
 import { Agent, request } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -11,7 +11,7 @@
 import type { SoakCluster, SoakEntry } from "./soak_cluster.ts";
 import { CALLER_PORT, HOST_NAME, READY_PORT } from "./soak_deployment.ts";
 
-/** What one request is sent as. */
+/** Options of one request. */
 export interface SoakRequest {
   readonly kind: SoakRequestKind;
   readonly entry: SoakEntry;
@@ -19,103 +19,103 @@
   readonly agent?: Agent;
 }
 
-/** Callers of each sort that send at the same time. */
-const CALLERS_EACH = 3;
+/** Number of concurrent callers of each request kind. */
+const CALLERS_PER_KIND = 3;
 const PAUSE_MS = 40;
 const READY_POLL_MS = 500;
 const READY_TIMEOUT_MS = 400;
-/** Questions without a 200 that take an entry out, as the platform does it. */
-const MISSES_MAX = 2;
-/** Time past the deadline after which a caller closes its connection, in ms. */
-const PATIENCE_MS = 1_500;
+/** Failed readiness checks that remove an entry, as on the platform. */
+const FAILED_CHECKS_MAX = 2;
+/** Time past the deadline until a caller closes its connection, in ms. */
+const CLOSE_DELAY_MS = 1_500;
 
-/** All callers, and the balancer before the entries. */
+/** All callers, with the load balancer in front of the entries. */
 export class SoakCallers {
   readonly records: CallerRecord[] = [];
   readonly #cluster: SoakCluster;
-  readonly #misses = new Map<number, number>();
+  readonly #failedChecks = new Map<number, number>();
   readonly #tasks: Promise<void>[] = [];
   #count = 0;
-  #isEnded = false;
+  #isClosed = false;
 
   private constructor(cluster: SoakCluster) {
     this.#cluster = cluster;
   }
 
-  /** Makes callers; `start` lets them send. */
+  /** Creates idle callers. */
   static create(cluster: SoakCluster): SoakCallers {
     return new SoakCallers(cluster);
   }
 
-  /** Sends until `close`. */
+  /** Starts sending requests until `close`. */
   start(): void {
-    this.#tasks.push(this.#watchReady());
-    for (const sort of Object.values(SoakRequestKind)) {
-      for (let at = 0; at < CALLERS_EACH; at++) {
-        this.#tasks.push(this.#callAgain(sort));
+    this.#tasks.push(this.#pollReadiness());
+    for (const kind of Object.values(SoakRequestKind)) {
+      for (let at = 0; at < CALLERS_PER_KIND; at++) {
+        this.#tasks.push(this.#runCaller(kind));
       }
     }
   }
 
-  /** Lets open requests end, and stops. */
+  /** Stops sending; resolves once all open requests have ended. */
   async close(): Promise<void> {
-    this.#isEnded = true;
+    this.#isClosed = true;
     await Promise.all(this.#tasks);
   }
 
-  /** Sends one request and records what came of it. */
-  async send(sending: SoakRequest): Promise<CallerRecord> {
-    const { kind: sort, entry } = sending;
+  /** Sends one request and records its outcome. */
+  async send(options: SoakRequest): Promise<CallerRecord> {
+    const { kind, entry } = options;
     const id = `id-${++this.#count}`;
-    const query = sort === SoakRequestKind.Stream
+    const query = kind === SoakRequestKind.Stream
       ? `?events=${STREAM_EVENTS}`
       : "";
-    const path = `/${sort}/${id}`;
+    const path = `/${kind}/${id}`;
     const startMs = Date.now();
-    const seen = await exchange(sending, { id, target: `${path}${query}` });
+    const outcome = await exchange(options, { id, target: `${path}${query}` });
     const record: CallerRecord = {
       id,
-      kind: sort,
+      kind,
       path,
       entry: entry.index,
       startMs,
       endMs: Date.now(),
-      ...seen,
+      ...outcome,
     };
     this.records.push(record);
     return record;
   }
 
-  async #callAgain(sort: SoakRequestKind): Promise<void> {
+  async #runCaller(kind: SoakRequestKind): Promise<void> {
     const agents = new Map<number, Agent>();
-    while (!this.#isEnded) {
-      const entry = this.#choose();
+    while (!this.#isClosed) {
+      const entry = this.#chooseEntry();
       const agent = agents.get(entry.index) ??
         new Agent({ keepAlive: true, maxSockets: 1 });
       agents.set(entry.index, agent);
-      await this.send({ kind: sort, entry, key: this.#cluster.key, agent });
+      await this.send({ kind, entry, key: this.#cluster.key, agent });
       await sleep(PAUSE_MS);
     }
     for (const agent of agents.values()) agent.destroy();
   }
 
-  #choose(): SoakEntry {
+  #chooseEntry(): SoakEntry {
     const { entries } = this.#cluster;
     const ready = entries.filter(({ index }) =>
-      (this.#misses.get(index) ?? 0) < MISSES_MAX
+      (this.#failedChecks.get(index) ?? 0) < FAILED_CHECKS_MAX
     );
     const candidates = ready.length > 0 ? ready : entries;
     const at = Math.floor(Math.random() * candidates.length);
     return candidates[at] as SoakEntry;
   }
 
-  async #watchReady(): Promise<void> {
-    while (!this.#isEnded) {
+  async #pollReadiness(): Promise<void> {
+    while (!this.#isClosed) {
       await Promise.all(this.#cluster.entries.map(async ({ index, host }) => {
-        const isReady = await askReady(host);
-        this.#misses.set(
+        const isReady = await checkReadiness(host);
+        this.#failedChecks.set(
           index,
-          isReady ? 0 : (this.#misses.get(index) ?? 0) + 1,
+          isReady ? 0 : (this.#failedChecks.get(index) ?? 0) + 1,
         );
       }));
       await sleep(READY_POLL_MS);
@@ -123,9 +123,9 @@
   }
 }
 
-/** Sends over a kept connection, where there is one. */
+/** Sends a request, on an agent's open connection if it has one. */
 function exchange(
-  { kind: sort, entry, key, agent }: SoakRequest,
+  { kind, entry, key, agent }: SoakRequest,
   { id, target }: { readonly id: string; readonly target: string },
 ): Promise<Pick<CallerRecord, "status" | "body">> {
   return new Promise((resolve) => {
@@ -133,7 +133,7 @@
     const outgoing = request({
       host: entry.host,
       port: CALLER_PORT,
-      method: sort === SoakRequestKind.Read ? "GET" : "POST",
+      method: kind === SoakRequestKind.Read ? "GET" : "POST",
       path: target,
       agent: agent ?? false,
       headers: {
@@ -145,40 +145,40 @@
     });
     const timer = setTimeout(
       () => outgoing.destroy(),
-      REQUEST_DEADLINE_MS + PATIENCE_MS,
+      REQUEST_DEADLINE_MS + CLOSE_DELAY_MS,
     );
     const settle = (status: number) => {
       clearTimeout(timer);
       resolve({ status, body });
     };
-    outgoing.on("response", (incoming) => {
-      incoming.setEncoding("utf8");
-      incoming.on("data", (text: string) => body += text);
-      incoming.on("end", () => {
-        settle(incoming.complete ? incoming.statusCode ?? 0 : 0);
+    outgoing.on("response", (response) => {
+      response.setEncoding("utf8");
+      response.on("data", (text: string) => body += text);
+      response.on("end", () => {
+        settle(response.complete ? response.statusCode ?? 0 : 0);
       });
-      incoming.on("error", () => settle(0));
+      response.on("error", () => settle(0));
     });
     outgoing.on("error", () => settle(0));
     outgoing.end();
   });
 }
 
-function askReady(host: string): Promise<boolean> {
+function checkReadiness(host: string): Promise<boolean> {
   return new Promise((resolve) => {
-    const asked = request({
+    const check = request({
       host,
       port: READY_PORT,
       path: "/v1/readyz",
       agent: false,
       timeout: READY_TIMEOUT_MS,
     });
-    asked.on("timeout", () => asked.destroy());
-    asked.on("error", () => resolve(false));
-    asked.on("response", (incoming) => {
-      incoming.resume();
-      resolve(incoming.statusCode === 200);
+    check.on("timeout", () => check.destroy());
+    check.on("error", () => resolve(false));
+    check.on("response", (response) => {
+      response.resume();
+      resolve(response.statusCode === 200);
     });
-    asked.end();
+    check.end();
   });
 }
--- a/bench/soak/soak_checks.ts
+++ b/bench/soak/soak_checks.ts
@@ -1,19 +1,19 @@
-/** What must hold, judged from what callers and backend servers saw. */
+/** Checks of a soak's guarantees on records of callers and backend servers. */
 
 import { FaultKind } from "./fault_schedule.ts";
 import type { ServerDrain } from "./soak_cluster.ts";
 
-/** What a request asks for. */
+/** Kind of a request of a soak. */
 export enum SoakRequestKind {
-  /** A stream that may be resumed. */
+  /** A resumable stream. */
   Stream = "stream",
-  /** A call that may be repeated. */
+  /** An idempotent call. */
   Read = "read",
-  /** A call that may run once at most. */
+  /** A call that runs at most once. */
   Write = "order",
 }
 
-/** A request as its caller saw it. Times are of the day, in ms. */
+/** A request as its caller saw it. Times are in ms since the Unix epoch. */
 export interface CallerRecord {
   readonly id: string;
   readonly kind: SoakRequestKind;
@@ -21,20 +21,20 @@
   readonly entry: number;
   readonly startMs: number;
   readonly endMs: number;
-  /** 0 when the connection ended before a whole answer. */
+  /** 0 if the connection closed before a complete response. */
   readonly status: number;
-  /** What was received of the body. */
+  /** The received part of the body. */
   readonly body: string;
 }
 
-/** A run as its server announced it. */
+/** A run as its backend server printed it, in ms since the Unix epoch. */
 export interface Run {
   readonly atMs: number;
   readonly server: string;
   readonly id: string;
 }
 
-/** A fault with the time in which it was in force. */
+/** A fault with the period in which it was active. */
 export interface FaultWindow {
   readonly kind: FaultKind;
   readonly target: number;
@@ -42,7 +42,7 @@
   endMs: number;
 }
 
-/** All that was seen. */
+/** All records of a soak. */
 export interface SoakObservations {
   readonly records: readonly CallerRecord[];
   readonly runs: readonly Run[];
@@ -50,29 +50,29 @@
   readonly drains: readonly ServerDrain[];
 }
 
-/** A broken promise. */
+/** A violated guarantee. */
 export interface SoakFinding {
   readonly rule: string;
   readonly detail: string;
 }
 
-/** How long callers wait, in ms. */
+/** Deadline that callers send, in ms. */
 export const REQUEST_DEADLINE_MS = 4_000;
-/** Events of each stream. */
+/** Number of events in each stream. */
 export const STREAM_EVENTS = 60;
-/** Time after a disturbance in which an entry is not bound yet, in ms (`contactMs`). */
+/** Time after a fault during which bounds don't apply, in ms (`contactMs`). */
 export const CONTACT_MS = 3_000;
-/** Time in which a leaving server may still get requests, in ms (`drainMs`). */
-const DRAIN_MS = 2_000;
-/** Time past the deadline that an answer may take, in ms. */
-const LATE_MS = 500;
-/** Statuses that promise that the request has not run. */
+/** Time for which a draining server may get requests, in ms (`drainMs`). */
+const DRAIN_MAX_MS = 2_000;
+/** Allowed delay of a response past its deadline, in ms. */
+const LATENESS_MAX_MS = 500;
+/** Statuses that guarantee that the request has not run. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
-/** Characters shown on each side of a difference. */
-const SHOWN = 40;
-const ENTRY_ENDS = new Set([FaultKind.EntryKill, FaultKind.EntryPause]);
+/** Characters shown on each side of the first difference. */
+const CONTEXT_CHARACTERS = 40;
+const ENTRY_OUTAGES = new Set([FaultKind.EntryKill, FaultKind.EntryPause]);
 const ENTRY_FAULTS = new Set([
-  ...ENTRY_ENDS,
+  ...ENTRY_OUTAGES,
   FaultKind.EntryRestart,
   FaultKind.StoreLink,
 ]);
@@ -83,37 +83,42 @@
   FaultKind.ServerDrain,
 ]);
 
-/** Returns the body that a whole answer has. */
-export function expectedBody(sort: SoakRequestKind, path: string): string {
-  if (sort !== SoakRequestKind.Stream) return `answer to ${path}`;
+/** Returns the body of a complete response. */
+export function expectedBody(kind: SoakRequestKind, path: string): string {
+  if (kind !== SoakRequestKind.Stream) return `answer to ${path}`;
   const events = Array.from({ length: STREAM_EVENTS }, (_, at) => at + 1);
   return events.map((at) => `id: ${at}\ndata: ${path} ${at}\n\n`).join("");
 }
 
-/** Whether an entry was free of faults of its own and of the store since `fromMs`. */
+/**
+ * Whether an entry had no fault of its own or of the store in a period or in
+ * `CONTACT_MS` before it. Times are in ms since the Unix epoch.
+ */
 export function isEntryUnaffected(
-  spans: readonly FaultWindow[],
+  faultWindows: readonly FaultWindow[],
   { entry, fromMs, toMs }: {
     readonly entry: number;
     readonly fromMs: number;
     readonly toMs: number;
   },
 ): boolean {
-  return !spans.some((span) =>
-    overlaps(span, fromMs - CONTACT_MS, toMs) &&
-    (span.kind === FaultKind.StoreOutage ||
-      ENTRY_FAULTS.has(span.kind) && span.target === entry)
+  return !faultWindows.some((fault) =>
+    overlaps(fault, fromMs - CONTACT_MS, toMs) &&
+    (fault.kind === FaultKind.StoreOutage ||
+      ENTRY_FAULTS.has(fault.kind) && fault.target === entry)
   );
 }
 
-/** Returns all broken promises. */
+/** Returns all violated guarantees. */
 export function checkObservations(
-  evidence: SoakObservations,
+  observations: SoakObservations,
 ): readonly SoakFinding[] {
   return [
-    ...checkRuns(evidence),
-    ...evidence.records.flatMap((record) => checkRecord(evidence, record)),
-    ...checkLeavings(evidence),
+    ...checkRuns(observations),
+    ...observations.records.flatMap((record) =>
+      checkRecord(observations, record)
+    ),
+    ...checkDrains(observations),
   ];
 }
 
@@ -124,16 +129,22 @@
   for (const [id, count] of counts) {
     const record = byId.get(id);
     if (record === undefined) {
-      findings.push({ rule: "unasked", detail: `nobody sent ${id}` });
+      findings.push({
+        rule: "unasked",
+        detail: `no caller sent ${id}, but it ran`,
+      });
     } else if (record.kind === SoakRequestKind.Write && count > 1) {
-      findings.push({ rule: "twice", detail: `${id} ran ${count} times` });
+      findings.push({
+        rule: "twice",
+        detail: `${id} ran ${count} times, not at most once`,
+      });
     }
   }
   return findings;
 }
 
 function checkRecord(
-  { runs, faultWindows: spans }: SoakObservations,
+  { runs, faultWindows }: SoakObservations,
   record: CallerRecord,
 ): SoakFinding[] {
   const findings: SoakFinding[] = [];
@@ -144,65 +155,75 @@
       detail: `${id} at entry ${entry}, ${status}: ${detail}`,
     });
   };
-  const { kind: sort, path, status, body, startMs, endMs, entry } = record;
+  const { kind, path, status, body, startMs, endMs, entry } = record;
   const hasRun = runs.some(({ id }) => id === record.id);
-  const whole = expectedBody(sort, path);
-  if (status === 200 && body !== whole) {
-    report("mixed", `body is not the whole answer: ${difference(body, whole)}`);
+  const completeBody = expectedBody(kind, path);
+  if (status === 200 && body !== completeBody) {
+    report("mixed", `wrong body: ${describeDifference(body, completeBody)}`);
   }
-  if (status === 0 && !whole.startsWith(body)) {
-    report("order", `cut body is no part of it: ${difference(body, whole)}`);
+  if (status === 0 && !completeBody.startsWith(body)) {
+    report(
+      "order",
+      `wrong partial body: ${describeDifference(body, completeBody)}`,
+    );
   }
-  if (NOT_RUN.has(status) && sort === SoakRequestKind.Write && hasRun) {
-    report("refused", "said not to have run, but ran");
+  if (NOT_RUN.has(status) && kind === SoakRequestKind.Write && hasRun) {
+    report("refused", "status says that it has not run, but it ran");
   }
-  const wasHeld = spans.some((span) =>
-    ENTRY_ENDS.has(span.kind) && span.target === entry &&
-    overlaps(span, startMs, endMs)
+  const wasEntryDown = faultWindows.some((fault) =>
+    ENTRY_OUTAGES.has(fault.kind) && fault.target === entry &&
+    overlaps(fault, startMs, endMs)
   );
-  if (wasHeld) return findings;
-  if (endMs - startMs > REQUEST_DEADLINE_MS + LATE_MS) {
-    report("late", `no final answer after ${endMs - startMs} ms`);
+  if (wasEntryDown) return findings;
+  if (endMs - startMs > REQUEST_DEADLINE_MS + LATENESS_MAX_MS) {
+    report("late", `no response in time: ended after ${endMs - startMs} ms`);
   }
-  const serversFailed = spans.some((span) =>
-    SERVER_FAULTS.has(span.kind) && overlaps(span, startMs, endMs)
+  const hadServerFault = faultWindows.some((fault) =>
+    SERVER_FAULTS.has(fault.kind) && overlaps(fault, startMs, endMs)
   );
-  const mayBreak = sort === SoakRequestKind.Stream && serversFailed;
-  if (status === 0 && hasRun && !mayBreak) {
-    report("lost", "passed on and closed without an answer");
+  const mayBeCut = kind === SoakRequestKind.Stream && hadServerFault;
+  if (status === 0 && hasRun && !mayBeCut) {
+    report("lost", "it ran, but the caller got no complete response");
   }
   return findings;
 }
 
-function checkLeavings(
-  { records, runs, faultWindows: spans, drains: leavings }: SoakObservations,
+function checkDrains(
+  { records, runs, faultWindows, drains }: SoakObservations,
 ): SoakFinding[] {
   const byId = new Map(records.map((record) => [record.id, record]));
-  return leavings.flatMap(({ id: server, target, acceptedMs }) =>
+  return drains.flatMap(({ id: server, target, acceptedMs }) =>
     runs.flatMap((run): SoakFinding[] => {
       const entry = byId.get(run.id)?.entry ?? -1;
-      if (run.server !== server || run.atMs <= acceptedMs + DRAIN_MS) return [];
-      const touch = { entry, fromMs: acceptedMs, toMs: run.atMs };
-      const wasHeldUp = spans.some((span) =>
-        SERVER_FAULTS.has(span.kind) && span.kind !== FaultKind.ServerDrain &&
-        span.target === target &&
-        overlaps(span, acceptedMs - CONTACT_MS, run.atMs)
+      if (run.server !== server || run.atMs <= acceptedMs + DRAIN_MAX_MS) {
+        return [];
+      }
+      const period = { entry, fromMs: acceptedMs, toMs: run.atMs };
+      const hadOtherFault = faultWindows.some((fault) =>
+        SERVER_FAULTS.has(fault.kind) && fault.kind !== FaultKind.ServerDrain &&
+        fault.target === target &&
+        overlaps(fault, acceptedMs - CONTACT_MS, run.atMs)
       );
-      if (wasHeldUp || !isEntryUnaffected(spans, touch)) return [];
+      if (hadOtherFault || !isEntryUnaffected(faultWindows, period)) return [];
       const afterMs = run.atMs - acceptedMs;
-      const detail = `${run.id} from entry ${entry}, ${afterMs} ms after`;
+      const detail =
+        `${run.id} from entry ${entry} ran ${afterMs} ms after the drain`;
       return [{ rule: "drain", detail }];
     })
   );
 }
 
-/** Shows where a body first differs from the whole one. */
-function difference(body: string, whole: string): string {
+/** Describes where a body first differs from the complete one. */
+function describeDifference(body: string, completeBody: string): string {
   let at = 0;
-  while (at < body.length && body[at] === whole[at]) at++;
-  const around = (text: string) =>
-    JSON.stringify(text.slice(Math.max(0, at - SHOWN), at + SHOWN));
-  return `at ${at} of ${whole.length}: ${around(body)}, not ${around(whole)}`;
+  while (at < body.length && body[at] === completeBody[at]) at++;
+  const excerpt = (text: string) =>
+    JSON.stringify(
+      text.slice(Math.max(0, at - CONTEXT_CHARACTERS), at + CONTEXT_CHARACTERS),
+    );
+  return `at character ${at} of ${completeBody.length} is ${
+    excerpt(body)
+  }, not ${excerpt(completeBody)}`;
 }
 
 function countRuns(runs: readonly Run[]): ReadonlyMap<string, number> {
@@ -211,6 +232,6 @@
   return counts;
 }
 
-function overlaps(span: FaultWindow, fromMs: number, toMs: number): boolean {
-  return span.startMs <= toMs && span.endMs >= fromMs;
+function overlaps(fault: FaultWindow, fromMs: number, toMs: number): boolean {
+  return fault.startMs <= toMs && fault.endMs >= fromMs;
 }
--- a/bench/soak/soak_cluster.ts
+++ b/bench/soak/soak_cluster.ts
@@ -1,4 +1,4 @@
-/** The real processes of a soak, what stands between them, and their faults. */
+/** The processes of a soak, the proxies between them, and fault injection. */
 
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
@@ -23,15 +23,15 @@
   STREAM_SERVICE,
 } from "./soak_deployment.ts";
 
-/** How many processes a soak has. */
+/** Number of processes in a soak. */
 export interface SoakSize {
   readonly entries: number;
   readonly servers: number;
-  /** Keeps soaks apart that run at the same time: part of the loopback addresses. */
+  /** Octet of the loopback addresses; concurrent soaks need different ones. */
   readonly lane?: number;
 }
 
-/** A backend server behind its proxy; a new incarnation takes its place. */
+/** A backend server behind its proxy; a restart gives it a new id. */
 interface SoakServer {
   readonly proxy: FaultProxy;
   readonly port: number;
@@ -41,7 +41,7 @@
   id: string;
 }
 
-/** An entry with its own proxy to the store. */
+/** An entry with its own proxy in front of the store. */
 export interface SoakEntry {
   readonly index: number;
   readonly host: string;
@@ -49,30 +49,33 @@
   child: Child;
 }
 
-/** A version of the configuration, once the store has acknowledged it. */
+/** A configuration version that the store acknowledged. */
 export interface AcceptedVersion {
   readonly version: number;
   readonly acceptedMs: number;
 }
 
-/** When a server's leaving was acknowledged. */
+/** A drain of a server, with the time of its acknowledgement. */
 export interface ServerDrain {
   readonly id: string;
-  /** Index of the server, as faults name it. */
+  /** Index of the server, as in `Fault.target`. */
   readonly target: number;
   readonly acceptedMs: number;
 }
 
 const ZONES = ["zone-a", "zone-b", "zone-c"];
-/** One backend server in three is a plain service. */
-const PLAIN_EACH = 3;
-/** Silence after which the platform drops a server, in ms. */
-const LAPSE_MS = 1_200;
-/** Time that a leaving server serves on, in ms; the entries' bound is 2,000. */
-const LINGER_MS = 3_000;
+/** One backend server in this many serves plain calls. */
+const PLAIN_SERVER_STRIDE = 3;
+/** Time after which the platform removes a dead server, in ms. */
+const REGISTRATION_TTL_MS = 1_200;
+/**
+ * Time that a draining server still serves, in ms, longer than the 2,000 ms in
+ * which entries must stop using it.
+ */
+const DRAIN_DURATION_MS = 3_000;
 const STORE_TIMEOUT_MS = 2_000;
 
-/** All processes of one soak. */
+/** The processes of one soak. */
 export class SoakCluster {
   readonly entries: SoakEntry[] = [];
   readonly faultWindows: FaultWindow[] = [];
@@ -80,8 +83,8 @@
   readonly drains: ServerDrain[] = [];
   readonly #servers: SoakServer[] = [];
   readonly #children: Child[] = [];
-  /** Processes that a fault holds, so that no second one meets them. */
-  readonly #held = new Set<Child>();
+  /** Processes with an active fault; further faults on them are skipped. */
+  readonly #faulted = new Set<Child>();
   readonly #folder: string;
   readonly #lane: number;
   #store!: Child;
@@ -92,7 +95,7 @@
     this.#lane = lane;
   }
 
-  /** Starts all processes; they need a moment until they serve. */
+  /** Starts all processes, which may not serve yet when this resolves. */
   static async create(
     { entries, servers, lane = 1 }: SoakSize,
   ): Promise<SoakCluster> {
@@ -112,7 +115,7 @@
     return cluster;
   }
 
-  /** Ends every process that this cluster started. */
+  /** Kills all processes that this cluster started. */
   async close(): Promise<void> {
     for (const child of this.#children) child.signal("SIGKILL");
     await Promise.all(this.#children.map(({ exited }) => exited));
@@ -122,26 +125,26 @@
     await rm(this.#folder, { recursive: true, force: true });
   }
 
-  /** Lines of all runs, also of servers that have ended. */
+  /** Lines of all runs, including those of killed servers. */
   runLines(): string[] {
     return this.#children.flatMap((child) => child.announcedRuns());
   }
 
-  /** Log lines of all entries that ever ran, as they were written. */
+  /** Log lines of all entries, including those of killed ones. */
   entryLogs(): string[] {
     return this.#children.flatMap((child) =>
       child.logLines().map((line) => JSON.stringify(line))
     );
   }
 
-  /** Entries that run now, though they were not asked to end. */
+  /** Entries that have exited although no active fault ends them. */
   unexpectedlyExitedEntries(): string[] {
     return this.entries
-      .filter(({ child }) => child.hasExited && !this.#held.has(child))
+      .filter(({ child }) => child.hasExited && !this.#faulted.has(child))
       .map(({ index }) => `entry ${index}`);
   }
 
-  /** Publishes the next version, which drops the key of the last but one. */
+  /** Publishes the next version, with its key and that of the one before. */
   async publish(): Promise<void> {
     const version = (this.versions.at(-1)?.version ?? 0) + 1;
     const object = {
@@ -153,33 +156,33 @@
     this.versions.push({ version, acceptedMs: Date.now() });
   }
 
-  /** Key that callers use now. */
+  /** Bearer key of the newest version. */
   get key(): string {
     return keyOfVersion(this.versions.at(-1)?.version ?? 0);
   }
 
-  /** Does what a fault says, and undoes it after its time. */
+  /** Injects a fault; resolves once it is over. */
   async injectFault(fault: Fault): Promise<void> {
     const { kind, target } = fault;
     const startMs = Date.now();
-    const span: FaultWindow = { kind, target, startMs, endMs: Infinity };
-    this.faultWindows.push(span);
-    await this.#inflict(fault);
-    span.endMs = Date.now();
+    const faultWindow: FaultWindow = { kind, target, startMs, endMs: Infinity };
+    this.faultWindows.push(faultWindow);
+    await this.#applyFault(fault);
+    faultWindow.endMs = Date.now();
   }
 
-  async #inflict({ kind, target, forMs, proxy }: Fault): Promise<void> {
+  async #applyFault({ kind, target, forMs, proxy }: Fault): Promise<void> {
     const entry = this.entries[target];
     const server = this.#servers[target];
     switch (kind) {
       case FaultKind.ServerLink:
-        return await disturb(server?.proxy, { proxy, forMs });
+        return await injectProxyFault(server?.proxy, { proxy, forMs });
       case FaultKind.StoreLink:
-        return await disturb(entry?.storeProxy, { proxy, forMs });
+        return await injectProxyFault(entry?.storeProxy, { proxy, forMs });
       case FaultKind.StoreOutage:
         await Promise.all(
           this.entries.map(({ storeProxy }) =>
-            disturb(storeProxy, { proxy, forMs })
+            injectProxyFault(storeProxy, { proxy, forMs })
           ),
         );
         return;
@@ -197,10 +200,10 @@
         return await this.#replaceServer(server, (child) => child.kill());
       case FaultKind.ServerDrain:
         return await this.#replaceServer(server, async (child) => {
-          await this.#list(server, "draining");
+          await this.#updateState(server, "draining");
           const id = server?.id ?? "";
           this.drains.push({ id, target, acceptedMs: Date.now() });
-          await sleep(LINGER_MS);
+          await sleep(DRAIN_DURATION_MS);
           await child.kill();
         });
       case FaultKind.EntryKill:
@@ -214,10 +217,10 @@
   }
 
   async #pause(child: Child | undefined, forMs: number): Promise<void> {
-    await this.#hold(child, async (held) => {
-      held.freeze();
+    await this.#withExclusiveFault(child, async (suspended) => {
+      suspended.freeze();
       await sleep(forMs);
-      held.thaw();
+      suspended.thaw();
     });
   }
 
@@ -226,9 +229,9 @@
     end: (child: Child) => Promise<void>,
   ): Promise<void> {
     if (server === undefined) return;
-    await this.#hold(server.child, async (child) => {
+    await this.#withExclusiveFault(server.child, async (child) => {
       await end(child);
-      await sleep(LAPSE_MS);
+      await sleep(REGISTRATION_TTL_MS);
       await this.#objects.remove(SERVER_KIND, { name: server.id });
       await this.#startServer(server);
     });
@@ -239,20 +242,20 @@
     end: (child: Child) => Promise<void>,
   ): Promise<void> {
     if (entry === undefined) return;
-    await this.#hold(entry.child, async (child) => {
+    await this.#withExclusiveFault(entry.child, async (child) => {
       await end(child);
       entry.child = await this.#startEntry(entry.index, entry.storeProxy);
     });
   }
 
-  async #hold(
+  async #withExclusiveFault(
     child: Child | undefined,
-    act: (child: Child) => Promise<void>,
+    applyTo: (child: Child) => Promise<void>,
   ): Promise<void> {
-    if (child === undefined || this.#held.has(child)) return;
-    this.#held.add(child);
-    await act(child);
-    this.#held.delete(child);
+    if (child === undefined || this.#faulted.has(child)) return;
+    this.#faulted.add(child);
+    await applyTo(child);
+    this.#faulted.delete(child);
   }
 
   async #addServer(at: number): Promise<void> {
@@ -261,7 +264,7 @@
     const server: SoakServer = {
       proxy: await FaultProxy.create(port),
       port,
-      service: at % PLAIN_EACH === 0 ? CALL_SERVICE : STREAM_SERVICE,
+      service: at % PLAIN_SERVER_STRIDE === 0 ? CALL_SERVICE : STREAM_SERVICE,
       zone: ZONES[at % ZONES.length] ?? "",
       child,
       id: "",
@@ -285,37 +288,40 @@
     await server.child.control({ id: server.id });
     await this.#objects.create(SERVER_KIND, {
       name: server.id,
-      spec: this.#describe(server, "ready"),
+      spec: this.#createSpec(server, "ready"),
     });
   }
 
-  async #list(server: SoakServer | undefined, state: string): Promise<void> {
+  async #updateState(
+    server: SoakServer | undefined,
+    state: string,
+  ): Promise<void> {
     if (server === undefined) return;
     await this.#objects.replace(SERVER_KIND, {
       name: server.id,
-      spec: this.#describe(server, state),
+      spec: this.#createSpec(server, state),
     });
   }
 
-  #describe({ service, zone, proxy }: SoakServer, state: string) {
+  #createSpec({ service, zone, proxy }: SoakServer, state: string) {
     return { service, address: proxy.address, zone, slots: 16, state };
   }
 
   async #addEntry(index: number): Promise<void> {
     const storeProxy = await FaultProxy.create(this.#store.port);
     const child = await this.#startEntry(index, storeProxy);
-    const host = this.#hostOf(index);
+    const host = this.#entryHost(index);
     this.entries.push({ index, host, storeProxy, child });
   }
 
-  async #startEntry(index: number, store: FaultProxy): Promise<Child> {
+  async #startEntry(index: number, storeProxy: FaultProxy): Promise<Child> {
     const path = join(this.#folder, `entry-${index}.conf`);
-    const host = this.#hostOf(index);
+    const host = this.#entryHost(index);
     const text = formatEntrySettings({
       name: `entry-${index}`,
       zone: ZONES[index % ZONES.length] ?? "",
       host,
-      storeAddress: store.address,
+      storeAddress: storeProxy.address,
     });
     await writeFile(path, text);
     return await this.#start({
@@ -326,8 +332,8 @@
     });
   }
 
-  /** Entries of one machine listen on loopback addresses of their own. */
-  #hostOf(index: number): string {
+  /** Each entry listens on its own loopback address. */
+  #entryHost(index: number): string {
     return `127.0.${this.#lane}.${index + 1}`;
   }
 
@@ -338,7 +344,7 @@
   }
 }
 
-async function disturb(
+async function injectProxyFault(
   proxy: FaultProxy | undefined,
   { proxy: fault, forMs }: Pick<Fault, "proxy" | "forMs">,
 ): Promise<void> {
--- a/bench/soak/soak_deployment.ts
+++ b/bench/soak/soak_deployment.ts
@@ -1,21 +1,21 @@
-/** The deployment of a soak: services, routes, keys and the entries' settings. */
+/** The deployment of a soak: configuration and entry settings. */
 
-/** Service of the streams. */
+/** Name of the service with streams. */
 export const STREAM_SERVICE = "engines";
-/** Service of the calls. */
+/** Name of the service with plain calls. */
 export const CALL_SERVICE = "plain";
-/** Host name that all routes share. */
+/** Host name of all routes. */
 export const HOST_NAME = "soak.example";
-/** Port on which entries take callers. */
+/** Port on which entries accept callers. */
 export const CALLER_PORT = 8_740;
-/** Port on which entries say whether they are ready. */
+/** Port of the entries' readiness endpoint. */
 export const READY_PORT = 8_749;
-/** Time in which a planned stop ends, in ms, as the settings say. */
+/** Configured grace period of a graceful shutdown, in ms. */
 export const SHUTDOWN_GRACE_MS = 8_000;
 const PEER_PORT = 7_200;
 const TIMEOUT_MS = 6_000;
 
-/** Bearer key that a version brings; the next version holds it too, later ones do not. */
+/** Returns the bearer key that a version adds; only the next one has it too. */
 export function keyOfVersion(version: number): string {
   return `key-of-version-${version}`;
 }
@@ -61,7 +61,7 @@
   };
 }
 
-/** Entries reach the store by proxies of their own, so its address names none. */
+/** Set because the default, the store's address, differs between entries. */
 const DEPLOYMENT = "soak";
 
 /** Returns the settings file of an entry. */
--- a/bench/soak_main.ts
+++ b/bench/soak_main.ts
@@ -1,4 +1,4 @@
-/** `npm run soak`: soaks of several seeds, one JSON line each. */
+/** `npm run soak`: runs soak tests and prints one JSON line per seed. */
 
 import { writeFile } from "node:fs/promises";
 import process from "node:process";
@@ -10,37 +10,41 @@
 const { seed, seeds, seconds, regression, ...size } = await yargs(
   hideBin(process.argv),
 )
-  .usage("soak: real processes under random faults")
+  .usage("soak: runs a cluster of processes under random faults")
   .option("seed", { type: "number", default: 1, describe: "first seed" })
-  .option("seeds", { type: "number", default: 1, describe: "count of seeds" })
+  .option("seeds", { type: "number", default: 1, describe: "number of seeds" })
   .option("regression", {
     type: "boolean",
     default: false,
-    describe: "play the seeds that failed once",
+    describe: "run the seeds that have failed before",
+  })
+  .option("seconds", {
+    type: "number",
+    default: 15,
+    describe: "duration of the faults",
   })
-  .option("seconds", { type: "number", default: 15, describe: "of faults" })
   .option("entries", { type: "number", default: 3 })
   .option("servers", { type: "number", default: 9 })
   .option("lane", {
     type: "number",
     default: 1,
-    describe: "differs for soaks that run at the same time, up to 254",
+    describe: "1 to 254; different for each concurrent soak",
   })
   .option("logs", {
     type: "string",
-    describe: "folder for the entries' logs of a seed with findings",
+    describe: "folder for the entries' logs of seeds with findings",
   })
   .strict()
   .parse();
 
-// An end by signal ends the started processes too.
+// The exit handler kills the child processes, which a signal alone would not.
 for (const signal of ["SIGINT", "SIGTERM"]) {
   process.once(signal, () => process.exit(1));
 }
 const cases = regression
   ? REGRESSION_SEEDS
   : Array.from({ length: seeds }, (_, at) => ({ seed: seed + at, seconds }));
-let failed = 0;
+let failedCount = 0;
 for (const { seed, seconds } of cases) {
   const { entries, servers, lane, logs } = size;
   const result = await runSoak({
@@ -50,15 +54,17 @@
     servers,
     lane,
   });
-  const { logs: lines, faults, ...shown } = result;
+  const { logs: lines, faults, ...summary } = result;
   const hasFindings = result.findings.length > 0;
-  if (hasFindings) failed++;
-  const details = hasFindings ? { ...shown, faults } : shown;
-  process.stdout.write(`${JSON.stringify(details)}\n`);
+  if (hasFindings) failedCount++;
+  const reported = hasFindings ? { ...summary, faults } : summary;
+  process.stdout.write(`${JSON.stringify(reported)}\n`);
   if (hasFindings && logs !== undefined) {
     await writeFile(`${logs}/seed-${seed}.log`, `${lines.join("\n")}\n`);
   }
 }
-const count = cases.length;
-process.stdout.write(`${count - failed} of ${count} seeds without a finding\n`);
-process.exit(failed === 0 ? 0 : 1);
+const seedCount = cases.length;
+process.stdout.write(
+  `${seedCount - failedCount} of ${seedCount} seeds without a finding\n`,
+);
+process.exit(failedCount === 0 ? 0 : 1);
--- a/bench/stream_reader.ts
+++ b/bench/stream_reader.ts
@@ -1,4 +1,4 @@
-/** A lean reader of many streams: counts tokens and times, parses little. */
+/** Reads many streams at little CPU cost and measures their token delays. */
 
 import { request } from "node:http";
 import process from "node:process";
@@ -14,60 +14,63 @@
 } from "../src/process/duration_histogram.ts";
 import { bearerKey, GENERATION_SERVICE } from "./local_deployment.ts";
 
-/** Where streams are drained from. */
+/** Where a stream is opened and how long it is. */
 export interface StreamReaderTarget {
   readonly address: string;
-  /** Straight from an engine, or through an entry. */
+  /** Whether the address is an engine's; otherwise it is an entry's. */
   readonly isDirect: boolean;
   readonly maxTokens: number;
 }
 
-const STAMP = / (\d{6,})/g;
-const MICROSECONDS = 1_000;
+/** Matches stamped tokens, whose text is their send time in µs. */
+const SENT_AT_MICROS = / (\d{6,})/g;
+const MICROS_PER_MS = 1_000;
 
-/** What a drain has seen since its last reset. */
+/** What a reader has measured since its last reset, unless noted otherwise. */
 export interface StreamReaderResults {
-  /** Streams that have given a token, since the start. */
+  /** Streams that have delivered a token, since the start. */
   readonly opened: number;
   readonly tokens: number;
-  /** Time to the first token, since the start. */
+  /** Time from the request to the first token, in ms, since the start. */
   readonly first: Percentiles;
-  /** Delay from an engine's sending to the reading here. */
+  /** Delay between sending at the engine and receipt here, in ms. */
   readonly delay: Percentiles;
 }
 
-/** Streams that are read until closed. */
+/** Opens streams and discards their tokens after measuring them. */
 export class StreamReader {
-  readonly #first = DurationHistogram.create();
-  #delay = DurationHistogram.create();
+  readonly #timeToFirstToken = DurationHistogram.create();
+  #tokenDelay = DurationHistogram.create();
   #tokens = 0;
   #opened = 0;
-  #count = 0;
+  #streamCount = 0;
 
   private constructor() {}
 
-  /** Makes a drain without streams. */
+  /** Creates a reader without streams. */
   static create(): StreamReader {
     return new StreamReader();
   }
 
-  /** Returns what was seen. */
+  /** Returns the measurements so far. */
   results(): StreamReaderResults {
     return {
       opened: this.#opened,
       tokens: this.#tokens,
-      first: this.#first.percentiles(),
-      delay: this.#delay.percentiles(),
+      first: this.#timeToFirstToken.percentiles(),
+      delay: this.#tokenDelay.percentiles(),
     };
   }
 
-  /** Opens one more stream. */
+  /** Opens another stream. */
   open(target: StreamReaderTarget): void {
     const { host, port } = splitAddress(target.address);
-    const id = `drain-${process.pid}-${this.#count++}`;
+    const id = `drain-${process.pid}-${this.#streamCount++}`;
     const path = target.isDirect ? STREAMS_PATH : "/v1/completions";
     const body = JSON.stringify(
-      target.isDirect ? directOrder(id, target) : entryOrder(id, target),
+      target.isDirect
+        ? createEngineRequest(id, target)
+        : createEntryRequest(id, target),
     );
     const startMs = performance.now();
     const outgoing = request({
@@ -82,11 +85,11 @@
     outgoing.once("response", (response) => {
       response.setEncoding("latin1");
       response.on("data", (text: string) => {
-        const found = this.#take(text);
-        if (!isFirst || found === 0) return;
+        const tokenCount = this.#recordTokens(text);
+        if (!isFirst || tokenCount === 0) return;
         isFirst = false;
         this.#opened++;
-        this.#first.record(performance.now() - startMs);
+        this.#timeToFirstToken.record(performance.now() - startMs);
       });
       response.on("error", () => undefined);
     });
@@ -94,25 +97,25 @@
     outgoing.end(body);
   }
 
-  /** Starts the counts anew; streams go on. */
+  /** Resets the token count and delays; open streams continue. */
   reset(): void {
     this.#tokens = 0;
-    this.#delay = DurationHistogram.create();
+    this.#tokenDelay = DurationHistogram.create();
   }
 
-  #take(text: string): number {
-    let found = 0;
+  #recordTokens(text: string): number {
+    let tokenCount = 0;
     const nowMicros = Number(process.hrtime.bigint() / 1_000n);
-    for (const [, stamp] of text.matchAll(STAMP)) {
-      found++;
-      this.#delay.record((nowMicros - Number(stamp)) / MICROSECONDS);
+    for (const [, sentMicros] of text.matchAll(SENT_AT_MICROS)) {
+      tokenCount++;
+      this.#tokenDelay.record((nowMicros - Number(sentMicros)) / MICROS_PER_MS);
     }
-    this.#tokens += found;
-    return found;
+    this.#tokens += tokenCount;
+    return tokenCount;
   }
 }
 
-function directOrder(
+function createEngineRequest(
   id: string,
   { maxTokens }: StreamReaderTarget,
 ): StartStreamRequest {
@@ -129,7 +132,7 @@
   };
 }
 
-function entryOrder(id: string, { maxTokens }: StreamReaderTarget) {
+function createEntryRequest(id: string, { maxTokens }: StreamReaderTarget) {
   return {
     model: GENERATION_SERVICE,
     prompt: id,
--- a/bench/stream_reader_main.ts
+++ b/bench/stream_reader_main.ts
@@ -1,4 +1,4 @@
-/** A process that drains streams; its figures are read over HTTP. */
+/** Process that reads streams and serves its measurements over HTTP. */
 
 import { createServer } from "node:http";
 import process from "node:process";
@@ -17,15 +17,15 @@
   .strict()
   .parse();
 
-const drain = StreamReader.create();
+const reader = StreamReader.create();
 const server = createServer((request, response) => {
-  if (request.url === "/reset") drain.reset();
-  sendJson(response, 200, drain.results());
+  if (request.url === "/reset") reader.reset();
+  sendJson(response, 200, reader.results());
 });
 const port = await listen(server, "127.0.0.1", 0);
 process.stdout.write(`${JSON.stringify({ port })}\n`);
 for (let index = 0; index < args.streams; index++) {
-  drain.open({
+  reader.open({
     address: args.address[index % args.address.length] ?? "",
     isDirect: args.direct,
     maxTokens: args.maxTokens,
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -1,7 +1,8 @@
 /**
- * Stand-in for a model engine: continuous batching in bounded slots, priorities,
- * a prefix cache, streams that can be resumed and cancelled, a lagging load
- * report, and switches for failures. Freeze and kill come by signal.
+ * Stand-in for a model engine: continuous batching with a limited number of
+ * slots, priorities, a prefix cache, streams that can be resumed and cancelled,
+ * a delayed load report, and switches for failures. Tests suspend and kill it
+ * with signals.
  */
 
 import {
@@ -32,7 +33,7 @@
 }
 
 interface Stream {
-  readonly order: StartStreamRequest;
+  readonly startRequest: StartStreamRequest;
   readonly tokens: string[];
   readonly readers: Set<ServerResponse>;
   phase: Phase;
@@ -43,35 +44,36 @@
 interface Switches {
   modelVersion: string;
   slots: number;
-  /** Streams that may wait for a slot before new ones are refused. */
+  /** Most streams that wait for a slot; further ones are refused. */
   queueLimit: number;
   /** Time between two tokens of a stream, in ms. */
   tokenMs: number;
-  /** Prefill time of one token that is not cached, in µs. */
+  /** Prefill time of a token that is not in the prefix cache, in µs. */
   prefillUs: number;
-  /** Age of the load report, in ms. */
+  /** Time between two updates of the load report, in ms. */
   reportLagMs: number;
-  /** New streams are refused, and the report says so. */
+  /** Refuses new streams and reports that the engine is draining. */
   leaving: boolean;
-  /** The report says that the engine leaves, but it refuses nothing. */
+  /** Reports that the engine is draining, but accepts new streams. */
   reportsLeaving: boolean;
-  /** A prompt that holds this text crashes the engine when it runs. */
+  /** The engine crashes if it runs a prompt with this text; off if empty. */
   crashMarker: string;
-  /** Closes every open connection once. */
+  /** Closes every open stream connection once. */
   cut: boolean;
   /** The engine crashes before it sends this token position; -1 is never. */
   crashAtPosition: number;
-  /** Each stream has a text of its own, as with sampling. */
+  /** The text depends on the stream's id, not the prompt, as if sampled. */
   sampled: boolean;
-  /** The text of each token is the time of its sending, in µs. */
+  /** The text of each token is its send time, in µs on the monotonic clock. */
   stamped: boolean;
-  /** Prints a line for each run, so that counts outlive a kill. */
+  /** Prints a line for each run, so that the count survives a kill. */
   announceRuns: boolean;
 }
 
-const TICK_MS = 2;
-const KEEP_ALIVE_MS = 250;
-const LINGER_MS = 5_000;
+const DECODE_INTERVAL_MS = 2;
+const KEEP_ALIVE_INTERVAL_MS = 250;
+/** Time until unread streams are ended, and ended ones deleted, in ms. */
+const STREAM_RETENTION_MS = 5_000;
 const BODY_MAX_BYTES = 4_000_000;
 
 const switches: Switches = {
@@ -100,8 +102,8 @@
 const streams = new Map<string, Stream>();
 const running = new Set<Stream>();
 const queue: Stream[] = [];
-/** The orders of all streams that were accepted. */
-const history: StartStreamRequest[] = [];
+/** Requests that were accepted while `sampled` was set. */
+const recordedRequests: StartStreamRequest[] = [];
 const cache = PrefixCache.create(4_096);
 let report = currentReport();
 
@@ -125,22 +127,26 @@
     return sendJson(response, 200, counts);
   }
   if (url.pathname === "/standin/streams") {
-    return sendJson(response, 200, history);
+    return sendJson(response, 200, recordedRequests);
   }
   if (url.pathname === "/standin/control") {
-    return await control(request, response);
+    return await handleControl(request, response);
   }
   if (url.pathname === "/v1/cache-events") {
     return sendJson(response, 200, cache.eventsAfter(url.searchParams));
   }
-  if (url.pathname === STREAMS_PATH) return await start(request, response);
+  if (url.pathname === STREAMS_PATH) {
+    return await startStream(request, response);
+  }
   const stream = streams.get(url.pathname.slice(STREAMS_PATH.length + 1));
-  if (stream === undefined) return refuse(response, 404, "unknown stream");
+  if (stream === undefined) {
+    return refuse(response, 404, "no stream with this id");
+  }
   if (request.method === "DELETE") return cancel(stream, response);
   attach(stream, Number(url.searchParams.get("from")), response);
 }
 
-async function control(
+async function handleControl(
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
@@ -155,33 +161,37 @@
   sendJson(response, 200, switches);
 }
 
-async function start(
+async function startStream(
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
   const body = await readBody(request, BODY_MAX_BYTES);
-  const order = JSON.parse(body.toString()) as StartStreamRequest;
+  const startRequest = JSON.parse(body.toString()) as StartStreamRequest;
   counts.arrivals++;
-  if (switches.leaving) return refuse(response, 503, "leaving");
-  if (order.modelVersion !== switches.modelVersion) {
-    return refuse(response, 409, `carries ${switches.modelVersion}`);
+  if (switches.leaving) return refuse(response, 503, "engine is draining");
+  if (startRequest.modelVersion !== switches.modelVersion) {
+    return refuse(
+      response,
+      409,
+      `engine serves model version ${switches.modelVersion}`,
+    );
   }
   const isFull = running.size >= switches.slots &&
     queue.length >= switches.queueLimit;
-  if (isFull) return refuse(response, 429, "no slot");
+  if (isFull) return refuse(response, 429, "all slots and the queue are full");
   counts.accepted++;
   const stream: Stream = {
-    order,
+    startRequest,
     tokens: [],
     readers: new Set(),
     phase: Phase.Queued,
     nextDueMs: 0,
   };
-  streams.set(order.stream, stream);
-  if (switches.sampled) history.push(order);
-  attach(stream, order.position, response);
+  streams.set(startRequest.stream, stream);
+  if (switches.sampled) recordedRequests.push(startRequest);
+  attach(stream, startRequest.position, response);
   queue.push(stream);
-  queue.sort((a, b) => a.order.priority - b.order.priority);
+  queue.sort((a, b) => a.startRequest.priority - b.startRequest.priority);
   fillSlots();
 }
 
@@ -198,46 +208,60 @@
   while (running.size < switches.slots) {
     const stream = queue.shift();
     if (stream === undefined) return;
-    run(stream);
+    startRun(stream);
   }
 }
 
-function run(stream: Stream): void {
-  const { order } = stream;
-  if (switches.announceRuns) announceRun(order.request);
-  const isMarked = switches.crashMarker !== "" &&
-    order.prompt.includes(switches.crashMarker);
-  if (isMarked) process.exit(70);
-  const prefill = cache.admit(order.prompt + order.journal);
-  counts.prefillTokens += prefill;
+function startRun(stream: Stream): void {
+  const { startRequest } = stream;
+  if (switches.announceRuns) announceRun(startRequest.request);
+  const hasCrashMarker = switches.crashMarker !== "" &&
+    startRequest.prompt.includes(switches.crashMarker);
+  if (hasCrashMarker) process.exit(70);
+  const prefillTokens = cache.admit(startRequest.prompt + startRequest.journal);
+  counts.prefillTokens += prefillTokens;
   stream.phase = Phase.Running;
-  stream.nextDueMs = performance.now() + (prefill * switches.prefillUs) / 1_000;
+  stream.nextDueMs = performance.now() +
+    (prefillTokens * switches.prefillUs) / 1_000;
   running.add(stream);
 }
 
-function attach(stream: Stream, from: number, response: ServerResponse): void {
-  const index = from - stream.order.position;
+function attach(
+  stream: Stream,
+  fromPosition: number,
+  response: ServerResponse,
+): void {
+  const index = fromPosition - stream.startRequest.position;
   if (index < 0 || index > stream.tokens.length) {
-    return refuse(response, 416, "position is not held");
+    return refuse(
+      response,
+      416,
+      "this position is outside the stream's tokens",
+    );
   }
   response.writeHead(200, {
     "content-type": "text/event-stream",
-    [MODEL_VERSION_HEADER]: stream.order.modelVersion,
+    [MODEL_VERSION_HEADER]: stream.startRequest.modelVersion,
   });
   response.write(": open\n\n");
   for (const [offset, text] of stream.tokens.slice(index).entries()) {
-    response.write(formatEvent({ p: from + offset, t: text }));
+    response.write(formatEvent({ p: fromPosition + offset, t: text }));
+  }
+  if (stream.phase === Phase.Ended) {
+    return void response.end(finalEvent(stream));
   }
-  if (stream.phase === Phase.Ended) return void response.end(endOf(stream));
   stream.readers.add(response);
   response.once("close", () => {
     stream.readers.delete(response);
     if (stream.readers.size > 0 || stream.phase === Phase.Ended) return;
-    setTimeout(() => stream.readers.size === 0 && finish(stream), LINGER_MS);
+    setTimeout(
+      () => stream.readers.size === 0 && finish(stream),
+      STREAM_RETENTION_MS,
+    );
   });
 }
 
-/** Ends a stream unless somebody else still reads it. */
+/** Ends a stream unless it has more than one reader. */
 function cancel(stream: Stream, response: ServerResponse): void {
   if (stream.readers.size <= 1) finish(stream);
   const cancelled: StreamCancelled = { ran: stream.nextDueMs > 0 };
@@ -250,20 +274,26 @@
   if (index >= 0) queue.splice(index, 1);
   stream.phase = Phase.Ended;
   running.delete(stream);
-  for (const reader of stream.readers) reader.end(endOf(stream));
-  setTimeout(() => streams.delete(stream.order.stream), LINGER_MS);
+  for (const reader of stream.readers) reader.end(finalEvent(stream));
+  setTimeout(
+    () => streams.delete(stream.startRequest.stream),
+    STREAM_RETENTION_MS,
+  );
   fillSlots();
 }
 
-function endOf(stream: Stream): string {
-  const position = stream.order.position + stream.tokens.length;
-  if (position < stream.order.maxTokens) return ": cancelled\n\n";
+function finalEvent(stream: Stream): string {
+  const position = stream.startRequest.position + stream.tokens.length;
+  if (position < stream.startRequest.maxTokens) return ": cancelled\n\n";
   return formatEvent({ p: position, end: FinishReason.Length });
 }
 
-function seedOf({ order }: Stream): TextSeed {
-  if (!switches.sampled) return order;
-  return { prompt: order.stream, modelVersion: order.modelVersion };
+function textSeed({ startRequest }: Stream): TextSeed {
+  if (!switches.sampled) return startRequest;
+  return {
+    prompt: startRequest.stream,
+    modelVersion: startRequest.modelVersion,
+  };
 }
 
 function formatEvent(event: StreamEvent): string {
@@ -272,12 +302,12 @@
 
 function decode(stream: Stream, now: number): void {
   while (stream.nextDueMs <= now && stream.phase === Phase.Running) {
-    const position = stream.order.position + stream.tokens.length;
-    if (position >= stream.order.maxTokens) return finish(stream);
+    const position = stream.startRequest.position + stream.tokens.length;
+    if (position >= stream.startRequest.maxTokens) return finish(stream);
     if (position === switches.crashAtPosition) process.exit(70);
     const text = switches.stamped
       ? ` ${process.hrtime.bigint() / 1_000n}`
-      : tokenAt(seedOf(stream), position);
+      : tokenAt(textSeed(stream), position);
     stream.tokens.push(text);
     counts.decodedTokens++;
     const event = formatEvent({ p: position, t: text });
@@ -289,20 +319,20 @@
 setInterval(() => {
   const now = performance.now();
   for (const stream of running) decode(stream, now);
-}, TICK_MS);
+}, DECODE_INTERVAL_MS);
 
 setInterval(() => {
   for (const stream of [...queue, ...running]) {
     if (stream.tokens.length > 0) continue;
     for (const reader of stream.readers) reader.write(": waiting\n\n");
   }
-}, KEEP_ALIVE_MS);
+}, KEEP_ALIVE_INTERVAL_MS);
 
-function takeReport(): void {
+function refreshReport(): void {
   report = currentReport();
-  setTimeout(takeReport, switches.reportLagMs);
+  setTimeout(refreshReport, switches.reportLagMs);
 }
-takeReport();
+refreshReport();
 
 const server = createServer((request, response) => {
   handle(request, response).catch(writeStandinError(response));
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -1,8 +1,7 @@
 /**
- * Stand-in for the platform's published object API: objects by kind with
- * revisions, lists in pages, conditional writes, watches with a bounded history,
- * call counts, a rate limit, and switches for outage, slowness, lost answers
- * and forgotten history.
+ * Stand-in for the platform's object API: objects by kind with revisions, paged
+ * lists, conditional writes, watches on a limited history, call counts, a rate
+ * limit, and switches for outages, delays, lost responses and lost history.
  */
 
 import {
@@ -18,7 +17,7 @@
 import { PLATFORM_VALUE_MAX_BYTES } from "../src/constants.ts";
 import { runStandin, writeStandinError } from "./standin.ts";
 
-/** An object as the API shows it. */
+/** An object as the API returns it. */
 interface StoredObject {
   readonly metadata: {
     readonly name: string;
@@ -41,22 +40,25 @@
 
 /** Switches of the stand-in, set by `POST /standin/control`. */
 interface Switches {
-  /** Every call's connection is closed without an answer. */
+  /** Closes every connection without a response. */
   outage: boolean;
-  /** Delay of each answer, in ms. */
+  /** Delay of each call, in ms. */
   delayMs: number;
-  /** After some writes under the prefix, so many get no answer. */
+  /**
+   * After `skip` writes of objects whose kind and name start with the prefix,
+   * `count` of them take effect but get no response.
+   */
   loseAnswers: { prefix: string; skip: number; count: number };
-  /** After some writes under the prefix, so many wait before they take effect. */
+  /** Selects writes as `loseAnswers` does, and delays them by `delayMs`. */
   slowWrites: { prefix: string; skip: number; count: number; delayMs: number };
-  /** How late changes of the instance list take effect, in ms. */
+  /** Delay until a change of the instances takes effect, in ms. */
   listLagMs: number;
-  /** Calls of each sort that are answered in one second. */
+  /** Rate limits; further reads and writes in a second are refused. */
   readsPerSecond: number;
   writesPerSecond: number;
-  /** Objects in one page of a list. */
+  /** Most objects in one page of a list. */
   pageSize: number;
-  /** Changes older than this revision are forgotten. */
+  /** Watches from before this revision fail, as with an expired history. */
   historyFrom: number;
   instances: Instance[];
 }
@@ -84,9 +86,9 @@
 const kinds = new Map<string, Map<string, StoredObject>>();
 const history: Change[] = [];
 const watchers = new Set<() => void>();
-const open = new Set<ServerResponse>();
+const openResponses = new Set<ServerResponse>();
 let revision = 0;
-let second = 0;
+let currentSecond = 0;
 let readsThisSecond = 0;
 let writesThisSecond = 0;
 
@@ -95,15 +97,15 @@
   response: ServerResponse,
 ): Promise<void> {
   const url = new URL(request.url ?? "/", "http://platform");
-  const [, first = "", group = "", kind = "", encoded = ""] = url.pathname
+  const [, root = "", group = "", kind = "", encoded = ""] = url.pathname
     .split("/");
-  if (first === "standin") return await handleStandin(group, request, response);
-  open.add(response);
-  response.once("close", () => open.delete(response));
+  if (root === "standin") return await handleStandin(group, request, response);
+  openResponses.add(response);
+  response.once("close", () => openResponses.delete(response));
   const isWrite = request.method !== "GET";
   if (!admit(isWrite)) {
     counts.refused++;
-    return sendJson(response, 429, { error: "rate limit" });
+    return sendJson(response, 429, { error: "rate limit exceeded" });
   }
   if (switches.delayMs > 0) await sleep(switches.delayMs);
   if (switches.outage) return void response.destroy();
@@ -118,8 +120,8 @@
 
 function admit(isWrite: boolean): boolean {
   const now = Math.floor(performance.now() / 1_000);
-  if (now !== second) {
-    second = now;
+  if (now !== currentSecond) {
+    currentSecond = now;
     readsThisSecond = 0;
     writesThisSecond = 0;
   }
@@ -129,35 +131,35 @@
 
 function list(kind: string, url: URL, response: ServerResponse): void {
   const after = url.searchParams.get("after") ?? "";
-  const rest = [...kinds.get(kind)?.values() ?? []]
+  const remaining = [...kinds.get(kind)?.values() ?? []]
     .filter(({ metadata }) => metadata.name > after)
     .sort((a, b) => (a.metadata.name < b.metadata.name ? -1 : 1));
   sendJson(response, 200, {
-    items: rest.slice(0, switches.pageSize),
-    hasMore: rest.length > switches.pageSize,
+    items: remaining.slice(0, switches.pageSize),
+    hasMore: remaining.length > switches.pageSize,
     currentRev: revision,
   });
 }
 
-/** What a write names. */
+/** The object that a write addresses. */
 interface WriteTarget {
   readonly kind: string;
-  /** Empty where the body names the object. */
+  /** Empty if the body names the object. */
   readonly name: string;
   readonly url: URL;
 }
 
 async function write(
-  { kind, name: named, url }: WriteTarget,
+  { kind, name: pathName, url }: WriteTarget,
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
   const text = (await readBody(request, PLATFORM_VALUE_MAX_BYTES)).toString();
   const body = text === "" ? {} : JSON.parse(text);
-  const name = named === "" ? body.metadata.name as string : named;
+  const name = pathName === "" ? body.metadata.name as string : pathName;
   const key = `${kind.replace(/^gypsumridge-/, "")}/${name}`;
-  const slow = switches.slowWrites;
-  if (applies(slow, key)) await sleep(slow.delayMs);
+  const slowWrites = switches.slowWrites;
+  if (consumeFailure(slowWrites, key)) await sleep(slowWrites.delayMs);
   counts.writes++;
   const stored = kinds.get(kind)?.get(name);
   if (request.method !== "POST" && stored === undefined) {
@@ -172,11 +174,11 @@
   if (conflicts) return sendJson(response, 409, stored);
   const isDeletion = request.method === "DELETE";
   const object = store({ kind, name, spec: body.spec, isDeletion });
-  if (applies(switches.loseAnswers, key)) return void response.destroy();
+  if (consumeFailure(switches.loseAnswers, key)) return void response.destroy();
   sendJson(response, 200, object);
 }
 
-/** Takes a change in, and wakes those that watch. */
+/** Applies a write to the store and notifies its watches. */
 function store(
   { kind, name, spec, isDeletion }: {
     readonly kind: string;
@@ -210,8 +212,8 @@
   return object;
 }
 
-/** Counts a write down; says whether the failure is its turn. */
-function applies(
+/** Counts a write towards a failure; returns whether the failure applies. */
+function consumeFailure(
   failure: { readonly prefix: string; skip: number; count: number },
   name: string,
 ): boolean {
@@ -229,23 +231,25 @@
   const from = Number(url.searchParams.get("watch"));
   const waitMs = Number(url.searchParams.get("waitMs"));
   if (from < switches.historyFrom) {
-    return sendJson(response, 410, { error: "history is gone" });
+    return sendJson(response, 410, {
+      error: "changes since this revision are no longer kept",
+    });
   }
-  const answer = (isOver: boolean) => {
+  const respond = (isTimedOut: boolean) => {
     const events = history
       .filter((change) => change.kind === kind && change.revision > from)
       .map(({ object, deleted }) => ({ object, deleted }));
-    if (events.length === 0 && !isOver) return;
-    finish();
+    if (events.length === 0 && !isTimedOut) return;
+    cleanUp();
     sendJson(response, 200, { events, currentRev: revision });
   };
-  const wake = () => answer(false);
-  const timer = setTimeout(() => answer(true), waitMs);
-  const finish = () => {
+  const wake = () => respond(false);
+  const timer = setTimeout(() => respond(true), waitMs);
+  const cleanUp = () => {
     clearTimeout(timer);
     watchers.delete(wake);
   };
-  response.once("close", finish);
+  response.once("close", cleanUp);
   watchers.add(wake);
   wake();
 }
@@ -257,28 +261,30 @@
 ): Promise<void> {
   if (action === "counts") return sendJson(response, 200, counts);
   const body = await readBody(request, PLATFORM_VALUE_MAX_BYTES);
-  const change = JSON.parse(body.toString()) as Partial<Switches>;
-  Object.assign(switches, change);
-  if (change.instances !== undefined) showInstances(change.instances);
+  const newSwitches = JSON.parse(body.toString()) as Partial<Switches>;
+  Object.assign(switches, newSwitches);
+  if (newSwitches.instances !== undefined) {
+    updateInstances(newSwitches.instances);
+  }
   if (switches.outage) {
-    for (const pending of open) pending.destroy();
+    for (const pending of openResponses) pending.destroy();
   }
   sendJson(response, 200, switches);
 }
 
-function showInstances(instances: Instance[]): void {
+function updateInstances(instances: Instance[]): void {
   if (switches.listLagMs === 0) return storeInstances(instances);
   setTimeout(() => storeInstances(instances), switches.listLagMs);
 }
 
-/** Writes the instances as they would register themselves, and drops others. */
+/** Replaces all registered servers and entries by the given instances. */
 function storeInstances(instances: Instance[]): void {
-  const listed = new Map(
+  const instancesByName = new Map(
     instances.map((instance) => [instance.name, instance]),
   );
   for (const kind of [SERVER_KIND, ENTRY_KIND]) {
     for (const name of kinds.get(kind)?.keys() ?? []) {
-      if (listed.has(name)) continue;
+      if (instancesByName.has(name)) continue;
       store({ kind, name, spec: undefined, isDeletion: true });
     }
   }
--- a/standins/prefix_cache.ts
+++ b/standins/prefix_cache.ts
@@ -1,8 +1,8 @@
-/** The stand-in engine's prefix cache in limited memory, and its event log. */
+/** The stand-in engine's prefix cache of limited size, and its cache events. */
 
 import { hashParts } from "../src/hashing.ts";
 
-/** One cache event; some are never published. */
+/** A cache event; some are lost before they are published. */
 interface CacheEvent {
   readonly sequence: number;
   readonly change: "stored" | "evicted";
@@ -12,11 +12,11 @@
 const BLOCK_CHARACTERS = 256;
 const CHARACTERS_PER_TOKEN = 4;
 const EVENT_DELAY_MS = 500;
-/** Every so-many-th event is lost. */
-const EVENT_GAP = 7;
+/** One event in this many is lost. */
+const LOST_EVENT_INTERVAL = 7;
 const EVENTS_KEPT = 1_000;
 
-/** Least-recently-used blocks of prompt text, each keyed by its whole prefix. */
+/** LRU cache of prompt blocks, each keyed by the hash of its whole prefix. */
 export class PrefixCache {
   readonly #capacityBlocks: number;
   readonly #blocks = new Set<string>();
@@ -27,30 +27,30 @@
     this.#capacityBlocks = capacityBlocks;
   }
 
-  /** Holds at most `capacityBlocks` blocks of 256 characters. */
+  /** Creates a cache of at most `capacityBlocks` blocks of 256 characters. */
   static create(capacityBlocks: number): PrefixCache {
     return new PrefixCache(capacityBlocks);
   }
 
-  /** Takes a text in; returns how many of its tokens were not cached. */
+  /** Caches a text; returns the number of its tokens that were not cached. */
   admit(text: string): number {
     let prefix = "";
-    let cached = 0;
-    let isWarm = true;
+    let cachedCharacters = 0;
+    let isHit = true;
     for (let at = 0; at + BLOCK_CHARACTERS <= text.length;) {
       const end = at + BLOCK_CHARACTERS;
       prefix = hashParts([prefix, text.slice(at, end)]);
-      isWarm = isWarm && this.#blocks.delete(prefix);
-      if (isWarm) cached = end;
+      isHit = isHit && this.#blocks.delete(prefix);
+      if (isHit) cachedCharacters = end;
       else this.#publish("stored", prefix);
       this.#blocks.add(prefix);
       at = end;
     }
     this.#evict();
-    return Math.ceil((text.length - cached) / CHARACTERS_PER_TOKEN);
+    return Math.ceil((text.length - cachedCharacters) / CHARACTERS_PER_TOKEN);
   }
 
-  /** Returns published events after the sequence number in `after`. */
+  /** Returns the events with a sequence number above the `after` parameter. */
   eventsAfter(query: URLSearchParams): readonly CacheEvent[] {
     const after = Number(query.get("after"));
     return this.#events.filter(({ sequence }) => sequence > after);
@@ -66,7 +66,7 @@
 
   #publish(change: CacheEvent["change"], block: string): void {
     const event = { sequence: ++this.#sequence, change, block };
-    if (event.sequence % EVENT_GAP === 0) return;
+    if (event.sequence % LOST_EVENT_INTERVAL === 0) return;
     setTimeout(() => {
       this.#events.push(event);
       this.#events = this.#events.slice(-EVENTS_KEPT);
