--- a/standins/runner.ts
+++ b/standins/runner.ts
@@ -1,7 +1,7 @@
 /**
- * Stand-in for a backend server of the users' platform: streams that go on
+ * Stand-in for a backend server of the users' platform: streams that can resume
  * after an event id, calls, reports, and a line on standard output for each run.
- * Each event and body names the request that it belongs to.
+ * Each event and response body contains the path of its request.
  */
 
 import {
@@ -16,19 +16,19 @@
 
 /** Switches of the stand-in, set by `POST /standin/control`. */
 interface Switches {
-  /** Id of this incarnation; requests meant for another one are not run. */
+  /** Id of this incarnation; requests for another id are rejected. */
   id: string;
   /** Time between two events, in ms. */
   eventMs: number;
-  /** Time that a call takes, in ms. */
+  /** Duration of a call, in ms. */
   callMs: number;
 }
 
 const BODY_MAX_BYTES = 1_000_000;
 const HTTP_MISDIRECTED = 421;
 const switches: Switches = { id: "", eventMs: 20, callMs: 20 };
-const bornMs = Date.now();
-/** Events made by each open run. */
+const startedMs = Date.now();
+/** Id of the last event of each open stream, by request id. */
 const runs = new Map<string, number>();
 
 async function handle(
@@ -42,12 +42,12 @@
     return sendJson(response, 200, switches);
   }
   if (url.pathname === "/v1/report") {
-    const listed = [...runs].map(([id, events]) => [id, 1, events, 5]);
+    const reportedRuns = [...runs].map(([id, events]) => [id, 1, events, 5]);
     return sendJson(response, 200, {
-      born: bornMs,
+      born: startedMs,
       waiting: 0,
-      running: listed.length,
-      runs: listed,
+      running: reportedRuns.length,
+      runs: reportedRuns,
     });
   }
   const id = headerOf(request, "x-request-id");
--- a/standins/service.ts
+++ b/standins/service.ts
@@ -1,6 +1,6 @@
 /**
- * Stand-in for a plain service: `GET` calls may be repeated, others may not,
- * and each run is counted by the key in its body.
+ * Stand-in for a plain service. `GET` calls are idempotent, others are not.
+ * Runs are counted by path for `GET`, otherwise by the `key` in the body.
  */
 
 import {
@@ -15,12 +15,13 @@
 
 /** Switches of the stand-in, set by `POST /standin/control`. */
 interface Switches {
-  /** Delay of each answer after the call has run, in ms. */
+  /** Delay between a call's run and its response, in ms. */
   delayMs: number;
-  /** Random part of that delay, in ms. */
+  /** Upper limit of a random addition to that delay, in ms. */
   jitterMs: number;
+  /** Reports that the server is draining. */
   leaving: boolean;
-  /** Length of padding in each answer, in bytes. */
+  /** Length of the padding in each response, in bytes. */
   paddingBytes: number;
 }
 
@@ -31,7 +32,7 @@
   leaving: false,
   paddingBytes: 0,
 };
-/** Runs by the body's `key`. */
+/** Number of runs by key. */
 const runs: Record<string, number> = {};
 let calls = 0;
 
--- a/standins/standin.ts
+++ b/standins/standin.ts
@@ -1,4 +1,4 @@
-/** What the stand-ins share: starting, reporting the port, ending. */
+/** Startup, port output and shutdown, which all stand-ins share. */
 
 import { createServer, type Server, type ServerResponse } from "node:http";
 import process from "node:process";
@@ -8,8 +8,8 @@
 import { messageOf } from "../src/errors.ts";
 
 /**
- * Listens on loopback and prints one JSON line with the port, and with those of
- * `--extra-ports`, on which the same stand-in answers too.
+ * Listens on loopback on `--port` and on `--extra-ports` further ports, and
+ * prints the ports as one JSON line.
  */
 export async function runStandin(server: Server): Promise<void> {
   const { port, extraPorts } = await yargs(hideBin(process.argv))
@@ -18,20 +18,20 @@
     .strict()
     .parse();
   server.keepAliveTimeout = 60_000;
-  const bound = await listen(server, "127.0.0.1", port);
-  const ports: Record<string, number> = { port: bound };
+  const boundPort = await listen(server, "127.0.0.1", port);
+  const ports: Record<string, number> = { port: boundPort };
   for (let index = 0; index < extraPorts; index++) {
-    const extra = createServer((request, response) => {
+    const extraServer = createServer((request, response) => {
       server.emit("request", request, response);
     });
-    extra.keepAliveTimeout = server.keepAliveTimeout;
-    ports[`extra${index}`] = await listen(extra, "127.0.0.1", 0);
+    extraServer.keepAliveTimeout = server.keepAliveTimeout;
+    ports[`extra${index}`] = await listen(extraServer, "127.0.0.1", 0);
   }
   process.stdout.write(`${JSON.stringify(ports)}\n`);
   process.once("SIGTERM", () => process.exit(0));
 }
 
-/** Returns a handler that ends a response after an unexpected error. */
+/** Returns a handler that prints an error and closes the connection. */
 export function writeStandinError(
   response: ServerResponse,
 ): (error: unknown) => void {
@@ -41,7 +41,7 @@
   };
 }
 
-/** Prints that something ran; the line outlives the process. */
+/** Prints the key of a run, so that the record survives a kill. */
 export function announceRun(key: string): void {
   process.stdout.write(`${JSON.stringify({ run: key })}\n`);
 }
--- a/standins/text.ts
+++ b/standins/text.ts
@@ -1,19 +1,19 @@
-/** The text that the stand-in engine generates, known in advance to tests. */
+/** The stand-in engine's deterministic text, which tests can compute. */
 
 import { hashParts } from "../src/hashing.ts";
 
-/** What an answer's text depends on. */
+/** What determines the text of a stream. */
 export interface TextSeed {
   readonly prompt: string;
   readonly modelVersion: string;
 }
 
-const WORD_DIGITS = 5;
+const TOKEN_DIGITS = 5;
 
-/** Returns the token at a position; each position has its own. */
+/** Returns the token at a position, from 0. */
 export function tokenAt(seed: TextSeed, position: number): string {
   const hash = hashParts([seed.prompt, seed.modelVersion, String(position)]);
-  return ` ${hash.slice(0, WORD_DIGITS)}`;
+  return ` ${hash.slice(0, TOKEN_DIGITS)}`;
 }
 
 /** Returns the first `count` tokens as one text. */
