--- a/standins/runner.ts
+++ b/standins/runner.ts
@@ -1,7 +1,7 @@
 /**
  * Stand-in for a backend server of the users' platform: streams that can resume
- * after an event id, calls, reports, and a line on standard output for each run.
- * Each event and response body contains the path of its request.
+ * after an event id, calls, reports, and a line on standard output per run. Each
+ * event and response body contains the path of its request.
  */
 
 import {
