--- a/bench/child.ts
+++ b/bench/child.ts
@@ -162,12 +162,12 @@
   }
 
   /** Suspends the process (SIGSTOP). */
-  freeze(): void {
+  suspend(): void {
     this.signal("SIGSTOP");
   }
 
   /** Resumes a suspended process (SIGCONT). */
-  thaw(): void {
+  resume(): void {
     this.signal("SIGCONT");
   }
 
--- a/bench/emulator/emulated_cluster.ts
+++ b/bench/emulator/emulated_cluster.ts
@@ -9,7 +9,7 @@
   ObjectRevision,
   RequestId,
 } from "../../src/ids.ts";
-import type { LiveServer } from "../../src/process/live_server.ts";
+import type { RegisteredServer } from "../../src/process/registered_server.ts";
 import { Relay } from "../../src/process/relay.ts";
 import { QueueOrder } from "../../src/process/settings.ts";
 import {
@@ -183,7 +183,7 @@
             "no emulated engine has the name of the chosen server",
           );
         }
-        const backup = this.#engines.get(target.backup?.name ?? "");
+        const backup = this.#engines.get(target.backupServer?.name ?? "");
         const release = backup?.reserveKvCopy(request);
         target.signal.addEventListener("abort", () => release?.());
         caller.onEnd = () => release?.();
@@ -207,7 +207,7 @@
     setTimeout(() => setFactor(1), toMs);
   }
 
-  #createRelay(at: number, servers: readonly LiveServer[]): Relay {
+  #createRelay(at: number, servers: readonly RegisteredServer[]): Relay {
     const random = xoroshiro128plus(this.#options.seed + at + 1);
     const relay = Relay.create({
       entry: `entry-${at}` as EntryId,
@@ -349,8 +349,11 @@
 
 function describeServer(
   at: number,
-  { name, service, slots }: Pick<LiveServer, "name" | "service" | "slots">,
-): LiveServer {
+  { name, service, slots }: Pick<
+    RegisteredServer,
+    "name" | "service" | "slots"
+  >,
+): RegisteredServer {
   return {
     kind: ObjectKind.BackendServer,
     name,
--- a/bench/measure_resume.ts
+++ b/bench/measure_resume.ts
@@ -124,9 +124,9 @@
         await engine.kill();
         await cluster.restartEngine(index);
       } else {
-        engine.freeze();
+        engine.suspend();
         await sleep(2 * CYCLE_PAUSE_MS);
-        engine.thaw();
+        engine.resume();
       }
       await sleep(CYCLE_PAUSE_MS);
     }
--- a/bench/soak/soak_cluster.ts
+++ b/bench/soak/soak_cluster.ts
@@ -218,9 +218,9 @@
 
   async #pause(child: Child | undefined, forMs: number): Promise<void> {
     await this.#withExclusiveFault(child, async (suspended) => {
-      suspended.freeze();
+      suspended.suspend();
       await sleep(forMs);
-      suspended.thaw();
+      suspended.resume();
     });
   }
 
--- a/src/bin/gypsumridge.ts
+++ b/src/bin/gypsumridge.ts
@@ -9,7 +9,7 @@
 import { InvalidInput, messageOf, PlatformUnavailable } from "../errors.ts";
 import type { Command, CommandArguments } from "../process/commands/command.ts";
 import { formatDifference } from "../process/commands/command.ts";
-import { COMMANDS } from "../process/commands/table.ts";
+import { COMMANDS } from "../process/commands/command_table.ts";
 import {
   describeInputError,
   ExitCode,
--- a/src/connection/backend_report.ts
+++ b/src/connection/backend_report.ts
@@ -1,6 +1,6 @@
 /** Load reports of backend servers. */
 
-import type { LiveServer } from "../process/live_server.ts";
+import type { RegisteredServer } from "../process/registered_server.ts";
 
 /** A run listed in a report. */
 export interface ReportedRun {
@@ -25,7 +25,7 @@
  * plain servers. Errors: rejects when there is no response in time.
  */
 export type ReportFetcher = (
-  server: LiveServer,
+  server: RegisteredServer,
 ) => Promise<ServerReport | undefined>;
 
 /** Whether a report comes from another incarnation than the listed one. */
--- a/src/connection/backend_request.ts
+++ b/src/connection/backend_request.ts
@@ -1,20 +1,20 @@
 /** An attempt to serve a request on a backend server, and its response. */
 
 import { AttemptError, FailureCause } from "../errors.ts";
-import type { LiveServer } from "../process/live_server.ts";
+import type { RegisteredServer } from "../process/registered_server.ts";
 import type { KvCopy } from "../request/kv_copy_manager.ts";
 
 /** One attempt to serve a request on a server. */
 export interface BackendRequest {
-  readonly server: LiveServer;
+  readonly server: RegisteredServer;
   /** Time left for the server's response, in ms. */
   readonly timeoutMs: number;
   /** Id of the last event that the caller received, if any. */
   readonly lastEventId: string | undefined;
   /** KV cache copy on this server from which the run resumes, if any. */
-  readonly copy: KvCopy | undefined;
+  readonly kvCopy: KvCopy | undefined;
   /** Server that receives a backup of the KV cache as it grows, if any. */
-  readonly backup: LiveServer | undefined;
+  readonly backupServer: RegisteredServer | undefined;
   /** Aborts the attempt. */
   readonly signal: AbortSignal;
   /** Called once the request may have reached the server. */
--- a/src/connection/peer_protocol.ts
+++ b/src/connection/peer_protocol.ts
@@ -7,7 +7,10 @@
   Fingerprint,
   ObjectRevision,
 } from "../ids.ts";
-import type { LiveServer, ServerLoad } from "../process/live_server.ts";
+import type {
+  RegisteredServer,
+  ServerLoad,
+} from "../process/registered_server.ts";
 import type { ReaderLiveness } from "../process/reader_election.ts";
 import type { Head } from "../version/types.ts";
 
@@ -35,7 +38,7 @@
   /** Revision of the change; the highest one takes precedence. */
   readonly revision: ObjectRevision;
   /** `null` when the server was removed. */
-  readonly server: LiveServer | null;
+  readonly server: RegisteredServer | null;
 }
 
 /** State that a relaying entry shares with its peers. */
--- a/src/process/choose_server.ts
+++ b/src/process/choose_server.ts
@@ -10,9 +10,9 @@
 import { PREFILL_TOKENS_PER_MS } from "../constants.ts";
 import {
   addLoad,
-  type LiveServerView,
+  type RegisteredServerView,
   type ServerLoad,
-} from "./live_server.ts";
+} from "./registered_server.ts";
 
 /** Failure of a server that was handling the request. */
 export interface RecentFailure {
@@ -108,7 +108,7 @@
  * Whether a server could serve the request once it is healthy and has capacity.
  */
 export function isEligible(
-  { server, ejectedUntilMs }: LiveServerView,
+  { server, ejectedUntilMs }: RegisteredServerView,
   criteria: SelectionCriteria,
 ): boolean {
   return server.service === criteria.service &&
@@ -122,7 +122,7 @@
  * Whether the prompts queued on a server would delay the request for too long.
  */
 function exceedsBacklogLimit(
-  view: LiveServerView,
+  view: RegisteredServerView,
   { criteria, nowMs }: {
     readonly criteria: SelectionCriteria;
     readonly nowMs: number;
@@ -140,7 +140,7 @@
 }
 
 /** Whether a server has slots and KV cache left for the request. */
-function canFit(view: LiveServerView, tokens: number): boolean {
+function canFit(view: RegisteredServerView, tokens: number): boolean {
   const load = addLoad(view.ownLoad, view.peerLoad);
   return load.requests < requestLimitOf(view) &&
     load.tokens + tokens <= view.kvCacheTokens;
@@ -148,7 +148,7 @@
 
 /** Concurrent requests that a server may have, from all entries. */
 function requestLimitOf(
-  { server, kvCacheTokens }: LiveServerView,
+  { server, kvCacheTokens }: RegisteredServerView,
 ): number {
   const isEngine = Number.isFinite(kvCacheTokens);
   return isEngine ? server.slots : server.slots * CALLS_PER_SLOT;
@@ -161,10 +161,10 @@
  * service must not make it unavailable.
  */
 export function chooseServer(
-  views: Iterable<LiveServerView>,
+  views: Iterable<RegisteredServerView>,
   criteria: SelectionCriteria,
   { nowMs, random }: SelectionContext,
-): LiveServerView | undefined {
+): RegisteredServerView | undefined {
   const candidates = findCandidates(views, { criteria, nowMs });
   // It has the prompt cached, so its prefill backlog does not matter.
   const preferred = candidates.find(({ view }) =>
@@ -186,14 +186,14 @@
 
 /** A server with capacity for the request. */
 interface Candidate {
-  readonly view: LiveServerView;
+  readonly view: RegisteredServerView;
   /** Whether its prefill backlog is too long for the request. */
   readonly isBacklogged: boolean;
 }
 
 /** Returns the healthy servers, or the ejected ones if no server is healthy. */
 function findCandidates(
-  views: Iterable<LiveServerView>,
+  views: Iterable<RegisteredServerView>,
   { criteria, nowMs }: {
     readonly criteria: SelectionCriteria;
     readonly nowMs: number;
@@ -231,7 +231,10 @@
 /**
  * Returns the cost of choosing a server, from 0; a full server costs about 1.
  */
-function costOf(view: LiveServerView, criteria: SelectionCriteria): number {
+function costOf(
+  view: RegisteredServerView,
+  criteria: SelectionCriteria,
+): number {
   const load = addLoad(view.ownLoad, view.peerLoad);
   const slotUse = load.requests / view.server.slots;
   const loadTokens = criteria.unreadTokens === undefined
@@ -244,7 +247,7 @@
 
 /** Whether a server may have failed together with others of its zone. */
 function isZoneSuspect(
-  { server, lastActivityMs }: LiveServerView,
+  { server, lastActivityMs }: RegisteredServerView,
   { suspectZones, recentFailure }: SelectionCriteria,
 ): boolean {
   const suspectedMs = suspectZones.get(server.zone) ?? Number.NEGATIVE_INFINITY;
--- a/src/process/choose_server_test.ts
+++ b/src/process/choose_server_test.ts
@@ -3,7 +3,7 @@
 import { expect, test } from "vitest";
 import { createServer } from "../../tests/relay/scripted.ts";
 import { chooseServer, type SelectionCriteria } from "./choose_server.ts";
-import { type LiveServerView, NO_LOAD } from "./live_server.ts";
+import { NO_LOAD, type RegisteredServerView } from "./registered_server.ts";
 import { NO_UNANSWERED_CALLS } from "./server_ejection.ts";
 
 const CRITERIA: SelectionCriteria = {
@@ -16,8 +16,8 @@
 
 function view(
   name: string,
-  changes: Partial<LiveServerView> = {},
-): LiveServerView {
+  changes: Partial<RegisteredServerView> = {},
+): RegisteredServerView {
   return {
     server: createServer(name, { zone: name.slice(0, 1), slots: 12 }),
     kvCacheTokens: 55_000,
@@ -32,7 +32,7 @@
 }
 
 function choose(
-  views: readonly LiveServerView[],
+  views: readonly RegisteredServerView[],
   changes: Partial<SelectionCriteria> = {},
 ): string | undefined {
   const context = { nowMs: 1_000, random: () => 0 };
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -114,7 +114,7 @@
     this.#isStopping = true;
     return await shutDownGracefully({
       server: this.#server,
-      open: this.#openRequests,
+      openRequests: this.#openRequests,
       log: this.#log,
       noticeMs,
       deadlineMs,
--- a/src/process/entry_view.ts
+++ b/src/process/entry_view.ts
@@ -1,7 +1,7 @@
 /** An entry's view of its deployment, written to its log. */
 
 import { LOG_EVENTS } from "./log_events.ts";
-import type { LiveServerView } from "./live_server.ts";
+import type { RegisteredServerView } from "./registered_server.ts";
 import type { Log, LogDetails } from "./log.ts";
 
 /** Snapshot of an entry's view of its deployment. */
@@ -38,7 +38,7 @@
 
 /** Groups servers by whether they get new requests. */
 export function groupServersByState(
-  servers: Iterable<LiveServerView>,
+  servers: Iterable<RegisteredServerView>,
   nowMs: number,
 ): Pick<EntryView, "serving" | "leaving" | "ejected"> {
   const leaving: string[] = [];
--- a/src/process/graceful_shutdown.ts
+++ b/src/process/graceful_shutdown.ts
@@ -8,7 +8,7 @@
 /** Dependencies and time limits of a shutdown. */
 export interface GracefulShutdownOptions {
   readonly server: Server;
-  readonly open: OpenRequests;
+  readonly openRequests: OpenRequests;
   readonly log: Log;
   /** Time for the load balancer to stop sending requests, in ms. */
   readonly noticeMs: number;
@@ -51,19 +51,19 @@
 export async function shutDownGracefully(
   options: GracefulShutdownOptions,
 ): Promise<boolean> {
-  const { server, open, log, noticeMs, deadlineMs } = options;
+  const { server, openRequests, log, noticeMs, deadlineMs } = options;
   const startMs = performance.now();
-  log(LOG_EVENTS.shutdownRequested, { open: open.count });
+  log(LOG_EVENTS.shutdownRequested, { open: openRequests.count });
   await sleep(noticeMs);
   server.close();
   server.closeIdleConnections();
-  while (open.count > 0 && performance.now() - startMs < deadlineMs) {
+  while (openRequests.count > 0 && performance.now() - startMs < deadlineMs) {
     await sleep(POLL_INTERVAL_MS);
   }
-  const isClean = open.count === 0;
+  const isClean = openRequests.count === 0;
   await options.onDrained?.();
   log(isClean ? LOG_EVENTS.stopped : LOG_EVENTS.shutdownForced, {
-    open: open.count,
+    open: openRequests.count,
   });
   return isClean;
 }
--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -48,7 +48,7 @@
     "process was paused; its state is refreshed before new requests are sent",
     "check the instance for overload or suspension",
   ),
-  settingsReloaded: createLogEvent(
+  settingsFileChanged: createLogEvent(
     1007,
     Severity.Info,
     "notified that the settings file changed",
--- a/src/process/logged_status_test.ts
+++ b/src/process/logged_status_test.ts
@@ -3,7 +3,7 @@
 import { expect, test } from "vitest";
 import { EntryViewWriter, groupServersByState } from "./entry_view.ts";
 import { LOG_EVENTS } from "./log_events.ts";
-import { type LiveServerView, NO_LOAD } from "./live_server.ts";
+import { NO_LOAD, type RegisteredServerView } from "./registered_server.ts";
 import type { LogDetails } from "./log.ts";
 import {
   areEntriesUpToDate,
@@ -133,7 +133,7 @@
       ownLoad: NO_LOAD,
       peerLoad: NO_LOAD,
       ejectedUntilMs,
-    }) as LiveServerView;
+    }) as RegisteredServerView;
   const servers = [
     server("a", false, 0),
     server("b", true, 0),
--- a/src/process/peer_loads.ts
+++ b/src/process/peer_loads.ts
@@ -1,7 +1,7 @@
 /** Adds up the load that peer entries report for each server. */
 
 import type { EntryId } from "../ids.ts";
-import { addLoad, NO_LOAD, type ServerLoad } from "./live_server.ts";
+import { addLoad, NO_LOAD, type ServerLoad } from "./registered_server.ts";
 
 /** Load by server name, as one entry reported it. */
 type ServerLoads = readonly (readonly [string, ServerLoad])[];
@@ -34,7 +34,7 @@
   }
 
   /** Drops the report of an entry that may have ended. */
-  forget(entry: EntryId): void {
+  forgetPeer(entry: EntryId): void {
     this.#entries.delete(entry);
   }
 
--- a/src/process/reader_election.ts
+++ b/src/process/reader_election.ts
@@ -116,7 +116,7 @@
   }
 
   /** Drops an entry whose process has ended. */
-  forget(entry: EntryId): void {
+  forgetPeer(entry: EntryId): void {
     this.#successMs.delete(entry);
     this.#failureMs.delete(entry);
     this.#lastDigestMs.delete(entry);
--- a/src/process/live_server.ts
+++ b/src/process/registered_server.ts
@@ -6,7 +6,7 @@
 import type { UnansweredCalls } from "./server_ejection.ts";
 
 /** A backend server as listed by the platform. */
-export interface LiveServer extends BackendServer {
+export interface RegisteredServer extends BackendServer {
   readonly isLeaving: boolean;
   /**
    * When this incarnation started, in ms on the server's clock; 0 if unknown.
@@ -27,8 +27,8 @@
 export const NO_LOAD: ServerLoad = { requests: 0, tokens: 0, unreadTokens: 0 };
 
 /** Immutable snapshot of what an entry knows of one server. */
-export interface LiveServerView {
-  readonly server: LiveServer;
+export interface RegisteredServerView {
+  readonly server: RegisteredServer;
   /** KV cache capacity in tokens; infinite for plain services. */
   readonly kvCacheTokens: number;
   /** Load from this entry's requests. */
--- a/src/process/live_servers.ts
+++ b/src/process/registered_servers.ts
@@ -6,12 +6,12 @@
 
 import {
   addLoad,
-  type LiveServer,
-  type LiveServerView,
   NO_LOAD,
+  type RegisteredServer,
+  type RegisteredServerView,
   type ServerLoad,
   subtractLoad,
-} from "./live_server.ts";
+} from "./registered_server.ts";
 import {
   chooseServer,
   isEligible,
@@ -30,7 +30,7 @@
 import { ZoneFailureDetector } from "./zone_failure_detector.ts";
 
 /** Dependencies of the server set. */
-export interface LiveServersOptions {
+export interface RegisteredServersOptions {
   /** Monotonic clock, in ms. */
   readonly now: () => number;
   /** Returns a number in [0, 1). */
@@ -68,9 +68,9 @@
 const UNREACHABLE_GOSSIP_MS = 450;
 
 /** All registered backend servers. */
-export class LiveServers {
-  readonly #options: LiveServersOptions;
-  readonly #views = new Map<string, LiveServerView>();
+export class RegisteredServers {
+  readonly #options: RegisteredServersOptions;
+  readonly #views = new Map<string, RegisteredServerView>();
   /** Names of the servers listed at each address; addresses are reused. */
   readonly #namesByAddress = new Map<string, Set<string>>();
   /** Names of the servers with load from this entry. */
@@ -87,30 +87,30 @@
   /** Servers that this entry found unreachable, with the time of detection. */
   readonly #downSince = new Map<string, number>();
 
-  private constructor(options: LiveServersOptions) {
+  private constructor(options: RegisteredServersOptions) {
     this.#options = options;
     this.#zoneFailures = ZoneFailureDetector.create(options.now);
   }
 
   /** Creates an empty set. */
-  static create(options: LiveServersOptions): LiveServers {
-    return new LiveServers(options);
+  static create(options: RegisteredServersOptions): RegisteredServers {
+    return new RegisteredServers(options);
   }
 
   /** Returns the views of all servers. */
-  views(): Iterable<LiveServerView> {
+  views(): Iterable<RegisteredServerView> {
     this.#applyPeerLoads();
     return this.#views.values();
   }
 
   /** Returns the view of a server by name. */
-  view(name: string): LiveServerView | undefined {
+  view(name: string): RegisteredServerView | undefined {
     this.#applyPeerLoads();
     return this.#views.get(name);
   }
 
   /** Adds or updates a server from the platform's list. */
-  set(server: LiveServer): void {
+  set(server: RegisteredServer): void {
     const previous = this.#views.get(server.name);
     const isSame = previous !== undefined &&
       isSameIncarnation(previous.server, server);
@@ -153,7 +153,7 @@
     this.#views.delete(name);
   }
 
-  #removeAddress({ name, address }: LiveServer): void {
+  #removeAddress({ name, address }: RegisteredServer): void {
     const names = this.#namesByAddress.get(address);
     names?.delete(name);
     if (names?.size === 0) this.#namesByAddress.delete(address);
@@ -169,7 +169,7 @@
    * Yields the preferred server, then the others from the prompt's position on
    * the hash ring.
    */
-  *#candidateViews(request: ServerCriteria): Generator<LiveServerView> {
+  *#candidateViews(request: ServerCriteria): Generator<RegisteredServerView> {
     this.#applyPeerLoads();
     const { service, preferred = "", prompt } = request;
     const ringKey = prompt || String(this.#options.random());
@@ -192,7 +192,7 @@
   }
 
   /** Returns the server for a request, if one has capacity now. */
-  choose(request: ServerCriteria): LiveServer | undefined {
+  choose(request: ServerCriteria): RegisteredServer | undefined {
     const { now, random } = this.#options;
     const criteria = {
       ...request,
@@ -370,7 +370,7 @@
   }
 
   /** Several server failures in a zone at once make the whole zone suspect. */
-  #recordZoneFailure({ zone, name }: LiveServer): void {
+  #recordZoneFailure({ zone, name }: RegisteredServer): void {
     const lost = this.#zoneFailures.record({ zone, name });
     if (lost > 0) {
       this.#options.log(LOG_EVENTS.zoneFailureSuspected, { zone, lost });
@@ -383,7 +383,7 @@
   }
 
   /** Ejects earlier servers at an address: it belongs to its latest owner. */
-  #ejectOlderServers({ name, address, startedMs }: LiveServer): void {
+  #ejectOlderServers({ name, address, startedMs }: RegisteredServer): void {
     for (const other of this.#namesByAddress.get(address) ?? []) {
       const view = this.#views.get(other);
       const isOlder = other !== name && view !== undefined &&
@@ -394,7 +394,7 @@
 
   #update(
     name: string,
-    update: (view: LiveServerView) => Partial<LiveServerView>,
+    update: (view: RegisteredServerView) => Partial<RegisteredServerView>,
   ): void {
     const view = this.#views.get(name);
     if (view === undefined) return;
@@ -406,6 +406,6 @@
   }
 }
 
-function isSameIncarnation(a: LiveServer, b: LiveServer): boolean {
+function isSameIncarnation(a: RegisteredServer, b: RegisteredServer): boolean {
   return a.address === b.address && a.startedMs === b.startedMs;
 }
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -18,8 +18,8 @@
 import { Dispatcher } from "./dispatcher.ts";
 import { type EntryView, groupServersByState } from "./entry_view.ts";
 import { LOG_EVENTS } from "./log_events.ts";
-import type { LiveServer } from "./live_server.ts";
-import { LiveServers } from "./live_servers.ts";
+import type { RegisteredServer } from "./registered_server.ts";
+import { RegisteredServers } from "./registered_servers.ts";
 import type { Log } from "./log.ts";
 import { PeerLoads } from "./peer_loads.ts";
 import { PARTIAL_MESH_MIN_ENTRIES } from "./peers.ts";
@@ -63,7 +63,7 @@
   readonly name: string;
   readonly revision: ObjectRevision;
   /** `undefined` when the server was removed or can't be used. */
-  readonly server: LiveServer | undefined;
+  readonly server: RegisteredServer | undefined;
 }
 
 /** Requests that an entry queues per service and priority rank. */
@@ -79,7 +79,7 @@
 /** State that all requests of one entry process share. */
 export class Relay {
   readonly context: RelayContext;
-  readonly servers: LiveServers;
+  readonly servers: RegisteredServers;
   readonly #options: RelayOptions;
   readonly #peerLoads: PeerLoads;
   readonly #serverList: ServerList;
@@ -105,7 +105,7 @@
       onStoreUnreachable: () => options.onStoreChange?.(),
     });
     this.#peerLoads = PeerLoads.create(now);
-    this.servers = LiveServers.create({
+    this.servers = RegisteredServers.create({
       now,
       random,
       log,
@@ -189,9 +189,9 @@
 
   /** Drops the state of a peer whose link closed; it has most likely exited. */
   removePeer(entry: EntryId): void {
-    this.readerElection.forget(entry);
+    this.readerElection.forgetPeer(entry);
     this.#serverList.forgetPeer(entry);
-    this.#peerLoads.forget(entry);
+    this.#peerLoads.forgetPeer(entry);
     this.servers.setPeerLoads(() => this.#peerLoads.total());
   }
 
--- a/src/process/relay_context.ts
+++ b/src/process/relay_context.ts
@@ -4,7 +4,7 @@
 import type { KvCopier, KvCopyReleaser } from "../request/kv_copy_manager.ts";
 import type { CallerWaitEstimator } from "./caller_wait_estimator.ts";
 import type { Dispatcher } from "./dispatcher.ts";
-import type { LiveServers } from "./live_servers.ts";
+import type { RegisteredServers } from "./registered_servers.ts";
 import type { Log } from "./log.ts";
 import type { RelayMetrics } from "./relay_metrics.ts";
 import type { PromptCacheIndex } from "./prompt_cache_index.ts";
@@ -16,7 +16,7 @@
 export interface RelayContext {
   readonly log: Log;
   readonly metrics: RelayMetrics;
-  readonly servers: LiveServers;
+  readonly servers: RegisteredServers;
   readonly reports: ServerReports;
   readonly promptCacheIndex: PromptCacheIndex;
   readonly suspicions: CrashSuspicions;
--- a/src/process/server_list_test.ts
+++ b/src/process/server_list_test.ts
@@ -1,12 +1,12 @@
 import { expect, test } from "vitest";
 import type { EntryId, ObjectRevision } from "../ids.ts";
-import type { LiveServer } from "./live_server.ts";
+import type { RegisteredServer } from "./registered_server.ts";
 import { ServerList } from "./server_list.ts";
 
 const PEER = "entry-2" as EntryId;
 
 function createChange(name: string, revision: number, isListed = true) {
-  const server = isListed ? { name } as LiveServer : null;
+  const server = isListed ? { name } as RegisteredServer : null;
   return { name, revision: revision as ObjectRevision, server };
 }
 
--- a/src/process/server_reports.ts
+++ b/src/process/server_reports.ts
@@ -6,7 +6,7 @@
   ReportFetcher,
   ServerReport,
 } from "../connection/backend_report.ts";
-import type { LiveServer } from "./live_server.ts";
+import type { RegisteredServer } from "./registered_server.ts";
 
 /** How long a report is reused for further requests, in ms. */
 const REUSE_MS = 60;
@@ -33,7 +33,7 @@
   }
 
   /** Returns a recent report; see `ReportFetcher`. */
-  fetch(server: LiveServer): Promise<ServerReport | undefined> {
+  fetch(server: RegisteredServer): Promise<ServerReport | undefined> {
     const nowMs = this.#now();
     for (const [name, { requestedMs }] of this.#cache) {
       if (nowMs - requestedMs > REUSE_MS) this.#cache.delete(name);
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -13,7 +13,7 @@
 import type { ContentHash, EntryId } from "../ids.ts";
 import type { RouteTable } from "../version/route_table.ts";
 import { LOG_EVENTS } from "./log_events.ts";
-import type { LiveServer } from "./live_server.ts";
+import type { RegisteredServer } from "./registered_server.ts";
 import type { Log } from "./log.ts";
 import { Membership } from "./membership.ts";
 import { ObjectWatch } from "./object_watch.ts";
@@ -32,7 +32,7 @@
 export interface ServerSource {
   readonly kind: string;
   /** Returns `undefined` for a registration without a usable server. */
-  readonly parse: (object: StoredObject) => LiveServer | undefined;
+  readonly parse: (object: StoredObject) => RegisteredServer | undefined;
 }
 
 /** Dependencies and settings of a store sync. */
--- a/src/request/acquire_slot.ts
+++ b/src/request/acquire_slot.ts
@@ -1,8 +1,8 @@
 /** Acquires a slot on a backend server for a request. */
 
 import type { RecentFailure } from "../process/choose_server.ts";
-import { NO_LOAD, type ServerLoad } from "../process/live_server.ts";
-import type { ServerCriteria } from "../process/live_servers.ts";
+import { NO_LOAD, type ServerLoad } from "../process/registered_server.ts";
+import type { ServerCriteria } from "../process/registered_servers.ts";
 import type {
   DispatchCriteria,
   DispatchRequest,
--- a/src/request/attempt_reporting.ts
+++ b/src/request/attempt_reporting.ts
@@ -3,7 +3,7 @@
 import { isRestarted } from "../connection/backend_report.ts";
 import { type AttemptError, FailureCause, messageOf } from "../errors.ts";
 import { LOG_EVENTS } from "../process/log_events.ts";
-import type { LiveServer } from "../process/live_server.ts";
+import type { RegisteredServer } from "../process/registered_server.ts";
 import { ServerFailure } from "../process/server_ejection.ts";
 import type { LogDetails } from "../process/log.ts";
 import type { RelayContext } from "../process/relay_context.ts";
@@ -21,7 +21,7 @@
   { servers, log, now }: RelayContext,
   { request, server, details }: {
     readonly request: ProxyRequest;
-    readonly server: LiveServer;
+    readonly server: RegisteredServer;
     readonly details: LogDetails;
   },
 ): void {
@@ -49,7 +49,7 @@
   { request, record, server, error }: {
     readonly request: ProxyRequest;
     readonly record: AttemptRecord;
-    readonly server: LiveServer;
+    readonly server: RegisteredServer;
     readonly error: AttemptError;
   },
 ): Promise<boolean> {
@@ -93,7 +93,7 @@
 /** Whether a server that closed a connection is up and was not restarted. */
 async function checkServer(
   { servers, reports }: RelayContext,
-  server: LiveServer,
+  server: RegisteredServer,
 ): Promise<boolean> {
   try {
     const report = await reports.fetch(server);
--- a/src/request/choose_backup_server.ts
+++ b/src/request/choose_backup_server.ts
@@ -3,21 +3,21 @@
  * availability zone, since the servers of one zone fail together.
  */
 
-import type { LiveServer } from "../process/live_server.ts";
-import type { LiveServers } from "../process/live_servers.ts";
+import type { RegisteredServer } from "../process/registered_server.ts";
+import type { RegisteredServers } from "../process/registered_servers.ts";
 import type { ProxyRequest } from "./proxy_request.ts";
 
 /** Returns the least loaded server of another zone with capacity for a copy. */
 export function chooseBackupServer(
-  servers: LiveServers,
+  servers: RegisteredServers,
   { request, server, excluded }: {
     readonly request: ProxyRequest;
     /** The server that will run the request. */
-    readonly server: LiveServer;
+    readonly server: RegisteredServer;
     /** Names of servers that must not be chosen. */
     readonly excluded: ReadonlySet<string>;
   },
-): LiveServer | undefined {
+): RegisteredServer | undefined {
   return servers.choose({
     service: request.service,
     tokens: request.kvCacheTokens,
--- a/src/request/complete.ts
+++ b/src/request/complete.ts
@@ -19,7 +19,7 @@
 import { type CompletionChunk, Generation } from "./generation.ts";
 
 /** The route of completions. */
-export const COMPLETE_ROUTE: Route = {
+export const COMPLETIONS_ROUTE: Route = {
   method: "POST",
   path: "/v1/completions",
   handle: complete,
--- a/src/request/kv_copy_manager.ts
+++ b/src/request/kv_copy_manager.ts
@@ -6,7 +6,10 @@
 
 import { messageOf } from "../errors.ts";
 import { LOG_EVENTS } from "../process/log_events.ts";
-import type { LiveServer, ServerLoad } from "../process/live_server.ts";
+import type {
+  RegisteredServer,
+  ServerLoad,
+} from "../process/registered_server.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import { chooseBackupServer } from "./choose_backup_server.ts";
 import type { ProxyRequest } from "./proxy_request.ts";
@@ -15,17 +18,20 @@
 /** A copy of a run's KV cache, from which the run can be resumed. */
 export interface KvCopy {
   /** Server that holds the copy. */
-  readonly server: LiveServer;
+  readonly server: RegisteredServer;
   /** A snapshot's handle and the server that made it; absent for a replica. */
-  readonly snapshot?: { readonly source: LiveServer; readonly handle: string };
+  readonly snapshot?: {
+    readonly source: RegisteredServer;
+    readonly handle: string;
+  };
 }
 
 /** A run whose KV cache is to be copied. */
 export interface KvCopyRequest {
   /** Request id of the run. */
   readonly id: string;
-  readonly source: LiveServer;
-  readonly target: LiveServer;
+  readonly source: RegisteredServer;
+  readonly target: RegisteredServer;
 }
 
 /** Copies a run's current KV cache; resolves with a handle. Errors: rejects. */
@@ -33,7 +39,7 @@
 
 /** Releases a copy that is no longer needed. Errors: rejects. */
 export type KvCopyReleaser = (
-  copy: { readonly source: LiveServer; readonly handle: string },
+  copy: { readonly source: RegisteredServer; readonly handle: string },
 ) => Promise<void>;
 
 /** Options of a `KvCopyManager`. */
@@ -41,7 +47,7 @@
   readonly context: RelayContext;
   readonly request: ProxyRequest;
   /** Server that runs the request. */
-  readonly server: LiveServer;
+  readonly server: RegisteredServer;
   /** Names of servers that must not hold a copy. */
   readonly excluded: ReadonlySet<string>;
 }
@@ -57,7 +63,7 @@
 export class KvCopyManager {
   readonly #options: KvCopyManagerOptions;
   /** Server that the run's server replicates the KV cache to, if any. */
-  readonly backup: LiveServer | undefined;
+  readonly backup: RegisteredServer | undefined;
   readonly #timer: NodeJS.Timeout;
   #copy: KvCopy | undefined;
   #releaseLoad: () => void = () => undefined;
@@ -104,7 +110,7 @@
     }
   }
 
-  #chooseTarget(): LiveServer | undefined {
+  #chooseTarget(): RegisteredServer | undefined {
     const { context, request, server, excluded } = this.#options;
     const { isResumable, service } = request;
     if (!isResumable || !context.supportsKvBackup(service)) return undefined;
@@ -141,7 +147,7 @@
     this.#isCopying = false;
   }
 
-  async #createSnapshot(target: LiveServer): Promise<void> {
+  async #createSnapshot(target: RegisteredServer): Promise<void> {
     const { context, request, server: source } = this.#options;
     const logDetails = {
       request: request.id,
@@ -168,7 +174,7 @@
   }
 
   async #releaseSnapshot(
-    snapshot: { readonly source: LiveServer; readonly handle: string },
+    snapshot: { readonly source: RegisteredServer; readonly handle: string },
   ): Promise<void> {
     const { context, request } = this.#options;
     try {
--- a/src/request/poison_request.ts
+++ b/src/request/poison_request.ts
@@ -5,7 +5,7 @@
  */
 
 import { isRestarted } from "../connection/backend_report.ts";
-import type { LiveServer } from "../process/live_server.ts";
+import type { RegisteredServer } from "../process/registered_server.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import { LOG_EVENTS } from "../process/log_events.ts";
 import { RequestError, RequestErrorType } from "../errors.ts";
@@ -47,7 +47,7 @@
   context: RelayContext,
   { request, server }: {
     readonly request: ProxyRequest;
-    readonly server: LiveServer;
+    readonly server: RegisteredServer;
   },
 ): void {
   const { servers, reports, suspicions, log } = context;
--- a/src/request/relay_call.ts
+++ b/src/request/relay_call.ts
@@ -10,7 +10,7 @@
 } from "../connection/backend_request.ts";
 import { AttemptError, FailureCause, RequestError } from "../errors.ts";
 import type { Reservation } from "../process/dispatcher.ts";
-import type { LiveServer } from "../process/live_server.ts";
+import type { RegisteredServer } from "../process/registered_server.ts";
 import { ServerFailure } from "../process/server_ejection.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import { AttemptProgress } from "./attempt_progress.ts";
@@ -172,7 +172,7 @@
     reservation: Reservation,
   ): Promise<CompleteResponse | undefined> {
     const { caller, open } = this.#exchange;
-    const server = reservation.server as LiveServer;
+    const server = reservation.server as RegisteredServer;
     const request = this.#request;
     const record = this.#attempts.add(server.name);
     this.#triedServers.add(server.name);
@@ -184,8 +184,8 @@
         server,
         timeoutMs: effectiveDeadlineMs(request) - this.#context.now(),
         lastEventId: undefined,
-        copy: undefined,
-        backup: undefined,
+        kvCopy: undefined,
+        backupServer: undefined,
         signal: AbortSignal.any([caller.signal, abortController.signal]),
         onSent: () => record.progress = AttemptProgress.Sent,
       });
@@ -230,7 +230,7 @@
     response: BackendResponse,
     { record, server }: {
       readonly record: AttemptRecord;
-      readonly server: LiveServer;
+      readonly server: RegisteredServer;
     },
   ): Promise<CompleteResponse | undefined> {
     const { servers } = this.#context;
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -12,7 +12,7 @@
 import { AttemptError, FailureCause, RequestError } from "../errors.ts";
 import { LOG_EVENTS } from "../process/log_events.ts";
 import type { RecentFailure } from "../process/choose_server.ts";
-import type { LiveServer } from "../process/live_server.ts";
+import type { RegisteredServer } from "../process/registered_server.ts";
 import { ServerFailure } from "../process/server_ejection.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import { AttemptProgress } from "./attempt_progress.ts";
@@ -187,7 +187,7 @@
           endPrefill = reserveLoad(this.#context, { name, load });
         },
       });
-      const server = reservation.server as LiveServer;
+      const server = reservation.server as RegisteredServer;
       return { server, release: reservation.release, endPrefill };
     } catch (error) {
       if (!(error instanceof RequestError)) throw error;
@@ -262,8 +262,8 @@
       server: slot.server,
       timeoutMs: effectiveDeadlineMs(this.#request) - this.#context.now(),
       lastEventId: this.#assembler.lastEventId ?? this.#request.lastEventId,
-      copy: slot.kvCopy,
-      backup: kvCopyManager.backup,
+      kvCopy: slot.kvCopy,
+      backupServer: kvCopyManager.backup,
       signal: AbortSignal.any([caller.signal, signal]),
       onSent: () => record.progress = AttemptProgress.Sent,
     });
@@ -306,7 +306,7 @@
   }
 
   /** Allows another attempt on a healthy server that has the prompt cached. */
-  #allowReuse({ name }: LiveServer): void {
+  #allowReuse({ name }: RegisteredServer): void {
     if (this.#reusedServers.has(name)) return;
     this.#reusedServers.add(name);
     this.#failedServers.delete(name);
--- a/src/request/routes.ts
+++ b/src/request/routes.ts
@@ -7,14 +7,14 @@
 import type { EntryContext } from "../process/entry_context.ts";
 import { LOG_EVENTS } from "../process/log_events.ts";
 import { SERVICE_ROUTE } from "./call_service.ts";
-import { COMPLETE_ROUTE } from "./complete.ts";
+import { COMPLETIONS_ROUTE } from "./complete.ts";
 import { sendErrorResponse } from "./error_response.ts";
 import type { Route } from "./exchange.ts";
 import { HEALTH_ROUTE, METRICS_ROUTE, READY_ROUTE } from "./probe.ts";
 
 /** The routes, in the order in which they are matched. */
 export const ROUTES: readonly Route[] = [
-  COMPLETE_ROUTE,
+  COMPLETIONS_ROUTE,
   SERVICE_ROUTE,
   HEALTH_ROUTE,
   READY_ROUTE,
--- a/src/request/stall_detector.ts
+++ b/src/request/stall_detector.ts
@@ -7,13 +7,13 @@
 import { StallTimer } from "../connection/stall_timer.ts";
 import { FailureCause, messageOf } from "../errors.ts";
 import type { ServerReports } from "../process/server_reports.ts";
-import type { LiveServer } from "../process/live_server.ts";
+import type { RegisteredServer } from "../process/registered_server.ts";
 import { classifyStall, StallVerdict } from "./stall_policy.ts";
 
 /** Options of a `StallDetector`. */
 export interface StallDetectorOptions {
   readonly reports: ServerReports;
-  readonly server: LiveServer;
+  readonly server: RegisteredServer;
   /** Request id of the run. */
   readonly id: string;
   /** Time without a first event after which the report is fetched, in ms. */
--- a/src/request/stall_policy.ts
+++ b/src/request/stall_policy.ts
@@ -5,7 +5,7 @@
   isRestarted,
   type ServerReport,
 } from "../connection/backend_report.ts";
-import type { LiveServer } from "../process/live_server.ts";
+import type { RegisteredServer } from "../process/registered_server.ts";
 
 /** Time without a first event after which the report is fetched, in ms. */
 export const FIRST_EVENT_STALL_MS = 500;
@@ -52,7 +52,7 @@
 /** What is known of a stalled run. */
 export interface StalledRun {
   readonly id: string;
-  readonly server: LiveServer;
+  readonly server: RegisteredServer;
   /** Events received; 0 before the first. */
   readonly eventCount: number;
   /** Whether the timeout for its first event has passed. */
--- a/src/request/stream_attempt.ts
+++ b/src/request/stream_attempt.ts
@@ -5,7 +5,10 @@
 
 import { PREFILL_TOKENS_PER_MS } from "../constants.ts";
 import { AttemptError, FailureCause } from "../errors.ts";
-import { addLoad, type LiveServer } from "../process/live_server.ts";
+import {
+  addLoad,
+  type RegisteredServer,
+} from "../process/registered_server.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import { effectiveDeadlineMs, type ProxyRequest } from "./proxy_request.ts";
 import type { AttemptRecord } from "./attempt_history.ts";
@@ -19,7 +22,7 @@
 
 /** A reserved slot for one attempt of a stream. */
 export interface StreamSlot {
-  readonly server: LiveServer;
+  readonly server: RegisteredServer;
   /** The copy of the run's KV cache that the server holds, if any. */
   readonly kvCopy?: KvCopy;
   /** Releases the slot. */
@@ -135,7 +138,7 @@
 /** Returns the prompt tokens a server has still to prefill; 0 if unknown. */
 function unreadTokensAt(
   { servers }: RelayContext,
-  { name }: LiveServer,
+  { name }: RegisteredServer,
 ): number {
   const view = servers.view(name);
   if (view === undefined) return 0;
--- a/tests/at_most_once_test.ts
+++ b/tests/at_most_once_test.ts
@@ -91,10 +91,10 @@
       await blockDispatch(cluster);
       const first = pay(cluster, 0);
       await waitForClaim(cluster);
-      cluster.entry(0).freeze();
+      cluster.entry(0).suspend();
       await cluster.service().control({ leaving: false });
       transcript.record(`repeat elsewhere: ${await pay(cluster, 1)}`);
-      cluster.entry(0).thaw();
+      cluster.entry(0).resume();
       transcript.record(`first, thawed: ${await first}`);
       transcript.record(`repeat again: ${await pay(cluster, 1)}`);
     },
@@ -105,9 +105,9 @@
       await cluster.service().control({ delayMs: 1_500 });
       const first = pay(cluster, 0);
       await waitForRun(cluster);
-      cluster.entry(0).freeze();
+      cluster.entry(0).suspend();
       transcript.record(`repeat elsewhere: ${await pay(cluster, 1)}`);
-      cluster.entry(0).thaw();
+      cluster.entry(0).resume();
       transcript.record(`first, thawed: ${await first}`);
       transcript.record(`repeat again: ${await pay(cluster, 1)}`);
     },
--- a/tests/configuration_test.ts
+++ b/tests/configuration_test.ts
@@ -87,11 +87,11 @@
   {
     name: "an entry frozen over two publishes",
     run: async (cluster, transcript) => {
-      cluster.entry(0).freeze();
+      cluster.entry(0).suspend();
       await cluster.publish({ customers: GAMMA });
       await cluster.publish({ customers: DELTA });
       await sleep(1_500);
-      cluster.entry(0).thaw();
+      cluster.entry(0).resume();
       const withdrawn = cluster.complete({
         prompt: "customer withdrawn during the freeze",
         maxTokens: 2,
@@ -118,11 +118,11 @@
     name: "platform down straight after the switch",
     entries: 3,
     run: async (cluster, transcript) => {
-      cluster.entry(0).freeze();
+      cluster.entry(0).suspend();
       await cluster.publish({ customers: GAMMA });
       await waitForRevision(cluster.entry(1), 2);
       await cluster.platform.control({ outage: true });
-      cluster.entry(0).thaw();
+      cluster.entry(0).resume();
       await expectInForce(cluster, { revision: 2, transcript });
     },
   },
--- a/tests/crashing_request_test.ts
+++ b/tests/crashing_request_test.ts
@@ -72,7 +72,7 @@
     const request = { prompt: "harbour log", maxTokens: 80 };
     const caller = cluster.complete(request);
     await caller.waitForTokens(20);
-    cluster.entry(0).freeze();
+    cluster.entry(0).suspend();
     const text = caller.text;
     const repeated = cluster.complete({
       ...request,
@@ -83,7 +83,7 @@
     transcript.record(`repeat: ${(await repeated.ended).outcome}`);
     transcript.recordJoinedText([text, repeated.text], request);
     await sleep(4_000);
-    cluster.entry(0).thaw();
+    cluster.entry(0).resume();
     await transcript.recordResponse("first, thawed", caller, request);
     const laterCaller = cluster.complete({ prompt: "after", maxTokens: 5 });
     await transcript.recordResponse("new request", laterCaller, {
--- a/tests/draining_server_test.ts
+++ b/tests/draining_server_test.ts
@@ -47,10 +47,10 @@
     name: "one entry is frozen meanwhile",
     drain: async (cluster) => {
       await cluster.platform.control({ outage: true });
-      cluster.entry(1).freeze();
+      cluster.entry(1).suspend();
       await cluster.engine(0).control({ reportsLeaving: true });
     },
-    afterLimit: (cluster) => cluster.entry(1).thaw(),
+    afterLimit: (cluster) => cluster.entry(1).resume(),
   },
 ];
 
--- a/tests/never_mixed_test.ts
+++ b/tests/never_mixed_test.ts
@@ -49,9 +49,9 @@
     const caller = cluster.complete(REQUEST);
     await caller.waitForTokens(20);
     const engine = cluster.engine(await cluster.servingEngineIndex());
-    engine.freeze();
+    engine.suspend();
     await caller.waitForTokens(30);
-    engine.thaw();
+    engine.resume();
     const { outcome } = await caller.ended;
     const streams = await describeStreams(cluster, caller);
     transcript.record(`${outcome}, ${caller.tokenCount} tokens, ${streams}`);
--- a/tests/no_token_lost_test.ts
+++ b/tests/no_token_lost_test.ts
@@ -49,9 +49,9 @@
     injectFailure: async (cluster, caller) => {
       await caller.waitForTokens(20);
       const engine = await servingEngine(cluster);
-      engine.freeze();
+      engine.suspend();
       await caller.waitForTokens(40);
-      engine.thaw();
+      engine.resume();
     },
   },
   {
@@ -218,7 +218,7 @@
   await caller.waitForTokens(20);
   const engine = await servingEngine(cluster);
   // Frozen first, so that the entry does not detect the engine's failure.
-  cluster.entry(0).freeze();
+  cluster.entry(0).suspend();
   await engine.kill();
   await cluster.entry(0).kill();
   await caller.ended;
--- a/tests/not_run_test.ts
+++ b/tests/not_run_test.ts
@@ -136,7 +136,7 @@
       (_, index) => requestCompletion(cluster, `request ${index}`, index * 15),
     );
     for (const fault of faults) await injectFault(cluster, fault);
-    for (const engine of cluster.engines) engine.thaw();
+    for (const engine of cluster.engines) engine.resume();
     for (const { type, request } of await Promise.all(requests)) {
       counts.set(type, (counts.get(type) ?? 0) + 1);
       if (type === "not_run") expect(countRuns(cluster, request)).toBe(0);
@@ -161,9 +161,9 @@
       await setSwitches({ cut: true });
       break;
     case "freeze":
-      engine.freeze();
+      engine.suspend();
       await sleep(2 * fault.pauseMs);
-      engine.thaw();
+      engine.resume();
       break;
     case "kill":
       await engine.kill();
--- a/tests/relay/relay_stream_test.ts
+++ b/tests/relay/relay_stream_test.ts
@@ -62,9 +62,9 @@
   ]);
   expect(caller.summary).toBe("200 whole: 1 2 3 4 5 ");
   const [first, second] = targets;
-  expect(second?.server.name).toBe(first?.backup?.name);
+  expect(second?.server.name).toBe(first?.backupServer?.name);
   expect(second?.server.zone).not.toBe(first?.server.zone);
-  expect(second?.copy?.server).toBe(first?.backup);
+  expect(second?.kvCopy?.server).toBe(first?.backupServer);
   expect(second?.lastEventId).toBe("3");
 });
 
@@ -75,7 +75,7 @@
     sendsEvents(3, 4, "whole"),
   ]);
   expect(caller.summary).toBe("200 whole: 1 2 3 4 ");
-  expect(targets.map(({ copy }) => copy !== undefined))
+  expect(targets.map(({ kvCopy }) => kvCopy !== undefined))
     .toEqual([false, true, false]);
 });
 
@@ -95,7 +95,7 @@
         for await (const chunk of response.body()) {
           yield chunk;
           relay.servers.eject(
-            target.backup?.name ?? "",
+            target.backupServer?.name ?? "",
             ServerFailure.Unreachable,
           );
           await sleep(400);
@@ -110,16 +110,20 @@
   expect(caller.summary).toBe("200 whole: 1 2 3 4 ");
   const [first, second] = targets;
   expect(copyRequests[0]?.source).toBe(first?.server);
-  expect(copyRequests[0]?.target).not.toBe(first?.backup);
+  expect(copyRequests[0]?.target).not.toBe(first?.backupServer);
   expect(second?.server).toBe(copyRequests[0]?.target);
-  expect(second?.copy?.snapshot?.handle).toBe(`handle-${copyRequests.length}`);
+  expect(second?.kvCopy?.snapshot?.handle).toBe(
+    `handle-${copyRequests.length}`,
+  );
 });
 
 test("a draining server gets no stream, even if it holds the KV cache copy", async () => {
   const relay = createRelay(SERVERS);
   const drainBackupThenDisconnect: ServerScript = (target) => {
-    const { backup } = target;
-    if (backup !== undefined) relay.servers.set({ ...backup, isLeaving: true });
+    const { backupServer } = target;
+    if (backupServer !== undefined) {
+      relay.servers.set({ ...backupServer, isLeaving: true });
+    }
     return sendsEvents(1, 2, "cut")(target);
   };
   const { caller, targets } = await serveScripts(
@@ -127,7 +131,7 @@
     { relay },
   );
   expect(caller.summary).toBe("200 whole: 1 2 3 ");
-  expect(targets[1]?.server.name).not.toBe(targets[0]?.backup?.name);
+  expect(targets[1]?.server.name).not.toBe(targets[0]?.backupServer?.name);
 });
 
 test("a stalled attempt is abandoned when its server gives no report", async () => {
--- a/tests/relay/scripted.ts
+++ b/tests/relay/scripted.ts
@@ -19,7 +19,7 @@
   ObjectRevision,
   RequestId,
 } from "../../src/ids.ts";
-import type { LiveServer } from "../../src/process/live_server.ts";
+import type { RegisteredServer } from "../../src/process/registered_server.ts";
 import { Relay } from "../../src/process/relay.ts";
 import {
   type ProxyRequest,
@@ -35,8 +35,8 @@
 /** Returns a listed server. */
 export function createServer(
   name: string,
-  changes: Partial<LiveServer> = {},
-): LiveServer {
+  changes: Partial<RegisteredServer> = {},
+): RegisteredServer {
   return {
     kind: ObjectKind.BackendServer,
     name,
@@ -95,7 +95,7 @@
 
 /** Returns a relay with `servers` in its server list. */
 export function createRelay(
-  servers: readonly LiveServer[],
+  servers: readonly RegisteredServer[],
   {
     fetchReport = () => Promise.reject(new Error("test sets no fetchReport")),
     copyKvCache = () => Promise.reject(new Error("test sets no copyKvCache")),
--- a/tests/steward_test.ts
+++ b/tests/steward_test.ts
@@ -21,11 +21,11 @@
     const first = await cluster.startSteward("steward-a", FAST_SETTINGS);
     await waitForLease(first, 1);
     const second = await cluster.startSteward("steward-b", FAST_SETTINGS);
-    first.freeze();
+    first.suspend();
     await waitForLease(second, 1);
     transcript.record("steward-a frozen, steward-b has taken over");
     const { version } = await readLease(cluster);
-    first.thaw();
+    first.resume();
     await waitFor(
       "steward-a logs that it lost the lease",
       () => loggedEvents(first).includes(LOG_EVENTS.leaseLost.number),
