Reword the comments of src/process that needed a second reading

Cause: a fresh reader of the process folder stopped at some comments: a few contradicted the code beside them (candidates of the fair queue, the preferred server, the dropped log lines, the unit of the output buffer), others had to be read twice.

Change: comments and doc comments only; reasons and numbers stay.

No tests were run.

--- a/src/process/action_store.ts
+++ b/src/process/action_store.ts
@@ -90,7 +90,7 @@
 
   /**
    * Waits for the outcome of an action that another attempt has claimed. After
-   * `waitMs` it sets the stored state to unknown before it resolves with that.
+   * `waitMs` it stores the state as unknown and resolves with that record.
    * Resolves with `undefined` when the claim was released without sending the
    * action.
    *
@@ -172,9 +172,9 @@
   }
 
   /**
-   * Handles a record that changed since the claim: either an earlier try of
-   * this write took effect, or a repeated request set the state to unknown,
-   * which the response replaces.
+   * Handles a record that changed since the claim. Either an earlier try of
+   * this write took effect, or a repeated request set the state to unknown;
+   * only an unknown state is replaced by the outcome.
    */
   async #replaceOwnUnknown(
     key: Fingerprint,
--- a/src/process/bounded_output.ts
+++ b/src/process/bounded_output.ts
@@ -4,7 +4,10 @@
 import process from "node:process";
 import { Writable } from "node:stream";
 
-/** Buffer size while the reader of the output is slow, in bytes. */
+/**
+ * Buffer size while the reader of the output is slow, in bytes; each UTF-16 code
+ * unit counts as one.
+ */
 const BUFFER_MAX_BYTES = 1_000_000;
 /** Delay before a flush, so that one call writes many lines, in ms. */
 const FLUSH_DELAY_MS = 50;
@@ -59,7 +62,8 @@
   #writeAll(bytes: Buffer): void {
     write(this.#descriptor, bytes, (error, written) => {
       const rest = bytes.subarray(written ?? 0);
-      // The reader has closed its end; there is nowhere else to report that.
+      // After an error the rest is dropped: the reader has closed its end, and
+      // there is nowhere else to report that.
       if (error === null && rest.length > 0) return this.#writeAll(rest);
       this.#isWriting = false;
       this.#flush();
--- a/src/process/caller_wait_estimator.ts
+++ b/src/process/caller_wait_estimator.ts
@@ -1,7 +1,8 @@
 /**
  * Estimates how long callers have waited before a request, from the time that
- * they have left. Responses to repeated requests are late whatever is done, so
- * under overload they only displace responses that would be on time.
+ * they have left. A caller that has waited before is repeating a request: its
+ * response is late in any case, and under overload it only displaces responses
+ * that would be on time.
  */
 
 /** Window for the longest remaining time of a route's callers, in ms. */
--- a/src/process/choose_server.ts
+++ b/src/process/choose_server.ts
@@ -155,10 +155,10 @@
 }
 
 /**
- * Returns the server of lowest cost among the first `CANDIDATES_MAX` of `views`
- * that can take the request, if there is one. If all eligible servers are
- * ejected, those that may have recovered are tried: failures on the way to a
- * service must not make it unavailable.
+ * Returns the preferred server if it can take the request, else the one of lowest
+ * cost among the first `CANDIDATES_MAX` of `views` that can take the request,
+ * if there is one. If all eligible servers are ejected, they are tried anyway:
+ * failures on the way to a service must not make it unavailable.
  */
 export function chooseServer(
   views: Iterable<RegisteredServerView>,
--- a/src/process/duration_histogram.ts
+++ b/src/process/duration_histogram.ts
@@ -2,7 +2,7 @@
 
 import { build, type Histogram } from "hdr-histogram-js";
 
-/** Percentiles of a distribution, in ms. */
+/** Percentiles of a distribution, in ms, and the number of its values. */
 export interface Percentiles {
   readonly p50: number;
   readonly p95: number;
--- a/src/process/entry_view.ts
+++ b/src/process/entry_view.ts
@@ -33,7 +33,7 @@
 const CHECK_INTERVAL_MS = 2_000;
 /** Interval for logging an unchanged view, in ms; shows that the entry runs. */
 export const ENTRY_VIEW_REPEAT_MS = 60_000;
-/** Names per line; only a failed zone has more, and has its own log event. */
+/** Names per list; only a failed zone has more, and has its own log event. */
 const LOGGED_NAMES_MAX = 24;
 
 /** Groups servers by whether they get new requests. */
--- a/src/process/fair_queue.ts
+++ b/src/process/fair_queue.ts
@@ -24,8 +24,8 @@
 }
 
 /**
- * Waiting requests of one customer within a rank; the virtual time grows with
- * the weighted cost that was served.
+ * Waiting requests of one customer within a rank; each served request adds its
+ * cost, divided by the customer's weight, to the virtual time.
  */
 interface CustomerQueue<Item extends QueueItem> {
   virtualTime: number;
@@ -86,7 +86,10 @@
     return this.#ranks.get(rank)?.length ?? 0;
   }
 
-  /** Adds a request; `atFront` puts one first that was already being served. */
+  /**
+   * Adds a request; `atFront` puts one that was already being served before the
+   * others of its customer.
+   */
   push(item: Item, atFront = false): void {
     this.#decay();
     const queue = this.#rankQueue(item.rank);
@@ -123,7 +126,10 @@
     queue.work -= item.cost;
   }
 
-  /** Yields the waiting requests in the order of service. */
+  /**
+   * Yields waiting requests in the order of service: all of them under FIFO,
+   * else the first of each customer in each rank.
+   */
   *candidates(): Generator<Item> {
     if (this.#order === QueueOrder.Fifo) {
       yield* this.#arrivals.keys();
@@ -164,7 +170,10 @@
       );
   }
 
-  /** Running requests that a rank lacks to its guaranteed share; 0 if none. */
+  /**
+   * Number of running requests by which a rank is below its guaranteed share; 0
+   * if it is not.
+   */
   #deficitOf({ rank, running }: RankQueue<Item>): number {
     const floor = rank.floorPercent / PERCENT * this.#totalRunning();
     return Math.max(0, floor - running);
--- a/src/process/log.ts
+++ b/src/process/log.ts
@@ -1,6 +1,7 @@
 /**
  * Structured logs on standard output: winston writes each numbered event as one
- * JSON line. Lines above a rate are dropped and counted; writes never block.
+ * JSON line. Info lines above a rate, and lines that do not fit the output's
+ * buffer, are dropped and counted; writes never block.
  */
 
 import winston from "winston";
--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -1,6 +1,6 @@
 /**
  * Registers this entry in the shared store and lists the registered entries.
- * Whether an entry is live shows from the peer link to it.
+ * The peer link to an entry shows whether it is live.
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
--- a/src/process/object_watch.ts
+++ b/src/process/object_watch.ts
@@ -69,7 +69,10 @@
   #isUnreachable = false;
   #mustRelist = true;
   #isReading = true;
-  /** Whether no entry reached the store for `outageThresholdMs` until now. */
+  /**
+   * Whether no entry reached the store for `outageThresholdMs`, and this one
+   * has not reached it since.
+   */
   #hadReaderOutage = false;
 
   private constructor(options: ObjectWatchOptions) {
@@ -82,8 +85,8 @@
   }
 
   /**
-   * Has the kind listed again, also while other entries read for this one.
-   * Returns whether no list was pending already.
+   * Requests a new list, which is made even while other entries read for this
+   * one. Returns `false` if a list was already pending.
    */
   requestRelist(): boolean {
     const isNew = !this.#mustRelist;
--- a/src/process/reader_election.ts
+++ b/src/process/reader_election.ts
@@ -10,7 +10,7 @@
 import { hashText } from "../hashing.ts";
 import type { EntryId } from "../ids.ts";
 
-/** When the store last answered an entry, or if `isLost` last failed to. */
+/** When the store last answered an entry or, if `isLost`, failed to. */
 export interface ReaderLiveness {
   readonly entry: EntryId;
   readonly ageMs: number;
--- a/src/process/registered_servers.ts
+++ b/src/process/registered_servers.ts
@@ -167,7 +167,7 @@
 
   /**
    * Yields the preferred server, then the others from the prompt's position on
-   * the hash ring.
+   * the hash ring, or from a random position if the request has no prompt.
    */
   *#candidateViews(request: ServerCriteria): Generator<RegisteredServerView> {
     this.#applyPeerLoads();
@@ -382,7 +382,10 @@
     return this.#zoneFailures.suspectZones().has(zone);
   }
 
-  /** Ejects earlier servers at an address: it belongs to its latest owner. */
+  /**
+   * Ejects other servers at the same address that did not start later: the
+   * address now belongs to this server.
+   */
   #ejectOlderServers({ name, address, startedMs }: RegisteredServer): void {
     for (const other of this.#namesByAddress.get(address) ?? []) {
       const view = this.#views.get(other);
--- a/src/process/server_pool.ts
+++ b/src/process/server_pool.ts
@@ -208,10 +208,11 @@
   }
 
   /**
-   * Servers on which a suspected request runs isolated from other suspects: no
-   * server that runs another one of this entry, and while any of them serves,
-   * only those assigned to this entry. The assignment follows the deployment,
-   * which is the same for all entries, and not health.
+   * Returns the servers on which a suspected request runs isolated from other
+   * suspects. While any server assigned to this entry is serving, only the
+   * assigned ones are used; those that run another suspect of this entry are
+   * left out. The assignment depends on the deployment, which is the same for
+   * all entries, and not on the health of servers.
    */
   #isolatedViews(
     service: string,
--- a/src/process/server_view.ts
+++ b/src/process/server_view.ts
@@ -70,7 +70,8 @@
 }
 
 /**
- * Slots in use by the report, corrected by what this entry sent or ended since.
+ * Slots in use according to the report, corrected by the requests of this entry
+ * that were sent or ended since.
  */
 function usedSlots(view: ServerView): number {
   const { report, sentSinceReport, endedSinceReport } = view;
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -34,7 +34,10 @@
 export interface Policy {
   readonly queueOrder: QueueOrder;
   readonly routing: Routing;
-  /** Whether urgent requests preempt running requests of less urgent ranks. */
+  /**
+   * Whether waiting requests preempt running ones of less urgent ranks, or of a
+   * customer of their rank that exceeds its fair share.
+   */
   readonly preempts: boolean;
   /** Whether requests that would miss their target are refused immediately. */
   readonly refusesEarly: boolean;
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps a relay's configuration and server list in sync with the shared store,
- * which a few entries read for all, and with peers, also while this entry can't
- * reach the store.
+ * which a few entries read for all, and with peer entries. The sync with peers
+ * continues while this entry can't reach the store.
  */
 
 import { type Instance, InstanceState } from "../connection/instance.ts";
@@ -69,7 +69,7 @@
 const OUTAGE_MIN_HEARTBEATS = 1.85;
 /** Delay after changes that batches those of one event, in ms. */
 const SERVER_BATCH_DELAY_MS = 100;
-/** Interval between digests, in ms; servers take 1 s to read a prompt. */
+/** Interval between digests, in ms; servers take 1 s to prefill a prompt. */
 const DIGEST_INTERVAL_MS = 150;
 /** Time for a peer to send its changes before another one is asked, in ms. */
 const CHANGES_TIMEOUT_MS = 250;
