--- a/src/connection/key_value_store.ts
+++ b/src/connection/key_value_store.ts
@@ -31,7 +31,7 @@
   readonly listInstances: () => Promise<readonly Instance[]>;
 }
 
-/** Object that stores a value. */
+/** Kind and name of the object that stores a value. */
 interface ObjectKey {
   readonly kind: string;
   readonly name: string;
@@ -187,7 +187,7 @@
   }
 }
 
-/** Returns the object of a name; without a slash the kind has only this one. */
+/** Returns a name's object; one without a slash is the only one of its kind. */
 function objectKeyOf(name: string): ObjectKey {
   const slash = name.indexOf("/");
   if (slash < 0) return { kind: `${KIND_PREFIX}${name}`, name };
--- a/src/connection/stall_timer.ts
+++ b/src/connection/stall_timer.ts
@@ -53,7 +53,7 @@
     return setTimeout(() => this.#expire(), this.#limitMs);
   }
 
-  /** Before firing, reads data that arrived while the loop was blocked. */
+  /** Fires only after reading data that arrived while the loop was blocked. */
   #expire(): void {
     if (this.#isSuspended) return;
     this.#hasActivity = false;
--- a/src/request/attempt_reporting.ts
+++ b/src/request/attempt_reporting.ts
@@ -41,7 +41,7 @@
 }
 
 /**
- * Records a failed attempt, and ejects the server if that is at fault. Resolves
+ * Records a failed attempt, and ejects the server if it is at fault. Resolves
  * with whether a report fetched at once shows a healthy server; never rejects.
  */
 export function recordAttemptFailure(
@@ -97,7 +97,7 @@
 ): Promise<boolean> {
   try {
     const report = await reports.fetch(server);
-    // The server is up, but the process may have been replaced.
+    // The server responded without a report; it may have been replaced.
     if (report === undefined) return false;
     const isHealthy = !isRestarted(report, server);
     if (isHealthy) servers.reinstate(server.name);
--- a/src/request/call_timeouts.ts
+++ b/src/request/call_timeouts.ts
@@ -4,7 +4,8 @@
  * Handles overload of a plain service. If calls queued for long, every response
  * would be late, so a call waits only while it can still meet its target time.
  * A caller that retries after a refusal would get a late response anyway, so it
- * gets only a slot that is free at once.
+ * is refused if the service was recently at capacity, and otherwise gets only a
+ * slot that is free at once.
  */
 
 import { FailureCause } from "../errors.ts";
--- a/src/request/generation.ts
+++ b/src/request/generation.ts
@@ -248,7 +248,7 @@
     return reattach(this.#context, { location, from });
   }
 
-  /** Waits in the dispatcher's queue for a slot and starts a stream there. */
+  /** Waits in the dispatcher's queue for a slot; returns an attempt with it. */
   async #startAttempt(): Promise<Attempt> {
     await this.#context.pauseDetector.ready();
     const options: AttemptOptions = {
@@ -393,7 +393,7 @@
     this.#context.serverPool.eject(attempt.server);
   }
 
-  /** Ejects the server from new work and cancels the stream on it. */
+  /** Ejects the server, so that it gets no new requests; cancels the stream. */
   #ejectServer(attempt: Attempt): void {
     this.#context.serverPool.eject(attempt.server);
     cancelStream(attempt.address, attempt.stream);
--- a/src/request/kv_copy_manager.ts
+++ b/src/request/kv_copy_manager.ts
@@ -19,7 +19,7 @@
 export interface KvCopy {
   /** Server that holds the copy. */
   readonly server: RegisteredServer;
-  /** A snapshot's handle and the server that made it; absent for a replica. */
+  /** A snapshot's handle and the server that made it; absent for a backup. */
   readonly snapshot?: {
     readonly source: RegisteredServer;
     readonly handle: string;
--- a/src/request/recovery.ts
+++ b/src/request/recovery.ts
@@ -7,13 +7,13 @@
 export enum RecoveryStep {
   /** Continue to read the same stream, which may still run. */
   Reattach = "reattach",
-  /** Suspect the request of a server crash, then retry on another server. */
+  /** Suspect the request of crashing the server, then retry on another. */
   SuspectRequest = "blame_server_loss",
   /** Retry on another server after a short delay; the server is healthy. */
   RetryElsewhere = "try_elsewhere",
   /** Cancel a stream without output, then retry on another server. */
   CancelStream = "withdraw",
-  /** Eject the server from new work, then retry on another server. */
+  /** Stop new requests to the server, then retry on another server. */
   EjectServer = "abandon",
 }
 
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -276,7 +276,8 @@
     const { servers } = this.#context;
     const { server, kvCopy } = slot;
     record.progress = AttemptProgress.KnownNotRun;
-    // A server without the copy is healthy; a later attempt prefills again.
+    // A server that declines because it lacks the copy is not full; a later
+    // attempt prefills again.
     if (isMisdirected) servers.eject(server.name, ServerFailure.Replaced);
     else if (kvCopy === undefined) servers.markFull(server.name);
   }
--- a/src/request/shutdown_admission.ts
+++ b/src/request/shutdown_admission.ts
@@ -9,14 +9,15 @@
 
 /**
  * Time after the start of a shutdown in which streams are accepted, in ms. The
- * load balancer sends none after 2 s, and a stream needs the remaining 5 s.
+ * platform sends no new connections after 2 s, and a stream needs the remaining
+ * 5 s.
  */
 const STREAM_ACCEPT_WINDOW_MS = 2_600;
 /** Suggested retry delay, in s; short, since other entries accept requests. */
 const RETRY_AFTER_S = 0.02;
 
 /**
- * Refuses a request that can't complete before the process exits.
+ * Refuses a stream that starts too late to complete before the process exits.
  *
  * Errors: `RequestError` of type not run.
  */
--- a/src/request/stall_policy.ts
+++ b/src/request/stall_policy.ts
@@ -23,8 +23,8 @@
 /** Factor by which a long interval decays with each event. */
 const EVENT_INTERVAL_DECAY = 0.9;
 /**
- * Events that a report may list beyond those received before the run counts as
- * lost; a report is normally older than the stream.
+ * A run counts as lost if a report lists more than this many events beyond
+ * those received; a report is normally older than the stream.
  */
 const EVENTS_AHEAD_MAX = 5;
 /** Reports without the run after which it counts as lost; one may be stale. */
--- a/src/request/stream_assembler.ts
+++ b/src/request/stream_assembler.ts
@@ -9,11 +9,11 @@
 /** The position of one stream's response. */
 export class StreamAssembler {
   #lastEventId: string | undefined;
-  /** Whether each id so far was one higher than the one before. */
+  /** Whether each id within a segment was one higher than the one before. */
   #hasConsecutiveIds = true;
   /** Whether the next event is the first of a segment. */
   #isSegmentStart = true;
-  /** Highest id, or the number of events from the current server. */
+  /** Last id, or without numeric ids the events from the current server. */
   #eventCount = 0;
 
   private constructor(resumeAfter: string | undefined) {
