Clarify comments at which a fresh reader stopped

Cause: a reader new to the project read bench, src/bin, src/version, the top level of src, the stand-ins and the tests, and stopped at comments that needed a second reading, that used two words for one thing, or that the code beside them contradicts. Among the latter: maxAttempts counts attempts that may have run, not servers; a request refused with not_run may have been sent and rejected; outcome_unknown is also sent for streams and idempotent calls; the wire names of the platform also occur in bench and tests; measure slopes takes elapsed time for CPU time; a reserved port is unique until the process exits; the port test spans more than two blocks.

Change: comments only. Every reason, number and unit stays.

No test or measurement was run.

--- a/bench/child.ts
+++ b/bench/child.ts
@@ -127,7 +127,7 @@
     return this.#stderr.join("");
   }
 
-  /** Keys of the runs that a stand-in printed, also if it has been killed. */
+  /** Keys of the runs that a stand-in printed, even if it has been killed. */
   announcedRuns(): string[] {
     return this.#stdout.join("").split("\n")
       .filter((line) => line.startsWith('{"run"'))
--- a/bench/emulator/emulated_cluster.ts
+++ b/bench/emulator/emulated_cluster.ts
@@ -283,7 +283,7 @@
     return this.#options.entries >= LARGE_CLUSTER_MIN_ENTRIES;
   }
 
-  /** Sends new placements soon, those of 10 ms in one digest. */
+  /** In small clusters, sends the placements of 10 ms in one digest. */
   #scheduleDigest(at: number): void {
     if (this.#isLargeCluster || this.#scheduledDigests.has(at)) return;
     this.#scheduledDigests.add(at);
@@ -341,7 +341,10 @@
   }
 }
 
-/** Spreads the deadlines of calls, as those of the users' callers are. */
+/**
+ * Returns a call's deadline as a fraction of the longest. The deadlines are
+ * spread, as those of the users' callers are.
+ */
 function deadlineFraction(index: number): number {
   const fraction = (index % DEADLINE_STEPS) / DEADLINE_STEPS;
   return 1 - fraction * (1 - DEADLINE_MIN_FRACTION);
--- a/bench/emulator/emulated_engine.ts
+++ b/bench/emulator/emulated_engine.ts
@@ -160,7 +160,7 @@
     }
   }
 
-  /** Runs the steps of one event; just one step if nothing is decoding. */
+  /** Runs the decoding steps of one event, or one step of prefill alone. */
   #step(): void {
     if (this.#isStepping) return;
     this.#admit();
--- a/bench/emulator/virtual_time.ts
+++ b/bench/emulator/virtual_time.ts
@@ -25,7 +25,7 @@
     start({ now: () => clock.now });
     while (clock.now < endMs && clock.countTimers() > 0) {
       clock.next();
-      // Continues promises that the timer resolved before the next one fires.
+      // Lets promises that this timer resolved continue before the next timer.
       await new Promise((resolve) => scheduleImmediate(resolve));
     }
   } finally {
--- a/bench/local_cluster.ts
+++ b/bench/local_cluster.ts
@@ -357,7 +357,7 @@
     await this.platform.control({ instances: [...entries, ...engines] });
   }
 
-  /** Keys of all runs that stand-ins printed, including killed stand-ins. */
+  /** Keys of all runs that stand-ins printed, even if they have been killed. */
   announcedRuns(): string[] {
     return this.#children.flatMap((child) => child.announcedRuns());
   }
--- a/bench/measure_policy.ts
+++ b/bench/measure_policy.ts
@@ -97,7 +97,7 @@
   };
 }
 
-/** Measures what the patient rank keeps when urgent requests overload it. */
+/** Measures the patient rank's throughput in an overload of urgent requests. */
 export async function measureFlood(seed: number): Promise<Report> {
   const demands: readonly Demand[] = [
     { ...PATIENT, share: 2 },
--- a/bench/measure_resume.ts
+++ b/bench/measure_resume.ts
@@ -161,7 +161,7 @@
   sum.decodedTokens += counts.decodedTokens;
 }
 
-/** Returns pauses too long for the regular time between tokens, in ms. */
+/** Returns pauses of more than 1.5 times the time between tokens, in ms. */
 function longPauses(caller: CompletionClient): readonly number[] {
   return caller.eventGapsMs.filter((pauseMs) => pauseMs > 1.5 * TOKEN_MS);
 }
--- a/bench/measure_slopes.ts
+++ b/bench/measure_slopes.ts
@@ -42,7 +42,7 @@
   readonly unit: string;
   readonly perUnit: number;
   readonly fixed: number;
-  /** Coefficient of determination: the variance that the line explains. */
+  /** Coefficient of determination: the part of variance that it explains. */
   readonly fit: number;
   readonly points: readonly Point[];
 }
@@ -148,7 +148,10 @@
   return fitLine(`bytes of heap per ${name}`, points);
 }
 
-/** Measures the CPU time to parse all chunks of a revision and index them. */
+/**
+ * Measures the time to parse all chunks of a revision and index them. The code
+ * is synchronous, so elapsed time stands for CPU time.
+ */
 function measureAdoption(): Slope {
   const points = OBJECT_SIZES.map((size): Point => {
     const objects = Array.from({ length: size }, (_, at) => createCustomer(at));
--- a/bench/reserve_port.ts
+++ b/bench/reserve_port.ts
@@ -1,7 +1,7 @@
 /**
  * Ports that must be known before a process listens, or reused after a restart.
  * An outgoing connection could meanwhile take an ephemeral port, so these lie
- * below the ephemeral range, in blocks that one process at a time locks.
+ * below the ephemeral range, in blocks that are each locked by one process.
  */
 
 import { createServer, type Server } from "node:net";
@@ -23,7 +23,10 @@
 /** Last reservation; each one starts after the one before. */
 let lastReservation: Promise<unknown> = Promise.resolve();
 
-/** Returns a loopback port that no other call in any process returns. */
+/**
+ * Returns a loopback port that no other call in any process returns until this
+ * process exits.
+ */
 export function reservePort(): Promise<number> {
   const reservation = lastReservation.then(nextFreePort);
   lastReservation = reservation.catch(() => undefined);
--- a/bench/soak/soak_checks.ts
+++ b/bench/soak/soak_checks.ts
@@ -91,8 +91,8 @@
 }
 
 /**
- * Whether an entry had no fault of its own or of the store in a period or in
- * `CONTACT_MS` before it. Times are in ms since the Unix epoch.
+ * Whether an entry had neither a fault of its own nor a store outage in a
+ * period or in `CONTACT_MS` before it. Times are in ms since the Unix epoch.
  */
 export function isEntryUnaffected(
   faultWindows: readonly FaultWindow[],
--- a/bench/soak/soak_cluster.ts
+++ b/bench/soak/soak_cluster.ts
@@ -27,7 +27,7 @@
 export interface SoakSize {
   readonly entries: number;
   readonly servers: number;
-  /** Octet of the loopback addresses; concurrent soaks need different ones. */
+  /** Third octet of the entries' IPs; concurrent soaks need different ones. */
   readonly lane?: number;
 }
 
--- a/bench/soak/soak_deployment.ts
+++ b/bench/soak/soak_deployment.ts
@@ -15,7 +15,7 @@
 const PEER_PORT = 7_200;
 const TIMEOUT_MS = 6_000;
 
-/** Returns the bearer key that a version adds; only the next one has it too. */
+/** Returns the bearer key that a version adds; the next version keeps it. */
 export function keyOfVersion(version: number): string {
   return `key-of-version-${version}`;
 }
--- a/src/errors.ts
+++ b/src/errors.ts
@@ -4,7 +4,7 @@
 
 /** Error type sent to the caller of a request without a complete response. */
 export enum RequestErrorType {
-  /** Never sent to a backend server; safe to retry. */
+  /** Not run by any backend server; safe to retry. */
   NotRun = "not_run",
   /**
    * This request was not sent. Whether an earlier one with the same
@@ -13,7 +13,7 @@
   NotSent = "not_sent",
   /** Part of the response was produced; a cursor may allow resuming it. */
   Interrupted = "interrupted",
-  /** A non-idempotent action was sent, but its outcome was not received. */
+  /** The request was sent and may have run; its outcome was not received. */
   OutcomeUnknown = "outcome_unknown",
   /** A non-idempotent action ran once; its response was too large to store. */
   AnswerUnavailable = "answer_unavailable",
@@ -99,7 +99,7 @@
 
 /** Why an attempt on a backend server ended without its complete output. */
 export enum FailureCause {
-  /** The server refused the request before running any of it. */
+  /** The server rejected the request before running any of it. */
   Rejected = "refused",
   /** The connection could not be opened, so nothing was sent. */
   Unreachable = "unreachable",
--- a/src/ids.ts
+++ b/src/ids.ts
@@ -19,11 +19,11 @@
 export type ContentHash = Brand<string, "hash">;
 /** SHA-256 of the fields that identify equal requests, in hexadecimal. */
 export type Fingerprint = Brand<string, "fingerprint">;
-/** Number of a published configuration; each publish increments it by 1. */
+/** Number of a published deployment; each publish increments it by 1. */
 export type Revision = Brand<number, "revision">;
 
 /** Revision of the platform's store, or of one object in it. */
 export type ObjectRevision = Brand<number, "object revision">;
 
-/** Revision of a process that has not adopted a configuration yet. */
+/** Revision of a process that has not adopted a deployment yet. */
 export const NO_REVISION = 0 as Revision;
--- a/src/version/chunks.ts
+++ b/src/version/chunks.ts
@@ -21,7 +21,7 @@
   return { hash: hashText(text), text };
 }
 
-/** Hashes objects into chunks, so that a change rewrites only a few. */
+/** Groups objects into chunks by bucket, so that a change rewrites few. */
 export function splitIntoChunks(objects: readonly DeploymentObject[]): Chunk[] {
   const buckets = new Map<string, DeploymentObject[]>();
   for (const object of objects) {
--- a/src/version/route_table.ts
+++ b/src/version/route_table.ts
@@ -23,7 +23,7 @@
   readonly timeoutMs: number;
   /** Target latency of a response, or of a stream's first event, in ms. */
   readonly targetMs: number;
-  /** Maximum number of backend servers that one request is sent to. */
+  /** Maximum number of a request's attempts that may have run on a server. */
   readonly maxAttempts: number;
   /** 0 is the most urgent. */
   readonly priority: number;
--- a/src/version/types.ts
+++ b/src/version/types.ts
@@ -73,7 +73,7 @@
   readonly ranks: readonly string[];
 }
 
-/** Whether a backend server refuses requests with an old fencing number. */
+/** Whether a backend server rejects requests with an old fencing number. */
 export enum Fencing {
   Checked = "checked",
   Ignored = "ignored",
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -72,7 +72,7 @@
 
 const DECODE_INTERVAL_MS = 2;
 const KEEP_ALIVE_INTERVAL_MS = 250;
-/** Time until unread streams are ended, and ended ones deleted, in ms. */
+/** Time until streams without readers end and ended ones are deleted, in ms. */
 const STREAM_RETENTION_MS = 5_000;
 const BODY_MAX_BYTES = 4_000_000;
 
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -212,7 +212,7 @@
   return object;
 }
 
-/** Counts a write towards a failure; returns whether the failure applies. */
+/** Counts a write for a failure switch; returns whether the switch applies. */
 function consumeFailure(
   failure: { readonly prefix: string; skip: number; count: number },
   name: string,
--- a/standins/runner.ts
+++ b/standins/runner.ts
@@ -16,7 +16,7 @@
 
 /** Switches of the stand-in, set by `POST /standin/control`. */
 interface Switches {
-  /** Id of this incarnation; requests for another id are rejected. */
+  /** Id, new after each restart; requests for another id are rejected. */
   id: string;
   /** Time between two events, in ms. */
   eventMs: number;
--- a/tests/configuration_test.ts
+++ b/tests/configuration_test.ts
@@ -276,7 +276,7 @@
     .map(({ revision }) => Number(revision));
 }
 
-/** Output of a command without times and without the winner of a race. */
+/** Output of a command; replaces times and what depends on who wins a race. */
 function normaliseOutput(result: CommandResult | undefined): string {
   const text = `${result?.stdout}${result?.stderr}`.trimEnd();
   return text
--- a/tests/crashing_request_test.ts
+++ b/tests/crashing_request_test.ts
@@ -1,6 +1,6 @@
 /**
- * Tests two further failures: a request that crashes every backend server that
- * runs it, and an entry that is frozen for several seconds.
+ * Tests two failures: a request that crashes every backend server that runs it,
+ * and an entry that is suspended for several seconds.
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
--- a/tests/emulator_test.ts
+++ b/tests/emulator_test.ts
@@ -103,7 +103,7 @@
 
 /**
  * Resolves with the share of a small customer's streams that are on time, first
- * in a fair and then in a FIFO queue, beside a customer with `arrivalsPerS`.
+ * in a fair and then in a FIFO queue, beside a large one with `arrivalsPerS`.
  */
 async function smallCustomerRatios(
   arrivalsPerS: number,
--- a/tests/no_token_lost_test.ts
+++ b/tests/no_token_lost_test.ts
@@ -217,7 +217,7 @@
 ): Promise<CompletionClient> {
   await caller.waitForTokens(20);
   const engine = await servingEngine(cluster);
-  // Frozen first, so that the entry does not detect the engine's failure.
+  // Suspended first, so that the entry does not detect the engine's failure.
   cluster.entry(0).suspend();
   await engine.kill();
   await cluster.entry(0).kill();
--- a/tests/not_run_test.ts
+++ b/tests/not_run_test.ts
@@ -15,7 +15,7 @@
 const SEED = 20_261_204;
 const SCHEDULES = 6;
 const REQUESTS_PER_SCHEDULE = 24;
-/** Longer than `resume_limit_ms`, in which a stream waits for a server. */
+/** Longer than `resume_limit_ms`, the time that a stream waits for a server. */
 const OUTAGE_MS = 1_000;
 
 /** One fault of a schedule. */
--- a/tests/platform_entry_test.ts
+++ b/tests/platform_entry_test.ts
@@ -93,7 +93,7 @@
     response.end("body");
   };
   server = createServer((request, response) => {
-    // The entry requests the report of a server that sends nothing.
+    // While a server sends nothing, the entry requests its report.
     if (request.url === "/v1/report") return void response.end("{}");
     receivedRequests.push(request);
     respond(request, response);
@@ -127,7 +127,7 @@
   await expect.poll(() => entry.isReady, { timeout: 5_000 }).toBe(true);
 }
 
-/** Writes raw text; resolves with what arrives until 50 ms after a head. */
+/** Writes raw text; returns what arrives until 50 ms after a response head. */
 async function exchange(socket: Socket, text: string): Promise<string> {
   let received = "";
   const appendData = (data: Buffer) => received += data.toString("latin1");
--- a/tests/reserve_port_test.ts
+++ b/tests/reserve_port_test.ts
@@ -5,7 +5,7 @@
 import { expect, test } from "vitest";
 import { reservePort } from "../bench/reserve_port.ts";
 
-/** More ports than a block has, so that a second block is claimed. */
+/** More ports than a block has, so that further blocks are locked. */
 const PORT_COUNT = 250;
 /** File with Linux's range of ephemeral ports for outgoing connections. */
 const EPHEMERAL_RANGE_FILE = "/proc/sys/net/ipv4/ip_local_port_range";
--- a/tests/wire_names_test.ts
+++ b/tests/wire_names_test.ts
@@ -1,6 +1,6 @@
 /**
- * Tests that no file under `src` contains a wire name of the platform. Only the
- * adapter under `platform` and the stand-ins use them.
+ * Tests that no file under `src` contains a wire name of the platform. In
+ * production code only the adapter under `platform` uses them.
  */
 
 import { readdir, readFile } from "node:fs/promises";
