--- a/tests/scripted_platform.ts
+++ b/tests/scripted_platform.ts
@@ -38,6 +38,7 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
+const DEFAULT_TARGET_MS = 1_000;
 const SETTLE_MS = 50;
 
 /** A caller's connection and the text it has received. */
@@ -107,7 +108,10 @@
   }
 
   /** Starts the parts; with limits, waits until the entry is configured. */
-  static async create(limits?: StatedLimits): Promise<ScriptedPlatform> {
+  static async create(
+    limits?: StatedLimits,
+    { targetLatencyMs = DEFAULT_TARGET_MS } = {},
+  ): Promise<ScriptedPlatform> {
     const cluster = await LocalCluster.create({ engines: 0, entries: 0 });
     const { address } = cluster.platform;
     const store = HttpObjectStore.create({ address, timeoutMs: 1_000 });
@@ -123,7 +127,7 @@
     };
     await store.create("servers", { name: "i-1", spec });
     if (limits !== undefined) {
-      const configuration = createConfiguration(1, limits);
+      const configuration = createConfiguration(1, limits, targetLatencyMs);
       await store.create("config", { name: "main", spec: configuration });
     }
     const started = await startLocalEntry("entry-1", address);
@@ -202,12 +206,16 @@
   return formatRequest(`/version-${version}/`);
 }
 
-function createConfiguration(version: number, limits: StatedLimits): unknown {
+function createConfiguration(
+  version: number,
+  limits: StatedLimits,
+  targetLatencyMs = DEFAULT_TARGET_MS,
+): unknown {
   const route = {
     host: "a.example",
     service: "engines",
     timeoutMs: 9_000,
-    targetLatencyMs: 1_000,
+    targetLatencyMs,
     priority: 1,
     maxAttempts: 2,
     routeKind: "non_idempotent",
