Decide on admission when a request is sent to a server, not when its head came

Callers saw, in a planned stop of an entry: streams passed on late in the grace and cut with half a body; requests that had reached no server answered 504, outcome unknown, at its end.

Cause: the entry admitted a request by the time of its head, and one that came before SIGTERM not at all. What a request then waited for (its body, the first configuration, a slot, a retry) was not counted. Class: a decision taken once and used later. The end of the grace did not know what had been sent.

Change: ShutdownAdmission is asked whenever a request is about to be sent: after the body, in the queue and at its end, and before each retry of a request that has not run (calls) or not begun (streams). When requests of a kind are no longer accepted, those that wait for their body, a configuration or a slot are refused at once, not run, with a short Retry-After. What was never sent gets the same at the end of the grace. A stream that has begun is resumed as before, and a call that may have run is sent again, since neither can be refused as not run.

--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -20,6 +20,7 @@
 } from "../connection/response_buffers.ts";
 import type { EntryId, ObjectRevision } from "../ids.ts";
 import type { SlotRequest } from "../request/acquire_slot.ts";
+import { ShutdownAdmission } from "../request/shutdown_admission.ts";
 import type { KvCopier, KvCopyReleaser } from "../request/kv_copy_manager.ts";
 import type { RouteTable } from "../version/route_table.ts";
 import { CallerWaitEstimator } from "./caller_wait_estimator.ts";
@@ -184,6 +185,10 @@
         entryCount: () => this.entryCount,
       }),
       callerWaits: CallerWaitEstimator.create(now),
+      shutdownAdmission: ShutdownAdmission.create({
+        now,
+        onKindClosed: () => dispatcher.rejectBlocked(),
+      }),
       copyKvCache: options.copyKvCache,
       releaseKvCopy: options.releaseKvCopy,
       supportsKvBackup: (service) =>
--- a/src/process/relay_context.ts
+++ b/src/process/relay_context.ts
@@ -13,6 +13,7 @@
 import type { ServerReports } from "./server_reports.ts";
 import type { SilentServers } from "./silent_servers.ts";
 import type { CrashCauses } from "./crash_causes.ts";
+import type { ShutdownAdmission } from "../request/shutdown_admission.ts";
 
 /** The parts of an entry process that requests use. */
 export interface RelayContext {
@@ -26,6 +27,7 @@
   readonly dispatcher: Dispatcher<SlotRequest>;
   readonly retryBudget: RetryBudget;
   readonly callerWaits: CallerWaitEstimator;
+  readonly shutdownAdmission: ShutdownAdmission;
   /** Whether a service's engines can back up each other's KV caches. */
   readonly supportsKvBackup: (service: string) => boolean;
   readonly copyKvCache: KvCopier;
--- a/src/request/create_refusal.ts
+++ b/src/request/create_refusal.ts
@@ -7,12 +7,13 @@
 import type { ProxyRequest } from "./proxy_request.ts";
 
 /**
- * Returns the refusal that follows from the attempts of a request. The caller
- * is told when requests with a cause of crashes run again, or when the first
- * server's pause ends if all servers have asked for one.
+ * Returns the refusal that follows from the attempts of a request. It states
+ * when requests with a cause of crashes run again, when another entry can be
+ * tried because this one shuts down, or when the first server's pause ends if
+ * all servers have asked for one.
  */
 export function createRefusal(
-  { servers, crashCauses, metrics, now }: RelayContext,
+  { servers, crashCauses, shutdownAdmission, metrics, now }: RelayContext,
   { request, attempts, reason }: {
     readonly request: ProxyRequest;
     readonly attempts: AttemptHistory;
@@ -23,6 +24,13 @@
   if (blockedUntilMs !== undefined) {
     metrics.crashCauseRefusals.inc({ route: request.route });
   }
+  const shutdownError = shutdownAdmission.rejection(request.kind);
+  if (
+    shutdownError !== undefined && blockedUntilMs === undefined &&
+    !attempts.mayHaveRun
+  ) {
+    return shutdownError;
+  }
   const freeAtMs = blockedUntilMs ?? servers.heldOffUntilMs({
     service: request.service,
     tokens: request.kvCacheTokens,
--- a/src/request/relay_call.ts
+++ b/src/request/relay_call.ts
@@ -148,13 +148,24 @@
         retryBudget.takeRetry(this.#request.service));
   }
 
-  /** Whether the call has crashed too many servers to run again. */
+  /** Whether the call must not be sent to a server. */
   #isBlocked(): boolean {
-    const rejection = this.#poisonGuard.rejection();
+    const rejection = this.#rejection();
     if (rejection !== undefined) this.#failureReason = rejection.message;
     return rejection !== undefined;
   }
 
+  /**
+   * Returns why the call must not be sent to a server, if so: it has crashed too
+   * many, or the entry shuts down. One that may have run can't be refused as not
+   * run, so it is sent again as long as the process lasts.
+   */
+  #rejection(): RequestError | undefined {
+    const rejection = this.#poisonGuard.rejection();
+    if (rejection !== undefined || this.#attempts.mayHaveRun) return rejection;
+    return this.#context.shutdownAdmission.rejection(this.#request.kind);
+  }
+
   /** Waits for a slot; `undefined` if none becomes free in time. */
   async #acquireSlot(): Promise<Reservation | undefined> {
     const { now, servers } = this.#context;
@@ -176,7 +187,7 @@
         waitMs,
         signal: this.#exchange.caller.signal,
         isResumed: this.#attempts.count > 0,
-        rejection: () => this.#poisonGuard.rejection(),
+        rejection: () => this.#rejection(),
       });
     } catch (error) {
       if (!(error instanceof RequestError)) throw error;
@@ -325,8 +336,7 @@
       context,
       request,
       canRetry: () =>
-        this.#attempts.canRetry &&
-        this.#poisonGuard.rejection() === undefined,
+        this.#attempts.canRetry && this.#rejection() === undefined,
       server: server.name,
       failedServers: this.#failedServers,
       acquire: (criteria) =>
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -168,13 +168,24 @@
     return this.#replacement !== undefined || await this.#takeRetry();
   }
 
-  /** Whether the request, or a part of its prompt, must no longer run. */
+  /** Whether the stream must not be sent to a server. */
   #isBlocked(): boolean {
-    const rejection = this.#poisonGuard.rejection();
+    const rejection = this.#rejection();
     if (rejection !== undefined) this.#failureReason = rejection.message;
     return rejection !== undefined;
   }
 
+  /**
+   * Returns why the stream must not be sent to a server, if so: it, or a part of
+   * its prompt, has crashed too many, or the entry shuts down. One that has
+   * begun goes on as long as the process lasts.
+   */
+  #rejection(): RequestError | undefined {
+    const rejection = this.#poisonGuard.rejection();
+    if (rejection !== undefined || this.#hasBegun) return rejection;
+    return this.#context.shutdownAdmission.rejection(this.#request.kind);
+  }
+
   get #canRetry(): boolean {
     return this.#hasBegun ? this.#attempts.canResume : this.#attempts.canRetry;
   }
@@ -235,7 +246,7 @@
         signal: this.#exchange.caller.signal,
         hasBegun: this.#hasBegun,
         recentFailure: this.#recentFailure,
-        rejection: () => this.#poisonGuard.rejection(),
+        rejection: () => this.#rejection(),
       });
     } catch (error) {
       if (!(error instanceof RequestError)) throw error;
@@ -269,13 +280,12 @@
       slot,
       record: this.#attempts.add(slot.server.name),
       excluded: this.#failedServers,
-      canRetry: () =>
-        this.#canRetry && this.#poisonGuard.rejection() === undefined,
+      canRetry: () => this.#canRetry && this.#rejection() === undefined,
       acquireReplacement: (criteria) =>
         acquireStreamSlot(this.#context, this.#request, {
           ...criteria,
           hasBegun: true,
-          rejection: () => this.#poisonGuard.rejection(),
+          rejection: () => this.#rejection(),
         }),
       onReplaced: (slot) => this.#replacement = { slot },
       eventCount: () => this.#assembler.eventCount,
--- a/src/request/routes.ts
+++ b/src/request/routes.ts
@@ -11,7 +11,7 @@
 import { sendErrorResponse } from "./error_response.ts";
 import type { Route } from "./exchange.ts";
 import { HEALTH_ROUTE, METRICS_ROUTE, READY_ROUTE } from "./probe.ts";
-import { shutdownError } from "./shutdown_admission.ts";
+import { createShutdownError } from "./shutdown_admission.ts";
 
 /** The routes, in the order in which they are matched. */
 export const ROUTES: readonly Route[] = [
@@ -42,7 +42,7 @@
     const url = new URL(request.url ?? "/", "http://entry");
     const route = findRoute(request.method ?? "GET", url.pathname);
     if (context.isDraining() && REQUEST_ROUTES.has(route)) {
-      throw shutdownError();
+      throw createShutdownError();
     }
     await route.handle(context, { id, request, response, url });
   } catch (error) {
