Keep a stopping process until refused callers have stopped sending

Callers would see a reset in place of the refusal: an entry that refuses a request before its body is in, as a planned stop now does at once, had no open request left and could exit while the caller was still sending.

Cause: the shutdown counted a request until its response was written, not until its connection was closed or its body had arrived.

--- a/src/process/graceful_shutdown.ts
+++ b/src/process/graceful_shutdown.ts
@@ -50,10 +50,23 @@
     return this.#endings.size;
   }
 
-  /** Counts a request until its response closes. */
+  /**
+   * Counts a request until its response closes, and its body has arrived or its
+   * connection is closed: a caller that is cut off while it sends may not read
+   * the response.
+   */
   track(response: ServerResponse, end: () => void = () => undefined): void {
+    const { req: request, socket } = response;
+    const forget = () => this.#endings.delete(response);
     this.#endings.set(response, end);
-    response.once("close", () => this.#endings.delete(response));
+    response.once("close", () => {
+      if (request.complete || socket === null || socket.destroyed) {
+        return forget();
+      }
+      this.#endings.set(response, () => undefined);
+      request.once("end", forget);
+      socket.once("close", forget);
+    });
   }
 
   /** Ends all requests; each is answered if its response has not begun. */
--- a/src/process/graceful_shutdown_test.ts
+++ b/src/process/graceful_shutdown_test.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { Worker } from "node:worker_threads";
 import { afterEach, expect, test } from "vitest";
+import { CallerConnections } from "../connection/caller_connections.ts";
 import { OpenRequests, shutDownGracefully } from "./graceful_shutdown.ts";
 
 const HOST = "127.0.0.1";
@@ -22,14 +23,18 @@
 });
 
 /** Starts a server with one connection to it. */
-async function start(respond: RequestListener): Promise<OpenRequests> {
+async function start(
+  respond: RequestListener,
+  { allowHalfOpen = false } = {},
+): Promise<OpenRequests> {
   const openRequests = OpenRequests.create();
   server = createServer((request, response) => {
     openRequests.track(response);
     respond(request, response);
   });
   await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  socket = connect((server.address() as AddressInfo).port, HOST);
+  const { port } = server.address() as AddressInfo;
+  socket = connect({ port, host: HOST, allowHalfOpen });
   socket.on("error", () => undefined);
   return openRequests;
 }
@@ -83,6 +88,27 @@
   expect(isClean).toBe(true);
 });
 
+test("a shutdown does not cut off a caller that still sends the body of a refused request", async () => {
+  const openRequests = await start((_, response) => {
+    response.writeHead(503, { connection: "close" }).end("refused");
+  }, { allowHalfOpen: true });
+  CallerConnections.create({ server, now: () => performance.now() });
+  let received = "";
+  socket.on("data", (data) => received += data);
+  socket.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab");
+  await expect.poll(() => received).toContain("refused");
+  const stopped = shutDownGracefully({
+    openRequests,
+    log: () => undefined,
+    noticeMs: 50,
+    deadlineMs: 5_000,
+  });
+  expect(await Promise.race([stopped, sleep(300, "open")])).toBe("open");
+  socket.write("cd");
+  expect(await stopped).toBe(true);
+  expect(socket.errored).toBeNull();
+});
+
 /** A request that another thread sends. */
 interface ThreadRequest {
   /** Blocks the event loop of this thread until the request was written. */
