Rotate repeated entries of digests in one class

Digests repeat blocked causes and refused requests in turn, and each kind had its own copy of the same selection.

Rotation keeps the position and selects the next keys for both. The order, the count per digest and the start after an empty set stay as they were.

--- a/src/process/crash_causes.ts
+++ b/src/process/crash_causes.ts
@@ -18,6 +18,7 @@
   removeRefuted,
 } from "./crash_record.ts";
 import { createCrashReport, hasChanged, recordOf } from "./crash_report.ts";
+import { Rotation } from "./rotation.ts";
 
 /** Possible causes of a server crash in one request. */
 export interface RequestCauses {
@@ -98,8 +99,8 @@
   readonly #trials = new Map<CrashCause, Trial>();
   /** Blocked causes that are not reported yet: another may explain them. */
   #newlyBlocked: CrashCause[] = [];
-  /** The cause that a digest repeated last. */
-  #lastRepeated: CrashCause | undefined;
+  /** The blocked causes that digests repeat. */
+  readonly #repeated = Rotation.create<CrashCause>();
 
   private constructor(options: CrashCausesOptions) {
     this.#options = options;
@@ -228,7 +229,11 @@
       .map(([cause]) => cause)
       .toSorted((a, b) => this.#weightOf(b) - this.#weightOf(a))
       .slice(0, DIGEST_FRESH_MAX);
-    const causes = new Set([...fresh, ...this.#nextRepeated()]);
+    const blocking = [...this.#records]
+      .filter(([, record]) => isBlocking(record))
+      .map(([cause]) => cause);
+    const repeated = this.#repeated.next(blocking, DIGEST_REPEATED_MAX);
+    const causes = new Set([...fresh, ...repeated]);
     return [...causes].map((cause) =>
       createCrashReport(cause, {
         record: this.#records.get(cause),
@@ -359,22 +364,6 @@
     this.#trials.delete(cause);
     this.#changedMs.delete(cause);
   }
-
-  #nextRepeated(): readonly CrashCause[] {
-    const blocking = [...this.#records]
-      .filter(([, record]) => isBlocking(record))
-      .map(([cause]) => cause)
-      .toSorted();
-    const last = this.#lastRepeated;
-    const next = last === undefined
-      ? 0
-      : blocking.findIndex((cause) => cause > last);
-    const start = Math.max(0, next);
-    const repeated = [...blocking.slice(start), ...blocking.slice(0, start)]
-      .slice(0, DIGEST_REPEATED_MAX);
-    this.#lastRepeated = repeated.at(-1);
-    return repeated;
-  }
 }
 
 function describe(cause: CrashCause, record: CrashRecord): BlockedCause {
--- a/src/process/crash_suspicions.ts
+++ b/src/process/crash_suspicions.ts
@@ -6,6 +6,7 @@
 import type { Suspicion } from "../connection/peer_protocol.ts";
 import { SUSPICION_BLAME_LIMIT, SUSPICION_TTL_MS } from "../constants.ts";
 import type { Fingerprint } from "../ids.ts";
+import { Rotation } from "./rotation.ts";
 
 /** Dependencies of the suspicions. */
 export interface CrashSuspicionsOptions {
@@ -44,8 +45,8 @@
   readonly #now: () => number;
   readonly #onRecord: () => void;
   readonly #suspicions = new Map<Fingerprint, StoredSuspicion>();
-  /** The refused request that a digest repeated last. */
-  #lastRepeated: Fingerprint | undefined;
+  /** The refused requests that digests repeat. */
+  readonly #repeated = Rotation.create<Fingerprint>();
 
   private constructor({ now, onRecord }: CrashSuspicionsOptions) {
     this.#now = now;
@@ -125,7 +126,15 @@
   digest(): readonly Suspicion[] {
     const minRemainingMs = SUSPICION_TTL_MS - DIGEST_MAX_AGE_MS;
     const all = this.snapshot();
-    const repeated = this.#nextRefused(all);
+    const refused = new Map(
+      all.filter(({ blame }) => blame >= SUSPICION_BLAME_LIMIT)
+        .map((suspicion) => [suspicion.fingerprint, suspicion] as const),
+    );
+    const repeated = this.#repeated.next(
+      [...refused.keys()],
+      DIGEST_REFUSED_MAX,
+    )
+      .flatMap((fingerprint) => refused.get(fingerprint) ?? []);
     const recent = all
       .filter((suspicion) =>
         suspicion.remainingMs > minRemainingMs && !repeated.includes(suspicion)
@@ -134,18 +143,6 @@
     return [...repeated, ...recent].slice(0, DIGEST_SUSPICIONS_MAX);
   }
 
-  #nextRefused(all: readonly Suspicion[]): readonly Suspicion[] {
-    const refused = all.filter(({ blame }) => blame >= SUSPICION_BLAME_LIMIT)
-      .toSorted((a, b) => a.fingerprint < b.fingerprint ? -1 : 1);
-    const last = this.#lastRepeated ?? "";
-    const next = refused.findIndex(({ fingerprint }) => fingerprint > last);
-    const start = Math.max(0, next);
-    const repeated = [...refused.slice(start), ...refused.slice(0, start)]
-      .slice(0, DIGEST_REFUSED_MAX);
-    this.#lastRepeated = repeated.at(-1)?.fingerprint;
-    return repeated;
-  }
-
   #find(fingerprint: Fingerprint): StoredSuspicion | undefined {
     const stored = this.#suspicions.get(fingerprint);
     if (stored === undefined || stored.expiresMs > this.#now()) return stored;
