Format the causes of a request once for its checks

A queued request is checked for blocked causes again and again, and each check formatted the names of all its parts anew.

PoisonGuard passes the causes that it holds. Admission, the end of a request, a refusal and a crash still format them once each.

The 11 tests of crashing parts and poison requests pass.

--- a/src/request/poison_guard.ts
+++ b/src/request/poison_guard.ts
@@ -10,13 +10,11 @@
 /** What is known of a request as a possible cause of crashes. */
 export class PoisonGuard {
   readonly #context: RelayContext;
-  readonly #request: ProxyRequest;
   readonly #causes: RequestCauses;
   #isProven = false;
 
   private constructor(context: RelayContext, request: ProxyRequest) {
     this.#context = context;
-    this.#request = request;
     this.#causes = causesOf(request);
   }
 
@@ -33,7 +31,7 @@
   /** Returns why the request must no longer run, if so. */
   rejection(): RequestError | undefined {
     if (this.#isProven) return undefined;
-    return poisonRejection(this.#context, this.#request);
+    return poisonRejection(this.#context, this.#causes);
   }
 
   /** Records that the request is sent to a server. */
--- a/src/request/poison_request.ts
+++ b/src/request/poison_request.ts
@@ -46,18 +46,18 @@
   context: RelayContext,
   request: ProxyRequest,
 ): void {
-  const rejection = poisonRejection(context, request);
+  const rejection = poisonRejection(context, causesOf(request));
   if (rejection === undefined) return;
   context.metrics.crashCauseRefusals.inc({ route: request.route });
   throw rejection;
 }
 
-/** Returns the refusal of a poison request; `undefined` for other ones. */
+/** Returns the refusal of a request with blocked causes, if any. */
 export function poisonRejection(
   { crashCauses, now }: RelayContext,
-  request: ProxyRequest,
+  causes: RequestCauses,
 ): RequestError | undefined {
-  const untilMs = crashCauses.blockedUntilMs(causesOf(request));
+  const untilMs = crashCauses.blockedUntilMs(causes);
   if (untilMs === undefined) return undefined;
   return new RequestError(
     RequestErrorType.NotRun,
