Share the set-up of relay tests

Three tests built a relay without servers by hand, and four served a scripted request by functions of their own with the same content.

No test or assertion changes.

--- a/src/connection/parse_peer_message_test.ts
+++ b/src/connection/parse_peer_message_test.ts
@@ -1,12 +1,10 @@
 /** Messages from other entries: valid ones, and any other bytes. */
 
-import { performance } from "node:perf_hooks";
 import fc from "fast-check";
 import { Packr } from "msgpackr";
 import { expect, test } from "vitest";
+import { createEmptyRelay, createServer } from "../../tests/relay/scripted.ts";
 import type { EntryId, ObjectRevision } from "../ids.ts";
-import { Relay } from "../process/relay.ts";
-import { Fencing, ObjectKind } from "../version/types.ts";
 import { parsePeerMessage } from "./parse_peer_message.ts";
 import {
   type GossipDigest,
@@ -49,37 +47,15 @@
     {
       name: "i-1",
       revision: 5 as ObjectRevision,
-      server: {
-        kind: ObjectKind.BackendServer,
-        name: "i-1",
+      server: createServer("i-1", {
         address: "10.0.0.9:8080",
-        zone: "a",
-        service: "s",
-        slots: 4,
-        fencing: Fencing.Ignored,
-        isLeaving: false,
         startedMs: 17,
-      },
+      }),
     },
     { name: "i-2", revision: 6 as ObjectRevision, server: null },
   ],
 };
 
-function createRelay(): Relay {
-  return Relay.create({
-    entry: "entry-1" as EntryId,
-    log: () => undefined,
-    fetchReport: () => Promise.resolve(undefined),
-    copyKvCache: () => Promise.reject(new Error("no servers")),
-    releaseKvCopy: () => Promise.resolve(),
-    now: () => performance.now(),
-    random: () => 0,
-    retryRatio: 1,
-    retryAllowance: 1,
-    retryWindowMs: 1_000,
-  });
-}
-
 /** Yields copies of a value with one part replaced, for each of its parts. */
 function* replaceEachPart(
   value: unknown,
@@ -113,7 +89,7 @@
   for (const message of messages) {
     expect(parsePeerMessage(PACKER.pack(message))).toEqual(message);
   }
-  const digest = createRelay().createDigest();
+  const digest = createEmptyRelay().createDigest();
   expect(parsePeerMessage(packMessage(digest))).toEqual(digest);
 });
 
@@ -146,7 +122,7 @@
 });
 
 test("a message with any part replaced is none, or can be merged", () => {
-  const relay = createRelay();
+  const relay = createEmptyRelay();
   let merged = 0;
   fc.assert(
     fc.property(fc.jsonValue(), (replacement) => {
--- a/src/process/store_sync_test.ts
+++ b/src/process/store_sync_test.ts
@@ -1,30 +1,19 @@
 /** Tests the responses to peers that request the configuration. */
 
-import { performance } from "node:perf_hooks";
 import { expect, test } from "vitest";
 import { reservePort } from "../../bench/reserve_port.ts";
+import {
+  createEmptyRelay,
+  createRouteTable,
+} from "../../tests/relay/scripted.ts";
 import type { ObjectStore, StoredObject } from "../connection/object_store.ts";
 import { PeerLink } from "../connection/peer_link.ts";
 import { hashText } from "../hashing.ts";
 import type { ContentHash, EntryId, ObjectRevision } from "../ids.ts";
-import { RouteTable } from "../version/route_table.ts";
-import { Relay } from "./relay.ts";
 import { StoreSync } from "./store_sync.ts";
 
 const HOST = "127.0.0.1";
 const REVISION = 1 as ObjectRevision;
-const ROUTES = RouteTable.create({
-  version: 1,
-  routes: [],
-  services: [],
-  customers: undefined,
-  limits: {
-    headerMaxBytes: 1,
-    bodyMaxBytes: 1,
-    headerTimeoutMs: 1,
-    idleTimeoutMs: 1,
-  },
-});
 
 /** A store that holds one object of each kind and never changes. */
 function createStore(spec: unknown): ObjectStore {
@@ -46,18 +35,7 @@
 }
 
 async function startStoreSync(spec: unknown) {
-  const relay = Relay.create({
-    entry: "entry-1" as EntryId,
-    log: () => undefined,
-    fetchReport: () => Promise.resolve(undefined),
-    copyKvCache: () => Promise.reject(new Error("no servers")),
-    releaseKvCopy: () => Promise.resolve(),
-    now: () => performance.now(),
-    random: () => 0,
-    retryRatio: 1,
-    retryAllowance: 1,
-    retryWindowMs: 1_000,
-  });
+  const relay = createEmptyRelay();
   const peerPort = await reservePort();
   const storeSync = StoreSync.create({
     entry: "entry-1" as EntryId,
@@ -65,7 +43,11 @@
     peerPort,
     deployment: "deployment",
     objects: createStore(spec),
-    configuration: { kind: "config", name: "main", parse: () => ROUTES },
+    configuration: {
+      kind: "config",
+      name: "main",
+      parse: () => createRouteTable(1),
+    },
     servers: { kind: "servers", parse: () => undefined },
     heartbeatMs: 1_200,
     relay,
--- a/tests/relay/begun_stream_test.ts
+++ b/tests/relay/begun_stream_test.ts
@@ -1,35 +1,18 @@
 /** Tests that a response that has begun is not ended while time remains. */
 
 import { expect, test } from "vitest";
-import type { ProxyRequest } from "../../src/request/proxy_request.ts";
-import { serveRequest } from "../../src/request/serve_request.ts";
-import type { Relay } from "../../src/process/relay.ts";
 import {
   createRelay,
-  createRequest,
   createRouteTable,
-  createScriptedOpener,
   createServer,
-  RecordedCaller,
   reportsNotRun,
   sendsEvents,
+  serveScripts,
   type ServerScript,
 } from "./scripted.ts";
 
 const SERVERS = ["a1", "b1", "c1"].map((name) => createServer(name));
 
-async function serveScripts(
-  relay: Relay,
-  scripts: readonly ServerScript[],
-  changes: Partial<ProxyRequest> = {},
-) {
-  const { open, targets } = createScriptedOpener(scripts);
-  const caller = RecordedCaller.create();
-  const request = createRequest(changes);
-  await serveRequest(relay.context, { request, caller, open });
-  return { caller, targets, tookMs: performance.now() - request.receivedMs };
-}
-
 test("a begun stream that busy servers decline waits for room beyond the limit of attempts", async () => {
   const declined = Array.from({ length: 6 }, () => reportsNotRun());
   const { caller, targets } = await serveScripts(
--- a/tests/relay/held_off_refusal_test.ts
+++ b/tests/relay/held_off_refusal_test.ts
@@ -6,73 +6,33 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect, test } from "vitest";
 import { FailureCause, RequestErrorType } from "../../src/errors.ts";
-import type { Relay } from "../../src/process/relay.ts";
-import {
-  type ProxyRequest,
-  RequestKind,
-} from "../../src/request/proxy_request.ts";
-import { serveRequest } from "../../src/request/serve_request.ts";
+import { RequestKind } from "../../src/request/proxy_request.ts";
+import { KINDS, LONG_MS, PLAIN_SERVERS, serversFor } from "./held_off.ts";
 import {
   createRelay,
-  createRequest,
-  createScriptedOpener,
-  createServer,
   failsWith,
-  PLAIN_SERVICE,
-  RecordedCaller,
   rejectsWithPause,
   reportsNotRun,
   responds,
   sendsEvents,
-  type ServerScript,
+  serveScripts,
 } from "./scripted.ts";
 
-const ENGINES = ["a1", "b1"].map((name) => createServer(name));
-const PLAIN_SERVERS = ["a1", "b1"].map((name) =>
-  createServer(name, { service: PLAIN_SERVICE })
-);
-const LONG_MS = 30_000;
 /** Time within which a request counts as refused at once, in ms. */
 const AT_ONCE_MS = 150;
-const KINDS = Object.values(RequestKind);
 const FULL_LOAD = { requests: 100, tokens: 0, unreadTokens: 0 };
 
-async function serve(
-  relay: Relay,
-  scripts: readonly ServerScript[],
-  changes: Partial<ProxyRequest> = {},
-) {
-  const { open, targets } = createScriptedOpener(scripts);
-  const caller = RecordedCaller.create();
-  const startMs = performance.now();
-  await serveRequest(relay.context, {
-    request: createRequest(changes),
-    caller,
-    open,
-  });
-  return {
-    refusal: caller.refusal,
-    status: caller.status,
-    names: targets.map(({ server }) => server.name),
-    tookMs: performance.now() - startMs,
-  };
-}
-
-function serversFor(kind: RequestKind) {
-  return kind === RequestKind.Stream ? ENGINES : PLAIN_SERVERS;
-}
-
 test.for(KINDS)(
   "a %s request is refused at once with the earliest end when all servers have a pause",
   async (kind) => {
     const relay = createRelay(serversFor(kind));
-    const first = await serve(
+    const first = await serveScripts(
       relay,
       [rejectsWithPause(LONG_MS), rejectsWithPause(LONG_MS / 2)],
       { kind },
     );
-    const second = await serve(relay, [], { kind });
-    for (const { refusal, tookMs } of [first, second]) {
+    const second = await serveScripts(relay, [], { kind });
+    for (const { caller: { refusal }, tookMs } of [first, second]) {
       expect(refusal?.type).toBe(RequestErrorType.NotRun);
       expect(refusal?.retryAfterS).toBeGreaterThan(LONG_MS / 2_000 - 1);
       expect(refusal?.retryAfterS).toBeLessThanOrEqual(LONG_MS / 2_000);
@@ -84,7 +44,7 @@
 
 test("a call that may have run is not refused as not run when the other server has a pause", async () => {
   const relay = createRelay(PLAIN_SERVERS);
-  const { refusal, tookMs } = await serve(
+  const { caller: { refusal }, tookMs } = await serveScripts(
     relay,
     [failsWith(FailureCause.Closed), rejectsWithPause(LONG_MS)],
     { kind: RequestKind.Idempotent },
@@ -101,10 +61,10 @@
     if (server === undefined) throw new Error("no server");
     const relay = createRelay([server]);
     relay.servers.begin(server.name, FULL_LOAD);
-    const served = serve(relay, [], { kind });
+    const served = serveScripts(relay, [], { kind });
     await sleep(50);
     relay.servers.holdOff(server, LONG_MS);
-    const { refusal, tookMs } = await served;
+    const { caller: { refusal }, tookMs } = await served;
     expect(refusal?.type).toBe(RequestErrorType.NotRun);
     expect(refusal?.retryAfterS).toBeGreaterThan(LONG_MS / 1_000 - 1);
     expect(tookMs).toBeLessThan(50 + AT_ONCE_MS);
@@ -117,10 +77,10 @@
   if (held === undefined || full === undefined) throw new Error("no servers");
   relay.servers.begin(full.name, FULL_LOAD);
   relay.servers.holdOff(held, LONG_MS);
-  const served = serve(relay, [], { kind: RequestKind.Idempotent });
+  const served = serveScripts(relay, [], { kind: RequestKind.Idempotent });
   await sleep(50);
   relay.servers.delete(full.name);
-  const { refusal, tookMs } = await served;
+  const { caller: { refusal }, tookMs } = await served;
   expect(refusal?.type).toBe(RequestErrorType.NotRun);
   expect(tookMs).toBeLessThan(50 + AT_ONCE_MS);
 });
@@ -134,7 +94,7 @@
     const relay = createRelay(serversFor(kind), {
       fetchReport: () => Promise.reject(new Error("no response")),
     });
-    const { names, status } = await serve(relay, [
+    const { caller: { status }, names } = await serveScripts(relay, [
       script,
       rejectsWithPause(LONG_MS),
       kind === RequestKind.Stream ? sendsEvents(1, 1, "whole") : responds(200),
@@ -149,7 +109,7 @@
   if (held === undefined || full === undefined) throw new Error("no servers");
   const relay = createRelay(PLAIN_SERVERS);
   relay.servers.holdOff(held, LONG_MS);
-  const { names, status } = await serve(
+  const { caller: { status }, names } = await serveScripts(
     relay,
     [reportsNotRun(), responds(200)],
     { kind: RequestKind.NonIdempotent },
--- a/tests/relay/held_off_server_test.ts
+++ b/tests/relay/held_off_server_test.ts
@@ -12,12 +12,15 @@
   HoldOffRequested,
   RequestErrorType,
 } from "../../src/errors.ts";
-import type { Relay } from "../../src/process/relay.ts";
-import {
-  type ProxyRequest,
-  RequestKind,
-} from "../../src/request/proxy_request.ts";
+import { RequestKind } from "../../src/request/proxy_request.ts";
 import { serveRequest } from "../../src/request/serve_request.ts";
+import {
+  ENGINES,
+  KINDS,
+  LONG_MS,
+  PLAIN_SERVERS,
+  serversFor,
+} from "./held_off.ts";
 import {
   createRelay,
   createRequest,
@@ -26,20 +29,14 @@
   failsWith,
   Pause,
   pausesFor,
-  PLAIN_SERVICE,
   RecordedCaller,
   rejectsWithPause,
   responds,
   sendsEvents,
   type ServerScript,
+  serveScripts,
 } from "./scripted.ts";
 
-const ENGINES = ["a1", "b1"].map((name) => createServer(name));
-const PLAIN_SERVERS = ["a1", "b1"].map((name) =>
-  createServer(name, { service: PLAIN_SERVICE })
-);
-const LONG_MS = 30_000;
-const KINDS = Object.values(RequestKind);
 const REPORT: ServerReport = {
   startedMs: 1,
   waiting: 0,
@@ -47,30 +44,6 @@
   runs: new Map(),
 };
 
-async function serve(
-  relay: Relay,
-  scripts: readonly ServerScript[],
-  changes: Partial<ProxyRequest> = {},
-) {
-  const { open, targets } = createScriptedOpener(scripts);
-  const caller = RecordedCaller.create();
-  const startMs = performance.now();
-  await serveRequest(relay.context, {
-    request: createRequest(changes),
-    caller,
-    open,
-  });
-  return {
-    caller,
-    names: targets.map(({ server }) => server.name),
-    tookMs: performance.now() - startMs,
-  };
-}
-
-function serversFor(kind: RequestKind) {
-  return kind === RequestKind.Stream ? ENGINES : PLAIN_SERVERS;
-}
-
 function answerTo(kind: RequestKind): ServerScript {
   return kind === RequestKind.Stream
     ? sendsEvents(1, 2, "whole")
@@ -79,7 +52,7 @@
 
 test.for(KINDS)("a server in its pause gets no %s requests", async (kind) => {
   const relay = createRelay(serversFor(kind));
-  const { names: [held = ""] } = await serve(
+  const { names: [held = ""] } = await serveScripts(
     relay,
     [rejectsWithPause(LONG_MS), answerTo(kind)],
     { kind },
@@ -87,7 +60,7 @@
   // Longer than a rejection without a pause is in effect.
   await sleep(100);
   for (let at = 0; at < 5; at++) {
-    const { caller, names } = await serve(relay, [answerTo(kind)], {
+    const { caller, names } = await serveScripts(relay, [answerTo(kind)], {
       kind,
       promptKey: `prompt-${at}`,
     });
@@ -103,7 +76,7 @@
     const [server] = serversFor(kind);
     if (server === undefined) throw new Error("no server");
     const relay = createRelay([server]);
-    const { caller, tookMs } = await serve(
+    const { caller, tookMs } = await serveScripts(
       relay,
       [rejectsWithPause(pauseMs), answerTo(kind)],
       { kind },
@@ -116,7 +89,7 @@
 test("a begun stream waits until the earliest server is free", async () => {
   const pauseMs = 700;
   const relay = createRelay(ENGINES);
-  const { caller, names, tookMs } = await serve(relay, [
+  const { caller, names, tookMs } = await serveScripts(relay, [
     sendsEvents(1, 2, "cut"),
     rejectsWithPause(pauseMs),
     sendsEvents(3, 4, "whole"),
@@ -134,7 +107,7 @@
       return Promise.reject(new HoldOffRequested(LONG_MS));
     },
   });
-  const { caller, names } = await serve(
+  const { caller, names } = await serveScripts(
     relay,
     [pausesFor(2_000, Pause.BetweenEvents)],
   );
@@ -154,7 +127,7 @@
     }];
     const relay = createRelay(servers);
     let reserved = "";
-    const { caller, names } = await serve(relay, [
+    const { caller, names } = await serveScripts(relay, [
       async (target) => {
         target.onSent();
         await new Promise<void>((resolve) =>
@@ -217,7 +190,7 @@
     },
   });
   const request = createRequest({ kind: RequestKind.NonIdempotent });
-  const { caller } = await serve(relay, [
+  const { caller } = await serveScripts(relay, [
     async (target) => {
       target.onHoldOff(LONG_MS);
       await relay.context.reports.fetch(server);
@@ -267,7 +240,10 @@
 
 test("each response that asks for a pause is counted", async () => {
   const relay = createRelay(PLAIN_SERVERS);
-  await serve(relay, [rejectsWithPause(LONG_MS), rejectsWithPause(LONG_MS)], {
+  await serveScripts(relay, [
+    rejectsWithPause(LONG_MS),
+    rejectsWithPause(LONG_MS),
+  ], {
     kind: RequestKind.Idempotent,
   });
   const { registry } = relay.context.metrics;
--- a/tests/relay/leaving_server_test.ts
+++ b/tests/relay/leaving_server_test.ts
@@ -29,6 +29,7 @@
   responds,
   sendsEvents,
   type ServerScript,
+  serveScripts,
 } from "./scripted.ts";
 
 const LATE_MS = 100_000;
@@ -57,16 +58,12 @@
   return ["a1", "b1"].map((name) => createServer(name, { service }));
 }
 
-async function serve(
+function serve(
   relay: Relay,
   kind: RequestKind,
   scripts: readonly ServerScript[],
 ) {
-  const { open, targets } = createScriptedOpener(scripts);
-  const caller = RecordedCaller.create();
-  const request = createRequest({ kind });
-  await serveRequest(relay.context, { request, caller, open });
-  return { caller, names: targets.map(({ server }) => server.name) };
+  return serveScripts(relay, scripts, { kind });
 }
 
 const { Stream, Idempotent, NonIdempotent } = RequestKind;
--- a/tests/relay/scripted.ts
+++ b/tests/relay/scripted.ts
@@ -27,6 +27,7 @@
   RequestKind,
 } from "../../src/request/proxy_request.ts";
 import type { KvCopier } from "../../src/request/kv_copy_manager.ts";
+import { serveRequest } from "../../src/request/serve_request.ts";
 import {
   type RoutedService,
   RouteTable,
@@ -102,20 +103,17 @@
   readonly retryWindowMs?: number;
 }
 
-/** Returns a relay with `servers` in its server list. */
-export function createRelay(
-  servers: readonly RegisteredServer[],
-  {
-    entry = "entry-1" as EntryId,
-    fetchReport = () => Promise.reject(new Error("test sets no fetchReport")),
-    copyKvCache = () => Promise.reject(new Error("test sets no copyKvCache")),
-    onStreamPlaced = () => undefined,
-    now = () => performance.now(),
-    retryAllowance,
-    retryWindowMs = 10_000,
-  }: ScriptedRelay = {},
-): Relay {
-  const relay = Relay.create({
+/** Returns a relay without a configuration and without servers. */
+export function createEmptyRelay({
+  entry = "entry-1" as EntryId,
+  fetchReport = () => Promise.reject(new Error("test sets no fetchReport")),
+  copyKvCache = () => Promise.reject(new Error("test sets no copyKvCache")),
+  onStreamPlaced = () => undefined,
+  now = () => performance.now(),
+  retryAllowance,
+  retryWindowMs = 10_000,
+}: ScriptedRelay = {}): Relay {
+  return Relay.create({
     entry,
     log: () => undefined,
     fetchReport,
@@ -128,6 +126,14 @@
     retryWindowMs,
     onStreamPlaced,
   });
+}
+
+/** Returns a relay with `servers` in its server list. */
+export function createRelay(
+  servers: readonly RegisteredServer[],
+  options: ScriptedRelay = {},
+): Relay {
+  const relay = createEmptyRelay(options);
   relay.adopt(createRouteTable(1), "test");
   relay.replaceServerList(
     servers.map((server, index) => ({
@@ -239,6 +245,25 @@
   };
 }
 
+/** Serves a request with `scripts` in turn; returns how that went. */
+export async function serveScripts(
+  relay: Relay,
+  scripts: readonly ServerScript[],
+  changes: Partial<ProxyRequest> = {},
+) {
+  const { open, targets } = createScriptedOpener(scripts);
+  const caller = RecordedCaller.create();
+  const startMs = performance.now();
+  const request = createRequest(changes);
+  await serveRequest(relay.context, { request, caller, open });
+  return {
+    caller,
+    targets,
+    names: targets.map(({ server }) => server.name),
+    tookMs: performance.now() - startMs,
+  };
+}
+
 /** A server that sends events `from` to `to` and then ends as `end` specifies. */
 export function sendsEvents(
   from: number,
