Share the platform of tests with one entry

Four tests started the stand-in platform, its store client and an entry, recorded the entry's log and sent calls, each by the same code.

LocalPlatform of tests/local_platform.ts does that. Every assertion is kept; that on event 3007 now reads the number from the event under which the line was found. A call's client timeout is one second past its deadline, as in the tests of pauses; in two others it was 6 and 9 s and is 5 and 7 s.

--- a/tests/held_off_server_test.ts
+++ b/tests/held_off_server_test.ts
@@ -6,14 +6,9 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { Child } from "../bench/child.ts";
-import { LocalCluster } from "../bench/local_cluster.ts";
-import type { PlatformEntry } from "../platform/entry.ts";
-import { HttpObjectStore } from "../platform/http_object_store.ts";
-import { callHttp } from "../src/connection/http_call.ts";
 import { LOG_EVENTS } from "../src/process/log_events.ts";
-import type { LogDetails } from "../src/process/log.ts";
 import type { Arrival } from "../standins/arrival.ts";
-import { startLocalEntry } from "./local_platform_entry.ts";
+import { LIMITS, LocalPlatform } from "./local_platform.ts";
 
 const ROUTE_KINDS = ["idempotent", "non_idempotent", "streaming"];
 const CONFIGURATION = {
@@ -31,12 +26,7 @@
     maxAttempts: 3,
   })),
   services: [{ name: "engines", healthPath: "/healthz" }],
-  limits: {
-    maxHeaderBytes: 8_192,
-    maxBodyBytes: 65_536,
-    headerTimeoutMs: 3_000,
-    idleTimeoutMs: 15_000,
-  },
+  limits: LIMITS,
 };
 const PATHS = ["/idempotent/", "/non_idempotent/", "/stream/?events=2"];
 /** Requests of one entry that may reach a server within a pause. */
@@ -47,35 +37,19 @@
 /** Time within which a request counts as refused at once, in ms. */
 const AT_ONCE_MS = 300;
 
-let cluster: LocalCluster;
-let store: HttpObjectStore;
-let entry: PlatformEntry;
-let address: string;
+let platform: LocalPlatform;
 let runners: Child[];
-let logged: { readonly event: number; readonly details: LogDetails }[];
 
 beforeEach(async () => {
-  cluster = await LocalCluster.create({ engines: 0, entries: 0 });
-  store = HttpObjectStore.create({
-    address: cluster.platform.address,
-    timeoutMs: 1_000,
-  });
+  platform = await LocalPlatform.create();
   runners = [];
-  logged = [];
   for (const name of ["i-1", "i-2"]) await addRunner(name);
-  await store.create("config", { name: "main", spec: CONFIGURATION });
-  const started = await startLocalEntry("entry-1", cluster.platform.address, {
-    log: ({ number }, details = {}) => logged.push({ event: number, details }),
-  });
-  ({ entry, address } = started);
-  await expect.poll(() => entry.isReady, { timeout: 5_000 }).toBe(true);
+  await platform.startEntry(CONFIGURATION);
 });
 
 afterEach(async () => {
-  await entry.close();
-  store.close();
+  await platform.close();
   for (const runner of runners) await runner.kill();
-  await cluster.close();
 });
 
 /** Starts a backend server and registers it. */
@@ -83,7 +57,7 @@
   const runner = await Child.create({ module: "standins/runner.js", args: [] });
   runners.push(runner);
   await runner.control({ id: name });
-  await store.create("servers", {
+  await platform.store.create("servers", {
     name,
     spec: {
       service: "engines",
@@ -105,17 +79,7 @@
 
 async function send(path: string) {
   const startMs = performance.now();
-  const { status, headers, body } = await callHttp({
-    address,
-    method: "POST",
-    path,
-    headers: {
-      host: "a.example",
-      "x-request-id": crypto.randomUUID(),
-      "x-deadline-ms": "6000",
-    },
-    timeoutMs: 7_000,
-  });
+  const { status, headers, body } = await platform.call(path);
   return {
     status,
     retryAfterS: Number(headers["retry-after"]),
@@ -163,10 +127,8 @@
   const served = (await arrivalsAt(runnerAt(0)))
     .filter(({ retryAfter }) => retryAfter === "");
   expect(served.length).toBeGreaterThan(0);
-  const { event, details } =
-    logged.find(({ event }) => event === LOG_EVENTS.serverHeldOff.number) ??
-      {};
-  expect(event).toBe(3007);
+  const [details] = platform.detailsOf(LOG_EVENTS.serverHeldOff);
+  expect(LOG_EVENTS.serverHeldOff.number).toBe(3007);
   expect(details).toMatchObject({ server: "i-1", stated_ms: 2_200 });
 });
 
@@ -193,7 +155,7 @@
 
 test("a stream continues at a server that rejects report requests", async () => {
   await runnerAt(1).kill();
-  await store.remove("servers", { name: "i-2" });
+  await platform.store.remove("servers", { name: "i-2" });
   await runnerAt(0).control({ eventMs: 900 });
   const stream = send("/stream/?events=4");
   await expect.poll(async () => (await arrivalsAt(runnerAt(0))).length)
--- a/tests/leaving_server_test.ts
+++ b/tests/leaving_server_test.ts
@@ -6,12 +6,10 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { Child } from "../bench/child.ts";
-import { LocalCluster } from "../bench/local_cluster.ts";
-import type { PlatformEntry } from "../platform/entry.ts";
-import { HttpObjectStore } from "../platform/http_object_store.ts";
-import { callHttp, type HttpResponse } from "../src/connection/http_call.ts";
+import type { HttpResponse } from "../src/connection/http_call.ts";
 import type { LogDetails } from "../src/process/log.ts";
-import { LOG_EVENTS, type LogEvent } from "../src/process/log_events.ts";
+import { LOG_EVENTS } from "../src/process/log_events.ts";
+import { LIMITS, LocalPlatform } from "./local_platform.ts";
 import { startLocalEntry } from "./local_platform_entry.ts";
 
 const ROUTE = {
@@ -40,12 +38,7 @@
     },
   ],
   services: [{ name: "runners", healthPath: "/healthz" }],
-  limits: {
-    maxHeaderBytes: 8_192,
-    maxBodyBytes: 65_536,
-    headerTimeoutMs: 3_000,
-    idleTimeoutMs: 15_000,
-  },
+  limits: LIMITS,
 };
 const LEAVING = "i-1";
 const STAYING = "i-2";
@@ -53,12 +46,8 @@
 const LIST_DELAY_MS = 800;
 const CALLS = 30;
 
-let cluster: LocalCluster;
-let store: HttpObjectStore;
-let entry: PlatformEntry;
-let address: string;
+let platform: LocalPlatform;
 let runners: Map<string, Child>;
-let logged: { readonly event: LogEvent; readonly details: LogDetails }[];
 
 function registration(id: string, changes: object = {}) {
   return {
@@ -79,12 +68,7 @@
 }
 
 beforeEach(async () => {
-  cluster = await LocalCluster.create({ engines: 0, entries: 0 });
-  store = HttpObjectStore.create({
-    address: cluster.platform.address,
-    timeoutMs: 1_000,
-  });
-  await store.create("config", { name: "main", spec: CONFIGURATION });
+  platform = await LocalPlatform.create();
   runners = new Map();
   for (const id of [LEAVING, STAYING]) {
     const runner = await Child.create({
@@ -93,40 +77,21 @@
     });
     runners.set(id, runner);
     await runner.control({ id, callMs: 5 });
-    await store.create("servers", { name: id, spec: registration(id) });
+    await platform.store.create("servers", {
+      name: id,
+      spec: registration(id),
+    });
   }
-  logged = [];
-  const started = await startLocalEntry("entry-1", cluster.platform.address, {
-    log: (event, details = {}) => logged.push({ event, details }),
-  });
-  ({ entry, address } = started);
-  await expect.poll(() => entry.isReady, { timeout: 5_000 }).toBe(true);
+  await platform.startEntry(CONFIGURATION);
 });
 
 afterEach(async () => {
-  await entry.close();
-  store.close();
+  await platform.close();
   for (const runner of runners.values()) await runner.kill();
-  await cluster.close();
 });
 
-function detailsOf(event: LogEvent): readonly LogDetails[] {
-  return logged.filter((line) => line.event === event)
-    .map(({ details }) => details);
-}
-
 function request(path: string): Promise<HttpResponse> {
-  return callHttp({
-    address,
-    method: "GET",
-    path,
-    headers: {
-      host: "a.example",
-      "x-request-id": crypto.randomUUID(),
-      "x-deadline-ms": "6000",
-    },
-    timeoutMs: 9_000,
-  });
+  return platform.call(path, { method: "GET" });
 }
 
 async function runCount(id: string): Promise<number> {
@@ -169,12 +134,12 @@
   { name: "announces leaving in a stream's head", path: "/stream/x?events=3" },
   {
     name: "announces leaving before the store is down",
-    meanwhile: () => cluster.platform.control({ outage: true }),
+    meanwhile: () => platform.cluster.platform.control({ outage: true }),
   },
   {
     name: "is listed as ready once more",
     meanwhile: () =>
-      store.replace("servers", {
+      platform.store.replace("servers", {
         name: LEAVING,
         spec: registration(LEAVING, { sequence: 2 }),
       }),
@@ -182,9 +147,9 @@
   {
     name: "is removed from the list and returns to it",
     meanwhile: async () => {
-      await store.remove("servers", { name: LEAVING });
+      await platform.store.remove("servers", { name: LEAVING });
       await sleep(LIST_DELAY_MS);
-      await store.create("servers", {
+      await platform.store.create("servers", {
         name: LEAVING,
         spec: registration(LEAVING),
       });
@@ -199,7 +164,7 @@
     await meanwhile?.();
     await sleep(LIST_DELAY_MS);
     expect(await countFurtherRuns()).toEqual(ONLY_STAYING);
-    expect(detailsOf(LOG_EVENTS.serverDraining))
+    expect(platform.detailsOf(LOG_EVENTS.serverDraining))
       .toEqual([{ server: LEAVING, source: "answer" }]);
   },
 );
@@ -217,13 +182,13 @@
   );
   expect(begun).toBeGreaterThan(0);
   expect(bodies).toEqual(Array(6).fill(60));
-  expect(detailsOf(LOG_EVENTS.attemptFailed)).toEqual([]);
+  expect(platform.detailsOf(LOG_EVENTS.attemptFailed)).toEqual([]);
 });
 
 test("a server that has started again gets requests although its last start left", async () => {
   await requestUntilLeaving("/call/x");
   await runnerOf(LEAVING).control({ isLeaving: false });
-  await store.replace("servers", {
+  await platform.store.replace("servers", {
     name: LEAVING,
     spec: registration(LEAVING, { born: 2 }),
   });
@@ -236,7 +201,7 @@
   const learned: LogDetails[] = [];
   const { entry: peer } = await startLocalEntry(
     "entry-2",
-    cluster.platform.address,
+    platform.cluster.platform.address,
     {
       log: (event, details = {}) => {
         if (event === LOG_EVENTS.serverDraining) learned.push(details);
@@ -244,7 +209,8 @@
     },
   );
   try {
-    const hasPeer = () => detailsOf(LOG_EVENTS.peerConnected).length > 0;
+    const hasPeer = () =>
+      platform.detailsOf(LOG_EVENTS.peerConnected).length > 0;
     await expect.poll(hasPeer, { timeout: 8_000 }).toBe(true);
     await requestUntilLeaving("/call/x");
     await expect.poll(() => learned, { timeout: 2_000 })
--- a/tests/odd_registration_test.ts
+++ b/tests/odd_registration_test.ts
@@ -6,14 +6,10 @@
 import { createServer, type Server } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import { LocalCluster } from "../bench/local_cluster.ts";
-import type { PlatformEntry } from "../platform/entry.ts";
-import { HttpObjectStore } from "../platform/http_object_store.ts";
-import { callHttp } from "../src/connection/http_call.ts";
 import { listen } from "../src/connection/http_server.ts";
 import { LOG_EVENTS } from "../src/process/log_events.ts";
-import type { LogDetails } from "../src/process/log.ts";
 import { ENTRY_KIND } from "../src/process/membership.ts";
+import { LIMITS, LocalPlatform } from "./local_platform.ts";
 import { HOST, startLocalEntry } from "./local_platform_entry.ts";
 
 const CONFIGURATION = {
@@ -30,15 +26,9 @@
     maxAttempts: 2,
   })),
   services: [{ name: "engines", healthPath: "/healthz" }],
-  limits: {
-    maxHeaderBytes: 8_192,
-    maxBodyBytes: 65_536,
-    headerTimeoutMs: 3_000,
-    idleTimeoutMs: 15_000,
-  },
+  limits: LIMITS,
 };
 
-const PEER_CONNECTED = LOG_EVENTS.peerConnected.number;
 /** Calls to this path are answered once `holdsCalls` is false. */
 const HELD_PATH = "/non_idempotent/held";
 const INVALID_NAME = "i-invalid";
@@ -51,40 +41,24 @@
   born: 1,
 };
 
-let cluster: LocalCluster;
-let store: HttpObjectStore;
-let entry: PlatformEntry;
-let address: string;
+let platform: LocalPlatform;
 let servers: Server[];
 let holdsCalls: boolean;
-let logged: { readonly event: number; readonly details: LogDetails }[];
 
 beforeEach(async () => {
-  cluster = await LocalCluster.create({ engines: 0, entries: 0 });
-  store = HttpObjectStore.create({
-    address: cluster.platform.address,
-    timeoutMs: 1_000,
-  });
+  platform = await LocalPlatform.create();
   servers = [];
   holdsCalls = false;
-  logged = [];
   await addServer("i-1");
-  await store.create("config", { name: "main", spec: CONFIGURATION });
-  const started = await startLocalEntry("entry-1", cluster.platform.address, {
-    log: ({ number }, details = {}) => logged.push({ event: number, details }),
-  });
-  ({ entry, address } = started);
-  await expect.poll(() => entry.isReady, { timeout: 5_000 }).toBe(true);
+  await platform.startEntry(CONFIGURATION);
 });
 
 afterEach(async () => {
-  await entry.close();
-  store.close();
+  await platform.close();
   for (const server of servers) {
     server.close();
     server.closeAllConnections();
   }
-  await cluster.close();
 });
 
 /** Starts a backend server and registers it; it answers with its name. */
@@ -100,7 +74,7 @@
   });
   servers.push(server);
   const port = await listen(server, HOST, 0);
-  await store.create("servers", {
+  await platform.store.create("servers", {
     name,
     spec: { ...USABLE, address: `${HOST}:${port}` },
   });
@@ -108,17 +82,7 @@
 
 /** Makes a call; returns its status and the name of the server. */
 async function call(path: string): Promise<string> {
-  const { status, body } = await callHttp({
-    address,
-    method: "POST",
-    path,
-    headers: {
-      host: "a.example",
-      "x-request-id": crypto.randomUUID(),
-      "x-deadline-ms": "4000",
-    },
-    timeoutMs: 6_000,
-  });
+  const { status, body } = await platform.call(path, { deadlineMs: 4_000 });
   return `${status} ${body}`;
 }
 
@@ -144,7 +108,7 @@
 /** Adds an item to the list of registrations; a string is sent unchanged. */
 async function injectRegistration(item: string | object): Promise<void> {
   const rawServers = [typeof item === "string" ? item : JSON.stringify(item)];
-  await cluster.platform.control({ rawServers });
+  await platform.cluster.platform.control({ rawServers });
 }
 
 function registration(changes: object, metadata: object = {}): object {
@@ -213,7 +177,7 @@
       await injectRegistration(item);
       await sleep(400);
       await addServer("i-2");
-      await store.remove("servers", { name: "i-1" });
+      await platform.store.remove("servers", { name: "i-1" });
       await expect.poll(() => call("/idempotent/c"), { timeout: 5_000 })
         .toBe("200 i-2");
       await sleep(200);
@@ -224,9 +188,8 @@
     const statuses = [...await responses].map((text) => text.slice(0, 3));
     expect([...new Set(statuses)]).toEqual(["200"]);
     expect(await call("/non_idempotent/c")).toBe("200 i-2");
-    const fields = logged
-      .filter(({ event }) => event === LOG_EVENTS.registrationUnusable.number)
-      .map(({ details }) => details.field);
+    const fields = platform.detailsOf(LOG_EVENTS.registrationUnusable)
+      .map(({ field }) => field);
     expect(fields).toEqual(field === undefined ? [] : [field]);
   },
 );
@@ -234,16 +197,22 @@
 test("entries exchange digests despite an entry registered at a port out of range", async () => {
   for (const invalid of ["127.0.0.1:99999", "", "no address"]) {
     const name = `entry-invalid-${invalid}`;
-    await store.create(ENTRY_KIND, { name, spec: { address: invalid } });
+    await platform.store.create(ENTRY_KIND, {
+      name,
+      spec: { address: invalid },
+    });
   }
-  const second = await startLocalEntry("entry-2", cluster.platform.address);
+  const second = await startLocalEntry(
+    "entry-2",
+    platform.cluster.platform.address,
+  );
   try {
     await expect.poll(
-      () => logged.filter(({ event }) => event === PEER_CONNECTED).length,
+      () => platform.detailsOf(LOG_EVENTS.peerConnected).length,
       { timeout: 8_000 },
     ).toBeGreaterThan(0);
     await addServer("i-2");
-    await store.remove("servers", { name: "i-1" });
+    await platform.store.remove("servers", { name: "i-1" });
     await expect.poll(() => call("/idempotent/c"), { timeout: 5_000 })
       .toBe("200 i-2");
   } finally {
@@ -255,7 +224,7 @@
   await addServer("i-2");
   await expect.poll(() => callRepeatedlyFor(200), { timeout: 5_000 })
     .toEqual(new Set(["200 i-1", "200 i-2"]));
-  const { spec } = await store.read("servers", "i-2") ?? {};
+  const { spec } = await platform.store.read("servers", "i-2") ?? {};
   for (
     const invalid of [{ slots: "x" }, { address: "127.0.0.1:99999" }, null]
   ) {
@@ -265,28 +234,31 @@
     holdsCalls = true;
     const held = Promise.all(Array.from({ length: 4 }, () => call(HELD_PATH)));
     await sleep(200);
-    await store.replace("servers", { name: "i-2", spec: changed });
+    await platform.store.replace("servers", { name: "i-2", spec: changed });
     await sleep(400);
     expect(await callRepeatedlyFor(300)).toEqual(new Set(["200 i-1"]));
     // Calls that it had begun before are answered.
     holdsCalls = false;
     expect(new Set(await held)).toEqual(new Set(["200 i-1", "200 i-2"]));
-    await store.replace("servers", { name: "i-2", spec });
+    await platform.store.replace("servers", { name: "i-2", spec });
     await expect.poll(() => callRepeatedlyFor(200), { timeout: 5_000 })
       .toEqual(new Set(["200 i-1", "200 i-2"]));
   }
 });
 
 test("a server is used again once a later registration at its address is gone", async () => {
-  const { spec } = await store.read("servers", "i-1") ?? {};
+  const { spec } = await platform.store.read("servers", "i-1") ?? {};
   const later = { ...spec as object, service: "other", born: 9e15 };
   for (const name of ["i-later", "i-latest"]) {
-    await store.create("servers", { name, spec: later });
+    await platform.store.create("servers", { name, spec: later });
   }
   await expect.poll(() => call("/idempotent/c"), { timeout: 8_000 })
     .toMatch(/^503/);
-  await store.remove("servers", { name: "i-later" });
-  await store.replace("servers", { name: "i-latest", spec: { slots: 0 } });
+  await platform.store.remove("servers", { name: "i-later" });
+  await platform.store.replace("servers", {
+    name: "i-latest",
+    spec: { slots: 0 },
+  });
   await expect.poll(() => call("/idempotent/c"), { timeout: 3_000 })
     .toBe("200 i-1");
 });
@@ -300,13 +272,13 @@
   const added = { ...route, name: "added", pathPrefix: "/added/" };
   const routes = [...CONFIGURATION.routes, added];
   const spec = { ...CONFIGURATION, version: 2, routes };
-  await store.replace("config", { name: "main", spec });
+  await platform.store.replace("config", { name: "main", spec });
   await expect.poll(() => call("/added/a"), { timeout: 5_000 })
     .toBe("200 i-1");
   await addServer("i-2");
-  await store.remove("servers", { name: "i-1" });
+  await platform.store.remove("servers", { name: "i-1" });
   expect(await callRepeatedlyFor(500)).toEqual(new Set(["200 i-1"]));
-  await cluster.platform.control({ rawServers: [] });
+  await platform.cluster.platform.control({ rawServers: [] });
   await expect.poll(() => call("/idempotent/c"), { timeout: 5_000 })
     .toBe("200 i-2");
 });
--- a/tests/relay/begun_stream_test.ts
+++ b/tests/relay/begun_stream_test.ts
@@ -7,8 +7,8 @@
   createServer,
   reportsNotRun,
   sendsEvents,
-  serveScripts,
   type ServerScript,
+  serveScripts,
 } from "./scripted.ts";
 
 const SERVERS = ["a1", "b1", "c1"].map((name) => createServer(name));
--- a/tests/relay/leaving_server_test.ts
+++ b/tests/relay/leaving_server_test.ts
@@ -1,6 +1,6 @@
 /**
- * Tests that what a server says of its leaving in any answer keeps new requests
- * of this entry and, by digests, of its peers away from it.
+ * Tests that a server that announces leaving in any response gets no new requests
+ * from this entry and, by digests, from its peers.
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
@@ -159,14 +159,7 @@
 test("no KV cache copy is kept on a server that announced leaving", async () => {
   const relay = createRelay(serversOf(Stream));
   relay.servers.markLeaving(createServer("b1"), DrainingSource.Answer);
-  const { open, targets } = createScriptedOpener([
-    sendsEvents(1, 1, "whole"),
-  ]);
-  await serveRequest(relay.context, {
-    request: createRequest(),
-    caller: RecordedCaller.create(),
-    open,
-  });
+  const { targets } = await serve(relay, Stream, [sendsEvents(1, 1, "whole")]);
   expect(targets[0]?.server.name).toBe("a1");
   expect(targets[0]?.backupServer).toBeUndefined();
 });
@@ -180,19 +173,18 @@
   for (const server of isListed ? [] : servers) {
     relay.servers.markLeaving(server, DrainingSource.Answer);
   }
-  const startMs = performance.now();
-  const { caller } = await serve(relay, kind, []);
-  return { refusal: caller.refusal, tookMs: performance.now() - startMs };
+  const { caller: { refusal }, tookMs } = await serve(relay, kind, []);
+  return { refusal, tookMs };
 }
 
 test.for([Idempotent, NonIdempotent, Stream])(
   "a request is refused as not run when all servers announced leaving: %s",
   async (kind) => {
     const listed = await refuse(kind, true);
-    const said = await refuse(kind, false);
-    expect(said.refusal?.type).toBe("not_run");
-    expect(said.refusal?.message).toBe(listed.refusal?.message);
-    expect(said.tookMs).toBeLessThan(DEADLINE_MS);
+    const announced = await refuse(kind, false);
+    expect(announced.refusal?.type).toBe("not_run");
+    expect(announced.refusal?.message).toBe(listed.refusal?.message);
+    expect(announced.tookMs).toBeLessThan(DEADLINE_MS);
   },
 );
 
--- a/tests/silent_server_test.ts
+++ b/tests/silent_server_test.ts
@@ -14,11 +14,9 @@
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import { LocalCluster } from "../bench/local_cluster.ts";
-import type { PlatformEntry } from "../platform/entry.ts";
-import { HttpObjectStore } from "../platform/http_object_store.ts";
 import { splitAddress } from "../src/connection/http_call.ts";
-import { HOST, startLocalEntry } from "./local_platform_entry.ts";
+import { LocalPlatform } from "./local_platform.ts";
+import { HOST } from "./local_platform_entry.ts";
 
 const SILENCE_MS = 1_300;
 /** Time from the arrival of a request to the silence, in ms. */
@@ -54,9 +52,7 @@
 const OTHER_ROUTE = { ...ROUTES[3], service: "others", pathPrefix: "/other/" };
 const OTHER_SERVICE = { name: "others" };
 
-let cluster: LocalCluster;
-let store: HttpObjectStore;
-let entry: PlatformEntry;
+let platform: LocalPlatform;
 let port: number;
 let server: Server;
 let received: string[];
@@ -91,15 +87,11 @@
 beforeEach(async () => {
   received = [];
   silenceEndMs = 0;
-  cluster = await LocalCluster.create({ engines: 0, entries: 0 });
-  store = HttpObjectStore.create({
-    address: cluster.platform.address,
-    timeoutMs: 1_000,
-  });
+  platform = await LocalPlatform.create();
   server = createServer(respond);
   await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
   const address = `${HOST}:${(server.address() as AddressInfo).port}`;
-  await store.create("servers", {
+  await platform.store.create("servers", {
     name: "i-1",
     spec: {
       service: "engines",
@@ -110,19 +102,14 @@
       born: 1,
     },
   });
-  await store.create("config", { name: "main", spec: CONFIGURATION });
-  const started = await startLocalEntry("entry-1", cluster.platform.address);
-  entry = started.entry;
-  ({ port } = splitAddress(started.address));
-  await expect.poll(() => entry.isReady, { timeout: 5_000 }).toBe(true);
+  await platform.startEntry(CONFIGURATION);
+  ({ port } = splitAddress(platform.address));
 });
 
 afterEach(async () => {
-  await entry.close();
-  store.close();
+  await platform.close();
   server.close();
   server.closeAllConnections();
-  await cluster.close();
 });
 
 /** Sends a request; returns the path, the status and the ids of the events. */
@@ -183,7 +170,7 @@
     await expect.poll(() => received.length).toBe(PATHS.length);
     silenceEndMs = performance.now() + BEFORE_SILENCE_MS + SILENCE_MS;
     await sleep(BEFORE_SILENCE_MS + 100);
-    await store.replace("config", {
+    await platform.store.replace("config", {
       name: "main",
       spec: { ...CONFIGURATION, version: 2, ...spec },
     });
