--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -27,7 +27,7 @@
   readonly registry = new Registry();
   readonly requests = new Counter({
     name: "gypsumridge_requests_total",
-    help: "Requests by how they ended",
+    help: "Requests by outcome",
     labelNames: ["service", "rank", "outcome"],
     registers: [this.registry],
   });
@@ -45,13 +45,13 @@
   });
   readonly attemptFailures = new Counter({
     name: "gypsumridge_attempt_losses_total",
-    help: "Attempts lost by cause",
+    help: "Failed attempts by cause",
     labelNames: ["cause"],
     registers: [this.registry],
   });
   readonly resumeSeconds = new Histogram({
     name: "gypsumridge_resume_seconds",
-    help: "Time from the loss of an attempt to the next token",
+    help: "Time from the failure of an attempt to the next token",
     buckets: LATENCY_BUCKETS_S,
     registers: [this.registry],
   });
@@ -68,7 +68,7 @@
 
   readonly servingServers = new Gauge({
     name: "gypsumridge_serving_servers",
-    help: "Backend servers that may get new work",
+    help: "Backend servers that may get new requests",
     registers: [this.registry],
   });
 
--- a/src/process/relay_metrics.ts
+++ b/src/process/relay_metrics.ts
@@ -9,32 +9,32 @@
   readonly registry = new Registry();
   readonly orders = new Counter({
     name: "gypsumridge_orders_total",
-    help: "Orders by how they ended",
+    help: "Requests by outcome",
     labelNames: ["route", "outcome"],
     registers: [this.registry],
   });
   readonly firstByteSeconds = new Histogram({
     name: "gypsumridge_order_first_byte_seconds",
-    help: "Time from an order to the first byte of its answer",
+    help: "Time from a request to the first byte of its response",
     labelNames: ["route"],
     buckets: SECONDS_BUCKETS,
     registers: [this.registry],
   });
   readonly attemptFailures = new Counter({
     name: "gypsumridge_order_losses_total",
-    help: "Attempts lost by cause",
+    help: "Failed attempts by cause",
     labelNames: ["cause"],
     registers: [this.registry],
   });
   readonly resumeSeconds = new Histogram({
     name: "gypsumridge_order_resume_seconds",
-    help: "Time from the loss of a stream's server to its next event",
+    help: "Time from the failure of a stream's server to its next event",
     buckets: SECONDS_BUCKETS,
     registers: [this.registry],
   });
   readonly openRequests = new Gauge({
     name: "gypsumridge_open_orders",
-    help: "Orders being served",
+    help: "Requests being served",
     registers: [this.registry],
   });
   readonly configurationVersion = new Gauge({
@@ -50,7 +50,7 @@
   });
   readonly drainingServers = new Counter({
     name: "gypsumridge_servers_draining_total",
-    help: "Backend servers that became known as draining, by how",
+    help: "Backend servers that became known as draining, by source",
     labelNames: ["source"],
     registers: [this.registry],
   });
--- a/src/process/server_reports.ts
+++ b/src/process/server_reports.ts
@@ -21,7 +21,7 @@
 /**
  * Returns a fetcher that keeps the pauses of servers.
  *
- * Errors: also rejects with `ServerHeldOff` instead of asking a server that has
+ * Errors: also rejects with `ServerHeldOff` instead of calling a server that has
  * a pause, and with `HoldOffRequested` when a server asks for one.
  */
 export function keepHoldOffs(
--- a/src/process/unusable_registrations.ts
+++ b/src/process/unusable_registrations.ts
@@ -41,7 +41,7 @@
     });
   }
 
-  /** Records that a registration is usable, or gone. */
+  /** Records that a registration is usable or was removed. */
   forget(name: string): void {
     this.#fields.delete(name);
   }
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -134,10 +134,10 @@
 
 /**
  * Returns the stream that a caller's cursor names, or `undefined` when its
- * server is gone and the generation can resume on another server.
+ * server was removed and the generation can resume on another server.
  *
  * Errors: a `RequestError` of type interrupted when the generation can resume
- * only with the caller's text, or only on a server that is gone.
+ * only with the caller's text, or only on a server that was removed.
  */
 export function findCursorStream(
   { serverPool }: EntryContext,
--- a/src/request/stall_detector.ts
+++ b/src/request/stall_detector.ts
@@ -105,7 +105,7 @@
     this.#judge(report);
   }
 
-  /** Judges the run by its server's report. */
+  /** Classifies the run by its server's report. */
   #judge({ report, error }: {
     readonly report: ServerReport | undefined;
     readonly error: unknown;
--- a/tests/relay/crashing_fleet.ts
+++ b/tests/relay/crashing_fleet.ts
@@ -112,7 +112,7 @@
     return relay;
   }
 
-  /** Replaces a relay by one that knows nothing. */
+  /** Replaces a relay by one without state. */
   restartRelay(at: number): void {
     this.#relays[at] = this.#createRelay(at);
   }
--- a/tests/relay/held_off_server_test.ts
+++ b/tests/relay/held_off_server_test.ts
@@ -1,6 +1,6 @@
 /**
- * Tests that a server which asked for a pause gets nothing until its end, and
- * what its callers get meanwhile.
+ * Tests that a server which asked for a pause gets no requests until its end, and
+ * that callers are served meanwhile.
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
--- a/tests/relay/local_failure_test.ts
+++ b/tests/relay/local_failure_test.ts
@@ -1,4 +1,4 @@
-/** Tests that a failure of the entry itself is not taken for one of a server. */
+/** Tests that a failure of the entry itself is not attributed to a server. */
 
 import { expect, test } from "vitest";
 import { connectFailureOf } from "../../platform/backend_call.ts";
--- a/tests/relay/replacement_slot_test.ts
+++ b/tests/relay/replacement_slot_test.ts
@@ -58,7 +58,7 @@
   return { caller, targets, served };
 }
 
-/** Creates two servers with `slots`, of which only the first has room. */
+/** Creates two servers with `slots`, of which only the first has free slots. */
 function createServers(slots: number) {
   const servers = ["a1", "b1"].map((name) =>
     createServer(name, { service: PLAIN_SERVICE, slots: slots / 2 })
