--- a/src/request/create_refusal.ts
+++ b/src/request/create_refusal.ts
@@ -7,10 +7,10 @@
 import type { ProxyRequest } from "./proxy_request.ts";
 
 /**
- * Returns the refusal that follows from the attempts of a request. It states
- * when requests with a cause of crashes run again, when another entry can be
- * tried because this one shuts down, or when the first server's pause ends if
- * all servers have asked for one.
+ * Returns the refusal that follows from the attempts of a request. Its retry
+ * delay ends when requests with a cause of crashes run again, when another entry
+ * can be tried because this one shuts down, or when the first server's pause
+ * ends if all servers have asked for one.
  */
 export function createRefusal(
   { servers, crashCauses, shutdownAdmission, metrics, now }: RelayContext,
--- a/src/request/poison_guard.ts
+++ b/src/request/poison_guard.ts
@@ -4,19 +4,17 @@
 import type { RequestCauses } from "../process/crash_causes.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import type { AttemptRecord } from "./attempt_history.ts";
-import { causesOf, isProvenSound, poisonRejection } from "./poison_request.ts";
+import { causesOf, isHarmlessRun, poisonRejection } from "./poison_request.ts";
 import type { ProxyRequest } from "./proxy_request.ts";
 
 /** What is known of a request as a possible cause of crashes. */
 export class PoisonGuard {
   readonly #context: RelayContext;
-  readonly #request: ProxyRequest;
   readonly #causes: RequestCauses;
   #isProven = false;
 
   private constructor(context: RelayContext, request: ProxyRequest) {
     this.#context = context;
-    this.#request = request;
     this.#causes = causesOf(request);
   }
 
@@ -25,7 +23,7 @@
     return new PoisonGuard(context, request);
   }
 
-  /** Whether a run has lived so long that its start crashes no server. */
+  /** Whether a run has lasted long enough to show that it crashes no server. */
   get isProven(): boolean {
     return this.#isProven;
   }
@@ -33,7 +31,7 @@
   /** Returns why the request must no longer run, if so. */
   rejection(): RequestError | undefined {
     if (this.#isProven) return undefined;
-    return poisonRejection(this.#context, this.#request);
+    return poisonRejection(this.#context, this.#causes);
   }
 
   /** Records that the request is sent to a server. */
@@ -46,7 +44,7 @@
     const { now, crashCauses } = this.#context;
     record.eventCount += count;
     record.firstEventMs ??= now();
-    if (this.#isProven || !isProvenSound(record, now())) return;
+    if (this.#isProven || !isHarmlessRun(record, now())) return;
     this.#isProven = true;
     crashCauses.recordProof(this.#causes.parts);
   }
