Pass on no request behind a response that announces the end of its connection

Callers saw: a whole request, sent on a connection on which an earlier response was still on its way, was run by a server and got neither a response nor a refusal. In a planned stop: a stream answered with Connection: close, and a call 300 ms after it. Beside a change of the configuration that lowers the body limit: a call, a body that the limit now refuses, and a call, sent together; the 413 closed the connection on the last one. The second is the only path known here that fits the users' report to the letter.

Cause: the end of a connection is announced when a response's head is written and carried out when the response ends. In between, requests that arrived on it were parsed and passed on. Class: a decision taken once and used later.

Change: a connection remembers that its end was announced, and what arrives on it afterwards is not served.

Why it works: a request is either read before the announcement, which is then not made (in a stop the latest request alone makes it), or after it, and not passed on.

--- a/src/connection/caller_connections.ts
+++ b/src/connection/caller_connections.ts
@@ -40,6 +40,8 @@
   response: ServerResponse;
   /** Why the bytes after the latest request are none. */
   refusal?: Error;
+  /** Whether a response has announced the end of the connection. */
+  isClosing: boolean;
   /** Responses to requests that are read and not answered completely. */
   readonly open: Set<ServerResponse>;
   announcedMs: number;
@@ -104,6 +106,21 @@
     return this.#states.get(request.socket)?.request === request;
   }
 
+  /** Records that the response to a request announces the connection's end. */
+  markClosing({ socket }: IncomingMessage): void {
+    const state = this.#states.get(socket);
+    if (state !== undefined) state.isClosing = true;
+  }
+
+  /**
+   * Whether a response before a request has announced the end of its connection.
+   * The request can't get a response, so it must not be served.
+   */
+  isClosing({ socket }: IncomingMessage): boolean {
+    return socket.writableEnded ||
+      this.#states.get(socket)?.isClosing === true;
+  }
+
   #track(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
     const state = this.#states.get(socket) ?? this.#open(request, response);
@@ -127,6 +144,7 @@
       request,
       response,
       open: new Set(),
+      isClosing: false,
       announcedMs: 0,
       idleSinceMs: 0,
     };
--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -2,6 +2,7 @@
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { setImmediate } from "node:timers/promises";
 import { RequestError, RequestErrorType } from "../errors.ts";
 
 /**
@@ -30,6 +31,8 @@
   }
   if (length > limitBytes) {
     request.resume();
+    // The HTTP parser may be in the middle of what has arrived.
+    await setImmediate();
     throw new RequestError(
       RequestErrorType.TooLarge,
       `request body exceeds ${limitBytes} bytes`,
