Answer every open request before the grace period ends

Callers saw no answer at all: with a grace period of 2 or 3 s, from calls that were at their server when SIGKILL came; with any, from the second of two calls that were open on one connection at the end.

Cause: the notice to the load balancer (3.2 s) was not bounded by the deadline; requests were ended after the deregistration, which may take 100 ms; and the process exited in the turn in which it ended them, while a response on a connection is only written once the one before it is complete.

Change: the notice ends at the deadline at the latest; open requests are ended first and the entry deregisters then; the event loop turns, for 50 ms at most, until the responses are written; the margin before SIGKILL is at least 240 ms, as it was with 8 s.

--- a/src/process/graceful_shutdown.ts
+++ b/src/process/graceful_shutdown.ts
@@ -22,11 +22,13 @@
   readonly noticeMs: number;
   /** Time from the start of the shutdown for open requests to end, in ms. */
   readonly deadlineMs: number;
-  /** Called once no request is open; the wait then goes on until it settles. */
+  /** Called once no request is open, or all were ended at the deadline. */
   readonly onDrained?: () => Promise<void>;
 }
 
 const POLL_INTERVAL_MS = 20;
+/** Longest time to write the responses that end open requests, in ms. */
+const ENDING_MAX_MS = 50;
 /**
  * Short iterations of the event loop without an open request after which none
  * is on its way: one accepts a connection, the next reads from it.
@@ -69,9 +71,15 @@
     });
   }
 
-  /** Ends all requests; each is answered if its response has not begun. */
+  /**
+   * Ends the requests that have not been ended; each is answered if its response
+   * has not begun.
+   */
   endAll(): void {
-    for (const end of [...this.#endings.values()]) end();
+    for (const [response, end] of [...this.#endings]) {
+      this.#endings.set(response, () => undefined);
+      end();
+    }
   }
 }
 
@@ -86,7 +94,7 @@
   const { openRequests, log, noticeMs, deadlineMs } = options;
   const startMs = performance.now();
   log(LOG_EVENTS.shutdownRequested, { open: openRequests.count });
-  await sleep(noticeMs);
+  await sleep(Math.min(noticeMs, deadlineMs));
   const allEnded = async () => {
     let quietIterations = 0;
     while (quietIterations < QUIET_ITERATIONS) {
@@ -104,17 +112,34 @@
     }
     return true;
   };
-  let isClean = await allEnded();
+  const isClean = await allEnded();
+  if (!isClean) {
+    log(LOG_EVENTS.shutdownForced, { open: openRequests.count });
+    await endRequests(openRequests);
+  }
   try {
     await options.onDrained?.();
   } catch (error) {
     log(LOG_EVENTS.unexpectedError, { reason: messageOf(error) });
   }
   // Callers may have sent requests meanwhile.
-  isClean = await allEnded() && isClean;
-  log(isClean ? LOG_EVENTS.stopped : LOG_EVENTS.shutdownForced, {
-    open: openRequests.count,
-  });
-  openRequests.endAll();
-  return isClean;
+  const isStillClean = await allEnded() && isClean;
+  if (isClean) {
+    const event = isStillClean ? LOG_EVENTS.stopped : LOG_EVENTS.shutdownForced;
+    log(event, { open: openRequests.count });
+  }
+  await endRequests(openRequests);
+  return isStillClean;
+}
+
+/**
+ * Ends the open requests. On one connection a response is written only once the
+ * one before it is complete.
+ */
+async function endRequests(openRequests: OpenRequests): Promise<void> {
+  const untilMs = performance.now() + ENDING_MAX_MS;
+  while (openRequests.count > 0 && performance.now() < untilMs) {
+    openRequests.endAll();
+    await readsDone();
+  }
 }
--- a/tests/scripted_platform.ts
+++ b/tests/scripted_platform.ts
@@ -58,8 +58,8 @@
   }
 
   /** Opens a connection to a loopback port. */
-  static create(port: number): RawCaller {
-    return new RawCaller(connect(port, HOST));
+  static create(port: number, host = HOST): RawCaller {
+    return new RawCaller(connect(port, host));
   }
 
   /** Sends text; resolves with what arrives until a response has ended. */
@@ -206,7 +206,8 @@
   return formatRequest(`/version-${version}/`);
 }
 
-function createConfiguration(
+/** Returns a configuration with a stream and a call to one service. */
+export function createConfiguration(
   version: number,
   limits: StatedLimits,
   targetLatencyMs = DEFAULT_TARGET_MS,
