Forward a server's error to a stream that is not sent again

Callers saw, in a planned stop, 504 "this entry is shutting down" in place of the 500 of the server that had run their stream.

Cause: a server's error was dropped for a retry that the entry then did not make, because streams were no longer accepted or a cause of crashes was blocked.

Change: the error is dropped only if the stream may be sent again.

Measured: 'an error of its server to a stream that is not passed on again is forwarded' failed before (504) and passes; the other tests of planned_stop, rejected_stream and relay_stream pass.

--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -427,7 +427,9 @@
     const body = await collectBody(response, this.#context.responseBuffers);
     const isServerError = status >= SERVER_ERROR;
     // Another server would reject a new request as well.
-    if (this.#hasBegun || (isServerError && this.#canRetry)) {
+    const isRetried = isServerError && this.#canRetry &&
+      this.#rejection() === undefined;
+    if (this.#hasBegun || isRetried) {
       this.#failedServers.add(attempt.slot.server.name);
       const error = new AttemptError(
         FailureCause.Rejected,
--- a/tests/planned_stop_test.ts
+++ b/tests/planned_stop_test.ts
@@ -140,6 +140,20 @@
   },
 );
 
+test("an error of its server to a stream that is not passed on again is forwarded", async () => {
+  platform = await ScriptedPlatform.create({}, { targetLatencyMs: 12_000 });
+  platform.respond = async (request, response) => {
+    await sleep(STREAM_START_MAX_MS + SLACK_MS);
+    response.writeHead(500, signedHeaders(request)).end("failed");
+  };
+  const caller = platform.connect();
+  caller.socket.write(formatRequest("/stream/1"));
+  await expect.poll(() => platform.receivedIds.length).toBe(1);
+  await platform.entry.stop();
+  expect(platform.receivedIds).toEqual(["/stream/1"]);
+  expect(caller.received).toMatch(/ 500 [^]*failed$/);
+});
+
 test("a request without a configuration is refused as not run in a planned stop", async () => {
   platform = await ScriptedPlatform.create();
   const caller = platform.connect();
