Refuse requests as not run that get no slot before their deadline

Callers saw 504, outcome unknown, 0.2 s after their deadline, for streams that had waited for a slot and reached no server.

Cause: the wait for a slot was derived from the target time alone, so that it could last past the deadline; the deadline was checked before the wait and not after it; and what then ended the response did not ask whether the request had been sent. Class: a decision taken once and used later.

--- a/src/request/call_timeouts.ts
+++ b/src/request/call_timeouts.ts
@@ -42,12 +42,13 @@
     nowMs,
   }: CallConditions,
 ): number | undefined {
-  if (!hasEligibleServer) {
-    return (effectiveDeadlineMs(request) - nowMs) * OUTAGE_QUEUE_TIMEOUT_RATIO;
-  }
+  const remainingMs = effectiveDeadlineMs(request) - nowMs;
+  if (!hasEligibleServer) return remainingMs * OUTAGE_QUEUE_TIMEOUT_RATIO;
   const { targetMs } = request.rank;
   const canBeOnTime = priorWaitMs + nowMs - request.receivedMs < targetMs;
-  if (canBeOnTime) return targetMs * QUEUE_TIMEOUT_RATIO;
+  if (canBeOnTime) {
+    return Math.min(targetMs * QUEUE_TIMEOUT_RATIO, remainingMs);
+  }
   return wasAtCapacity ? undefined : 0;
 }
 
--- a/src/request/call_timeouts_test.ts
+++ b/src/request/call_timeouts_test.ts
@@ -37,6 +37,11 @@
     changes: { priorWaitMs: 1_000, wasAtCapacity: true },
     waitMs: undefined,
   },
+  {
+    what: "its deadline is before its target",
+    changes: { priorWaitMs: -4_000, nowMs: 3_900 },
+    waitMs: 100,
+  },
   {
     what: "no server is eligible",
     changes: { hasEligibleServer: false, priorWaitMs: 1_000, nowMs: 1_000 },
--- a/src/request/relay_call.ts
+++ b/src/request/relay_call.ts
@@ -104,7 +104,7 @@
     while (!caller.signal.aborted && this.#canAttempt()) {
       const reservation = this.#takeReplacement() ?? await this.#acquireSlot();
       if (reservation === undefined) break;
-      if (this.#isBlocked()) {
+      if (this.#isBlocked() || this.#isOverdue()) {
         reservation.release();
         break;
       }
@@ -135,12 +135,8 @@
   }
 
   #canAttempt(): boolean {
-    const { now, retryBudget } = this.#context;
-    if (
-      this.#isDeadlineExceeded || effectiveDeadlineMs(this.#request) <= now()
-    ) {
-      return false;
-    }
+    const { retryBudget } = this.#context;
+    if (this.#isOverdue()) return false;
     if (this.#attempts.count === 0) return true;
     return this.#attempts.canRetry &&
       !this.#isBlocked() &&
@@ -148,6 +144,12 @@
         retryBudget.takeRetry(this.#request.service));
   }
 
+  /** Whether the deadline has passed. */
+  #isOverdue(): boolean {
+    return this.#isDeadlineExceeded ||
+      effectiveDeadlineMs(this.#request) <= this.#context.now();
+  }
+
   /** Whether the call must not be sent to a server. */
   #isBlocked(): boolean {
     const rejection = this.#rejection();
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -118,7 +118,7 @@
     while (!caller.signal.aborted && await this.#canAttempt()) {
       const slot = await this.#nextSlot();
       if (slot === undefined) break;
-      if (this.#isBlocked()) {
+      if (this.#isBlocked() || this.#isOverdue()) {
         releaseSlot(slot);
         break;
       }
@@ -155,19 +155,21 @@
   }
 
   async #canAttempt(): Promise<boolean> {
-    if (
-      this.#isDeadlineExceeded ||
-      effectiveDeadlineMs(this.#request) <= this.#context.now()
-    ) {
-      this.#failureReason = "request deadline exceeded";
-      return false;
-    }
+    if (this.#isOverdue()) return false;
     if (this.#attempts.count === 0) return true;
     if (!this.#canRetry) return false;
     if (this.#isBlocked()) return false;
     return this.#replacement !== undefined || await this.#takeRetry();
   }
 
+  /** Whether the deadline has passed. */
+  #isOverdue(): boolean {
+    const isOverdue = this.#isDeadlineExceeded ||
+      effectiveDeadlineMs(this.#request) <= this.#context.now();
+    if (isOverdue) this.#failureReason = "request deadline exceeded";
+    return isOverdue;
+  }
+
   /** Whether the stream must not be sent to a server. */
   #isBlocked(): boolean {
     const rejection = this.#rejection();
@@ -426,9 +428,9 @@
     if (isSuccess) return await this.#forwardEvents(response, attempt);
     const body = await collectBody(response, this.#context.responseBuffers);
     const isServerError = status >= SERVER_ERROR;
-    // Another server would reject a new request as well.
     const isRetried = isServerError && this.#canRetry &&
       this.#rejection() === undefined;
+    // Another server would reject a new request as well.
     if (this.#hasBegun || isRetried) {
       this.#failedServers.add(attempt.slot.server.name);
       const error = new AttemptError(
--- a/src/request/stream_queue_limits.ts
+++ b/src/request/stream_queue_limits.ts
@@ -32,18 +32,14 @@
   request: ProxyRequest,
   { hasBegun, nowMs }: { readonly hasBegun: boolean; readonly nowMs: number },
 ): StreamQueueLimits {
+  const deadlineMs = effectiveDeadlineMs(request);
   if (hasBegun) {
-    return {
-      waitMs: effectiveDeadlineMs(request) - nowMs,
-      avoidBacklogUntilMs: nowMs,
-    };
+    return { waitMs: deadlineMs - nowMs, avoidBacklogUntilMs: nowMs };
   }
   const { receivedMs, rank } = request;
+  const timeoutMs = receivedMs + rank.targetMs * QUEUE_TIMEOUT_RATIO;
   return {
-    waitMs: Math.max(
-      0,
-      receivedMs + rank.targetMs * QUEUE_TIMEOUT_RATIO - nowMs,
-    ),
+    waitMs: Math.max(0, Math.min(timeoutMs, deadlineMs) - nowMs),
     avoidBacklogUntilMs: receivedMs + rank.targetMs * BACKLOG_AVOIDANCE_RATIO,
   };
 }
--- a/src/request/stream_queue_limits_test.ts
+++ b/src/request/stream_queue_limits_test.ts
@@ -34,6 +34,19 @@
   expect(avoidBacklogUntilMs).toBeLessThan(REQUEST.receivedMs + waitMs);
 });
 
+test("a stream does not wait past its deadline", () => {
+  const request = createRequest({
+    receivedMs: 10_000,
+    callerDeadlineMs: 10_200,
+    routeDeadlineMs: 25_000,
+  });
+  const { waitMs } = streamQueueLimits(request, {
+    hasBegun: false,
+    nowMs: 10_100,
+  });
+  expect(waitMs).toBe(100);
+});
+
 test("a stream that has begun waits until its deadline", () => {
   const limits = streamQueueLimits(REQUEST, { hasBegun: true, nowMs: 12_000 });
   expect(limits).toEqual({ waitMs: 13_000, avoidBacklogUntilMs: 12_000 });
--- a/tests/request_answered_test.ts
+++ b/tests/request_answered_test.ts
@@ -8,6 +8,9 @@
   signedHeaders,
 } from "./scripted_platform.ts";
 
+/** Requests that the entry sends to the server of its plain service at once. */
+const SERVER_CAPACITY = 8;
+
 let platform: ScriptedPlatform;
 
 afterEach(() => platform.close());
@@ -72,6 +75,26 @@
   }
 });
 
+test.each(["stream", "call"])(
+  "a %s that gets no slot before its deadline is refused as not run",
+  async (kind) => {
+    platform = await ScriptedPlatform.create({}, { targetLatencyMs: 6_000 });
+    platform.respond = () => undefined;
+    for (let at = 0; at < SERVER_CAPACITY; at++) {
+      platform.connect().socket.write(formatRequest(`/${kind}/${at}`));
+    }
+    await expect.poll(() => platform.receivedIds.length).toBe(SERVER_CAPACITY);
+    const received = await platform.connect().exchange(
+      formatRequest(`/${kind}/late`, [
+        "X-Deadline-Ms: 1000",
+        "Content-Length: 0",
+      ]),
+    );
+    expect(received).toMatch(/^HTTP\/1\.1 503 [^]*"not_run"/);
+    expect(platform.receivedIds.length).toBe(SERVER_CAPACITY);
+  },
+);
+
 test("callers that read nothing do not keep the slots of their server past their deadline", async () => {
   platform = await ScriptedPlatform.create({});
   const respondShort = platform.respond;
