Split the registered servers by the state that they hold

Each now has a module: the views with their loads, the addresses with the servers replaced there, the selection by service, silent and unreachable servers, the backoff of full ones and the timers of pauses. What an ejection does to a server, and whether a peer's report ejects it, are functions beside the ejection times; the view of a new incarnation is created in one place.

No behaviour changes.

--- a/src/process/leaving_servers.ts
+++ b/src/process/leaving_servers.ts
@@ -63,6 +63,14 @@
 /** Leaving servers per digest, the latest ones. */
 const GOSSIP_MAX = 1_000;
 
+/** Whether two incarnations of one name are the same. */
+export function isSameIncarnation(
+  a: ServerIncarnation,
+  b: ServerIncarnation,
+): boolean {
+  return a.address === b.address && a.startedMs === b.startedMs;
+}
+
 /** Whether an incarnation has said that it leaves. */
 export function isKnownLeaving(
   leaving: LeavingServers,
--- a/src/process/registered_server.ts
+++ b/src/process/registered_server.ts
@@ -3,7 +3,10 @@
  */
 
 import type { BackendServer } from "../version/types.ts";
-import type { UnansweredCalls } from "./server_ejection.ts";
+import {
+  NO_UNANSWERED_CALLS,
+  type UnansweredCalls,
+} from "./server_ejection.ts";
 
 /** A backend server as listed by the platform. */
 export interface RegisteredServer extends BackendServer {
@@ -55,6 +58,25 @@
   readonly lastActivityMs: number;
 }
 
+/**
+ * Returns the view of a server that is listed for the first time, at `nowMs`;
+ * its KV cache capacity is not known yet.
+ */
+export function createView(
+  server: RegisteredServer,
+  nowMs: number,
+): Omit<RegisteredServerView, "kvCacheTokens"> {
+  return {
+    server,
+    ownLoad: NO_LOAD,
+    peerLoad: NO_LOAD,
+    ejectedUntilMs: 0,
+    fullUntilMs: 0,
+    unansweredCalls: NO_UNANSWERED_CALLS,
+    lastActivityMs: nowMs,
+  };
+}
+
 /** Returns the sum of two loads. */
 export function addLoad(a: ServerLoad, b: ServerLoad): ServerLoad {
   return {
--- a/src/process/registered_servers.ts
+++ b/src/process/registered_servers.ts
@@ -4,23 +4,13 @@
  * entries report.
  */
 
-import {
-  addLoad,
-  NO_LOAD,
-  type RegisteredServer,
-  type RegisteredServerView,
-  type ServerLoad,
-  subtractLoad,
-} from "./registered_server.ts";
-import {
-  chooseServer,
-  isEligible,
-  type SelectionCriteria,
-} from "./choose_server.ts";
+import { CapacityBackoff } from "./capacity_backoff.ts";
+import { HoldOffTimers } from "./hold_off_timers.ts";
 import {
   addLeavingServer,
   DrainingSource,
   isKnownLeaving,
+  isSameIncarnation,
   type LeavingServers,
   NO_LEAVING_SERVERS,
   recentlyLeaving,
@@ -30,14 +20,22 @@
 import { LOG_EVENTS } from "./log_events.ts";
 import type { Log } from "./log.ts";
 import {
-  addUnansweredCall,
+  createView,
+  type RegisteredServer,
+  type RegisteredServerView,
+  type ServerLoad,
+} from "./registered_server.ts";
+import { RegisteredServerViews } from "./registered_server_views.ts";
+import { ServerAddresses } from "./server_addresses.ts";
+import {
   BROKEN_EJECTION_MS,
-  ejectionDurationMs,
-  NO_UNANSWERED_CALLS,
+  extendEjection,
   ServerFailure,
+  shouldApplyPeerEjection,
 } from "./server_ejection.ts";
 import { ServerHoldOffs } from "./server_hold_off.ts";
-import { ServerRing } from "./server_ring.ts";
+import { ServerOutages } from "./server_outages.ts";
+import { type ServerCriteria, ServerSelector } from "./server_selector.ts";
 import { ZoneFailureDetector } from "./zone_failure_detector.ts";
 
 /** Dependencies of the server set. */
@@ -65,61 +63,40 @@
   readonly onFewerServers: () => void;
 }
 
-/** What a request requires of a server; suspect zones are added here. */
-export type ServerCriteria = Omit<SelectionCriteria, "suspectZones">;
-
-/**
- * How long a server gets no new requests after it refused one as full, in ms:
- * about the duration of a call.
- */
-const FULL_BACKOFF_MS = 50;
-/**
- * How long a service counts as full after a refusal, in ms; an entry may send
- * it so few calls that refusals are rare.
- */
-const SERVICE_FULL_WINDOW_MS = 2_000;
-
-/** A server active this recently is not ejected on a peer's report, in ms. */
-const RECENT_ACTIVITY_MS = 400;
-/**
- * How long peers are told of an unreachable server, in ms: three gossip
- * digests.
- */
-const UNREACHABLE_GOSSIP_MS = 450;
-
 /** All registered backend servers. */
 export class RegisteredServers {
   readonly #options: RegisteredServersOptions;
-  readonly #views = new Map<string, RegisteredServerView>();
-  /** Names of the servers listed at each address; addresses are reused. */
-  readonly #namesByAddress = new Map<string, Set<string>>();
-  /** Names of the servers with load from this entry. */
-  readonly #loaded = new Set<string>();
-  /** Names of the servers with load from peer entries. */
-  #peerLoaded: ReadonlySet<string> = new Set();
-  /** Servers by service. */
-  readonly #rings = new Map<string, ServerRing>();
-  /** When a server of each service last refused a request as full. */
-  readonly #lastFullMs = new Map<string, number>();
+  readonly #views = RegisteredServerViews.create();
+  readonly #addresses: ServerAddresses;
+  readonly #selector: ServerSelector;
   readonly #zoneFailures: ZoneFailureDetector;
   readonly #holdOffs: ServerHoldOffs;
-  /** When timers report ends of pauses by server, on the monotonic clock. */
-  readonly #awaitedEndsMs = new Map<string, number>();
-  /** The latest load of peer entries, until it is applied. */
-  #pendingPeerLoads: (() => ReadonlyMap<string, ServerLoad>) | undefined;
-  /** Servers that this entry found unreachable, with the time of detection. */
-  readonly #downSince = new Map<string, number>();
-  /** Names of the servers that were ejected because they were silent. */
-  readonly #silent = new Set<string>();
-  /** Names of the servers that a later one replaces at their address. */
-  readonly #replaced = new Set<string>();
+  readonly #holdOffTimers: HoldOffTimers;
+  readonly #backoff: CapacityBackoff;
+  readonly #outages: ServerOutages;
   /** Servers that said that they leave. */
   #leaving: LeavingServers = NO_LEAVING_SERVERS;
 
   private constructor(options: RegisteredServersOptions) {
+    const { now, onCapacityAvailable } = options;
+    const views = this.#views;
     this.#options = options;
-    this.#zoneFailures = ZoneFailureDetector.create(options.now);
-    this.#holdOffs = ServerHoldOffs.create(options.now);
+    this.#addresses = ServerAddresses.create({ views, onCapacityAvailable });
+    this.#zoneFailures = ZoneFailureDetector.create(now);
+    this.#holdOffs = ServerHoldOffs.create(now);
+    this.#holdOffTimers = HoldOffTimers.create({
+      now,
+      holdOffs: this.#holdOffs,
+      onEnd: onCapacityAvailable,
+    });
+    this.#backoff = CapacityBackoff.create({ ...options, views });
+    this.#outages = ServerOutages.create(now);
+    this.#selector = ServerSelector.create({
+      ...options,
+      views,
+      holdOffs: this.#holdOffs,
+      zoneFailures: this.#zoneFailures,
+    });
   }
 
   /** Creates an empty set. */
@@ -129,14 +106,12 @@
 
   /** Returns the views of all servers. */
   views(): Iterable<RegisteredServerView> {
-    this.#applyPeerLoads();
-    return this.#views.values();
+    return this.#views.latest().values();
   }
 
   /** Returns the view of a server by name. */
   view(name: string): RegisteredServerView | undefined {
-    this.#applyPeerLoads();
-    return this.#views.get(name);
+    return this.#views.latest().get(name);
   }
 
   /** Adds or updates a server from the platform's list. */
@@ -146,33 +121,18 @@
     const isSame = previous !== undefined &&
       isSameIncarnation(previous.server, server);
     const kvCacheTokens = this.#options.kvCacheTokensOf(server.service);
-    if (!isSame) this.#ejectOlderServers(server);
-    if (!isSame && previous !== undefined) this.#unlist(previous.server);
-    if (previous !== undefined && previous.server.service !== server.service) {
-      this.#rings.get(previous.server.service)?.delete(server.name);
+    if (!isSame) this.#addresses.ejectOlder(server);
+    if (!isSame && previous !== undefined) {
+      this.#updateListing(previous.server, false);
     }
-    this.#ringOf(server.service).add(server.name);
+    this.#selector.set(server, previous?.server);
     if (listed.isLeaving && !previous?.server.isLeaving) {
       this.#reportDraining(server.name, DrainingSource.List);
     }
-    const isMoved = previous !== undefined &&
-      previous.server.address !== server.address;
-    if (isMoved) this.#removeAddress(previous.server);
-    const names = this.#namesByAddress.get(server.address) ?? new Set();
-    this.#namesByAddress.set(server.address, names.add(server.name));
-    if (!isSame) this.#loaded.delete(server.name);
-    if (!isSame) this.#silent.delete(server.name);
-    if (!isSame) this.#replaced.delete(server.name);
-    this.#views.set(server.name, {
-      server,
-      kvCacheTokens,
-      ownLoad: isSame ? previous.ownLoad : NO_LOAD,
-      peerLoad: isSame ? previous.peerLoad : NO_LOAD,
-      ejectedUntilMs: isSame ? previous.ejectedUntilMs : 0,
-      fullUntilMs: isSame ? previous.fullUntilMs : 0,
-      unansweredCalls: isSame ? previous.unansweredCalls : NO_UNANSWERED_CALLS,
-      lastActivityMs: isSame ? previous.lastActivityMs : this.#options.now(),
-    });
+    if (!isSame) this.#addresses.set(server, previous?.server);
+    if (!isSame) this.#outages.endSilence(server.name);
+    const view = isSame ? previous : createView(server, this.#options.now());
+    this.#views.set({ ...view, server, kvCacheTokens });
     this.#options.onCapacityAvailable();
     if (server.isLeaving) this.#reportFewerServers();
   }
@@ -181,13 +141,11 @@
   delete(name: string): void {
     const server = this.#views.get(name)?.server;
     if (server === undefined) return;
-    this.#rings.get(server.service)?.delete(name);
-    this.#removeAddress(server);
-    this.#loaded.delete(name);
-    this.#silent.delete(name);
-    this.#replaced.delete(name);
+    this.#selector.delete(server);
+    this.#addresses.delete(server);
+    this.#outages.endSilence(name);
     this.#views.delete(name);
-    this.#unlist(server);
+    this.#updateListing(server, false);
     this.#reportFewerServers();
   }
 
@@ -208,7 +166,10 @@
       nowMs,
     });
     if (!isListed || server.isLeaving) return;
-    this.#update(name, () => ({ server: { ...server, isLeaving: true } }));
+    this.#views.update(
+      name,
+      () => ({ server: { ...server, isLeaving: true } }),
+    );
     this.#reportDraining(name, source);
   }
 
@@ -220,16 +181,13 @@
   /** Returns a listed server with what it said itself. */
   #applyLeaving(listed: RegisteredServer): RegisteredServer {
     if (!isKnownLeaving(this.#leaving, listed)) return listed;
-    this.#leaving = updateListing(this.#leaving, listed, {
-      isListed: true,
-      nowMs: this.#options.now(),
-    });
+    this.#updateListing(listed, true);
     return { ...listed, isLeaving: true };
   }
 
-  #unlist(server: RegisteredServer): void {
+  #updateListing(server: RegisteredServer, isListed: boolean): void {
     this.#leaving = updateListing(this.#leaving, server, {
-      isListed: false,
+      isListed,
       nowMs: this.#options.now(),
     });
   }
@@ -240,89 +198,19 @@
     this.#reportFewerServers();
   }
 
-  #removeAddress({ name, address }: RegisteredServer): void {
-    const names = this.#namesByAddress.get(address);
-    names?.delete(name);
-    if (names?.size === 0) this.#namesByAddress.delete(address);
-    this.#readmitAt(address);
-  }
-
-  #readmitAt(address: string): void {
-    for (const name of this.#namesByAddress.get(address) ?? []) {
-      this.#readmit(name);
-    }
-  }
-
-  /** Uses a server again that no other one at its address replaces. */
-  #readmit(name: string): void {
-    const server = this.#views.get(name)?.server;
-    if (server === undefined || !this.#replaced.has(name)) return;
-    const names = this.#namesByAddress.get(server.address) ?? [];
-    const isReplaced = [...names].some((other) => {
-      const view = this.#views.get(other);
-      if (other === name || view === undefined) return false;
-      const mayHaveAddress = this.#replaced.has(other) ||
-        view.ejectedUntilMs < Infinity;
-      return mayHaveAddress && view.server.startedMs >= server.startedMs;
-    });
-    if (isReplaced) return;
-    this.#replaced.delete(name);
-    this.#update(name, () => ({ ejectedUntilMs: 0 }));
-    this.#options.onCapacityAvailable();
-  }
-
-  #ringOf(service: string): ServerRing {
-    const ring = this.#rings.get(service) ?? ServerRing.create();
-    this.#rings.set(service, ring);
-    return ring;
-  }
-
-  /**
-   * Yields the preferred server, then the others from the prompt's position on
-   * the hash ring, or from a random position if the request has no prompt.
-   */
-  *#candidateViews(request: ServerCriteria): Generator<RegisteredServerView> {
-    this.#applyPeerLoads();
-    const { service, preferred = "", prompt } = request;
-    const ringKey = prompt || String(this.#options.random());
-    const preferredView = this.#views.get(preferred);
-    if (preferredView !== undefined) yield preferredView;
-    for (const name of this.#ringOf(service).serversFrom(ringKey)) {
-      const view = this.#views.get(name);
-      if (view !== undefined && name !== preferred) yield view;
-    }
-  }
-
   /**
    * Updates the KV cache capacity of all servers after a configuration change.
    */
   refreshMemoryLimits(): void {
-    for (const [name, view] of this.#views) {
-      const kvCacheTokens = this.#options.kvCacheTokensOf(view.server.service);
-      this.#views.set(name, { ...view, kvCacheTokens });
-    }
+    const { kvCacheTokensOf } = this.#options;
+    this.#views.updateAll(({ server }) => ({
+      kvCacheTokens: kvCacheTokensOf(server.service),
+    }));
   }
 
   /** Returns the server for a request, if one has capacity now. */
   choose(request: ServerCriteria): RegisteredServer | undefined {
-    const { now, random } = this.#options;
-    const criteria = {
-      ...request,
-      suspectZones: this.#zoneFailures.suspectZones(),
-    };
-    const context = { nowMs: now(), random };
-    return chooseServer(this.#freeViews(request), criteria, context)?.server;
-  }
-
-  /** Yields the candidates that have not asked for a pause. */
-  *#freeViews(request: ServerCriteria): Generator<RegisteredServerView> {
-    const hasHoldOffs = !this.#holdOffs.isEmpty;
-    for (const view of this.#candidateViews(request)) {
-      const { server, ownLoad } = view;
-      const isFree = !hasHoldOffs ||
-        this.#holdOffs.mayGetRequest(server, ownLoad.requests);
-      if (isFree) yield view;
-    }
+    return this.#selector.choose(request);
   }
 
   /**
@@ -330,16 +218,7 @@
    * servers that could take the request have one; else `undefined`.
    */
   heldOffUntilMs(request: ServerCriteria): number | undefined {
-    if (this.#holdOffs.isEmpty) return undefined;
-    const criteria = { ...request, suspectZones: new Map() };
-    let earliestMs: number | undefined;
-    for (const view of this.#candidateViews(request)) {
-      if (!isEligible(view, criteria)) continue;
-      const untilMs = this.#holdOffs.untilMs(view.server);
-      if (untilMs === undefined) return undefined;
-      earliestMs = Math.min(earliestMs ?? untilMs, untilMs);
-    }
-    return earliestMs;
+    return this.#selector.heldOffUntilMs(request);
   }
 
   /** Records that a server asked for a pause of `holdOffMs`. */
@@ -353,22 +232,10 @@
       stated_ms: Math.min(Math.round(holdOffMs), Number.MAX_SAFE_INTEGER),
       for_ms: Math.round(untilMs - now()),
     });
-    const awaitedMs = this.#awaitedEndsMs.get(server.name) ?? Infinity;
-    if (untilMs < awaitedMs) this.#notifyAfterHoldOff(server);
+    this.#holdOffTimers.start(server, untilMs);
     this.#reportFewerServers();
   }
 
-  /** Reports available capacity once the server's pause is over. */
-  #notifyAfterHoldOff(server: RegisteredServer): void {
-    const { now, onCapacityAvailable } = this.#options;
-    const untilMs = this.#holdOffs.untilMs(server);
-    this.#awaitedEndsMs.delete(server.name);
-    if (untilMs === undefined) return onCapacityAvailable();
-    this.#awaitedEndsMs.set(server.name, untilMs);
-    setTimeout(() => this.#notifyAfterHoldOff(server), untilMs - now())
-      .unref();
-  }
-
   #reportFewerServers(): void {
     if (!this.#holdOffs.isEmpty) this.#options.onFewerServers();
   }
@@ -390,28 +257,17 @@
 
   /** Whether any server could take the request, now or after a wait. */
   canServe(request: ServerCriteria): boolean {
-    const criteria = { ...request, suspectZones: new Map() };
-    for (const view of this.#candidateViews(request)) {
-      if (isEligible(view, criteria)) return true;
-    }
-    return false;
+    return this.#selector.canServe(request);
   }
 
   /** Whether a service has a server, not excluded, that is not ejected. */
   hasHealthyServer(service: string, excluded: ReadonlySet<string>): boolean {
-    for (const name of this.#ringOf(service).serversFrom("")) {
-      if (!excluded.has(name) && this.isUsable(name)) return true;
-    }
-    return false;
+    return this.#selector.hasHealthyServer(service, excluded);
   }
 
   /** Whether a server may get new requests now, regardless of its load. */
   isUsable(name: string): boolean {
-    const view = this.#views.get(name);
-    if (view === undefined || view.server.isLeaving) return false;
-    const { server, ownLoad, ejectedUntilMs } = view;
-    return ejectedUntilMs <= this.#options.now() &&
-      this.#holdOffs.mayGetRequest(server, ownLoad.requests);
+    return this.#selector.isUsable(name);
   }
 
   /**
@@ -427,52 +283,33 @@
 
   /** Adds load to a server. */
   begin(name: string, load: ServerLoad): void {
-    this.#update(name, (view) => ({ ownLoad: addLoad(view.ownLoad, load) }));
+    this.#views.addLoad(name, load);
   }
 
   /** Removes load from a server. */
   end(name: string, load: ServerLoad): void {
-    this.#update(
-      name,
-      (view) => ({ ownLoad: subtractLoad(view.ownLoad, load) }),
-    );
+    this.#views.removeLoad(name, load);
     this.#options.onCapacityAvailable();
   }
 
   /** Records that data was received from a server; it is silent no longer. */
   recordActivity(name: string): void {
-    if (this.#silent.has(name)) return this.reinstate(name);
-    this.#update(name, () => ({ lastActivityMs: this.#options.now() }));
+    if (this.isSilent(name)) return this.reinstate(name);
+    this.#views.update(name, () => ({ lastActivityMs: this.#options.now() }));
   }
 
   /**
-   * Sets the load of peer entries by server name. It is applied when it is next
-   * read, because peers report far more often than a server is chosen.
+   * Sets the load of peer entries by server name; it is applied when it is next
+   * read.
    */
   setPeerLoads(loads: () => ReadonlyMap<string, ServerLoad>): void {
-    this.#pendingPeerLoads = loads;
+    this.#views.setPeerLoads(loads);
     this.#options.onCapacityAvailable();
   }
 
-  #applyPeerLoads(): void {
-    const loads = this.#pendingPeerLoads?.();
-    if (loads === undefined) return;
-    this.#pendingPeerLoads = undefined;
-    for (const name of this.#peerLoaded) {
-      if (!loads.has(name)) this.#update(name, () => ({ peerLoad: NO_LOAD }));
-    }
-    for (const [name, peerLoad] of loads) {
-      this.#update(name, () => ({ peerLoad }));
-    }
-    this.#peerLoaded = new Set(loads.keys());
-  }
-
   /** Returns the load that this entry puts on servers, by server name. */
   ownLoads(): readonly (readonly [string, ServerLoad])[] {
-    return [...this.#loaded].flatMap((name) => {
-      const view = this.#views.get(name);
-      return view === undefined ? [] : [[name, view.ownLoad] as const];
-    });
+    return this.#views.ownLoads();
   }
 
   /** Ejects a server after a failure: it gets no new requests for some time. */
@@ -480,29 +317,17 @@
     const view = this.#views.get(name);
     if (view === undefined) return;
     const nowMs = this.#options.now();
-    const isUnanswered = failure === ServerFailure.Unanswered;
-    // Calls in flight when the server was ejected are no new evidence.
-    const isNewEvidence = isUnanswered && view.ejectedUntilMs <= nowMs;
-    const unansweredCalls = isNewEvidence
-      ? addUnansweredCall(view.unansweredCalls, nowMs)
-      : view.unansweredCalls;
-    const durationMs = ejectionDurationMs(failure, unansweredCalls);
-    const ejectedUntilMs = Math.max(view.ejectedUntilMs, nowMs + durationMs);
-    this.#update(
-      name,
-      () => ({ ejectedUntilMs, unansweredCalls }),
-    );
-    if (failure === ServerFailure.Replaced) {
-      this.#replaced.delete(name);
-      // It does not have its address, so it replaced no other server there.
-      this.#readmitAt(view.server.address);
+    const ejection = extendEjection(view, { failure, nowMs });
+    const { durationMs, ejectedUntilMs, unansweredCalls } = ejection;
+    this.#views.update(name, () => ({ ejectedUntilMs, unansweredCalls }));
+    const isReplaced = failure === ServerFailure.Replaced;
+    if (isReplaced) this.#addresses.recordAbsence(view.server);
+    const isStillSilent = this.#outages.recordFailure(name, failure);
+    if (isStillSilent) return;
+    if (isReplaced) this.#reportFewerServers();
+    if (failure !== ServerFailure.Unanswered) {
+      this.#recordZoneFailure(view.server);
     }
-    if (isToldToPeers(failure)) this.#downSince.set(name, nowMs);
-    const wasSilent = this.#silent.delete(name);
-    if (isSilence(failure)) this.#silent.add(name);
-    if (wasSilent && failure === ServerFailure.Silent) return;
-    if (failure === ServerFailure.Replaced) this.#reportFewerServers();
-    if (!isUnanswered) this.#recordZoneFailure(view.server);
     this.#options.log(LOG_EVENTS.serverEjected, {
       server: name,
       zone: view.server.zone,
@@ -516,36 +341,18 @@
    * moment.
    */
   markFull(name: string): void {
-    const { now, log } = this.#options;
-    const service = this.#views.get(name)?.server.service;
-    if (service === undefined) return;
-    this.#lastFullMs.set(service, now());
-    this.#update(name, () => ({ fullUntilMs: now() + FULL_BACKOFF_MS }));
-    log(LOG_EVENTS.serverAtCapacity, { server: name, for_ms: FULL_BACKOFF_MS });
-    this.#notifyAfterBackoff(name);
-  }
-
-  /** Reports available capacity once the server's backoff is over. */
-  #notifyAfterBackoff(name: string): void {
-    const fullUntilMs = this.#views.get(name)?.fullUntilMs ?? 0;
-    const remainingMs = fullUntilMs - this.#options.now();
-    if (remainingMs <= 0) return this.#options.onCapacityAvailable();
-    // A timer may fire early by this clock: it counts from the event loop's
-    // last turn.
-    setTimeout(() => this.#notifyAfterBackoff(name), remainingMs).unref();
+    this.#backoff.markFull(name);
   }
 
   /** Whether a server of a service recently refused a request as full. */
   wasRecentlyFull(service: string): boolean {
-    const fullMs = this.#lastFullMs.get(service) ?? -Infinity;
-    return this.#options.now() - fullMs < SERVICE_FULL_WINDOW_MS;
+    return this.#backoff.wasRecentlyFull(service);
   }
 
   /** Ends the ejection of a server that proved healthy. */
   reinstate(name: string): void {
-    this.#silent.delete(name);
-    this.#downSince.delete(name);
-    this.#update(name, () => ({
+    this.#outages.recordRecovery(name);
+    this.#views.update(name, () => ({
       ejectedUntilMs: 0,
       lastActivityMs: this.#options.now(),
     }));
@@ -554,7 +361,7 @@
 
   /** Whether a server was ejected as silent and sent nothing since. */
   isSilent(name: string): boolean {
-    return this.#silent.has(name);
+    return this.#outages.isSilent(name);
   }
 
   /**
@@ -564,21 +371,14 @@
   applyPeerEjection(name: string): void {
     const view = this.#views.get(name);
     if (view === undefined) return;
-    const nowMs = this.#options.now();
-    const isEjected = view.ejectedUntilMs > nowMs;
-    const isActive = nowMs - view.lastActivityMs < RECENT_ACTIVITY_MS;
-    if (isEjected || isActive) return;
+    if (!shouldApplyPeerEjection(view, this.#options.now())) return;
     this.eject(name, ServerFailure.Unreachable);
-    this.#downSince.delete(name);
+    this.#outages.stopReporting(name);
   }
 
   /** Returns the servers that this entry recently found unreachable. */
   unreachableServers(): readonly string[] {
-    const sinceMs = this.#options.now() - UNREACHABLE_GOSSIP_MS;
-    for (const [name, detectedMs] of this.#downSince) {
-      if (detectedMs < sinceMs) this.#downSince.delete(name);
-    }
-    return [...this.#downSince.keys()];
+    return this.#outages.unreachableServers();
   }
 
   /** Several server failures in a zone at once make the whole zone suspect. */
@@ -593,48 +393,4 @@
   failuresAtOnce(zone: string): number {
     return this.#zoneFailures.failuresAtOnce(zone);
   }
-
-  /**
-   * Ejects other servers at the same address that did not start later: the
-   * address now belongs to this server.
-   */
-  #ejectOlderServers({ name, address, startedMs }: RegisteredServer): void {
-    for (const other of this.#namesByAddress.get(address) ?? []) {
-      const view = this.#views.get(other);
-      const isOlder = other !== name && view !== undefined &&
-        view.server.startedMs <= startedMs;
-      if (!isOlder) continue;
-      this.#replaced.add(other);
-      this.#update(other, () => ({ ejectedUntilMs: Infinity }));
-    }
-  }
-
-  #update(
-    name: string,
-    update: (view: RegisteredServerView) => Partial<RegisteredServerView>,
-  ): void {
-    const view = this.#views.get(name);
-    if (view === undefined) return;
-    const updated = { ...view, ...update(view) };
-    this.#views.set(name, updated);
-    const { requests, tokens, unreadTokens } = updated.ownLoad;
-    if (requests > 0 || tokens > 0 || unreadTokens > 0) this.#loaded.add(name);
-    else this.#loaded.delete(name);
-  }
-}
-
-function isSilence(failure: ServerFailure): boolean {
-  return failure === ServerFailure.Silent || failure === ServerFailure.Dark;
-}
-
-function isToldToPeers(failure: ServerFailure): boolean {
-  return failure === ServerFailure.Unreachable ||
-    failure === ServerFailure.Dark;
-}
-
-function isSameIncarnation(
-  a: ServerIncarnation,
-  b: ServerIncarnation,
-): boolean {
-  return a.address === b.address && a.startedMs === b.startedMs;
 }
--- a/src/process/server_ejection.ts
+++ b/src/process/server_ejection.ts
@@ -47,12 +47,21 @@
  * Longest ejection for unanswered calls, in ms: that of an unreachable server.
  */
 const UNANSWERED_EJECTION_MAX_MS = EJECTION_MS[ServerFailure.Unreachable];
+/** A server active this recently is not ejected on a peer's report, in ms. */
+const RECENT_ACTIVITY_MS = 400;
 /** Time without unanswered calls that resets their count, in ms. */
 const UNANSWERED_MEMORY_MS = 10_000;
 
 /** Longest remaining ejection explained by a broken connection alone, in ms. */
 export const BROKEN_EJECTION_MS = EJECTION_MS[ServerFailure.Broken];
 
+/** Until when a server is ejected, and the calls that lengthen it. */
+export interface Ejection {
+  /** End of the ejection, on the monotonic clock in ms. */
+  readonly ejectedUntilMs: number;
+  readonly unansweredCalls: UnansweredCalls;
+}
+
 /** Adds an unanswered call at `nowMs`. */
 export function addUnansweredCall(
   { count, lastMs }: UnansweredCalls,
@@ -77,3 +86,46 @@
     UNANSWERED_EJECTION_MAX_MS,
   );
 }
+
+/**
+ * Returns the ejection of a server after a failure, with the time that this
+ * failure ejects it for, in ms. It never ends before an earlier one.
+ */
+export function extendEjection(
+  { ejectedUntilMs, unansweredCalls }: Ejection,
+  { failure, nowMs }: {
+    readonly failure: ServerFailure;
+    /** Monotonic clock, in ms. */
+    readonly nowMs: number;
+  },
+): Ejection & { readonly durationMs: number } {
+  // Calls in flight when the server was ejected are no new evidence.
+  const isNewEvidence = failure === ServerFailure.Unanswered &&
+    ejectedUntilMs <= nowMs;
+  const countedCalls = isNewEvidence
+    ? addUnansweredCall(unansweredCalls, nowMs)
+    : unansweredCalls;
+  const durationMs = ejectionDurationMs(failure, countedCalls);
+  return {
+    ejectedUntilMs: Math.max(ejectedUntilMs, nowMs + durationMs),
+    unansweredCalls: countedCalls,
+    durationMs,
+  };
+}
+
+/**
+ * Whether a server that a peer entry found unreachable is ejected: not if it is
+ * already, or was active recently.
+ */
+export function shouldApplyPeerEjection(
+  { ejectedUntilMs, lastActivityMs }: {
+    /** End of its ejection, on the monotonic clock in ms. */
+    readonly ejectedUntilMs: number;
+    /** When data was last received from it, on the same clock. */
+    readonly lastActivityMs: number;
+  },
+  nowMs: number,
+): boolean {
+  return ejectedUntilMs <= nowMs &&
+    nowMs - lastActivityMs >= RECENT_ACTIVITY_MS;
+}
--- a/src/request/acquire_slot.ts
+++ b/src/request/acquire_slot.ts
@@ -3,7 +3,7 @@
 import type { RequestError } from "../errors.ts";
 import type { RecentFailure } from "../process/choose_server.ts";
 import { NO_LOAD, type ServerLoad } from "../process/registered_server.ts";
-import type { ServerCriteria } from "../process/registered_servers.ts";
+import type { ServerCriteria } from "../process/server_selector.ts";
 import type {
   DispatchCriteria,
   DispatchRequest,
