Decide whether a response closes its connection when it is written

Callers of our own interface saw, in a planned stop: of two pipelined requests only the first was answered; a response whose request had come before SIGTERM announced no end of its connection, which the process then closed; a request that followed such an announcement ran without anybody to receive its response.

Cause: `serve` set `Connection: close` when the head came, on every request that came in a shutdown. Node ends the connection after the first response with it.

Change: responses begin through `writeHead` and `respondJson`, which ask whether the entry stops and no later request was read on the connection, as the platform's entry does. A request that is read after the announcement is dropped unread: its caller knows that no response follows.

Changed test: src/request/call_service_test.ts builds an entry's context by hand and needs its new member; what it checks is the same.

--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -1,6 +1,12 @@
 /** The `gypsumridge-entry` process: HTTP server, server pool and peer links. */
 
-import { createServer, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import { CallerConnections } from "../connection/caller_connections.ts";
@@ -64,6 +70,9 @@
   readonly #peers: Peers;
   readonly #context: EntryContext;
   readonly #server: Server;
+  readonly #callerConnections: CallerConnections;
+  /** Connections whose end was announced to their callers. */
+  readonly #closingSockets = new WeakSet<Socket>();
   readonly #statusWriter: EntryStatusWriter;
   readonly #openRequests = OpenRequests.create();
   /** When shutdown was requested, on the monotonic clock in ms. */
@@ -86,14 +95,14 @@
       readChunk: (hash) => this.#context.revisionStore.chunk(hash),
     });
     this.#statusWriter = EntryStatusWriter.create(this.#context);
-    this.#server = createServer((request, response) => {
-      this.#openRequests.track(response);
-      serve(this.#context, request, response);
-    });
-    CallerConnections.create({
+    this.#server = createServer((request, response) =>
+      this.#handleRequest(request, response)
+    );
+    this.#callerConnections = CallerConnections.create({
       server: this.#server,
       now: () => performance.now(),
-    }).setIdleLimit(IDLE_LIMIT_MS);
+    });
+    this.#callerConnections.setIdleLimit(IDLE_LIMIT_MS);
   }
 
   /** Creates an entry; `start` makes it listen. */
@@ -154,6 +163,24 @@
       performance.now() - this.#stopRequestedMs >= shutdownNoticeMs;
   }
 
+  #handleRequest(request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request;
+    // The response before announced the end of the connection, so none follows.
+    if (socket.writableEnded || this.#closingSockets.has(socket)) {
+      return void request.resume();
+    }
+    this.#openRequests.track(response);
+    serve(this.#context, request, response);
+  }
+
+  #mustClose(request: IncomingMessage): boolean {
+    // A response with a later one on its connection must not announce the end.
+    const mustClose = this.#context.isStopping() &&
+      this.#callerConnections.isLatest(request);
+    if (mustClose) this.#closingSockets.add(request.socket);
+    return mustClose;
+  }
+
   #createContext(): EntryContext {
     const now = () => performance.now();
     const log = this.#log;
@@ -205,6 +232,7 @@
       }),
       now,
       entryPosition: () => this.#peers.entryPosition,
+      mustClose: (request) => this.#mustClose(request),
       isStopping: () => this.#stopRequestedMs !== undefined,
       isDraining: () => this.#isDraining,
     };
--- a/src/process/entry_context.ts
+++ b/src/process/entry_context.ts
@@ -1,5 +1,6 @@
 /** Dependencies that the requests of one entry share. */
 
+import type { IncomingMessage } from "node:http";
 import type { KeyValueStore } from "../connection/key_value_store.ts";
 import type { ResponseBuffers } from "../connection/response_buffers.ts";
 import type { RevisionStore } from "../version/revision_store.ts";
@@ -30,6 +31,11 @@
   readonly now: () => number;
   /** This entry's position among the live ones. */
   readonly entryPosition: () => EntryPosition;
+  /**
+   * Whether the response to a request, if it begins now, must announce the end
+   * of its connection; no later request on it runs then.
+   */
+  readonly mustClose: (request: IncomingMessage) => boolean;
   /** Whether a graceful shutdown is in progress. */
   readonly isStopping: () => boolean;
   /** Whether it only completes the requests that are open. */
--- a/src/request/call_service.ts
+++ b/src/request/call_service.ts
@@ -17,6 +17,7 @@
   callerSignal,
   type Exchange,
   type Route,
+  writeHead,
 } from "./exchange.ts";
 import { performAction } from "./perform_action.ts";
 
@@ -91,19 +92,23 @@
 
 /** Sends a service's response to the caller. */
 export function sendResponse(
-  { response, id }: Exchange,
+  exchange: Exchange,
   serviceResponse: {
     readonly status: number;
     readonly contentType: string;
     readonly body: Buffer;
   },
 ): void {
-  response.writeHead(serviceResponse.status, {
-    "content-type": serviceResponse.contentType,
-    "content-length": serviceResponse.body.length,
-    "x-request-id": id,
+  const { status, contentType, body } = serviceResponse;
+  writeHead(exchange, {
+    status,
+    headers: {
+      "content-type": contentType,
+      "content-length": body.length,
+      "x-request-id": exchange.id,
+    },
   });
-  response.end(serviceResponse.body);
+  exchange.response.end(body);
 }
 
 /** Returns a response's content type, by default that of arbitrary bytes. */
--- a/src/request/call_service_test.ts
+++ b/src/request/call_service_test.ts
@@ -31,6 +31,7 @@
     settings: { bodyMaxBytes: 100 },
     log: () => undefined,
     metrics: { openRequests: { inc: () => undefined, dec: () => undefined } },
+    mustClose: () => false,
     isStopping: () => false,
     isDraining: () => false,
     pauseDetector: { ready: () => Promise.resolve() },
--- a/src/request/complete.ts
+++ b/src/request/complete.ts
@@ -1,6 +1,6 @@
 /** `POST /v1/completions`: generates a completion, streamed or in full. */
 
-import { readBody, sendJson } from "../connection/http_server.ts";
+import { readBody } from "../connection/http_server.ts";
 import { RequestError } from "../errors.ts";
 import type { EntryContext } from "../process/entry_context.ts";
 import { LOG_EVENTS } from "../process/log_events.ts";
@@ -13,6 +13,7 @@
   authenticate,
   callerSignal,
   type Exchange,
+  respondJson,
   type Route,
   singleHeader,
 } from "./exchange.ts";
@@ -85,8 +86,7 @@
   const observeChunk = createChunkObserver(context, request);
   let stream: SseResponse | undefined;
   const openStream = () =>
-    stream ??= SseResponse.create(exchange.response, {
-      request: exchange.id,
+    stream ??= SseResponse.create(exchange, {
       generation: generation.id,
       model: request.service.name,
     });
@@ -105,7 +105,7 @@
       reason: error.message,
       position: generation.position,
     });
-    stream.fail(error, exchange.id);
+    stream.fail(error);
   }
 }
 
@@ -121,14 +121,15 @@
     finishReason = chunk.finishReason ?? finishReason;
   }
   exchange.response.setHeader("x-request-id", exchange.id);
-  sendJson(exchange.response, 200, {
+  const value = {
     id: generation.id,
     object: "text_completion",
     created: Math.floor(Date.now() / 1_000),
     model: request.service.name,
     choices: [{ index: 0, text, logprobs: null, finish_reason: finishReason }],
     usage: { completion_tokens: generation.position },
-  });
+  };
+  respondJson(exchange, { status: 200, value });
 }
 
 /** Returns a function that counts chunks and records the time to the first. */
--- a/src/request/error_response.ts
+++ b/src/request/error_response.ts
@@ -1,13 +1,12 @@
 /** Error responses, which all have the same JSON shape. */
 
-import type { ServerResponse } from "node:http";
-import { sendJson } from "../connection/http_server.ts";
 import {
   REQUEST_ERROR_STATUS,
   RequestError,
   RequestErrorType,
 } from "../errors.ts";
 import type { RequestId } from "../ids.ts";
+import { respondJson, type ResponseTarget } from "./exchange.ts";
 
 /** Body of an error response. */
 export interface ErrorBody {
@@ -29,24 +28,23 @@
 
 /** Sends an error response; destroys a response that has already begun. */
 export function sendErrorResponse(
-  response: ServerResponse,
+  target: ResponseTarget,
   error: RequestError,
-  request: RequestId,
 ): void {
+  const { id, response } = target;
   if (response.headersSent || response.destroyed) {
     response.destroy();
     return;
   }
-  response.setHeader("x-request-id", request);
+  response.setHeader("x-request-id", id);
   if (error.retryAfterS !== undefined) {
     response.setHeader("retry-after", error.retryAfterS);
   }
   if (error.type === RequestErrorType.TooLarge) {
     response.setHeader("connection", "close");
   }
-  sendJson(
-    response,
-    REQUEST_ERROR_STATUS[error.type],
-    errorBody(error, request),
-  );
+  respondJson(target, {
+    status: REQUEST_ERROR_STATUS[error.type],
+    value: errorBody(error, id),
+  });
 }
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -1,16 +1,26 @@
 /** One HTTP exchange with a caller, as the route handlers see it. */
 
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type {
+  IncomingMessage,
+  OutgoingHttpHeaders,
+  ServerResponse,
+} from "node:http";
 import { RequestError, RequestErrorType } from "../errors.ts";
 import type { RequestId } from "../ids.ts";
 import type { EntryContext } from "../process/entry_context.ts";
 import type { Customer } from "../version/types.ts";
 
-/** A request and the response to it. */
-export interface Exchange {
+/** The response to a request. */
+export interface ResponseTarget {
   readonly id: RequestId;
-  readonly request: IncomingMessage;
   readonly response: ServerResponse;
+  /** Whether a response that begins now must announce the connection's end. */
+  readonly mustClose: () => boolean;
+}
+
+/** A request and the response to it. */
+export interface Exchange extends ResponseTarget {
+  readonly request: IncomingMessage;
   readonly url: URL;
 }
 
@@ -25,6 +35,34 @@
 
 const BEARER_KEY = /^Bearer (\S+)$/;
 
+/** Begins a response. */
+export function writeHead(
+  { response, mustClose }: ResponseTarget,
+  { status, headers }: {
+    readonly status: number;
+    readonly headers: OutgoingHttpHeaders;
+  },
+): void {
+  if (mustClose()) response.setHeader("connection", "close");
+  response.writeHead(status, headers);
+}
+
+/** Sends a JSON response. */
+export function respondJson(
+  target: ResponseTarget,
+  { status, value }: { readonly status: number; readonly value: unknown },
+): void {
+  const text = JSON.stringify(value);
+  writeHead(target, {
+    status,
+    headers: {
+      "content-type": "application/json",
+      "content-length": Buffer.byteLength(text),
+    },
+  });
+  target.response.end(text);
+}
+
 /** Returns the customer that the bearer key names. Errors: `RequestError`. */
 export function authenticate(
   context: EntryContext,
--- a/src/request/routes.ts
+++ b/src/request/routes.ts
@@ -9,7 +9,7 @@
 import { SERVICE_ROUTE } from "./call_service.ts";
 import { COMPLETIONS_ROUTE } from "./complete.ts";
 import { sendErrorResponse } from "./error_response.ts";
-import type { Route } from "./exchange.ts";
+import type { ResponseTarget, Route } from "./exchange.ts";
 import { HEALTH_ROUTE, METRICS_ROUTE, READY_ROUTE } from "./probe.ts";
 import { createShutdownError } from "./shutdown_admission.ts";
 
@@ -36,7 +36,11 @@
 ): Promise<void> {
   const id = randomUUID() as string as RequestId;
   context.metrics.openRequests.inc();
-  if (context.isStopping()) response.setHeader("connection", "close");
+  const target: ResponseTarget = {
+    id,
+    response,
+    mustClose: () => context.mustClose(request),
+  };
   response.on("error", () => response.destroy());
   try {
     const url = new URL(request.url ?? "/", "http://entry");
@@ -44,10 +48,10 @@
     if (context.isDraining() && REQUEST_ROUTES.has(route)) {
       throw createShutdownError();
     }
-    await route.handle(context, { id, request, response, url });
+    await route.handle(context, { ...target, request, url });
   } catch (error) {
     const requestError = toRequestError(context, { error, id });
-    sendErrorResponse(response, requestError, id);
+    sendErrorResponse(target, requestError);
   } finally {
     context.metrics.openRequests.dec();
   }
--- a/src/request/sse_response.ts
+++ b/src/request/sse_response.ts
@@ -2,13 +2,12 @@
 
 import type { ServerResponse } from "node:http";
 import { RequestError } from "../errors.ts";
-import type { RequestId } from "../ids.ts";
-import type { CompletionChunk } from "./generation.ts";
 import { errorBody } from "./error_response.ts";
+import { type ResponseTarget, writeHead } from "./exchange.ts";
+import type { CompletionChunk } from "./generation.ts";
 
 /** The fields that all events of a response share. */
 export interface SseResponseOptions {
-  readonly request: RequestId;
   readonly generation: string;
   /** Name of the service, as the caller requested it. */
   readonly model: string;
@@ -19,11 +18,13 @@
 
 /** One event stream to a caller. */
 export class SseResponse {
+  readonly #target: ResponseTarget;
   readonly #response: ServerResponse;
   readonly #eventPrefix: string;
 
-  private constructor(response: ServerResponse, options: SseResponseOptions) {
-    this.#response = response;
+  private constructor(target: ResponseTarget, options: SseResponseOptions) {
+    this.#target = target;
+    this.#response = target.response;
     const fields = JSON.stringify({
       id: options.generation,
       object: "text_completion",
@@ -33,19 +34,22 @@
     this.#eventPrefix = `\ndata: ${
       fields.slice(0, -1)
     },"choices":[{"index":0,"text":`;
-    response.writeHead(200, {
-      "content-type": "text/event-stream",
-      "cache-control": "no-store",
-      "x-request-id": options.request,
+    writeHead(target, {
+      status: 200,
+      headers: {
+        "content-type": "text/event-stream",
+        "cache-control": "no-store",
+        "x-request-id": target.id,
+      },
     });
   }
 
   /** Opens the stream by sending the response headers. */
   static create(
-    response: ServerResponse,
+    target: ResponseTarget,
     options: SseResponseOptions,
   ): SseResponse {
-    return new SseResponse(response, options);
+    return new SseResponse(target, options);
   }
 
   /** Writes a chunk; returns a promise to await while the buffer is full. */
@@ -67,8 +71,8 @@
   }
 
   /** Ends an incomplete response with an error event. */
-  fail(error: RequestError, request: RequestId): void {
-    const body = JSON.stringify(errorBody(error, request));
+  fail(error: RequestError): void {
+    const body = JSON.stringify(errorBody(error, this.#target.id));
     this.#response.end(`event: error\ndata: ${body}\n\n`);
   }
 }
--- a/tests/graceful_shutdown_test.ts
+++ b/tests/graceful_shutdown_test.ts
@@ -6,7 +6,10 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect, test } from "vitest";
 import { LocalCluster, waitFor } from "../bench/local_cluster.ts";
+import { GENERATION_SERVICE } from "../bench/local_deployment.ts";
 import { LOG_EVENTS } from "../src/process/log_events.ts";
+import { formatEntryRequest, SERVICE_PATH } from "./raw_entry_request.ts";
+import { RawCaller } from "./scripted_platform.ts";
 import { Transcript } from "./transcript.ts";
 
 const LONG_REQUEST = {
@@ -141,3 +144,75 @@
     await cluster.close();
   }
 });
+
+test("a shutdown answers all requests that a caller has pipelined to an entry", async () => {
+  const cluster = await LocalCluster.create({
+    engines: 0,
+    services: 1,
+    stop: ["notice_ms = 2000"],
+  });
+  try {
+    await cluster.service().control({ delayMs: 300 });
+    const caller = RawCaller.create(cluster.entry().port);
+    await sleep(100);
+    cluster.entry().signal("SIGTERM");
+    await sleep(200);
+    const paths = ["/first", "/second"];
+    const requests = paths.map((path) =>
+      formatEntryRequest(`GET ${SERVICE_PATH}${path}`)
+    );
+    caller.socket.write(requests.join(""));
+    await expect.poll(() => caller.isClosed, { timeout: 5_000 }).toBe(true);
+    expect(caller.received.match(/HTTP\/1\.1 200 /g)?.length).toBe(2);
+    expect(caller.received.match(/connection: close/gi)?.length).toBe(1);
+  } finally {
+    await cluster.close();
+  }
+});
+
+test("a request after the response that announced the end of its connection does not run", async () => {
+  const cluster = await LocalCluster.create({
+    services: 1,
+    engineSwitches: ENGINE_SWITCHES,
+    stop: ["notice_ms = 2000"],
+  });
+  try {
+    const caller = RawCaller.create(cluster.entry().port);
+    await sleep(100);
+    cluster.entry().signal("SIGTERM");
+    await sleep(200);
+    const fields = { model: GENERATION_SERVICE, prompt: "roof", stream: true };
+    const body = JSON.stringify({ ...fields, max_tokens: 50 });
+    caller.socket.write(formatEntryRequest("POST /v1/completions", body));
+    await waitFor("the stream begins", () => caller.received.includes("data:"));
+    caller.socket.write(formatEntryRequest(`GET ${SERVICE_PATH}/late`));
+    expect(await cluster.entry().exited).toBe(0);
+    expect(caller.received).toMatch(/connection: close[^]*\[DONE\]/i);
+    const { calls } = await cluster.service().get<{ calls: number }>(
+      "/standin/counts",
+    );
+    expect(calls).toBe(0);
+  } finally {
+    await cluster.close();
+  }
+});
+
+test("a response that is written in a shutdown announces the end of its connection", async () => {
+  const cluster = await LocalCluster.create({
+    engines: 0,
+    services: 1,
+    stop: ["notice_ms = 2000"],
+  });
+  try {
+    await cluster.service().control({ delayMs: 600 });
+    const caller = RawCaller.create(cluster.entry().port);
+    caller.socket.write(formatEntryRequest(`GET ${SERVICE_PATH}/early`));
+    await sleep(200);
+    cluster.entry().signal("SIGTERM");
+    await expect.poll(() => caller.received, { timeout: 5_000 })
+      .toMatch(/^HTTP\/1\.1 200 /);
+    expect(caller.received).toMatch(/\r\nconnection: close\r\n/i);
+  } finally {
+    await cluster.close();
+  }
+});
