Decide on admission when our own interface sends a request, not at its head

Callers of our own interface saw, in a planned stop: requests whose body, slot, claim or retry came after the notice were passed on to a server, to be cut off at the deadline.

Cause: `serve` asked once, when the head came, whether the notice had passed. Class: a decision taken once and used later, as on the platform's interface.

Change: ShutdownAdmission takes the rule of an interface as a function, and is asked while the body is read, before the claim, in the queue and at its end, and before each retry of a request that can't have run. A request whose body is not complete when the notice passes is never sent and refused at once; any other is sent as long as it can end before the deadline (docs/DESIGN.md, "Requests in a graceful shutdown"). A claim is released before its call is refused. Its refusal keeps the Retry-After of the error that caused it. A non-idempotent call whose key was not looked up is refused as not_sent in place of not_run: an earlier request with that key may have run.

Changed tests: shutdown_admission_test names the platform's rule, which was built in before; call_service_test and generation_test build their context by hand and need its new member. What they check is the same.

--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -22,7 +22,12 @@
 } from "../connection/response_buffers.ts";
 import { INSTANCE_LIST_INTERVAL_MS } from "../constants.ts";
 import type { ContentHash } from "../ids.ts";
+import {
+  entryClosingMs,
+  type RequestTimes,
+} from "../request/entry_admission.ts";
 import { serve } from "../request/routes.ts";
+import { ShutdownAdmission } from "../request/shutdown_admission.ts";
 import { chunkName, HEAD_NAME } from "../version/object_names.ts";
 import { RevisionStore } from "../version/revision_store.ts";
 import { parseHead } from "../version/parse_head.ts";
@@ -75,8 +80,7 @@
   readonly #closingSockets = new WeakSet<Socket>();
   readonly #statusWriter: EntryStatusWriter;
   readonly #openRequests = OpenRequests.create();
-  /** When shutdown was requested, on the monotonic clock in ms. */
-  #stopRequestedMs: number | undefined;
+  #isStopping = false;
   #isClosed = false;
   /** The last head that was read from the store. */
   #latestHead: Head | undefined;
@@ -134,7 +138,11 @@
       shutdownNoticeMs: noticeMs,
       shutdownDeadlineMs: deadlineMs,
     } = this.#settings;
-    this.#stopRequestedMs = performance.now();
+    this.#isStopping = true;
+    // The process lasts until both times have passed.
+    this.#context.shutdownAdmission.beginShutdown(
+      Math.max(noticeMs, deadlineMs),
+    );
     return await shutDownGracefully({
       openRequests: this.#openRequests,
       log: this.#log,
@@ -156,13 +164,6 @@
     this.#server.closeAllConnections();
   }
 
-  /** Whether the time for the load balancer to notice has passed. */
-  get #isDraining(): boolean {
-    const { shutdownNoticeMs } = this.#settings;
-    return this.#stopRequestedMs !== undefined &&
-      performance.now() - this.#stopRequestedMs >= shutdownNoticeMs;
-  }
-
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
     // The response before announced the end of the connection, so none follows.
@@ -233,8 +234,16 @@
       now,
       entryPosition: () => this.#peers.entryPosition,
       mustClose: (request) => this.#mustClose(request),
-      isStopping: () => this.#stopRequestedMs !== undefined,
-      isDraining: () => this.#isDraining,
+      isStopping: () => this.#isStopping,
+      shutdownAdmission: ShutdownAdmission.create({
+        now,
+        closingMs: (times: RequestTimes, shutdown) =>
+          entryClosingMs(times, {
+            ...shutdown,
+            noticeEndMs: shutdown.startMs + this.#settings.shutdownNoticeMs,
+          }),
+        onKindClosed: () => dispatcher.rejectBlocked(),
+      }),
     };
   }
 
--- a/src/process/entry_context.ts
+++ b/src/process/entry_context.ts
@@ -3,6 +3,8 @@
 import type { IncomingMessage } from "node:http";
 import type { KeyValueStore } from "../connection/key_value_store.ts";
 import type { ResponseBuffers } from "../connection/response_buffers.ts";
+import type { RequestTimes } from "../request/entry_admission.ts";
+import type { ShutdownAdmission } from "../request/shutdown_admission.ts";
 import type { RevisionStore } from "../version/revision_store.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import type { EntryPosition, ServerPool } from "./server_pool.ts";
@@ -38,6 +40,6 @@
   readonly mustClose: (request: IncomingMessage) => boolean;
   /** Whether a graceful shutdown is in progress. */
   readonly isStopping: () => boolean;
-  /** Whether it only completes the requests that are open. */
-  readonly isDraining: () => boolean;
+  /** Which requests are still sent to backend servers in it. */
+  readonly shutdownAdmission: ShutdownAdmission<RequestTimes>;
 }
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -20,7 +20,10 @@
 } from "../connection/response_buffers.ts";
 import type { EntryId, ObjectRevision } from "../ids.ts";
 import type { SlotRequest } from "../request/acquire_slot.ts";
-import { ShutdownAdmission } from "../request/shutdown_admission.ts";
+import {
+  proxyClosingMs,
+  ShutdownAdmission,
+} from "../request/shutdown_admission.ts";
 import type { KvCopier, KvCopyReleaser } from "../request/kv_copy_manager.ts";
 import type { RouteTable } from "../version/route_table.ts";
 import { CallerWaitEstimator } from "./caller_wait_estimator.ts";
@@ -187,6 +190,7 @@
       callerWaits: CallerWaitEstimator.create(now),
       shutdownAdmission: ShutdownAdmission.create({
         now,
+        closingMs: proxyClosingMs,
         onKindClosed: () => dispatcher.rejectBlocked(),
       }),
       copyKvCache: options.copyKvCache,
--- a/src/process/server_pool.ts
+++ b/src/process/server_pool.ts
@@ -21,6 +21,7 @@
 } from "../constants.ts";
 import type { Deployment } from "../version/deployment.ts";
 import type { BackendServer } from "../version/types.ts";
+import type { DispatchCriteria } from "./dispatcher.ts";
 import { LOG_EVENTS } from "./log_events.ts";
 import type { Log } from "./log.ts";
 import { Routing } from "./settings.ts";
@@ -54,16 +55,11 @@
 }
 
 /** Criteria for choosing a server. */
-export interface ServerPoolCriteria {
-  readonly service: string;
+export interface ServerPoolCriteria extends DispatchCriteria {
   /** Model version that the server must run; empty for plain services. */
   readonly modelVersion: string;
-  /** Names of servers that must not be chosen. */
-  readonly excluded: ReadonlySet<string>;
   /** Name of the server to prefer while it has capacity, or empty. */
   readonly preferred: string;
-  /** Whether the request is suspected, and must run isolated from others. */
-  readonly isSuspect: boolean;
 }
 
 const HTTP_OK = 200;
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -19,6 +19,7 @@
   estimateCost,
   type Resumption,
 } from "./completion_request.ts";
+import { type RequestTimes, reserveSlot } from "./entry_admission.ts";
 import type { Journal } from "./journal.ts";
 import { isolate, isSuspect } from "./suspect.ts";
 
@@ -56,6 +57,8 @@
   readonly waitMs: number;
   /** Whether an earlier attempt may have run. */
   readonly isResumed: boolean;
+  /** `undefined` if an earlier attempt of this request may have run. */
+  readonly times: RequestTimes | undefined;
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
 }
@@ -80,7 +83,8 @@
   const { request, journal } = options;
   const controller = new AbortController();
   const preempted = new AttemptError(FailureCause.Preempted);
-  const reservation = await context.dispatcher.reserve({
+  const reservation = await reserveSlot(context, {
+    times: options.times,
     rank: request.rank,
     customer: request.customer.name,
     weight: request.customer.weight,
--- a/src/request/call_service.ts
+++ b/src/request/call_service.ts
@@ -1,6 +1,5 @@
 /** `/services/NAME/PATH`: forwards a call to a plain service. */
 
-import { readBody } from "../connection/http_server.ts";
 import { callHttp, type HttpResponse } from "../connection/http_call.ts";
 import type { ResponseBuffers } from "../connection/response_buffers.ts";
 import { RequestError, RequestErrorType } from "../errors.ts";
@@ -12,6 +11,12 @@
   type Service,
   ServiceForm,
 } from "../version/types.ts";
+import {
+  receiveBody,
+  type ReceivedBody,
+  type RequestTimes,
+  reserveSlot,
+} from "./entry_admission.ts";
 import {
   authenticate,
   callerSignal,
@@ -38,6 +43,7 @@
   readonly path: string;
   readonly contentType: string;
   readonly body: Buffer;
+  readonly times: RequestTimes;
   readonly signal: AbortSignal;
 }
 
@@ -48,11 +54,16 @@
 
 /** Waits for a slot on a server. Errors: a `RequestError` of type not run. */
 export function placeCall(
-  { dispatcher }: EntryContext,
+  context: EntryContext,
   call: ServiceCall,
-  options: { readonly waitMs: number; readonly excluded: ReadonlySet<string> },
+  options: {
+    readonly waitMs: number;
+    readonly excluded: ReadonlySet<string>;
+    readonly mayHaveRun: boolean;
+  },
 ): Promise<Reservation> {
-  return dispatcher.reserve({
+  return reserveSlot(context, {
+    times: options.mayHaveRun ? undefined : call.times,
     rank: call.rank,
     customer: call.customer.name,
     weight: call.customer.weight,
@@ -121,9 +132,9 @@
   exchange: Exchange,
 ): Promise<void> {
   const signal = callerSignal(exchange);
-  const body = await readBody(exchange.request, context.settings.bodyMaxBytes);
+  const received = await receiveBody(context, exchange);
   await context.pauseDetector.ready();
-  const call = parseCall(context, { exchange, body, signal });
+  const call = parseCall(context, { exchange, received, signal });
   if (isNonIdempotent(call)) {
     await performAction(context, { exchange, call });
   } else {
@@ -135,11 +146,11 @@
   context: EntryContext,
   input: {
     readonly exchange: Exchange;
-    readonly body: Buffer;
+    readonly received: ReceivedBody;
     readonly signal: AbortSignal;
   },
 ): ServiceCall {
-  const { exchange, body, signal } = input;
+  const { exchange, received, signal } = input;
   const { deployment } = context.revisionStore;
   const customer = authenticate(context, exchange);
   const { pathname, search } = exchange.url;
@@ -162,7 +173,11 @@
     method,
     path: `${groups?.path}${search}`,
     contentType: headers["content-type"] ?? "application/octet-stream",
-    body,
+    body: received.body,
+    times: {
+      receivedMs: received.receivedMs,
+      durationMs: service.callLimitMs,
+    },
     signal,
   };
 }
@@ -227,7 +242,7 @@
 ): Promise<Reservation> {
   try {
     const waitMs = call.rank.targetMs;
-    return await placeCall(context, call, { waitMs, excluded });
+    return await placeCall(context, call, { waitMs, excluded, mayHaveRun });
   } catch (error) {
     if (!mayHaveRun || !(error instanceof RequestError)) throw error;
     throw new RequestError(RequestErrorType.Interrupted, error.message);
--- a/src/request/call_service_test.ts
+++ b/src/request/call_service_test.ts
@@ -6,6 +6,7 @@
 import { callHttp } from "../connection/http_call.ts";
 import type { EntryContext } from "../process/entry_context.ts";
 import { ServiceForm } from "../version/types.ts";
+import type { RequestTimes } from "./entry_admission.ts";
 import { serve } from "./routes.ts";
 
 const HOST = "127.0.0.1";
@@ -33,7 +34,11 @@
     metrics: { openRequests: { inc: () => undefined, dec: () => undefined } },
     mustClose: () => false,
     isStopping: () => false,
-    isDraining: () => false,
+    now: () => performance.now(),
+    shutdownAdmission: {
+      rejection: () => undefined,
+      whileAccepted: (_: RequestTimes, work: Promise<unknown>) => work,
+    },
     pauseDetector: { ready: () => Promise.resolve() },
     revisionStore: {
       deployment: {
--- a/src/request/complete.ts
+++ b/src/request/complete.ts
@@ -1,6 +1,5 @@
 /** `POST /v1/completions`: generates a completion, streamed or in full. */
 
-import { readBody } from "../connection/http_server.ts";
 import { RequestError } from "../errors.ts";
 import type { EntryContext } from "../process/entry_context.ts";
 import { LOG_EVENTS } from "../process/log_events.ts";
@@ -9,6 +8,7 @@
   type CompletionRequest,
   parseCompletionRequest,
 } from "./completion_request.ts";
+import { receiveBody } from "./entry_admission.ts";
 import {
   authenticate,
   callerSignal,
@@ -31,10 +31,12 @@
   exchange: Exchange,
 ): Promise<void> {
   const signal = callerSignal(exchange);
-  const request = await parseRequest(context, exchange);
+  const { body, receivedMs } = await receiveBody(context, exchange);
+  const request = await parseRequest(context, { exchange, body });
   const generation = Generation.create(context, {
     requestId: exchange.id,
     request,
+    receivedMs,
     signal,
   });
   const completion = { context, exchange, generation, request };
@@ -59,10 +61,9 @@
 
 async function parseRequest(
   context: EntryContext,
-  exchange: Exchange,
+  { exchange, body }: { readonly exchange: Exchange; readonly body: Buffer },
 ): Promise<CompletionRequest> {
   const { settings, pauseDetector, revisionStore } = context;
-  const body = await readBody(exchange.request, settings.bodyMaxBytes);
   await pauseDetector.ready();
   return parseCompletionRequest({
     body,
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -33,6 +33,9 @@
   readonly handle: (context: EntryContext, exchange: Exchange) => Promise<void>;
 }
 
+/** The header that identifies a non-idempotent call. */
+export const IDEMPOTENCY_KEY_HEADER = "idempotency-key";
+
 const BEARER_KEY = /^Bearer (\S+)$/;
 
 /** Begins a response. */
--- a/src/request/generation.ts
+++ b/src/request/generation.ts
@@ -34,6 +34,7 @@
 import type { CompletionRequest } from "./completion_request.ts";
 import { createCursorWriter, type CursorWriter } from "./cursor.ts";
 import { Journal, type JournalUpdate } from "./journal.ts";
+import type { RequestTimes } from "./entry_admission.ts";
 import { chooseRecovery, RecoveryStep } from "./recovery.ts";
 import { isProvenHarmless, recordServerLoss } from "./suspect.ts";
 
@@ -49,6 +50,8 @@
 export interface GenerationOptions {
   readonly requestId: RequestId;
   readonly request: CompletionRequest;
+  /** When the request's body was complete, on the monotonic clock in ms. */
+  readonly receivedMs: number;
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
 }
@@ -61,6 +64,8 @@
   Abandoned,
 }
 
+/** Time that a token is assumed to need, in ms; slow engines need less. */
+const TOKEN_DURATION_MS = 50;
 /** Delay before the next attempt after a server rejected one, in ms. */
 const REJECTED_RETRY_DELAY_MS = 50;
 
@@ -76,8 +81,8 @@
   /** Names of servers on which an attempt failed. */
   readonly #failedServers = new Set<string>();
   #writeCursor: CursorWriter = () => "";
-  /** Whether a server may have run part of the request. */
-  #mayHaveRun: boolean;
+  /** Whether an attempt of this request may have run. */
+  #mayHaveRun = false;
   readonly #startMs: number;
   #failures = 0;
   #wasPreempted = false;
@@ -94,7 +99,6 @@
       randomUUID() as string as GenerationId;
     this.#modelVersion = resumption?.cursor.modelVersion ?? model.version;
     this.#deliverFrom = resumption?.cursor.position ?? 0;
-    this.#mayHaveRun = resumption !== undefined;
     this.#journal = resumption?.text === undefined
       ? Journal.create(maxTokens)
       : Journal.restore(maxTokens, {
@@ -257,7 +261,8 @@
       journal: this.#journal,
       excluded: this.#failedServers,
       waitMs: this.#remainingMs(),
-      isResumed: this.#mayHaveRun,
+      isResumed: this.#isResumed,
+      times: this.#mayHaveRun ? undefined : this.#times(),
     };
     // Failed servers are tried again when no other server is left.
     if (!canStart(this.#context, options)) this.#failedServers.clear();
@@ -272,6 +277,21 @@
     }
   }
 
+  /** Whether a server may have run part of this request or an earlier one. */
+  get #isResumed(): boolean {
+    return this.#mayHaveRun || this.#options.request.resumption !== undefined;
+  }
+
+  #times(): RequestTimes {
+    const { receivedMs, request } = this.#options;
+    const tokens = request.maxTokens - this.#journal.position;
+    return {
+      receivedMs,
+      durationMs: this.#context.settings.firstTokenTimeoutMs +
+        tokens * TOKEN_DURATION_MS,
+    };
+  }
+
   /** Time left to find a server, in ms; rejected attempts use it up too. */
   #remainingMs(): number {
     const { now, settings } = this.#context;
@@ -279,7 +299,7 @@
     const resumeTimeoutMs = this.#wasPreempted
       ? Math.max(targetMs, settings.resumeTimeoutMs)
       : settings.resumeTimeoutMs;
-    const timeoutMs = this.#mayHaveRun ? resumeTimeoutMs : targetMs;
+    const timeoutMs = this.#isResumed ? resumeTimeoutMs : targetMs;
     const sinceMs = this.#interruptedAtMs ?? this.#startMs;
     return Math.max(0, sinceMs + timeoutMs - now());
   }
@@ -418,7 +438,7 @@
   }
 
   #createError(message: string, retryAfterS = RETRY_AFTER_S): RequestError {
-    if (this.#mayHaveRun) return createInterruptedError(message);
+    if (this.#isResumed) return createInterruptedError(message);
     return new RequestError(RequestErrorType.NotRun, message, retryAfterS);
   }
 }
--- a/src/request/generation_test.ts
+++ b/src/request/generation_test.ts
@@ -28,6 +28,7 @@
     pauseDetector: { ready: () => Promise.resolve() },
     suspicions: { isRefused: () => false, blameScore: () => 0 },
     serverPool: { canServe: () => true, eject: () => undefined },
+    shutdownAdmission: { rejection: () => undefined },
     dispatcher: {
       reserve: () =>
         Promise.resolve({
@@ -65,6 +66,7 @@
   const generation = Generation.create(createContext(`${HOST}:${port}`), {
     requestId: "request-1" as RequestId,
     request: REQUEST,
+    receivedMs: performance.now(),
     signal: new AbortController().signal,
   });
   try {
--- a/src/request/perform_action.ts
+++ b/src/request/perform_action.ts
@@ -28,7 +28,12 @@
   sendResponse,
   type ServiceCall,
 } from "./call_service.ts";
-import { type Exchange, singleHeader } from "./exchange.ts";
+import { toNotSent } from "./entry_admission.ts";
+import {
+  type Exchange,
+  IDEMPOTENCY_KEY_HEADER,
+  singleHeader,
+} from "./exchange.ts";
 
 /** A non-idempotent call and the exchange that receives its response. */
 export interface ActionRequest {
@@ -65,6 +70,8 @@
     fingerprint: fingerprintOf(request.call),
     state: ActionState.Claimed,
   };
+  const rejection = context.shutdownAdmission.rejection(request.call.times);
+  if (rejection !== undefined) throw toNotSent(rejection);
   const claimedMs = context.now();
   const claim = await context.actionStore.claim(key, record);
   await match(claim)
@@ -96,7 +103,7 @@
 }
 
 function actionKey({ call, exchange }: ActionRequest): Fingerprint {
-  const key = singleHeader(exchange, "idempotency-key") ?? "";
+  const key = singleHeader(exchange, IDEMPOTENCY_KEY_HEADER) ?? "";
   if (!IDEMPOTENCY_KEY.test(key)) {
     throw new RequestError(
       RequestErrorType.InvalidRequest,
@@ -136,27 +143,36 @@
   await recordResponse(context, { action, response });
 }
 
-/** Reserves a server; releases the claim if it expires first. */
+/**
+ * Reserves a server; releases the claim if it expires first or the call may no
+ * longer be sent.
+ */
 async function reserveServer(
   context: EntryContext,
   { call, key, record, claimedMs }: ClaimedAction,
 ): Promise<Reservation> {
   const remainingMs = () => claimedMs + ACTION_CLAIM_MAX_AGE_MS - context.now();
-  let reason = "the claim expired before the call was sent";
+  let rejection = createError(
+    RequestErrorType.NotRun,
+    "the claim expired before the call was sent",
+  );
   try {
     await context.pauseDetector.ready();
     if (remainingMs() > 0) {
-      const options = { waitMs: remainingMs(), excluded: new Set<string>() };
-      const reservation = await placeCall(context, call, options);
+      const reservation = await placeCall(context, call, {
+        waitMs: remainingMs(),
+        excluded: new Set<string>(),
+        mayHaveRun: false,
+      });
       if (remainingMs() > 0) return reservation;
       reservation.release();
     }
   } catch (error) {
     if (!(error instanceof RequestError)) throw error;
-    reason = error.message;
+    rejection = error;
   }
   await context.actionStore.releaseClaim(key, record.attempt);
-  throw createError(RequestErrorType.NotRun, reason);
+  throw rejection;
 }
 
 async function recordUnknownOutcome(
--- a/src/request/routes.ts
+++ b/src/request/routes.ts
@@ -11,7 +11,6 @@
 import { sendErrorResponse } from "./error_response.ts";
 import type { ResponseTarget, Route } from "./exchange.ts";
 import { HEALTH_ROUTE, METRICS_ROUTE, READY_ROUTE } from "./probe.ts";
-import { createShutdownError } from "./shutdown_admission.ts";
 
 /** The routes, in the order in which they are matched. */
 export const ROUTES: readonly Route[] = [
@@ -22,12 +21,6 @@
   METRICS_ROUTE,
 ];
 
-/** Routes of requests that may last longer than a shutdown. */
-const REQUEST_ROUTES: ReadonlySet<Route> = new Set([
-  COMPLETIONS_ROUTE,
-  SERVICE_ROUTE,
-]);
-
 /** Handles one request until it ends; never rejects. */
 export async function serve(
   context: EntryContext,
@@ -45,9 +38,6 @@
   try {
     const url = new URL(request.url ?? "/", "http://entry");
     const route = findRoute(request.method ?? "GET", url.pathname);
-    if (context.isDraining() && REQUEST_ROUTES.has(route)) {
-      throw createShutdownError();
-    }
     await route.handle(context, { ...target, request, url });
   } catch (error) {
     const requestError = toRequestError(context, { error, id });
--- a/src/request/shutdown_admission.ts
+++ b/src/request/shutdown_admission.ts
@@ -7,26 +7,35 @@
  */
 
 import { RequestError, RequestErrorType } from "../errors.ts";
-import { type ProxyRequest, RequestKind } from "./proxy_request.ts";
+import { RequestKind } from "./proxy_request.ts";
 
 /** Dependencies of `ShutdownAdmission`. */
-export interface ShutdownAdmissionOptions {
+export interface ShutdownAdmissionOptions<Kind> {
   /** Monotonic clock, in ms. */
   readonly now: () => number;
+  /** Returns until when requests of a kind are sent, on that clock in ms. */
+  readonly closingMs: (kind: Kind, shutdown: Shutdown) => number;
   /** Called when requests of a kind are no longer sent to servers. */
   readonly onKindClosed: () => void;
 }
 
 /** A shutdown in progress; times are on the monotonic clock in ms. */
-interface Shutdown {
+export interface Shutdown {
   readonly startMs: number;
   /** When open requests are cut off. */
   readonly endMs: number;
 }
 
+/** A request whose deadline a shutdown can limit. */
+interface AdmissibleRequest<Kind> {
+  readonly kind: Kind;
+  /** On the monotonic clock, in ms. */
+  readonly callerDeadlineMs: number;
+}
+
 /** A request that waits before it can be sent. */
-interface WaitingRequest {
-  readonly kind: RequestKind | undefined;
+interface WaitingRequest<Kind> {
+  readonly kind: Kind;
   readonly reject: (error: RequestError) => void;
 }
 
@@ -40,22 +49,32 @@
 const CALL_MIN_REMAINING_MS = 3_000;
 /** Time before the end at which accepted requests are answered, in ms. */
 const RESPONSE_MARGIN_MS = 100;
+/** Longest delay of a timer of Node, in ms. */
+const TIMER_MAX_MS = 2 ** 31 - 1;
 /** Suggested retry delay, in s; short, since other entries accept requests. */
 const RETRY_AFTER_S = 0.02;
 
-/** The admission of requests by one entry. */
-export class ShutdownAdmission {
-  readonly #options: ShutdownAdmissionOptions;
-  readonly #waiting = new Set<WaitingRequest>();
+/**
+ * The admission of requests by one entry. `Kind` holds what the time limits of a
+ * request depend on.
+ */
+export class ShutdownAdmission<Kind = RequestKind | undefined> {
+  readonly #options: ShutdownAdmissionOptions<Kind>;
+  readonly #waiting = new Set<WaitingRequest<Kind>>();
   /** `undefined` before a shutdown. */
   #shutdown: Shutdown | undefined;
+  #checkTimer: NodeJS.Timeout | undefined;
+  /** When the waiting requests are checked next, on the clock in ms. */
+  #nextCheckMs = Infinity;
 
-  private constructor(options: ShutdownAdmissionOptions) {
+  private constructor(options: ShutdownAdmissionOptions<Kind>) {
     this.#options = options;
   }
 
   /** Creates an admission that accepts all requests until `beginShutdown`. */
-  static create(options: ShutdownAdmissionOptions): ShutdownAdmission {
+  static create<Kind>(
+    options: ShutdownAdmissionOptions<Kind>,
+  ): ShutdownAdmission<Kind> {
     return new ShutdownAdmission(options);
   }
 
@@ -63,16 +82,19 @@
   beginShutdown(deadlineMs: number): void {
     const startMs = this.#options.now();
     this.#shutdown = { startMs, endMs: startMs + deadlineMs };
-    for (const kind of Object.values(RequestKind)) this.#awaitClosing(kind);
+    this.#checkWaiting();
   }
 
   /**
-   * Returns why a request must not be sent to a server now, if so.
-   *
-   * @param kind `undefined` if it is not known yet
+   * Returns why a request must not be sent to a server now, if so. In a shutdown
+   * `onKindClosed` is called again when this changes for its kind.
    */
-  rejection(kind: RequestKind | undefined): RequestError | undefined {
-    return this.#remainingMs(kind) > 0 ? undefined : createShutdownError();
+  rejection(kind: Kind): RequestError | undefined {
+    if (this.#shutdown === undefined) return undefined;
+    const closingMs = this.#options.closingMs(kind, this.#shutdown);
+    if (closingMs <= this.#options.now()) return createShutdownError();
+    this.#scheduleCheck(closingMs);
+    return undefined;
   }
 
   /**
@@ -80,7 +102,7 @@
    *
    * Errors: `RequestError` of type not run if it would be sent too late.
    */
-  admit(request: ProxyRequest): ProxyRequest {
+  admit<Request extends AdmissibleRequest<Kind>>(request: Request): Request {
     const rejection = this.rejection(request.kind);
     if (rejection !== undefined) throw rejection;
     if (this.#shutdown === undefined) return request;
@@ -97,11 +119,11 @@
    * Errors: `RequestError` of type not run as soon as it would be sent too late.
    */
   whileAccepted<Value>(
-    kind: RequestKind | undefined,
+    kind: Kind,
     work: Promise<Value>,
   ): Promise<Value> {
     return new Promise((resolve, reject) => {
-      const waiting: WaitingRequest = { kind, reject };
+      const waiting: WaitingRequest<Kind> = { kind, reject };
       this.#waiting.add(waiting);
       work.then(resolve, reject).finally(() => this.#waiting.delete(waiting));
       const rejection = this.rejection(kind);
@@ -109,25 +131,21 @@
     });
   }
 
-  /** Time in which requests of a kind are still sent, in ms. */
-  #remainingMs(kind: RequestKind | undefined): number {
-    if (this.#shutdown === undefined) return Infinity;
-    const { startMs, endMs } = this.#shutdown;
-    const closesAtMs = kind === RequestKind.Stream
-      ? startMs + STREAM_ACCEPT_WINDOW_MS
-      : endMs - CALL_MIN_REMAINING_MS;
-    return closesAtMs - this.#options.now();
+  #scheduleCheck(checkMs: number): void {
+    if (this.#nextCheckMs <= checkMs) return;
+    this.#nextCheckMs = checkMs;
+    clearTimeout(this.#checkTimer);
+    // A timer may fire early by this clock: it counts from the event loop's
+    // last turn. The check then schedules another one.
+    this.#checkTimer = setTimeout(
+      () => this.#checkWaiting(),
+      Math.min(checkMs - this.#options.now(), TIMER_MAX_MS),
+    ).unref();
   }
 
-  /** Rejects the waiting requests of a kind once it is no longer accepted. */
-  #awaitClosing(kind: RequestKind): void {
-    const remainingMs = this.#remainingMs(kind);
-    // A timer may fire early by this clock: it counts from the event loop's
-    // last turn.
-    if (remainingMs > 0) {
-      setTimeout(() => this.#awaitClosing(kind), remainingMs).unref();
-      return;
-    }
+  /** Rejects the waiting requests that are no longer accepted. */
+  #checkWaiting(): void {
+    this.#nextCheckMs = Infinity;
     for (const { kind, reject } of this.#waiting) {
       const rejection = this.rejection(kind);
       if (rejection !== undefined) reject(rejection);
@@ -136,6 +154,20 @@
   }
 }
 
+/**
+ * Returns until when the platform's entry sends requests of a kind.
+ *
+ * @param kind `undefined` if it is not known yet
+ */
+export function proxyClosingMs(
+  kind: RequestKind | undefined,
+  { startMs, endMs }: Shutdown,
+): number {
+  return kind === RequestKind.Stream
+    ? startMs + STREAM_ACCEPT_WINDOW_MS
+    : endMs - CALL_MIN_REMAINING_MS;
+}
+
 /** Returns the error of a request that an entry no longer accepts. */
 export function createShutdownError(): RequestError {
   return new RequestError(
--- a/src/request/shutdown_admission_test.ts
+++ b/src/request/shutdown_admission_test.ts
@@ -2,7 +2,7 @@
 
 import { expect, test } from "vitest";
 import { type ProxyRequest, RequestKind } from "./proxy_request.ts";
-import { ShutdownAdmission } from "./shutdown_admission.ts";
+import { proxyClosingMs, ShutdownAdmission } from "./shutdown_admission.ts";
 
 const START_MS = 1_000;
 const DEADLINE_MS = 7_760;
@@ -20,6 +20,7 @@
   let nowMs = START_MS;
   const admission = ShutdownAdmission.create({
     now: () => nowMs,
+    closingMs: proxyClosingMs,
     onKindClosed: () => undefined,
   });
   admission.beginShutdown(DEADLINE_MS);
@@ -43,6 +44,7 @@
 test("a request is not limited before a shutdown", () => {
   const admission = ShutdownAdmission.create({
     now: () => START_MS,
+    closingMs: proxyClosingMs,
     onKindClosed: () => undefined,
   });
   expect(admission.admit(STREAM)).toBe(STREAM);
@@ -52,6 +54,7 @@
   const closed: boolean[] = [];
   const admission = ShutdownAdmission.create({
     now: () => performance.now(),
+    closingMs: proxyClosingMs,
     onKindClosed: () =>
       closed.push(admission.rejection(RequestKind.Idempotent) !== undefined),
   });
