Give each request that is open at the deadline of a shutdown a true response

Callers of our own interface saw, at stop.deadline_ms and at a second SIGTERM: their connections closed without a response, streams without an error event, and actions whose record said for seconds that they were still under way.

Cause: the entry listed open requests without a way to end them, and closed all connections before it asked for their end.

Change: each request keeps how it ends if the process does (request_ending.ts): 503 not_run if it was not sent, not_sent if its idempotency key was not looked up, 504 outcome_unknown for an action that was sent, 502 interrupted for other requests, an error event for a stream. A call counts as sent once its connection is being opened, since it may still be used. An answer that is only waiting for its record to be stored is sent. The record of an action is written, or its claim released, without waiting for a store out of reach: the process stays at most 0.5 s for last responses and records, and answers what comes meanwhile. A second SIGTERM answers and exits in the same turn.

Changed test: call_service_test passes the ending that `serve` needs; what it checks is the same.

--- a/src/bin/gypsumridge_entry.ts
+++ b/src/bin/gypsumridge_entry.ts
@@ -27,6 +27,7 @@
 process.once("SIGTERM", async () => {
   process.once("SIGTERM", () => {
     log(LOG_EVENTS.shutdownForced);
+    entry.endRequests();
     process.exit(ExitCode.Failure);
   });
   const isClean = await entry.stop();
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -26,6 +26,7 @@
   entryClosingMs,
   type RequestTimes,
 } from "../request/entry_admission.ts";
+import { RequestEnding } from "../request/request_ending.ts";
 import { serve } from "../request/routes.ts";
 import { ShutdownAdmission } from "../request/shutdown_admission.ts";
 import { chunkName, HEAD_NAME } from "../version/object_names.ts";
@@ -54,6 +55,9 @@
 
 /** How long new requests wait for the refresh after a pause, in ms. */
 const REFRESH_TIMEOUT_MS = 1_000;
+/** Longest time after a shutdown's deadline for last writes, in ms. */
+const LAST_WRITES_MAX_MS = 500;
+const LAST_WRITES_POLL_MS = 10;
 /** How long callers' connections may stay idle, in ms. */
 const IDLE_LIMIT_MS = 30_000;
 /** Limits all entries together to 100 instance list calls a second. */
@@ -80,6 +84,8 @@
   readonly #closingSockets = new WeakSet<Socket>();
   readonly #statusWriter: EntryStatusWriter;
   readonly #openRequests = OpenRequests.create();
+  /** Records of requests that were ended with the process. */
+  readonly #lastRecords: Promise<void>[] = [];
   #isStopping = false;
   #isClosed = false;
   /** The last head that was read from the store. */
@@ -131,7 +137,7 @@
   /**
    * Shuts down gracefully: keeps accepting until the load balancer has had time
    * to notice, then waits for open requests. Resolves with whether all of them
-   * ended before the deadline.
+   * ended before the deadline; the process must end in the same turn.
    */
   async stop(): Promise<boolean> {
     const {
@@ -143,13 +149,19 @@
     this.#context.shutdownAdmission.beginShutdown(
       Math.max(noticeMs, deadlineMs),
     );
-    return await shutDownGracefully({
+    const isClean = await shutDownGracefully({
       openRequests: this.#openRequests,
       log: this.#log,
       noticeMs,
       deadlineMs,
-      onDrained: () => Promise.resolve(this.close()),
     });
+    if (!isClean) await this.#finishLastWrites();
+    return isClean;
+  }
+
+  /** Responds to all open requests; the process must end in the same turn. */
+  endRequests(): void {
+    this.#openRequests.endAll();
   }
 
   /** Closes all connections and stops all tasks at once. */
@@ -164,14 +176,30 @@
     this.#server.closeAllConnections();
   }
 
+  /** Waits until the last responses are read and the last records stored. */
+  async #finishLastWrites(): Promise<void> {
+    const endMs = performance.now() + LAST_WRITES_MAX_MS;
+    let areStored = false;
+    Promise.allSettled(this.#lastRecords).then(() => areStored = true);
+    const isPending = () => !areStored || this.#openRequests.count > 0;
+    while (isPending() && performance.now() < endMs) {
+      await sleep(LAST_WRITES_POLL_MS);
+    }
+    this.endRequests();
+  }
+
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
     // The response before announced the end of the connection, so none follows.
     if (socket.writableEnded || this.#closingSockets.has(socket)) {
       return void request.resume();
     }
-    this.#openRequests.track(response);
-    serve(this.#context, request, response);
+    const ending = RequestEnding.create(response);
+    this.#openRequests.track(
+      response,
+      () => this.#lastRecords.push(ending.end()),
+    );
+    serve(this.#context, { request, response, ending });
   }
 
   #mustClose(request: IncomingMessage): boolean {
--- a/src/request/call_service.ts
+++ b/src/request/call_service.ts
@@ -21,7 +21,9 @@
   authenticate,
   callerSignal,
   type Exchange,
+  IDEMPOTENCY_KEY_HEADER,
   type Route,
+  singleHeader,
   writeHead,
 } from "./exchange.ts";
 import { performAction } from "./perform_action.ts";
@@ -132,6 +134,9 @@
   exchange: Exchange,
 ): Promise<void> {
   const signal = callerSignal(exchange);
+  const hasKey = singleHeader(exchange, IDEMPOTENCY_KEY_HEADER) !== undefined;
+  // Until its record is read, an earlier request with its key may have run.
+  if (hasKey) exchange.ending.update({ type: () => RequestErrorType.NotSent });
   const received = await receiveBody(context, exchange);
   await context.pauseDetector.ready();
   const call = parseCall(context, { exchange, received, signal });
@@ -196,6 +201,14 @@
 ): Promise<void> {
   const excluded = new Set<string>();
   let mayHaveRun = false;
+  // A connection that is being opened may still be used.
+  let isAttemptOpen = false;
+  exchange.ending.update({
+    type: () =>
+      mayHaveRun || isAttemptOpen
+        ? RequestErrorType.Interrupted
+        : RequestErrorType.NotRun,
+  });
   for (let attempt = 1; attempt <= ATTEMPTS_MAX; attempt++) {
     const reservation = await reserveServer(context, {
       call,
@@ -203,6 +216,7 @@
       mayHaveRun,
     });
     let response: HttpResponse;
+    isAttemptOpen = true;
     try {
       response = await sendCall(call, {
         address: reservation.server.address,
@@ -214,6 +228,7 @@
       context.serverPool.eject(reservation.server.name);
       continue;
     } finally {
+      isAttemptOpen = false;
       reservation.release();
     }
     return sendResponse(exchange, {
--- a/src/request/call_service_test.ts
+++ b/src/request/call_service_test.ts
@@ -7,6 +7,7 @@
 import type { EntryContext } from "../process/entry_context.ts";
 import { ServiceForm } from "../version/types.ts";
 import type { RequestTimes } from "./entry_admission.ts";
+import { RequestEnding } from "./request_ending.ts";
 import { serve } from "./routes.ts";
 
 const HOST = "127.0.0.1";
@@ -75,7 +76,11 @@
     (name) => ejected.push(name),
   );
   const entry = createHttpServer((request, response) =>
-    serve(context, request, response)
+    serve(context, {
+      request,
+      response,
+      ending: RequestEnding.create(response),
+    })
   );
   try {
     const { status } = await callHttp({
--- a/src/request/complete.ts
+++ b/src/request/complete.ts
@@ -39,6 +39,7 @@
     receivedMs,
     signal,
   });
+  exchange.ending.update({ type: () => generation.endingType });
   const completion = { context, exchange, generation, request };
   let outcome = "complete";
   try {
@@ -86,11 +87,24 @@
 ): Promise<void> {
   const observeChunk = createChunkObserver(context, request);
   let stream: SseResponse | undefined;
-  const openStream = () =>
-    stream ??= SseResponse.create(exchange, {
+  const openStream = () => {
+    if (stream !== undefined) return stream;
+    const opened = SseResponse.create(exchange, {
       generation: generation.id,
       model: request.service.name,
     });
+    exchange.ending.update({ respond: (error) => fail(opened, error) });
+    return stream = opened;
+  };
+  const fail = (opened: SseResponse, error: RequestError) => {
+    context.log(LOG_EVENTS.generationInterrupted, {
+      request: exchange.id,
+      generation: generation.id,
+      reason: error.message,
+      position: generation.position,
+    });
+    opened.fail(error);
+  };
   try {
     for await (const chunk of generation.run()) {
       observeChunk();
@@ -100,13 +114,7 @@
     openStream().close();
   } catch (error) {
     if (stream === undefined || !(error instanceof RequestError)) throw error;
-    context.log(LOG_EVENTS.generationInterrupted, {
-      request: exchange.id,
-      generation: generation.id,
-      reason: error.message,
-      position: generation.position,
-    });
-    stream.fail(error);
+    fail(stream, error);
   }
 }
 
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -9,6 +9,7 @@
 import type { RequestId } from "../ids.ts";
 import type { EntryContext } from "../process/entry_context.ts";
 import type { Customer } from "../version/types.ts";
+import type { RequestEnding } from "./request_ending.ts";
 
 /** The response to a request. */
 export interface ResponseTarget {
@@ -21,9 +22,17 @@
 /** A request and the response to it. */
 export interface Exchange extends ResponseTarget {
   readonly request: IncomingMessage;
+  /** How the request ends if the process does. */
+  readonly ending: RequestEnding;
   readonly url: URL;
 }
 
+/** A request as the HTTP server received it. */
+export type IncomingExchange = Pick<
+  Exchange,
+  "request" | "response" | "ending"
+>;
+
 /** A route of the entry's HTTP interface. */
 export interface Route {
   /** HTTP method; empty for any. */
--- a/src/request/generation.ts
+++ b/src/request/generation.ts
@@ -83,6 +83,8 @@
   #writeCursor: CursorWriter = () => "";
   /** Whether an attempt of this request may have run. */
   #mayHaveRun = false;
+  /** Whether an attempt is open of which it is not known that it never ran. */
+  #isAttemptOpen = false;
   readonly #startMs: number;
   #failures = 0;
   #wasPreempted = false;
@@ -120,6 +122,13 @@
     return this.#id;
   }
 
+  /** Type of the error that is true if the generation ends now. */
+  get endingType(): RequestErrorType {
+    return this.#isAttemptOpen || this.#isResumed
+      ? RequestErrorType.Interrupted
+      : RequestErrorType.NotRun;
+  }
+
   /** Number of tokens generated so far. */
   get position(): number {
     return this.#journal.position;
@@ -136,6 +145,7 @@
     let attempt = this.#reattachToCursor();
     while (!this.#journal.isFull) {
       attempt ??= await this.#startAttempt();
+      this.#isAttemptOpen = true;
       let outcome = ReadOutcome.Abandoned;
       try {
         this.#createCursorWriter(attempt);
@@ -153,7 +163,9 @@
         if (!(error instanceof AttemptError)) throw error;
         outcome = ReadOutcome.Failed;
         attempt.close();
+        this.#isAttemptOpen = error.mayHaveRun;
         attempt = await this.#recover(attempt, error);
+        this.#isAttemptOpen = false;
       } finally {
         if (outcome !== ReadOutcome.Failed) this.#endAttempt(attempt, outcome);
       }
--- a/src/request/perform_action.ts
+++ b/src/request/perform_action.ts
@@ -123,7 +123,16 @@
   context: EntryContext,
   action: ClaimedAction,
 ): Promise<void> {
+  const release = () =>
+    context.actionStore.releaseClaim(action.key, action.record.attempt);
+  const { ending } = action.exchange;
+  ending.update({ type: () => RequestErrorType.NotRun, record: release });
   const reservation = await reserveServer(context, action);
+  // A connection that is being opened may still be used.
+  ending.update({
+    type: () => RequestErrorType.OutcomeUnknown,
+    record: () => storeUnknownOutcome(context, action),
+  });
   let mayHaveRun = false;
   let response: HttpResponse;
   try {
@@ -135,7 +144,8 @@
   } catch (error) {
     context.serverPool.eject(reservation.server.name);
     if (mayHaveRun) return await recordUnknownOutcome(context, action);
-    await context.actionStore.releaseClaim(action.key, action.record.attempt);
+    ending.update({ type: () => RequestErrorType.NotRun, record: release });
+    await release();
     throw createError(RequestErrorType.NotRun, messageOf(error));
   } finally {
     reservation.release();
@@ -177,14 +187,21 @@
 
 async function recordUnknownOutcome(
   context: EntryContext,
-  { key, record, version }: ClaimedAction,
+  action: ClaimedAction,
 ): Promise<never> {
-  context.log(LOG_EVENTS.actionOutcomeUnknown, { key });
-  const outcome = { ...record, state: ActionState.Unknown };
-  await context.actionStore.recordOutcome(key, { record: outcome, version });
+  await storeUnknownOutcome(context, action);
   throw createUnknownOutcomeError();
 }
 
+async function storeUnknownOutcome(
+  { log, actionStore }: EntryContext,
+  { key, record, version }: ClaimedAction,
+): Promise<void> {
+  log(LOG_EVENTS.actionOutcomeUnknown, { key });
+  const outcome = { ...record, state: ActionState.Unknown };
+  await actionStore.recordOutcome(key, { record: outcome, version });
+}
+
 async function recordResponse(
   context: EntryContext,
   { action, response }: {
@@ -199,8 +216,14 @@
     ? { status, contentType }
     : { status, contentType, body: body.toString("base64") };
   const outcome = { ...record, state: ActionState.Answered, answer: stored };
-  await context.actionStore.recordOutcome(key, { record: outcome, version });
-  sendResponse(exchange, { status, contentType, body });
+  const respond = () => sendResponse(exchange, { status, contentType, body });
+  const recorded = context.actionStore.recordOutcome(key, {
+    record: outcome,
+    version,
+  });
+  exchange.ending.update({ respond, record: () => recorded });
+  await recorded;
+  respond();
 }
 
 async function respondFromRecord(
--- a/src/request/routes.ts
+++ b/src/request/routes.ts
@@ -1,6 +1,5 @@
 /** The HTTP routes of an entry, and the dispatch of requests to them. */
 
-import type { IncomingMessage, ServerResponse } from "node:http";
 import { randomUUID } from "node:crypto";
 import { messageOf, RequestError, RequestErrorType } from "../errors.ts";
 import type { RequestId } from "../ids.ts";
@@ -9,7 +8,7 @@
 import { SERVICE_ROUTE } from "./call_service.ts";
 import { COMPLETIONS_ROUTE } from "./complete.ts";
 import { sendErrorResponse } from "./error_response.ts";
-import type { ResponseTarget, Route } from "./exchange.ts";
+import type { IncomingExchange, ResponseTarget, Route } from "./exchange.ts";
 import { HEALTH_ROUTE, METRICS_ROUTE, READY_ROUTE } from "./probe.ts";
 
 /** The routes, in the order in which they are matched. */
@@ -24,8 +23,7 @@
 /** Handles one request until it ends; never rejects. */
 export async function serve(
   context: EntryContext,
-  request: IncomingMessage,
-  response: ServerResponse,
+  { request, response, ending }: IncomingExchange,
 ): Promise<void> {
   const id = randomUUID() as string as RequestId;
   context.metrics.openRequests.inc();
@@ -34,12 +32,19 @@
     response,
     mustClose: () => context.mustClose(request),
   };
+  ending.update({
+    respond: (error) => {
+      logRefusal(context, { error, id });
+      sendErrorResponse(target, error);
+    },
+  });
   response.on("error", () => response.destroy());
   try {
     const url = new URL(request.url ?? "/", "http://entry");
     const route = findRoute(request.method ?? "GET", url.pathname);
-    await route.handle(context, { ...target, request, url });
+    await route.handle(context, { ...target, request, ending, url });
   } catch (error) {
+    if (ending.hasEnded) return;
     const requestError = toRequestError(context, { error, id });
     sendErrorResponse(target, requestError);
   } finally {
@@ -63,17 +68,27 @@
 }
 
 function toRequestError(
-  { log }: EntryContext,
+  context: EntryContext,
   { error, id }: { readonly error: unknown; readonly id: RequestId },
 ): RequestError {
   if (error instanceof RequestError) {
-    log(LOG_EVENTS.requestRefused, {
-      request: id,
-      type: error.type,
-      reason: error.message,
-    });
+    logRefusal(context, { error, id });
     return error;
   }
-  log(LOG_EVENTS.unexpectedError, { request: id, reason: messageOf(error) });
+  context.log(LOG_EVENTS.unexpectedError, {
+    request: id,
+    reason: messageOf(error),
+  });
   return new RequestError(RequestErrorType.Interrupted, "unexpected error");
 }
+
+function logRefusal(
+  { log }: EntryContext,
+  { error, id }: { readonly error: RequestError; readonly id: RequestId },
+): void {
+  log(LOG_EVENTS.requestRefused, {
+    request: id,
+    type: error.type,
+    reason: error.message,
+  });
+}
--- a/src/request/sse_response.ts
+++ b/src/request/sse_response.ts
@@ -52,10 +52,11 @@
     return new SseResponse(target, options);
   }
 
-  /** Writes a chunk; returns a promise to await while the buffer is full. */
+  /** Writes a chunk, unless the stream has ended; returns a promise to await while the buffer is full. */
   write(
     { text, cursor, finishReason }: CompletionChunk,
   ): Promise<void> | undefined {
+    if (this.#response.writableEnded) return undefined;
     const reason = finishReason === undefined ? "null" : `"${finishReason}"`;
     const event = `id: ${cursor}${this.#eventPrefix}${JSON.stringify(text)}` +
       `,"logprobs":null,"finish_reason":${reason}}]}\n\n`;
@@ -67,11 +68,13 @@
 
   /** Ends a complete response. */
   close(): void {
+    if (this.#response.writableEnded) return;
     this.#response.end("data: [DONE]\n\n");
   }
 
   /** Ends an incomplete response with an error event. */
   fail(error: RequestError): void {
+    if (this.#response.writableEnded) return;
     const body = JSON.stringify(errorBody(error, this.#target.id));
     this.#response.end(`event: error\ndata: ${body}\n\n`);
   }
