--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -1,6 +1,12 @@
 /** The `gypsumridge-entry` process: HTTP server, server pool and peer links. */
 
-import { createServer, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import { CallerConnections } from "../connection/caller_connections.ts";
@@ -16,7 +22,13 @@
 } from "../connection/response_buffers.ts";
 import { INSTANCE_LIST_INTERVAL_MS } from "../constants.ts";
 import type { ContentHash } from "../ids.ts";
+import {
+  entryClosingMs,
+  type RequestTimes,
+} from "../request/entry_admission.ts";
+import { RequestEnding } from "../request/request_ending.ts";
 import { serve } from "../request/routes.ts";
+import { ShutdownAdmission } from "../request/shutdown_admission.ts";
 import { chunkName, HEAD_NAME } from "../version/object_names.ts";
 import { RevisionStore } from "../version/revision_store.ts";
 import { parseHead } from "../version/parse_head.ts";
@@ -43,6 +55,9 @@
 
 /** How long new requests wait for the refresh after a pause, in ms. */
 const REFRESH_TIMEOUT_MS = 1_000;
+/** Longest time after a shutdown's deadline for last writes, in ms. */
+const LAST_WRITES_MAX_MS = 500;
+const LAST_WRITES_POLL_MS = 10;
 /** How long callers' connections may stay idle, in ms. */
 const IDLE_LIMIT_MS = 30_000;
 /** Limits all entries together to 100 instance list calls a second. */
@@ -64,10 +79,14 @@
   readonly #peers: Peers;
   readonly #context: EntryContext;
   readonly #server: Server;
+  readonly #callerConnections: CallerConnections;
+  /** Connections whose end was announced to their callers. */
+  readonly #closingSockets = new WeakSet<Socket>();
   readonly #statusWriter: EntryStatusWriter;
   readonly #openRequests = OpenRequests.create();
-  /** When shutdown was requested, on the monotonic clock in ms. */
-  #stopRequestedMs: number | undefined;
+  /** Records of requests that were ended with the process. */
+  readonly #lastRecords: Promise<void>[] = [];
+  #isStopping = false;
   #isClosed = false;
   /** The last head that was read from the store. */
   #latestHead: Head | undefined;
@@ -86,14 +105,14 @@
       readChunk: (hash) => this.#context.revisionStore.chunk(hash),
     });
     this.#statusWriter = EntryStatusWriter.create(this.#context);
-    this.#server = createServer((request, response) => {
-      this.#openRequests.track(response);
-      serve(this.#context, request, response);
-    });
-    CallerConnections.create({
+    this.#server = createServer((request, response) =>
+      this.#handleRequest(request, response)
+    );
+    this.#callerConnections = CallerConnections.create({
       server: this.#server,
       now: () => performance.now(),
-    }).setIdleLimit(IDLE_LIMIT_MS);
+    });
+    this.#callerConnections.setIdleLimit(IDLE_LIMIT_MS);
   }
 
   /** Creates an entry; `start` makes it listen. */
@@ -118,21 +137,31 @@
   /**
    * Shuts down gracefully: keeps accepting until the load balancer has had time
    * to notice, then waits for open requests. Resolves with whether all of them
-   * ended before the deadline.
+   * ended before the deadline; the process must end in the same turn.
    */
   async stop(): Promise<boolean> {
     const {
       shutdownNoticeMs: noticeMs,
       shutdownDeadlineMs: deadlineMs,
     } = this.#settings;
-    this.#stopRequestedMs = performance.now();
-    return await shutDownGracefully({
+    this.#isStopping = true;
+    // The process lasts until both times have passed.
+    this.#context.shutdownAdmission.beginShutdown(
+      Math.max(noticeMs, deadlineMs),
+    );
+    const isClean = await shutDownGracefully({
       openRequests: this.#openRequests,
       log: this.#log,
       noticeMs,
       deadlineMs,
-      onDrained: () => Promise.resolve(this.close()),
     });
+    if (!isClean) await this.#finishLastWrites();
+    return isClean;
+  }
+
+  /** Responds to all open requests; the process must end in the same turn. */
+  endRequests(): void {
+    this.#openRequests.endAll();
   }
 
   /** Closes all connections and stops all tasks at once. */
@@ -147,11 +176,38 @@
     this.#server.closeAllConnections();
   }
 
-  /** Whether the time for the load balancer to notice has passed. */
-  get #isDraining(): boolean {
-    const { shutdownNoticeMs } = this.#settings;
-    return this.#stopRequestedMs !== undefined &&
-      performance.now() - this.#stopRequestedMs >= shutdownNoticeMs;
+  /** Waits until the last responses are read and the last records stored. */
+  async #finishLastWrites(): Promise<void> {
+    const endMs = performance.now() + LAST_WRITES_MAX_MS;
+    let areStored = false;
+    Promise.allSettled(this.#lastRecords).then(() => areStored = true);
+    const isPending = () => !areStored || this.#openRequests.count > 0;
+    while (isPending() && performance.now() < endMs) {
+      await sleep(LAST_WRITES_POLL_MS);
+    }
+    this.endRequests();
+  }
+
+  #handleRequest(request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request;
+    // The response before announced the end of the connection, so none follows.
+    if (socket.writableEnded || this.#closingSockets.has(socket)) {
+      return void request.resume();
+    }
+    const ending = RequestEnding.create(response);
+    this.#openRequests.track(
+      response,
+      () => this.#lastRecords.push(ending.end()),
+    );
+    serve(this.#context, { request, response, ending });
+  }
+
+  #mustClose(request: IncomingMessage): boolean {
+    // A response with a later one on its connection must not announce the end.
+    const mustClose = this.#context.isStopping() &&
+      this.#callerConnections.isLatest(request);
+    if (mustClose) this.#closingSockets.add(request.socket);
+    return mustClose;
   }
 
   #createContext(): EntryContext {
@@ -205,8 +261,17 @@
       }),
       now,
       entryPosition: () => this.#peers.entryPosition,
-      isStopping: () => this.#stopRequestedMs !== undefined,
-      isDraining: () => this.#isDraining,
+      mustClose: (request) => this.#mustClose(request),
+      isStopping: () => this.#isStopping,
+      shutdownAdmission: ShutdownAdmission.create({
+        now,
+        closingMs: (times: RequestTimes, shutdown) =>
+          entryClosingMs(times, {
+            ...shutdown,
+            noticeEndMs: shutdown.startMs + this.#settings.shutdownNoticeMs,
+          }),
+        onKindClosed: () => dispatcher.rejectBlocked(),
+      }),
     };
   }
 
--- a/src/request/call_service.ts
+++ b/src/request/call_service.ts
@@ -1,6 +1,5 @@
 /** `/services/NAME/PATH`: forwards a call to a plain service. */
 
-import { readBody } from "../connection/http_server.ts";
 import { callHttp, type HttpResponse } from "../connection/http_call.ts";
 import type { ResponseBuffers } from "../connection/response_buffers.ts";
 import { RequestError, RequestErrorType } from "../errors.ts";
@@ -12,11 +11,20 @@
   type Service,
   ServiceForm,
 } from "../version/types.ts";
+import {
+  receiveBody,
+  type ReceivedBody,
+  type RequestTimes,
+  reserveSlot,
+} from "./entry_admission.ts";
 import {
   authenticate,
   callerSignal,
   type Exchange,
+  IDEMPOTENCY_KEY_HEADER,
   type Route,
+  singleHeader,
+  writeHead,
 } from "./exchange.ts";
 import { performAction } from "./perform_action.ts";
 
@@ -37,6 +45,7 @@
   readonly path: string;
   readonly contentType: string;
   readonly body: Buffer;
+  readonly times: RequestTimes;
   readonly signal: AbortSignal;
 }
 
@@ -47,11 +56,16 @@
 
 /** Waits for a slot on a server. Errors: a `RequestError` of type not run. */
 export function placeCall(
-  { dispatcher }: EntryContext,
+  context: EntryContext,
   call: ServiceCall,
-  options: { readonly waitMs: number; readonly excluded: ReadonlySet<string> },
+  options: {
+    readonly waitMs: number;
+    readonly excluded: ReadonlySet<string>;
+    readonly mayHaveRun: boolean;
+  },
 ): Promise<Reservation> {
-  return dispatcher.reserve({
+  return reserveSlot(context, {
+    times: options.mayHaveRun ? undefined : call.times,
     rank: call.rank,
     customer: call.customer.name,
     weight: call.customer.weight,
@@ -91,19 +105,23 @@
 
 /** Sends a service's response to the caller. */
 export function sendResponse(
-  { response, id }: Exchange,
+  exchange: Exchange,
   serviceResponse: {
     readonly status: number;
     readonly contentType: string;
     readonly body: Buffer;
   },
 ): void {
-  response.writeHead(serviceResponse.status, {
-    "content-type": serviceResponse.contentType,
-    "content-length": serviceResponse.body.length,
-    "x-request-id": id,
+  const { status, contentType, body } = serviceResponse;
+  writeHead(exchange, {
+    status,
+    headers: {
+      "content-type": contentType,
+      "content-length": body.length,
+      "x-request-id": exchange.id,
+    },
   });
-  response.end(serviceResponse.body);
+  exchange.response.end(body);
 }
 
 /** Returns a response's content type, by default that of arbitrary bytes. */
@@ -116,9 +134,12 @@
   exchange: Exchange,
 ): Promise<void> {
   const signal = callerSignal(exchange);
-  const body = await readBody(exchange.request, context.settings.bodyMaxBytes);
+  const hasKey = singleHeader(exchange, IDEMPOTENCY_KEY_HEADER) !== undefined;
+  // Until its record is read, an earlier request with its key may have run.
+  if (hasKey) exchange.ending.update({ type: () => RequestErrorType.NotSent });
+  const received = await receiveBody(context, exchange);
   await context.pauseDetector.ready();
-  const call = parseCall(context, { exchange, body, signal });
+  const call = parseCall(context, { exchange, received, signal });
   if (isNonIdempotent(call)) {
     await performAction(context, { exchange, call });
   } else {
@@ -130,11 +151,11 @@
   context: EntryContext,
   input: {
     readonly exchange: Exchange;
-    readonly body: Buffer;
+    readonly received: ReceivedBody;
     readonly signal: AbortSignal;
   },
 ): ServiceCall {
-  const { exchange, body, signal } = input;
+  const { exchange, received, signal } = input;
   const { deployment } = context.revisionStore;
   const customer = authenticate(context, exchange);
   const { pathname, search } = exchange.url;
@@ -157,7 +178,11 @@
     method,
     path: `${groups?.path}${search}`,
     contentType: headers["content-type"] ?? "application/octet-stream",
-    body,
+    body: received.body,
+    times: {
+      receivedMs: received.receivedMs,
+      durationMs: service.callLimitMs,
+    },
     signal,
   };
 }
@@ -176,6 +201,14 @@
 ): Promise<void> {
   const excluded = new Set<string>();
   let mayHaveRun = false;
+  // A connection that is being opened may still be used.
+  let isAttemptOpen = false;
+  exchange.ending.update({
+    type: () =>
+      mayHaveRun || isAttemptOpen
+        ? RequestErrorType.Interrupted
+        : RequestErrorType.NotRun,
+  });
   for (let attempt = 1; attempt <= ATTEMPTS_MAX; attempt++) {
     const reservation = await reserveServer(context, {
       call,
@@ -183,6 +216,7 @@
       mayHaveRun,
     });
     let response: HttpResponse;
+    isAttemptOpen = true;
     try {
       response = await sendCall(call, {
         address: reservation.server.address,
@@ -194,6 +228,7 @@
       context.serverPool.eject(reservation.server.name);
       continue;
     } finally {
+      isAttemptOpen = false;
       reservation.release();
     }
     return sendResponse(exchange, {
@@ -222,7 +257,7 @@
 ): Promise<Reservation> {
   try {
     const waitMs = call.rank.targetMs;
-    return await placeCall(context, call, { waitMs, excluded });
+    return await placeCall(context, call, { waitMs, excluded, mayHaveRun });
   } catch (error) {
     if (!mayHaveRun || !(error instanceof RequestError)) throw error;
     throw new RequestError(RequestErrorType.Interrupted, error.message);
--- a/src/request/perform_action.ts
+++ b/src/request/perform_action.ts
@@ -28,7 +28,12 @@
   sendResponse,
   type ServiceCall,
 } from "./call_service.ts";
-import { type Exchange, singleHeader } from "./exchange.ts";
+import { toNotSent } from "./entry_admission.ts";
+import {
+  type Exchange,
+  IDEMPOTENCY_KEY_HEADER,
+  singleHeader,
+} from "./exchange.ts";
 
 /** A non-idempotent call and the exchange that receives its response. */
 export interface ActionRequest {
@@ -65,6 +70,8 @@
     fingerprint: fingerprintOf(request.call),
     state: ActionState.Claimed,
   };
+  const rejection = context.shutdownAdmission.rejection(request.call.times);
+  if (rejection !== undefined) throw toNotSent(rejection);
   const claimedMs = context.now();
   const claim = await context.actionStore.claim(key, record);
   await match(claim)
@@ -96,7 +103,7 @@
 }
 
 function actionKey({ call, exchange }: ActionRequest): Fingerprint {
-  const key = singleHeader(exchange, "idempotency-key") ?? "";
+  const key = singleHeader(exchange, IDEMPOTENCY_KEY_HEADER) ?? "";
   if (!IDEMPOTENCY_KEY.test(key)) {
     throw new RequestError(
       RequestErrorType.InvalidRequest,
@@ -116,7 +123,16 @@
   context: EntryContext,
   action: ClaimedAction,
 ): Promise<void> {
+  const release = () =>
+    context.actionStore.releaseClaim(action.key, action.record.attempt);
+  const { ending } = action.exchange;
+  ending.update({ type: () => RequestErrorType.NotRun, record: release });
   const reservation = await reserveServer(context, action);
+  // A connection that is being opened may still be used.
+  ending.update({
+    type: () => RequestErrorType.OutcomeUnknown,
+    record: () => storeUnknownOutcome(context, action),
+  });
   let mayHaveRun = false;
   let response: HttpResponse;
   try {
@@ -128,7 +144,8 @@
   } catch (error) {
     context.serverPool.eject(reservation.server.name);
     if (mayHaveRun) return await recordUnknownOutcome(context, action);
-    await context.actionStore.releaseClaim(action.key, action.record.attempt);
+    ending.update({ type: () => RequestErrorType.NotRun, record: release });
+    await release();
     throw createError(RequestErrorType.NotRun, messageOf(error));
   } finally {
     reservation.release();
@@ -136,39 +153,55 @@
   await recordResponse(context, { action, response });
 }
 
-/** Reserves a server; releases the claim if it expires first. */
+/**
+ * Reserves a server; releases the claim if it expires first or the call may no
+ * longer be sent.
+ */
 async function reserveServer(
   context: EntryContext,
   { call, key, record, claimedMs }: ClaimedAction,
 ): Promise<Reservation> {
   const remainingMs = () => claimedMs + ACTION_CLAIM_MAX_AGE_MS - context.now();
-  let reason = "the claim expired before the call was sent";
+  let rejection = createError(
+    RequestErrorType.NotRun,
+    "the claim expired before the call was sent",
+  );
   try {
     await context.pauseDetector.ready();
     if (remainingMs() > 0) {
-      const options = { waitMs: remainingMs(), excluded: new Set<string>() };
-      const reservation = await placeCall(context, call, options);
+      const reservation = await placeCall(context, call, {
+        waitMs: remainingMs(),
+        excluded: new Set<string>(),
+        mayHaveRun: false,
+      });
       if (remainingMs() > 0) return reservation;
       reservation.release();
     }
   } catch (error) {
     if (!(error instanceof RequestError)) throw error;
-    reason = error.message;
+    rejection = error;
   }
   await context.actionStore.releaseClaim(key, record.attempt);
-  throw createError(RequestErrorType.NotRun, reason);
+  throw rejection;
 }
 
 async function recordUnknownOutcome(
   context: EntryContext,
-  { key, record, version }: ClaimedAction,
+  action: ClaimedAction,
 ): Promise<never> {
-  context.log(LOG_EVENTS.actionOutcomeUnknown, { key });
-  const outcome = { ...record, state: ActionState.Unknown };
-  await context.actionStore.recordOutcome(key, { record: outcome, version });
+  await storeUnknownOutcome(context, action);
   throw createUnknownOutcomeError();
 }
 
+async function storeUnknownOutcome(
+  { log, actionStore }: EntryContext,
+  { key, record, version }: ClaimedAction,
+): Promise<void> {
+  log(LOG_EVENTS.actionOutcomeUnknown, { key });
+  const outcome = { ...record, state: ActionState.Unknown };
+  await actionStore.recordOutcome(key, { record: outcome, version });
+}
+
 async function recordResponse(
   context: EntryContext,
   { action, response }: {
@@ -183,8 +216,14 @@
     ? { status, contentType }
     : { status, contentType, body: body.toString("base64") };
   const outcome = { ...record, state: ActionState.Answered, answer: stored };
-  await context.actionStore.recordOutcome(key, { record: outcome, version });
-  sendResponse(exchange, { status, contentType, body });
+  const respond = () => sendResponse(exchange, { status, contentType, body });
+  const recorded = context.actionStore.recordOutcome(key, {
+    record: outcome,
+    version,
+  });
+  exchange.ending.update({ respond, record: () => recorded });
+  await recorded;
+  respond();
 }
 
 async function respondFromRecord(
