Fit the windows of a planned stop to short grace periods

Callers saw, with a grace period of 4 s or less, streams that were passed on after SIGTERM and cut with half a body, and with 3 s or less every call refused from SIGTERM on, though the load balancer still sends for 2 s.

Cause: both windows were fixed times for a grace period of 8 s.

Change: a stream is sent only while the 5 s that it needs remain, a call while 3 s or two fifths of the shutdown remain. With 8 s both are as before. The rule of the platform's interface is a module beside that of our own, and both mark announced closes in CallerConnections.

--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -6,7 +6,6 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import { CallerConnections } from "../connection/caller_connections.ts";
@@ -80,8 +79,6 @@
   readonly #context: EntryContext;
   readonly #server: Server;
   readonly #callerConnections: CallerConnections;
-  /** Connections whose end was announced to their callers. */
-  readonly #closingSockets = new WeakSet<Socket>();
   readonly #statusWriter: EntryStatusWriter;
   readonly #openRequests = OpenRequests.create();
   /** Records of requests that were ended with the process. */
@@ -189,9 +186,7 @@
   }
 
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
-    const { socket } = request;
-    // The response before announced the end of the connection, so none follows.
-    if (socket.writableEnded || this.#closingSockets.has(socket)) {
+    if (this.#callerConnections.isClosing(request)) {
       return void request.resume();
     }
     const ending = RequestEnding.create(response);
@@ -206,7 +201,7 @@
     // A response with a later one on its connection must not announce the end.
     const mustClose = this.#context.isStopping() &&
       this.#callerConnections.isLatest(request);
-    if (mustClose) this.#closingSockets.add(request.socket);
+    if (mustClose) this.#callerConnections.markClosing(request);
     return mustClose;
   }
 
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -20,10 +20,8 @@
 } from "../connection/response_buffers.ts";
 import type { EntryId, ObjectRevision } from "../ids.ts";
 import type { SlotRequest } from "../request/acquire_slot.ts";
-import {
-  proxyClosingMs,
-  ShutdownAdmission,
-} from "../request/shutdown_admission.ts";
+import { proxyClosingMs } from "../request/proxy_admission.ts";
+import { ShutdownAdmission } from "../request/shutdown_admission.ts";
 import type { KvCopier, KvCopyReleaser } from "../request/kv_copy_manager.ts";
 import type { RouteTable } from "../version/route_table.ts";
 import { CallerWaitEstimator } from "./caller_wait_estimator.ts";
--- a/src/request/shutdown_admission.ts
+++ b/src/request/shutdown_admission.ts
@@ -7,7 +7,7 @@
  */
 
 import { RequestError, RequestErrorType } from "../errors.ts";
-import { RequestKind } from "./proxy_request.ts";
+import type { RequestKind } from "./proxy_request.ts";
 
 /** Dependencies of `ShutdownAdmission`. */
 export interface ShutdownAdmissionOptions<Kind> {
@@ -39,14 +39,6 @@
   readonly reject: (error: RequestError) => void;
 }
 
-/**
- * Time after the start of a shutdown in which streams are accepted, in ms. The
- * platform sends no new connections after 2 s, and a stream needs the remaining
- * 5 s.
- */
-const STREAM_ACCEPT_WINDOW_MS = 2_600;
-/** Time that must remain for other requests to be accepted, in ms. */
-const CALL_MIN_REMAINING_MS = 3_000;
 /** Time before the end at which accepted requests are answered, in ms. */
 const RESPONSE_MARGIN_MS = 100;
 /** Longest delay of a timer of Node, in ms. */
@@ -154,20 +146,6 @@
   }
 }
 
-/**
- * Returns until when the platform's entry sends requests of a kind.
- *
- * @param kind `undefined` if it is not known yet
- */
-export function proxyClosingMs(
-  kind: RequestKind | undefined,
-  { startMs, endMs }: Shutdown,
-): number {
-  return kind === RequestKind.Stream
-    ? startMs + STREAM_ACCEPT_WINDOW_MS
-    : endMs - CALL_MIN_REMAINING_MS;
-}
-
 /** Returns the error of a request that an entry no longer accepts. */
 export function createShutdownError(): RequestError {
   return new RequestError(
--- a/src/request/shutdown_admission_test.ts
+++ b/src/request/shutdown_admission_test.ts
@@ -2,7 +2,8 @@
 
 import { expect, test } from "vitest";
 import { type ProxyRequest, RequestKind } from "./proxy_request.ts";
-import { proxyClosingMs, ShutdownAdmission } from "./shutdown_admission.ts";
+import { proxyClosingMs } from "./proxy_admission.ts";
+import { ShutdownAdmission } from "./shutdown_admission.ts";
 
 const START_MS = 1_000;
 const DEADLINE_MS = 7_760;
--- a/src/request/sse_response.ts
+++ b/src/request/sse_response.ts
@@ -52,7 +52,10 @@
     return new SseResponse(target, options);
   }
 
-  /** Writes a chunk, unless the stream has ended; returns a promise to await while the buffer is full. */
+  /**
+   * Writes a chunk, unless the stream has ended; returns a promise to await while
+   * the buffer is full.
+   */
   write(
     { text, cursor, finishReason }: CompletionChunk,
   ): Promise<void> | undefined {
