Count the age of a load report from when the request was sent

What callers saw: on a busy machine "503 no backend server had room in time" while all servers were idle (tests/right_caller_test.ts, completions and calls).

Cause: a poll of a report noted its time before it used the HTTP client, which waits for two turns of the event loop before it sends on a kept connection. In an entry whose turns take 0.5 to 2 s the reports were over 2 s old by that count when they were read, so that every server counted as without a report (limit 2 s) and requests waited until their limit.

Change: the time is noted when the request is sent. A report can't show anything from before that, so it is never taken for newer than it is, and an entry that was frozen still sends nothing on the basis of old reports.

Before: the first new test failed (0 servers in use in place of 1).

--- a/src/process/server_pool.ts
+++ b/src/process/server_pool.ts
@@ -66,6 +66,12 @@
   readonly isSuspect: boolean;
 }
 
+/** A report and when it was requested, on the monotonic clock in ms. */
+interface ReceivedReport {
+  readonly report: LoadReport;
+  readonly requestedMs: number;
+}
+
 const HTTP_OK = 200;
 
 /** All backend servers of the adopted deployment. */
@@ -283,10 +289,9 @@
   /** Polls a server's report until it is removed or its address changes. */
   async #pollReports({ name, address }: BackendServer): Promise<void> {
     while (this.#isPolled(name, address)) {
-      const requestedMs = this.#options.now();
-      const report = await this.#fetchReport(address);
-      if (report !== undefined && this.#isPolled(name, address)) {
-        this.#applyReport(name, { report, requestedMs });
+      const received = await this.#fetchReport(address);
+      if (received !== undefined && this.#isPolled(name, address)) {
+        this.#applyReport(name, received);
       }
       await sleep(REPORT_INTERVAL_MS);
     }
@@ -296,7 +301,9 @@
     return !this.#isClosed && this.#views.get(name)?.server.address === address;
   }
 
-  async #fetchReport(address: string): Promise<LoadReport | undefined> {
+  async #fetchReport(address: string): Promise<ReceivedReport | undefined> {
+    const { now } = this.#options;
+    let requestedMs = now();
     try {
       const response = await callHttp({
         address,
@@ -305,10 +312,12 @@
         timeoutMs: REPORT_TIMEOUT_MS,
         bodyMaxBytes: REPORT_MAX_BYTES,
         agent: this.#agent,
+        // A busy event loop sends the request long after the call.
+        onSent: () => requestedMs = now(),
       });
       if (response.status !== HTTP_OK) return undefined;
       const report: unknown = JSON.parse(response.body.toString());
-      return isLoadReport(report) ? report : undefined;
+      return isLoadReport(report) ? { report, requestedMs } : undefined;
     } catch {
       return undefined;
     }
@@ -316,10 +325,7 @@
 
   #applyReport(
     name: string,
-    { report, requestedMs }: {
-      readonly report: LoadReport;
-      readonly requestedMs: number;
-    },
+    { report, requestedMs }: ReceivedReport,
   ): void {
     const wasLeaving = this.#views.get(name)?.report?.leaving === true;
     if (report.leaving && !wasLeaving) this.#logLeaving(name, "report");
--- a/src/process/server_pool_test.ts
+++ b/src/process/server_pool_test.ts
@@ -1,7 +1,8 @@
-/** Which responses to a poll count as load reports. */
+/** Which responses to a poll count as load reports, and how old they are. */
 
 import { expect, test } from "vitest";
 import { RawServer } from "../../tests/raw_server.ts";
+import { REPORT_MAX_AGE_MS } from "../constants.ts";
 import { NO_REVISION } from "../ids.ts";
 import { Deployment } from "../version/deployment.ts";
 import { Fencing, ObjectKind } from "../version/types.ts";
@@ -16,19 +17,15 @@
   modelVersion: "v1",
 };
 
-/** Returns the report that the pool keeps after a server's `body`. */
-async function reportAfter(body: string, status = "200 OK") {
-  let polls = 0;
-  const server = await RawServer.create((socket) => {
-    socket.on("data", () => {
-      polls++;
-      socket.write(
-        `HTTP/1.1 ${status}\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
-      );
-    });
-  });
+/** Creates a pool with one server, `e1`. */
+function createPool(
+  { address, now }: {
+    readonly address: string;
+    readonly now: () => number;
+  },
+): ServerPool {
   const pool = ServerPool.create({
-    now: () => performance.now(),
+    now,
     random: () => 0,
     log: () => undefined,
     routing: Routing.LeastLoaded,
@@ -38,13 +35,33 @@
   const backendServer = {
     kind: ObjectKind.BackendServer,
     name: "e1",
-    address: server.address,
+    address,
     zone: "a",
     service: "s",
     slots: 4,
     fencing: Fencing.Ignored,
   } as const;
   pool.setDeployment(Deployment.create(NO_REVISION, [backendServer]));
+  return pool;
+}
+
+function formatResponse(body: string, status = "200 OK"): string {
+  return `HTTP/1.1 ${status}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+/** Returns the report that the pool keeps after a server's `body`. */
+async function reportAfter(body: string, status = "200 OK") {
+  let polls = 0;
+  const server = await RawServer.create((socket) => {
+    socket.on("data", () => {
+      polls++;
+      socket.write(formatResponse(body, status));
+    });
+  });
+  const pool = createPool({
+    address: server.address,
+    now: () => performance.now(),
+  });
   // The second poll shows that the first one did not end the polling.
   await expect.poll(() => polls, { timeout: 5_000 }).toBeGreaterThan(1);
   const report = pool.view("e1")?.report;
@@ -71,3 +88,36 @@
   const body = JSON.stringify(REPORT);
   expect(await reportAfter(body, "500 Error")).toBeUndefined();
 });
+
+test("a busy entry does not take the report of an idle server for old", async () => {
+  let nowMs = 0;
+  const server = await RawServer.create((socket) => {
+    socket.on("data", () => {
+      socket.write(formatResponse(JSON.stringify(REPORT)));
+    });
+  });
+  const pool = createPool({ address: server.address, now: () => nowMs });
+  // As if the event loop was blocked before it sent the first poll.
+  nowMs += REPORT_MAX_AGE_MS + 1;
+  await expect.poll(() => pool.view("e1")?.report, { timeout: 5_000 })
+    .toBeDefined();
+  expect(pool.servingCount()).toBe(1);
+  pool.close();
+  server.close();
+});
+
+test("a report counts as old from the time at which it was requested", async () => {
+  let nowMs = 0;
+  const server = await RawServer.create((socket) => {
+    socket.on("data", () => {
+      nowMs += REPORT_MAX_AGE_MS + 1;
+      socket.write(formatResponse(JSON.stringify(REPORT)));
+    });
+  });
+  const pool = createPool({ address: server.address, now: () => nowMs });
+  await expect.poll(() => pool.view("e1")?.report, { timeout: 5_000 })
+    .toBeDefined();
+  expect(pool.servingCount()).toBe(0);
+  pool.close();
+  server.close();
+});
