Play slow bodies during planned stops in the soak

An entry that shuts down admitted requests by when their heads came, and the soak could not see it: its bodies ended at most 150 ms after their heads.

New pattern slow_bodies: restarts (also with a second SIGTERM, also right after a start), SIGHUP and configurations, beside 60 callers whose streams and writes end 0.3 to 5 s after their heads, a third on new connections, the others on ones that have been idle for up to the grace period, so that they begin at any moment of a shutdown. Their deadline is 4 s after the end of the body; routes' timeouts and idle limits are at least 15 s. All callers stop sending a body once they have the response.

New checks of requests that end while their entry stops (planned_stop_checks): - "lost": a server ran it, and it got an error. Excused by its own deadline (the soak's 0.9 of it), an unplanned fault, or a server still at work in the last sixth of the grace on a request sent within 3 s of SIGTERM. Connections that close are checked as before, without that last excuse. - "unknown": no server ran it, and it got 504. Excused by its deadline, unplanned faults, and silent servers, which may have it unread. The deadline in "late" and "lost" is now that of the request: 4 s as before without a slow body. A process that runs on after its grace is reported with the time since SIGTERM.

--- a/bench/soak/fault_schedule.ts
+++ b/bench/soak/fault_schedule.ts
@@ -66,6 +66,13 @@
   FaultKind.ConfigurationBurst,
 ]);
 
+/** Graceful shutdowns of an entry. */
+export const PLANNED_STOP_KINDS: ReadonlySet<FaultKind> = new Set([
+  FaultKind.EntryRestart,
+  FaultKind.EntrySecondTerm,
+  FaultKind.EntryEarlyTerm,
+]);
+
 /** How the faults of a schedule follow each other. */
 export enum SchedulePattern {
   /** One fault of any kind after the other. */
@@ -82,6 +89,8 @@
   DeadlyPart = "deadly_part",
   /** Servers that ask for pauses, beside single faults of all other kinds. */
   HoldOff = "hold_off",
+  /** Planned stops, SIGHUP and configurations, beside slow request bodies. */
+  SlowBodies = "slow_bodies",
 }
 
 /** One fault of a schedule. */
@@ -123,6 +132,7 @@
 const UNDRAWN_PATTERNS = new Set([
   SchedulePattern.DeadlyPart,
   SchedulePattern.HoldOff,
+  SchedulePattern.SlowBodies,
 ]);
 const KINDS = Object.values(FaultKind)
   .filter((kind) => !UNDRAWN_KINDS.has(kind));
@@ -213,5 +223,11 @@
         { kinds: [FaultKind.ServerHoldOff], ...quick },
         { kinds: KINDS, ...slow },
       ];
+    case SchedulePattern.SlowBodies:
+      return [
+        { kinds: [...PLANNED_STOP_KINDS], ...slow },
+        { kinds: [FaultKind.EntryHangup], ...slow },
+        beside,
+      ];
   }
 }
--- a/bench/soak/regression_seeds.ts
+++ b/bench/soak/regression_seeds.ts
@@ -1,9 +1,17 @@
 /** Seeds that have failed; `npm run soak -- --regression` runs them again. */
 
-/** A seed with the duration of its faults and the cause of its failure. */
-export interface RegressionSeed {
+import { SchedulePattern } from "./fault_schedule.ts";
+
+/** A seed to run, with the duration of its faults. */
+export interface SoakCase {
   readonly seed: number;
   readonly seconds: number;
+  /** Pattern of the faults; the seed chooses one by default. */
+  readonly pattern?: SchedulePattern;
+}
+
+/** A seed with the cause of its failure. */
+export interface RegressionSeed extends SoakCase {
   readonly cause: string;
 }
 
@@ -25,4 +33,11 @@
     cause:
       "an entry closed kept connections early after a change of the limits",
   },
+  {
+    seed: 70_002,
+    seconds: 8,
+    pattern: SchedulePattern.SlowBodies,
+    cause:
+      "requests were admitted by their heads, and cut when their bodies ended late",
+  },
 ];
--- a/bench/soak/run_soak.ts
+++ b/bench/soak/run_soak.ts
@@ -9,7 +9,7 @@
   createFaultSchedule,
   type Fault,
   FaultKind,
-  type SchedulePattern,
+  SchedulePattern,
 } from "./fault_schedule.ts";
 import { SoakCallers } from "./soak_callers.ts";
 import {
@@ -64,6 +64,8 @@
 const RECOVERY_MAX_MS = 5_000;
 const RECOVERY_REQUESTS = 5;
 const CALLERS_PER_KIND = 6;
+/** Number of concurrent callers with slow bodies of each request kind. */
+const SLOW_CALLERS_PER_KIND = 30;
 const NS_PER_MS = 1_000_000;
 
 const PUBLISHING_KINDS = new Set([
@@ -73,14 +75,17 @@
 
 /** Runs a soak; resolves after all its processes have been killed. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const hasSlowBodies = options.pattern === SchedulePattern.SlowBodies;
   const cluster = await SoakCluster.create({
     ...options,
     random: createRandom(options.seed),
+    hasSlowBodies,
   });
   const callers = SoakCallers.create(cluster.entries, {
     perKind: options.callers ?? CALLERS_PER_KIND,
     // Not shared, since the callers' timing would change the configurations.
     random: createRandom(options.seed),
+    slowPerKind: hasSlowBodies ? SLOW_CALLERS_PER_KIND : 0,
   });
   const ownDelay = monitorEventLoopDelay();
   try {
--- a/bench/soak/soak_callers.ts
+++ b/bench/soak/soak_callers.ts
@@ -17,6 +17,7 @@
   CALLER_PORT,
   HOST_NAME,
   READY_PORT,
+  SHUTDOWN_GRACE_MS,
   STEADY_KEY,
 } from "./soak_deployment.ts";
 
@@ -31,12 +32,16 @@
   readonly agent?: Agent;
   /** Part of its prompt that crashes servers, if any. */
   readonly deadlyPart?: string;
+  /** Time from its head to the end of its body, in ms, if it is slow. */
+  readonly bodyMs?: number;
 }
 
 /** Number and behaviour of the callers. */
 export interface SoakCallersOptions {
   /** Number of concurrent callers of each request kind. */
   readonly perKind: number;
+  /** Number of further callers with slow bodies of each kind; 0 by default. */
+  readonly slowPerKind?: number;
   /** Returns numbers in [0, 1). */
   readonly random: () => number;
 }
@@ -67,6 +72,18 @@
 /** Share of bodies that are sent in chunks, with a pause between them. */
 const CHUNKED_SHARE = 0.5;
 const CHUNK_PAUSE_MAX_MS = 150;
+/** Pieces in which slow bodies are sent. */
+const SLOW_PIECES = 5;
+const SLOW_BODY_MIN_MS = 300;
+const SLOW_BODY_MAX_MS = 5_000;
+/** Share of slow bodies that take the longest, and the least of those, in ms. */
+const LONGEST_BODY_SHARE = 0.4;
+const LONGEST_BODY_MIN_MS = 4_000;
+/** Longest time until a caller with slow bodies begins, in ms. */
+const SLOW_START_MAX_MS = 2_000;
+const SLOW_KINDS = [SoakRequestKind.Stream, SoakRequestKind.Write];
+/** One caller with slow bodies in this many uses a new connection each time. */
+const FRESH_STRIDE = 3;
 const MS_PER_S = 1_000;
 const READY_POLL_MS = 500;
 const READY_TIMEOUT_MS = 400;
@@ -110,6 +127,12 @@
         this.#tasks.push(this.#runCaller(kind, { isPatient: at % 2 === 1 }));
       }
     }
+    for (const kind of SLOW_KINDS) {
+      for (let at = 0; at < (this.#options.slowPerKind ?? 0); at++) {
+        const isFresh = at % FRESH_STRIDE === 0;
+        this.#tasks.push(this.#runSlowCaller(kind, { isFresh }));
+      }
+    }
   }
 
   /** Stops sending; resolves once all open requests have ended. */
@@ -120,7 +143,8 @@
 
   /** Sends one request and records its outcome. */
   async send(options: SoakRequest): Promise<CallerRecord & Exchange> {
-    const { kind, entry, key, deadlyPart } = options;
+    const { kind, entry, key, deadlyPart, bodyMs = 0 } = options;
+    const deadlineMs = REQUEST_DEADLINE_MS + bodyMs;
     const id = `id-${++this.#count}`;
     const query = kind === SoakRequestKind.Stream
       ? `?events=${STREAM_EVENTS}`
@@ -130,6 +154,7 @@
     const exchanged = await exchange(options, {
       id,
       target: `${path}${query}`,
+      deadlineMs,
       random: this.#options.random,
     });
     const { kept: _kept, toldIdleMs: _toldIdleMs, ...outcome } = exchanged;
@@ -140,6 +165,7 @@
       entry: entry.index,
       hasSteadyKey: key === STEADY_KEY,
       startMs,
+      deadlineMs,
       endMs: Date.now(),
       ...outcome,
       ...deadlyPart !== undefined && { deadlyPart },
@@ -174,29 +200,54 @@
       const entry = this.#chooseEntry();
       let isOpen = true;
       while (isOpen && !this.#isClosed) {
-        const { id, kept, toldIdleMs, endMs } = await this.send({
-          kind,
-          entry,
-          key: STEADY_KEY,
-          agent,
-        });
-        const pauseMs = isPatient ? this.#choosePauseMs(toldIdleMs) : PAUSE_MS;
-        isOpen = await this.#keepIdle(kept, pauseMs);
-        if (kept !== undefined && !isOpen) {
-          const closedMs = Date.now();
-          this.idleCloses.push({
-            id,
-            entry: entry.index,
-            idleMs: closedMs - endMs,
-            toldIdleMs,
-            closedMs,
-          });
-        }
+        const sent = await this.send({ kind, entry, key: STEADY_KEY, agent });
+        const pauseMs = isPatient
+          ? this.#choosePauseMs(sent.toldIdleMs)
+          : PAUSE_MS;
+        isOpen = await this.#keepAfter(sent, pauseMs);
       }
       agent.destroy();
     }
   }
 
+  /**
+   * Sends requests with slow bodies, each on a connection of its own: a new one,
+   * or one that has been idle for up to the grace period, so that requests begin
+   * at any moment of a shutdown.
+   */
+  async #runSlowCaller(
+    kind: SoakRequestKind,
+    { isFresh }: { readonly isFresh: boolean },
+  ): Promise<void> {
+    const { random } = this.#options;
+    await sleep(random() * SLOW_START_MAX_MS);
+    while (!this.#isClosed) {
+      const agent = createAgent();
+      const entry = this.#chooseEntry();
+      const key = STEADY_KEY;
+      const bodyMs = this.#chooseBodyMs();
+      let isOpen = true;
+      if (!isFresh) {
+        const read = { kind: SoakRequestKind.Read, entry, key, agent };
+        const sent = await this.send(read);
+        isOpen = await this.#keepAfter(sent, random() * SHUTDOWN_GRACE_MS);
+      }
+      if (isOpen && !this.#isClosed) {
+        await this.send({ kind, entry, key, agent, bodyMs });
+      }
+      agent.destroy();
+      await sleep(PAUSE_MS);
+    }
+  }
+
+  #chooseBodyMs(): number {
+    const { random } = this.#options;
+    const minMs = random() < LONGEST_BODY_SHARE
+      ? LONGEST_BODY_MIN_MS
+      : SLOW_BODY_MIN_MS;
+    return Math.round(minMs + random() * (SLOW_BODY_MAX_MS - minMs));
+  }
+
   #choosePauseMs(toldIdleMs: number): number {
     const { random } = this.#options;
     const from = random() < LONGEST_PAUSE_SHARE
@@ -206,6 +257,20 @@
     return Math.max(PAUSE_MS, fraction * IDLE_USE_FRACTION * toldIdleMs);
   }
 
+  /** Like `#keepIdle`, after a request; records if its connection closed. */
+  async #keepAfter(
+    { id, entry, kept, toldIdleMs, endMs }: CallerRecord & Exchange,
+    pauseMs: number,
+  ): Promise<boolean> {
+    const isOpen = await this.#keepIdle(kept, pauseMs);
+    if (kept !== undefined && !isOpen) {
+      const closedMs = Date.now();
+      const idleMs = closedMs - endMs;
+      this.idleCloses.push({ id, entry, idleMs, toldIdleMs, closedMs });
+    }
+    return isOpen;
+  }
+
   /** Resolves with whether the connection is still open after a pause. */
   async #keepIdle(
     connection: Socket | undefined,
@@ -255,10 +320,11 @@
 
 /** Sends a request, on an agent's open connection if it has one. */
 function exchange(
-  { kind, entry, key, agent, deadlyPart }: SoakRequest,
-  { id, target, random }: {
+  { kind, entry, key, agent, deadlyPart, bodyMs }: SoakRequest,
+  { id, target, deadlineMs, random }: {
     readonly id: string;
     readonly target: string;
+    readonly deadlineMs: number;
     readonly random: () => number;
   },
 ): Promise<Exchange> {
@@ -268,6 +334,7 @@
     let writtenMs: number | undefined;
     let hasGivenUp = false;
     let saysLeaving = false;
+    let hasResponse = false;
     const outgoing = request({
       host: entry.host,
       port: CALLER_PORT,
@@ -278,7 +345,7 @@
         host: HOST_NAME,
         authorization: `Bearer ${key}`,
         "x-request-id": id,
-        "x-deadline-ms": String(REQUEST_DEADLINE_MS),
+        "x-deadline-ms": String(deadlineMs),
         ...kind === SoakRequestKind.Stream && {
           "x-prompt-prefix": formatPromptPrefix(id, deadlyPart),
         },
@@ -287,7 +354,7 @@
     const timer = setTimeout(() => {
       hasGivenUp = true;
       outgoing.destroy();
-    }, REQUEST_DEADLINE_MS + CLOSE_DELAY_MS);
+    }, deadlineMs + CLOSE_DELAY_MS);
     const settle = (
       end: RequestEnd,
       response: Pick<Exchange, "status" | "toldIdleMs" | "kept">,
@@ -308,6 +375,7 @@
     outgoing.on("socket", (assigned) => socket = assigned);
     outgoing.on("finish", () => writtenMs = Date.now());
     outgoing.on("response", (response) => {
+      hasResponse = true;
       saysLeaving = response.headers["server-leaving"] === "1";
       response.setEncoding("utf8");
       response.on("data", (text: string) => body += text);
@@ -315,18 +383,23 @@
         if (!response.complete) return settle(RequestEnd.Cut, none);
         const { "keep-alive": keepAlive, connection } = response.headers;
         const isKept = agent !== undefined && socket !== undefined &&
-          connection !== "close";
+          connection !== "close" && writtenMs !== undefined;
         settle(RequestEnd.Complete, {
           status: response.statusCode ?? 0,
           toldIdleMs: parseIdleMs(String(keepAlive ?? "")),
           ...isKept && { kept: socket },
         });
+        // The rest of the body is not sent, so the connection is of no use.
+        if (writtenMs === undefined) outgoing.destroy();
       });
       response.on("error", () => settle(RequestEnd.Cut, none));
     });
     outgoing.on("error", () => settle(RequestEnd.Unanswered, none));
     if (kind === SoakRequestKind.Read) outgoing.end();
-    else void writeBody(outgoing, random);
+    else {
+      const options = { random, bodyMs, hasResponse: () => hasResponse };
+      void writeBody(outgoing, options);
+    }
   });
 }
 
@@ -336,16 +409,39 @@
   return [...parts, own].map((part) => `${part}:1`).join(",");
 }
 
-/** Writes a body with a length, or in two chunks with a pause between them. */
+/**
+ * Writes a body with a length, or in two chunks with a pause between them; a
+ * slow one in pieces, in either form. Stops at the response.
+ */
 async function writeBody(
   outgoing: ClientRequest,
-  random: () => number,
+  { random, bodyMs, hasResponse }: {
+    readonly random: () => number;
+    readonly bodyMs: number | undefined;
+    readonly hasResponse: () => boolean;
+  },
 ): Promise<void> {
   const body = "x".repeat(Math.floor(random() * BODY_MAX_BYTES));
-  if (random() >= CHUNKED_SHARE) return void outgoing.end(body);
-  outgoing.write(`${body}x`);
-  await sleep(random() * CHUNK_PAUSE_MAX_MS);
-  if (!outgoing.destroyed) outgoing.end("last chunk");
+  const isChunked = random() < CHUNKED_SHARE;
+  const mayWrite = () => !outgoing.destroyed && !hasResponse();
+  if (bodyMs === undefined) {
+    if (!isChunked) return void outgoing.end(body);
+    outgoing.write(`${body}x`);
+    await sleep(random() * CHUNK_PAUSE_MAX_MS);
+    if (mayWrite()) outgoing.end("last chunk");
+    return;
+  }
+  const piece = "x".repeat(Math.ceil((body.length + 1) / SLOW_PIECES));
+  if (!isChunked) {
+    outgoing.setHeader("content-length", piece.length * SLOW_PIECES);
+  }
+  const startMs = Date.now();
+  for (let at = 0; at < SLOW_PIECES && mayWrite(); at++) {
+    if (at === SLOW_PIECES - 1) return void outgoing.end(piece);
+    outgoing.write(piece);
+    const nextMs = startMs + (at + 1) / (SLOW_PIECES - 1) * bodyMs;
+    await sleep(Math.max(0, nextMs - Date.now()));
+  }
 }
 
 function parseIdleMs(keepAlive: string): number {
--- a/bench/soak/soak_checks.ts
+++ b/bench/soak/soak_checks.ts
@@ -3,6 +3,7 @@
 import { checkDeadlyParts } from "./deadly_part_checks.ts";
 import { checkHoldOffs, type ServerArrivals } from "./hold_off_checks.ts";
 import { FaultKind, PLANNED_KINDS } from "./fault_schedule.ts";
+import { checkPlannedStops } from "./planned_stop_checks.ts";
 import type { ServerDrain } from "./soak_cluster.ts";
 
 /** Kind of a request of a soak. */
@@ -35,6 +36,8 @@
   /** Whether its key is in every version, so that it may not be denied. */
   readonly hasSteadyKey: boolean;
   readonly startMs: number;
+  /** Deadline that its caller sent, in ms from its start. */
+  readonly deadlineMs: number;
   /** When its last byte was handed to the kernel, if it was. */
   readonly writtenMs: number | undefined;
   readonly endMs: number;
@@ -66,6 +69,8 @@
 /** The end of an entry's shutdown. Times are in ms since the Unix epoch. */
 export interface EntryStop {
   readonly entry: number;
+  /** When SIGTERM was sent. */
+  readonly termMs: number;
   /** When the entry logged that it had shut down. */
   readonly loggedMs: number;
   /** When its process was gone. */
@@ -114,7 +119,7 @@
   readonly entryStops: readonly EntryStop[];
 }
 
-/** Deadline that callers send, in ms. */
+/** Time from the end of a body to the deadline that callers send, in ms. */
 export const REQUEST_DEADLINE_MS = 4_000;
 /** Number of events in each stream. */
 export const STREAM_EVENTS = 60;
@@ -150,7 +155,8 @@
 ]);
 const ENTRY_FAULTS = new Set([...ENTRY_STOPS, FaultKind.StoreLink]);
 const DRAINS = new Set([FaultKind.ServerDrain, FaultKind.ServerLeave]);
-const SERVER_FAULTS = new Set(
+/** Faults of backend servers, planned or not. */
+export const SERVER_FAULTS: ReadonlySet<FaultKind> = new Set(
   Object.values(FaultKind).filter((kind) => kind.startsWith("server_")),
 );
 
@@ -199,6 +205,7 @@
     ...checkKeptConnections(observations),
     ...checkDeadlyParts(observations),
     ...checkHoldOffs(observations),
+    ...checkPlannedStops(observations),
   ];
 }
 
@@ -258,7 +265,7 @@
     overlaps(fault, startMs, endMs)
   );
   if (wasEntryDown) return findings;
-  if (endMs - startMs > REQUEST_DEADLINE_MS + LATENESS_MAX_MS) {
+  if (endMs - startMs > record.deadlineMs + LATENESS_MAX_MS) {
     const { writtenMs = Number.NaN } = record;
     report(
       "late",
@@ -283,9 +290,10 @@
  * that ran it, and the request had not merely crossed the close.
  */
 function isLostWithoutFault(
-  { end, entry, startMs, writtenMs, endMs }: CallerRecord,
+  record: CallerRecord,
   { runs, faultWindows, entryStops }: RecordContext,
 ): boolean {
+  const { end, entry, startMs, writtenMs, endMs } = record;
   if (end === RequestEnd.Complete || end === RequestEnd.GivenUp) return false;
   if (writtenMs === undefined) return false;
   // An entry that has stopped reads nothing, even if its exit takes a while.
@@ -295,9 +303,7 @@
   if (runs.length === 0 && closedMs - writtenMs <= CROSSING_MAX_MS) {
     return false;
   }
-  if (endMs - startMs >= LOSS_DEADLINE_FRACTION * REQUEST_DEADLINE_MS) {
-    return false;
-  }
+  if (hasReachedDeadline(record)) return false;
   return !faultWindows.some((fault) =>
     overlaps(fault, startMs - CONTACT_MS, endMs) &&
     (fault.kind === FaultKind.StoreOutage ||
@@ -305,8 +311,15 @@
   );
 }
 
+/** Whether a request ended so late that it may end in any way. */
+export function hasReachedDeadline(
+  { startMs, endMs, deadlineMs }: CallerRecord,
+): boolean {
+  return endMs - startMs >= LOSS_DEADLINE_FRACTION * deadlineMs;
+}
+
 /** Whether a fault is unplanned and acts on an entry or a server of runs. */
-function isUnplannedAt(
+export function isUnplannedAt(
   { kind, target }: FaultWindow,
   { entry, runs }: { readonly entry: number; readonly runs: readonly Run[] },
 ): boolean {
@@ -316,8 +329,8 @@
 }
 
 function describeLoss(
-  { end, isReused, startMs, writtenMs, endMs }: CallerRecord,
-  { runs, faultWindows }: RecordContext,
+  { end, entry, isReused, startMs, writtenMs, endMs }: CallerRecord,
+  { runs, faultWindows, entryStops }: RecordContext,
 ): string {
   const connection = isReused ? "kept" : "fresh";
   const beside = faultWindows
@@ -326,9 +339,16 @@
       overlaps(fault, startMs - CONTACT_MS, endMs)
     )
     .map(({ kind, target }) => `${kind} ${target}`);
+  const stops = entryStops
+    .filter((stop) =>
+      stop.entry === entry && stop.termMs <= endMs && stop.exitedMs >= startMs
+    )
+    .map(({ termMs }) => `, ${endMs - termMs} ms after SIGTERM`);
   const writtenAfterMs = (writtenMs ?? Number.NaN) - startMs;
   return `${end} on a ${connection} connection: written after ` +
-    `${writtenAfterMs} ms, closed after ${endMs - startMs} ms, ` +
+    `${writtenAfterMs} ms, closed after ${endMs - startMs} ms${
+      stops.join("")
+    }, ` +
     `${runs.length} runs; beside ${beside.join(", ") || "nothing planned"}`;
 }
 
@@ -436,7 +456,8 @@
   }, not ${excerpt(completeBody)}`;
 }
 
-function groupRuns(
+/** Groups runs, by their requests' ids by default. */
+export function groupRuns(
   runs: readonly Run[],
   keyOf: (run: Run) => string = ({ id }) => id,
 ): ReadonlyMap<string, readonly Run[]> {
@@ -449,6 +470,11 @@
   return groups;
 }
 
-function overlaps(fault: FaultWindow, fromMs: number, toMs: number): boolean {
+/** Whether a fault acted in a period; times in ms since the Unix epoch. */
+export function overlaps(
+  fault: FaultWindow,
+  fromMs: number,
+  toMs: number,
+): boolean {
   return fault.startMs <= toMs && fault.endMs >= fromMs;
 }
--- a/bench/soak/soak_cluster.ts
+++ b/bench/soak/soak_cluster.ts
@@ -60,12 +60,16 @@
 export interface SoakClusterOptions extends SoakSize {
   /** Returns numbers in [0, 1), from which configurations are drawn. */
   readonly random: () => number;
+  /** Whether callers send slow bodies. */
+  readonly hasSlowBodies: boolean;
 }
 
 /** A process that exited after SIGTERM. */
 interface StoppedProcess {
   readonly entry: number;
   readonly child: Child;
+  /** When SIGTERM was sent, in ms since the Unix epoch. */
+  readonly termMs: number;
   /** In ms since the Unix epoch. */
   readonly exitedMs: number;
 }
@@ -136,17 +140,19 @@
   readonly #folder: string;
   readonly #lane: number;
   readonly #random: () => number;
+  readonly #hasSlowBodies: boolean;
   #store!: FaultTarget;
   #objects!: HttpObjectStore;
   #publishing = Promise.resolve();
 
   private constructor(
     folder: string,
-    { lane = 1, random }: SoakClusterOptions,
+    { lane = 1, random, hasSlowBodies }: SoakClusterOptions,
   ) {
     this.#folder = folder;
     this.#lane = lane;
     this.#random = random;
+    this.#hasSlowBodies = hasSlowBodies;
   }
 
   /** Starts all processes, which may not serve yet when this resolves. */
@@ -212,11 +218,12 @@
 
   /** Ends of shutdowns that entries have logged. */
   entryStops(): readonly EntryStop[] {
-    return this.#stops.flatMap(({ entry, child, exitedMs }) =>
+    return this.#stops.flatMap(({ entry, child, termMs, exitedMs }) =>
       child.logLines()
         .filter(({ event }) => STOP_EVENTS.has(event))
         .map(({ timestamp }) => ({
           entry,
+          termMs,
           loggedMs: Date.parse(String(timestamp)),
           exitedMs,
         }))
@@ -249,7 +256,11 @@
     const version = (this.versions.at(-1)?.version ?? 0) + 1;
     const object = {
       name: CONFIGURATION_NAME,
-      spec: createConfiguration(version, this.#random),
+      spec: createConfiguration({
+        version,
+        random: this.#random,
+        allowsSlowBodies: this.#hasSlowBodies,
+      }),
     };
     if (version === 1) await this.#objects.create(CONFIGURATION_KIND, object);
     else await this.#objects.replace(CONFIGURATION_KIND, object);
@@ -497,17 +508,20 @@
 
   /** Sends SIGTERM, and SIGKILL if the entry still runs after its grace. */
   async #stopEntry(child: Child, entry: number): Promise<void> {
+    const termMs = Date.now();
     child.signal("SIGTERM");
     const hasGraceEnded = sleep(SHUTDOWN_GRACE_MS, "grace" as const, {
       ref: false,
     });
     const exit = await Promise.race([child.exited, hasGraceEnded]);
-    this.#stops.push({ entry, child, exitedMs: Date.now() });
+    const exitedMs = Date.now();
+    this.#stops.push({ entry, child, termMs, exitedMs });
     if (exit === 0) return;
     await child.kill();
     this.#wrongExits.push(
       exit === "grace"
-        ? `process ${child.pid} still ran after its grace period`
+        ? `process ${child.pid} of entry ${entry} still ran ` +
+          `${exitedMs - termMs} ms after SIGTERM`
         : `process ${child.pid} ended with ${exit} on SIGTERM`,
     );
   }
--- a/bench/soak/soak_deployment.ts
+++ b/bench/soak/soak_deployment.ts
@@ -15,6 +15,11 @@
 const PEER_PORT = 7_200;
 const ROUTE_TIMEOUTS_MS = [5_000, 6_000, 9_000];
 const IDLE_TIMEOUTS_MS = [1_000, 1_500, 2_000, 3_000, 4_000, 15_000];
+/**
+ * Least timeout of routes and idle connections with slow bodies, in ms; longer
+ * than their requests' deadlines and than the grace period.
+ */
+const SLOW_BODY_LIMIT_MIN_MS = 15_000;
 const ODD_DEPTH = 2_000;
 const ODD_TEXT_CHARACTERS = 100_000;
 const EXTRA_ROUTE_COUNTS = [0, 3, 100, 700];
@@ -26,13 +31,25 @@
   return `key-of-version-${version}`;
 }
 
+/** What a configuration is made from. */
+export interface ConfigurationOptions {
+  readonly version: number;
+  /** Returns numbers in [0, 1). */
+  readonly random: () => number;
+  /** Whether limits leave time for slow bodies and idle connections. */
+  readonly allowsSlowBodies: boolean;
+}
+
 /** Returns a configuration whose settings other than keys are drawn. */
-export function createConfiguration(version: number, random: () => number) {
+export function createConfiguration(
+  { version, random, allowsSlowBodies }: ConfigurationOptions,
+) {
   const pick = (values: readonly number[]): number =>
     values[Math.floor(random() * values.length)] ?? 0;
+  const minMs = allowsSlowBodies ? SLOW_BODY_LIMIT_MIN_MS : 0;
   const route = {
     host: HOST_NAME,
-    timeoutMs: pick(ROUTE_TIMEOUTS_MS),
+    timeoutMs: Math.max(pick(ROUTE_TIMEOUTS_MS), minMs),
     targetLatencyMs: pick([300, 1_000]),
     priority: pick([0, 1, 3]),
     maxAttempts: 4,
@@ -85,7 +102,7 @@
       maxHeaderBytes: pick([4_096, 16_384]),
       maxBodyBytes: pick([8_192, 4_194_304]),
       headerTimeoutMs: pick([1_000, 3_000]),
-      idleTimeoutMs: pick(IDLE_TIMEOUTS_MS),
+      idleTimeoutMs: Math.max(pick(IDLE_TIMEOUTS_MS), minMs),
     },
     tenants: [{
       name: "alpha",
--- a/bench/soak_main.ts
+++ b/bench/soak_main.ts
@@ -5,7 +5,7 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import { SchedulePattern } from "./soak/fault_schedule.ts";
-import { REGRESSION_SEEDS } from "./soak/regression_seeds.ts";
+import { REGRESSION_SEEDS, type SoakCase } from "./soak/regression_seeds.ts";
 import { runSoak } from "./soak/run_soak.ts";
 
 const { seed, seeds, seconds, regression, ...size } = await yargs(
@@ -50,12 +50,16 @@
 for (const signal of ["SIGINT", "SIGTERM"]) {
   process.once(signal, () => process.exit(1));
 }
-const cases = regression
+const { entries, servers, callers, lane, logs } = size;
+const cases: readonly SoakCase[] = regression
   ? REGRESSION_SEEDS
-  : Array.from({ length: seeds }, (_, at) => ({ seed: seed + at, seconds }));
+  : Array.from({ length: seeds }, (_, at) => ({
+    seed: seed + at,
+    seconds,
+    ...size.pattern !== undefined && { pattern: size.pattern },
+  }));
 let failedCount = 0;
-for (const { seed, seconds } of cases) {
-  const { entries, servers, callers, pattern, lane, logs } = size;
+for (const { seed, seconds, pattern } of cases) {
   const result = await runSoak({
     seed,
     durationMs: seconds * 1_000,
--- a/tests/soak_test.ts
+++ b/tests/soak_test.ts
@@ -8,6 +8,7 @@
   createFaultSchedule,
   FaultKind,
   PLANNED_KINDS,
+  PLANNED_STOP_KINDS,
   SchedulePattern,
 } from "../bench/soak/fault_schedule.ts";
 import { FaultProxy, ProxyFault } from "../bench/soak/fault_proxy.ts";
@@ -35,6 +36,8 @@
 const PLANNED_SEED = 20_261_263;
 /** Seed of the soak with parts that crash servers. */
 const DEADLY_SEED = 20_261_205;
+/** Seed of the soak with slow bodies: stops of two entries, that overlap. */
+const SLOW_BODIES_SEED = 20_261_213;
 
 async function listen(server: Server): Promise<number> {
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
@@ -50,6 +53,7 @@
     entry: 0,
     hasSteadyKey: true,
     startMs: 10_000,
+    deadlineMs: 4_000,
     writtenMs: 10_010,
     endMs: 10_100,
     end: overrides.status === 0 ? RequestEnd.Unanswered : RequestEnd.Complete,
@@ -77,6 +81,15 @@
   return checkObservations(complete).map(({ rule }) => rule);
 }
 
+/** A shutdown that takes the whole grace period. */
+const STOP = { entry: 0, termMs: 10_000, loggedMs: 17_760, exitedMs: 17_800 };
+
+/** Returns a request with a slow body that ends with an unknown outcome. */
+function createSlowRecord(overrides: Partial<CallerRecord>): CallerRecord {
+  const times = { deadlineMs: 9_000, endMs: 17_755 };
+  return createRecord({ status: 504, body: "", ...times, ...overrides });
+}
+
 const RUN = { atMs: 10_050, server: "i-1", target: 0, id: "a" };
 
 test("a complete response to a request that ran once is no finding", () => {
@@ -177,7 +190,8 @@
     stop: Partial<EntryStop>,
     runs: SoakObservations["runs"] = [],
   ) => {
-    const entryStop = { entry: 0, loggedMs: 10_005, exitedMs: 10_500, ...stop };
+    const times = { termMs: 5_000, loggedMs: 10_005, exitedMs: 10_500 };
+    const entryStop = { entry: 0, ...times, ...stop };
     const entryStops = [entryStop];
     return brokenRules({ records: [closed], entryStops, runs });
   };
@@ -190,6 +204,76 @@
   expect(rulesWith({}, [RUN])).toEqual(["lost"]);
 });
 
+test("a request that a server ran and that gets an error while its entry stops is a finding, whenever its body ended", () => {
+  const rulesFor = (
+    overrides: Partial<CallerRecord>,
+    faultWindows: SoakObservations["faultWindows"] = [],
+  ) => {
+    const records = [createSlowRecord(overrides)];
+    const runs = [{ ...RUN, atMs: 17_600 }];
+    return brokenRules({ records, runs, faultWindows, entryStops: [STOP] });
+  };
+  for (const writtenMs of [10_500, 13_500, 15_000, 16_500, 17_700]) {
+    const endMs = writtenMs + 50;
+    const startMs = writtenMs - 400;
+    expect(rulesFor({ startMs, writtenMs, endMs })).toEqual(["lost"]);
+    const body = expectedBody(SoakRequestKind.Write, "/order/a");
+    expect(rulesFor({ startMs, writtenMs, endMs, status: 200, body }))
+      .toEqual([]);
+  }
+  const late = { startMs: 12_600, writtenMs: 17_600 };
+  for (const status of [500, 502, 504]) {
+    expect(rulesFor({ ...late, status })).toEqual(["lost"]);
+  }
+  const kind = SoakRequestKind.Stream;
+  const body = expectedBody(kind, "/stream/a").slice(0, 50);
+  const cut = { ...late, kind, path: "/stream/a", status: 0, body };
+  expect(rulesFor({ ...cut, end: RequestEnd.Cut })).toEqual(["lost"]);
+  // A server that is at work in the last sixth, on a request sent within 3 s.
+  const startMs = 12_500;
+  expect(rulesFor({ startMs, writtenMs: 13_000, endMs: 16_700 })).toEqual([]);
+  expect(rulesFor({ startMs, writtenMs: 13_000, endMs: 16_600 }))
+    .toEqual(["lost"]);
+  expect(rulesFor({ startMs, writtenMs: 13_001, endMs: 16_700 }))
+    .toEqual(["lost"]);
+  // The request's own deadline.
+  expect(rulesFor({ ...late, deadlineMs: 5_000 })).toEqual([]);
+  const beside = (kind: FaultKind, target = 0) =>
+    rulesFor(late, [{ kind, target, startMs: 16_000, endMs: 17_000 }]);
+  for (const kind of [...PLANNED_STOP_KINDS, FaultKind.EntryHangup]) {
+    expect(beside(kind)).toEqual(["lost"]);
+  }
+  expect(beside(FaultKind.ServerKill, 1)).toEqual(["lost"]);
+  expect(beside(FaultKind.ServerKill, 0)).toEqual([]);
+  expect(beside(FaultKind.StoreOutage)).toEqual([]);
+});
+
+test("an unknown outcome of a request that reached no server is a finding while its entry stops", () => {
+  const unsent = { startMs: 14_000, writtenMs: undefined };
+  const rulesFor = (
+    overrides: Partial<CallerRecord>,
+    faultWindows: SoakObservations["faultWindows"] = [],
+  ) => {
+    const records = [createSlowRecord({ ...unsent, ...overrides })];
+    return brokenRules({ records, faultWindows, entryStops: [STOP] });
+  };
+  expect(rulesFor({})).toEqual(["unknown"]);
+  expect(rulesFor({ writtenMs: 17_600 })).toEqual(["unknown"]);
+  expect(rulesFor({ status: 503 })).toEqual([]);
+  expect(rulesFor({ entry: 1 })).toEqual([]);
+  expect(rulesFor({ startMs: 9_000, endMs: 9_900 })).toEqual([]);
+  expect(rulesFor({ deadlineMs: 4_000 })).toEqual([]);
+  const beside = (kind: FaultKind) =>
+    rulesFor({}, [{ kind, target: 1, startMs: 16_000, endMs: 17_000 }]);
+  for (const kind of [...PLANNED_STOP_KINDS, FaultKind.EntryHangup]) {
+    expect(beside(kind)).toEqual(["unknown"]);
+  }
+  expect(beside(FaultKind.ServerDrain)).toEqual(["unknown"]);
+  expect(beside(FaultKind.ServerKill)).toEqual([]);
+  expect(beside(FaultKind.ServerSilence)).toEqual([]);
+  expect(beside(FaultKind.StoreOutage)).toEqual([]);
+});
+
 test("a stream that is cut is a finding unless a server that ran it failed", () => {
   const kind = SoakRequestKind.Stream;
   const path = "/stream/a";
@@ -326,6 +410,37 @@
   expect(callers.records.some(({ isReused }) => isReused)).toBe(true);
 });
 
+test("callers stop sending a body once they have the response", async () => {
+  let receivedBytes = 0;
+  const server = createHttpServer((request, response) => {
+    request.on("data", (bytes: Buffer) => receivedBytes += bytes.length);
+    request.on("error", () => undefined);
+    setTimeout(() => response.writeHead(503).end("refused"), 100);
+  });
+  const host = "127.0.204.1";
+  await new Promise<void>((resolve) => {
+    server.listen(CALLER_PORT, host, resolve);
+  });
+  const random = () => 0.9;
+  const callers = SoakCallers.create([{ index: 0, host }], {
+    perKind: 0,
+    random,
+  });
+  const entry = { index: 0, host };
+  const kind = SoakRequestKind.Write;
+  const sent = await callers.send({ kind, entry, key: "", bodyMs: 2_000 });
+  const bytesAtResponse = receivedBytes;
+  await sleep(1_000);
+  server.close();
+  expect(sent.status).toBe(503);
+  expect(sent.body).toBe("refused");
+  expect(sent.writtenMs).toBeUndefined();
+  expect(sent.endMs - sent.startMs).toBeLessThan(1_000);
+  expect(sent.deadlineMs).toBe(6_000);
+  expect(bytesAtResponse).toBeGreaterThan(0);
+  expect(receivedBytes).toBe(bytesAtResponse);
+});
+
 test("the same seed gives the same faults", () => {
   const options = { seed: 5, durationMs: 20_000, entries: 3, servers: 9 };
   expect(createFaultSchedule(options)).toEqual(createFaultSchedule(options));
@@ -389,6 +504,21 @@
   expect(statuses["stream 200"]).toBeGreaterThan(0);
 });
 
+test("a short soak of planned stops beside slow bodies has no finding", async () => {
+  const { findings, statuses } = await runSoak({
+    seed: SLOW_BODIES_SEED,
+    durationMs: 4_000,
+    entries: 3,
+    servers: 6,
+    lane: 205,
+    pattern: SchedulePattern.SlowBodies,
+  });
+  expect(findings).toEqual([]);
+  expect(statuses["stream 200"]).toBeGreaterThan(0);
+  expect(statuses["order 200"]).toBeGreaterThan(0);
+  expect(statuses["order 503"]).toBeGreaterThan(0);
+});
+
 test("a short soak with parts that crash servers has no finding", async () => {
   const { findings, statuses } = await runSoak({
     seed: DEADLY_SEED,
