--- a/src/connection/caller_connections.ts
+++ b/src/connection/caller_connections.ts
@@ -40,9 +40,11 @@
   response: ServerResponse;
   /** Why the bytes after the latest request are none. */
   refusal?: Error;
+  /** Whether a response has announced the end of the connection. */
+  isClosing: boolean;
   /** Responses to requests that are read and not answered completely. */
   readonly open: Set<ServerResponse>;
-  promisedMs: number;
+  announcedMs: number;
   idleSinceMs: number;
 }
 
@@ -104,13 +106,28 @@
     return this.#states.get(request.socket)?.request === request;
   }
 
+  /** Records that the response to a request announces the connection's end. */
+  markClosing({ socket }: IncomingMessage): void {
+    const state = this.#states.get(socket);
+    if (state !== undefined) state.isClosing = true;
+  }
+
+  /**
+   * Whether a response before a request has announced the end of its connection.
+   * The request can't get a response, so it must not be served.
+   */
+  isClosing({ socket }: IncomingMessage): boolean {
+    return socket.writableEnded ||
+      this.#states.get(socket)?.isClosing === true;
+  }
+
   #track(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
     const state = this.#states.get(socket) ?? this.#open(request, response);
     state.request = request;
     state.response = response;
     state.open.add(response);
-    state.promisedMs = this.#server.keepAliveTimeout;
+    state.announcedMs = this.#server.keepAliveTimeout;
     response.once("close", () => {
       state.open.delete(response);
       state.idleSinceMs = this.#now();
@@ -127,7 +144,8 @@
       request,
       response,
       open: new Set(),
-      promisedMs: 0,
+      isClosing: false,
+      announcedMs: 0,
       idleSinceMs: 0,
     };
     this.#states.set(socket, state);
--- a/tests/relay/scripted.ts
+++ b/tests/relay/scripted.ts
@@ -27,6 +27,7 @@
   RequestKind,
 } from "../../src/request/proxy_request.ts";
 import type { KvCopier } from "../../src/request/kv_copy_manager.ts";
+import { serveRequest } from "../../src/request/serve_request.ts";
 import {
   type RoutedService,
   RouteTable,
@@ -102,20 +103,17 @@
   readonly retryWindowMs?: number;
 }
 
-/** Returns a relay with `servers` in its server list. */
-export function createRelay(
-  servers: readonly RegisteredServer[],
-  {
-    entry = "entry-1" as EntryId,
-    fetchReport = () => Promise.reject(new Error("test sets no fetchReport")),
-    copyKvCache = () => Promise.reject(new Error("test sets no copyKvCache")),
-    onStreamPlaced = () => undefined,
-    now = () => performance.now(),
-    retryAllowance,
-    retryWindowMs = 10_000,
-  }: ScriptedRelay = {},
-): Relay {
-  const relay = Relay.create({
+/** Returns a relay without a configuration and without servers. */
+export function createEmptyRelay({
+  entry = "entry-1" as EntryId,
+  fetchReport = () => Promise.reject(new Error("test sets no fetchReport")),
+  copyKvCache = () => Promise.reject(new Error("test sets no copyKvCache")),
+  onStreamPlaced = () => undefined,
+  now = () => performance.now(),
+  retryAllowance,
+  retryWindowMs = 10_000,
+}: ScriptedRelay = {}): Relay {
+  return Relay.create({
     entry,
     log: () => undefined,
     fetchReport,
@@ -128,6 +126,14 @@
     retryWindowMs,
     onStreamPlaced,
   });
+}
+
+/** Returns a relay with `servers` in its server list. */
+export function createRelay(
+  servers: readonly RegisteredServer[],
+  options: ScriptedRelay = {},
+): Relay {
+  const relay = createEmptyRelay(options);
   relay.adopt(createRouteTable(1), "test");
   relay.replaceServerList(
     servers.map((server, index) => ({
@@ -239,7 +245,26 @@
   };
 }
 
-/** A server that sends events `from` to `to` and then does what `end` says. */
+/** Serves a request with `scripts` in turn; returns how that went. */
+export async function serveScripts(
+  relay: Relay,
+  scripts: readonly ServerScript[],
+  changes: Partial<ProxyRequest> = {},
+) {
+  const { open, targets } = createScriptedOpener(scripts);
+  const caller = RecordedCaller.create();
+  const startMs = performance.now();
+  const request = createRequest(changes);
+  await serveRequest(relay.context, { request, caller, open });
+  return {
+    caller,
+    targets,
+    names: targets.map(({ server }) => server.name),
+    tookMs: performance.now() - startMs,
+  };
+}
+
+/** A server that sends events `from` to `to` and then ends as `end` specifies. */
 export function sendsEvents(
   from: number,
   to: number,
@@ -264,7 +289,7 @@
   };
 }
 
-/** Where a sound server pauses. */
+/** Where a healthy server pauses. */
 export enum Pause {
   BeforeHead = "before the response head",
   BeforeFirstEvent = "before the first event",
@@ -322,8 +347,8 @@
   };
 }
 
-/** A server that turns a request away and asks for a pause. */
-export function turnsAway(holdOffMs: number): ServerScript {
+/** A server that rejects a request and asks for a pause. */
+export function rejectsWithPause(holdOffMs: number): ServerScript {
   return (target) => {
     target.onHoldOff(holdOffMs);
     return reportsNotRun()(target);
