Stop parsing a child's output once it has started

While the soak ran it parsed all output of a process again whenever some arrived, since the check for the end of the start stayed. The proxies and callers run in the same process and were late.

The check ends with the start.

--- a/bench/child.ts
+++ b/bench/child.ts
@@ -248,7 +248,7 @@
         ),
       );
     });
-    child.stdout?.on("data", () => {
+    const checkOutput = () => {
       // The text after the last line feed is an incomplete line.
       const lines = stdout.join("").split("\n").slice(0, -1);
       const isListening = knownPorts !== undefined &&
@@ -258,7 +258,10 @@
       const portsLine = lines.find((line) => !isLogLine(line));
       if (!isListening && portsLine === undefined) return;
       clearTimeout(timer);
+      // All output would be parsed again whenever some arrives.
+      child.stdout?.off("data", checkOutput);
       resolve(knownPorts ?? JSON.parse(portsLine ?? "{}"));
-    });
+    };
+    child.stdout?.on("data", checkOutput);
   });
 }
