--- a/src/request/call_service_test.ts
+++ b/src/request/call_service_test.ts
@@ -6,6 +6,8 @@
 import { callHttp } from "../connection/http_call.ts";
 import type { EntryContext } from "../process/entry_context.ts";
 import { ServiceForm } from "../version/types.ts";
+import type { RequestTimes } from "./entry_admission.ts";
+import { RequestEnding } from "./request_ending.ts";
 import { serve } from "./routes.ts";
 
 const HOST = "127.0.0.1";
@@ -31,8 +33,13 @@
     settings: { bodyMaxBytes: 100 },
     log: () => undefined,
     metrics: { openRequests: { inc: () => undefined, dec: () => undefined } },
+    mustClose: () => false,
     isStopping: () => false,
-    isDraining: () => false,
+    now: () => performance.now(),
+    shutdownAdmission: {
+      rejection: () => undefined,
+      whileAccepted: (_: RequestTimes, work: Promise<unknown>) => work,
+    },
     pauseDetector: { ready: () => Promise.resolve() },
     revisionStore: {
       deployment: {
@@ -69,7 +76,11 @@
     (name) => ejected.push(name),
   );
   const entry = createHttpServer((request, response) =>
-    serve(context, request, response)
+    serve(context, {
+      request,
+      response,
+      ending: RequestEnding.create(response),
+    })
   );
   try {
     const { status } = await callHttp({
--- a/src/request/complete.ts
+++ b/src/request/complete.ts
@@ -1,6 +1,5 @@
 /** `POST /v1/completions`: generates a completion, streamed or in full. */
 
-import { readBody, sendJson } from "../connection/http_server.ts";
 import { RequestError } from "../errors.ts";
 import type { EntryContext } from "../process/entry_context.ts";
 import { LOG_EVENTS } from "../process/log_events.ts";
@@ -9,10 +8,12 @@
   type CompletionRequest,
   parseCompletionRequest,
 } from "./completion_request.ts";
+import { receiveBody } from "./entry_admission.ts";
 import {
   authenticate,
   callerSignal,
   type Exchange,
+  respondJson,
   type Route,
   singleHeader,
 } from "./exchange.ts";
@@ -30,12 +31,15 @@
   exchange: Exchange,
 ): Promise<void> {
   const signal = callerSignal(exchange);
-  const request = await parseRequest(context, exchange);
+  const { body, receivedMs } = await receiveBody(context, exchange);
+  const request = await parseRequest(context, { exchange, body });
   const generation = Generation.create(context, {
     requestId: exchange.id,
     request,
+    receivedMs,
     signal,
   });
+  exchange.ending.update({ type: () => generation.endingType });
   const completion = { context, exchange, generation, request };
   let outcome = "complete";
   try {
@@ -58,10 +62,9 @@
 
 async function parseRequest(
   context: EntryContext,
-  exchange: Exchange,
+  { exchange, body }: { readonly exchange: Exchange; readonly body: Buffer },
 ): Promise<CompletionRequest> {
   const { settings, pauseDetector, revisionStore } = context;
-  const body = await readBody(exchange.request, settings.bodyMaxBytes);
   await pauseDetector.ready();
   return parseCompletionRequest({
     body,
@@ -84,12 +87,24 @@
 ): Promise<void> {
   const observeChunk = createChunkObserver(context, request);
   let stream: SseResponse | undefined;
-  const openStream = () =>
-    stream ??= SseResponse.create(exchange.response, {
-      request: exchange.id,
+  const openStream = () => {
+    if (stream !== undefined) return stream;
+    const opened = SseResponse.create(exchange, {
       generation: generation.id,
       model: request.service.name,
     });
+    exchange.ending.update({ respond: (error) => fail(opened, error) });
+    return stream = opened;
+  };
+  const fail = (opened: SseResponse, error: RequestError) => {
+    context.log(LOG_EVENTS.generationInterrupted, {
+      request: exchange.id,
+      generation: generation.id,
+      reason: error.message,
+      position: generation.position,
+    });
+    opened.fail(error);
+  };
   try {
     for await (const chunk of generation.run()) {
       observeChunk();
@@ -99,13 +114,7 @@
     openStream().close();
   } catch (error) {
     if (stream === undefined || !(error instanceof RequestError)) throw error;
-    context.log(LOG_EVENTS.generationInterrupted, {
-      request: exchange.id,
-      generation: generation.id,
-      reason: error.message,
-      position: generation.position,
-    });
-    stream.fail(error, exchange.id);
+    fail(stream, error);
   }
 }
 
@@ -121,14 +130,15 @@
     finishReason = chunk.finishReason ?? finishReason;
   }
   exchange.response.setHeader("x-request-id", exchange.id);
-  sendJson(exchange.response, 200, {
+  const value = {
     id: generation.id,
     object: "text_completion",
     created: Math.floor(Date.now() / 1_000),
     model: request.service.name,
     choices: [{ index: 0, text, logprobs: null, finish_reason: finishReason }],
     usage: { completion_tokens: generation.position },
-  });
+  };
+  respondJson(exchange, { status: 200, value });
 }
 
 /** Returns a function that counts chunks and records the time to the first. */
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -1,19 +1,38 @@
 /** One HTTP exchange with a caller, as the route handlers see it. */
 
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type {
+  IncomingMessage,
+  OutgoingHttpHeaders,
+  ServerResponse,
+} from "node:http";
 import { RequestError, RequestErrorType } from "../errors.ts";
 import type { RequestId } from "../ids.ts";
 import type { EntryContext } from "../process/entry_context.ts";
 import type { Customer } from "../version/types.ts";
+import type { RequestEnding } from "./request_ending.ts";
 
-/** A request and the response to it. */
-export interface Exchange {
+/** The response to a request. */
+export interface ResponseTarget {
   readonly id: RequestId;
-  readonly request: IncomingMessage;
   readonly response: ServerResponse;
+  /** Whether a response that begins now must announce the connection's end. */
+  readonly mustClose: () => boolean;
+}
+
+/** A request and the response to it. */
+export interface Exchange extends ResponseTarget {
+  readonly request: IncomingMessage;
+  /** How the request ends if the process does. */
+  readonly ending: RequestEnding;
   readonly url: URL;
 }
 
+/** A request as the HTTP server received it. */
+export type IncomingExchange = Pick<
+  Exchange,
+  "request" | "response" | "ending"
+>;
+
 /** A route of the entry's HTTP interface. */
 export interface Route {
   /** HTTP method; empty for any. */
@@ -23,8 +42,39 @@
   readonly handle: (context: EntryContext, exchange: Exchange) => Promise<void>;
 }
 
+/** The header that identifies a non-idempotent call. */
+export const IDEMPOTENCY_KEY_HEADER = "idempotency-key";
+
 const BEARER_KEY = /^Bearer (\S+)$/;
 
+/** Begins a response. */
+export function writeHead(
+  { response, mustClose }: ResponseTarget,
+  { status, headers }: {
+    readonly status: number;
+    readonly headers: OutgoingHttpHeaders;
+  },
+): void {
+  if (mustClose()) response.setHeader("connection", "close");
+  response.writeHead(status, headers);
+}
+
+/** Sends a JSON response. */
+export function respondJson(
+  target: ResponseTarget,
+  { status, value }: { readonly status: number; readonly value: unknown },
+): void {
+  const text = JSON.stringify(value);
+  writeHead(target, {
+    status,
+    headers: {
+      "content-type": "application/json",
+      "content-length": Buffer.byteLength(text),
+    },
+  });
+  target.response.end(text);
+}
+
 /** Returns the customer that the bearer key names. Errors: `RequestError`. */
 export function authenticate(
   context: EntryContext,
