Use the field's terms in the soak, too

Change: announcedIdleMs, announcesLeaving, HARMLESS_MIN, StoreInvalidServers and others; values, checks and seeds are the same.

--- a/bench/soak/deadly_part_checks.ts
+++ b/bench/soak/deadly_part_checks.ts
@@ -14,9 +14,9 @@
 const CRASHES_MIN = 5;
 /** Requests with the part that may run later than `CONTACT_MS` after that. */
 const LATE_RUNS_MAX = 3;
-/** Sound requests from which their share is judged (LOST). */
-const SOUND_MIN = 20;
-const SOUND_SHARE_MIN = 0.5;
+/** Harmless requests from which their share is judged (LOST). */
+const HARMLESS_MIN = 20;
+const HARMLESS_SHARE_MIN = 0.5;
 const NOT_RUN = 503;
 
 /** Returns the violated guarantees of requests with deadly parts. */
@@ -58,15 +58,18 @@
     findings.push({ rule: "budget", detail });
   }
   const lastMs = Math.max(...[...byId.values()].map(({ startMs }) => startMs));
-  const sound = records.filter(({ kind, deadlyPart, entry, startMs, endMs }) =>
+  const harmless = records.filter((
+    { kind, deadlyPart, entry, startMs, endMs },
+  ) =>
     kind === SoakRequestKind.Stream && deadlyPart === undefined &&
     startMs > fifthMs + 2 * CONTACT_MS && startMs < lastMs &&
     isEntryUnaffected(faultWindows, { entry, fromMs: startMs, toMs: endMs })
   );
-  const refused = sound.filter(({ status }) => status === NOT_RUN);
-  const isServed = refused.length <= sound.length * SOUND_SHARE_MIN;
-  if (sound.length >= SOUND_MIN && !isServed) {
-    const detail = `${refused.length} of ${sound.length} sound streams were ` +
+  const refused = harmless.filter(({ status }) => status === NOT_RUN);
+  const isServed = refused.length <= harmless.length * HARMLESS_SHARE_MIN;
+  if (harmless.length >= HARMLESS_MIN && !isServed) {
+    const detail =
+      `${refused.length} of ${harmless.length} harmless streams were ` +
       `refused beside ${part}`;
     findings.push({ rule: "lost", detail });
   }
--- a/bench/soak/fault_schedule.ts
+++ b/bench/soak/fault_schedule.ts
@@ -15,10 +15,10 @@
   /** The store loses its history of changes. */
   StoreHistoryLoss = "store_forgets",
   /** Entries of another writer that name no server are in the server list. */
-  StoreOddServers = "store_odd_servers",
+  StoreInvalidServers = "store_odd_servers",
   ServerKill = "server_kill",
   ServerPause = "server_pause",
-  /** A sound server sends nothing for 1 to 1.5 s, and goes on. */
+  /** A healthy server sends nothing for 1 to 1.5 s. */
   ServerSilence = "server_silence",
   /** The server is listed as draining, serves for a while, and is killed. */
   ServerDrain = "server_drain",
@@ -52,9 +52,9 @@
   ServerCrash = "server_crash",
 }
 
-/** Work that the operator plans, and behaviour of sound servers. */
+/** Work that the operator plans, and behavior of healthy servers. */
 export const PLANNED_KINDS: ReadonlySet<FaultKind> = new Set([
-  FaultKind.StoreOddServers,
+  FaultKind.StoreInvalidServers,
   FaultKind.ServerSilence,
   FaultKind.ServerDrain,
   FaultKind.ServerLeave,
@@ -151,7 +151,7 @@
 const FAULT_MAX_MS = 2_500;
 /** Longest time between two starts in a quick series is twice this, in ms. */
 const QUICK_MAX_MS = 500;
-/** Long enough for five crashes, and for sound requests after them. */
+/** Long enough for five crashes, and for harmless requests after them. */
 const DEADLY_PART_MIN_MS = 10_000;
 const DEADLY_PART_MAX_MS = 12_000;
 const SILENCE_MIN_MS = 1_000;
--- a/bench/soak/hold_off_checks.ts
+++ b/bench/soak/hold_off_checks.ts
@@ -17,7 +17,7 @@
 }
 
 /** Time after which an entry must obey a pause, in ms. */
-const OBEY_AFTER_MS = 500;
+const HONOR_AFTER_MS = 500;
 /** Requests of an entry that may reach a server within a pause (BUDGET). */
 const REQUESTS_MAX = 2;
 const MS_PER_S = 1_000;
@@ -33,17 +33,17 @@
       return record === undefined ? [] : [{ ...arrival, record }];
     });
     const late = sent.filter(({ retryAfter }) => retryAfter !== "")
-      .map((told) => {
-        const endMs = told.atMs + Number(told.retryAfter) * MS_PER_S;
+      .map((rejected) => {
+        const endMs = rejected.atMs + Number(rejected.retryAfter) * MS_PER_S;
         const isLate = (atMs: number, { entry }: CallerRecord) =>
-          entry === told.record.entry && atMs < endMs &&
-          atMs > told.atMs + OBEY_AFTER_MS;
-        const { entry } = told.record;
-        const period = { entry, fromMs: told.atMs, toMs: endMs };
+          entry === rejected.record.entry && atMs < endMs &&
+          atMs > rejected.atMs + HONOR_AFTER_MS;
+        const { entry } = rejected.record;
+        const period = { entry, fromMs: rejected.atMs, toMs: endMs };
         // Another start of the server has asked for no pause.
         const isSameStart = !faultWindows.some((fault) =>
           fault.target === target && fault.kind === FaultKind.ServerKill &&
-          fault.startMs < endMs && fault.endMs > told.atMs
+          fault.startMs < endMs && fault.endMs > rejected.atMs
         );
         const isBound = isSameStart && isEntryUnaffected(faultWindows, period);
         const count = sent.filter(({ atMs, record }) => isLate(atMs, record))
--- a/bench/soak/soak_callers.ts
+++ b/bench/soak/soak_callers.ts
@@ -50,13 +50,13 @@
 type Exchange =
   & Pick<
     CallerRecord,
-    "status" | "body" | "end" | "isReused" | "writtenMs" | "saysLeaving"
+    "status" | "body" | "end" | "isReused" | "writtenMs" | "announcesLeaving"
   >
   & {
     /** The connection, if the response lets the caller keep it. */
     readonly kept?: Socket;
     /** Idle time that the response allows, in ms; 0 if it states none. */
-    readonly toldIdleMs: number;
+    readonly announcedIdleMs: number;
   };
 
 /** Pause of the callers that don't leave their connections idle for long. */
@@ -157,7 +157,8 @@
       deadlineMs,
       random: this.#options.random,
     });
-    const { kept: _kept, toldIdleMs: _toldIdleMs, ...outcome } = exchanged;
+    const { kept: _kept, announcedIdleMs: _announcedIdleMs, ...outcome } =
+      exchanged;
     const record: CallerRecord = {
       id,
       kind,
@@ -202,7 +203,7 @@
       while (isOpen && !this.#isClosed) {
         const sent = await this.send({ kind, entry, key: STEADY_KEY, agent });
         const pauseMs = isPatient
-          ? this.#choosePauseMs(sent.toldIdleMs)
+          ? this.#choosePauseMs(sent.announcedIdleMs)
           : PAUSE_MS;
         isOpen = await this.#keepAfter(sent, pauseMs);
       }
@@ -248,25 +249,25 @@
     return Math.round(minMs + random() * (SLOW_BODY_MAX_MS - minMs));
   }
 
-  #choosePauseMs(toldIdleMs: number): number {
+  #choosePauseMs(announcedIdleMs: number): number {
     const { random } = this.#options;
     const from = random() < LONGEST_PAUSE_SHARE
       ? LONGEST_PAUSE_MIN_FRACTION
       : 0;
     const fraction = from + random() * (1 - from);
-    return Math.max(PAUSE_MS, fraction * IDLE_USE_FRACTION * toldIdleMs);
+    return Math.max(PAUSE_MS, fraction * IDLE_USE_FRACTION * announcedIdleMs);
   }
 
   /** Like `#keepIdle`, after a request; records if its connection closed. */
   async #keepAfter(
-    { id, entry, kept, toldIdleMs, endMs }: CallerRecord & Exchange,
+    { id, entry, kept, announcedIdleMs, endMs }: CallerRecord & Exchange,
     pauseMs: number,
   ): Promise<boolean> {
     const isOpen = await this.#keepIdle(kept, pauseMs);
     if (kept !== undefined && !isOpen) {
       const closedMs = Date.now();
       const idleMs = closedMs - endMs;
-      this.idleCloses.push({ id, entry, idleMs, toldIdleMs, closedMs });
+      this.idleCloses.push({ id, entry, idleMs, announcedIdleMs, closedMs });
     }
     return isOpen;
   }
@@ -313,7 +314,7 @@
 /** Returns an agent with one connection, which it never closes by itself. */
 function createAgent(): Agent {
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-  // Node's own agent closes a connection a second before the time it was told.
+  // Node's own agent closes a connection a second before the announced time.
   agent.keepSocketAlive = () => true;
   return agent;
 }
@@ -333,7 +334,7 @@
     let socket: Socket | undefined;
     let writtenMs: number | undefined;
     let hasGivenUp = false;
-    let saysLeaving = false;
+    let announcesLeaving = false;
     let hasResponse = false;
     const outgoing = request({
       host: entry.host,
@@ -357,7 +358,7 @@
     }, deadlineMs + CLOSE_DELAY_MS);
     const settle = (
       end: RequestEnd,
-      response: Pick<Exchange, "status" | "toldIdleMs" | "kept">,
+      response: Pick<Exchange, "status" | "announcedIdleMs" | "kept">,
     ) => {
       clearTimeout(timer);
       const isReused = outgoing.reusedSocket;
@@ -366,17 +367,17 @@
         end: hasGivenUp ? RequestEnd.GivenUp : end,
         writtenMs,
         isReused,
-        saysLeaving,
+        announcesLeaving,
         ...response,
       });
     };
-    const none = { status: 0, toldIdleMs: 0 };
+    const none = { status: 0, announcedIdleMs: 0 };
     // The response no longer knows its connection once it has ended.
     outgoing.on("socket", (assigned) => socket = assigned);
     outgoing.on("finish", () => writtenMs = Date.now());
     outgoing.on("response", (response) => {
       hasResponse = true;
-      saysLeaving = response.headers["server-leaving"] === "1";
+      announcesLeaving = response.headers["server-leaving"] === "1";
       response.setEncoding("utf8");
       response.on("data", (text: string) => body += text);
       response.on("end", () => {
@@ -386,7 +387,7 @@
           connection !== "close" && writtenMs !== undefined;
         settle(RequestEnd.Complete, {
           status: response.statusCode ?? 0,
-          toldIdleMs: parseIdleMs(String(keepAlive ?? "")),
+          announcedIdleMs: parseIdleMs(String(keepAlive ?? "")),
           ...isKept && { kept: socket },
         });
         // The rest of the body is not sent, so the connection is of no use.
--- a/bench/soak/soak_checks.ts
+++ b/bench/soak/soak_checks.ts
@@ -49,7 +49,7 @@
   /** The received part of the body. */
   readonly body: string;
   /** Whether the response said that its server leaves. */
-  readonly saysLeaving: boolean;
+  readonly announcesLeaving: boolean;
   /** Part of its prompt that crashes servers, if any. */
   readonly deadlyPart?: string;
 }
@@ -61,7 +61,7 @@
   readonly entry: number;
   readonly idleMs: number;
   /** Idle time that the last response allowed, in ms. */
-  readonly toldIdleMs: number;
+  readonly announcedIdleMs: number;
   /** In ms since the Unix epoch. */
   readonly closedMs: number;
 }
@@ -368,17 +368,17 @@
       );
   });
   const findings = idleCloses
-    .filter(({ entry, idleMs, toldIdleMs, closedMs }) =>
-      idleMs < toldIdleMs * IDLE_USE_FRACTION &&
+    .filter(({ entry, idleMs, announcedIdleMs, closedMs }) =>
+      idleMs < announcedIdleMs * IDLE_USE_FRACTION &&
       !faultWindows.some((fault) =>
         ENTRY_STOPS.has(fault.kind) && fault.target === entry &&
         overlaps(fault, closedMs - idleMs, closedMs)
       )
     )
-    .map(({ id, entry, idleMs, toldIdleMs, closedMs }) => ({
+    .map(({ id, entry, idleMs, announcedIdleMs, closedMs }) => ({
       rule: "kept",
       detail: `entry ${entry} closed a connection after ${idleMs} ms idle, ` +
-        `having allowed ${toldIdleMs} ms with the response to ${id}, at ` +
+        `having allowed ${announcedIdleMs} ms with the response to ${id}, at ` +
         new Date(closedMs).toISOString(),
     }));
   if (losses.length <= KEPT_LOSSES_MAX) return findings;
@@ -422,25 +422,28 @@
   const byId = new Map(records.map((record) => [record.id, record]));
   const runsById = groupRuns(runs);
   const runsByServer = groupRuns(runs, ({ server }) => server);
-  return records.filter(({ saysLeaving }) => saysLeaving).flatMap((told) => {
-    const [run, ...others] = runsById.get(told.id) ?? [];
-    // Of several runs, it is not known whose response says so.
-    if (run === undefined || others.length > 0) return [];
-    const late = runsByServer.get(run.server)?.find(({ id, atMs }) => {
-      const record = byId.get(id);
-      return record !== undefined && record.entry === told.entry &&
-        record.startMs > told.endMs + DRAIN_MAX_MS &&
-        !faultWindows.some((fault) =>
-          ENTRY_STOPS.has(fault.kind) && fault.target === told.entry &&
-          overlaps(fault, told.endMs, atMs)
-        );
-    });
-    if (late === undefined) return [];
-    const afterMs = late.atMs - told.endMs;
-    const detail = `${late.id} from entry ${told.entry} ran ${afterMs} ms ` +
-      `after the entry passed on with ${told.id} that the server leaves`;
-    return [{ rule: "drain", detail }];
-  });
+  return records.filter(({ announcesLeaving }) => announcesLeaving).flatMap(
+    (announced) => {
+      const [run, ...others] = runsById.get(announced.id) ?? [];
+      // Of several runs, it is not known whose response says so.
+      if (run === undefined || others.length > 0) return [];
+      const late = runsByServer.get(run.server)?.find(({ id, atMs }) => {
+        const record = byId.get(id);
+        return record !== undefined && record.entry === announced.entry &&
+          record.startMs > announced.endMs + DRAIN_MAX_MS &&
+          !faultWindows.some((fault) =>
+            ENTRY_STOPS.has(fault.kind) && fault.target === announced.entry &&
+            overlaps(fault, announced.endMs, atMs)
+          );
+      });
+      if (late === undefined) return [];
+      const afterMs = late.atMs - announced.endMs;
+      const detail =
+        `${late.id} from entry ${announced.entry} ran ${afterMs} ms ` +
+        `after the entry passed on with ${announced.id} that the server leaves`;
+      return [{ rule: "drain", detail }];
+    },
+  );
 }
 
 /** Describes where a body first differs from the complete one. */
--- a/bench/soak/soak_cluster.ts
+++ b/bench/soak/soak_cluster.ts
@@ -23,7 +23,7 @@
 import {
   CALL_SERVICE,
   createConfiguration,
-  createOddServers,
+  createInvalidServers,
   formatEntrySettings,
   SHUTDOWN_GRACE_MS,
   STREAM_SERVICE,
@@ -304,8 +304,8 @@
         await this.#store.child.control({ historyFrom: revision });
         return true;
       }
-      case FaultKind.StoreOddServers:
-        return await this.#listOddServers(forMs);
+      case FaultKind.StoreInvalidServers:
+        return await this.#listInvalidServers(forMs);
       case FaultKind.Configuration:
         await this.publish();
         return true;
@@ -406,9 +406,9 @@
     faultWindow.endMs = Date.now();
   }
 
-  async #listOddServers(forMs: number): Promise<boolean> {
+  async #listInvalidServers(forMs: number): Promise<boolean> {
     return await this.#withExclusiveFault(this.#store, async () => {
-      const specs = Object.entries(createOddServers());
+      const specs = Object.entries(createInvalidServers());
       for (const [name, spec] of specs) {
         await this.#objects.create(SERVER_KIND, { name, spec });
       }
--- a/bench/soak/soak_deployment.ts
+++ b/bench/soak/soak_deployment.ts
@@ -20,8 +20,8 @@
  * than their requests' deadlines and than the grace period.
  */
 const SLOW_BODY_LIMIT_MIN_MS = 15_000;
-const ODD_DEPTH = 2_000;
-const ODD_TEXT_CHARACTERS = 100_000;
+const INVALID_DEPTH = 2_000;
+const INVALID_TEXT_CHARACTERS = 100_000;
 const EXTRA_ROUTE_COUNTS = [0, 3, 100, 700];
 /** Bearer key that every version contains. */
 export const STEADY_KEY = "steady-key";
@@ -119,7 +119,7 @@
 }
 
 /** Specs in the server list, by object name, that name no server to use. */
-export function createOddServers(): Readonly<Record<string, unknown>> {
+export function createInvalidServers(): Readonly<Record<string, unknown>> {
   const server = {
     service: CALL_SERVICE,
     address: "127.0.0.1:1",
@@ -129,11 +129,11 @@
   };
   return {
     "odd-port": { ...server, address: "127.0.0.1:99999" },
-    "odd-state": { ...server, state: "asleep", note: nest(ODD_DEPTH) },
-    "odd-service": { ...server, service: nest(ODD_DEPTH) },
+    "odd-state": { ...server, state: "asleep", note: nest(INVALID_DEPTH) },
+    "odd-service": { ...server, service: nest(INVALID_DEPTH) },
     "odd-slots": { ...server, slots: -1e308, born: 1e308, sequence: 1e300 },
     "odd-zone": { ...server, zone: 7, slots: 1e308 },
-    "odd-text": "x".repeat(ODD_TEXT_CHARACTERS),
+    "odd-text": "x".repeat(INVALID_TEXT_CHARACTERS),
     "odd-null": null,
     "odd-list": [server],
   };
--- a/src/process/silent_servers_test.ts
+++ b/src/process/silent_servers_test.ts
@@ -27,7 +27,7 @@
   relay.context.silentServers.watch(SERVER);
   const isUsable = () => relay.servers.isUsable(SERVER.name);
   const reportedServers = () => relay.createDigest().orders?.dead;
-  return { relay, isUsable, toldServers: reportedServers };
+  return { relay, isUsable, reportedServers };
 }
 
 test.for([
@@ -50,19 +50,19 @@
 });
 
 test("a server that is silent for a second is avoided meanwhile and not reported to peers", async () => {
-  const { isUsable, toldServers } = watchServer(1_000);
+  const { isUsable, reportedServers } = watchServer(1_000);
   for (let polls = 0; polls < 9; polls++) {
     expect(isUsable()).toBe(false);
-    expect(toldServers()).toEqual([]);
+    expect(reportedServers()).toEqual([]);
     await sleep(100);
   }
   await expect.poll(isUsable, { timeout: 600 }).toBe(true);
-  expect(toldServers()).toEqual([]);
+  expect(reportedServers()).toEqual([]);
 });
 
 test("a server that stays silent is reported to peers", async () => {
-  const { isUsable, toldServers } = watchServer(10_000);
-  await expect.poll(toldServers, { timeout: 2_000 }).toEqual([SERVER.name]);
+  const { isUsable, reportedServers } = watchServer(10_000);
+  await expect.poll(reportedServers, { timeout: 2_000 }).toEqual([SERVER.name]);
   expect(isUsable()).toBe(false);
 });
 
--- a/tests/caller_connections_test.ts
+++ b/tests/caller_connections_test.ts
@@ -14,7 +14,7 @@
 
 afterEach(() => platform.close());
 
-test("a configuration that shortens the idle limit during a response does not close the connection before the time its caller was told", async () => {
+test("a configuration that shortens the idle limit during a response does not close the connection before the time announced to its caller", async () => {
   platform = await ScriptedPlatform.create({ idleTimeoutMs: 3_000 });
   let finish = () => {};
   platform.respond = (request, response) => {
--- a/tests/soak_test.ts
+++ b/tests/soak_test.ts
@@ -58,7 +58,7 @@
     endMs: 10_100,
     end: overrides.status === 0 ? RequestEnd.Unanswered : RequestEnd.Complete,
     isReused: false,
-    saysLeaving: false,
+    announcesLeaving: false,
     status: 200,
     body: expectedBody(kind, path),
     ...overrides,
@@ -151,7 +151,7 @@
       FaultKind.EntryHangup,
       FaultKind.Configuration,
       FaultKind.ConfigurationBurst,
-      FaultKind.StoreOddServers,
+      FaultKind.StoreInvalidServers,
     ]
   ) {
     const faultWindows = beside(kind);
@@ -168,14 +168,17 @@
 });
 
 test("a request to a server that leaves is a finding 2 s after the entry passed that on", () => {
-  const told = createRecord({ id: "told", saysLeaving: true });
+  const announced = createRecord({ id: "announced", announcesLeaving: true });
   const rulesFor = (overrides: Partial<CallerRecord>, kind?: FaultKind) => {
     const times = { startMs: 12_200, writtenMs: 12_200, endMs: 12_300 };
     const late = createRecord({ ...times, ...overrides });
-    const runs = [{ ...RUN, id: "told" }, { ...RUN, atMs: late.startMs + 50 }];
+    const runs = [{ ...RUN, id: "announced" }, {
+      ...RUN,
+      atMs: late.startMs + 50,
+    }];
     const period = { target: 0, startMs: 11_000, endMs: 12_000 };
     const faultWindows = kind === undefined ? [] : [{ kind, ...period }];
-    return brokenRules({ records: [told, late], runs, faultWindows });
+    return brokenRules({ records: [announced, late], runs, faultWindows });
   };
   expect(rulesFor({})).toEqual(["drain"]);
   expect(rulesFor({}, FaultKind.StoreOutage)).toEqual(["drain"]);
@@ -319,12 +322,12 @@
     .toEqual(["unasked"]);
 });
 
-test("a kept connection that closes before the time that its caller was told is a finding", () => {
+test("a kept connection that closes before the time announced to its caller is a finding", () => {
   const early = {
     id: "a",
     entry: 0,
     idleMs: 700,
-    toldIdleMs: 1_000,
+    announcedIdleMs: 1_000,
     closedMs: 10_000,
   };
   const faultWindows = [
@@ -357,7 +360,7 @@
   expect(overlapping.length).toBeGreaterThan(planned.length / 2);
 });
 
-test("callers keep a connection for four fifths of the time that they were told", async () => {
+test("callers keep a connection for four fifths of the time announced to them", async () => {
   const connections = new Set<object>();
   const server = createHttpServer((request, response) => {
     connections.add(request.socket);
@@ -403,9 +406,9 @@
     .toBeGreaterThan(2);
   await callers.close();
   server.close();
-  for (const { idleMs, toldIdleMs } of callers.idleCloses) {
+  for (const { idleMs, announcedIdleMs } of callers.idleCloses) {
     expect(idleMs).toBeLessThan(1_000);
-    expect(toldIdleMs).toBe(3_000);
+    expect(announcedIdleMs).toBe(3_000);
   }
   expect(callers.records.some(({ isReused }) => isReused)).toBe(true);
 });
@@ -533,7 +536,7 @@
   expect(statuses["stream 200"]).toBeGreaterThan(0);
 });
 
-test("a fourth late run of a part that crashes servers is a finding, and so are refused sound streams", () => {
+test("a fourth late run of a part that crashes servers is a finding, and so are refused harmless streams", () => {
   const records = Array.from({ length: 40 }, (_, at) =>
     createRecord({
       id: `s-${at}`,
@@ -552,12 +555,12 @@
   const early = [10_000, 10_100, 10_200, 10_300, 10_400].map(runAt);
   const late = (count: number) =>
     Array.from({ length: count }, (_, at) => runAt(13_500 + at, 5 + at));
-  const sound = records.slice(0, 1).concat(
+  const harmless = records.slice(0, 1).concat(
     records.filter(({ deadlyPart }) => deadlyPart !== undefined),
   );
-  expect(brokenRules({ records: sound, runs: [...early, ...late(3)] }))
+  expect(brokenRules({ records: harmless, runs: [...early, ...late(3)] }))
     .toEqual([]);
-  expect(brokenRules({ records: sound, runs: [...early, ...late(4)] }))
+  expect(brokenRules({ records: harmless, runs: [...early, ...late(4)] }))
     .toEqual(["budget"]);
   expect(brokenRules({ records, runs: early })).toContain("lost");
 });
