--- a/src/process/dispatcher.ts
+++ b/src/process/dispatcher.ts
@@ -145,16 +145,11 @@
         reject(rejection);
       };
       const onAbort = () => stopWaiting(createRejection("caller disconnected"));
-      const expire = () =>
+      const timer = setTimeout(() => {
         stopWaiting(createRejection("no backend server had room in time"));
-      // If the event loop was blocked past the wait, reports and responses that
-      // arrived meanwhile are read first: they may show room.
-      let timer: NodeJS.Timeout | NodeJS.Immediate = setTimeout(() => {
-        timer = setImmediate(expire);
       }, request.waitMs);
       const settle = () => {
-        clearTimeout(timer as NodeJS.Timeout);
-        clearImmediate(timer as NodeJS.Immediate);
+        clearTimeout(timer);
         request.signal.removeEventListener("abort", onAbort);
       };
       const waiting: QueuedRequest<Criteria> = {
