Split the relay of streams by what it holds

relay_stream.ts had grown to 515 lines: it wrote the response, kept the servers that had failed, sent each attempt and chose the next one. The response to the caller is now stream_response.ts (177 lines), the servers to avoid are failed_servers.ts (83), and stream_attempt.ts (281) sends its own request. relay_stream.ts (337) keeps the choice of the next attempt. A server that rejects a stream with an error was recorded as failed twice; now once.

Meant to change no behaviour, but that is not shown.

--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -8,29 +8,21 @@
   type BackendResponse,
   collectBody,
 } from "../connection/backend_request.ts";
-import { EventSplitter, type RawEvent } from "../connection/event_splitter.ts";
 import { AttemptError, FailureCause, RequestError } from "../errors.ts";
-import { DrainingSource } from "../process/leaving_servers.ts";
-import { LOG_EVENTS } from "../process/log_events.ts";
-import type { RecentFailure } from "../process/choose_server.ts";
-import type { RegisteredServer } from "../process/registered_server.ts";
-import { ServerFailure } from "../process/server_ejection.ts";
 import type { RelayContext } from "../process/relay_context.ts";
-import { AttemptProgress } from "./attempt_progress.ts";
 import { PoisonGuard } from "./poison_guard.ts";
 import { effectiveDeadlineMs, type ProxyRequest } from "./proxy_request.ts";
 import { AttemptHistory } from "./attempt_history.ts";
 import {
   type AttemptFailure,
-  logAttempt,
   logAttemptFailure,
   recordAttemptFailure,
 } from "./attempt_reporting.ts";
 import { createRefusal } from "./create_refusal.ts";
+import { FailedServers } from "./failed_servers.ts";
 import type { KvCopy } from "./kv_copy_manager.ts";
 import { resumeDelayMs, waitForRetry } from "./resume_policy.ts";
 import { type ProxyExchange, RequestOutcome } from "./serve_request.ts";
-import { AdaptiveStallTimeout } from "./stall_policy.ts";
 import { StreamAttempt } from "./stream_attempt.ts";
 import {
   acquireStreamSlot,
@@ -38,8 +30,8 @@
   reserveKvCopySlot,
   type StreamSlot,
 } from "./stream_slot.ts";
-import { StreamAssembler } from "./stream_assembler.ts";
 import { streamQueueLimits } from "./stream_queue_limits.ts";
+import { StreamResponse } from "./stream_response.ts";
 
 /** How one attempt ended. */
 enum AttemptOutcome {
@@ -49,7 +41,6 @@
   Failed,
 }
 
-const MS_PER_S = 1_000;
 const SUCCESS_MIN = 200;
 const SUCCESS_MAX = 299;
 const SERVER_ERROR = 500;
@@ -68,15 +59,9 @@
   readonly #exchange: ProxyExchange;
   readonly #request: ProxyRequest;
   readonly #attempts: AttemptHistory;
-  readonly #failedServers = new Set<string>();
-  /** Healthy servers that were allowed another attempt after a failed one. */
-  readonly #reusedServers = new Set<string>();
-  readonly #assembler: StreamAssembler;
+  readonly #failedServers: FailedServers;
   readonly #poisonGuard: PoisonGuard;
-  #hasBegun = false;
-  #interruptedAtMs: number | undefined;
-  /** Zone of the last failed attempt, unless its server is healthy. */
-  #recentFailure: RecentFailure | undefined;
+  readonly #response: StreamResponse;
   /** Copy of the run's KV cache that the last attempt left. */
   #kvCopy: KvCopy | undefined;
   #isDeadlineExceeded = false;
@@ -89,12 +74,15 @@
     this.#exchange = exchange;
     this.#request = exchange.request;
     this.#attempts = AttemptHistory.create(exchange.request);
+    this.#failedServers = FailedServers.create(context, exchange.request);
     this.#poisonGuard = PoisonGuard.create(context, exchange.request);
-    const { isResumable, lastEventId } = exchange.request;
-    // Only a resumable stream is sure to start after the caller's last event.
-    this.#assembler = StreamAssembler.create(
-      isResumable ? lastEventId : undefined,
-    );
+    this.#response = StreamResponse.create({
+      context,
+      request: exchange.request,
+      caller: exchange.caller,
+      attempts: this.#attempts,
+      poisonGuard: this.#poisonGuard,
+    });
   }
 
   static create(context: RelayContext, exchange: ProxyExchange): StreamRelay {
@@ -144,16 +132,14 @@
         reason: this.#failureReason,
       });
     }
-    this.#context.log(LOG_EVENTS.generationInterrupted, {
-      request: this.#request.id,
-      after: this.#assembler.lastEventId ?? "",
-      reason: this.#failureReason,
-      sendings: this.#attempts.count,
-    });
-    this.#exchange.caller.abort();
+    this.#response.abort(this.#failureReason);
     return RequestOutcome.BrokenOff;
   }
 
+  get #hasBegun(): boolean {
+    return this.#response.hasBegun;
+  }
+
   async #canAttempt(): Promise<boolean> {
     if (
       this.#isDeadlineExceeded ||
@@ -228,13 +214,15 @@
       hasBegun: this.#hasBegun,
       nowMs: this.#context.now(),
     });
-    if (!this.#hasEligibleServer(waitMs)) this.#failedServers.clear();
+    if (!this.#failedServers.hasAlternative(waitMs)) {
+      this.#failedServers.clear();
+    }
     try {
       return await acquireStreamSlot(this.#context, this.#request, {
-        excluded: this.#failedServers,
+        excluded: this.#failedServers.names,
         signal: this.#exchange.caller.signal,
         hasBegun: this.#hasBegun,
-        recentFailure: this.#recentFailure,
+        recentFailure: this.#failedServers.recentFailure,
         rejection: () => this.#poisonGuard.rejection(),
       });
     } catch (error) {
@@ -244,31 +232,15 @@
     }
   }
 
-  /**
-   * Whether any server on which the stream has not failed could serve it, and
-   * has no pause that lasts longer than `waitMs`.
-   */
-  #hasEligibleServer(waitMs: number): boolean {
-    const { servers, now } = this.#context;
-    const { service, kvCacheTokens } = this.#request;
-    const criteria = {
-      service,
-      tokens: kvCacheTokens,
-      excluded: this.#failedServers,
-    };
-    const heldOffUntilMs = servers.heldOffUntilMs(criteria) ?? 0;
-    return servers.canServe(criteria) && heldOffUntilMs <= now() + waitMs;
-  }
-
   async #runAttempt(slot: StreamSlot): Promise<AttemptOutcome> {
     const { caller } = this.#exchange;
-    this.#assembler.beginSegment();
+    this.#response.beginSegment();
     const attempt = StreamAttempt.create({
       context: this.#context,
       request: this.#request,
       slot,
       record: this.#attempts.add(slot.server.name),
-      excluded: this.#failedServers,
+      excluded: this.#failedServers.names,
       canRetry: () =>
         this.#canRetry && this.#poisonGuard.rejection() === undefined,
       acquireReplacement: (criteria) =>
@@ -278,26 +250,14 @@
           rejection: () => this.#poisonGuard.rejection(),
         }),
       onReplaced: (slot) => this.#replacement = { slot },
-      eventCount: () => this.#assembler.eventCount,
+      eventCount: () => this.#response.eventCount,
     });
-    this.#logAttempt(attempt);
+    const { lastEventId } = this.#response;
+    attempt.logStart(lastEventId);
     this.#poisonGuard.recordAttempt();
     try {
-      const response = await this.#sendToServer(attempt);
-      if (response.isServerLeaving) {
-        this.#context.servers.markLeaving(slot.server, DrainingSource.Answer);
-      }
-      if (response.hasNotRun) {
-        this.#handleNotRun(attempt, response);
-        return AttemptOutcome.Failed;
-      }
-      attempt.record.progress = AttemptProgress.KnownRun;
-      attempt.record.respondedMs = this.#context.now();
-      this.#context.servers.recordAcceptance(slot.server);
-      this.#context.promptCacheIndex.record(
-        this.#request.promptKey,
-        slot.server.name,
-      );
+      const response = await attempt.send(this.#exchange, lastEventId);
+      if (response.hasNotRun) return AttemptOutcome.Failed;
       return await this.#handleResponse(response, attempt);
     } catch (error) {
       if (!(error instanceof AttemptError)) throw error;
@@ -308,51 +268,6 @@
     }
   }
 
-  #logAttempt({ slot, kvCopyManager }: StreamAttempt): void {
-    const { promptKey: prompt, promptParts } = this.#request;
-    logAttempt(this.#context, {
-      request: this.#request,
-      server: slot.server,
-      details: {
-        from_copy: slot.kvCopy !== undefined,
-        after: this.#assembler.lastEventId ?? "",
-        backup: kvCopyManager.backup?.name ?? "",
-        prompt,
-        prompt_parts: promptParts.join(" "),
-        read_at: this.#context.promptCacheIndex.findServer(prompt) ?? "",
-      },
-    });
-  }
-
-  #sendToServer(
-    { slot, kvCopyManager, record, signal }: StreamAttempt,
-  ): Promise<BackendResponse> {
-    const { caller, open } = this.#exchange;
-    return open({
-      server: slot.server,
-      timeoutMs: effectiveDeadlineMs(this.#request) - this.#context.now(),
-      lastEventId: this.#assembler.lastEventId ?? this.#request.lastEventId,
-      kvCopy: slot.kvCopy,
-      backupServer: kvCopyManager.backup,
-      signal: AbortSignal.any([caller.signal, signal]),
-      onSent: () => record.progress = AttemptProgress.Sent,
-      onHoldOff: (ms) => this.#context.servers.holdOff(slot.server, ms),
-    });
-  }
-
-  #handleNotRun(
-    { slot, record }: StreamAttempt,
-    { isMisdirected }: BackendResponse,
-  ): void {
-    const { servers } = this.#context;
-    const { server, kvCopy } = slot;
-    record.progress = AttemptProgress.KnownNotRun;
-    // A server that declines because it lacks the copy is not full; a later
-    // attempt prefills again.
-    if (isMisdirected) servers.eject(server.name, ServerFailure.Replaced);
-    else if (kvCopy === undefined) servers.markFull(server.name);
-  }
-
   async #handleFailure(
     attempt: StreamAttempt,
     error: AttemptError,
@@ -363,14 +278,8 @@
     this.#failureReason = error.message;
     this.#isDeadlineExceeded =
       error.failureCause === FailureCause.DeadlineExceeded;
-    const isReachable = error.failureCause === FailureCause.Stalled ||
-      error.failureCause === FailureCause.Rejected ||
-      error.failureCause === FailureCause.NoResources;
-    this.#recentFailure = isReachable
-      ? undefined
-      : { zone: server.zone, atMs: this.#context.now() };
-    this.#failedServers.add(server.name);
-    if (this.#hasBegun) this.#interruptedAtMs ??= this.#context.now();
+    this.#failedServers.recordFailure(server, error.failureCause);
+    this.#response.recordInterruption();
     const healthCheck = recordAttemptFailure(
       this.#context,
       this.#createFailure(attempt, error),
@@ -382,7 +291,7 @@
       this.#canRetry;
     if (!mayBePoison && !mayReuse) return;
     const isHealthy = await healthCheck;
-    if (isHealthy && mayReuse) this.#allowReuse(server);
+    if (isHealthy && mayReuse) this.#failedServers.allowReuse(server);
   }
 
   #createFailure(
@@ -398,33 +307,26 @@
     };
   }
 
-  /** Allows another attempt on a healthy server that has the prompt cached. */
-  #allowReuse({ name }: RegisteredServer): void {
-    if (this.#reusedServers.has(name)) return;
-    this.#reusedServers.add(name);
-    this.#failedServers.delete(name);
-    this.#recentFailure = undefined;
-    this.#context.promptCacheIndex.record(this.#request.promptKey, name);
-  }
-
   async #handleResponse(
     response: BackendResponse,
     attempt: StreamAttempt,
   ): Promise<AttemptOutcome> {
     const { status } = response.head;
     const isSuccess = status >= SUCCESS_MIN && status <= SUCCESS_MAX;
-    if (isSuccess) return await this.#forwardEvents(response, attempt);
+    if (isSuccess) {
+      await this.#response.forwardEvents(response, attempt);
+      return AttemptOutcome.Complete;
+    }
     const body = await collectBody(response, this.#context.responseBuffers);
     const isServerError = status >= SERVER_ERROR;
     // Another server would reject a new request as well.
     if (this.#hasBegun || (isServerError && this.#canRetry)) {
-      this.#failedServers.add(attempt.slot.server.name);
       const error = new AttemptError(
         FailureCause.Rejected,
         `expected a 2xx response status, got ${status}`,
       );
       if (isServerError) throw error;
-      // The server is healthy.
+      this.#failedServers.add(attempt.slot.server);
       logAttemptFailure(this.#context, this.#createFailure(attempt, error));
       this.#failureReason = error.message;
       return AttemptOutcome.Failed;
@@ -432,84 +334,4 @@
     this.#exchange.caller.send(response.head, body);
     return AttemptOutcome.ServerError;
   }
-
-  /** Forwards complete events; drops the partial event of a failed attempt. */
-  async #forwardEvents(
-    response: BackendResponse,
-    attempt: StreamAttempt,
-  ): Promise<AttemptOutcome> {
-    const { slot, stallDetector } = attempt;
-    const { caller } = this.#exchange;
-    const { servers, now } = this.#context;
-    const splitter = EventSplitter.create();
-    const stallTimeout = AdaptiveStallTimeout.create(now);
-    for await (const bytes of response.body()) {
-      servers.recordActivity(slot.server.name);
-      const events = [...splitter.push(bytes)];
-      if (events.length === 0) continue;
-      this.#poisonGuard.recordEvents(attempt.record, events.length);
-      attempt.markEventsSeen();
-      const newEvents = this.#assembler.accept(events);
-      // Other bytes do not show that the run makes progress.
-      const hasProgress = newEvents.some(({ id }) => id !== undefined);
-      if (hasProgress) attempt.recordActivity(stallTimeout.observeEvent());
-      if (newEvents.length === 0) continue;
-      if (hasProgress) stallDetector.pause();
-      if (!this.#hasBegun) this.#beginResponse(response);
-      this.#recordResume(newEvents);
-      await caller.write(Buffer.concat(newEvents.map((event) => event.bytes)));
-      if (hasProgress) stallDetector.resume();
-    }
-    if (splitter.hasPartialEvent) {
-      throw new AttemptError(
-        FailureCause.Closed,
-        "stream ended in the middle of an event",
-      );
-    }
-    if (!response.head.isFramed && this.#mustHaveEvents(attempt)) {
-      throw new AttemptError(
-        FailureCause.Closed,
-        "stream without a length ended before its first event",
-      );
-    }
-    if (!this.#hasBegun) this.#beginResponse(response);
-    caller.end();
-    this.#poisonGuard.recordCompletion();
-    return AttemptOutcome.Complete;
-  }
-
-  /** Whether an attempt without events can't be a complete response. */
-  #mustHaveEvents({ record }: StreamAttempt): boolean {
-    const isAtEnd = this.#request.lastEventId !== undefined && !this.#hasBegun;
-    return record.eventCount === 0 && !isAtEnd;
-  }
-
-  #beginResponse(response: BackendResponse): void {
-    const { metrics, now } = this.#context;
-    this.#hasBegun = true;
-    const elapsedMs = now() - this.#request.receivedMs;
-    this.#context.log(LOG_EVENTS.streamStarted, {
-      request: this.#request.id,
-      took_ms: Math.round(elapsedMs),
-      sendings: this.#attempts.count,
-    });
-    metrics.firstByteSeconds.observe(
-      { route: this.#request.route },
-      elapsedMs / MS_PER_S,
-    );
-    this.#exchange.caller.writeHead(response.head);
-  }
-
-  #recordResume([first]: readonly RawEvent[]): void {
-    if (this.#interruptedAtMs === undefined) return;
-    const { metrics, log, now } = this.#context;
-    const pauseMs = now() - this.#interruptedAtMs;
-    this.#interruptedAtMs = undefined;
-    metrics.resumeSeconds.observe(pauseMs / MS_PER_S);
-    log(LOG_EVENTS.generationResumed, {
-      request: this.#request.id,
-      after: first?.id ?? "",
-      pause_ms: Math.round(pauseMs),
-    });
-  }
 }
--- a/src/request/stream_attempt.ts
+++ b/src/request/stream_attempt.ts
@@ -1,20 +1,26 @@
 /**
- * One attempt of a stream at one server: its deadline and stall detection, the
- * copy of its KV cache, and the load that it adds to the server.
+ * One attempt of a stream at one server: its request, deadline and stall
+ * detection, the copy of its KV cache, and the load that it adds to the server.
  */
 
+import type { BackendResponse } from "../connection/backend_request.ts";
 import { PREFILL_TOKENS_PER_MS } from "../constants.ts";
 import { AttemptError, FailureCause } from "../errors.ts";
 import type { RecentFailure } from "../process/choose_server.ts";
+import { DrainingSource } from "../process/leaving_servers.ts";
 import {
   addLoad,
   type RegisteredServer,
 } from "../process/registered_server.ts";
 import type { RelayContext } from "../process/relay_context.ts";
+import { ServerFailure } from "../process/server_ejection.ts";
 import { effectiveDeadlineMs, type ProxyRequest } from "./proxy_request.ts";
 import type { AttemptRecord } from "./attempt_history.ts";
+import { AttemptProgress } from "./attempt_progress.ts";
 import { ReplacementSearch, takeKvCopy } from "./attempt_replacement.ts";
+import { logAttempt } from "./attempt_reporting.ts";
 import { KvCopyManager } from "./kv_copy_manager.ts";
+import type { ProxyExchange } from "./serve_request.ts";
 import {
   FIRST_EVENT_STALL_MS,
   firstEventTimeoutMs,
@@ -124,9 +130,75 @@
     return new StreamAttempt(options);
   }
 
-  /** Aborts with an `AttemptError` when the attempt has failed. */
-  get signal(): AbortSignal {
-    return this.#abortController.signal;
+  /**
+   * Logs the start of the attempt.
+   *
+   * @param resumeAfter id of the event that the response continues after, if any
+   */
+  logStart(resumeAfter: string | undefined): void {
+    const { context, request } = this.#options;
+    const { promptKey: prompt, promptParts } = request;
+    logAttempt(context, {
+      request,
+      server: this.slot.server,
+      details: {
+        from_copy: this.slot.kvCopy !== undefined,
+        after: resumeAfter ?? "",
+        backup: this.kvCopyManager.backup?.name ?? "",
+        prompt,
+        prompt_parts: promptParts.join(" "),
+        read_at: context.promptCacheIndex.findServer(prompt) ?? "",
+      },
+    });
+  }
+
+  /**
+   * Sends the request to the server, and records what the head of its response
+   * shows. Errors: `AttemptError`.
+   *
+   * @param resumeAfter see `logStart`
+   */
+  async send(
+    { caller, open }: ProxyExchange,
+    resumeAfter: string | undefined,
+  ): Promise<BackendResponse> {
+    const { context, request } = this.#options;
+    const { server, kvCopy } = this.slot;
+    const response = await open({
+      server,
+      timeoutMs: effectiveDeadlineMs(request) - context.now(),
+      lastEventId: resumeAfter ?? request.lastEventId,
+      kvCopy,
+      backupServer: this.kvCopyManager.backup,
+      signal: AbortSignal.any([caller.signal, this.#abortController.signal]),
+      onSent: () => this.record.progress = AttemptProgress.Sent,
+      onHoldOff: (ms) => context.servers.holdOff(server, ms),
+    });
+    if (response.isServerLeaving) {
+      context.servers.markLeaving(server, DrainingSource.Answer);
+    }
+    if (response.hasNotRun) this.#recordNotRun(response);
+    else this.#recordRun();
+    return response;
+  }
+
+  #recordNotRun({ isMisdirected }: BackendResponse): void {
+    const { servers } = this.#options.context;
+    const { server, kvCopy } = this.slot;
+    this.record.progress = AttemptProgress.KnownNotRun;
+    // A server that declines because it lacks the copy is not full; a later
+    // attempt prefills again.
+    if (isMisdirected) servers.eject(server.name, ServerFailure.Replaced);
+    else if (kvCopy === undefined) servers.markFull(server.name);
+  }
+
+  #recordRun(): void {
+    const { context, request } = this.#options;
+    const { server } = this.slot;
+    this.record.progress = AttemptProgress.KnownRun;
+    this.record.respondedMs = context.now();
+    context.servers.recordAcceptance(server);
+    context.promptCacheIndex.record(request.promptKey, server.name);
   }
 
   /** Whether enough time has passed for the server to prefill the prompt. */
@@ -165,7 +237,7 @@
 
   #handleSilence(cause: FailureCause, detail: string): void {
     // An attempt that is replaced already takes no second slot.
-    if (this.signal.aborted) return;
+    if (this.#abortController.signal.aborted) return;
     const { context } = this.#options;
     this.#silence = new AttemptError(cause, detail);
     if (takeKvCopy(this.#options, this.kvCopyManager.copy)) {
