Keep a connection of our own interface open behind a refused body that was read

Callers saw, on our own interface: of three pipelined requests the second got 413 with Connection: close, and the third ran without a response.

Cause: as on the platform's interface: a 413 closed the connection though its body had been read to its end and a request behind it.

Change: it closes the connection only if the body has not arrived, and what comes on the connection then does not run.

--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -197,12 +197,13 @@
     serve(this.#context, { request, response, ending });
   }
 
-  #mustClose(request: IncomingMessage): boolean {
+  #decideClose(request: IncomingMessage, isRequired: boolean): boolean {
     // A response with a later one on its connection must not announce the end.
-    const mustClose = this.#context.isStopping() &&
-      this.#callerConnections.isLatest(request);
-    if (mustClose) this.#callerConnections.markClosing(request);
-    return mustClose;
+    const isClosing = isRequired ||
+      (this.#context.isStopping() &&
+        this.#callerConnections.isLatest(request));
+    if (isClosing) this.#callerConnections.markClosing(request);
+    return isClosing;
   }
 
   #createContext(): EntryContext {
@@ -256,7 +257,8 @@
       }),
       now,
       entryPosition: () => this.#peers.entryPosition,
-      mustClose: (request) => this.#mustClose(request),
+      decideClose: (request, isRequired) =>
+        this.#decideClose(request, isRequired),
       isStopping: () => this.#isStopping,
       shutdownAdmission: ShutdownAdmission.create({
         now,
--- a/src/process/entry_context.ts
+++ b/src/process/entry_context.ts
@@ -34,10 +34,14 @@
   /** This entry's position among the live ones. */
   readonly entryPosition: () => EntryPosition;
   /**
-   * Whether the response to a request, if it begins now, must announce the end
-   * of its connection; no later request on it runs then.
+   * Decides whether the response to a request, if it begins now, announces the
+   * end of its connection; with `isRequired`, it must. No later request on the
+   * connection runs then.
    */
-  readonly mustClose: (request: IncomingMessage) => boolean;
+  readonly decideClose: (
+    request: IncomingMessage,
+    isRequired: boolean,
+  ) => boolean;
   /** Whether a graceful shutdown is in progress. */
   readonly isStopping: () => boolean;
   /** Which requests are still sent to backend servers in it. */
--- a/src/request/call_service_test.ts
+++ b/src/request/call_service_test.ts
@@ -33,7 +33,7 @@
     settings: { bodyMaxBytes: 100 },
     log: () => undefined,
     metrics: { openRequests: { inc: () => undefined, dec: () => undefined } },
-    mustClose: () => false,
+    decideClose: () => false,
     isStopping: () => false,
     now: () => performance.now(),
     shutdownAdmission: {
--- a/src/request/error_response.ts
+++ b/src/request/error_response.ts
@@ -40,7 +40,9 @@
   if (error.retryAfterS !== undefined) {
     response.setHeader("retry-after", error.retryAfterS);
   }
-  if (error.type === RequestErrorType.TooLarge) {
+  const isBodyUnread = error.type === RequestErrorType.TooLarge &&
+    !response.req.complete;
+  if (isBodyUnread && target.decideClose(true)) {
     response.setHeader("connection", "close");
   }
   respondJson(target, {
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -15,8 +15,11 @@
 export interface ResponseTarget {
   readonly id: RequestId;
   readonly response: ServerResponse;
-  /** Whether a response that begins now must announce the connection's end. */
-  readonly mustClose: () => boolean;
+  /**
+   * Decides whether a response that begins now announces the connection's end;
+   * with `isRequired`, it must.
+   */
+  readonly decideClose: (isRequired: boolean) => boolean;
 }
 
 /** A request and the response to it. */
@@ -49,13 +52,13 @@
 
 /** Begins a response. */
 export function writeHead(
-  { response, mustClose }: ResponseTarget,
+  { response, decideClose }: ResponseTarget,
   { status, headers }: {
     readonly status: number;
     readonly headers: OutgoingHttpHeaders;
   },
 ): void {
-  if (mustClose()) response.setHeader("connection", "close");
+  if (decideClose(false)) response.setHeader("connection", "close");
   response.writeHead(status, headers);
 }
 
--- a/src/request/routes.ts
+++ b/src/request/routes.ts
@@ -30,7 +30,7 @@
   const target: ResponseTarget = {
     id,
     response,
-    mustClose: () => context.mustClose(request),
+    decideClose: (isRequired) => context.decideClose(request, isRequired),
   };
   ending.update({
     respond: (error) => {
--- a/tests/graceful_shutdown_test.ts
+++ b/tests/graceful_shutdown_test.ts
@@ -170,6 +170,29 @@
   }
 });
 
+test("a refused body that was read to its end does not close an entry's connection on the request behind it", async () => {
+  const cluster = await LocalCluster.create({
+    engines: 0,
+    services: 1,
+    limits: ["body_bytes = 1000"],
+  });
+  try {
+    await cluster.service().control({ delayMs: 300 });
+    const caller = RawCaller.create(cluster.entry().port);
+    const requests = [
+      formatEntryRequest(`GET ${SERVICE_PATH}/first`),
+      formatEntryRequest(`POST ${SERVICE_PATH}/second`, "x".repeat(2_000)),
+      formatEntryRequest(`GET ${SERVICE_PATH}/third`),
+    ];
+    caller.socket.write(requests.join(""));
+    await expect.poll(() => caller.received.match(/HTTP\/1\.1 \d+/g), {
+      timeout: 5_000,
+    }).toEqual(["HTTP/1.1 200", "HTTP/1.1 413", "HTTP/1.1 200"]);
+  } finally {
+    await cluster.close();
+  }
+});
+
 test("a request after the response that announced the end of its connection does not run", async () => {
   const cluster = await LocalCluster.create({
     services: 1,
