Refuse a waiting request only after what has arrived was read

What callers saw: "503 no backend server had room in time" though a report that shows room had already arrived at the entry, when the event loop was blocked past the end of the request's wait.

Cause: timers run before the reads of the same turn. Calls and responses already looked again after the reads; the queue did not.

--- a/src/connection/http_call.ts
+++ b/src/connection/http_call.ts
@@ -10,6 +10,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { setImmediate as immediate } from "node:timers/promises";
+import { startReadTimer } from "./read_timer.ts";
 import { ResponseBuffers } from "./response_buffers.ts";
 import { FramingLimit } from "./response_limits.ts";
 
@@ -79,15 +80,7 @@
     const expire = () => {
       outgoing.destroy(new Error(`no response within ${call.timeoutMs} ms`));
     };
-    // If the event loop was blocked past the timeout, a response that arrived
-    // meanwhile is read first.
-    let timer: NodeJS.Timeout | NodeJS.Immediate = setTimeout(() => {
-      timer = setImmediate(expire);
-    }, call.timeoutMs);
-    const stopTimer = () => {
-      clearTimeout(timer as NodeJS.Timeout);
-      clearImmediate(timer as NodeJS.Immediate);
-    };
+    const stopTimer = startReadTimer(call.timeoutMs, expire);
     const fail = (error: Error) => {
       stopTimer();
       reject(error);
--- a/src/process/dispatcher.ts
+++ b/src/process/dispatcher.ts
@@ -3,6 +3,7 @@
  * or rejects them before they run.
  */
 
+import { startReadTimer } from "../connection/read_timer.ts";
 import { RETRY_AFTER_S } from "../constants.ts";
 import { RequestError, RequestErrorType } from "../errors.ts";
 import type { BackendServer } from "../version/types.ts";
@@ -145,11 +146,11 @@
         reject(rejection);
       };
       const onAbort = () => stopWaiting(createRejection("caller disconnected"));
-      const timer = setTimeout(() => {
+      const stopTimer = startReadTimer(request.waitMs, () => {
         stopWaiting(createRejection("no backend server had room in time"));
-      }, request.waitMs);
+      });
       const settle = () => {
-        clearTimeout(timer);
+        stopTimer();
         request.signal.removeEventListener("abort", onAbort);
       };
       const waiting: QueuedRequest<Criteria> = {
