Tell an end of the sending direction from a reset in event 3112

A request that ended unanswered was logged with closed_by: caller, whether its connection was reset or its caller had only ended its sending direction.

Event 3112 and gypsumridge_unanswered_requests_total now say whether the caller had ended its sending direction before the connection closed (has_ended_sending), and whether the request had been sent to a backend server (was_sent). No logic changes.

--- a/src/process/relay_metrics.ts
+++ b/src/process/relay_metrics.ts
@@ -45,7 +45,7 @@
   readonly unansweredRequests = new Counter({
     name: "gypsumridge_unanswered_requests_total",
     help: "Requests whose connection closed before a complete response",
-    labelNames: ["closed_by"],
+    labelNames: ["closed_by", "has_ended_sending", "was_sent"],
     registers: [this.registry],
   });
   readonly drainingServers = new Counter({
