Answer callers that end their sending direction

HTTP/1.1 allows the half-close, and the caller still reads.

Cause: Node's HTTP server takes the end of the sending direction for the end of the connection and closes it; the response's "close" then aborted the request, also at its server.

The connection now stays open for its responses (httpAllowHalfOpen), in order, and closes after the last. A caller that has left for good looks the same until a write to it is reset, so it is limited what one may cost: a response must begin within 300 ms, a non-idempotent call that a server runs has 300 ms more and is not sent again, and otherwise the request is refused, as not run or as unknown, from the record of its attempts. A response that has begun goes on as long as its writes succeed. A reset aborts at once, as before. The same holds for the product's own interface; there a generation that was aborted after its server had begun it was refused as not run, which nobody could read before; it is now interrupted.

The scripted platform has one more route, for idempotent calls.

--- a/src/connection/caller_connections.ts
+++ b/src/connection/caller_connections.ts
@@ -1,5 +1,6 @@
 /** Keeps and closes the connections of an HTTP server's callers. */
 
+import { setMaxListeners } from "node:events";
 import {
   type IncomingMessage,
   type Server,
@@ -13,12 +14,18 @@
   remainingIdleMs,
 } from "./idle_policy.ts";
 import { closeWhenSent, lingeringClose } from "./lingering_close.ts";
+import { HALF_CLOSED } from "./response_writer.ts";
 
 const HTTP_BAD_REQUEST = 400;
 const HTTP_METHOD_NOT_ALLOWED = 405;
 const HTTP_REQUEST_TIMEOUT = 408;
 /** Time after a timeout in which requests that have arrived are read, in ms. */
 const READ_DELAY_MS = 50;
+/**
+ * Time in which responses begin after a caller has ended its sending direction,
+ * in ms. It may have left, which shows only once something is written to it.
+ */
+const HALF_CLOSED_WAIT_MS = 300;
 /** Statuses by the error codes of Node's HTTP parser. */
 const REFUSAL_STATUS: ReadonlyMap<string, number> = new Map([
   ["HPE_HEADER_OVERFLOW", 431],
@@ -44,6 +51,8 @@
   isClosing: boolean;
   /** Responses to requests that are read and not answered completely. */
   readonly open: Set<ServerResponse>;
+  /** Aborted some time after the caller has ended its sending direction. */
+  readonly left: AbortController;
   announcedMs: number;
   idleSinceMs: number;
 }
@@ -65,6 +74,9 @@
   static create(options: CallerConnectionsOptions): CallerConnections {
     const connections = new CallerConnections(options);
     const { server } = options;
+    // Otherwise Node closes a connection whose caller has ended its sending
+    // direction, also while a response is open.
+    Object.assign(server, { httpAllowHalfOpen: true });
     server.prependListener(
       "request",
       (request, response) => connections.#track(request, response),
@@ -106,6 +118,21 @@
     return this.#states.get(request.socket)?.request === request;
   }
 
+  /** Whether no request will be read on a request's connection after it. */
+  isLast(request: IncomingMessage): boolean {
+    return request.socket.readableEnded && this.isLatest(request);
+  }
+
+  /**
+   * Returns a signal that aborts some time after a request's caller has ended
+   * its sending direction; the caller may then have left.
+   */
+  leftSignal({ socket }: IncomingMessage): AbortSignal {
+    const { left } = this.#states.get(socket) ??
+      { left: new AbortController() };
+    return left.signal;
+  }
+
   /** Records that the response to a request announces the connection's end. */
   markClosing({ socket }: IncomingMessage): void {
     const state = this.#states.get(socket);
@@ -144,12 +171,26 @@
       request,
       response,
       open: new Set(),
+      left: new AbortController(),
       isClosing: false,
       announcedMs: 0,
       idleSinceMs: 0,
     };
+    // Each pipelined request listens.
+    setMaxListeners(0, state.left.signal);
     this.#states.set(socket, state);
-    socket.once("close", () => abortQueued(state.open));
+    let leftTimer: NodeJS.Timeout | undefined;
+    socket.once("end", () => {
+      // If the event loop was blocked, what has arrived meanwhile is read first.
+      leftTimer = setTimeout(
+        () => setImmediate(() => state.left.abort(HALF_CLOSED)),
+        HALF_CLOSED_WAIT_MS,
+      );
+    });
+    socket.once("close", () => {
+      clearTimeout(leftTimer);
+      abortQueued(state.open);
+    });
     // Node calls this after a response that closes the connection.
     socket.destroySoon = () => {
       if (state.request.complete) return closeWhenSent(socket);
--- a/src/connection/response_writer.ts
+++ b/src/connection/response_writer.ts
@@ -1,11 +1,23 @@
 /** Writes the response to a caller's request. */
 
-import type { RequestError } from "../errors.ts";
+import { AttemptError, FailureCause, type RequestError } from "../errors.ts";
 import type { ResponseHead } from "./backend_request.ts";
 
+/**
+ * Why a request is aborted whose caller has ended its sending direction: it may
+ * have left, or still read.
+ */
+export const HALF_CLOSED = new AttemptError(
+  FailureCause.Closed,
+  "no response soon after the caller had ended its sending direction",
+);
+
 /** Writer of the response to one request. */
 export interface ResponseWriter {
-  /** Aborted when the caller disconnects. */
+  /**
+   * Aborted when the caller disconnects, or with `HALF_CLOSED` when it may have
+   * left; it then still gets a refusal.
+   */
   readonly signal: AbortSignal;
   /** Sends a complete response. */
   readonly send: (head: ResponseHead, body: Buffer) => void;
@@ -20,3 +32,8 @@
   /** Sends an error response of the entry itself. */
   readonly sendError: (requestError: RequestError) => void;
 }
+
+/** Whether the caller has disconnected. */
+export function isDisconnected({ signal }: ResponseWriter): boolean {
+  return signal.aborted && signal.reason !== HALF_CLOSED;
+}
--- a/src/process/dispatcher.ts
+++ b/src/process/dispatcher.ts
@@ -3,6 +3,7 @@
  * or rejects them before they run.
  */
 
+import { abortError } from "../connection/backend_request.ts";
 import { RETRY_AFTER_S } from "../constants.ts";
 import { RequestError, RequestErrorType } from "../errors.ts";
 import type { BackendServer } from "../version/types.ts";
@@ -144,7 +145,8 @@
         queue.waiting.remove(waiting);
         reject(rejection);
       };
-      const onAbort = () => stopWaiting(createRejection("caller disconnected"));
+      const onAbort = () =>
+        stopWaiting(createRejection(abortError(request.signal).message));
       const timer = setTimeout(() => {
         stopWaiting(createRejection("no backend server had room in time"));
       }, request.waitMs);
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -194,12 +194,18 @@
       response,
       () => this.#lastRecords.push(ending.end()),
     );
-    serve(this.#context, { request, response, ending });
+    serve(this.#context, {
+      request,
+      response,
+      ending,
+      callerLeft: this.#callerConnections.leftSignal(request),
+    });
   }
 
   #decideClose(request: IncomingMessage, isRequired: boolean): boolean {
     // A response with a later one on its connection must not announce the end.
     const isClosing = isRequired ||
+      this.#callerConnections.isLast(request) ||
       (this.#context.isStopping() &&
         this.#callerConnections.isLatest(request));
     if (isClosing) this.#callerConnections.markClosing(request);
--- a/src/request/call_service_test.ts
+++ b/src/request/call_service_test.ts
@@ -80,6 +80,7 @@
       request,
       response,
       ending: RequestEnding.create(response),
+      callerLeft: new AbortController().signal,
     })
   );
   try {
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -27,13 +27,15 @@
   readonly request: IncomingMessage;
   /** How the request ends if the process does. */
   readonly ending: RequestEnding;
+  /** Aborts some time after the caller has ended its sending direction. */
+  readonly callerLeft: AbortSignal;
   readonly url: URL;
 }
 
 /** A request as the HTTP server received it. */
 export type IncomingExchange = Pick<
   Exchange,
-  "request" | "response" | "ending"
+  "request" | "response" | "ending" | "callerLeft"
 >;
 
 /** A route of the entry's HTTP interface. */
@@ -103,11 +105,20 @@
   return Array.isArray(value) ? value.join(", ") : value;
 }
 
-/** Returns a signal that aborts when the caller disconnects early. */
-export function callerSignal({ response }: Exchange): AbortSignal {
+/**
+ * Returns a signal that aborts when the caller disconnects early, or when it may
+ * have left before its response began.
+ */
+export function callerSignal({ response, callerLeft }: Exchange): AbortSignal {
   const controller = new AbortController();
+  const leave = () => {
+    if (!response.headersSent) controller.abort(callerLeft.reason);
+  };
+  callerLeft.addEventListener("abort", leave);
   response.once("close", () => {
+    callerLeft.removeEventListener("abort", leave);
     if (!response.writableFinished) controller.abort();
   });
+  if (callerLeft.aborted) leave();
   return controller.signal;
 }
--- a/src/request/generation.ts
+++ b/src/request/generation.ts
@@ -5,6 +5,7 @@
 
 import { randomUUID } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
+import { abortError } from "../connection/backend_request.ts";
 import type {
   FinishReason,
   StreamEvent,
@@ -322,9 +323,11 @@
     failure: AttemptError,
   ): Promise<Attempt | undefined> {
     const { failureCause } = failure;
-    if (this.#options.signal.aborted) {
+    const { signal } = this.#options;
+    if (signal.aborted) {
+      if (failure.mayHaveRun) this.#mayHaveRun = true;
       cancelStream(attempt.address, attempt.stream);
-      throw this.#createError("caller disconnected");
+      throw this.#createError(abortError(signal).message);
     }
     if (failureCause === FailureCause.Preempted) {
       return this.#handlePreemption(attempt);
--- a/src/request/relay_call.ts
+++ b/src/request/relay_call.ts
@@ -8,6 +8,7 @@
   collectBody,
   type ResponseHead,
 } from "../connection/backend_request.ts";
+import { isDisconnected } from "../connection/response_writer.ts";
 import { AttemptError, FailureCause, RequestError } from "../errors.ts";
 import type { Reservation } from "../process/dispatcher.ts";
 import { DrainingSource } from "../process/leaving_servers.ts";
@@ -116,7 +117,7 @@
       }
       this.#errorResponse = response;
     }
-    if (caller.signal.aborted) return RequestOutcome.CallerGone;
+    if (isDisconnected(caller)) return RequestOutcome.CallerGone;
     if (this.#errorResponse !== undefined) {
       return this.#sendToCaller(this.#errorResponse);
     }
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -8,6 +8,7 @@
   type BackendResponse,
   collectBody,
 } from "../connection/backend_request.ts";
+import { isDisconnected } from "../connection/response_writer.ts";
 import { AttemptError, FailureCause, RequestError } from "../errors.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import { PoisonGuard } from "./poison_guard.ts";
@@ -116,7 +117,7 @@
         return RequestOutcome.ServerFailed;
       }
     }
-    if (caller.signal.aborted) return RequestOutcome.CallerGone;
+    if (isDisconnected(caller)) return RequestOutcome.CallerGone;
     return this.#endIncomplete();
   }
 
@@ -273,7 +274,8 @@
       return await this.#handleResponse(response, attempt);
     } catch (error) {
       if (!(error instanceof AttemptError)) throw error;
-      if (!caller.signal.aborted) await this.#handleFailure(attempt, error);
+      if (caller.signal.aborted) this.#failureReason = error.message;
+      else await this.#handleFailure(attempt, error);
       return AttemptOutcome.Failed;
     } finally {
       attempt.close(this.#kvCopy === undefined);
--- a/src/request/routes.ts
+++ b/src/request/routes.ts
@@ -23,7 +23,7 @@
 /** Handles one request until it ends; never rejects. */
 export async function serve(
   context: EntryContext,
-  { request, response, ending }: IncomingExchange,
+  { request, response, ending, callerLeft }: IncomingExchange,
 ): Promise<void> {
   const id = randomUUID() as string as RequestId;
   context.metrics.openRequests.inc();
@@ -42,7 +42,13 @@
   try {
     const url = new URL(request.url ?? "/", "http://entry");
     const route = findRoute(request.method ?? "GET", url.pathname);
-    await route.handle(context, { ...target, request, ending, url });
+    await route.handle(context, {
+      ...target,
+      request,
+      ending,
+      callerLeft,
+      url,
+    });
   } catch (error) {
     if (ending.hasEnded) return;
     const requestError = toRequestError(context, { error, id });
--- a/tests/scripted_platform.ts
+++ b/tests/scripted_platform.ts
@@ -206,7 +206,7 @@
   return formatRequest(`/version-${version}/`);
 }
 
-/** Returns a configuration with a stream and a call to one service. */
+/** Returns a configuration with a stream and calls to one service. */
 export function createConfiguration(
   version: number,
   limits: StatedLimits,
@@ -232,6 +232,12 @@
         resumable: true,
       },
       { ...route, name: "call", pathPrefix: "/call/" },
+      {
+        ...route,
+        name: "read",
+        pathPrefix: "/read/",
+        routeKind: "idempotent",
+      },
       { ...route, name: "version", pathPrefix: `/version-${version}/` },
     ],
     services: [{ name: "engines", healthPath: "/healthz" }],
