--- a/bench/soak/soak_callers.ts
+++ b/bench/soak/soak_callers.ts
@@ -34,6 +34,8 @@
   readonly deadlyPart?: string;
   /** Time from its head to the end of its body, in ms, if it is slow. */
   readonly bodyMs?: number;
+  /** Whether it ends its connection's sending direction after the request. */
+  readonly endsSending?: boolean;
 }
 
 /** Number and behaviour of the callers. */
@@ -234,7 +236,8 @@
         isOpen = await this.#keepAfter(sent, random() * SHUTDOWN_GRACE_MS);
       }
       if (isOpen && !this.#isClosed) {
-        await this.send({ kind, entry, key, agent, bodyMs });
+        const endsSending = kind !== SoakRequestKind.Stream && isFresh;
+        await this.send({ kind, entry, key, agent, bodyMs, endsSending });
       }
       agent.destroy();
       await sleep(PAUSE_MS);
@@ -321,7 +324,7 @@
 
 /** Sends a request, on an agent's open connection if it has one. */
 function exchange(
-  { kind, entry, key, agent, deadlyPart, bodyMs }: SoakRequest,
+  { kind, entry, key, agent, deadlyPart, bodyMs, endsSending }: SoakRequest,
   { id, target, deadlineMs, random }: {
     readonly id: string;
     readonly target: string;
@@ -374,7 +377,10 @@
     const none = { status: 0, announcedIdleMs: 0 };
     // The response no longer knows its connection once it has ended.
     outgoing.on("socket", (assigned) => socket = assigned);
-    outgoing.on("finish", () => writtenMs = Date.now());
+    outgoing.on("finish", () => {
+      writtenMs = Date.now();
+      if (endsSending) socket?.end();
+    });
     outgoing.on("response", (response) => {
       hasResponse = true;
       announcesLeaving = response.headers["server-leaving"] === "1";
