Log the deadline that a shutdown assumes

A process that ends its open requests later than the platform kills it showed nothing of that: event 1003 named only the number of open requests. It now names the time until they are ended, and the metric gypsumridge_settings the numbers among the settings in force, so that they can be compared with the settings file. No decision changes.

--- a/src/process/graceful_shutdown.ts
+++ b/src/process/graceful_shutdown.ts
@@ -93,7 +93,10 @@
 ): Promise<boolean> {
   const { openRequests, log, noticeMs, deadlineMs } = options;
   const startMs = performance.now();
-  log(LOG_EVENTS.shutdownRequested, { open: openRequests.count });
+  log(LOG_EVENTS.shutdownRequested, {
+    open: openRequests.count,
+    deadline_ms: deadlineMs,
+  });
   await sleep(Math.min(noticeMs, deadlineMs));
   const allEnded = async () => {
     let quietIterations = 0;
--- a/src/process/relay_metrics.ts
+++ b/src/process/relay_metrics.ts
@@ -80,6 +80,12 @@
     help: "Log lines dropped because too many were written",
     registers: [this.registry],
   });
+  readonly #settings = new Gauge({
+    name: "gypsumridge_settings",
+    help: "Settings in force that are numbers, by name",
+    labelNames: ["name"],
+    registers: [this.registry],
+  });
 
   private constructor() {}
 
@@ -87,4 +93,11 @@
   static create(): RelayMetrics {
     return new RelayMetrics();
   }
+
+  /** Records the numbers among the settings in force. */
+  setSettings(settings: object): void {
+    for (const [name, value] of Object.entries(settings)) {
+      if (typeof value === "number") this.#settings.set({ name }, value);
+    }
+  }
 }
