Take over a grace period that changes while an entry runs

Callers saw connections close without an answer in a planned stop, for bookings that a server had run: the platform shortened the grace period of a running entry from 8 to 4 s, and the entry went on as if it had 8 s until it was killed. The settings were read once, and SIGHUP was only logged.

An entry now reads its settings file again on SIGHUP, on SIGTERM and every 0.5 s, since the file may change without a signal, and uses the grace period found there, also for a stop in progress. A stop in progress is never lengthened: the platform may already have set when it kills the process. All other changed settings are named in event 1012.

--- a/src/process/graceful_shutdown.ts
+++ b/src/process/graceful_shutdown.ts
@@ -14,7 +14,10 @@
 import { LOG_EVENTS } from "./log_events.ts";
 import type { Log } from "./log.ts";
 
-/** Dependencies and time limits of a shutdown. */
+/**
+ * Dependencies and time limits of a shutdown. The limits may be getters: they
+ * are read again while it lasts.
+ */
 export interface GracefulShutdownOptions {
   readonly openRequests: OpenRequests;
   readonly log: Log;
@@ -27,6 +30,8 @@
 }
 
 const POLL_INTERVAL_MS = 20;
+/** Interval at which a change of the limits is noticed, in ms. */
+const LIMIT_CHECK_INTERVAL_MS = 100;
 /** Longest time to write the responses that end open requests, in ms. */
 const ENDING_MAX_MS = 50;
 /**
@@ -91,13 +96,19 @@
 export async function shutDownGracefully(
   options: GracefulShutdownOptions,
 ): Promise<boolean> {
-  const { openRequests, log, noticeMs, deadlineMs } = options;
+  const { openRequests, log } = options;
   const startMs = performance.now();
+  const elapsedMs = () => performance.now() - startMs;
   log(LOG_EVENTS.shutdownRequested, {
     open: openRequests.count,
-    deadline_ms: deadlineMs,
+    deadline_ms: Math.round(options.deadlineMs),
   });
-  await sleep(Math.min(noticeMs, deadlineMs));
+  while (true) {
+    const { noticeMs, deadlineMs } = options;
+    const remainingMs = Math.min(noticeMs, deadlineMs) - elapsedMs();
+    if (remainingMs <= 0) break;
+    await sleep(Math.min(remainingMs, LIMIT_CHECK_INTERVAL_MS));
+  }
   const allEnded = async () => {
     let quietIterations = 0;
     while (quietIterations < QUIET_ITERATIONS) {
@@ -108,7 +119,7 @@
       const isQuiet = openRequests.count === 0 && tookMs < BUSY_ITERATION_MS;
       quietIterations = isQuiet ? quietIterations + 1 : 0;
       if (isQuiet) continue;
-      if (performance.now() - startMs >= deadlineMs) {
+      if (elapsedMs() >= options.deadlineMs) {
         return openRequests.count === 0;
       }
       if (openRequests.count > 0) await sleep(POLL_INTERVAL_MS);
--- a/src/process/graceful_shutdown_test.ts
+++ b/src/process/graceful_shutdown_test.ts
@@ -76,6 +76,21 @@
   expect(isDone).toBe(true);
 });
 
+test("a shutdown ends requests at a deadline that was moved forward meanwhile", async () => {
+  const openRequests = await start(() => undefined);
+  socket.write(REQUEST);
+  await expect.poll(() => openRequests.count).toBe(1);
+  const limits = { noticeMs: 5_000, deadlineMs: 10_000 };
+  const startMs = performance.now();
+  const stopped = shutDownGracefully(
+    Object.assign(limits, { openRequests, log: () => undefined }),
+  );
+  await sleep(50);
+  limits.deadlineMs = 200;
+  expect(await stopped).toBe(false);
+  expect(performance.now() - startMs).toBeLessThan(1_000);
+});
+
 test("a failed deregistration does not keep the shutdown from ending", async () => {
   const openRequests = await start((_, response) => response.end());
   const isClean = await shutDownGracefully({
--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -59,6 +59,23 @@
     "log lines dropped",
     "use the metrics to see what was not logged",
   ),
+  settingsApplied: createLogEvent(
+    1010,
+    Severity.Info,
+    "changed settings taken over",
+  ),
+  settingsRejected: createLogEvent(
+    1011,
+    Severity.Warn,
+    "settings file is invalid or can't be read; the earlier settings stay",
+    "correct the file; it is read again by itself",
+  ),
+  settingsNeedRestart: createLogEvent(
+    1012,
+    Severity.Warn,
+    "settings changed that apply only to a new process",
+    "restart the process",
+  ),
   unexpectedError: createLogEvent(
     1099,
     Severity.Error,
--- a/src/request/shutdown_admission.ts
+++ b/src/request/shutdown_admission.ts
@@ -77,6 +77,17 @@
     this.#checkWaiting();
   }
 
+  /**
+   * Changes when a shutdown in progress cuts off open requests: after
+   * `deadlineMs`, counted from its start.
+   */
+  setDeadline(deadlineMs: number): void {
+    if (this.#shutdown === undefined) return;
+    const { startMs } = this.#shutdown;
+    this.#shutdown = { startMs, endMs: startMs + deadlineMs };
+    this.#checkWaiting();
+  }
+
   /**
    * Returns why a request must not be sent to a server now, if so. In a shutdown
    * `onKindClosed` is called again when this changes for its kind.
--- a/src/request/shutdown_admission_test.ts
+++ b/src/request/shutdown_admission_test.ts
@@ -42,6 +42,17 @@
   }
 });
 
+test("a deadline that is set during a shutdown counts from its start, for requests that wait too", async () => {
+  const admission = createAdmission(2_000);
+  const waiting = admission.whileAccepted(CALL.kind, new Promise(() => {}));
+  expect(admission.rejection(CALL.kind)).toBeUndefined();
+  admission.setDeadline(3_000);
+  await expect(waiting).rejects.toThrow("shutting down");
+  expect(() => admission.admit(CALL)).toThrow("shutting down");
+  admission.setDeadline(DEADLINE_MS);
+  expect(admission.rejection(CALL.kind)).toBeUndefined();
+});
+
 test("a request is not limited before a shutdown", () => {
   const admission = ShutdownAdmission.create({
     now: () => START_MS,
--- a/tests/process_signals_test.ts
+++ b/tests/process_signals_test.ts
@@ -36,7 +36,7 @@
   await rm(folder, { recursive: true, force: true });
 });
 
-async function createSettings(): Promise<string> {
+async function createSettings(graceS = 4): Promise<string> {
   return [
     "nodeName=entry-1",
     "zone=zone-a",
@@ -46,7 +46,7 @@
     `portRange=${await reservePort()},0`,
     // Nothing listens there, so requests wait for a configuration.
     `platform.address=${HOST}:${await reservePort()}`,
-    "bounds.graceS=4",
+    `bounds.graceS=${graceS}`,
     "",
   ].join("\n");
 }
@@ -81,6 +81,9 @@
   return { received };
 }
 
+const REFUSED =
+  /^HTTP\/1\.1 503 [^]*Retry-After: [^]*Connection: close[^]*"not_run"/;
+
 test("a second SIGTERM does not cut off the requests that are open", async () => {
   await writeFile(settingsPath, await createSettings());
   startProcess();
@@ -103,9 +106,7 @@
   const { received } = sendRequest(60_000);
   await sleep(300);
   entryProcess.kill("SIGTERM");
-  expect(await received).toMatch(
-    /^HTTP\/1\.1 503 [^]*Retry-After: [^]*Connection: close[^]*"not_run"/,
-  );
+  expect(await received).toMatch(REFUSED);
   expect(await exited).toBe(0);
 });
 
@@ -121,6 +122,63 @@
   await waitUntilListening();
 });
 
+test.each([
+  ["was shortened with SIGHUP", { from: 8, to: 4, delayMs: 0, signal: true }],
+  ["was shortened silently", { from: 8, to: 4, delayMs: 0, signal: false }],
+  ["is shortened in a stop", { from: 8, to: 4, delayMs: 300, signal: false }],
+  ["is lengthened in a stop", { from: 4, to: 8, delayMs: 300, signal: false }],
+])(
+  "requests are accepted as long as the shorter grace period allows if it %s",
+  async (_, { from, to, delayMs, signal }) => {
+    const text = await createSettings(from);
+    await writeFile(settingsPath, text);
+    startProcess();
+    await waitUntilListening();
+    const { received } = sendRequest(60_000);
+    await sleep(300);
+    const change = async () => {
+      await sleep(delayMs);
+      await writeFile(settingsPath, text.replace(`S=${from}`, `S=${to}`));
+      if (signal) entryProcess.kill("SIGHUP");
+    };
+    const changed = change();
+    if (delayMs === 0) await changed;
+    entryProcess.kill("SIGTERM");
+    const startMs = performance.now();
+    await changed;
+    expect(await received).toMatch(REFUSED);
+    // Of 4 s, requests are accepted for 2.3 s; of 8 s, for 4.8 s.
+    expect(performance.now() - startMs).toBeLessThan(3_500);
+  },
+);
+
+test("a grace period that was lengthened just before SIGTERM is used whole", async () => {
+  const text = await createSettings(4);
+  await writeFile(settingsPath, text);
+  startProcess();
+  await waitUntilListening();
+  await writeFile(settingsPath, text.replace("graceS=4", "graceS=8"));
+  entryProcess.kill("SIGTERM");
+  await expect.poll(() => output).toMatch(/"deadline_ms":7[67]\d\d/);
+});
+
+test("settings that are cut off or missing change nothing until they are whole", async () => {
+  const text = await createSettings(8);
+  await writeFile(settingsPath, text);
+  startProcess();
+  await waitUntilListening();
+  const { settingsRejected, settingsApplied } = LOG_EVENTS;
+  await writeFile(settingsPath, text.slice(0, 30));
+  await expect.poll(() => output).toContain(
+    `"event":${settingsRejected.number}`,
+  );
+  await rm(settingsPath);
+  await expect.poll(() => output).toContain("ENOENT");
+  expect(output).not.toContain(`"event":${settingsApplied.number}`);
+  await writeFile(settingsPath, text.replace("graceS=8", "graceS=4"));
+  await expect.poll(() => output).toContain("graceMs: 8000 to 4000");
+});
+
 test("a process whose port is in use ends, so that it can be started again", async () => {
   await writeFile(settingsPath, await createSettings());
   const other = createServer();
