Take over retry limits and heartbeats that change

An entry kept the retry budget and the heartbeat interval of its start. With a smaller budget in the changed settings it went on to send servers more retries than all entries together may; with shorter heartbeats it took an outage of the store for too short to expire registrations.

Both are now applied to the budget's window in progress and to the running watches. Retries that were counted before stay counted. The new tests call the functions that did not exist before; the changed row of the watch test fails with the threshold of the start (false instead of true).

--- a/src/process/object_watch.ts
+++ b/src/process/object_watch.ts
@@ -65,6 +65,7 @@
 /** Follows one kind of objects until it is closed. */
 export class ObjectWatch {
   readonly #options: ObjectWatchOptions;
+  #outageThresholdMs: number;
   #isClosed = false;
   /** Revision from which the next watch continues; set by the first list. */
   #revision: ObjectRevision | undefined;
@@ -81,6 +82,7 @@
 
   private constructor(options: ObjectWatchOptions) {
     this.#options = options;
+    this.#outageThresholdMs = options.outageThresholdMs;
   }
 
   /** Creates a watch; `run` starts it. */
@@ -98,6 +100,11 @@
     return isNew;
   }
 
+  /** Changes `outageThresholdMs`. */
+  setOutageThreshold(thresholdMs: number): void {
+    this.#outageThresholdMs = thresholdMs;
+  }
+
   /** Stops after the current call. */
   close(): void {
     this.#isClosed = true;
@@ -117,7 +124,7 @@
   async #read(): Promise<void> {
     const { readerElection } = this.#options;
     if (
-      (readerElection?.lastSuccessAgeMs ?? 0) > this.#options.outageThresholdMs
+      (readerElection?.lastSuccessAgeMs ?? 0) > this.#outageThresholdMs
     ) {
       this.#hadReaderOutage = true;
     }
--- a/src/process/object_watch_test.ts
+++ b/src/process/object_watch_test.ts
@@ -88,15 +88,19 @@
   await expect.poll(() => calls.lists).toBe(2);
 });
 
-test("a short time without readers is no outage", async () => {
+test.each([
+  ["is no outage", 2_200, false],
+  ["is an outage after its threshold was lowered", 1_800, true],
+])("a short time without readers %s", async (_, thresholdMs, isOutage) => {
   const { calls, clock, outages, receiveLiveness } = createWatch();
   receiveLiveness();
   watch.run();
   await expect.poll(() => calls.lists).toBe(1);
+  watch.setOutageThreshold(thresholdMs);
   clock.nowMs = 1_900;
   await expect.poll(() => outages.length, { timeout: 3_000 })
     .toBeGreaterThan(0);
-  expect(outages[0]).toBe(false);
+  expect(outages[0]).toBe(isOutage);
 });
 
 test("silent readers make the watch resume as after an outage", async () => {
--- a/src/process/retry_budget.ts
+++ b/src/process/retry_budget.ts
@@ -3,15 +3,19 @@
  * a fixed fraction of the callers' requests, plus a fixed allowance.
  */
 
-/** Budget of all entries together, and how many share it. */
-export interface RetryBudgetOptions {
-  /** Monotonic clock, in ms. */
-  readonly now: () => number;
+/** Budget of all entries together. */
+export interface RetryLimits {
   /** Retries per caller request. */
   readonly ratio: number;
   /** Retries per window beyond the ratio, for all entries together. */
   readonly allowance: number;
   readonly windowMs: number;
+}
+
+/** The first limits, and how many entries share them. */
+export interface RetryBudgetOptions extends RetryLimits {
+  /** Monotonic clock, in ms. */
+  readonly now: () => number;
   /** Returns the number of live entries, including this one. */
   readonly entryCount: () => number;
 }
@@ -30,10 +34,12 @@
 /** Requests and retries of this entry in the current window, by service. */
 export class RetryBudget {
   readonly #options: RetryBudgetOptions;
+  #limits: RetryLimits;
   readonly #services = new Map<string, ServiceWindow>();
 
   private constructor(options: RetryBudgetOptions) {
     this.#options = options;
+    this.#limits = options;
   }
 
   /** Creates an unused budget. */
@@ -41,6 +47,11 @@
     return new RetryBudget(options);
   }
 
+  /** Changes the limits; what was counted in the window stays. */
+  setLimits(limits: RetryLimits): void {
+    this.#limits = limits;
+  }
+
   /** Counts a caller's request to a service. */
   countRequest(service: string): void {
     this.#window(service).requestTimesMs.push(this.#options.now());
@@ -49,8 +60,9 @@
   /** Whether a retry is left in the budget. */
   hasRetry(service: string): boolean {
     const { requestTimesMs, retryTimesMs } = this.#window(service);
-    const { ratio, allowance, entryCount } = this.#options;
-    const ownAllowance = allowance / Math.max(1, entryCount());
+    const { ratio, allowance } = this.#limits;
+    const entryCount = Math.max(1, this.#options.entryCount());
+    const ownAllowance = allowance / entryCount;
     const limit = ratio * requestTimesMs.length + ownAllowance;
     return retryTimesMs.length + 1 <= limit * USABLE_FRACTION;
   }
@@ -66,7 +78,7 @@
     const window = this.#services.get(service) ??
       { requestTimesMs: [], retryTimesMs: [] };
     this.#services.set(service, window);
-    const sinceMs = this.#options.now() - this.#options.windowMs;
+    const sinceMs = this.#options.now() - this.#limits.windowMs;
     dropBefore(window.requestTimesMs, sinceMs);
     dropBefore(window.retryTimesMs, sinceMs);
     return window;
--- a/src/process/retry_budget_test.ts
+++ b/src/process/retry_budget_test.ts
@@ -22,6 +22,20 @@
   return spent;
 }
 
+test("a changed limit counts retries that were made before", () => {
+  const limits = { ratio: 0, allowance: 10, windowMs: 10_000 };
+  const budget = RetryBudget.create({
+    ...limits,
+    now: () => 0,
+    entryCount: () => 1,
+  });
+  while (budget.takeRetry(SERVICE));
+  budget.setLimits({ ...limits, allowance: 5 });
+  expect(budget.hasRetry(SERVICE)).toBe(false);
+  budget.setLimits({ ...limits, allowance: 20 });
+  expect(budget.hasRetry(SERVICE)).toBe(true);
+});
+
 test.each([[1, 100], [6, 40], [59, 4], [390, 0]])(
   "%i entries with %i requests each stay within the shared retry budget",
   (entries, requestsEach) => {
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -144,6 +144,13 @@
     this.#peers.schedulePlacementBroadcast();
   }
 
+  /** Changes the interval at which servers renew their registrations, in ms. */
+  setHeartbeat(heartbeatMs: number): void {
+    const thresholdMs = outageThresholdMs(heartbeatMs);
+    this.#configurationWatch.setOutageThreshold(thresholdMs);
+    this.#serverWatch.setOutageThreshold(thresholdMs);
+  }
+
   /** Removes the registration; links stay open until `close`. */
   deregister(): Promise<void> {
     return this.#membership.close();
@@ -238,7 +245,7 @@
       log,
       random,
       waitMs: WATCH_WAIT_MS,
-      outageThresholdMs: OUTAGE_MIN_HEARTBEATS * this.#options.heartbeatMs,
+      outageThresholdMs: outageThresholdMs(this.#options.heartbeatMs),
       readerElection: relay.readerElection,
     };
   }
@@ -341,6 +348,10 @@
   }
 }
 
+function outageThresholdMs(heartbeatMs: number): number {
+  return OUTAGE_MIN_HEARTBEATS * heartbeatMs;
+}
+
 /** Returns the object as JSON; empty if it is nested too deeply for that. */
 function formatObject(object: StoredObject): string {
   try {
