Follow the store to another address

An entry used the store's address of its start for as long as it ran. Once the store had moved, the entry kept serving with its last configuration and list of servers: callers' requests went to servers that had left, and no new configuration came into force until the entry was started again.

Waits after failed calls end, so that a store that was unreachable is read at once.

The address is also the deployment's id if the settings name none, and its hash the key that entries show to each other. Settings reach entries at different times, and restarted entries know only the new id. So entries accept the previous key too and show the new one; links stay.

--- a/src/process/object_watch.ts
+++ b/src/process/object_watch.ts
@@ -79,6 +79,8 @@
    * has not reached it since.
    */
   #hadReaderOutage = false;
+  /** Ends the wait after a failed call. */
+  #retryNow = new AbortController();
 
   private constructor(options: ObjectWatchOptions) {
     this.#options = options;
@@ -105,6 +107,12 @@
     this.#outageThresholdMs = thresholdMs;
   }
 
+  /** Ends the wait after a failed call, since the next one may succeed. */
+  retryNow(): void {
+    this.#failures = 0;
+    this.#retryNow.abort();
+  }
+
   /** Stops after the current call. */
   close(): void {
     this.#isClosed = true;
@@ -147,7 +155,10 @@
       // Keep the revision: the next watch returns the changes since then, or
       // reports that their history was dropped.
       this.#setUnreachable(true, messageOf(error));
-      await sleep(this.#retryDelayMs(this.#failures++));
+      this.#retryNow = new AbortController();
+      const { signal } = this.#retryNow;
+      const delayMs = this.#retryDelayMs(this.#failures++);
+      await sleep(delayMs, undefined, { signal }).catch(() => undefined);
     }
   }
 
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -26,6 +26,7 @@
 /** Dependencies and settings of the links to peers. */
 export interface PeersOptions {
   readonly entry: EntryId;
+  /** Shown by entries to each other; see `setKey`. */
   readonly key: string;
   readonly log: Log;
   readonly createDigest: () => GossipDigest;
@@ -67,6 +68,8 @@
 /** Links to other entries, and the digests sent over them. */
 export class Peers {
   readonly #options: PeersOptions;
+  #key: string;
+  #previousKey: string;
   readonly #server: Server = createServer();
   readonly #webSocketServer = new WebSocketServer({
     noServer: true,
@@ -88,6 +91,8 @@
 
   private constructor(options: PeersOptions) {
     this.#options = options;
+    this.#key = options.key;
+    this.#previousKey = options.key;
     this.#server.on("upgrade", (request, socket, head) => {
       this.#acceptLink(request, socket, head);
     });
@@ -114,6 +119,16 @@
     this.#server.close();
   }
 
+  /**
+   * Changes the key. Links stay, and entries that still show the previous key
+   * are accepted: entries learn of a change at different times.
+   */
+  setKey(key: string): void {
+    if (key === this.#key) return;
+    this.#previousKey = this.#key;
+    this.#key = key;
+  }
+
   /** Applies the platform's latest instance list. */
   setInstances(instances: readonly Instance[]): void {
     this.#liveEntries = instances.filter(({ role, state }) =>
@@ -190,7 +205,8 @@
   }
 
   #acceptLink(request: IncomingMessage, socket: Duplex, head: Buffer): void {
-    if (request.headers[PEER_KEY_HEADER] !== this.#options.key) {
+    const key = request.headers[PEER_KEY_HEADER];
+    if (key !== this.#key && key !== this.#previousKey) {
       socket.destroy();
       return;
     }
@@ -266,7 +282,7 @@
 
   #dialPeer({ address, name }: Instance): void {
     const link = PeerLink.dial(address, {
-      key: this.#options.key,
+      key: this.#key,
       handlers: {
         ...this.#handlers(),
         onOpen: () => {
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -151,6 +151,17 @@
     this.#serverWatch.setOutageThreshold(thresholdMs);
   }
 
+  /** Changes the id of the deployment. */
+  setDeployment(deployment: string): void {
+    this.#peers.setKey(hashText(deployment));
+  }
+
+  /** Reads the store without waiting: it may be reachable again. */
+  retryNow(): void {
+    this.#configurationWatch.retryNow();
+    this.#serverWatch.retryNow();
+  }
+
   /** Removes the registration; links stay open until `close`. */
   deregister(): Promise<void> {
     return this.#membership.close();
