Serve changed addresses for callers and probes too

An entry whose settings named another address for callers or for the readiness probe went on to listen only on the one of its start. Callers and probes that were sent to the new one got no connection, and the platform took a healthy entry out.

--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -1,7 +1,11 @@
 /** Helpers for Node's HTTP server: request bodies, JSON, listening. */
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import {
+  type AddressInfo,
+  createServer,
+  type Server as ConnectionServer,
+} from "node:net";
 import { setImmediate } from "node:timers/promises";
 import { RequestError, RequestErrorType } from "../errors.ts";
 
@@ -57,7 +61,7 @@
 
 /** Starts listening; resolves with the bound port. */
 export function listen(
-  server: Server,
+  server: ConnectionServer,
   host: string,
   port: number,
 ): Promise<number> {
@@ -69,3 +73,21 @@
     });
   });
 }
+
+/**
+ * Makes a server serve another address too; resolves with what listens there,
+ * which its `close` does not end.
+ */
+export async function listenAlso(
+  server: Server,
+  host: string,
+  port: number,
+): Promise<ConnectionServer> {
+  // As Node creates the HTTP server.
+  const listener = createServer(
+    { allowHalfOpen: true, noDelay: true },
+    (socket) => server.emit("connection", socket),
+  );
+  await listen(listener, host, port);
+  return listener;
+}
