Keep the daemons running on SIGHUP, and take over what changed

SIGHUP ended gypsumridge-entry with Node's default action: all streams and calls of its callers were cut off, though it is the usual signal for changed settings. gypsumridge-steward ended too, and SIGTERM before the settings were read ended both with a signal instead of code 0. Changed settings were taken over by a restart only.

Keys are logged without their values.

--- a/bench/local_cluster.ts
+++ b/bench/local_cluster.ts
@@ -292,6 +292,15 @@
     return entry;
   }
 
+  /** Changes the settings file of a running entry. */
+  async changeEntrySettings(
+    index: number,
+    change: (text: string) => string,
+  ): Promise<void> {
+    const text = change(this.#entrySettings(index));
+    await this.writeFile(`entry-${index}.ini`, text);
+  }
+
   /** Starts a steward with the given lines in its `[steward]` section. */
   async startSteward(id: string, lines: readonly string[]): Promise<Child> {
     const settings = await this.writeFile(
--- a/src/process/dispatcher.ts
+++ b/src/process/dispatcher.ts
@@ -72,14 +72,19 @@
   readonly release: () => void;
 }
 
-/** Dependencies and limits of a dispatcher. */
-export interface DispatcherOptions<Criteria extends DispatchCriteria> {
-  /** Monotonic clock, in ms. */
-  readonly now: () => number;
-  readonly pool: DispatchPool<Criteria>;
+/** Limits of a dispatcher; they may change. */
+export interface DispatcherLimits {
   /** Requests that may wait per rank of a service. */
   readonly queueMaxLength: number;
   readonly policy: Policy;
+}
+
+/** Dependencies and first limits of a dispatcher. */
+export interface DispatcherOptions<Criteria extends DispatchCriteria>
+  extends DispatcherLimits {
+  /** Monotonic clock, in ms. */
+  readonly now: () => number;
+  readonly pool: DispatchPool<Criteria>;
   readonly log: Log;
 }
 
@@ -117,10 +122,12 @@
   Criteria extends DispatchCriteria = ServerPoolCriteria,
 > {
   readonly #options: DispatcherOptions<Criteria>;
+  #limits: DispatcherLimits;
   readonly #queues = new Map<string, ServiceQueue<Criteria>>();
 
   private constructor(options: DispatcherOptions<Criteria>) {
     this.#options = options;
+    this.#limits = options;
   }
 
   /**
@@ -133,6 +140,14 @@
     return new Dispatcher(options);
   }
 
+  /** Changes the limits; requests that wait already are not refused. */
+  setLimits(limits: DispatcherLimits): void {
+    this.#limits = limits;
+    for (const { waiting } of this.#queues.values()) {
+      waiting.setOrder(limits.policy.queueOrder);
+    }
+  }
+
   /** Waits for a slot. Errors: a `RequestError` of type `NotRun`. */
   reserve(request: DispatchRequest<Criteria>): Promise<Reservation> {
     const queue = this.#queue(queueName(request));
@@ -215,7 +230,7 @@
     const rejection = this.#rejectionIfHeldOff(request, waitEndMs);
     if (rejection !== undefined) return rejection;
     if (isResumed) return undefined;
-    const { queueMaxLength, policy } = this.#options;
+    const { queueMaxLength, policy } = this.#limits;
     const length = waiting.lengthOf(rank.name);
     if (length >= queueMaxLength) {
       return createRejection(`queue of rank ${rank.name} is full`);
@@ -232,7 +247,7 @@
 
   #pumpQueue(queue: ServiceQueue<Criteria>): void {
     while (this.#dispatchOne(queue)) continue;
-    if (this.#options.policy.preempts) this.#preemptOne(queue);
+    if (this.#limits.policy.preempts) this.#preemptOne(queue);
   }
 
   #dispatchOne(queue: ServiceQueue<Criteria>): boolean {
@@ -302,11 +317,11 @@
   }
 
   #queue(name: string): ServiceQueue<Criteria> {
-    const { now, policy } = this.#options;
+    const { now } = this.#options;
     const queue = this.#queues.get(name) ?? {
       waiting: FairQueue.create<QueuedRequest<Criteria>>({
         now,
-        order: policy.queueOrder,
+        order: this.#limits.policy.queueOrder,
       }),
       running: new Set<RunningRequest<Criteria>>(),
     };
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -72,7 +72,7 @@
 
 /** One entry process. */
 export class Entry {
-  readonly #settings: EntrySettings;
+  #settings: EntrySettings;
   readonly #log: Log;
   readonly #platform: KeyValueStore;
   readonly #peers: Peers;
@@ -137,25 +137,39 @@
    * ended before the deadline; the process must end in the same turn.
    */
   async stop(): Promise<boolean> {
-    const {
-      shutdownNoticeMs: noticeMs,
-      shutdownDeadlineMs: deadlineMs,
-    } = this.#settings;
     this.#isStopping = true;
-    // The process lasts until both times have passed.
-    this.#context.shutdownAdmission.beginShutdown(
-      Math.max(noticeMs, deadlineMs),
-    );
+    this.#context.shutdownAdmission.beginShutdown(this.#shutdownMs());
+    const settings = () => this.#settings;
     const isClean = await shutDownGracefully({
       openRequests: this.#openRequests,
       log: this.#log,
-      noticeMs,
-      deadlineMs,
+      get noticeMs() {
+        return settings().shutdownNoticeMs;
+      },
+      get deadlineMs() {
+        return settings().shutdownDeadlineMs;
+      },
     });
     if (!isClean) await this.#finishLastWrites();
     return isClean;
   }
 
+  /** Takes over settings that may differ in all but `FIXED_ENTRY_SETTINGS`. */
+  applySettings(settings: EntrySettings): void {
+    this.#settings = settings;
+    const { dispatcher, serverPool, shutdownAdmission } = this.#context;
+    dispatcher.setLimits(settings);
+    serverPool.setRouting(settings.policy.routing);
+    this.#peers.setKey(settings.peerKey);
+    shutdownAdmission.setDeadline(this.#shutdownMs());
+  }
+
+  /** Longest duration of a shutdown: until both of its times have passed. */
+  #shutdownMs(): number {
+    const { shutdownNoticeMs, shutdownDeadlineMs } = this.#settings;
+    return Math.max(shutdownNoticeMs, shutdownDeadlineMs);
+  }
+
   /** Responds to all open requests; the process must end in the same turn. */
   endRequests(): void {
     this.#openRequests.endAll();
@@ -234,8 +248,11 @@
       serverPool.setDeployment(deployment);
       this.#statusWriter.scheduleWrite();
     });
+    const settings = () => this.#settings;
     return {
-      settings: this.#settings,
+      get settings() {
+        return settings();
+      },
       log,
       metrics,
       platform: this.#platform,
--- a/src/process/entry_context.ts
+++ b/src/process/entry_context.ts
@@ -17,6 +17,7 @@
 
 /** The parts of one entry process that requests use. */
 export interface EntryContext {
+  /** Those in force; they may change. */
   readonly settings: EntrySettings;
   readonly log: Log;
   readonly metrics: Metrics;
--- a/src/process/fair_queue.ts
+++ b/src/process/fair_queue.ts
@@ -60,7 +60,7 @@
 /** The waiting requests of one service. */
 export class FairQueue<Item extends QueueItem> {
   readonly #now: () => number;
-  readonly #order: QueueOrder;
+  #order: QueueOrder;
   /** All waiting requests in order of arrival, with the time of it. */
   readonly #arrivals = new Map<Item, number>();
   readonly #ranks = new Map<string, RankQueue<Item>>();
@@ -81,6 +81,11 @@
     return new FairQueue<Item>(options);
   }
 
+  /** Changes the order in which the waiting requests are served. */
+  setOrder(order: QueueOrder): void {
+    this.#order = order;
+  }
+
   /** Returns the number of waiting requests of a rank. */
   lengthOf(rank: string): number {
     return this.#ranks.get(rank)?.length ?? 0;
--- a/src/process/program.ts
+++ b/src/process/program.ts
@@ -6,15 +6,39 @@
 import { hideBin } from "yargs/helpers";
 import { messageOf } from "../errors.ts";
 import { describeInputError, ExitCode, PROGRAM_VERSION } from "./exit_code.ts";
+import {
+  type LoadedSettings,
+  loadSettingsFile,
+  type SettingsSource,
+} from "./settings_file.ts";
+
+/** A daemon that follows its settings file, as its main program drives it. */
+export interface Daemon {
+  /** Starts it; resolves once it listens. */
+  readonly start: () => Promise<void>;
+  /** Shuts it down; resolves with the process's exit code. */
+  readonly stop: () => Promise<ExitCode>;
+  /** Ends what `stop` still waits for; the process must end at once. */
+  readonly forceStop: () => void;
+  /** Reads the settings again, since the file may have changed. */
+  readonly refreshSettings: () => void;
+}
+
+/** Returns how a settings file on disk is read. */
+export function fileSource<Settings>(
+  parse: (path: string, text: string) => Settings,
+): SettingsSource<Settings> {
+  return { read: (path) => readFile(path, "utf8"), parse };
+}
 
 /**
- * Parses the file given by `--settings` with `parse`. Exits with
- * `ExitCode.InvalidInput` if the file can't be read or is invalid.
+ * Loads the file given by `--settings`. Exits with `ExitCode.InvalidInput` if it
+ * can't be read or is invalid.
  */
 export async function loadSettings<Settings>(
   program: string,
-  parse: (source: string, text: string) => Settings,
-): Promise<Settings> {
+  source: SettingsSource<Settings>,
+): Promise<LoadedSettings<Settings>> {
   const { settings } = await yargs(hideBin(process.argv))
     .scriptName(program)
     .version(PROGRAM_VERSION)
@@ -32,7 +56,7 @@
     })
     .parse();
   try {
-    return parse(settings, await readFile(settings, "utf8"));
+    return await loadSettingsFile(settings, source);
   } catch (error) {
     process.stderr.write(`${program}: ${describeInputError(error)}\n`);
     process.exit(ExitCode.InvalidInput);
--- a/src/process/server_pool.ts
+++ b/src/process/server_pool.ts
@@ -73,6 +73,7 @@
 /** All backend servers of the adopted deployment. */
 export class ServerPool {
   readonly #options: ServerPoolOptions;
+  #routing: Routing;
   readonly #agent = new Agent({ keepAlive: true });
   readonly #views = new Map<string, ServerView>();
   #listedLeaving: ReadonlySet<string> = new Set();
@@ -80,6 +81,7 @@
 
   private constructor(options: ServerPoolOptions) {
     this.#options = options;
+    this.#routing = options.routing;
   }
 
   /** Creates a pool without servers. */
@@ -93,6 +95,11 @@
     this.#agent.destroy();
   }
 
+  /** Changes how a server is chosen. */
+  setRouting(routing: Routing): void {
+    this.#routing = routing;
+  }
+
   /** Replaces the servers by those of an adopted deployment. */
   setDeployment(deployment: Deployment): void {
     const wanted = new Set(deployment.servers().map(({ name }) => name));
@@ -147,7 +154,7 @@
       server.name === criteria.preferred
     );
     if (preferred !== undefined) return preferred.server;
-    const chosen = this.#options.routing === Routing.Random
+    const chosen = this.#routing === Routing.Random
       ? candidates[Math.floor(this.#options.random() * candidates.length)]
       : this.#leastLoaded(candidates);
     return chosen?.server;
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -267,6 +267,34 @@
   };
 }
 
+/** Settings that a running entry does not take over. */
+export const FIXED_ENTRY_SETTINGS: readonly (keyof EntrySettings)[] = [
+  "id",
+  "zone",
+  "host",
+  "port",
+  "peerPort",
+  "cursorKey",
+  "platformTimeoutMs",
+  "logLevel",
+];
+
+/** Settings of an entry whose values are not logged. */
+export const SECRET_ENTRY_SETTINGS: readonly (keyof EntrySettings)[] = [
+  "cursorKey",
+  "peerKey",
+];
+
+/** Settings that a running steward does not take over. */
+export const FIXED_STEWARD_SETTINGS: readonly (keyof StewardSettings)[] = [
+  "id",
+  "host",
+  "port",
+  "platformTimeoutMs",
+  "leaseMs",
+  "logLevel",
+];
+
 interface SettingsInput {
   readonly source: string;
   readonly text: string;
--- a/src/process/settings_file.ts
+++ b/src/process/settings_file.ts
@@ -43,6 +43,8 @@
 const CONFIRM_MS = 40;
 /** Reads after which a text that still changes is left to the next poll. */
 const READS_MAX = 5;
+/** Longest time that a shutdown waits for the settings, in ms. */
+const STOP_REFRESH_MAX_MS = 100;
 
 /** Errors: rejects if the file can't be read, or its text is invalid. */
 export async function loadSettingsFile<Settings>(
@@ -100,6 +102,11 @@
     return this.#nextRead;
   }
 
+  /** The same, but doesn't keep a shutdown waiting if reading takes long. */
+  async refreshForStop(): Promise<void> {
+    await Promise.race([this.refresh(), sleep(STOP_REFRESH_MAX_MS)]);
+  }
+
   async #readOnce(): Promise<void> {
     const { parse, onChange, fixedKeys } = this.#options;
     const { path, settings: previous } = this.#loaded;
--- a/src/process/steward.ts
+++ b/src/process/steward.ts
@@ -53,7 +53,7 @@
 
 /** One steward process. */
 export class Steward {
-  readonly #settings: StewardSettings;
+  #settings: StewardSettings;
   readonly #log: Log;
   readonly #platform: KeyValueStore;
   readonly #lease: Lease;
@@ -84,6 +84,11 @@
     return this.#lease.fencingToken !== undefined;
   }
 
+  /** Takes over settings that may differ in all but `FIXED_STEWARD_SETTINGS`. */
+  applySettings(settings: StewardSettings): void {
+    this.#settings = settings;
+  }
+
   /** Stops the tasks and closes the platform's store. */
   close(): void {
     this.#isClosed = true;
