Let the soak change the grace period of entries

The soak's SIGHUP wrote the same settings again, so it could not show that an entry ignored a changed grace period. It now changes the period from 8 to 4 s and back, sends SIGKILL by the one in force at SIGTERM, and counts the last sixth of that one.

--- a/bench/soak/fault_schedule.ts
+++ b/bench/soak/fault_schedule.ts
@@ -38,7 +38,10 @@
   EntrySecondTerm = "entry_second_term",
   /** Two restarts; the second SIGTERM follows right after the start. */
   EntryEarlyTerm = "entry_early_term",
-  /** The settings file is written again, and SIGHUP sent, several times. */
+  /**
+   * The grace period changes; the settings file is written again, and SIGHUP
+   * sent, several times.
+   */
   EntryHangup = "entry_hangup",
   /** A configuration with a new bearer key is published. */
   Configuration = "configuration",
--- a/bench/soak/planned_stop_checks.ts
+++ b/bench/soak/planned_stop_checks.ts
@@ -18,7 +18,6 @@
   type SoakFinding,
   type SoakObservations,
 } from "./soak_checks.ts";
-import { SHUTDOWN_GRACE_MS } from "./soak_deployment.ts";
 
 /** Time after SIGTERM in which a request was sent in time, in ms. */
 const SENT_IN_TIME_MS = 3_000;
@@ -65,7 +64,7 @@
   if (runs.length === 0 || record.status < HTTP_INTERNAL_ERROR) return false;
   const { entry, writtenMs = record.endMs, startMs, endMs } = record;
   const wasAtWork = writtenMs <= stop.termMs + SENT_IN_TIME_MS &&
-    endMs >= stop.termMs + AT_WORK_FRACTION * SHUTDOWN_GRACE_MS;
+    endMs >= stop.termMs + AT_WORK_FRACTION * stop.graceMs;
   return !wasAtWork &&
     !faultWindows.some((fault) =>
       overlaps(fault, startMs - CONTACT_MS, endMs) &&
--- a/bench/soak/soak_checks.ts
+++ b/bench/soak/soak_checks.ts
@@ -75,6 +75,8 @@
   readonly loggedMs: number;
   /** When its process was gone. */
   readonly exitedMs: number;
+  /** Time from SIGTERM to SIGKILL, in ms. */
+  readonly graceMs: number;
 }
 
 /** A run as its backend server printed it, in ms since the Unix epoch. */
--- a/bench/soak/soak_cluster.ts
+++ b/bench/soak/soak_cluster.ts
@@ -22,6 +22,7 @@
 import type { EntryStop, FaultWindow } from "./soak_checks.ts";
 import {
   CALL_SERVICE,
+  CHANGED_GRACE_MS,
   createConfiguration,
   createInvalidServers,
   formatEntrySettings,
@@ -53,6 +54,8 @@
   readonly index: number;
   readonly host: string;
   readonly storeProxy: FaultProxy;
+  /** Grace period in its settings file, in ms. */
+  graceMs: number;
   child: Child;
 }
 
@@ -72,6 +75,7 @@
   readonly termMs: number;
   /** In ms since the Unix epoch. */
   readonly exitedMs: number;
+  readonly graceMs: number;
 }
 
 /** A process on which one fault at a time acts. */
@@ -218,7 +222,7 @@
 
   /** Ends of shutdowns that entries have logged. */
   entryStops(): readonly EntryStop[] {
-    return this.#stops.flatMap(({ entry, child, termMs, exitedMs }) =>
+    return this.#stops.flatMap(({ entry, child, termMs, exitedMs, graceMs }) =>
       child.logLines()
         .filter(({ event }) => STOP_EVENTS.has(event))
         .map(({ timestamp }) => ({
@@ -226,6 +230,7 @@
           termMs,
           loggedMs: Date.parse(String(timestamp)),
           exitedMs,
+          graceMs,
         }))
     );
   }
@@ -374,6 +379,7 @@
           await this.#stopEntry(await restart(), target);
         });
       case FaultKind.EntryHangup:
+        await this.#changeGrace(entry);
         for (let at = 0; at < HANGUPS; at++) {
           if (entry === undefined) return false;
           await this.#writeEntrySettings(entry);
@@ -506,16 +512,28 @@
     });
   }
 
+  /** Changes an entry's grace period, unless the entry is being stopped. */
+  async #changeGrace(entry: SoakEntry | undefined): Promise<void> {
+    if (entry === undefined) return;
+    await this.#withExclusiveFault(entry, async () => {
+      entry.graceMs = entry.graceMs === SHUTDOWN_GRACE_MS
+        ? CHANGED_GRACE_MS
+        : SHUTDOWN_GRACE_MS;
+      await this.#writeEntrySettings(entry);
+    });
+  }
+
   /** Sends SIGTERM, and SIGKILL if the entry still runs after its grace. */
   async #stopEntry(child: Child, entry: number): Promise<void> {
     const termMs = Date.now();
     child.signal("SIGTERM");
-    const hasGraceEnded = sleep(SHUTDOWN_GRACE_MS, "grace" as const, {
+    const graceMs = this.entries[entry]?.graceMs ?? SHUTDOWN_GRACE_MS;
+    const hasGraceEnded = sleep(graceMs, "grace" as const, {
       ref: false,
     });
     const exit = await Promise.race([child.exited, hasGraceEnded]);
     const exitedMs = Date.now();
-    this.#stops.push({ entry, child, termMs, exitedMs });
+    this.#stops.push({ entry, child, termMs, exitedMs, graceMs });
     if (exit === 0) return;
     await child.kill();
     this.#wrongExits.push(
@@ -592,8 +610,8 @@
   async #createEntry(index: number): Promise<SoakEntry> {
     const storeProxy = await FaultProxy.create(this.#store.child.port);
     const host = this.#entryHost(index);
-    const child = await this.#startEntry({ index, host, storeProxy });
-    return { index, host, storeProxy, child };
+    const parts = { index, host, storeProxy, graceMs: SHUTDOWN_GRACE_MS };
+    return { ...parts, child: await this.#startEntry(parts) };
   }
 
   async #startEntry(entry: Omit<SoakEntry, "child">): Promise<Child> {
@@ -608,7 +626,7 @@
 
   /** Resolves with the path of the settings file. */
   async #writeEntrySettings(
-    { index, host, storeProxy }: Omit<SoakEntry, "child">,
+    { index, host, storeProxy, graceMs }: Omit<SoakEntry, "child">,
   ): Promise<string> {
     const path = join(this.#folder, `entry-${index}.conf`);
     const text = formatEntrySettings({
@@ -616,6 +634,7 @@
       zone: ZONES[index % ZONES.length] ?? "",
       host,
       storeAddress: storeProxy.address,
+      graceMs,
     });
     await writeFile(path, text);
     return path;
--- a/bench/soak/soak_deployment.ts
+++ b/bench/soak/soak_deployment.ts
@@ -12,6 +12,8 @@
 export const READY_PORT = 8_749;
 /** Configured grace period of a graceful shutdown, in ms. */
 export const SHUTDOWN_GRACE_MS = 8_000;
+/** The one to which SIGHUP changes it, and back, in ms. */
+export const CHANGED_GRACE_MS = 4_000;
 const PEER_PORT = 7_200;
 const ROUTE_TIMEOUTS_MS = [5_000, 6_000, 9_000];
 const IDLE_TIMEOUTS_MS = [1_000, 1_500, 2_000, 3_000, 4_000, 15_000];
@@ -144,11 +146,12 @@
 
 /** Returns the settings file of an entry. */
 export function formatEntrySettings(
-  { name, zone, host, storeAddress }: {
+  { name, zone, host, storeAddress, graceMs }: {
     readonly name: string;
     readonly zone: string;
     readonly host: string;
     readonly storeAddress: string;
+    readonly graceMs: number;
   },
 ): string {
   return `nodeName=${name}
@@ -159,6 +162,6 @@
 portRange=${PEER_PORT},${PEER_PORT + 15}
 platform.address=${storeAddress}
 deployment=${DEPLOYMENT}
-bounds.graceS=${SHUTDOWN_GRACE_MS / 1_000}
+bounds.graceS=${graceMs / 1_000}
 `;
 }
--- a/tests/soak_test.ts
+++ b/tests/soak_test.ts
@@ -82,7 +82,13 @@
 }
 
 /** A shutdown that takes the whole grace period. */
-const STOP = { entry: 0, termMs: 10_000, loggedMs: 17_760, exitedMs: 17_800 };
+const STOP = {
+  entry: 0,
+  termMs: 10_000,
+  loggedMs: 17_760,
+  exitedMs: 17_800,
+  graceMs: 8_000,
+};
 
 /** Returns a request with a slow body that ends with an unknown outcome. */
 function createSlowRecord(overrides: Partial<CallerRecord>): CallerRecord {
@@ -194,7 +200,7 @@
     runs: SoakObservations["runs"] = [],
   ) => {
     const times = { termMs: 5_000, loggedMs: 10_005, exitedMs: 10_500 };
-    const entryStop = { entry: 0, ...times, ...stop };
+    const entryStop = { entry: 0, graceMs: 8_000, ...times, ...stop };
     const entryStops = [entryStop];
     return brokenRules({ records: [closed], entryStops, runs });
   };
