--- a/src/process/object_watch.ts
+++ b/src/process/object_watch.ts
@@ -65,6 +65,7 @@
 /** Follows one kind of objects until it is closed. */
 export class ObjectWatch {
   readonly #options: ObjectWatchOptions;
+  #outageThresholdMs: number;
   #isClosed = false;
   /** Revision from which the next watch continues; set by the first list. */
   #revision: ObjectRevision | undefined;
@@ -78,9 +79,12 @@
    * has not reached it since.
    */
   #hadReaderOutage = false;
+  /** Ends the wait after a failed call. */
+  #retryNow = new AbortController();
 
   private constructor(options: ObjectWatchOptions) {
     this.#options = options;
+    this.#outageThresholdMs = options.outageThresholdMs;
   }
 
   /** Creates a watch; `run` starts it. */
@@ -98,6 +102,17 @@
     return isNew;
   }
 
+  /** Changes `outageThresholdMs`. */
+  setOutageThreshold(thresholdMs: number): void {
+    this.#outageThresholdMs = thresholdMs;
+  }
+
+  /** Ends the wait after a failed call, since the next one may succeed. */
+  retryNow(): void {
+    this.#failures = 0;
+    this.#retryNow.abort();
+  }
+
   /** Stops after the current call. */
   close(): void {
     this.#isClosed = true;
@@ -117,7 +132,7 @@
   async #read(): Promise<void> {
     const { readerElection } = this.#options;
     if (
-      (readerElection?.lastSuccessAgeMs ?? 0) > this.#options.outageThresholdMs
+      (readerElection?.lastSuccessAgeMs ?? 0) > this.#outageThresholdMs
     ) {
       this.#hadReaderOutage = true;
     }
@@ -140,7 +155,10 @@
       // Keep the revision: the next watch returns the changes since then, or
       // reports that their history was dropped.
       this.#setUnreachable(true, messageOf(error));
-      await sleep(this.#retryDelayMs(this.#failures++));
+      this.#retryNow = new AbortController();
+      const { signal } = this.#retryNow;
+      const delayMs = this.#retryDelayMs(this.#failures++);
+      await sleep(delayMs, undefined, { signal }).catch(() => undefined);
     }
   }
 
