Bind an entry's registration to the process that wrote it

Callers' requests that crash servers were retried at each entry anew after restarts: a deregistration that the store carried out late removed the registration of the restarted entry, so that entries lost each other.

The call named no revision, so it removed whatever stood under the name; a replacement of a former process could win over the present one's address in the same way, and a registration whose answer was lost was written twice.

A registration now holds an incarnation of its process. It is replaced and removed only at the revision that was read or written, which a later process's can't have; one with the own incarnation is taken as written.

The four new tests fail on the code before: the restarted entry is not registered, the registration of another process is removed, revision 2 in place of 1 after a lost answer, and the former address in place of the present one.

--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -7,7 +7,7 @@
 import { isAddress } from "../connection/address.ts";
 import type { ObjectStore, StoredObject } from "../connection/object_store.ts";
 import { messageOf, VersionConflict } from "../errors.ts";
-import type { EntryId } from "../ids.ts";
+import type { EntryId, ObjectRevision } from "../ids.ts";
 import { LOG_EVENTS } from "./log_events.ts";
 import type { Log } from "./log.ts";
 
@@ -22,12 +22,17 @@
 export interface MembershipOptions {
   readonly objects: ObjectStore;
   readonly self: Member;
+  /** Identifies this process among those that register under its name. */
+  readonly incarnation: string;
   readonly log: Log;
   /** Returns a random number in [0, 1); used as jitter between entries. */
   readonly random: () => number;
   readonly onMembers: (members: readonly Member[]) => void;
 }
 
+/** What may stand in a registration, unless another writer left it. */
+type RegistrationSpec = { readonly incarnation?: unknown } | null | undefined;
+
 /** Object kind under which entries register. */
 export const ENTRY_KIND = "gypsumridge-entries";
 /** Number of lists at the shorter interval, while a deployment starts. */
@@ -42,6 +47,9 @@
 /** Registers this entry and lists the others periodically. */
 export class Membership {
   readonly #options: MembershipOptions;
+  /** Revision of this process's registration, once known. */
+  #revision: ObjectRevision | undefined;
+  #deregistration: Promise<void> | undefined;
   #isClosed = false;
 
   private constructor(options: MembershipOptions) {
@@ -65,13 +73,22 @@
     }
   }
 
-  /** Stops listing and removes the registration. */
-  async close(): Promise<void> {
+  /** Stops listing and removes the registration; a second call waits for it. */
+  close(): Promise<void> {
     this.#isClosed = true;
+    return this.#deregistration ??= this.#deregister();
+  }
+
+  async #deregister(): Promise<void> {
     const { objects, self, log } = this.#options;
+    const name = self.entry;
     try {
-      await objects.remove(ENTRY_KIND, { name: self.entry });
+      const revision = this.#revision ?? await this.#readOwnRevision();
+      if (revision === undefined) return;
+      // The call may take effect once the next process has registered.
+      await objects.remove(ENTRY_KIND, { name, revision });
     } catch (error) {
+      if (error instanceof VersionConflict) return;
       // The other entries drop this one when its links close.
       log(LOG_EVENTS.platformUnreachable, {
         kind: ENTRY_KIND,
@@ -80,17 +97,47 @@
     }
   }
 
+  async #readOwnRevision(): Promise<ObjectRevision | undefined> {
+    const { objects, self } = this.#options;
+    const stored = await objects.read(ENTRY_KIND, self.entry);
+    return this.#isOwn(stored) ? stored?.revision : undefined;
+  }
+
   async #register(): Promise<void> {
     const { objects, self } = this.#options;
-    const object = { name: self.entry, spec: { address: self.address } };
     try {
-      await objects.create(ENTRY_KIND, object);
+      const created = await objects.create(ENTRY_KIND, this.#registration);
+      this.#revision = created.revision;
     } catch (error) {
       if (!(error instanceof VersionConflict)) throw error;
-      await objects.replace(ENTRY_KIND, object);
+      const stored = await objects.read(ENTRY_KIND, self.entry);
+      if (stored === undefined) throw error;
+      // The answer to an earlier call may have been lost.
+      if (this.#isOwn(stored)) this.#revision = stored.revision;
+      else await this.#replace(stored);
     }
   }
 
+  /** Replaces the registration of another process. */
+  async #replace({ name, revision }: StoredObject): Promise<void> {
+    const replaced = await this.#options.objects.replace(ENTRY_KIND, {
+      ...this.#registration,
+      revision,
+    });
+    if (replaced === undefined) throw new VersionConflict(name);
+    this.#revision = replaced.revision;
+  }
+
+  get #registration() {
+    const { self: { entry, address }, incarnation } = this.#options;
+    return { name: entry, spec: { address, incarnation } };
+  }
+
+  #isOwn(stored: StoredObject | undefined): boolean {
+    const { incarnation } = this.#options;
+    return (stored?.spec as RegistrationSpec)?.incarnation === incarnation;
+  }
+
   async #listMembers(): Promise<void> {
     const { objects, onMembers } = this.#options;
     onMembers(await listMembers(objects));
--- a/src/process/membership_test.ts
+++ b/src/process/membership_test.ts
@@ -1,13 +1,22 @@
-/** Which registrations count as entries. */
+/** Which registrations count as entries, and which ones an entry writes. */
 
+import { setTimeout as sleep } from "node:timers/promises";
 import fc from "fast-check";
-import { expect, test } from "vitest";
+import { afterEach, expect, test } from "vitest";
 import { isAddress } from "../connection/address.ts";
 import type { ObjectStore, StoredObject } from "../connection/object_store.ts";
-import type { ObjectRevision } from "../ids.ts";
-import { listMembers } from "./membership.ts";
+import { PlatformUnavailable, VersionConflict } from "../errors.ts";
+import type { EntryId, ObjectRevision } from "../ids.ts";
+import {
+  listMembers,
+  Membership,
+  type MembershipOptions,
+} from "./membership.ts";
 
 const REVISION = 1 as ObjectRevision;
+const SETTLE_MS = 20;
+/** Time after which a failed call has been made again, in ms. */
+const RETRIED_MS = 600;
 
 function createObject(name: string, spec: unknown): StoredObject {
   return { name, revision: REVISION, spec, status: null };
@@ -48,3 +57,169 @@
     }),
   );
 });
+
+const SELF = "entry-1" as EntryId;
+const FIRST = "10.0.0.1:7200";
+const SECOND = "10.0.0.2:7200";
+const ignoreError = () => undefined;
+const memberships: Membership[] = [];
+
+afterEach(async () => {
+  await Promise.all(memberships.splice(0).map((task) => task.close()));
+});
+
+type WriteKind = "create" | "replace" | "remove";
+
+/** A store with one kind of objects that can hold writes back. */
+class HeldStore {
+  readonly #objects = new Map<string, StoredObject>();
+  readonly #heldWrites: (() => unknown)[] = [];
+  #revision = 0;
+  /** Writes that get no answer, and take effect with `releaseWrites`. */
+  held: WriteKind | undefined;
+  /** Whether writes take effect but get no answer. */
+  losesAnswers = false;
+  readonly store = {
+    list: () =>
+      Promise.resolve({
+        objects: [...this.#objects.values()],
+        revision: this.#revision as ObjectRevision,
+      }),
+    read: (_, name) => Promise.resolve(this.find(name)),
+    create: (_, { name, spec }) =>
+      this.#write("create", () => {
+        if (this.find(name) !== undefined) throw new VersionConflict(name);
+        return this.put(name, spec);
+      }),
+    replace: (_, { name, spec, revision }) =>
+      this.#write("replace", () => {
+        const stored = this.#requireRevision(name, revision);
+        return stored === undefined ? undefined : this.put(name, spec);
+      }),
+    remove: (_, { name, revision }) =>
+      this.#write("remove", () => {
+        this.#requireRevision(name, revision);
+        this.drop(name);
+      }),
+    watch: () => new Promise(() => undefined),
+    close: () => undefined,
+  } as ObjectStore;
+
+  get heldCount(): number {
+    return this.#heldWrites.length;
+  }
+
+  find(name: string): StoredObject | undefined {
+    return this.#objects.get(name);
+  }
+
+  put(name: string, spec: unknown): StoredObject {
+    const revision = ++this.#revision as ObjectRevision;
+    const object = { name, revision, spec, status: null };
+    this.#objects.set(name, object);
+    return object;
+  }
+
+  drop(name: string): void {
+    this.#revision++;
+    this.#objects.delete(name);
+  }
+
+  releaseWrites(): void {
+    for (const write of this.#heldWrites.splice(0)) {
+      Promise.resolve().then(write).catch(ignoreError);
+    }
+  }
+
+  #requireRevision(name: string, revision?: ObjectRevision) {
+    const stored = this.find(name);
+    const isCurrent = revision === undefined || revision === stored?.revision;
+    if (stored !== undefined && !isCurrent) throw new VersionConflict(name);
+    return stored;
+  }
+
+  async #write<Result>(kind: WriteKind, write: () => Result): Promise<Result> {
+    if (this.held === kind) this.#heldWrites.push(write);
+    else {
+      const result = await Promise.resolve().then(write);
+      if (!this.losesAnswers) return result;
+    }
+    throw new PlatformUnavailable("no answer");
+  }
+}
+
+/** Starts the membership task of a process; lists come 0.75 s apart. */
+function startMembership(
+  held: HeldStore,
+  address: string,
+  changes: Partial<MembershipOptions> = {},
+): Membership {
+  const membership = Membership.create({
+    objects: held.store,
+    self: { entry: SELF, address },
+    incarnation: address,
+    log: () => undefined,
+    random: () => 0,
+    onMembers: () => undefined,
+    ...changes,
+  });
+  memberships.push(membership);
+  membership.run();
+  return membership;
+}
+
+function registeredAddress(held: HeldStore): unknown {
+  const spec = held.find(SELF)?.spec;
+  return (spec as { readonly address?: unknown } | undefined)?.address;
+}
+
+test("a deregistration that takes effect late leaves the next process registered", async () => {
+  const held = new HeldStore();
+  const stopped = startMembership(held, FIRST);
+  await expect.poll(() => registeredAddress(held)).toBe(FIRST);
+  held.held = "remove";
+  await stopped.close();
+  held.held = undefined;
+  startMembership(held, SECOND);
+  await expect.poll(() => registeredAddress(held)).toBe(SECOND);
+  held.releaseWrites();
+  await sleep(SETTLE_MS);
+  expect(registeredAddress(held)).toBe(SECOND);
+});
+
+test("a process that stops leaves the registration of another one in place", async () => {
+  const held = new HeldStore();
+  const stopped = startMembership(held, FIRST);
+  await expect.poll(() => registeredAddress(held)).toBe(FIRST);
+  held.put(SELF, { address: SECOND });
+  await stopped.close();
+  expect(registeredAddress(held)).toBe(SECOND);
+});
+
+test("a registration that took effect without an answer is known as the own one", async () => {
+  const held = new HeldStore();
+  held.losesAnswers = true;
+  const membership = startMembership(held, FIRST);
+  await expect.poll(() => registeredAddress(held)).toBe(FIRST);
+  held.losesAnswers = false;
+  const { revision } = held.find(SELF) as StoredObject;
+  await sleep(RETRIED_MS);
+  expect(held.find(SELF)?.revision).toBe(revision);
+  await membership.close();
+  expect(held.find(SELF)).toBeUndefined();
+});
+
+test("a former process's registration that takes effect late doesn't replace the present one", async () => {
+  const held = new HeldStore();
+  held.put(SELF, { address: "10.0.0.1:7100" });
+  held.held = "replace";
+  const former = startMembership(held, FIRST);
+  await expect.poll(() => held.heldCount).toBe(1);
+  await former.close();
+  held.held = undefined;
+  startMembership(held, SECOND);
+  await expect.poll(() => registeredAddress(held)).toBe(SECOND);
+  held.releaseWrites();
+  await sleep(SETTLE_MS);
+  expect(registeredAddress(held)).toBe(SECOND);
+});
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -4,6 +4,7 @@
  * continues while this entry can't reach the store.
  */
 
+import { randomUUID } from "node:crypto";
 import { type Instance, InstanceState } from "../connection/instance.ts";
 import type { PeerLink } from "../connection/peer_link.ts";
 import type { GossipDigest } from "../connection/peer_protocol.ts";
@@ -177,6 +178,7 @@
     return Membership.create({
       objects,
       self: { entry, address: `${host}:${peerPort}` },
+      incarnation: randomUUID(),
       log,
       random,
       onMembers: (members) => {
