Register an entry again when its registration is gone

Entries whose registrations were gone from the store lost each other for good, and with that the account of what crashes servers: six late retries where three are permitted. An entry registered once and trusted that the registration stayed; nothing compared the list that it reads each 15 s.

It now looks for its registration, with its own incarnation, in each list that isn't older than the registration, and writes it again if it is gone or another process's; then it lists at the interval of a start. An entry without any link does so all the time (a list of old data costs a tenth of a call), so entries are apart for 22.5 s at most, and 2.25 s for one that is alone, beside the age of the list. An entry whose writes fail lists the others meanwhile, and counts itself among those that share the budget of retries.

--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -228,6 +228,12 @@
   ),
   peerConnected: createLogEvent(5001, Severity.Info, "peer connected"),
   peerDisconnected: createLogEvent(5002, Severity.Info, "peer disconnected"),
+  registrationRestored: createLogEvent(
+    5003,
+    Severity.Warn,
+    "this entry's registration was missing from the store; written again",
+    "check who removed it if this repeats",
+  ),
   leaseAcquired: createLogEvent(6001, Severity.Info, "steward lease acquired"),
   leaseLost: createLogEvent(6002, Severity.Warn, "steward lease lost"),
   recordsExpired: createLogEvent(
--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -1,11 +1,16 @@
 /**
- * Registers this entry in the shared store and lists the registered entries.
- * The peer link to an entry shows whether it is live.
+ * Registers this entry in the shared store, lists the registered entries, and
+ * registers again if its registration is missing from a list. The peer link to
+ * an entry shows whether it is live.
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
 import { isAddress } from "../connection/address.ts";
-import type { ObjectStore, StoredObject } from "../connection/object_store.ts";
+import type {
+  ObjectList,
+  ObjectStore,
+  StoredObject,
+} from "../connection/object_store.ts";
 import { messageOf, VersionConflict } from "../errors.ts";
 import type { EntryId, ObjectRevision } from "../ids.ts";
 import { LOG_EVENTS } from "./log_events.ts";
@@ -28,6 +33,8 @@
   /** Returns a random number in [0, 1); used as jitter between entries. */
   readonly random: () => number;
   readonly onMembers: (members: readonly Member[]) => void;
+  /** Whether no link to another entry is open; lists then come sooner. */
+  readonly isAlone: () => boolean;
 }
 
 /** What may stand in a registration, unless another writer left it. */
@@ -35,12 +42,14 @@
 
 /** Object kind under which entries register. */
 export const ENTRY_KIND = "gypsumridge-entries";
-/** Number of lists at the shorter interval, while a deployment starts. */
+/** Lists at the shorter interval after a start or a missing registration. */
 const STARTUP_LISTS = 4;
-/** Interval between the first lists, in ms. */
+/** Interval between these lists, in ms. */
 const STARTUP_LIST_INTERVAL_MS = 1_500;
 /** Interval between later lists, in ms; closed links show exits sooner. */
 const LIST_INTERVAL_MS = 15_000;
+/** Less than any revision of the store. */
+const NEVER_REVISION = 0;
 /** Delay before a failed call is retried, in ms. */
 const RETRY_DELAY_MS = 500;
 
@@ -49,6 +58,8 @@
   readonly #options: MembershipOptions;
   /** Revision of this process's registration, once known. */
   #revision: ObjectRevision | undefined;
+  /** Lists that still follow at the shorter interval. */
+  #startupLists = STARTUP_LISTS;
   #deregistration: Promise<void> | undefined;
   #isClosed = false;
 
@@ -63,16 +74,18 @@
 
   /** Registers, then lists entries until closed; never rejects. */
   async run(): Promise<void> {
-    await this.#retry(() => this.#register());
-    for (let listCount = 0; !this.#isClosed; listCount++) {
-      await this.#retry(() => this.#listMembers());
-      const intervalMs = listCount < STARTUP_LISTS
-        ? STARTUP_LIST_INTERVAL_MS
-        : LIST_INTERVAL_MS;
-      await sleep(intervalMs * (0.5 + this.#options.random()));
+    let isDone = await this.#attempt(() => this.#register());
+    if (!isDone) await this.#wait(RETRY_DELAY_MS);
+    while (!this.#isClosed) {
+      isDone = await this.#attempt(() => this.#refresh());
+      await this.#wait(isDone ? this.#nextIntervalMs() : RETRY_DELAY_MS);
     }
   }
 
+  #wait(meanMs: number): Promise<void> {
+    return sleep(meanMs * (0.5 + this.#options.random()));
+  }
+
   /** Stops listing and removes the registration; a second call waits for it. */
   close(): Promise<void> {
     this.#isClosed = true;
@@ -103,18 +116,58 @@
     return this.#isOwn(stored) ? stored?.revision : undefined;
   }
 
-  async #register(): Promise<void> {
+  /** Lists the entries, and registers this one if it isn't among them. */
+  async #refresh(): Promise<void> {
+    const { objects, self, log, onMembers } = this.#options;
+    const list = await listEntries(objects);
+    onMembers(parseMembers(list));
+    // A list from before the registration says nothing about it.
+    const isOlder = list.revision < (this.#revision ?? NEVER_REVISION);
+    const stored = list.objects.find(({ name }) => name === self.entry);
+    if (isOlder || this.#isClosed) return;
+    if (this.#isOwn(stored)) {
+      this.#revision = stored?.revision;
+      return;
+    }
+    const wasRegistered = this.#revision !== undefined;
+    if (!await this.#register() || !wasRegistered) return;
+    const found = stored === undefined ? "none" : "another process's";
+    log(LOG_EVENTS.registrationRestored, { found });
+    this.#startupLists = STARTUP_LISTS;
+  }
+
+  #nextIntervalMs(): number {
+    this.#startupLists--;
+    return this.#startupLists >= 0 || this.#options.isAlone()
+      ? STARTUP_LIST_INTERVAL_MS
+      : LIST_INTERVAL_MS;
+  }
+
+  /** Writes the registration unless it is there; returns whether it was. */
+  async #register(): Promise<boolean> {
+    const found = await this.#create();
+    if (found === undefined) return true;
+    // The answer to an earlier call may have been lost.
+    if (this.#isOwn(found)) {
+      this.#revision = found.revision;
+      return false;
+    }
+    await this.#replace(found);
+    return true;
+  }
+
+  /** Creates the registration, or returns the one that exists. */
+  async #create(): Promise<StoredObject | undefined> {
     const { objects, self } = this.#options;
     try {
       const created = await objects.create(ENTRY_KIND, this.#registration);
       this.#revision = created.revision;
+      return undefined;
     } catch (error) {
       if (!(error instanceof VersionConflict)) throw error;
       const stored = await objects.read(ENTRY_KIND, self.entry);
       if (stored === undefined) throw error;
-      // The answer to an earlier call may have been lost.
-      if (this.#isOwn(stored)) this.#revision = stored.revision;
-      else await this.#replace(stored);
+      return stored;
     }
   }
 
@@ -138,23 +191,17 @@
     return (stored?.spec as RegistrationSpec)?.incarnation === incarnation;
   }
 
-  async #listMembers(): Promise<void> {
-    const { objects, onMembers } = this.#options;
-    onMembers(await listMembers(objects));
-  }
-
-  async #retry(call: () => Promise<void>): Promise<void> {
-    while (!this.#isClosed) {
-      try {
-        return await call();
-      } catch (error) {
-        const { log, random } = this.#options;
-        log(LOG_EVENTS.platformUnreachable, {
-          kind: ENTRY_KIND,
-          reason: messageOf(error),
-        });
-        await sleep(RETRY_DELAY_MS * (0.5 + random()));
-      }
+  /** Makes a call; returns whether it succeeded. */
+  async #attempt(call: () => Promise<unknown>): Promise<boolean> {
+    try {
+      await call();
+      return true;
+    } catch (error) {
+      this.#options.log(LOG_EVENTS.platformUnreachable, {
+        kind: ENTRY_KIND,
+        reason: messageOf(error),
+      });
+      return false;
     }
   }
 }
@@ -167,8 +214,15 @@
 export async function listMembers(
   objects: ObjectStore,
 ): Promise<readonly Member[]> {
-  const list = await objects.list({ kind: ENTRY_KIND, allowsStale: true });
-  return list.objects.flatMap((object) => parseMember(object) ?? []);
+  return parseMembers(await listEntries(objects));
+}
+
+function listEntries(objects: ObjectStore): Promise<ObjectList> {
+  return objects.list({ kind: ENTRY_KIND, allowsStale: true });
+}
+
+function parseMembers({ objects }: ObjectList): readonly Member[] {
+  return objects.flatMap((object) => parseMember(object) ?? []);
 }
 
 function parseMember({ name, spec }: StoredObject): Member | undefined {
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -130,6 +130,11 @@
     return { index: before.length, count: peerNames.length + 1 };
   }
 
+  /** Whether no link to another entry is open. */
+  get isAlone(): boolean {
+    return !this.#allLinks().some((link) => link.isOpen);
+  }
+
   /** Sends a digest to every linked peer now. */
   broadcastDigest(): void {
     const bytes = packMessage(this.#options.createDigest());
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -181,8 +181,13 @@
       incarnation: randomUUID(),
       log,
       random,
+      isAlone: () => this.#peers.isAlone,
       onMembers: (members) => {
-        this.#options.relay.setRegisteredEntryCount(members.length);
+        const names = new Set([
+          entry,
+          ...members.map((member) => member.entry),
+        ]);
+        this.#options.relay.setRegisteredEntryCount(names.size);
         this.#peers.setInstances(
           members.map(({ entry: name, address }): Instance => ({
             name,
