Notice links between entries that have gone silent

A connection may go silent for good, without a reset, while new ones work. Entries then shared nothing any more: neither crashes, load nor changes to the list of servers, until the kernel gave the connection up after minutes. A link had no time-out, and where both entries dial, digests go one way only, so that the sender couldn't notice at all.

Checks are counted, not time, so a process that was suspended reads first what has arrived. A peer is reported as lost only when no other link to it is open.

--- a/src/connection/peer_link.ts
+++ b/src/connection/peer_link.ts
@@ -31,6 +31,14 @@
   readonly onOpen: () => void;
 }
 
+/** After how many calls of `keepAlive` without data a link is acted on. */
+export interface KeepAliveLimits {
+  /** Calls after which the peer is pinged. */
+  readonly pingCalls: number;
+  /** Calls after which the link is closed. */
+  readonly closeCalls: number;
+}
+
 type ResponseHandler = (response: PeerResponse | undefined) => void;
 
 /** An open or opening link. */
@@ -40,6 +48,8 @@
   readonly #pendingRequests = new Map<number, ResponseHandler>();
   #lastCorrelation = 0;
   #wasOpen: boolean;
+  /** Calls of `keepAlive` since data arrived. */
+  #silentCalls = 0;
 
   private constructor(socket: WebSocket, handlers: PeerLinkHandlers) {
     this.#socket = socket;
@@ -49,6 +59,12 @@
       this.#wasOpen = true;
       handlers.onOpen();
     });
+    const markAlive = () => {
+      this.#silentCalls = 0;
+    };
+    for (const event of ["message", "ping", "pong"]) {
+      socket.on(event, markAlive);
+    }
     socket.on("message", (data) => this.#handleMessage(data as Buffer));
     socket.on("error", () => socket.terminate());
     socket.on("close", () => this.#handleClose());
@@ -78,6 +94,23 @@
     return this.#socket.readyState === WebSocket.OPEN;
   }
 
+  /**
+   * Pings the peer if nothing arrives, and closes the link if that goes on: a
+   * connection may become silent without an error. To be called at a regular
+   * interval; calls are counted, so that a process that was suspended reads
+   * what has arrived before it judges its links.
+   *
+   * @returns whether the link was closed
+   */
+  keepAlive({ pingCalls, closeCalls }: KeepAliveLimits): boolean {
+    if (!this.isOpen) return false;
+    this.#silentCalls++;
+    if (this.#silentCalls % pingCalls === 0) this.#socket.ping();
+    const isSilent = this.#silentCalls >= closeCalls;
+    if (isSilent) this.close();
+    return isSilent;
+  }
+
   /** Closes the link at once. */
   close(): void {
     this.#socket.terminate();
--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -234,6 +234,12 @@
     "this entry's registration was missing from the store; written again",
     "check who removed it if this repeats",
   ),
+  peerSilent: createLogEvent(
+    5004,
+    Severity.Info,
+    "nothing arrived on a link to a peer; closed, to be opened again",
+    "check the network between the entries if this repeats",
+  ),
   leaseAcquired: createLogEvent(6001, Severity.Info, "steward lease acquired"),
   leaseLost: createLogEvent(6002, Severity.Warn, "steward lease lost"),
   recordsExpired: createLogEvent(
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -7,7 +7,11 @@
 import type { Duplex } from "node:stream";
 import { WebSocketServer } from "ws";
 import { listen } from "../connection/http_server.ts";
-import { PeerLink, type PeerLinkHandlers } from "../connection/peer_link.ts";
+import {
+  type KeepAliveLimits,
+  PeerLink,
+  type PeerLinkHandlers,
+} from "../connection/peer_link.ts";
 import {
   type GossipDigest,
   packMessage,
@@ -57,6 +61,14 @@
 /** Factor by which the delay grows with each failure. */
 const REDIAL_DELAY_FACTOR = 2;
 
+/** Time without data after which a peer is pinged, in ms. */
+const PING_AFTER_MS = 450;
+/**
+ * Time without data after which a link is closed, in ms. What peers report
+ * counts for 1,200 to 1,800 ms anyway.
+ */
+const SILENT_AFTER_MS = 1_500;
+
 /** When to dial an unreachable entry again. */
 interface Redial {
   /** On the monotonic clock, in ms. */
@@ -77,8 +89,9 @@
   readonly #inboundLinks = new Set<PeerLink>();
   /** Unreachable entries, by address. */
   readonly #redials = new Map<string, Redial>();
-  /** Entries at the far end of inbound links, known from their first digest. */
-  readonly #inboundPeers = new WeakMap<PeerLink, EntryId>();
+  /** Entries at the far end: as dialled, or from their first digest. */
+  readonly #peerNames = new WeakMap<PeerLink, EntryId>();
+  readonly #keepAliveLimits: KeepAliveLimits;
   readonly #digestTimer: NodeJS.Timeout;
   #digestRound = 0;
   #scheduledBroadcast: NodeJS.Timeout | undefined;
@@ -92,6 +105,10 @@
       this.#acceptLink(request, socket, head);
     });
     const { digestIntervalMs = DIGEST_INTERVAL_MS } = options;
+    this.#keepAliveLimits = {
+      pingCalls: Math.ceil(PING_AFTER_MS / digestIntervalMs),
+      closeCalls: Math.ceil(SILENT_AFTER_MS / digestIntervalMs),
+    };
     this.#digestTimer = setInterval(() => this.#tick(), digestIntervalMs);
   }
 
@@ -144,13 +161,14 @@
   /** One link per peer: the outbound one where both entries dialled. */
   #oneLinkPerPeer(): PeerLink[] {
     const outboundPeers = new Set(
-      this.#otherEntries()
-        .filter(({ address }) => this.#outboundLinks.get(address)?.isOpen)
-        .map(({ name }) => name),
-    );
-    const inboundOnly = [...this.#inboundLinks].filter((link) =>
-      !outboundPeers.has(this.#inboundPeers.get(link) ?? "")
+      [...this.#outboundLinks.values()]
+        .filter((link) => link.isOpen)
+        .map((link) => this.#peerNames.get(link)),
     );
+    const inboundOnly = [...this.#inboundLinks].filter((link) => {
+      const name = this.#peerNames.get(link);
+      return name === undefined || !outboundPeers.has(name);
+    });
     return [...this.#outboundLinks.values(), ...inboundOnly];
   }
 
@@ -203,13 +221,12 @@
       const link = PeerLink.create(webSocket, {
         ...this.#handlers(),
         onDigest: (digest, sender) => {
-          this.#inboundPeers.set(sender, digest.entry);
+          this.#peerNames.set(sender, digest.entry);
           this.#options.onDigest(digest, sender);
         },
         onClose: (closedLink) => {
           this.#inboundLinks.delete(closedLink);
-          const entry = this.#inboundPeers.get(closedLink);
-          if (entry !== undefined) this.#options.onPeerLost?.(entry);
+          this.#handleLost(this.#peerNames.get(closedLink));
         },
       });
       this.#inboundLinks.add(link);
@@ -282,14 +299,34 @@
           this.#outboundLinks.delete(address);
           if (!wasOpen) return this.#scheduleRedial(address);
           this.#options.log(LOG_EVENTS.peerDisconnected, { peer: name });
-          this.#options.onPeerLost?.(name as EntryId);
+          this.#handleLost(name as EntryId);
         },
       },
     });
     this.#outboundLinks.set(address, link);
+    this.#peerNames.set(link, name as EntryId);
+  }
+
+  /** Reports an entry as lost unless another link to it is open. */
+  #handleLost(entry: EntryId | undefined): void {
+    const isLinked = this.#allLinks().some((link) =>
+      link.isOpen && this.#peerNames.get(link) === entry
+    );
+    if (entry !== undefined && !isLinked) this.#options.onPeerLost?.(entry);
+  }
+
+  /** Closes links on which nothing arrives, so that they are dialled again. */
+  #closeSilentLinks(): void {
+    for (const link of this.#allLinks()) {
+      if (!link.keepAlive(this.#keepAliveLimits)) continue;
+      this.#options.log(LOG_EVENTS.peerSilent, {
+        peer: this.#peerNames.get(link) ?? "",
+      });
+    }
   }
 
   #tick(): void {
+    this.#closeSilentLinks();
     this.#reconcileLinks();
     this.#digestRound = (this.#digestRound + 1) %
       (this.#isPartialMesh ? PARTIAL_MESH_DIGEST_ROUNDS : 1);
--- a/src/process/peers_test.ts
+++ b/src/process/peers_test.ts
@@ -1,6 +1,6 @@
-/** Links to other entries: redials, and how often digests are sent. */
+/** Links to other entries: redials, silence, how often digests are sent. */
 
-import { createServer, type Server } from "node:net";
+import { connect, createServer, type Server, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, expect, test } from "vitest";
 import { reservePort } from "../../bench/reserve_port.ts";
@@ -23,7 +23,11 @@
   for (const close of cleanups.splice(0)) close();
 });
 
-function createPeers(entry: string, received: string[] = []): Peers {
+function createPeers(
+  entry: string,
+  received: string[] = [],
+  lost: string[] = [],
+): Peers {
   const peers = Peers.create({
     entry: entry as EntryId,
     key: "key",
@@ -36,6 +40,7 @@
       suspicions: [],
     }),
     onDigest: (digest) => received.push(digest.entry),
+    onPeerLost: (peer) => lost.push(peer),
     readChunk: () => undefined,
   });
   cleanups.push(() => peers.close());
@@ -130,3 +135,85 @@
   expect(few.received.length).toBeGreaterThanOrEqual(PLACEMENTS);
   expect(many.received.length).toBeLessThan(PLACEMENTS);
 });
+
+/** Passes connections on to `target`; `silence` makes all of them silent. */
+async function startProxy(target: number) {
+  const sockets: Socket[] = [];
+  let count = 0;
+  const server = createServer((incoming) => {
+    count++;
+    const outgoing = connect(target, HOST);
+    incoming.pipe(outgoing).pipe(incoming);
+    for (const socket of [incoming, outgoing]) {
+      socket.on("error", () => undefined);
+      sockets.push(socket);
+    }
+  });
+  const port = await reservePort();
+  await new Promise<void>((resolve) => server.listen(port, HOST, resolve));
+  cleanups.push(() => server.close());
+  const silence = () => {
+    for (const socket of sockets.splice(0)) socket.unpipe().pause();
+  };
+  return { port, silence, connectionCount: () => count };
+}
+
+test("a link that goes silent for good is closed on both sides and opened again within 3 s", async () => {
+  const received: string[] = [];
+  const lost: string[] = [];
+  const peerPort = await reservePort();
+  await createPeers("b", received, lost).listen(HOST, peerPort);
+  const proxy = await startProxy(peerPort);
+  setListedEntries(createPeers("a", [], lost), "b", proxy.port);
+  await expect.poll(() => received.length).toBeGreaterThan(0);
+  proxy.silence();
+  received.length = 0;
+  await expect.poll(() => received.length, { timeout: 3_000 })
+    .toBeGreaterThan(0);
+  expect(lost.toSorted()).toEqual(["a", "b"]);
+});
+
+/** Links "a" and "b" so that each dials the other. */
+async function linkBothWays(): Promise<string[]> {
+  const received: string[] = [];
+  const lost: string[] = [];
+  const ports = [await reservePort(), await reservePort()] as const;
+  const peers = [
+    createPeers("a", received, lost),
+    createPeers("b", received, lost),
+  ] as const;
+  await peers[0].listen(HOST, ports[0]);
+  await peers[1].listen(HOST, ports[1]);
+  setListedEntries(peers[0], "b", ports[1]);
+  setListedEntries(peers[1], "a", ports[0]);
+  await expect.poll(() => new Set(received).size).toBe(2);
+  return lost;
+}
+
+test("a link on which digests go one way only stays open", async () => {
+  const lost = await linkBothWays();
+  await sleep(OBSERVATION_MS);
+  expect(lost).toEqual([]);
+});
+
+test("a process that was suspended closes no link for it", async () => {
+  const lost = await linkBothWays();
+  const untilMs = performance.now() + OBSERVATION_MS;
+  while (performance.now() < untilMs);
+  await sleep(OBSERVATION_MS / 2);
+  expect(lost).toEqual([]);
+});
+
+test("an entry that accepts connections but never answers is dialled a few times", async () => {
+  const received: string[] = [];
+  const peerPort = await reservePort();
+  await createPeers("b", received).listen(HOST, peerPort);
+  const proxy = await startProxy(peerPort);
+  setListedEntries(createPeers("a"), "b", proxy.port);
+  await expect.poll(() => received.length).toBeGreaterThan(0);
+  const silenced = setInterval(proxy.silence, 1);
+  cleanups.push(() => clearInterval(silenced));
+  await sleep(2 * OBSERVATION_MS);
+  expect(proxy.connectionCount()).toBeLessThanOrEqual(4);
+  expect(proxy.connectionCount()).toBeGreaterThan(1);
+});
