Keep the link to an entry whose registration is gone

When registrations were lost, each entry closed its links as soon as it read the list, though the entries at the other end lived: for up to 22.5 s they shared nothing.

A link over which digests arrive shows that an entry lives, whatever the list says. It now stays open until it closes or goes silent; the entry registers again meanwhile. Links to entries that are listed, but not among those to dial, are closed as before.

The test fails on the code before: no digest arrives after the list lost the entry.

--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -96,6 +96,7 @@
   #digestRound = 0;
   #scheduledBroadcast: NodeJS.Timeout | undefined;
   #liveEntries: readonly Instance[] = [];
+  #listedAddresses: ReadonlySet<string> = new Set();
   /** Entries to dial, by address. */
   #chosenPeers: ReadonlyMap<string, Instance> = new Map();
 
@@ -136,6 +137,9 @@
     this.#liveEntries = instances.filter(({ role, state }) =>
       role === "entry" && state === InstanceState.Live
     );
+    this.#listedAddresses = new Set(
+      this.#liveEntries.map(({ address }) => address),
+    );
     this.#chosenPeers = this.#choosePeers();
     this.#reconcileLinks();
   }
@@ -258,7 +262,9 @@
   /** Closes links to entries that aren't chosen, and dials those that are. */
   #reconcileLinks(): void {
     for (const [address, link] of this.#outboundLinks) {
-      if (!this.#chosenPeers.has(address)) link.close();
+      // One that is linked but not listed lives; its registration was lost.
+      const isUnlisted = !this.#listedAddresses.has(address) && link.isOpen;
+      if (!this.#chosenPeers.has(address) && !isUnlisted) link.close();
     }
     for (const address of this.#redials.keys()) {
       if (!this.#chosenPeers.has(address)) this.#redials.delete(address);
--- a/src/process/peers_test.ts
+++ b/src/process/peers_test.ts
@@ -52,10 +52,9 @@
   peers: Peers,
   name: string,
   port: number,
-  others = 0,
+  others: readonly string[] = [],
 ): void {
-  const names = Array.from({ length: others }, (_, at) => `other-${at}`);
-  peers.setInstances([name, ...names].map((entryName, at) => ({
+  peers.setInstances([name, ...others].map((entryName, at) => ({
     name: entryName,
     address: `${HOST}:${at === 0 ? port : 1}`,
     role: "entry",
@@ -108,7 +107,8 @@
   await peer.listen(HOST, port);
   const peers = createPeers("a");
   // Peers are chosen by the hash of their names: "b" is among the chosen six.
-  setListedEntries(peers, "b", port, others);
+  const names = Array.from({ length: others }, (_, at) => `other-${at}`);
+  setListedEntries(peers, "b", port, names);
   await expect.poll(() => received.length).toBeGreaterThan(0);
   return { peers, received };
 }
@@ -217,3 +217,21 @@
   expect(proxy.connectionCount()).toBeLessThanOrEqual(4);
   expect(proxy.connectionCount()).toBeGreaterThan(1);
 });
+
+test("a linked entry whose registration is gone stays linked until it ends", async () => {
+  const received: string[] = [];
+  const lost: string[] = [];
+  const port = await reservePort();
+  const peer = createPeers("b", received);
+  await peer.listen(HOST, port);
+  const peers = createPeers("a", [], lost);
+  setListedEntries(peers, "b", port);
+  await expect.poll(() => received.length).toBeGreaterThan(0);
+  peers.setInstances([]);
+  await sleep(DELIVERY_MS);
+  received.length = 0;
+  await expect.poll(() => received.length).toBeGreaterThan(0);
+  expect(lost).toEqual([]);
+  peer.close();
+  await expect.poll(() => lost).toEqual(["b"]);
+});
