Dial other entries in place of those that can't be reached

With many entries each one dials the six that come first by hash. Those that were gone, or in a zone that was cut off, kept their places, so that an entry could have few links or none, and learned of crashes, load and servers late or never.

An entry that wasn't linked for 2 s no longer counts among the six; it is still dialled, at the growing delay, in case it returns, and gets its place back. At most twelve are dialled, so that an entry that is cut off itself doesn't dial all.

--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -69,6 +69,11 @@
  */
 const SILENT_AFTER_MS = 1_500;
 
+/** Time without a link after which another entry is dialled too, in ms. */
+const UNREACHABLE_AFTER_MS = 2_000;
+/** Most entries that are dialled, while some can't be reached. */
+const CANDIDATES_MAX = 2 * DIGEST_FANOUT;
+
 /** When to dial an unreachable entry again. */
 interface Redial {
   /** On the monotonic clock, in ms. */
@@ -92,13 +97,16 @@
   /** Entries at the far end: as dialled, or from their first digest. */
   readonly #peerNames = new WeakMap<PeerLink, EntryId>();
   readonly #keepAliveLimits: KeepAliveLimits;
+  readonly #digestIntervalMs: number;
   readonly #digestTimer: NodeJS.Timeout;
   #digestRound = 0;
   #scheduledBroadcast: NodeJS.Timeout | undefined;
   #liveEntries: readonly Instance[] = [];
+  /** Entries that may be dialled, in the order of preference. */
+  #candidates: readonly Instance[] = [];
   #listedAddresses: ReadonlySet<string> = new Set();
-  /** Entries to dial, by address. */
-  #chosenPeers: ReadonlyMap<string, Instance> = new Map();
+  /** Digest intervals since a dialled entry was last linked, by address. */
+  #unlinkedTicks: ReadonlyMap<string, number> = new Map();
 
   private constructor(options: PeersOptions) {
     this.#options = options;
@@ -106,6 +114,7 @@
       this.#acceptLink(request, socket, head);
     });
     const { digestIntervalMs = DIGEST_INTERVAL_MS } = options;
+    this.#digestIntervalMs = digestIntervalMs;
     this.#keepAliveLimits = {
       pingCalls: Math.ceil(PING_AFTER_MS / digestIntervalMs),
       closeCalls: Math.ceil(SILENT_AFTER_MS / digestIntervalMs),
@@ -140,7 +149,7 @@
     this.#listedAddresses = new Set(
       this.#liveEntries.map(({ address }) => address),
     );
-    this.#chosenPeers = this.#choosePeers();
+    this.#candidates = this.#rankPeers().slice(0, CANDIDATES_MAX);
     this.#reconcileLinks();
   }
 
@@ -248,29 +257,60 @@
     };
   }
 
-  /** Chooses the peers to dial by rendezvous hashing: the lowest hashes win. */
+  /** Other entries by rendezvous hashing: the lowest hashes come first. */
+  #rankPeers(): readonly Instance[] {
+    return this.#otherEntries()
+      .map((peer) => ({ peer, hash: this.#peerHash(peer) }))
+      .sort((a, b) => (a.hash < b.hash ? -1 : 1))
+      .map(({ peer }) => peer);
+  }
+
+  /**
+   * Entries to dial, by address: the first ones that can be reached, and those
+   * before them that can't, in case they return.
+   */
   #choosePeers(): ReadonlyMap<string, Instance> {
-    return new Map(
-      this.#otherEntries()
-        .map((peer) => ({ peer, hash: this.#peerHash(peer) }))
-        .sort((a, b) => (a.hash < b.hash ? -1 : 1))
-        .slice(0, DIGEST_FANOUT)
-        .map(({ peer }) => [peer.address, peer] as const),
+    const maxTicks = UNREACHABLE_AFTER_MS / this.#digestIntervalMs;
+    const chosen = new Map<string, Instance>();
+    let reachableCount = 0;
+    for (const peer of this.#candidates) {
+      if (reachableCount === DIGEST_FANOUT) break;
+      chosen.set(peer.address, peer);
+      const ticks = this.#unlinkedTicks.get(peer.address) ?? 0;
+      if (ticks < maxTicks) reachableCount++;
+    }
+    return chosen;
+  }
+
+  #countUnlinkedTicks(): void {
+    const inboundNames = new Set(
+      [...this.#inboundLinks].map((link) => this.#peerNames.get(link)),
+    );
+    const unlinked = [...this.#choosePeers().values()].filter((peer) =>
+      this.#outboundLinks.get(peer.address)?.isOpen !== true &&
+      !inboundNames.has(peer.name as EntryId)
+    );
+    this.#unlinkedTicks = new Map(
+      unlinked.map(({ address }) => [
+        address,
+        (this.#unlinkedTicks.get(address) ?? 0) + 1,
+      ]),
     );
   }
 
   /** Closes links to entries that aren't chosen, and dials those that are. */
   #reconcileLinks(): void {
+    const chosenPeers = this.#choosePeers();
     for (const [address, link] of this.#outboundLinks) {
       // One that is linked but not listed lives; its registration was lost.
       const isUnlisted = !this.#listedAddresses.has(address) && link.isOpen;
-      if (!this.#chosenPeers.has(address) && !isUnlisted) link.close();
+      if (!chosenPeers.has(address) && !isUnlisted) link.close();
     }
     for (const address of this.#redials.keys()) {
-      if (!this.#chosenPeers.has(address)) this.#redials.delete(address);
+      if (!chosenPeers.has(address)) this.#redials.delete(address);
     }
     const nowMs = performance.now();
-    for (const [address, peer] of this.#chosenPeers) {
+    for (const [address, peer] of chosenPeers) {
       const { notBeforeMs = 0 } = this.#redials.get(address) ?? {};
       if (!this.#outboundLinks.has(address) && notBeforeMs <= nowMs) {
         this.#dialPeer(peer);
@@ -333,6 +373,7 @@
 
   #tick(): void {
     this.#closeSilentLinks();
+    this.#countUnlinkedTicks();
     this.#reconcileLinks();
     this.#digestRound = (this.#digestRound + 1) %
       (this.#isPartialMesh ? PARTIAL_MESH_DIGEST_ROUNDS : 1);
--- a/src/process/peers_test.ts
+++ b/src/process/peers_test.ts
@@ -6,6 +6,7 @@
 import { reservePort } from "../../bench/reserve_port.ts";
 import { InstanceState } from "../connection/instance.ts";
 import { PeerMessageKind } from "../connection/peer_protocol.ts";
+import { hashParts } from "../hashing.ts";
 import type { EntryId } from "../ids.ts";
 import { Peers } from "./peers.ts";
 
@@ -56,7 +57,7 @@
 ): void {
   peers.setInstances([name, ...others].map((entryName, at) => ({
     name: entryName,
-    address: `${HOST}:${at === 0 ? port : 1}`,
+    address: `${HOST}:${at === 0 ? port : at}`,
     role: "entry",
     state: InstanceState.Live,
   })));
@@ -218,6 +219,22 @@
   expect(proxy.connectionCount()).toBeGreaterThan(1);
 });
 
+test("entries that can't be reached are not dialled in place of those that can", async () => {
+  const names = Array.from({ length: 20 }, (_, at) => `entry-${at}`)
+    .toSorted((a, b) => hashParts(["a", a]) < hashParts(["a", b]) ? -1 : 1);
+  const name = names[8] ?? "";
+  const received: string[] = [];
+  const port = await reservePort();
+  await createPeers(name, received).listen(HOST, port);
+  setListedEntries(
+    createPeers("a", received),
+    name,
+    port,
+    names.filter((other) => other !== name),
+  );
+  await expect.poll(() => received, { timeout: 4_000 }).toContain("a");
+});
+
 test("a linked entry whose registration is gone stays linked until it ends", async () => {
   const received: string[] = [];
   const lost: string[] = [];
