Remove the registrations of entries that are gone

An entry that was killed or lost power for good stayed registered: each entry kept dialling it, counted it among those that share the budget of retries, and nobody ever removed it.

An entry that was dialled in vain for 30 s counts as gone, unless fewer of the entries that this one dials are linked than not: then this one may be cut off. With each list (15 s) an entry removes one such registration at most, at the revision that it read; one that lives after all registers again when it next reads the list, and its links stay open meanwhile.

The test on removals fails on the code before: the list stays at three entries (3, 3, 3 in place of 3, 2, 1).

--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -240,6 +240,12 @@
     "nothing arrived on a link to a peer; closed, to be opened again",
     "check the network between the entries if this repeats",
   ),
+  registrationRemoved: createLogEvent(
+    5005,
+    Severity.Info,
+    "removed the registration of an entry that can't be reached",
+    "if the entry lives, check its network; it registers again",
+  ),
   leaseAcquired: createLogEvent(6001, Severity.Info, "steward lease acquired"),
   leaseLost: createLogEvent(6002, Severity.Warn, "steward lease lost"),
   recordsExpired: createLogEvent(
--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -35,6 +35,8 @@
   readonly onMembers: (members: readonly Member[]) => void;
   /** Whether no link to another entry is open; lists then come sooner. */
   readonly isAlone: () => boolean;
+  /** Names of entries that are gone for good. */
+  readonly goneEntries: () => readonly string[];
 }
 
 /** What may stand in a registration, unless another writer left it. */
@@ -116,11 +118,20 @@
     return this.#isOwn(stored) ? stored?.revision : undefined;
   }
 
-  /** Lists the entries, and registers this one if it isn't among them. */
+  /**
+   * Lists the entries, registers this one if it isn't among them, and removes
+   * one that is gone.
+   */
   async #refresh(): Promise<void> {
-    const { objects, self, log, onMembers } = this.#options;
+    const { objects, onMembers } = this.#options;
     const list = await listEntries(objects);
     onMembers(parseMembers(list));
+    await this.#checkRegistration(list);
+    await this.#removeGone(list);
+  }
+
+  async #checkRegistration(list: ObjectList): Promise<void> {
+    const { self, log } = this.#options;
     // A list from before the registration says nothing about it.
     const isOlder = list.revision < (this.#revision ?? NEVER_REVISION);
     const stored = list.objects.find(({ name }) => name === self.entry);
@@ -136,6 +147,28 @@
     this.#startupLists = STARTUP_LISTS;
   }
 
+  /**
+   * Removes the registration of one entry that is gone, so that the entries
+   * together make few writes. One that lives after all registers again.
+   */
+  async #removeGone(list: ObjectList): Promise<void> {
+    const { objects, self, log, random, goneEntries } = this.#options;
+    const names = new Set(goneEntries());
+    const gone = list.objects.filter(({ name }) =>
+      names.has(name) && name !== self.entry
+    );
+    const found = gone[Math.floor(random() * gone.length)];
+    if (found === undefined || this.#isClosed) return;
+    const { name, revision } = found;
+    try {
+      await objects.remove(ENTRY_KIND, { name, revision });
+      log(LOG_EVENTS.registrationRemoved, { peer: name });
+    } catch (error) {
+      // It has registered again since the list.
+      if (!(error instanceof VersionConflict)) throw error;
+    }
+  }
+
   #nextIntervalMs(): number {
     this.#startupLists--;
     return this.#startupLists >= 0 || this.#options.isAlone()
--- a/src/process/membership_test.ts
+++ b/src/process/membership_test.ts
@@ -164,6 +164,7 @@
     random: () => 0,
     onMembers: () => undefined,
     isAlone: () => false,
+    goneEntries: () => [],
     ...changes,
   });
   memberships.push(membership);
@@ -286,3 +287,31 @@
   // Five lists at the start, then one in 7.5 s otherwise.
   await expect.poll(() => lists, { timeout: 4_500 }).toBe(6);
 });
+
+test("the registrations of entries that are gone are removed, one with each list", async () => {
+  const held = new HeldStore();
+  const names = ["gone-1", "gone-2"];
+  for (const name of names) held.put(name, { address: SECOND });
+  const counts: number[] = [];
+  startMembership(held, FIRST, {
+    goneEntries: () => [...names, SELF],
+    onMembers: (members) => counts.push(members.length),
+  });
+  await expect.poll(() => counts, POLLING).toEqual([3, 2, 1]);
+  expect(registeredAddress(held)).toBe(FIRST);
+});
+
+test("an entry that has registered again is not removed as gone", async () => {
+  const held = new HeldStore();
+  held.put("entry-2", { address: SECOND });
+  let lists = 0;
+  startMembership(held, FIRST, {
+    goneEntries: () => ["entry-2"],
+    onMembers: () => {
+      if (++lists === 1) held.put("entry-2", { address: SECOND });
+    },
+  });
+  await expect.poll(() => lists).toBe(1);
+  await sleep(SETTLE_MS);
+  expect(held.find("entry-2")).toBeDefined();
+});
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -41,6 +41,8 @@
   readonly readChanges?: (after: number) => ServerChanges;
   /** Interval between digests, in ms. */
   readonly digestIntervalMs?: number;
+  /** Time without a link after which an entry counts as gone, in ms. */
+  readonly goneAfterMs?: number;
 }
 
 /** In a partial mesh, a digest is sent in one of this many rounds. */
@@ -71,6 +73,8 @@
 
 /** Time without a link after which another entry is dialled too, in ms. */
 const UNREACHABLE_AFTER_MS = 2_000;
+/** Time without a link after which an entry counts as gone, in ms. */
+const GONE_AFTER_MS = 30_000;
 /** Most entries that are dialled, while some can't be reached. */
 const CANDIDATES_MAX = 2 * DIGEST_FANOUT;
 
@@ -165,6 +169,23 @@
     return !this.#allLinks().some((link) => link.isOpen);
   }
 
+  /**
+   * Names of entries that were dialled in vain for a long time. None while
+   * fewer are linked than not: this entry may be the one that is cut off.
+   */
+  goneEntries(): readonly string[] {
+    const { goneAfterMs = GONE_AFTER_MS } = this.#options;
+    const chosen = [...this.#choosePeers().values()];
+    const unlinkedCount = this.#unlinkedTicks.size;
+    if (chosen.length - unlinkedCount < unlinkedCount) return [];
+    const minTicks = goneAfterMs / this.#digestIntervalMs;
+    return chosen
+      .filter(({ address }) =>
+        (this.#unlinkedTicks.get(address) ?? 0) >= minTicks
+      )
+      .map(({ name }) => name);
+  }
+
   /** Sends a digest to every linked peer now. */
   broadcastDigest(): void {
     const bytes = packMessage(this.#options.createDigest());
--- a/src/process/peers_test.ts
+++ b/src/process/peers_test.ts
@@ -12,6 +12,7 @@
 
 const HOST = "127.0.0.1";
 const DIGEST_INTERVAL_MS = 50;
+const GONE_AFTER_MS = 500;
 const OBSERVATION_MS = 2_000;
 const PLACEMENTS = 20;
 const PLACEMENT_INTERVAL_MS = 25;
@@ -34,6 +35,7 @@
     key: "key",
     log: () => undefined,
     digestIntervalMs: DIGEST_INTERVAL_MS,
+    goneAfterMs: GONE_AFTER_MS,
     createDigest: () => ({
       kind: PeerMessageKind.Digest,
       entry: entry as EntryId,
@@ -252,3 +254,18 @@
   peer.close();
   await expect.poll(() => lost).toEqual(["b"]);
 });
+
+test("an entry is gone once it was unreachable for long, unless most others are too", async () => {
+  const port = await reservePort();
+  const peer = createPeers("b");
+  await peer.listen(HOST, port);
+  const peers = createPeers("a");
+  setListedEntries(peers, "b", port, ["c"]);
+  await sleep(GONE_AFTER_MS / 2);
+  expect(peers.goneEntries()).toEqual([]);
+  await expect.poll(() => peers.goneEntries()).toEqual(["c"]);
+  peer.close();
+  await expect.poll(() => peers.goneEntries()).toEqual([]);
+  await sleep(2 * GONE_AFTER_MS);
+  expect(peers.goneEntries()).toEqual([]);
+});
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -182,6 +182,7 @@
       log,
       random,
       isAlone: () => this.#peers.isAlone,
+      goneEntries: () => this.#peers.goneEntries(),
       onMembers: (members) => {
         const names = new Set([
           entry,
