Test who shares the budget of retries without links

The number of registered entries counts, not that of open links: with three registered and no link an entry takes 8 of 30 retries (four fifths of a third). That held before.

--- a/src/process/relay_test.ts
+++ b/src/process/relay_test.ts
@@ -19,3 +19,12 @@
   removed.applyServerChanges([{ ...change, isRemoved: true }], false);
   expect(removed.servers.view("i-1")).toBeUndefined();
 });
+
+test("an entry without links shares the budget of retries with those that are registered", () => {
+  const relay = createRelay([createServer("i-1")], { retryAllowance: 30 });
+  relay.setRegisteredEntryCount(3);
+  let retries = 0;
+  while (relay.context.retryBudget.takeRetry("engines")) retries++;
+  // Four fifths of a third of 30.
+  expect(retries).toBe(8);
+});
--- a/src/process/store_sync_test.ts
+++ b/src/process/store_sync_test.ts
@@ -57,7 +57,7 @@
   });
   await storeSync.start();
   await relay.configured;
-  return { storeSync, peerPort };
+  return { storeSync, peerPort, relay };
 }
 
 test.for(
@@ -87,3 +87,11 @@
   link.close();
   await storeSync.close();
 });
+
+test("an entry whose registration is gone still counts itself beside the registered ones", async () => {
+  const { storeSync, relay } = await startStoreSync({
+    address: `${HOST}:1`,
+  });
+  await expect.poll(() => relay.entryCount).toBe(2);
+  await storeSync.close();
+});
