Write the steward's summary again when it is gone or a former one's

The summary of the entries' status was compared with what this process wrote last, not with what the store holds: one that was removed, or that a former steward's late write had replaced, stayed so until an entry's revision changed.

Each round of tasks now reads the summary and writes it if it differs: one read beside one for each entry.

The test fails on the code before: the former summary is still there after 20 s.

--- a/src/process/steward.ts
+++ b/src/process/steward.ts
@@ -57,7 +57,6 @@
   readonly #log: Log;
   readonly #platform: KeyValueStore;
   readonly #lease: Lease;
-  #lastSummary = "";
   #nextTasksMs = 0;
   #isClosed = false;
 
@@ -156,9 +155,9 @@
     }
     const summary: StatusSummary = { revision, entriesByRevision };
     const text = JSON.stringify(summary);
-    if (text === this.#lastSummary) return;
+    const stored = await this.#platform.read(SUMMARY_NAME);
+    if (stored?.value === text) return;
     await this.#platform.write(SUMMARY_NAME, text);
-    this.#lastSummary = text;
   }
 
   /** Removes old chunks that no retained revision uses. */
--- a/tests/steward_test.ts
+++ b/tests/steward_test.ts
@@ -3,7 +3,13 @@
 import { expect, test } from "vitest";
 import type { Child } from "../bench/child.ts";
 import { LocalCluster, waitFor } from "../bench/local_cluster.ts";
+import { HttpObjectStore } from "../platform/http_object_store.ts";
+import {
+  KeyValueStore,
+  type StoredValue,
+} from "../src/connection/key_value_store.ts";
 import { LOG_EVENTS } from "../src/process/log_events.ts";
+import { SUMMARY_NAME } from "../src/version/object_names.ts";
 import { Transcript } from "./transcript.ts";
 
 const FAST_SETTINGS = [
@@ -94,6 +100,32 @@
   }
 });
 
+test("a summary that was removed, or written by a former steward, is written again", async () => {
+  const cluster = await LocalCluster.create({ engines: 1, entries: 1 });
+  const { address } = cluster.platform;
+  const store = HttpObjectStore.create({ address, timeoutMs: 1_000 });
+  const platform = KeyValueStore.create({
+    objects: store,
+    listInstances: () => Promise.resolve([]),
+  });
+  try {
+    await cluster.startSteward("steward-a", FAST_SETTINGS);
+    const isWritten = async () => {
+      const summary = await platform.read(SUMMARY_NAME);
+      return summary?.value.includes("entriesByRevision") ?? false;
+    };
+    await waitFor("the summary is written", isWritten);
+    await platform.write(SUMMARY_NAME, "former");
+    await waitFor("a former summary is replaced", isWritten);
+    const { version } = await platform.read(SUMMARY_NAME) as StoredValue;
+    await platform.remove(SUMMARY_NAME, version);
+    await waitFor("a removed summary is written", isWritten);
+  } finally {
+    platform.close();
+    await cluster.close();
+  }
+});
+
 async function waitForLease(steward: Child, count: number): Promise<void> {
   await waitFor(
     "the lease is acquired",
