--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -245,6 +245,24 @@
   ),
   peerConnected: createLogEvent(5001, Severity.Info, "peer connected"),
   peerDisconnected: createLogEvent(5002, Severity.Info, "peer disconnected"),
+  registrationRestored: createLogEvent(
+    5003,
+    Severity.Warn,
+    "this entry's registration was missing from the store; written again",
+    "check who removed it if this repeats",
+  ),
+  peerSilent: createLogEvent(
+    5004,
+    Severity.Info,
+    "nothing arrived on a link to a peer; closed, to be opened again",
+    "check the network between the entries if this repeats",
+  ),
+  registrationRemoved: createLogEvent(
+    5005,
+    Severity.Info,
+    "removed the registration of an entry that can't be reached",
+    "if the entry lives, check its network; it registers again",
+  ),
   leaseAcquired: createLogEvent(6001, Severity.Info, "steward lease acquired"),
   leaseLost: createLogEvent(6002, Severity.Warn, "steward lease lost"),
   recordsExpired: createLogEvent(
--- a/src/process/membership_test.ts
+++ b/src/process/membership_test.ts
@@ -1,13 +1,24 @@
-/** Which registrations count as entries. */
+/** Which registrations count as entries, and which ones an entry writes. */
 
+import { setTimeout as sleep } from "node:timers/promises";
 import fc from "fast-check";
-import { expect, test } from "vitest";
+import { afterEach, expect, test } from "vitest";
 import { isAddress } from "../connection/address.ts";
 import type { ObjectStore, StoredObject } from "../connection/object_store.ts";
-import type { ObjectRevision } from "../ids.ts";
-import { listMembers } from "./membership.ts";
+import { PlatformUnavailable, VersionConflict } from "../errors.ts";
+import type { EntryId, ObjectRevision } from "../ids.ts";
+import { LOG_EVENTS, type LogEvent } from "./log_events.ts";
+import {
+  listMembers,
+  Membership,
+  type MembershipOptions,
+} from "./membership.ts";
 
 const REVISION = 1 as ObjectRevision;
+const SETTLE_MS = 20;
+const POLLING = { timeout: 3_000 };
+/** Time after which a failed call has been made again, in ms. */
+const RETRIED_MS = 600;
 
 function createObject(name: string, spec: unknown): StoredObject {
   return { name, revision: REVISION, spec, status: null };
@@ -48,3 +59,260 @@
     }),
   );
 });
+
+const SELF = "entry-1" as EntryId;
+const FIRST = "10.0.0.1:7200";
+const SECOND = "10.0.0.2:7200";
+const ignoreError = () => undefined;
+const memberships: Membership[] = [];
+
+afterEach(async () => {
+  await Promise.all(memberships.splice(0).map((task) => task.close()));
+});
+
+type WriteKind = "create" | "replace" | "remove";
+
+/** A store with one kind of objects that can hold writes back. */
+class HeldStore {
+  readonly #objects = new Map<string, StoredObject>();
+  readonly #heldWrites: (() => unknown)[] = [];
+  #revision = 0;
+  /** Writes that get no answer, and take effect with `releaseWrites`. */
+  held: WriteKind | undefined;
+  /** Whether writes take effect but get no answer. */
+  losesAnswers = false;
+  readonly store = {
+    list: () =>
+      Promise.resolve({
+        objects: [...this.#objects.values()],
+        revision: this.#revision as ObjectRevision,
+      }),
+    read: (_, name) => Promise.resolve(this.find(name)),
+    create: (_, { name, spec }) =>
+      this.#write("create", () => {
+        if (this.find(name) !== undefined) throw new VersionConflict(name);
+        return this.put(name, spec);
+      }),
+    replace: (_, { name, spec, revision }) =>
+      this.#write("replace", () => {
+        const stored = this.#requireRevision(name, revision);
+        return stored === undefined ? undefined : this.put(name, spec);
+      }),
+    remove: (_, { name, revision }) =>
+      this.#write("remove", () => {
+        this.#requireRevision(name, revision);
+        this.drop(name);
+      }),
+    watch: () => new Promise(() => undefined),
+    close: () => undefined,
+  } as ObjectStore;
+
+  get heldCount(): number {
+    return this.#heldWrites.length;
+  }
+
+  find(name: string): StoredObject | undefined {
+    return this.#objects.get(name);
+  }
+
+  put(name: string, spec: unknown): StoredObject {
+    const revision = ++this.#revision as ObjectRevision;
+    const object = { name, revision, spec, status: null };
+    this.#objects.set(name, object);
+    return object;
+  }
+
+  drop(name: string): void {
+    this.#revision++;
+    this.#objects.delete(name);
+  }
+
+  releaseWrites(): void {
+    for (const write of this.#heldWrites.splice(0)) {
+      Promise.resolve().then(write).catch(ignoreError);
+    }
+  }
+
+  #requireRevision(name: string, revision?: ObjectRevision) {
+    const stored = this.find(name);
+    const isCurrent = revision === undefined || revision === stored?.revision;
+    if (stored !== undefined && !isCurrent) throw new VersionConflict(name);
+    return stored;
+  }
+
+  async #write<Result>(kind: WriteKind, write: () => Result): Promise<Result> {
+    if (this.held === kind) this.#heldWrites.push(write);
+    else {
+      const result = await Promise.resolve().then(write);
+      if (!this.losesAnswers) return result;
+    }
+    throw new PlatformUnavailable("no answer");
+  }
+}
+
+/** Starts the membership task of a process; lists come 0.75 s apart. */
+function startMembership(
+  held: HeldStore,
+  address: string,
+  changes: Partial<MembershipOptions> = {},
+): Membership {
+  const membership = Membership.create({
+    objects: held.store,
+    self: { entry: SELF, address },
+    incarnation: address,
+    log: () => undefined,
+    random: () => 0,
+    onMembers: () => undefined,
+    isAlone: () => false,
+    goneEntries: () => [],
+    ...changes,
+  });
+  memberships.push(membership);
+  membership.run();
+  return membership;
+}
+
+function registeredAddress(held: HeldStore): unknown {
+  const spec = held.find(SELF)?.spec;
+  return (spec as { readonly address?: unknown } | undefined)?.address;
+}
+
+test("a deregistration that takes effect late leaves the next process registered", async () => {
+  const held = new HeldStore();
+  const stopped = startMembership(held, FIRST);
+  await expect.poll(() => registeredAddress(held)).toBe(FIRST);
+  held.held = "remove";
+  await stopped.close();
+  held.held = undefined;
+  startMembership(held, SECOND);
+  await expect.poll(() => registeredAddress(held)).toBe(SECOND);
+  held.releaseWrites();
+  await sleep(SETTLE_MS);
+  expect(registeredAddress(held)).toBe(SECOND);
+});
+
+test("a process that stops leaves the registration of another one in place", async () => {
+  const held = new HeldStore();
+  const stopped = startMembership(held, FIRST);
+  await expect.poll(() => registeredAddress(held)).toBe(FIRST);
+  held.put(SELF, { address: SECOND });
+  await stopped.close();
+  expect(registeredAddress(held)).toBe(SECOND);
+});
+
+test("a registration that took effect without an answer is known as the own one", async () => {
+  const held = new HeldStore();
+  held.losesAnswers = true;
+  const membership = startMembership(held, FIRST);
+  await expect.poll(() => registeredAddress(held)).toBe(FIRST);
+  held.losesAnswers = false;
+  const { revision } = held.find(SELF) as StoredObject;
+  await sleep(RETRIED_MS);
+  expect(held.find(SELF)?.revision).toBe(revision);
+  await membership.close();
+  expect(held.find(SELF)).toBeUndefined();
+});
+
+test("a former process's registration that takes effect late doesn't replace the present one", async () => {
+  const held = new HeldStore();
+  held.put(SELF, { address: "10.0.0.1:7100" });
+  held.held = "replace";
+  const former = startMembership(held, FIRST);
+  await expect.poll(() => held.heldCount).toBeGreaterThan(0);
+  await former.close();
+  held.held = undefined;
+  startMembership(held, SECOND);
+  await expect.poll(() => registeredAddress(held)).toBe(SECOND);
+  held.releaseWrites();
+  await sleep(SETTLE_MS);
+  expect(registeredAddress(held)).toBe(SECOND);
+});
+
+test("a registration that was removed is written again", async () => {
+  const held = new HeldStore();
+  const events: LogEvent[] = [];
+  startMembership(held, FIRST, { log: (event) => events.push(event) });
+  await expect.poll(() => registeredAddress(held)).toBe(FIRST);
+  held.drop(SELF);
+  await expect.poll(() => registeredAddress(held), POLLING).toBe(FIRST);
+  expect(events).toEqual([LOG_EVENTS.registrationRestored]);
+});
+
+test("a former process's registration in place of the own one is replaced", async () => {
+  const held = new HeldStore();
+  startMembership(held, SECOND);
+  await expect.poll(() => registeredAddress(held)).toBe(SECOND);
+  held.put(SELF, { address: FIRST });
+  await expect.poll(() => registeredAddress(held), POLLING).toBe(SECOND);
+});
+
+test("a list that is older than the registration leads to no write", async () => {
+  const held = new HeldStore();
+  const stale = await held.store.list({ kind: "entries" });
+  let lists = 0;
+  const list = () => {
+    lists++;
+    return Promise.resolve(stale);
+  };
+  const events: LogEvent[] = [];
+  startMembership(held, FIRST, {
+    objects: { ...held.store, list },
+    log: (event) => events.push(event),
+  });
+  await expect.poll(() => lists, POLLING).toBe(2);
+  expect(held.find(SELF)?.revision).toBe(1);
+  expect(events).toEqual([]);
+});
+
+test("an entry whose writes the store refuses still lists the others", async () => {
+  const held = new HeldStore();
+  held.put("entry-2", { address: SECOND });
+  held.held = "create";
+  const listed: string[] = [];
+  startMembership(held, FIRST, {
+    onMembers: (members) => listed.push(...members.map(({ entry }) => entry)),
+  });
+  await expect.poll(() => listed).toContain("entry-2");
+  held.held = undefined;
+  await expect.poll(() => registeredAddress(held)).toBe(FIRST);
+});
+
+test("an entry without links keeps listing often, so that it finds the others", async () => {
+  const held = new HeldStore();
+  let lists = 0;
+  startMembership(held, FIRST, {
+    isAlone: () => true,
+    onMembers: () => lists++,
+  });
+  // Five lists at the start, then one in 7.5 s otherwise.
+  await expect.poll(() => lists, { timeout: 4_500 })
+    .toBeGreaterThanOrEqual(6);
+});
+
+test("the registrations of entries that are gone are removed, one with each list", async () => {
+  const held = new HeldStore();
+  const names = ["gone-1", "gone-2"];
+  for (const name of names) held.put(name, { address: SECOND });
+  const counts: number[] = [];
+  startMembership(held, FIRST, {
+    goneEntries: () => [...names, SELF],
+    onMembers: (members) => counts.push(members.length),
+  });
+  await expect.poll(() => counts, POLLING).toEqual([3, 2, 1]);
+  expect(registeredAddress(held)).toBe(FIRST);
+});
+
+test("an entry that has registered again is not removed as gone", async () => {
+  const held = new HeldStore();
+  held.put("entry-2", { address: SECOND });
+  let lists = 0;
+  startMembership(held, FIRST, {
+    goneEntries: () => ["entry-2"],
+    onMembers: () => {
+      if (++lists === 1) held.put("entry-2", { address: SECOND });
+    },
+  });
+  await expect.poll(() => lists).toBe(1);
+  await sleep(SETTLE_MS);
+  expect(held.find("entry-2")).toBeDefined();
+});
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -7,7 +7,11 @@
 import type { Duplex } from "node:stream";
 import { WebSocketServer } from "ws";
 import { listen } from "../connection/http_server.ts";
-import { PeerLink, type PeerLinkHandlers } from "../connection/peer_link.ts";
+import {
+  type KeepAliveLimits,
+  PeerLink,
+  type PeerLinkHandlers,
+} from "../connection/peer_link.ts";
 import {
   type GossipDigest,
   packMessage,
@@ -38,6 +42,8 @@
   readonly readChanges?: (after: number) => ServerChanges;
   /** Interval between digests, in ms. */
   readonly digestIntervalMs?: number;
+  /** Time without a link after which an entry counts as gone, in ms. */
+  readonly goneAfterMs?: number;
 }
 
 /** In a partial mesh, a digest is sent in one of this many rounds. */
@@ -58,6 +64,21 @@
 /** Factor by which the delay grows with each failure. */
 const REDIAL_DELAY_FACTOR = 2;
 
+/** Time without data after which a peer is pinged, in ms. */
+const PING_AFTER_MS = 450;
+/**
+ * Time without data after which a link is closed, in ms. What peers report
+ * counts for 1,200 to 1,800 ms anyway.
+ */
+const SILENT_AFTER_MS = 1_500;
+
+/** Time without a link after which another entry is dialled too, in ms. */
+const UNREACHABLE_AFTER_MS = 2_000;
+/** Time without a link after which an entry counts as gone, in ms. */
+const GONE_AFTER_MS = 30_000;
+/** Most entries that are dialled, while some can't be reached. */
+const CANDIDATES_MAX = 2 * DIGEST_FANOUT;
+
 /** When to dial an unreachable entry again. */
 interface Redial {
   /** On the monotonic clock, in ms. */
@@ -80,14 +101,19 @@
   readonly #inboundLinks = new Set<PeerLink>();
   /** Unreachable entries, by address. */
   readonly #redials = new Map<string, Redial>();
-  /** Entries at the far end of inbound links, known from their first digest. */
-  readonly #inboundPeers = new WeakMap<PeerLink, EntryId>();
+  /** Entries at the far end: as dialled, or from their first digest. */
+  readonly #peerNames = new WeakMap<PeerLink, EntryId>();
+  readonly #keepAliveLimits: KeepAliveLimits;
+  readonly #digestIntervalMs: number;
   readonly #digestTimer: NodeJS.Timeout;
   #digestRound = 0;
   #scheduledBroadcast: NodeJS.Timeout | undefined;
   #liveEntries: readonly Instance[] = [];
-  /** Entries to dial, by address. */
-  #chosenPeers: ReadonlyMap<string, Instance> = new Map();
+  /** Entries that may be dialled, in the order of preference. */
+  #candidates: readonly Instance[] = [];
+  #listedAddresses: ReadonlySet<string> = new Set();
+  /** Digest intervals since a dialled entry was last linked, by address. */
+  #unlinkedTicks: ReadonlyMap<string, number> = new Map();
 
   private constructor(options: PeersOptions) {
     this.#options = options;
@@ -97,6 +123,11 @@
       this.#acceptLink(request, socket, head);
     });
     const { digestIntervalMs = DIGEST_INTERVAL_MS } = options;
+    this.#digestIntervalMs = digestIntervalMs;
+    this.#keepAliveLimits = {
+      pingCalls: Math.ceil(PING_AFTER_MS / digestIntervalMs),
+      closeCalls: Math.ceil(SILENT_AFTER_MS / digestIntervalMs),
+    };
     this.#digestTimer = setInterval(() => this.#tick(), digestIntervalMs);
   }
 
@@ -134,7 +165,10 @@
     this.#liveEntries = instances.filter(({ role, state }) =>
       role === "entry" && state === InstanceState.Live
     );
-    this.#chosenPeers = this.#choosePeers();
+    this.#listedAddresses = new Set(
+      this.#liveEntries.map(({ address }) => address),
+    );
+    this.#candidates = this.#rankPeers().slice(0, CANDIDATES_MAX);
     this.#reconcileLinks();
   }
 
@@ -145,6 +179,28 @@
     return { index: before.length, count: peerNames.length + 1 };
   }
 
+  /** Whether no link to another entry is open. */
+  get isAlone(): boolean {
+    return !this.#allLinks().some((link) => link.isOpen);
+  }
+
+  /**
+   * Names of entries that were dialled in vain for a long time. None while
+   * fewer are linked than not: this entry may be the one that is cut off.
+   */
+  goneEntries(): readonly string[] {
+    const { goneAfterMs = GONE_AFTER_MS } = this.#options;
+    const chosen = [...this.#choosePeers().values()];
+    const unlinkedCount = this.#unlinkedTicks.size;
+    if (chosen.length - unlinkedCount < unlinkedCount) return [];
+    const minTicks = goneAfterMs / this.#digestIntervalMs;
+    return chosen
+      .filter(({ address }) =>
+        (this.#unlinkedTicks.get(address) ?? 0) >= minTicks
+      )
+      .map(({ name }) => name);
+  }
+
   /** Sends a digest to every linked peer now. */
   broadcastDigest(): void {
     const bytes = packMessage(this.#options.createDigest());
@@ -154,13 +210,14 @@
   /** One link per peer: the outbound one where both entries dialled. */
   #oneLinkPerPeer(): PeerLink[] {
     const outboundPeers = new Set(
-      this.#otherEntries()
-        .filter(({ address }) => this.#outboundLinks.get(address)?.isOpen)
-        .map(({ name }) => name),
-    );
-    const inboundOnly = [...this.#inboundLinks].filter((link) =>
-      !outboundPeers.has(this.#inboundPeers.get(link) ?? "")
+      [...this.#outboundLinks.values()]
+        .filter((link) => link.isOpen)
+        .map((link) => this.#peerNames.get(link)),
     );
+    const inboundOnly = [...this.#inboundLinks].filter((link) => {
+      const name = this.#peerNames.get(link);
+      return name === undefined || !outboundPeers.has(name);
+    });
     return [...this.#outboundLinks.values(), ...inboundOnly];
   }
 
@@ -214,13 +271,12 @@
       const link = PeerLink.create(webSocket, {
         ...this.#handlers(),
         onDigest: (digest, sender) => {
-          this.#inboundPeers.set(sender, digest.entry);
+          this.#peerNames.set(sender, digest.entry);
           this.#options.onDigest(digest, sender);
         },
         onClose: (closedLink) => {
           this.#inboundLinks.delete(closedLink);
-          const entry = this.#inboundPeers.get(closedLink);
-          if (entry !== undefined) this.#options.onPeerLost?.(entry);
+          this.#handleLost(this.#peerNames.get(closedLink));
         },
       });
       this.#inboundLinks.add(link);
@@ -238,27 +294,60 @@
     };
   }
 
-  /** Chooses the peers to dial by rendezvous hashing: the lowest hashes win. */
+  /** Other entries by rendezvous hashing: the lowest hashes come first. */
+  #rankPeers(): readonly Instance[] {
+    return this.#otherEntries()
+      .map((peer) => ({ peer, hash: this.#peerHash(peer) }))
+      .sort((a, b) => (a.hash < b.hash ? -1 : 1))
+      .map(({ peer }) => peer);
+  }
+
+  /**
+   * Entries to dial, by address: the first ones that can be reached, and those
+   * before them that can't, in case they return.
+   */
   #choosePeers(): ReadonlyMap<string, Instance> {
-    return new Map(
-      this.#otherEntries()
-        .map((peer) => ({ peer, hash: this.#peerHash(peer) }))
-        .sort((a, b) => (a.hash < b.hash ? -1 : 1))
-        .slice(0, DIGEST_FANOUT)
-        .map(({ peer }) => [peer.address, peer] as const),
+    const maxTicks = UNREACHABLE_AFTER_MS / this.#digestIntervalMs;
+    const chosen = new Map<string, Instance>();
+    let reachableCount = 0;
+    for (const peer of this.#candidates) {
+      if (reachableCount === DIGEST_FANOUT) break;
+      chosen.set(peer.address, peer);
+      const ticks = this.#unlinkedTicks.get(peer.address) ?? 0;
+      if (ticks < maxTicks) reachableCount++;
+    }
+    return chosen;
+  }
+
+  #countUnlinkedTicks(): void {
+    const inboundNames = new Set(
+      [...this.#inboundLinks].map((link) => this.#peerNames.get(link)),
+    );
+    const unlinked = [...this.#choosePeers().values()].filter((peer) =>
+      this.#outboundLinks.get(peer.address)?.isOpen !== true &&
+      !inboundNames.has(peer.name as EntryId)
+    );
+    this.#unlinkedTicks = new Map(
+      unlinked.map(({ address }) => [
+        address,
+        (this.#unlinkedTicks.get(address) ?? 0) + 1,
+      ]),
     );
   }
 
   /** Closes links to entries that aren't chosen, and dials those that are. */
   #reconcileLinks(): void {
+    const chosenPeers = this.#choosePeers();
     for (const [address, link] of this.#outboundLinks) {
-      if (!this.#chosenPeers.has(address)) link.close();
+      // One that is linked but not listed lives; its registration was lost.
+      const isUnlisted = !this.#listedAddresses.has(address) && link.isOpen;
+      if (!chosenPeers.has(address) && !isUnlisted) link.close();
     }
     for (const address of this.#redials.keys()) {
-      if (!this.#chosenPeers.has(address)) this.#redials.delete(address);
+      if (!chosenPeers.has(address)) this.#redials.delete(address);
     }
     const nowMs = performance.now();
-    for (const [address, peer] of this.#chosenPeers) {
+    for (const [address, peer] of chosenPeers) {
       const { notBeforeMs = 0 } = this.#redials.get(address) ?? {};
       if (!this.#outboundLinks.has(address) && notBeforeMs <= nowMs) {
         this.#dialPeer(peer);
@@ -293,14 +382,35 @@
           this.#outboundLinks.delete(address);
           if (!wasOpen) return this.#scheduleRedial(address);
           this.#options.log(LOG_EVENTS.peerDisconnected, { peer: name });
-          this.#options.onPeerLost?.(name as EntryId);
+          this.#handleLost(name as EntryId);
         },
       },
     });
     this.#outboundLinks.set(address, link);
+    this.#peerNames.set(link, name as EntryId);
+  }
+
+  /** Reports an entry as lost unless another link to it is open. */
+  #handleLost(entry: EntryId | undefined): void {
+    const isLinked = this.#allLinks().some((link) =>
+      link.isOpen && this.#peerNames.get(link) === entry
+    );
+    if (entry !== undefined && !isLinked) this.#options.onPeerLost?.(entry);
+  }
+
+  /** Closes links on which nothing arrives, so that they are dialled again. */
+  #closeSilentLinks(): void {
+    for (const link of this.#allLinks()) {
+      if (!link.keepAlive(this.#keepAliveLimits)) continue;
+      this.#options.log(LOG_EVENTS.peerSilent, {
+        peer: this.#peerNames.get(link) ?? "",
+      });
+    }
   }
 
   #tick(): void {
+    this.#closeSilentLinks();
+    this.#countUnlinkedTicks();
     this.#reconcileLinks();
     this.#digestRound = (this.#digestRound + 1) %
       (this.#isPartialMesh ? PARTIAL_MESH_DIGEST_ROUNDS : 1);
--- a/src/process/peers_test.ts
+++ b/src/process/peers_test.ts
@@ -1,16 +1,19 @@
-/** Links to other entries: redials, and how often digests are sent. */
+/** Links to other entries: redials, silence, how often digests are sent. */
 
-import { createServer, type Server } from "node:net";
+import { connect, createServer, type Server, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, expect, test } from "vitest";
 import { reservePort } from "../../bench/reserve_port.ts";
 import { InstanceState } from "../connection/instance.ts";
 import { PeerMessageKind } from "../connection/peer_protocol.ts";
+import { hashParts } from "../hashing.ts";
 import type { EntryId } from "../ids.ts";
+import { LOG_EVENTS, type LogEvent } from "./log_events.ts";
 import { Peers } from "./peers.ts";
 
 const HOST = "127.0.0.1";
 const DIGEST_INTERVAL_MS = 50;
+const GONE_AFTER_MS = 500;
 const OBSERVATION_MS = 2_000;
 const PLACEMENTS = 20;
 const PLACEMENT_INTERVAL_MS = 25;
@@ -25,14 +28,19 @@
 
 function createPeers(
   entry: string,
-  received: string[] = [],
-  key = "key",
+  { received = [], lost = [], logged = [], key = "key" }: {
+    readonly received?: string[];
+    readonly lost?: string[];
+    readonly logged?: LogEvent[];
+    readonly key?: string;
+  } = {},
 ): Peers {
   const peers = Peers.create({
     entry: entry as EntryId,
     key,
-    log: () => undefined,
+    log: (event) => logged.push(event),
     digestIntervalMs: DIGEST_INTERVAL_MS,
+    goneAfterMs: GONE_AFTER_MS,
     createDigest: () => ({
       kind: PeerMessageKind.Digest,
       entry: entry as EntryId,
@@ -40,6 +48,7 @@
       suspicions: [],
     }),
     onDigest: (digest) => received.push(digest.entry),
+    onPeerLost: (peer) => lost.push(peer),
     readChunk: () => undefined,
   });
   cleanups.push(() => peers.close());
@@ -51,12 +60,11 @@
   peers: Peers,
   name: string,
   port: number,
-  others = 0,
+  others: readonly string[] = [],
 ): void {
-  const names = Array.from({ length: others }, (_, at) => `other-${at}`);
-  peers.setInstances([name, ...names].map((entryName, at) => ({
+  peers.setInstances([name, ...others].map((entryName, at) => ({
     name: entryName,
-    address: `${HOST}:${at === 0 ? port : 1}`,
+    address: `${HOST}:${at === 0 ? port : at}`,
     role: "entry",
     state: InstanceState.Live,
   })));
@@ -87,7 +95,7 @@
 test("a restarted entry is linked again within the longest delay", async () => {
   const received: string[] = [];
   const port = await reservePort();
-  const peers = createPeers("a", received);
+  const peers = createPeers("a", { received });
   setListedEntries(peers, "b", port);
   await sleep(1_000);
   const restarted = createPeers("b");
@@ -100,11 +108,11 @@
 test("after a change of the key, entries that show the old or the new one are linked", async () => {
   const received: string[] = [];
   const port = await reservePort();
-  const peers = createPeers("a", received);
+  const peers = createPeers("a", { received });
   await peers.listen(HOST, port);
   peers.setKey("new");
   setListedEntries(createPeers("late"), "a", port);
-  setListedEntries(createPeers("restarted", [], "new"), "a", port);
+  setListedEntries(createPeers("restarted", { key: "new" }), "a", port);
   await expect.poll(() => [...new Set(received)].toSorted())
     .toEqual(["late", "restarted"]);
 });
@@ -115,11 +123,12 @@
 ): Promise<{ readonly peers: Peers; readonly received: string[] }> {
   const received: string[] = [];
   const port = await reservePort();
-  const peer = createPeers("b", received);
+  const peer = createPeers("b", { received });
   await peer.listen(HOST, port);
   const peers = createPeers("a");
   // Peers are chosen by the hash of their names: "b" is among the chosen six.
-  setListedEntries(peers, "b", port, others);
+  const names = Array.from({ length: others }, (_, at) => `other-${at}`);
+  setListedEntries(peers, "b", port, names);
   await expect.poll(() => received.length).toBeGreaterThan(0);
   return { peers, received };
 }
@@ -146,3 +155,136 @@
   expect(few.received.length).toBeGreaterThanOrEqual(PLACEMENTS);
   expect(many.received.length).toBeLessThan(PLACEMENTS);
 });
+
+/** Passes connections on to `target`; `silence` makes all of them silent. */
+async function startProxy(target: number) {
+  const sockets: Socket[] = [];
+  let count = 0;
+  const server = createServer((incoming) => {
+    count++;
+    const outgoing = connect(target, HOST);
+    incoming.pipe(outgoing).pipe(incoming);
+    for (const socket of [incoming, outgoing]) {
+      socket.on("error", () => undefined);
+      sockets.push(socket);
+    }
+  });
+  const port = await reservePort();
+  await new Promise<void>((resolve) => server.listen(port, HOST, resolve));
+  cleanups.push(() => server.close());
+  const silence = () => {
+    for (const socket of sockets.splice(0)) socket.unpipe().pause();
+  };
+  return { port, silence, connectionCount: () => count };
+}
+
+test("a link that goes silent for good is closed on both sides and opened again within 3 s", async () => {
+  const received: string[] = [];
+  const logged: LogEvent[] = [];
+  const peerPort = await reservePort();
+  await createPeers("b", { received, logged }).listen(HOST, peerPort);
+  const proxy = await startProxy(peerPort);
+  setListedEntries(createPeers("a", { logged }), "b", proxy.port);
+  await expect.poll(() => received.length).toBeGreaterThan(0);
+  proxy.silence();
+  received.length = 0;
+  await expect.poll(() => received.length, { timeout: 3_000 })
+    .toBeGreaterThan(0);
+  await expect.poll(() =>
+    logged.filter((event) => event === LOG_EVENTS.peerSilent).length
+  ).toBe(2);
+});
+
+/** Links "a" and "b" so that each dials the other. */
+async function linkBothWays(): Promise<string[]> {
+  const received: string[] = [];
+  const lost: string[] = [];
+  const ports = [await reservePort(), await reservePort()] as const;
+  const peers = [
+    createPeers("a", { received, lost }),
+    createPeers("b", { received, lost }),
+  ] as const;
+  await peers[0].listen(HOST, ports[0]);
+  await peers[1].listen(HOST, ports[1]);
+  setListedEntries(peers[0], "b", ports[1]);
+  setListedEntries(peers[1], "a", ports[0]);
+  await expect.poll(() => new Set(received).size).toBe(2);
+  return lost;
+}
+
+test("a link on which digests go one way only stays open", async () => {
+  const lost = await linkBothWays();
+  await sleep(OBSERVATION_MS);
+  expect(lost).toEqual([]);
+});
+
+test("a process that was suspended closes no link for it", async () => {
+  const lost = await linkBothWays();
+  const untilMs = performance.now() + OBSERVATION_MS;
+  while (performance.now() < untilMs);
+  await sleep(OBSERVATION_MS / 2);
+  expect(lost).toEqual([]);
+});
+
+test("an entry that accepts connections but never answers is dialled a few times", async () => {
+  const received: string[] = [];
+  const peerPort = await reservePort();
+  await createPeers("b", { received }).listen(HOST, peerPort);
+  const proxy = await startProxy(peerPort);
+  setListedEntries(createPeers("a"), "b", proxy.port);
+  await expect.poll(() => received.length).toBeGreaterThan(0);
+  const silenced = setInterval(proxy.silence, 1);
+  cleanups.push(() => clearInterval(silenced));
+  await sleep(2 * OBSERVATION_MS);
+  expect(proxy.connectionCount()).toBeLessThanOrEqual(4);
+  expect(proxy.connectionCount()).toBeGreaterThan(1);
+});
+
+test("entries that can't be reached are not dialled in place of those that can", async () => {
+  const names = Array.from({ length: 20 }, (_, at) => `entry-${at}`)
+    .toSorted((a, b) => hashParts(["a", a]) < hashParts(["a", b]) ? -1 : 1);
+  const name = names[8] ?? "";
+  const received: string[] = [];
+  const port = await reservePort();
+  await createPeers(name, { received }).listen(HOST, port);
+  setListedEntries(
+    createPeers("a", { received }),
+    name,
+    port,
+    names.filter((other) => other !== name),
+  );
+  await expect.poll(() => received, { timeout: 4_000 }).toContain("a");
+});
+
+test("a linked entry whose registration is gone stays linked until it ends", async () => {
+  const received: string[] = [];
+  const lost: string[] = [];
+  const port = await reservePort();
+  const peer = createPeers("b", { received });
+  await peer.listen(HOST, port);
+  const peers = createPeers("a", { lost });
+  setListedEntries(peers, "b", port);
+  await expect.poll(() => received.length).toBeGreaterThan(0);
+  peers.setInstances([]);
+  await sleep(DELIVERY_MS);
+  received.length = 0;
+  await expect.poll(() => received.length).toBeGreaterThan(0);
+  expect(lost).toEqual([]);
+  peer.close();
+  await expect.poll(() => lost).toEqual(["b"]);
+});
+
+test("an entry is gone once it was unreachable for long, unless most others are too", async () => {
+  const port = await reservePort();
+  const peer = createPeers("b");
+  await peer.listen(HOST, port);
+  const peers = createPeers("a");
+  setListedEntries(peers, "b", port, ["c"]);
+  await sleep(GONE_AFTER_MS / 2);
+  expect(peers.goneEntries()).toEqual([]);
+  await expect.poll(() => peers.goneEntries()).toEqual(["c"]);
+  peer.close();
+  await expect.poll(() => peers.goneEntries()).toEqual([]);
+  await sleep(2 * GONE_AFTER_MS);
+  expect(peers.goneEntries()).toEqual([]);
+});
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -4,6 +4,7 @@
  * continues while this entry can't reach the store.
  */
 
+import { randomUUID } from "node:crypto";
 import { type Instance, InstanceState } from "../connection/instance.ts";
 import type { PeerLink } from "../connection/peer_link.ts";
 import type { GossipDigest } from "../connection/peer_protocol.ts";
@@ -195,10 +196,17 @@
     return Membership.create({
       objects,
       self: { entry, address: `${host}:${peerPort}` },
+      incarnation: randomUUID(),
       log,
       random,
+      isAlone: () => this.#peers.isAlone,
+      goneEntries: () => this.#peers.goneEntries(),
       onMembers: (members) => {
-        this.#options.relay.setRegisteredEntryCount(members.length);
+        const names = new Set([
+          entry,
+          ...members.map((member) => member.entry),
+        ]);
+        this.#options.relay.setRegisteredEntryCount(names.size);
         this.#peers.setInstances(
           members.map(({ entry: name, address }): Instance => ({
             name,
