--- a/bench/emulator/crash_simulation.ts
+++ b/bench/emulator/crash_simulation.ts
@@ -5,13 +5,19 @@
  */
 
 import type { CrashCause, RequestId } from "../../src/ids.ts";
+import type { CrashAccountDigest } from "../../src/connection/peer_protocol.ts";
+import { CrashAccount } from "../../src/process/crash_account.ts";
 import {
-  CrashCauses,
   type RequestCauses,
-} from "../../src/process/crash_causes.ts";
+  RunStage,
+} from "../../src/process/crash_evidence.ts";
 
-/** Part that crashes each server which begins to run a request with it. */
-export const DEADLY_PART = "part deadly" as CrashCause;
+/** Parts that crash each server which begins to run a request with one. */
+export const DEADLY_PARTS = [
+  "part deadly",
+  "part deadly too",
+  "part deadly also",
+].map((part) => part as CrashCause);
 /** Part that harmless requests share with deadly ones. */
 export const SHARED_PART = "part shared" as CrashCause;
 /** Time after which entries must know of each other's crashes, in ms. */
@@ -24,19 +30,26 @@
 const PREFILL_MS = 600;
 const CRASH_MS = 60;
 const RUN_MS = 2_500;
-/** Time to the first event of a harmless run, in ms. */
-const EVENT_MS = 30;
-const PROOF_MS = 1_000;
+const PROOF_MS = 250;
 const ATTEMPTS_MAX = 5;
 const SERVERS = 12;
+const ZONES = 3;
 const TICK_MS = 10;
 
 /** A random sequence of events. */
 export interface CrashScenario {
   readonly entries: number;
   readonly seed: number;
-  /** Time between two requests with the deadly part, in ms. */
+  /** Time between two requests with a deadly part, in ms. */
   readonly deadlyGapMs: number;
+  /** Number of deadly parts, each in every so manieth of these requests. */
+  readonly deadlyParts: number;
+  /** Whether servers crash before the head of the response. */
+  readonly crashesBeforeHead: boolean;
+  /** Time from the head to the first event of a harmless run, in ms. */
+  readonly eventMs: number;
+  /** Delay of digests, in ms. */
+  readonly lateMs: number;
   readonly harmlessGapMs: number;
   /** Whether each request with the deadly part has the shared one as well. */
   readonly isAlwaysShared: boolean;
@@ -50,10 +63,16 @@
   readonly cuts: readonly (readonly [entry: number, atMs: number])[];
 }
 
+/** What concerns a deadly part. */
+interface DeadlyEvent {
+  readonly part: CrashCause;
+  readonly atMs: number;
+}
+
 interface Run {
   readonly causes: RequestCauses;
   readonly entry: number;
-  readonly isDeadly: boolean;
+  readonly deadlyPart: CrashCause | undefined;
   readonly attempt: number;
   readonly server: string;
   readonly startMs: number;
@@ -67,14 +86,21 @@
   #nowMs = 0;
   #state: number;
   #count = 0;
-  readonly #entries: CrashCauses[];
+  readonly #entries: CrashAccount[];
   readonly #runs = new Set<Run>();
   readonly #incarnations = new Array<number>(SERVERS).fill(0);
   /** Time from which each entry must know what the others know, in ms. */
   readonly #upToDateMs: number[];
-  readonly crashesMs: number[] = [];
-  /** Arrivals of the deadly part from entries that are up to date, in ms. */
-  readonly arrivalsMs: number[] = [];
+  /** Digests on their way. */
+  #digests: {
+    readonly arrivesMs: number;
+    readonly from: number;
+    readonly digest: CrashAccountDigest;
+  }[] = [];
+  #deadlySent = 0;
+  readonly #crashes: DeadlyEvent[] = [];
+  /** Arrivals of deadly parts from entries that are up to date. */
+  readonly #arrivals: DeadlyEvent[] = [];
   /** Refusals of new harmless requests by such entries, in ms. */
   readonly harmlessRefusalsMs: number[] = [];
   readonly harmlessStartsMs: number[] = [];
@@ -84,7 +110,7 @@
     this.#state = scenario.seed;
     this.#entries = Array.from(
       { length: scenario.entries },
-      () => this.#createEntry(),
+      (_, at) => this.#createEntry(at),
     );
     this.#upToDateMs = new Array<number>(scenario.entries).fill(0);
   }
@@ -95,12 +121,31 @@
     return simulation;
   }
 
+  /** When the last of the parts had crashed five servers, in ms. */
   get fifthCrashMs(): number {
-    return this.crashesMs[CRASHES_MIN - 1] ?? Infinity;
+    const parts = DEADLY_PARTS.slice(0, this.#scenario.deadlyParts);
+    return Math.max(...parts.map((part) => this.#fifthCrashMs(part)));
+  }
+
+  /** Returns the most requests with one part that came too late. */
+  get lateArrivals(): number {
+    const counts = DEADLY_PARTS.map((part) =>
+      this.#arrivals.filter((arrival) =>
+        arrival.part === part &&
+        arrival.atMs > this.#fifthCrashMs(part) + CONTACT_MS
+      ).length
+    );
+    return Math.max(...counts);
   }
 
-  #createEntry(): CrashCauses {
-    return CrashCauses.create({
+  #fifthCrashMs(part: CrashCause): number {
+    const crashes = this.#crashes.filter((crash) => crash.part === part);
+    return crashes[CRASHES_MIN - 1]?.atMs ?? Infinity;
+  }
+
+  #createEntry(at: number): CrashAccount {
+    return CrashAccount.create({
+      entry: `entry-${at}`,
       now: () => this.#nowMs,
       onBlocked: () => undefined,
       onCleared: () => undefined,
@@ -119,11 +164,12 @@
     const isDue = (gapMs: number) => this.#nowMs % gapMs < TICK_MS;
     this.#injectFaults();
     if (isDue(DIGEST_MS)) this.#exchangeDigests();
-    if (isDue(deadlyGapMs)) this.#send(true);
-    if (isDue(harmlessGapMs)) this.#send(false);
+    this.#deliverDigests();
+    if (isDue(deadlyGapMs)) this.#send(this.#nextDeadlyPart());
+    if (isDue(harmlessGapMs)) this.#send(undefined);
     for (const run of [...this.#runs]) this.#advance(run);
     if (zoneCrashesMs.some((atMs) => this.#isNow(atMs))) {
-      for (let at = 0; at < SERVERS; at += 3) this.#crash(at);
+      for (let at = 0; at < SERVERS; at += ZONES) this.#crash(at);
     }
   }
 
@@ -140,7 +186,7 @@
         other !== at && upToDateMs <= this.#nowMs
       );
       if (!isKnownElsewhere) continue;
-      this.#entries[at] = this.#createEntry();
+      this.#entries[at] = this.#createEntry(at);
       this.#upToDateMs[at] = Math.max(
         this.#upToDateMs[at] ?? 0,
         this.#nowMs + CONTACT_MS,
@@ -161,24 +207,40 @@
   }
 
   #exchangeDigests(): void {
-    const digests = this.#entries.map((entry) => entry.digest());
-    for (const [from, digest] of digests.entries()) {
+    const arrivesMs = this.#nowMs + this.#scenario.lateMs;
+    for (const [from, entry] of this.#entries.entries()) {
+      const digest = entry.digest();
+      if (digest === undefined || this.#isCut(from)) continue;
+      this.#digests.push({ arrivesMs, from, digest: structuredClone(digest) });
+    }
+  }
+
+  #deliverDigests(): void {
+    const isDue = ({ arrivesMs }: { readonly arrivesMs: number }) =>
+      arrivesMs <= this.#nowMs;
+    const due = this.#digests.filter(isDue);
+    this.#digests = this.#digests.filter((digest) => !isDue(digest));
+    for (const { from, digest } of due) {
       for (const [to, entry] of this.#entries.entries()) {
-        if (from === to || this.#isCut(from) || this.#isCut(to)) continue;
-        entry.merge(structuredClone(digest));
+        if (from !== to && !this.#isCut(to)) entry.merge(digest);
       }
     }
   }
 
-  #send(isDeadly: boolean): void {
+  #nextDeadlyPart(): CrashCause | undefined {
+    const { deadlyParts } = this.#scenario;
+    return DEADLY_PARTS[this.#deadlySent++ % deadlyParts];
+  }
+
+  #send(deadlyPart: CrashCause | undefined): void {
     const { isAlwaysShared, sharedFromMs, entries } = this.#scenario;
     const id = `${++this.#count}`;
-    const hasShared = isDeadly
+    const hasShared = deadlyPart !== undefined
       ? isAlwaysShared
       : this.#nowMs >= sharedFromMs && this.#random() < 0.7;
     const parts = [
       ...(hasShared ? [SHARED_PART] : [`part other ${id}` as CrashCause]),
-      ...(isDeadly ? [DEADLY_PART] : []),
+      ...(deadlyPart === undefined ? [] : [deadlyPart]),
     ];
     const causes = {
       id: id as RequestId,
@@ -186,28 +248,31 @@
       parts,
     };
     const entry = Math.floor(this.#random() * entries);
-    this.#start({ causes, entry, isDeadly, attempt: 1 });
+    this.#start({ causes, entry, deadlyPart, attempt: 1 });
   }
 
   #start(
-    request: Pick<Run, "causes" | "entry" | "isDeadly" | "attempt">,
+    request: Pick<Run, "causes" | "entry" | "deadlyPart" | "attempt">,
   ): void {
-    const { causes, entry, isDeadly, attempt } = request;
+    const { causes, entry, deadlyPart, attempt } = request;
+    const isHarmless = deadlyPart === undefined;
     const knowledge = this.#entries[entry];
     const isUpToDate = this.#nowMs >= (this.#upToDateMs[entry] ?? 0);
     if (knowledge?.blockedUntilMs(causes) !== undefined) {
-      const counts = !isDeadly && attempt === 1 && isUpToDate;
+      const counts = isHarmless && attempt === 1 && isUpToDate;
       if (counts) this.harmlessRefusalsMs.push(this.#nowMs);
       return;
     }
     knowledge?.recordAttempt(causes);
     const at = Math.floor(this.#random() * SERVERS);
-    if (!isDeadly && attempt === 1) this.harmlessStartsMs.push(this.#nowMs);
-    if (isDeadly && isUpToDate) this.arrivalsMs.push(this.#nowMs);
+    if (isHarmless && attempt === 1) this.harmlessStartsMs.push(this.#nowMs);
+    if (!isHarmless && isUpToDate) {
+      this.#arrivals.push({ part: deadlyPart, atMs: this.#nowMs });
+    }
     this.#runs.add({
       causes,
       entry,
-      isDeadly,
+      deadlyPart,
       attempt,
       server: `${at}`,
       startMs: this.#nowMs + PREFILL_MS * (0.5 + this.#random()),
@@ -217,41 +282,44 @@
   }
 
   #advance(run: Run): void {
+    const { eventMs, crashesBeforeHead } = this.#scenario;
     const ranMs = this.#nowMs - run.startMs;
     if (run.hasEnded || ranMs < 0) return;
-    if (run.isDeadly && ranMs >= CRASH_MS) this.#crash(Number(run.server));
-    if (run.isDeadly || run.hasEnded) return;
+    if (run.deadlyPart !== undefined) {
+      const isOver = crashesBeforeHead || ranMs >= CRASH_MS;
+      return isOver ? this.#crash(Number(run.server)) : undefined;
+    }
     const knowledge = this.#entries[run.entry];
-    if (ranMs >= PROOF_MS && !run.isProven) {
+    if (ranMs >= eventMs + PROOF_MS && !run.isProven) {
       run.isProven = true;
-      knowledge?.recordProof(run.causes.parts);
+      knowledge?.recordProof(run.causes.parts, run.startMs + eventMs);
     }
     if (ranMs < RUN_MS) return;
-    knowledge?.recordCompletion(run.causes);
+    knowledge?.recordCompletion(run.causes, run.startMs + eventMs);
     this.#end(run);
   }
 
   #end(run: Run): void {
     run.hasEnded = true;
     this.#runs.delete(run);
-    this.#entries[run.entry]?.recordEnd(run.causes);
+    this.#entries[run.entry]?.recordEnd(run.causes.id);
   }
 
   #crash(at: number): void {
     const incarnation = (this.#incarnations[at] ?? 0) + 1;
     this.#incarnations[at] = incarnation;
     const lost = [...this.#runs].filter(({ server }) => server === `${at}`);
-    if (lost.some(({ isDeadly }) => isDeadly)) this.crashesMs.push(this.#nowMs);
+    for (const { deadlyPart, startMs } of lost) {
+      if (deadlyPart === undefined || startMs > this.#nowMs) continue;
+      this.#crashes.push({ part: deadlyPart, atMs: this.#nowMs });
+    }
     for (const run of lost) {
       this.#end(run);
-      const ranMs = this.#nowMs - run.startMs;
-      const hasJustBegun = ranMs >= 0 && (run.isDeadly || ranMs < EVENT_MS);
-      const weight = hasJustBegun ? 1 : 0.5;
       this.#entries[run.entry]?.recordCrash(run.causes, {
         server: `${at} ${incarnation}`,
+        zone: `zone-${at % ZONES}`,
         atMs: this.#nowMs,
-        requestWeight: weight,
-        partWeight: run.isProven ? 0 : weight,
+        stage: this.#stageOf(run),
       });
       const attempt = run.attempt + 1;
       if (attempt > ATTEMPTS_MAX) continue;
@@ -259,4 +327,13 @@
       this.#start({ ...run, attempt });
     }
   }
+
+  #stageOf({ startMs, deadlyPart, isProven }: Run): RunStage {
+    const { eventMs, crashesBeforeHead } = this.#scenario;
+    const isDeadly = deadlyPart !== undefined;
+    const ranMs = this.#nowMs - startMs;
+    if (isProven) return RunStage.Proven;
+    if (ranMs < 0 || (isDeadly && crashesBeforeHead)) return RunStage.Waiting;
+    return isDeadly || ranMs < eventMs ? RunStage.Begun : RunStage.Producing;
+  }
 }
--- a/src/connection/parse_peer_message.ts
+++ b/src/connection/parse_peer_message.ts
@@ -1,11 +1,12 @@
 /** Parses messages from other entries. */
 
 import { SLOTS_MAX } from "../constants.ts";
+import { BLOCK_CRASHES_MAX } from "../process/crash_block.ts";
 import {
-  COMPANIONS_MAX,
-  CRASH_SERVERS_MAX,
-  CRASHES_MAX,
-} from "../process/crash_record.ts";
+  CRASH_RUNS_MAX,
+  RUN_CAUSES_MAX,
+  RunStage,
+} from "../process/crash_evidence.ts";
 import { isAddress } from "./address.ts";
 import {
   type PeerMessage,
@@ -16,6 +17,8 @@
 type Fields = Readonly<Record<string, unknown>>;
 type Check = (value: unknown) => boolean;
 
+/** Longest list of crashes, blocks, proofs or trials in a digest. */
+const CRASH_ITEMS_MAX = 64;
 /** Longest name of a cause or server in a crash report, in characters. */
 const CAUSE_MAX_CHARACTERS = 128;
 
@@ -57,19 +60,48 @@
 const isCause: Check = (value) =>
   typeof value === "string" && value.length <= CAUSE_MAX_CHARACTERS;
 const isAge: Check = (value) => Number.isFinite(value) && Number(value) >= 0;
-const isCount: Check = (value) =>
-  Number.isSafeInteger(value) && Number(value) >= 0;
-const isCrashServers = isListOf(isCause, CRASH_SERVERS_MAX);
-const isCrash: Check = (value) =>
-  Array.isArray(value) && isCrashServers(value[0]) && isAge(value[1]) &&
-  isAge(value[2]) && value[2] <= 1;
-const isCrashReport = hasFields({
-  cause: isCause,
-  crashes: isListOf(isCrash, CRASHES_MAX),
-  companions: isListOf(isCause, COMPANIONS_MAX),
-  failedProbes: isCount,
-  probeAgeMs: isNullOr(isAge),
-  provenAgeMs: isNullOr(isAge),
+const isStage: Check = (value) =>
+  Object.values<unknown>(RunStage).includes(value);
+const isCauses = isListOf(isCause, RUN_CAUSES_MAX);
+const isCrashAccount = hasFields({
+  crashes: isListOf(
+    hasFields({
+      server: isCause,
+      zone: isCause,
+      ageMs: isAge,
+      runs: isListOf(
+        hasFields({ request: isCause, stage: isStage, causes: isCauses }),
+        CRASH_RUNS_MAX,
+      ),
+    }),
+    CRASH_ITEMS_MAX,
+  ),
+  blocks: isListOf(
+    hasFields({
+      causes: isCauses,
+      crashes: isListOf(
+        hasFields({
+          server: isCause,
+          zone: isCause,
+          ageMs: isAge,
+          stage: isStage,
+          request: isCause,
+        }),
+        BLOCK_CRASHES_MAX,
+      ),
+    }),
+    CRASH_ITEMS_MAX,
+  ),
+  proofs: isListOf(isPairOf(isCause, isAge), CRASH_ITEMS_MAX),
+  trials: isListOf(
+    hasFields({
+      block: isCause,
+      entry: isCause,
+      claimAgeMs: isAge,
+      startAgeMs: isNullOr(isAge),
+    }),
+    CRASH_ITEMS_MAX,
+  ),
 });
 const isRelayDigest = hasFields({
   configuration: isNumber,
@@ -79,7 +111,7 @@
   listed: isNumber,
   readers: isListOf(isReader),
   dead: isListOf(isText),
-  crashes: isOptional(isListOf(isCrashReport)),
+  crashAccount: isOptional(isCrashAccount),
 });
 const isServer = hasFields({
   kind: isText,
--- a/src/connection/parse_peer_message_test.ts
+++ b/src/connection/parse_peer_message_test.ts
@@ -28,14 +28,31 @@
     readers: [{ entry: "entry-3", ageMs: 20 }],
     dead: ["i-2"],
     leaving: [{ name: "i-3", address: "10.0.0.8:8080", startedMs: 17 }],
-    crashes: [{
-      cause: "part s 5a",
-      crashes: [[["a1", "b2"], 120, 1], [["c3"], 40, 0.5]],
-      companions: ["part s 6b"],
-      failedProbes: 0,
-      probeAgeMs: null,
-      provenAgeMs: 500,
-    }],
+    crashAccount: {
+      crashes: [{
+        server: "a1",
+        zone: "zone-a",
+        ageMs: 120,
+        runs: [{ request: "r", stage: "begun", causes: ["part s 5a"] }],
+      }],
+      blocks: [{
+        causes: ["part s 5a", "part s 6b"],
+        crashes: [
+          {
+            server: "b2",
+            zone: "z",
+            ageMs: 40,
+            stage: "waiting",
+            request: "q",
+          },
+        ],
+      }],
+      proofs: [["part s 5a", 500]],
+      trials: [
+        { block: "17f", entry: "e", claimAgeMs: 900, startAgeMs: null },
+        { block: "18a", entry: "e", claimAgeMs: 900, startAgeMs: 20 },
+      ],
+    },
   },
 };
 
--- a/src/connection/peer_protocol.ts
+++ b/src/connection/peer_protocol.ts
@@ -8,6 +8,8 @@
   Fingerprint,
   ObjectRevision,
 } from "../ids.ts";
+import type { BlockCrash } from "../process/crash_block.ts";
+import type { ServerCrash } from "../process/crash_evidence.ts";
 import type { ServerIncarnation } from "../process/leaving_servers.ts";
 import type {
   RegisteredServer,
@@ -36,26 +38,38 @@
   readonly servers?: readonly (readonly [server: string, blame: number])[];
 }
 
-/** What an entry knows of crashes with one possible cause. */
-export interface CrashReport {
-  readonly cause: CrashCause;
-  /**
-   * Crashes as servers, age in ms and weight; none when only the time of a
-   * successful run is sent.
-   */
-  readonly crashes: readonly (readonly [
-    servers: readonly string[],
-    ageMs: number,
-    weight: number,
-  ])[];
-  /** Other possible causes that each of the requests had. */
-  readonly companions: readonly CrashCause[];
-  /** See `CrashRecord`. */
-  readonly failedProbes: number;
-  /** Time since a request was let through after a block, in ms, if any. */
-  readonly probeAgeMs: number | null;
-  /** Time since the last successful run, in ms, if there was one. */
-  readonly provenAgeMs: number | null;
+/** A crash of a server, as far as an entry knows. */
+export interface CrashReport extends Omit<ServerCrash, "atMs"> {
+  /** Time since the crash, in ms. */
+  readonly ageMs: number;
+}
+
+/** Causes whose requests an entry refuses, and the crashes that it follows from. */
+export interface CrashBlockReport {
+  readonly causes: readonly CrashCause[];
+  readonly crashes: readonly (Omit<BlockCrash, "atMs"> & {
+    /** Time since the crash, in ms. */
+    readonly ageMs: number;
+  })[];
+}
+
+/** A trial of a request with a blocked cause; see `CrashTrial`. */
+export interface CrashTrialReport {
+  readonly block: string;
+  readonly entry: string;
+  /** Time since it was claimed, in ms. */
+  readonly claimAgeMs: number;
+  /** Time since the request was sent, in ms, if it was. */
+  readonly startAgeMs: number | null;
+}
+
+/** What an entry has learned of crashes lately, and some of what it refuses. */
+export interface CrashAccountDigest {
+  readonly crashes: readonly CrashReport[];
+  readonly blocks: readonly CrashBlockReport[];
+  /** Causes with the time since a run with them began and crashed nothing. */
+  readonly proofs: readonly (readonly [CrashCause, ageMs: number])[];
+  readonly trials: readonly CrashTrialReport[];
 }
 
 /** One change to the list of servers, for entries that can't read the store. */
@@ -85,8 +99,8 @@
   readonly dead: readonly string[];
   /** Servers that recently announced leaving; see `parseLeavingServers`. */
   readonly leaving?: readonly ServerIncarnation[];
-  /** Possible causes of crashes; absent in digests of earlier versions. */
-  readonly crashes?: readonly CrashReport[];
+  /** Absent if no crash is known, and in digests of earlier versions. */
+  readonly crashAccount?: CrashAccountDigest;
 }
 
 /** Soft state of an entry, sent at a bounded rate. */
--- /dev/null
+++ b/src/process/crash_account.ts
@@ -0,0 +1,379 @@
+/**
+ * The account of what crashes backend servers: evidence from all entries, the
+ * requests that are refused because of it, and trials that lift a refusal.
+ * Refusals are derived, so that later evidence corrects them.
+ */
+
+import type { CrashAccountDigest } from "../connection/peer_protocol.ts";
+import type { CrashCause, RequestId } from "../ids.ts";
+import {
+  type CrashBlock,
+  crashesOf,
+  createBlock,
+  requestCount,
+} from "./crash_block.ts";
+import { createCrashDigest, readCrashDigest } from "./crash_digest.ts";
+import {
+  createRun,
+  mergeCrash,
+  type RequestCauses,
+  RUN_CAUSES_MAX,
+  RunStage,
+  type ServerCrash,
+  SETTLE_MS,
+  stageOf,
+} from "./crash_evidence.ts";
+import { explainCrashes } from "./crash_explanation.ts";
+import { CrashTrials } from "./crash_trials.ts";
+import { Rotation } from "./rotation.ts";
+
+/** A crash of a server that ran a request. */
+export interface RequestCrash {
+  /** Identifies one start of a server. */
+  readonly server: string;
+  readonly zone: string;
+  /** When the crash was seen, on the monotonic clock in ms. */
+  readonly atMs: number;
+  readonly stage: RunStage;
+}
+
+/** A block with what it was decided on, for the log. */
+export interface DecidedBlock extends CrashBlock {
+  /** Number of requests that ran on the servers. */
+  readonly requests: number;
+}
+
+/** Dependencies of the account. */
+export interface CrashAccountOptions {
+  /** Name of this entry. */
+  readonly entry: string;
+  /** Monotonic clock, in ms. */
+  readonly now: () => number;
+  /** Called when requests with a set of causes are refused from now on. */
+  readonly onBlocked: (block: DecidedBlock) => void;
+  /** Called when a cause is no longer among those refused. */
+  readonly onCleared: (cause: CrashCause) => void;
+}
+
+/** Crashes kept in memory; the oldest that block nothing are dropped first. */
+const CRASHES_MAX = 128;
+/** Causes whose last sound run is kept in memory. */
+const PROOFS_MAX = 2_000;
+/** Causes whose last crash is kept in memory. */
+const SUSPECTED_MAX = 4_000;
+/** How long crashes are remembered, in ms. */
+const RETENTION_MS = 600_000;
+/** How long a block is remembered, as a multiple of its duration. */
+const BLOCK_RETENTION_FACTOR = 2;
+/** How long a change is sent to peers in each digest, in ms. */
+const FRESH_MS = 1_000;
+/** Changed crashes per digest; the most telling and latest come first. */
+const DIGEST_CRASHES_MAX = 4;
+/** Blocks per digest, in turn, for entries that missed them. */
+const DIGEST_BLOCKS_MAX = 1;
+/** Sound runs per digest. */
+const DIGEST_PROOFS_MAX = 16;
+/** Difference of times that transmission explains, in ms. */
+const TRANSMISSION_MS = 200;
+
+/** What one entry knows of crashes. */
+export class CrashAccount {
+  readonly #options: CrashAccountOptions;
+  readonly #trials: CrashTrials;
+  /** By server. */
+  readonly #crashes = new Map<string, ServerCrash>();
+  /** When a run with each cause last began that crashed no server, in ms. */
+  readonly #proofs = new Map<CrashCause, number>();
+  /** When each crash last changed, by server, in ms. */
+  readonly #changedMs = new Map<string, number>();
+  /** When each proof last became news to peers, in ms. */
+  readonly #provenNewsMs = new Map<CrashCause, number>();
+  /** Last crash of each suspected cause, in ms. */
+  readonly #lastCrashMs = new Map<CrashCause, number>();
+  #blocks: readonly DecidedBlock[] = [];
+  /** Until when the blocks follow from the evidence, in ms. */
+  #validUntilMs = Infinity;
+  #reported: readonly CrashBlock[] = [];
+  readonly #repeated = Rotation.create<string>();
+
+  private constructor(options: CrashAccountOptions) {
+    this.#options = options;
+    this.#trials = CrashTrials.create(options);
+  }
+
+  /** Creates an account without crashes. */
+  static create(options: CrashAccountOptions): CrashAccount {
+    return new CrashAccount(options);
+  }
+
+  /**
+   * Returns until when a request is refused, on the monotonic clock in ms;
+   * `undefined` if it may run.
+   */
+  blockedUntilMs(causes: RequestCauses): number | undefined {
+    const endsMs = this.#blocksOf(causes)
+      .map((block) => this.#trials.refusedUntilMs(block, causes.id))
+      .filter((endMs) => endMs !== undefined);
+    return endsMs.length === 0 ? undefined : Math.max(...endsMs);
+  }
+
+  /** Records that a request is sent to a server. */
+  recordAttempt(causes: RequestCauses): void {
+    for (const block of this.#blocksOf(causes)) {
+      this.#trials.recordStart(block, causes.id);
+    }
+  }
+
+  /** Records that an attempt has ended; as a trial it makes no other. */
+  recordEnd(id: RequestId): void {
+    this.#trials.recordEnd(id);
+  }
+
+  /** Records the crash of a server that ran a request. */
+  recordCrash(causes: RequestCauses, crash: RequestCrash): void {
+    const { stage, ...server } = crash;
+    this.recordEnd(causes.id);
+    this.#addCrash({ ...server, runs: [createRun(causes, stage)] });
+  }
+
+  /** Records that a request was answered well by a run that began at `begunMs`. */
+  recordCompletion(
+    { request, parts }: RequestCauses,
+    begunMs = this.#options.now(),
+  ): void {
+    this.recordProof([request, ...parts], begunMs);
+  }
+
+  /** Records that a run with `causes` that began at `begunMs` crashed nothing. */
+  recordProof(
+    causes: readonly CrashCause[],
+    begunMs = this.#options.now(),
+  ): void {
+    for (const cause of causes) this.#addProof(cause, begunMs);
+    dropOldest(this.#proofs, PROOFS_MAX);
+  }
+
+  /** Takes in a block that was decided elsewhere, with its evidence. */
+  adopt(block: Pick<CrashBlock, "causes" | "crashes">): void {
+    for (const crash of crashesOf(block)) this.#addCrash(crash);
+  }
+
+  /** Merges what a peer knows. */
+  merge(digest: CrashAccountDigest): void {
+    const nowMs = this.#options.now();
+    const { crashes, blocks, proofs, trials } = readCrashDigest(digest, nowMs);
+    for (const [cause, begunMs] of proofs) {
+      this.#addProof(cause, begunMs - TRANSMISSION_MS);
+    }
+    for (const crash of [...crashes, ...blocks.flatMap(crashesOf)]) {
+      if (nowMs - crash.atMs > RETENTION_MS && !isPartOf(blocks, crash)) {
+        continue;
+      }
+      this.#addCrash(crash);
+      this.#repeatProofs(crash);
+    }
+    this.#trials.merge(trials);
+    dropOldest(this.#proofs, PROOFS_MAX);
+  }
+
+  /**
+   * Returns the digest for peers: the latest changes, and the blocks in turn.
+   * The limits keep it small while many servers crash. `undefined` if nothing is
+   * known. Called in short intervals, it also reports changes of the blocks.
+   */
+  digest(): CrashAccountDigest | undefined {
+    if (this.#crashes.size === 0 && this.#reported.length === 0) {
+      return undefined;
+    }
+    this.#dropExpired();
+    this.#reportChanges();
+    const nowMs = this.#options.now();
+    const crashes = [...this.#changedMs.keys()]
+      .map((server) => this.#crashes.get(server))
+      .filter((crash) => crash !== undefined)
+      .toSorted(compareByNews)
+      .slice(0, DIGEST_CRASHES_MAX);
+    const settled = this.#blocks.filter(({ sinceMs, causes }) =>
+      nowMs >= sinceMs + SETTLE_MS && causes.length <= RUN_CAUSES_MAX
+    );
+    const keys = this.#repeated.next(
+      settled.map(({ key }) => key),
+      DIGEST_BLOCKS_MAX,
+    );
+    return createCrashDigest({
+      crashes,
+      blocks: settled.filter(({ key }) => keys.includes(key)),
+      proofs: this.#proofsFor(crashes),
+      trials: this.#trials.current(),
+    }, nowMs);
+  }
+
+  /** Number of crashes that are remembered. */
+  get size(): number {
+    return this.#crashes.size;
+  }
+
+  /** Returns the crashes that are remembered. */
+  crashes(): readonly ServerCrash[] {
+    return [...this.#crashes.values()];
+  }
+
+  /** Returns the sets of causes whose requests are refused now. */
+  blocks(): readonly CrashBlock[] {
+    this.#derive();
+    return this.#blocks;
+  }
+
+  #blocksOf({ request, parts }: RequestCauses): readonly CrashBlock[] {
+    return this.blocks().filter(({ causes }) =>
+      causes.every((cause) => cause === request || parts.includes(cause))
+    );
+  }
+
+  #addCrash(crash: ServerCrash): void {
+    const known = this.#crashes.get(crash.server);
+    const merged = mergeCrash(known, crash);
+    if (merged === known) return;
+    this.#crashes.set(crash.server, merged);
+    const isNews = known === undefined ||
+      merged.runs.length !== known.runs.length ||
+      known.atMs - merged.atMs > TRANSMISSION_MS;
+    if (isNews) this.#changedMs.set(crash.server, this.#options.now());
+    for (const cause of merged.runs.flatMap(({ causes }) => causes)) {
+      const lastMs = this.#lastCrashMs.get(cause) ?? -Infinity;
+      this.#lastCrashMs.delete(cause);
+      this.#lastCrashMs.set(cause, Math.max(lastMs, merged.atMs));
+    }
+    dropOldest(this.#lastCrashMs, SUSPECTED_MAX);
+    this.#validUntilMs = -Infinity;
+    if (this.#crashes.size > CRASHES_MAX) this.#dropLeastImportant();
+  }
+
+  #addProof(cause: CrashCause, begunMs: number): void {
+    const previousMs = this.#proofs.get(cause) ?? -Infinity;
+    if (begunMs <= previousMs) return;
+    this.#proofs.delete(cause);
+    this.#proofs.set(cause, begunMs);
+    const lastCrashMs = this.#lastCrashMs.get(cause);
+    if (lastCrashMs === undefined || lastCrashMs <= previousMs) return;
+    this.#provenNewsMs.set(cause, this.#options.now());
+    this.#validUntilMs = -Infinity;
+  }
+
+  /** Has proofs sent again that the sender of a crash lacks. */
+  #repeatProofs({ atMs, runs }: ServerCrash): void {
+    for (const cause of runs.flatMap(({ causes }) => causes)) {
+      if ((this.#proofs.get(cause) ?? -Infinity) <= atMs) continue;
+      if (!this.#provenNewsMs.has(cause)) {
+        this.#provenNewsMs.set(cause, this.#options.now());
+      }
+    }
+  }
+
+  /** Returns the proofs that are news, and those that refute `crashes`. */
+  #proofsFor(
+    crashes: readonly ServerCrash[],
+  ): readonly (readonly [CrashCause, number])[] {
+    const refuted = crashes.flatMap(({ atMs, runs }) =>
+      runs.flatMap(({ causes }) => causes)
+        .filter((cause) => (this.#proofs.get(cause) ?? -Infinity) > atMs)
+    );
+    return [...new Set([...this.#provenNewsMs.keys(), ...refuted])]
+      .slice(0, DIGEST_PROOFS_MAX)
+      .map((cause) => [cause, this.#proofs.get(cause) ?? -Infinity] as const)
+      .filter(([, begunMs]) => begunMs !== -Infinity);
+  }
+
+  /** Derives the blocks again if the evidence has changed or settled. */
+  #derive(): void {
+    const nowMs = this.#options.now();
+    if (nowMs < this.#validUntilMs) return;
+    const crashes = [...this.#crashes.values()];
+    const proofs = this.#proofs;
+    this.#blocks = explainCrashes({ crashes, proofs, nowMs })
+      .map((explanation) => ({
+        ...createBlock(explanation),
+        requests: requestCount(explanation),
+      }));
+    const settling = crashes.map((crash) => crash.atMs + SETTLE_MS)
+      .filter((settledMs) => settledMs > nowMs);
+    this.#validUntilMs = Math.min(Infinity, ...settling);
+  }
+
+  #reportChanges(): void {
+    this.#derive();
+    const previous = this.#reported;
+    if (previous === this.#blocks) return;
+    this.#reported = this.#blocks;
+    const keys = new Set(previous.map(({ key }) => key));
+    for (const block of this.#blocks) {
+      if (!keys.has(block.key)) this.#options.onBlocked(block);
+    }
+    const blocked = new Set(this.#blocks.flatMap(({ causes }) => causes));
+    const cleared = new Set(previous.flatMap(({ causes }) => causes));
+    for (const cause of cleared) {
+      if (!blocked.has(cause)) this.#options.onCleared(cause);
+    }
+  }
+
+  /** Drops the oldest crash that blocks nothing, or else the oldest. */
+  #dropLeastImportant(): void {
+    const servers = [...this.#crashes.keys()];
+    const dropped = servers.find((server) => !this.#isEvidence(server)) ??
+      servers[0];
+    if (dropped !== undefined) this.#drop(dropped);
+  }
+
+  #dropExpired(): void {
+    const nowMs = this.#options.now();
+    for (const { server, atMs } of this.#crashes.values()) {
+      if (nowMs - atMs <= RETENTION_MS) continue;
+      const isKept = this.#blocks.some(({ untilMs, sinceMs, crashes }) =>
+        nowMs - untilMs <= (untilMs - sinceMs) * (BLOCK_RETENTION_FACTOR - 1) &&
+        crashes.some((crash) => crash.server === server)
+      );
+      if (!isKept) this.#drop(server);
+    }
+    for (const [server, changedMs] of this.#changedMs) {
+      if (nowMs - changedMs > FRESH_MS) this.#changedMs.delete(server);
+    }
+    for (const [cause, newsMs] of this.#provenNewsMs) {
+      if (nowMs - newsMs > FRESH_MS) this.#provenNewsMs.delete(cause);
+    }
+  }
+
+  #isEvidence(server: string): boolean {
+    return this.#blocks.some(({ crashes }) =>
+      crashes.some((crash) => crash.server === server)
+    );
+  }
+
+  #drop(server: string): void {
+    this.#crashes.delete(server);
+    this.#changedMs.delete(server);
+    this.#validUntilMs = -Infinity;
+  }
+}
+
+function isPartOf(
+  blocks: readonly Pick<CrashBlock, "crashes">[],
+  { server }: ServerCrash,
+): boolean {
+  return blocks.some(({ crashes }) =>
+    crashes.some((crash) => crash.server === server)
+  );
+}
+
+/** Crashes at which a run had just begun come first, then the latest. */
+function compareByNews(a: ServerCrash, b: ServerCrash): number {
+  const isBegun = (crash: ServerCrash) =>
+    Number(stageOf(crash) === RunStage.Begun);
+  return isBegun(b) - isBegun(a) || b.atMs - a.atMs;
+}
+
+function dropOldest<Key, Value>(map: Map<Key, Value>, size: number): void {
+  for (const key of map.keys()) {
+    if (map.size <= size) return;
+    map.delete(key);
+  }
+}
--- a/src/process/crash_causes_test.ts
+++ b/src/process/crash_account_test.ts
@@ -10,39 +10,59 @@
   CONTACT_MS,
   type CrashScenario,
   CrashSimulation,
-  DEADLY_PART,
+  DEADLY_PARTS,
   DIGEST_MS,
   SIMULATION_MS,
 } from "../../bench/emulator/crash_simulation.ts";
-import { CrashCauses, type RequestCauses } from "./crash_causes.ts";
-import { COMPANIONS_MAX, CRASHES_MAX } from "./crash_record.ts";
+import { CrashAccount } from "./crash_account.ts";
+import { BLOCK_CRASHES_MAX } from "./crash_block.ts";
+import {
+  CRASH_RUNS_MAX,
+  type RequestCauses,
+  RUN_CAUSES_MAX,
+  RunStage,
+} from "./crash_evidence.ts";
 
 /** Requests that may arrive later than `CONTACT_MS` after the fifth crash. */
 const LATE_ARRIVALS_MAX = 3;
 
 const momentMs = fc.integer({ min: 0, max: SIMULATION_MS });
 const entryEvents = fc.array(fc.tuple(fc.nat(5), momentMs), { maxLength: 4 });
-const scenarios: fc.Arbitrary<CrashScenario> = fc.record({
+const entriesAndFaults = {
   entries: fc.integer({ min: 1, max: 6 }),
   seed: fc.nat(1_000_000),
   deadlyGapMs: fc.integer({ min: 20, max: 2_000 }),
   harmlessGapMs: fc.integer({ min: 30, max: 200 }),
   isAlwaysShared: fc.boolean(),
-  sharedFromMs: fc.constantFrom(0, 15_000),
+  lateMs: fc.constantFrom(0, 100, 250),
   zoneCrashesMs: fc.array(momentMs, { maxLength: 6 }),
   restarts: entryEvents,
   cuts: entryEvents,
-});
+};
+const scenarios: fc.Arbitrary<CrashScenario> = fc.oneof(
+  fc.record({
+    ...entriesAndFaults,
+    deadlyParts: fc.constant(1),
+    crashesBeforeHead: fc.boolean(),
+    eventMs: fc.constant(30),
+    sharedFromMs: fc.constantFrom(0, 15_000),
+  }),
+  fc.record({
+    ...entriesAndFaults,
+    deadlyParts: fc.integer({ min: 1, max: 3 }),
+    crashesBeforeHead: fc.constant(false),
+    eventMs: fc.constantFrom(30, 300),
+    // Before any sound run, nothing tells a shared part from several deadly ones.
+    sharedFromMs: fc.constant(0),
+  }),
+);
 
 test("requests with a part that crashes servers stop reaching them, and harmless ones that share the rest are served", () => {
   fc.assert(
     fc.property(scenarios, (scenario) => {
       const simulation = CrashSimulation.run(scenario);
-      const { fifthCrashMs, arrivalsMs, harmlessRefusalsMs } = simulation;
-      const late = arrivalsMs.filter((atMs) =>
-        atMs > fifthCrashMs + CONTACT_MS
-      );
-      expect(late.length).toBeLessThanOrEqual(LATE_ARRIVALS_MAX);
+      const { fifthCrashMs, lateArrivals, harmlessRefusalsMs } = simulation;
+      expect(lateArrivals).toBeLessThanOrEqual(LATE_ARRIVALS_MAX);
       const isLate = (atMs: number) => atMs > fifthCrashMs + 2 * CONTACT_MS;
       const refused = harmlessRefusalsMs.filter(isLate).length;
       const served = simulation.harmlessStartsMs.filter(isLate).length;
@@ -65,8 +85,11 @@
   );
 });
 
-function createCauses(clock: { ms: number }): CrashCauses {
-  return CrashCauses.create({
+const [DEADLY_PART = "" as CrashCause] = DEADLY_PARTS;
+
+function createAccount(clock: { ms: number }, entry = "entry-1"): CrashAccount {
+  return CrashAccount.create({
+    entry,
     now: () => clock.ms,
     onBlocked: () => undefined,
     onCleared: () => undefined,
@@ -81,9 +104,31 @@
   };
 }
 
+test("a part that all requests share is not refused with the one that crashes servers, before any has run", () => {
+  const clock = { ms: 0 };
+  const account = createAccount(clock);
+  const shared = "part shared" as CrashCause;
+  for (let at = 0; at < 7; at++) {
+    clock.ms += 260;
+    const crash = { server: `${at}`, zone: "a", atMs: clock.ms };
+    const victim = createRequest(`victim ${at}`, [shared]);
+    account.recordCrash(victim, { ...crash, stage: RunStage.Waiting });
+    // The entry that sent the last one has not told of it.
+    if (at === 6) continue;
+    const deadly = createRequest(`deadly ${at}`, [shared, DEADLY_PART]);
+    account.recordCrash(deadly, { ...crash, stage: RunStage.Begun });
+  }
+  clock.ms += 1_000;
+  const [harmless, deadly] = [[shared], [shared, DEADLY_PART]].map((parts) =>
+    account.blockedUntilMs(createRequest("later", parts))
+  );
+  expect(harmless).toBeUndefined();
+  expect(deadly).toBeGreaterThan(clock.ms);
+});
+
 /** Records crashes by requests with the deadly part, a second apart. */
 function crashServers(
-  causes: CrashCauses,
+  causes: CrashAccount,
   clock: { ms: number },
   count: number,
 ) {
@@ -92,15 +137,15 @@
     causes.recordCrash(createRequest(`${clock.ms}`, [DEADLY_PART]), {
       server: `${clock.ms}`,
       atMs: clock.ms,
-      requestWeight: 1,
-      partWeight: 1,
+      zone: "a",
+      stage: RunStage.Begun,
     });
   }
 }
 
 test("a part that no longer crashes servers is served again once a request with it succeeded", () => {
   const clock = { ms: 0 };
-  const causes = createCauses(clock);
+  const causes = createAccount(clock);
   const [probe, other] = ["probe", "other"].map((id) =>
     createRequest(id, [DEADLY_PART])
   ) as [RequestCauses, RequestCauses];
@@ -113,12 +158,12 @@
   expect(causes.blockedUntilMs(other)).toBe(clock.ms + 30_000);
   causes.recordProof(probe.parts);
   expect(causes.blockedUntilMs(other)).toBeUndefined();
-  expect(causes.blocked()).toEqual([]);
+  expect(causes.blocks()).toEqual([]);
 });
 
 test("a part that still crashes servers after a block is blocked ten times as long", () => {
   const clock = { ms: 0 };
-  const causes = createCauses(clock);
+  const causes = createAccount(clock);
   crashServers(causes, clock, 3);
   for (const blockMs of [60_000, 600_000, 6_000_000]) {
     const probe = createRequest(`after ${blockMs}`, [DEADLY_PART]);
@@ -131,7 +176,7 @@
 
 test("memory and digests stay bounded while many servers crash", () => {
   const clock = { ms: 0 };
-  const causes = createCauses(clock);
+  const causes = createAccount(clock);
   for (let crash = 0; crash < 6_000; crash++) {
     clock.ms += 1;
     const parts = Array.from(
@@ -141,23 +186,28 @@
     causes.recordCrash(createRequest(`${crash}`, parts), {
       server: `${crash}`,
       atMs: clock.ms,
-      requestWeight: 1,
-      partWeight: 1,
+      zone: "a",
+      stage: RunStage.Begun,
     });
     causes.recordProof([`part harmless ${crash}` as CrashCause]);
   }
   expect(causes.size).toBeLessThanOrEqual(1_000);
-  const digest = causes.digest();
-  expect(digest.length).toBeLessThanOrEqual(6);
-  for (const { crashes, companions } of digest) {
-    expect(crashes.length).toBeLessThanOrEqual(CRASHES_MAX);
-    expect(companions.length).toBeLessThanOrEqual(COMPANIONS_MAX);
+  const { crashes = [], blocks = [] } = causes.digest() ?? {};
+  expect(crashes.length + blocks.length).toBeLessThanOrEqual(6);
+  for (const { runs } of crashes) {
+    expect(runs.length).toBeLessThanOrEqual(CRASH_RUNS_MAX);
+    for (const { causes } of runs) {
+      expect(causes.length).toBeLessThanOrEqual(RUN_CAUSES_MAX);
+    }
+  }
+  for (const { crashes } of blocks) {
+    expect(crashes.length).toBeLessThanOrEqual(BLOCK_CRASHES_MAX);
   }
 });
 
 test("an entry that starts learns every blocked cause from digests", () => {
   const clock = { ms: 0 };
-  const causes = createCauses(clock);
+  const causes = createAccount(clock);
   const parts = Array.from({ length: 20 }, (_, at) => `part ${at}`);
   for (const part of parts) {
     for (let crash = 0; crash < 3; crash++) {
@@ -167,17 +217,18 @@
         {
           server: `${part} ${crash}`,
           atMs: clock.ms,
-          requestWeight: 1,
-          partWeight: 1,
+          zone: "a",
+          stage: RunStage.Begun,
         },
       );
     }
   }
-  const started = createCauses(clock);
+  const started = createAccount(clock);
   for (let waitedMs = 0; waitedMs < CONTACT_MS; waitedMs += DIGEST_MS) {
     clock.ms += DIGEST_MS;
-    started.merge(causes.digest());
+    const digest = causes.digest();
+    if (digest !== undefined) started.merge(digest);
   }
-  expect(started.blocked().map(({ cause }) => cause).toSorted())
+  expect(started.blocks().flatMap(({ causes }) => causes).toSorted())
     .toEqual(parts.toSorted());
 });
--- /dev/null
+++ b/src/process/crash_digest.ts
@@ -0,0 +1,78 @@
+/**
+ * The account of crashes as digests carry it. Times are sent as ages, since the
+ * clocks of entries differ.
+ */
+
+import type { CrashAccountDigest } from "../connection/peer_protocol.ts";
+import type { CrashCause } from "../ids.ts";
+import type { CrashBlock } from "./crash_block.ts";
+import type { ServerCrash } from "./crash_evidence.ts";
+import type { CrashTrial } from "./crash_trials.ts";
+
+/** The parts of a digest; times on this entry's monotonic clock, in ms. */
+export interface CrashNews {
+  readonly crashes: readonly ServerCrash[];
+  readonly blocks: readonly Pick<CrashBlock, "causes" | "crashes">[];
+  /** When a run with each cause began that crashed no server. */
+  readonly proofs: readonly (readonly [CrashCause, number])[];
+  readonly trials: readonly CrashTrial[];
+}
+
+/** Returns the digest of news. */
+export function createCrashDigest(
+  { crashes, blocks, proofs, trials }: CrashNews,
+  nowMs: number,
+): CrashAccountDigest {
+  const ageOf = (ms: number) => Math.max(0, Math.round(nowMs - ms));
+  return {
+    crashes: crashes.map(({ server, zone, atMs, runs }) => ({
+      server,
+      zone,
+      ageMs: ageOf(atMs),
+      runs,
+    })),
+    blocks: blocks.map(({ causes, crashes }) => ({
+      causes,
+      crashes: crashes.map(({ atMs, ...crash }) => ({
+        ...crash,
+        ageMs: ageOf(atMs),
+      })),
+    })),
+    proofs: proofs.map(([cause, begunMs]) => [cause, ageOf(begunMs)] as const),
+    trials: trials.map(({ block, entry, claimedMs, startedMs }) => ({
+      block,
+      entry,
+      claimAgeMs: ageOf(claimedMs),
+      startAgeMs: startedMs === undefined ? null : ageOf(startedMs),
+    })),
+  };
+}
+
+/** Returns the news of a peer's digest. */
+export function readCrashDigest(
+  { crashes, blocks, proofs, trials }: CrashAccountDigest,
+  nowMs: number,
+): CrashNews {
+  return {
+    crashes: crashes.map(({ server, zone, ageMs, runs }) => ({
+      server,
+      zone,
+      atMs: nowMs - ageMs,
+      runs,
+    })),
+    blocks: blocks.map(({ causes, crashes }) => ({
+      causes,
+      crashes: crashes.map(({ ageMs, ...crash }) => ({
+        ...crash,
+        atMs: nowMs - ageMs,
+      })),
+    })),
+    proofs: proofs.map(([cause, ageMs]) => [cause, nowMs - ageMs] as const),
+    trials: trials.map(({ block, entry, claimAgeMs, startAgeMs }) => ({
+      block,
+      entry,
+      claimedMs: nowMs - claimAgeMs,
+      startedMs: startAgeMs === null ? undefined : nowMs - startAgeMs,
+    })),
+  };
+}
--- /dev/null
+++ b/src/process/crash_explanation.ts
@@ -0,0 +1,269 @@
+/**
+ * Finds which requests, or parts of prompts, explain the crashes of servers.
+ * Pure: the same evidence gives the same result at each entry.
+ */
+
+import type { CrashCause } from "../ids.ts";
+import {
+  isRequest,
+  RunStage,
+  type ServerCrash,
+  SETTLE_MS,
+  settledMs,
+  stageOf,
+  suspectsOf,
+} from "./crash_evidence.ts";
+
+/** What an explanation is derived from. */
+export interface CrashEvidence {
+  readonly crashes: readonly ServerCrash[];
+  /** When a run with each cause last began and crashed no server, in ms. */
+  readonly proofs: ReadonlyMap<CrashCause, number>;
+  readonly nowMs: number;
+}
+
+/** Causes that explain crashes. */
+export interface Explanation {
+  /** All that the crashes have in common: any of them may be the cause. */
+  readonly causes: readonly CrashCause[];
+  /** The crashes, oldest first. */
+  readonly crashes: readonly ServerCrash[];
+  /** Weight of the crashes. */
+  readonly score: number;
+  /** Part of all crashes with the causes that no sound run has refuted. */
+  readonly rate: number;
+  /** When the crashes sufficed, in ms. */
+  readonly sinceMs: number;
+}
+
+/** Weight of crashes that suffices for an explanation. */
+export const SCORE_MIN = 3;
+/** The same for those that no more specific explanation covers. */
+const UNEXPLAINED_SCORE_MIN = 2;
+/** Crashes this close count once if their requests differ, in ms. */
+const SIMULTANEOUS_MS = 50;
+/** Servers of a zone that crash within `SETTLE_MS` if the zone itself fails. */
+const ZONE_FAILURES_MIN = 3;
+/** Weight of crashes that the cause is unlikely to explain. */
+const WEAK_WEIGHT = 0.5;
+
+/** Crashes with one cause, as far as no sound run has refuted them. */
+interface Hypothesis {
+  readonly causes: readonly CrashCause[];
+  readonly crashes: readonly ServerCrash[];
+  readonly rate: number;
+  readonly score: number;
+}
+
+/** A server crash with what its weight depends on. */
+interface WeighedCrash {
+  readonly crash: ServerCrash;
+  readonly isZoneFailure: boolean;
+}
+
+type ZoneFailures = ReadonlySet<ServerCrash>;
+
+/** Returns the explanations of the crashes that have settled. */
+export function explainCrashes(
+  { crashes, proofs, nowMs }: CrashEvidence,
+): readonly Explanation[] {
+  const sorted = crashes.toSorted((a, b) => a.atMs - b.atMs);
+  const zoneFailures = findZoneFailures(sorted);
+  const settled = sorted.filter((crash) => settledMs(crash) <= nowMs);
+  const hypotheses = createHypotheses(settled, proofs, zoneFailures);
+  const explained = new Set<ServerCrash>();
+  const explanations: Explanation[] = [];
+  for (const hypothesis of hypotheses) {
+    const rest = unexplainedCrashes(hypothesis, { hypotheses, explained });
+    const { isGeneral, unexplained } = rest;
+    const limit = isGeneral && unexplained.every(hasBegun)
+      ? UNEXPLAINED_SCORE_MIN
+      : SCORE_MIN;
+    const weight = scoreOf(unexplained, hypothesis.causes, zoneFailures);
+    if (weight < limit) continue;
+    const last = unexplained[limit - 1];
+    explanations.push({ ...hypothesis, sinceMs: last?.atMs ?? nowMs });
+    for (const crash of hypothesis.crashes) explained.add(crash);
+  }
+  return explanations;
+}
+
+/** Returns the weight of the crashes with a cause that may have caused them. */
+export function scoreCause(
+  crashes: readonly ServerCrash[],
+  cause: CrashCause,
+): number {
+  const sorted = crashes.toSorted((a, b) => a.atMs - b.atMs);
+  const suspected = sorted.filter((crash) =>
+    suspectsOf(crash).some(({ causes }) => causes.includes(cause))
+  );
+  return scoreOf(suspected, [cause], findZoneFailures(sorted));
+}
+
+/**
+ * Returns the crashes that neither an accepted explanation nor a more specific
+ * hypothesis covers.
+ */
+function unexplainedCrashes(
+  { causes, crashes, rate }: Hypothesis,
+  { hypotheses, explained }: {
+    readonly hypotheses: readonly Hypothesis[];
+    readonly explained: ReadonlySet<ServerCrash>;
+  },
+): {
+  readonly isGeneral: boolean;
+  readonly unexplained: readonly ServerCrash[];
+} {
+  const moreSpecific = hypotheses.filter((other) =>
+    other.causes.length > causes.length && other.rate >= rate &&
+    causes.every((cause) => other.causes.includes(cause))
+  );
+  // Several requests that crash servers rather share the cause.
+  const requests = moreSpecific.filter(({ causes }) => causes.some(isRequest));
+  const explaining = requests.length > 1
+    ? moreSpecific.filter((other) => !requests.includes(other))
+    : moreSpecific;
+  const covered = new Set(explaining.flatMap((other) => other.crashes));
+  return {
+    isGeneral: explaining.length > 0,
+    unexplained: crashes.filter((crash) =>
+      !covered.has(crash) && !explained.has(crash)
+    ),
+  };
+}
+
+/** Returns the possible explanations, the most likely first. */
+function createHypotheses(
+  crashes: readonly ServerCrash[],
+  proofs: ReadonlyMap<CrashCause, number>,
+  zoneFailures: ZoneFailures,
+): readonly Hypothesis[] {
+  const suspected = new Map<CrashCause, ServerCrash[]>();
+  for (const crash of crashes) {
+    const causes = suspectsOf(crash).flatMap(({ causes }) => causes);
+    for (const cause of new Set(causes)) {
+      const known = suspected.get(cause);
+      if (known === undefined) suspected.set(cause, [crash]);
+      else known.push(crash);
+    }
+  }
+  const candidates = [...suspected].flatMap(([cause, all]) => {
+    const provenMs = proofs.get(cause) ?? -Infinity;
+    const unrefuted = all.filter(({ atMs }) => atMs > provenMs);
+    if (unrefuted.length < SCORE_MIN) return [];
+    const rate = unrefuted.length / all.length;
+    return [{ cause, crashes: unrefuted, all: new Set(unrefuted), rate }];
+  });
+  const hypotheses = new Map<string, Hypothesis>();
+  for (const { cause, crashes, rate } of candidates) {
+    const score = scoreOf(crashes, [cause], zoneFailures);
+    if (score < SCORE_MIN) continue;
+    const causes = candidates.filter((other) =>
+      other.crashes.length >= crashes.length &&
+      crashes.every((crash) =>
+        other.all.has(crash) && haveRun(crash, [cause, other.cause])
+      )
+    ).map((other) => other.cause).toSorted();
+    const servers = crashes.map(({ server }) => server);
+    const key = [...causes, ...servers].join(" ");
+    const known = hypotheses.get(key);
+    if (known === undefined || known.rate < rate) {
+      hypotheses.set(key, { causes, crashes, rate, score });
+    }
+  }
+  return [...hypotheses.values()].toSorted((a, b) =>
+    b.rate - a.rate || b.score - a.score || b.causes.length - a.causes.length
+  );
+}
+
+/** Whether a suspected run on a crashed server has all of the causes. */
+function haveRun(crash: ServerCrash, causes: readonly CrashCause[]): boolean {
+  return suspectsOf(crash).some((run) =>
+    causes.every((cause) => run.causes.includes(cause))
+  );
+}
+
+/**
+ * Returns the weight of crashes. Those at about the same time count once, since
+ * a failure that servers have in common crashes them at once; but one request
+ * runs on one server at a time, so its crashes all count.
+ */
+function scoreOf(
+  crashes: readonly ServerCrash[],
+  causes: readonly CrashCause[],
+  zoneFailures: ZoneFailures,
+): number {
+  let score = 0;
+  let group: WeighedCrash[] = [];
+  for (const crash of crashes) {
+    const isZoneFailure = zoneFailures.has(crash);
+    const startMs = group[0]?.crash.atMs ?? -Infinity;
+    const windowMs = isZoneFailure || !hasBegun(crash)
+      ? SETTLE_MS
+      : SIMULTANEOUS_MS;
+    if (crash.atMs - startMs >= windowMs) {
+      score += weightOf(group, causes);
+      group = [];
+    }
+    group.push({ crash, isZoneFailure });
+  }
+  return score + weightOf(group, causes);
+}
+
+function weightOf(
+  group: readonly WeighedCrash[],
+  causes: readonly CrashCause[],
+): number {
+  if (group.length === 0) return 0;
+  const counts = new Map<string, number>();
+  for (const { crash, isZoneFailure } of group) {
+    // A retry may run on another server of the zone before that fails too.
+    if (isZoneFailure && !causes.some(isRequest)) continue;
+    for (const run of suspectsOf(crash)) {
+      if (!causes.some((cause) => run.causes.includes(cause))) continue;
+      counts.set(run.request, (counts.get(run.request) ?? 0) + 1);
+    }
+  }
+  const inSequence = Math.max(0, ...counts.values());
+  if (inSequence > 1) return inSequence;
+  return group.every(isWeak) ? WEAK_WEIGHT : 1;
+}
+
+function isWeak({ crash, isZoneFailure }: WeighedCrash): boolean {
+  return stageOf(crash) === RunStage.Proven ||
+    (isZoneFailure && !hasBegun(crash));
+}
+
+function hasBegun(crash: ServerCrash): boolean {
+  return stageOf(crash) === RunStage.Begun;
+}
+
+/** Returns the crashes of zones in which several servers crashed at once. */
+function findZoneFailures(sorted: readonly ServerCrash[]): ZoneFailures {
+  const failures = new Set<ServerCrash>();
+  for (const crashes of groupBy(sorted, ({ zone }) => zone).values()) {
+    for (const [at, first] of crashes.entries()) {
+      const last = crashes[at + ZONE_FAILURES_MIN - 1];
+      if (last === undefined) break;
+      if (last.atMs - first.atMs >= SETTLE_MS) continue;
+      for (const crash of crashes.slice(at, at + ZONE_FAILURES_MIN)) {
+        failures.add(crash);
+      }
+    }
+  }
+  return failures;
+}
+
+function groupBy<Item>(
+  items: readonly Item[],
+  keyOf: (item: Item) => string,
+): ReadonlyMap<string, readonly Item[]> {
+  const groups = new Map<string, Item[]>();
+  for (const item of items) {
+    const key = keyOf(item);
+    const group = groups.get(key);
+    if (group === undefined) groups.set(key, [item]);
+    else group.push(item);
+  }
+  return groups;
+}
--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -207,7 +207,7 @@
   crashCauseCleared: createLogEvent(
     3115,
     Severity.Info,
-    "a blocked request, or a part of prompts, proved harmless; served again",
+    "a blocked request, or a part of prompts, is no longer a cause of crashes",
   ),
   actionOutcomeUnknown: createLogEvent(
     4001,
--- a/src/process/registered_servers.ts
+++ b/src/process/registered_servers.ts
@@ -388,9 +388,4 @@
       this.#options.log(LOG_EVENTS.zoneFailureSuspected, { zone, lost });
     }
   }
-
-  /** Returns how many servers of a zone have failed at once just now. */
-  failuresAtOnce(zone: string): number {
-    return this.#zoneFailures.failuresAtOnce(zone);
-  }
 }
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -25,7 +25,7 @@
 import type { KvCopier, KvCopyReleaser } from "../request/kv_copy_manager.ts";
 import type { RouteTable } from "../version/route_table.ts";
 import { CallerWaitEstimator } from "./caller_wait_estimator.ts";
-import { CrashCauses } from "./crash_causes.ts";
+import { CrashAccount } from "./crash_account.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import { type EntryView, groupServersByState } from "./entry_view.ts";
 import { DrainingSource, parseLeavingServers } from "./leaving_servers.ts";
@@ -80,6 +80,8 @@
   readonly isRemoved?: boolean;
 }
 
+/** Joins the causes of one block in logs. */
+const CAUSE_SEPARATOR = " + ";
 /** Requests that an entry queues per service and priority rank. */
 const QUEUE_MAX_LENGTH = 200;
 /**
@@ -176,7 +178,7 @@
       silentServers: SilentServers.create(servers, reports),
       promptCacheIndex: PromptCacheIndex.create({ now }),
       responseBuffers: ResponseBuffers.create(CALL_RESPONSE_LIMITS),
-      crashCauses: this.#createCrashCauses(metrics),
+      crashAccount: this.#createCrashAccount(metrics),
       metrics,
       retryBudget: RetryBudget.create({
         now,
@@ -325,8 +327,8 @@
       listed: this.#serverList.checksum.toString(CHECKSUM_RADIX),
       isReading: this.readerElection.mustRead,
       entries: this.entryCount,
-      blocked: this.context.crashCauses.blocked()
-        .map(({ cause }) => cause).toSorted(),
+      blocked: this.context.crashAccount.blocks()
+        .map(({ causes }) => causes.join(CAUSE_SEPARATOR)).toSorted(),
       ...groupServersByState(this.servers.views(), this.#options.now()),
     };
   }
@@ -355,7 +357,10 @@
       this.servers.markLeaving(incarnation, DrainingSource.Peer);
     }
     this.readerElection.merge(entry, orders.readers);
-    this.context.crashCauses.merge(orders.crashes ?? []);
+    const { crashAccount } = orders;
+    if (crashAccount !== undefined) {
+      this.context.crashAccount.merge(crashAccount);
+    }
   }
 
   /**
@@ -383,6 +388,7 @@
   }
 
   #createOrderDigest(): RelayDigest {
+    const crashAccount = this.context.crashAccount.digest();
     return {
       configuration: this.configurationVersion,
       loads: this.servers.ownLoads(),
@@ -392,20 +398,24 @@
       readers: this.readerElection.liveness(),
       dead: this.servers.unreachableServers(),
       leaving: this.servers.recentlyLeaving(),
-      crashes: this.context.crashCauses.digest(),
+      ...crashAccount !== undefined && { crashAccount },
     };
   }
 
-  #createCrashCauses(metrics: RelayMetrics): CrashCauses {
-    const { log, now } = this.#options;
-    return CrashCauses.create({
+  #createCrashAccount(metrics: RelayMetrics): CrashAccount {
+    const { entry, log, now } = this.#options;
+    return CrashAccount.create({
+      entry,
       now,
-      onBlocked: ({ cause, weight, endMs }) => {
+      onBlocked: ({ causes, score, rate, crashes, requests, untilMs }) => {
         metrics.crashCausesBlocked.inc();
         log(LOG_EVENTS.crashCauseBlocked, {
-          cause,
-          crashes: weight,
-          for_ms: Math.round(endMs - now()),
+          cause: causes.join(CAUSE_SEPARATOR),
+          crashes: score,
+          rate: Number(rate.toFixed(2)),
+          requests,
+          servers: crashes.map(({ server }) => server).join(" "),
+          for_ms: Math.round(untilMs - now()),
         });
         this.context.dispatcher.rejectBlocked();
       },
--- a/src/process/relay_context.ts
+++ b/src/process/relay_context.ts
@@ -12,7 +12,7 @@
 import type { RetryBudget } from "./retry_budget.ts";
 import type { ServerReports } from "./server_reports.ts";
 import type { SilentServers } from "./silent_servers.ts";
-import type { CrashCauses } from "./crash_causes.ts";
+import type { CrashAccount } from "./crash_account.ts";
 import type { ShutdownAdmission } from "../request/shutdown_admission.ts";
 
 /** The parts of an entry process that requests use. */
@@ -23,7 +23,7 @@
   readonly reports: ServerReports;
   readonly silentServers: SilentServers;
   readonly promptCacheIndex: PromptCacheIndex;
-  readonly crashCauses: CrashCauses;
+  readonly crashAccount: CrashAccount;
   readonly dispatcher: Dispatcher<SlotRequest>;
   readonly retryBudget: RetryBudget;
   readonly callerWaits: CallerWaitEstimator;
--- a/src/process/zone_failure_detector.ts
+++ b/src/process/zone_failure_detector.ts
@@ -55,13 +55,6 @@
     return isNew ? size : 0;
   }
 
-  /** Returns how many servers of a zone have failed at once just now. */
-  failuresAtOnce(zone: string): number {
-    const sinceMs = this.#now() - WINDOW_MS;
-    const failures = this.#zones.get(zone)?.failedMs.values() ?? [];
-    return [...failures].filter((failedMs) => failedMs >= sinceMs).length;
-  }
-
   /** Returns the suspect zones, with the time of the last failure. */
   suspectZones(): ReadonlyMap<string, number> {
     const nowMs = this.#now();
--- a/src/request/attempt_history.ts
+++ b/src/request/attempt_history.ts
@@ -16,6 +16,8 @@
   respondedMs?: number;
   /** When the first event of a stream arrived, on the same clock. */
   firstEventMs?: number;
+  /** Whether the run has lasted long enough to show that it is harmless. */
+  isProven?: boolean;
   /** Events of a stream that arrived in this attempt. */
   eventCount: number;
 }
--- a/src/request/attempt_reporting.ts
+++ b/src/request/attempt_reporting.ts
@@ -13,7 +13,7 @@
 import type { LogDetails } from "../process/log.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import { AttemptProgress } from "./attempt_progress.ts";
-import { recordCrash, weighCrash } from "./poison_request.ts";
+import { recordCrash } from "./crash_guard.ts";
 import {
   effectiveDeadlineMs,
   type ProxyRequest,
@@ -51,8 +51,6 @@
   readonly record: AttemptRecord;
   readonly server: RegisteredServer;
   readonly error: AttemptError;
-  /** Whether an earlier attempt showed that the request is harmless. */
-  readonly isProven: boolean;
 }
 
 /** What a server's report, fetched after a failed attempt, shows. */
@@ -71,8 +69,9 @@
   context: RelayContext,
   failure: AttemptFailure,
 ): Promise<boolean> {
-  const { request, record, server, error, isProven } = failure;
-  const { servers, silentServers, now } = context;
+  const { request, record, server, error } = failure;
+  const { servers, silentServers, crashAccount, now } = context;
+  crashAccount.recordEnd(request.id);
   const serverFailure = serverFailureOf(error, request);
   if (serverFailure === ServerFailure.Silent) silentServers.watch(server);
   else if (serverFailure !== undefined) {
@@ -82,10 +81,10 @@
   const mayHaveCrashed = error.failureCause === FailureCause.Closed &&
     record.progress !== AttemptProgress.NotSent;
   if (!mayHaveCrashed) return false;
-  const crash = weighCrash(request, { record, isProven, atMs: now() });
+  const atMs = now();
   const health = await checkServer(context, server);
   if (health === ServerHealth.Crashed) {
-    recordCrash(context, { request, server, crash });
+    recordCrash(context, { request, record, server, atMs });
   }
   return health === ServerHealth.Healthy;
 }
@@ -93,7 +92,7 @@
 /** Logs and counts a failed attempt. */
 export function logAttemptFailure(
   { log, metrics, now }: RelayContext,
-  { request, record, server, error }: Omit<AttemptFailure, "isProven">,
+  { request, record, server, error }: AttemptFailure,
 ): void {
   const { respondedMs } = record;
   metrics.attemptFailures.inc({ cause: error.failureCause });
--- a/src/request/create_refusal.ts
+++ b/src/request/create_refusal.ts
@@ -2,7 +2,7 @@
 
 import type { RequestError } from "../errors.ts";
 import type { RelayContext } from "../process/relay_context.ts";
-import { causesOf } from "./poison_request.ts";
+import { blockedUntilMs } from "./crash_guard.ts";
 import type { AttemptHistory } from "./attempt_history.ts";
 import type { ProxyRequest } from "./proxy_request.ts";
 
@@ -13,25 +13,26 @@
  * ends if all servers have asked for one.
  */
 export function createRefusal(
-  { servers, crashCauses, shutdownAdmission, metrics, now }: RelayContext,
+  context: RelayContext,
   { request, attempts, reason }: {
     readonly request: ProxyRequest;
     readonly attempts: AttemptHistory;
     readonly reason: string;
   },
 ): RequestError {
-  const blockedUntilMs = crashCauses.blockedUntilMs(causesOf(request));
-  if (blockedUntilMs !== undefined) {
+  const { servers, shutdownAdmission, metrics, now } = context;
+  const untilMs = blockedUntilMs(context, request);
+  if (untilMs !== undefined) {
     metrics.crashCauseRefusals.inc({ route: request.route });
   }
   const shutdownError = shutdownAdmission.rejection(request.kind);
   if (
-    shutdownError !== undefined && blockedUntilMs === undefined &&
+    shutdownError !== undefined && untilMs === undefined &&
     !attempts.mayHaveRun
   ) {
     return shutdownError;
   }
-  const freeAtMs = blockedUntilMs ?? servers.heldOffUntilMs({
+  const freeAtMs = untilMs ?? servers.heldOffUntilMs({
     service: request.service,
     tokens: request.kvCacheTokens,
     excluded: new Set(),
--- a/src/request/relay_call.ts
+++ b/src/request/relay_call.ts
@@ -22,7 +22,6 @@
   type ResponseTimeout,
   responseTimeout,
 } from "./call_timeouts.ts";
-import { PoisonGuard } from "./poison_guard.ts";
 import { logAttempt, recordAttemptFailure } from "./attempt_reporting.ts";
 import {
   effectiveDeadlineMs,
@@ -31,6 +30,7 @@
 } from "./proxy_request.ts";
 import { AttemptHistory, type AttemptRecord } from "./attempt_history.ts";
 import { createRefusal } from "./create_refusal.ts";
+import { CrashGuard } from "./crash_guard.ts";
 import { acquireSlot } from "./acquire_slot.ts";
 import { type ProxyExchange, RequestOutcome } from "./serve_request.ts";
 
@@ -56,7 +56,7 @@
   readonly #exchange: ProxyExchange;
   readonly #request: ProxyRequest;
   readonly #attempts: AttemptHistory;
-  readonly #poisonGuard: PoisonGuard;
+  readonly #crashGuard: CrashGuard;
   /** Servers that sent no complete response. */
   readonly #failedServers = new Set<string>();
   /**
@@ -79,7 +79,7 @@
     this.#exchange = exchange;
     this.#request = request;
     this.#attempts = AttemptHistory.create(request);
-    this.#poisonGuard = PoisonGuard.create(context, request);
+    this.#crashGuard = CrashGuard.create(context, request);
     const callerTimeoutMs = request.callerDeadlineMs - request.receivedMs;
     this.#priorWaitMs = context.callerWaits.record(
       request.route,
@@ -163,7 +163,7 @@
    * run, so it is sent again as long as the process lasts.
    */
   #rejection(): RequestError | undefined {
-    const rejection = this.#poisonGuard.rejection();
+    const rejection = this.#crashGuard.rejection();
     if (rejection !== undefined || this.#attempts.mayHaveRun) return rejection;
     return this.#context.shutdownAdmission.rejection(this.#request.kind);
   }
@@ -238,7 +238,8 @@
     const record = this.#attempts.add(server.name);
     this.#triedServers.add(server.name);
     logAttempt(this.#context, { request, server, details: {} });
-    this.#poisonGuard.recordAttempt();
+    const sentMs = this.#context.now();
+    this.#crashGuard.recordAttempt();
     const abortController = new AbortController();
     const stopResponseTimer = this.#startResponseTimer(server, abortController);
     try {
@@ -256,7 +257,9 @@
         this.#context.servers.markLeaving(server, DrainingSource.Answer);
       }
       const complete = await this.#receive(response, { record, server });
-      if (complete !== undefined) this.#poisonGuard.recordCompletion();
+      if (complete !== undefined && complete.head.status < SERVER_ERROR) {
+        this.#crashGuard.recordCompletion(sentMs);
+      }
       return complete;
     } catch (error) {
       if (!(error instanceof AttemptError)) throw error;
@@ -270,7 +273,6 @@
           record,
           server,
           error,
-          isProven: false,
         });
       }
       return undefined;
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -10,7 +10,6 @@
 } from "../connection/backend_request.ts";
 import { AttemptError, FailureCause, RequestError } from "../errors.ts";
 import type { RelayContext } from "../process/relay_context.ts";
-import { PoisonGuard } from "./poison_guard.ts";
 import { effectiveDeadlineMs, type ProxyRequest } from "./proxy_request.ts";
 import { AttemptHistory } from "./attempt_history.ts";
 import {
@@ -18,6 +17,7 @@
   logAttemptFailure,
   recordAttemptFailure,
 } from "./attempt_reporting.ts";
+import { CrashGuard } from "./crash_guard.ts";
 import { createRefusal } from "./create_refusal.ts";
 import { FailedServers } from "./failed_servers.ts";
 import type { KvCopy } from "./kv_copy_manager.ts";
@@ -60,7 +60,7 @@
   readonly #request: ProxyRequest;
   readonly #attempts: AttemptHistory;
   readonly #failedServers: FailedServers;
-  readonly #poisonGuard: PoisonGuard;
+  readonly #crashGuard: CrashGuard;
   readonly #response: StreamResponse;
   /** Copy of the run's KV cache that the last attempt left. */
   #kvCopy: KvCopy | undefined;
@@ -75,13 +75,13 @@
     this.#request = exchange.request;
     this.#attempts = AttemptHistory.create(exchange.request);
     this.#failedServers = FailedServers.create(context, exchange.request);
-    this.#poisonGuard = PoisonGuard.create(context, exchange.request);
+    this.#crashGuard = CrashGuard.create(context, exchange.request);
     this.#response = StreamResponse.create({
       context,
       request: exchange.request,
       caller: exchange.caller,
       attempts: this.#attempts,
-      poisonGuard: this.#poisonGuard,
+      crashGuard: this.#crashGuard,
     });
   }
 
@@ -169,7 +169,7 @@
    * begun goes on as long as the process lasts.
    */
   #rejection(): RequestError | undefined {
-    const rejection = this.#poisonGuard.rejection();
+    const rejection = this.#crashGuard.rejection();
     if (rejection !== undefined || this.#hasBegun) return rejection;
     return this.#context.shutdownAdmission.rejection(this.#request.kind);
   }
@@ -266,7 +266,7 @@
     });
     const { lastEventId } = this.#response;
     attempt.logStart(lastEventId);
-    this.#poisonGuard.recordAttempt();
+    this.#crashGuard.recordAttempt();
     try {
       const response = await attempt.send(this.#exchange, lastEventId);
       if (response.hasNotRun) return AttemptOutcome.Failed;
@@ -298,7 +298,7 @@
     );
     // A crash counts against a request before it may run again.
     const mayBePoison = attempt.record.respondedMs !== undefined &&
-      !this.#poisonGuard.isProven;
+      !this.#crashGuard.isProven;
     const mayReuse = this.#kvCopy === undefined && attempt.mayHavePrefilled &&
       this.#canRetry;
     if (!mayBePoison && !mayReuse) return;
@@ -315,7 +315,6 @@
       record,
       server: slot.server,
       error,
-      isProven: this.#poisonGuard.isProven,
     };
   }
 
--- a/src/request/serve_request.ts
+++ b/src/request/serve_request.ts
@@ -5,7 +5,7 @@
 import { messageOf, RequestError, RequestErrorType } from "../errors.ts";
 import { LOG_EVENTS } from "../process/log_events.ts";
 import type { RelayContext } from "../process/relay_context.ts";
-import { causesOf, rejectPoisonRequest } from "./poison_request.ts";
+import { rejectCrashingRequest } from "./crash_guard.ts";
 import { type ProxyRequest, RequestKind } from "./proxy_request.ts";
 import { relayCall } from "./relay_call.ts";
 import { relayStream } from "./relay_stream.ts";
@@ -41,7 +41,7 @@
   retryBudget.countRequest(request.service);
   let outcome = RequestOutcome.Refused;
   try {
-    rejectPoisonRequest(context, request);
+    rejectCrashingRequest(context, request);
     outcome = request.kind === RequestKind.Stream
       ? await relayStream(context, exchange)
       : await relayCall(context, exchange);
@@ -49,7 +49,7 @@
     outcome = RequestOutcome.Refused;
     refuseRequest(context, { request, caller, error });
   } finally {
-    context.crashCauses.recordEnd(causesOf(request));
+    context.crashAccount.recordEnd(request.id);
     metrics.openRequests.dec();
     metrics.orders.inc({ route: request.route, outcome });
     log(LOG_EVENTS.requestEnded, {
--- a/src/request/stream_response.ts
+++ b/src/request/stream_response.ts
@@ -10,7 +10,7 @@
 import { LOG_EVENTS } from "../process/log_events.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import type { AttemptHistory } from "./attempt_history.ts";
-import type { PoisonGuard } from "./poison_guard.ts";
+import type { CrashGuard } from "./crash_guard.ts";
 import type { ProxyRequest } from "./proxy_request.ts";
 import { AdaptiveStallTimeout } from "./stall_policy.ts";
 import { StreamAssembler } from "./stream_assembler.ts";
@@ -24,7 +24,7 @@
   readonly request: ProxyRequest;
   readonly caller: ResponseWriter;
   readonly attempts: AttemptHistory;
-  readonly poisonGuard: PoisonGuard;
+  readonly crashGuard: CrashGuard;
 }
 
 /** The response of one stream, as far as its caller has got it. */
@@ -33,7 +33,7 @@
   readonly #request: ProxyRequest;
   readonly #caller: ResponseWriter;
   readonly #attempts: AttemptHistory;
-  readonly #poisonGuard: PoisonGuard;
+  readonly #crashGuard: CrashGuard;
   readonly #assembler: StreamAssembler;
   #hasBegun = false;
   #interruptedAtMs: number | undefined;
@@ -43,7 +43,7 @@
     this.#request = options.request;
     this.#caller = options.caller;
     this.#attempts = options.attempts;
-    this.#poisonGuard = options.poisonGuard;
+    this.#crashGuard = options.crashGuard;
     const { isResumable, lastEventId } = options.request;
     // Only a resumable stream is sure to start after the caller's last event.
     this.#assembler = StreamAssembler.create(
@@ -108,7 +108,7 @@
       servers.recordActivity(slot.server.name);
       const events = [...splitter.push(bytes)];
       if (events.length === 0) continue;
-      this.#poisonGuard.recordEvents(attempt.record, events.length);
+      this.#crashGuard.recordEvents(attempt.record, events.length);
       attempt.markEventsSeen();
       const newEvents = this.#assembler.accept(events);
       // Other bytes do not show that the run makes progress.
@@ -137,7 +137,8 @@
     }
     if (!this.#hasBegun) this.#begin(response);
     this.#caller.end();
-    this.#poisonGuard.recordCompletion();
+    const { firstEventMs = now() } = attempt.record;
+    this.#crashGuard.recordCompletion(firstEventMs);
   }
 
   /** Whether an attempt without events can't be a complete response. */
--- a/tests/relay/held_off_server_test.ts
+++ b/tests/relay/held_off_server_test.ts
@@ -203,7 +203,7 @@
   await sleep(600);
   expect(reportCount).toBe(1);
   expect(relay.createDigest().orders?.dead).toEqual([]);
-  expect(relay.context.crashCauses.size).toBe(0);
+  expect(relay.context.crashAccount.size).toBe(0);
 });
 
 test("no KV cache is copied from a server in its pause", async () => {
--- a/tests/relay/poison_request_test.ts
+++ b/tests/relay/poison_request_test.ts
@@ -4,6 +4,7 @@
 import { expect, test } from "vitest";
 import { FailureCause } from "../../src/errors.ts";
 import type { Fingerprint, RequestId } from "../../src/ids.ts";
+import { scoreCause } from "../../src/process/crash_explanation.ts";
 import { RequestKind } from "../../src/request/proxy_request.ts";
 import { serveRequest } from "../../src/request/serve_request.ts";
 import {
@@ -75,7 +76,7 @@
     await send(relay, failsWith(FailureCause.Closed), "unlucky");
     await sleep(ATTRIBUTION_WAIT_MS);
   }
-  expect(relay.context.crashCauses.size).toBe(0);
+  expect(relay.context.crashAccount.size).toBe(0);
   expect(relay.servers.unreachableServers()).toEqual([]);
   expect(await send(relay, responds(200), "unlucky")).toBe("whole");
 });
@@ -104,11 +105,11 @@
     ),
   );
   await sleep(ATTRIBUTION_WAIT_MS);
-  expect(relay.context.crashCauses.blocked()).toEqual([]);
-  const weights = relay.createDigest().orders?.crashes?.map(({ crashes }) =>
-    crashes.map(([, , weight]) => weight)
-  );
-  expect(weights).toEqual([[0.5], [0.5]]);
+  expect(relay.context.crashAccount.blocks()).toEqual([]);
+  const crashes = relay.context.crashAccount.crashes();
+  const causes = new Set(crashes.flatMap(({ runs }) => runs[0]?.causes ?? []));
+  const scores = [...causes].map((cause) => scoreCause(crashes, cause));
+  expect(scores).toEqual([0.5, 0.5]);
 });
 
 test("a request that one entry suspects is refused by another one", async () => {
