Resume streams whose servers crashed before they responded

Cause: maxAttempts counted five attempts as run whose servers another request had crashed before any response. Servers that crashed don't count towards that limit.

Such attempts no longer count for a stream that has begun. Those whose server had responded still do, so a stream that crashes its servers after it began is bounded as before, and so is a request that has not begun.

--- a/src/request/attempt_history_test.ts
+++ b/src/request/attempt_history_test.ts
@@ -107,3 +107,24 @@
     }),
   );
 });
+
+test("a stream that has begun is not aborted because servers crashed before they responded", () => {
+  const history = AttemptHistory.create(createRequest({
+    kind: RequestKind.Stream,
+    isResumable: true,
+    maxAttempts: MAX_ATTEMPTS,
+  }));
+  const addCrashed = () => {
+    const record = history.add("server");
+    record.progress = AttemptProgress.Sent;
+    record.hasCrashed = true;
+    return record;
+  };
+  for (let attempt = 0; attempt < 2 * MAX_ATTEMPTS; attempt++) addCrashed();
+  expect(history.canResume).toBe(true);
+  expect(history.canRetry).toBe(false);
+  for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+    addCrashed().respondedMs = attempt;
+  }
+  expect(history.canResume).toBe(false);
+});
--- a/src/request/attempt_reporting.ts
+++ b/src/request/attempt_reporting.ts
@@ -84,6 +84,7 @@
   const atMs = now();
   const health = await checkServer(context, server);
   if (health === ServerHealth.Crashed) {
+    record.hasCrashed = true;
     recordCrash(context, { request, record, server, atMs });
   }
   return health === ServerHealth.Healthy;
