Test what the account of crashes must hold

Tests of faults that the account ends, next to the properties: crashes of one request in a row, a server's own error between crashes, one trial of one attempt over all entries, and a block that is taken in from outside.

--- a/src/process/crash_account_test.ts
+++ b/src/process/crash_account_test.ts
@@ -232,3 +232,65 @@
   expect(started.blocks().flatMap(({ causes }) => causes).toSorted())
     .toEqual(parts.toSorted());
 });
+
+test("the crashes of one request within milliseconds all count, also before a head", () => {
+  const clock = { ms: 0 };
+  const account = createAccount(clock);
+  const request = createRequest("read", []);
+  for (const server of ["a", "b", "c"]) {
+    clock.ms += 10;
+    const crash = { server, zone: server, atMs: clock.ms };
+    account.recordCrash(request, { ...crash, stage: RunStage.Waiting });
+  }
+  clock.ms += 1_000;
+  expect(account.blockedUntilMs(request)).toBeDefined();
+});
+
+test("of all entries one lets one request through for one attempt, 10 s after the last crash", () => {
+  const clock = { ms: 0 };
+  const accounts = ["entry-1", "entry-2", "entry-3"].map((entry) =>
+    createAccount(clock, entry)
+  );
+  const [first] = accounts;
+  if (first === undefined) throw new Error("no entry");
+  crashServers(first, clock, 3);
+  const attemptsMs: number[] = [];
+  for (let waitedMs = 0; waitedMs < 50_000; waitedMs += DIGEST_MS) {
+    clock.ms += DIGEST_MS;
+    for (const [at, account] of accounts.entries()) {
+      if (account.blocks().length === 0) continue;
+      const request = createRequest(`${at} ${clock.ms}`, [DEADLY_PART]);
+      if (account.blockedUntilMs(request) === undefined) {
+        account.recordAttempt(request);
+        attemptsMs.push(waitedMs);
+        account.recordEnd(request.id);
+        expect(account.blockedUntilMs(request)).toBeDefined();
+      }
+      const digest = account.digest();
+      for (const other of accounts) {
+        if (other !== account && digest !== undefined) other.merge(digest);
+      }
+    }
+  }
+  // The second follows since the first showed nothing in 30 s.
+  expect(attemptsMs.length).toBe(2);
+  expect(attemptsMs[0]).toBeGreaterThan(10_000);
+  expect(attemptsMs[0]).toBeLessThan(12_000);
+  expect(attemptsMs[1]).toBeGreaterThan(40_000);
+});
+
+test("a block that is taken in refuses requests until a sound run refutes it", () => {
+  const clock = { ms: 0 };
+  const decided = createAccount(clock);
+  crashServers(decided, clock, 3);
+  const account = createAccount(clock);
+  for (const block of [...decided.blocks(), ...decided.blocks()]) {
+    account.adopt(structuredClone(block));
+  }
+  const request = createRequest("later", [DEADLY_PART]);
+  expect(account.blockedUntilMs(request)).toBe(clock.ms + 60_000);
+  expect(account.blocks()).toEqual(decided.blocks());
+  clock.ms += 1;
+  account.recordProof([DEADLY_PART]);
+  expect(account.blockedUntilMs(request)).toBeUndefined();
+});
--- a/tests/relay/poison_request_test.ts
+++ b/tests/relay/poison_request_test.ts
@@ -67,6 +67,16 @@
   expect(await send(relay, responds(200), "good")).toBe("whole");
 });
 
+test("a server's own error does not prove a request harmless", async () => {
+  const relay = createZonedRelay(["a", "b", "c", "d"]);
+  const crashes = failsWith(FailureCause.Closed);
+  for (const script of [crashes, crashes, responds(500), crashes]) {
+    await send(relay, script, "bad");
+    await sleep(ATTRIBUTION_WAIT_MS);
+  }
+  expect(await send(relay, responds(200), "bad")).toBe("refused not_run");
+});
+
 /** Relay options: each server is reachable but gives no report. */
 const WITHOUT_REPORTS = { fetchReport: () => Promise.resolve(undefined) };
 
