Keep the blocks of what crashes servers in the platform's store

Cause: what entries know of crashes is in their memory only, and no machine has a disk. Class: state that must outlast the processes kept only among them.

Change: the first entry that reaches the store writes each block, with the crashes that it was decided on, and removes it when it no longer holds. Each entry reads the blocks before the configuration for which requests wait. A record is taken in as evidence, so a sound run refutes it as any other; one that is too large, of another version or damaged is logged and passed over.

--- a/src/connection/parse_peer_message.ts
+++ b/src/connection/parse_peer_message.ts
@@ -63,6 +63,20 @@
 const isStage: Check = (value) =>
   Object.values<unknown>(RunStage).includes(value);
 const isCauses = isListOf(isCause, RUN_CAUSES_MAX);
+/** Whether a value is the report of a block. */
+export const isBlockReport = hasFields({
+  causes: isCauses,
+  crashes: isListOf(
+    hasFields({
+      server: isCause,
+      zone: isCause,
+      ageMs: isAge,
+      stage: isStage,
+      request: isCause,
+    }),
+    BLOCK_CRASHES_MAX,
+  ),
+});
 const isCrashAccount = hasFields({
   crashes: isListOf(
     hasFields({
@@ -76,22 +90,7 @@
     }),
     CRASH_ITEMS_MAX,
   ),
-  blocks: isListOf(
-    hasFields({
-      causes: isCauses,
-      crashes: isListOf(
-        hasFields({
-          server: isCause,
-          zone: isCause,
-          ageMs: isAge,
-          stage: isStage,
-          request: isCause,
-        }),
-        BLOCK_CRASHES_MAX,
-      ),
-    }),
-    CRASH_ITEMS_MAX,
-  ),
+  blocks: isListOf(isBlockReport, CRASH_ITEMS_MAX),
   proofs: isListOf(isPairOf(isCause, isAge), CRASH_ITEMS_MAX),
   trials: isListOf(
     hasFields({
--- a/src/process/crash_digest.ts
+++ b/src/process/crash_digest.ts
@@ -3,7 +3,10 @@
  * clocks of entries differ.
  */
 
-import type { CrashAccountDigest } from "../connection/peer_protocol.ts";
+import type {
+  CrashAccountDigest,
+  CrashBlockReport,
+} from "../connection/peer_protocol.ts";
 import type { CrashCause } from "../ids.ts";
 import type { CrashBlock } from "./crash_block.ts";
 import type { ServerCrash } from "./crash_evidence.ts";
@@ -23,7 +26,7 @@
   { crashes, blocks, proofs, trials }: CrashNews,
   nowMs: number,
 ): CrashAccountDigest {
-  const ageOf = (ms: number) => Math.max(0, Math.round(nowMs - ms));
+  const ageOf = (ms: number) => ageAt(nowMs, ms);
   return {
     crashes: crashes.map(({ server, zone, atMs, runs }) => ({
       server,
@@ -31,13 +34,7 @@
       ageMs: ageOf(atMs),
       runs,
     })),
-    blocks: blocks.map(({ causes, crashes }) => ({
-      causes,
-      crashes: crashes.map(({ atMs, ...crash }) => ({
-        ...crash,
-        ageMs: ageOf(atMs),
-      })),
-    })),
+    blocks: blocks.map((block) => createBlockReport(block, nowMs)),
     proofs: proofs.map(([cause, begunMs]) => [cause, ageOf(begunMs)] as const),
     trials: trials.map(({ block, entry, claimedMs, startedMs }) => ({
       block,
@@ -60,13 +57,7 @@
       atMs: nowMs - ageMs,
       runs,
     })),
-    blocks: blocks.map(({ causes, crashes }) => ({
-      causes,
-      crashes: crashes.map(({ ageMs, ...crash }) => ({
-        ...crash,
-        atMs: nowMs - ageMs,
-      })),
-    })),
+    blocks: blocks.map((block) => readBlockReport(block, nowMs)),
     proofs: proofs.map(([cause, ageMs]) => [cause, nowMs - ageMs] as const),
     trials: trials.map(({ block, entry, claimAgeMs, startAgeMs }) => ({
       block,
@@ -76,3 +67,35 @@
     })),
   };
 }
+
+/** Returns the report of a block. */
+export function createBlockReport(
+  { causes, crashes }: Pick<CrashBlock, "causes" | "crashes">,
+  nowMs: number,
+): CrashBlockReport {
+  return {
+    causes,
+    crashes: crashes.map(({ atMs, ...crash }) => ({
+      ...crash,
+      ageMs: ageAt(nowMs, atMs),
+    })),
+  };
+}
+
+/** Returns the block of a report. */
+export function readBlockReport(
+  { causes, crashes }: CrashBlockReport,
+  nowMs: number,
+): Pick<CrashBlock, "causes" | "crashes"> {
+  return {
+    causes,
+    crashes: crashes.map(({ ageMs, ...crash }) => ({
+      ...crash,
+      atMs: nowMs - ageMs,
+    })),
+  };
+}
+
+function ageAt(nowMs: number, ms: number): number {
+  return Math.max(0, Math.round(nowMs - ms));
+}
--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -226,6 +226,22 @@
     Severity.Info,
     "a blocked request, or a part of prompts, is no longer a cause of crashes",
   ),
+  crashBlockStored: createLogEvent(
+    3120,
+    Severity.Info,
+    "block of requests that crash backend servers written to the store",
+  ),
+  crashBlocksRestored: createLogEvent(
+    3121,
+    Severity.Info,
+    "blocks of requests that crash backend servers read from the store",
+  ),
+  crashBlockUnusable: createLogEvent(
+    3122,
+    Severity.Warn,
+    "stored block of requests that crash backend servers can't be used",
+    "remove the record if no version in use can read it",
+  ),
   actionOutcomeUnknown: createLogEvent(
     4001,
     Severity.Warn,
--- a/src/process/reader_election.ts
+++ b/src/process/reader_election.ts
@@ -149,6 +149,13 @@
     return this.#countRankedBefore(this.#entriesReachingStore()) < READER_COUNT;
   }
 
+  /** Whether this entry is the first of those that reach the store. */
+  get isFirstReader(): boolean {
+    const entries = this.#entriesReachingStore();
+    return entries.includes(this.#options.entry) &&
+      this.#countRankedBefore(entries) === 0;
+  }
+
   /** Whether any entry, this one included, has recently reached the store. */
   get isStoreReachable(): boolean {
     return this.#entriesReachingStore().length > 0;
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -5,6 +5,7 @@
  */
 
 import { randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
 import { type Instance, InstanceState } from "../connection/instance.ts";
 import type { PeerLink } from "../connection/peer_link.ts";
 import type { GossipDigest } from "../connection/peer_protocol.ts";
@@ -13,6 +14,7 @@
 import { hashText } from "../hashing.ts";
 import type { ContentHash, EntryId } from "../ids.ts";
 import type { RouteTable } from "../version/route_table.ts";
+import { CrashBlockArchive } from "./crash_block_archive.ts";
 import { LOG_EVENTS } from "./log_events.ts";
 import type { RegisteredServer, UnusableField } from "./registered_server.ts";
 import type { Log } from "./log.ts";
@@ -81,6 +83,8 @@
 const DIGEST_INTERVAL_MS = 150;
 /** Time for a peer to send its changes before another one is queried, in ms. */
 const CHANGES_TIMEOUT_MS = 250;
+/** Longest time that the start waits for the stored blocks, in ms. */
+const RESTORE_WAIT_MAX_MS = 500;
 /** Chunk name under which peers request the configuration. */
 const CONFIGURATION_CHUNK = "configuration" as ContentHash;
 /** The same, answered only if small enough to be copied between peers. */
@@ -96,6 +100,7 @@
   readonly #options: StoreSyncOptions;
   readonly #peers: Peers;
   readonly #membership: Membership;
+  readonly #blockArchive: CrashBlockArchive;
   readonly #configurationWatch: ObjectWatch;
   readonly #serverWatch: ObjectWatch;
   readonly #unusableRegistrations: UnusableRegistrations;
@@ -115,6 +120,7 @@
     this.#serverWatch = this.#createServerWatch();
     this.#peers = this.#createPeers();
     this.#membership = this.#createMembership();
+    this.#blockArchive = this.#createBlockArchive();
   }
 
   /** Creates a store sync; `start` starts it. */
@@ -130,9 +136,15 @@
   /** Listens for peers and starts the watches and the membership task. */
   async start(): Promise<void> {
     await this.#peers.listen(this.#options.host, this.#options.peerPort);
+    this.#membership.run();
+    // Requests wait for the configuration, so the blocks are read before it.
+    await Promise.race([
+      this.#blockArchive.restore(),
+      sleep(RESTORE_WAIT_MAX_MS),
+    ]);
+    this.#blockArchive.run();
     this.#configurationWatch.run();
     this.#serverWatch.run();
-    this.#membership.run();
   }
 
   /** Sends a digest soon, to pass on changes read from the store. */
@@ -170,6 +182,7 @@
 
   /** Stops all tasks, closes all links and removes the registration. */
   async close(): Promise<void> {
+    this.#blockArchive.close();
     this.#configurationWatch.close();
     this.#serverWatch.close();
     this.#peers.close();
@@ -219,6 +232,19 @@
     });
   }
 
+  #createBlockArchive(): CrashBlockArchive {
+    const { entry, objects, log, relay } = this.#options;
+    const { crashAccount, now } = relay.context;
+    return CrashBlockArchive.create({
+      entry,
+      objects,
+      account: crashAccount,
+      isWriter: () => relay.readerElection.isFirstReader,
+      log,
+      now: () => ({ monotonicMs: now(), unixMs: Date.now() }),
+    });
+  }
+
   #createConfigurationWatch(): ObjectWatch {
     const { kind, name } = this.#options.configuration;
     const adoptFrom = (objects: readonly StoredObject[]) => {
