Count simultaneous crashes beyond one request's own

Cause: once a request was refused for three crashes, its part needed two more crashes by others, and crashes within 50 ms of each other counted once. Two at once left the part free after five crashes.

Such crashes all count now, if a run had begun on each server and no zone failed. The test 'after five crashes a part is refused, though two came at once' failed before: a later request could run.

--- a/src/process/crash_account_test.ts
+++ b/src/process/crash_account_test.ts
@@ -294,3 +294,17 @@
   account.recordProof([DEADLY_PART]);
   expect(account.blockedUntilMs(request)).toBeUndefined();
 });
+
+test("after five crashes a part is refused, though two came at once", () => {
+  const clock = { ms: 0 };
+  const account = createAccount(clock);
+  const crashesMs = [["1", 60], ["1", 120], ["1", 180], ["2", 280], ["3", 300]];
+  for (const [id, ms] of crashesMs) {
+    clock.ms = Number(ms);
+    const crash = { server: `${ms}`, zone: `${ms}`, atMs: clock.ms };
+    const request = createRequest(`${id}`, [DEADLY_PART]);
+    account.recordCrash(request, { ...crash, stage: RunStage.Begun });
+  }
+  const later = createRequest("later", [DEADLY_PART]);
+  expect(account.blockedUntilMs(later)).toBe(clock.ms + 60_000);
+});
--- a/src/process/crash_explanation.ts
+++ b/src/process/crash_explanation.ts
@@ -38,8 +38,11 @@
 
 /** Weight of crashes that suffices for an explanation. */
 export const SCORE_MIN = 3;
-/** The same for those that no more specific explanation covers. */
-const UNEXPLAINED_SCORE_MIN = 2;
+/**
+ * Crashes that no more specific explanation covers, if a run had begun on each
+ * server and no zone failed.
+ */
+const UNEXPLAINED_MIN = 2;
 /** Crashes this close count once if their requests differ, in ms. */
 const SIMULTANEOUS_MS = 50;
 /** Servers of a zone that crash within `SETTLE_MS` if the zone itself fails. */
@@ -76,10 +79,12 @@
   for (const hypothesis of hypotheses) {
     const rest = unexplainedCrashes(hypothesis, { hypotheses, explained });
     const { isGeneral, unexplained } = rest;
-    const limit = isGeneral && unexplained.every(hasBegun)
-      ? UNEXPLAINED_SCORE_MIN
-      : SCORE_MIN;
-    const weight = scoreOf(unexplained, hypothesis.causes, zoneFailures);
+    const areCertain = isGeneral &&
+      unexplained.every((crash) => hasBegun(crash) && !zoneFailures.has(crash));
+    const limit = areCertain ? UNEXPLAINED_MIN : SCORE_MIN;
+    const weight = areCertain
+      ? unexplained.length
+      : scoreOf(unexplained, hypothesis.causes, zoneFailures);
     if (weight < limit) continue;
     const last = unexplained[limit - 1];
     explanations.push({ ...hypothesis, sinceMs: last?.atMs ?? nowMs });
