Test that the end of a shutdown keeps complete responses

This test fails. A caller pipelines two calls; the second is answered by its server, the first is still at work when the shutdown ends open requests. The first is refused with 504, and the second, whose whole response waits behind it, is never sent: the connection is closed.

OpenRequests.endAll calls the end of each request that is not closed. For a response that is complete but queued, headersSent is true, so sendErrorResponse destroys the connection as soon as the response gets it.

--- a/tests/pipelined_requests_test.ts
+++ b/tests/pipelined_requests_test.ts
@@ -81,3 +81,21 @@
     timeout: 3_000,
   }).toEqual(["HTTP/1.1 200", "HTTP/1.1 413", "HTTP/1.1 200"]);
 });
+
+test(
+  "the end of a shutdown keeps complete responses behind a request that it refuses",
+  async () => {
+    platform = await ScriptedPlatform.create({});
+    platform.respond = (request, response) => {
+      if (request.url !== "/call/1") respondShortly(request, response);
+    };
+    const caller = platform.connect();
+    caller.socket.write(formatRequest("/call/1") + formatRequest("/call/2"));
+    await expect.poll(() => platform.receivedIds.length).toBe(2);
+    await sleep(200);
+    await platform.entry.stop();
+    expect(caller.received.match(/HTTP\/1\.1 \d+/g))
+      .toEqual(["HTTP/1.1 504", "HTTP/1.1 200"]);
+  },
+  12_000,
+);
