Keep complete responses that wait behind a refused one at the end of a shutdown

Cause: ending the open requests also ended a response that was complete and waited behind another on its connection. Its head counts as sent, so it was aborted as one that has begun.

--- a/src/process/graceful_shutdown.ts
+++ b/src/process/graceful_shutdown.ts
@@ -78,12 +78,12 @@
 
   /**
    * Ends the requests that have not been ended; each is answered if its response
-   * has not begun.
+   * has not begun. One that is complete may wait behind another response.
    */
   endAll(): void {
     for (const [response, end] of [...this.#endings]) {
       this.#endings.set(response, () => undefined);
-      end();
+      if (!response.writableEnded) end();
     }
   }
 }
