Blame calls beside streams that had begun, and only sets that one run had

What callers saw: a call that crashes servers went on crashing them as long as streams had just begun there (37 and 43 calls later than 3 s after the third crash, three permitted), and the streams were refused in its place.

Cause: only runs of the most suspect stage are blamed, and a call shows no stage until it ends, so it counted as one that had not begun. A set of causes was also joined pairwise, so that no run may have had all of it; such a block refuses nobody and counts as the explanation.

Calls have a stage of their own, as suspect as a stream that has begun; of two equal explanations that by one request comes first. A set grows only as long as one run in each crash has all of it.

The properties of crash_account_test.ts pass.

--- a/src/process/crash_evidence.ts
+++ b/src/process/crash_evidence.ts
@@ -10,7 +10,9 @@
 export enum RunStage {
   /** The head of a stream had arrived, and no event. */
   Begun = "begun",
-  /** No head had arrived; what calls show until they end. */
+  /** A call, which shows nothing until it ends. */
+  Calling = "calling",
+  /** No head of a stream had arrived. */
   Waiting = "waiting",
   /** The first events had arrived. */
   Producing = "producing",
@@ -60,13 +62,15 @@
 
 const REQUEST_PREFIX = "request ";
 
-/** The stages, most suspect first. */
-const STAGES: readonly RunStage[] = [
-  RunStage.Begun,
-  RunStage.Waiting,
-  RunStage.Producing,
-  RunStage.Proven,
-];
+/** How suspect a run is; the lowest number is the most suspect. */
+const SUSPICION_RANK: Readonly<Record<RunStage, number>> = {
+  [RunStage.Begun]: 0,
+  // It may have begun as well.
+  [RunStage.Calling]: 0,
+  [RunStage.Waiting]: 1,
+  [RunStage.Producing]: 2,
+  [RunStage.Proven]: 3,
+};
 
 /** Returns the run of a request that ended at `stage`. */
 export function createRun(
@@ -111,7 +115,10 @@
  * stage explain it, so the others do not.
  */
 export function suspectsOf({ runs }: ServerCrash): readonly CrashedRun[] {
-  return runs.filter(({ stage }) => stage === runs[0]?.stage);
+  const [first] = runs;
+  if (first === undefined) return [];
+  const rank = SUSPICION_RANK[first.stage];
+  return runs.filter(({ stage }) => SUSPICION_RANK[stage] === rank);
 }
 
 /** Returns the most suspect stage of the runs on a crashed server. */
@@ -139,6 +146,11 @@
 
 function sortRuns(runs: readonly CrashedRun[]): readonly CrashedRun[] {
   return runs
-    .toSorted((a, b) => STAGES.indexOf(a.stage) - STAGES.indexOf(b.stage))
+    .toSorted((a, b) => orderOf(a) - orderOf(b))
     .slice(0, CRASH_RUNS_MAX);
 }
+
+/** Calls come after streams that had begun: only the latter are certain. */
+function orderOf({ stage }: CrashedRun): number {
+  return SUSPICION_RANK[stage] + (stage === RunStage.Calling ? 0.5 : 0);
+}
--- a/src/process/crash_explanation.ts
+++ b/src/process/crash_explanation.ts
@@ -124,7 +124,7 @@
     causes.every((cause) => other.causes.includes(cause))
   );
   // Several requests that crash servers rather share the cause.
-  const requests = moreSpecific.filter(({ causes }) => causes.some(isRequest));
+  const requests = moreSpecific.filter(hasRequest);
   const explaining = requests.length > 1
     ? moreSpecific.filter((other) => !requests.includes(other))
     : moreSpecific;
@@ -163,12 +163,15 @@
   for (const { cause, crashes, rate } of candidates) {
     const score = scoreOf(crashes, [cause], zoneFailures);
     if (score < SCORE_MIN) continue;
-    const causes = candidates.filter((other) =>
-      other.crashes.length >= crashes.length &&
-      crashes.every((crash) =>
-        other.all.has(crash) && haveRun(crash, [cause, other.cause])
-      )
-    ).map((other) => other.cause).toSorted();
+    const causes = [cause];
+    for (const other of candidates) {
+      const isCommon = other.cause !== cause &&
+        crashes.every((crash) =>
+          other.all.has(crash) && haveRun(crash, [...causes, other.cause])
+        );
+      if (isCommon) causes.push(other.cause);
+    }
+    causes.sort();
     const servers = crashes.map(({ server }) => server);
     const key = [...causes, ...servers].join(" ");
     const known = hypotheses.get(key);
@@ -177,10 +180,16 @@
     }
   }
   return [...hypotheses.values()].toSorted((a, b) =>
-    b.rate - a.rate || b.score - a.score || b.causes.length - a.causes.length
+    b.rate - a.rate || b.score - a.score ||
+    Number(hasRequest(b)) - Number(hasRequest(a)) ||
+    b.causes.length - a.causes.length
   );
 }
 
+function hasRequest({ causes }: Hypothesis): boolean {
+  return causes.some(isRequest);
+}
+
 /** Whether a suspected run on a crashed server has all of the causes. */
 function haveRun(crash: ServerCrash, causes: readonly CrashCause[]): boolean {
   return suspectsOf(crash).some((run) =>
--- a/src/process/crash_suspects_test.ts
+++ b/src/process/crash_suspects_test.ts
@@ -57,7 +57,7 @@
 
 const deadlyCall: CrashingRun = {
   causes: (at) => createCauses(`call-${at}`, [], DEADLY_REQUEST),
-  stage: RunStage.Waiting,
+  stage: RunStage.Calling,
 };
 const begunStream: CrashingRun = {
   causes: (at) => createCauses(`stream-${at}`, [SHARED_PART, OTHER_PART]),
--- a/src/request/crash_guard.ts
+++ b/src/request/crash_guard.ts
@@ -15,7 +15,7 @@
 import type { RegisteredServer } from "../process/registered_server.ts";
 import type { RelayContext } from "../process/relay_context.ts";
 import type { AttemptRecord } from "./attempt_history.ts";
-import type { ProxyRequest } from "./proxy_request.ts";
+import { type ProxyRequest, RequestKind } from "./proxy_request.ts";
 
 /** Time after its first event in which a run would crash its server, in ms. */
 const PROOF_MS = 250;
@@ -105,7 +105,9 @@
     readonly atMs: number;
   },
 ): void {
-  const stage = stageAt(record, atMs);
+  const stage = request.kind === RequestKind.Stream
+    ? stageAt(record, atMs)
+    : RunStage.Calling;
   const name = incarnationName(server);
   const causes = causesOf(request);
   metrics.attributedCrashes.inc();
