Blame a request that crashes servers before its head beside begun streams

What callers saw: a stream that comes again and crashes its servers before the head of the response reached 30 more of them, later than 3 s after the third crash, as long as other streams had just begun there.

Cause: beside a run that had begun, one that waited was never a suspect.

Its request, not its parts, is one now. Of equal explanations that by runs that had begun comes first, so a sound request that waited beside a deadly part is not refused.

--- a/src/process/crash_evidence.ts
+++ b/src/process/crash_evidence.ts
@@ -112,13 +112,18 @@
 
 /**
  * Returns the runs that may have caused a crash: those of the most suspect
- * stage explain it, so the others do not.
+ * stage explain it, so the parts of the others do not. A request that waited may
+ * have crashed the server before its head arrived.
  */
 export function suspectsOf({ runs }: ServerCrash): readonly CrashedRun[] {
   const [first] = runs;
   if (first === undefined) return [];
   const rank = SUSPICION_RANK[first.stage];
-  return runs.filter(({ stage }) => SUSPICION_RANK[stage] === rank);
+  return runs.flatMap((run) => {
+    if (SUSPICION_RANK[run.stage] === rank) return [run];
+    if (run.stage !== RunStage.Waiting) return [];
+    return [{ ...run, causes: run.causes.filter(isRequest) }];
+  });
 }
 
 /** Returns the most suspect stage of the runs on a crashed server. */
--- a/src/process/crash_explanation.ts
+++ b/src/process/crash_explanation.ts
@@ -56,6 +56,8 @@
   readonly crashes: readonly ServerCrash[];
   readonly rate: number;
   readonly score: number;
+  /** Whether the runs with the causes only waited beside others that had begun. */
+  readonly isWaiting: boolean;
 }
 
 /** A server crash with what its weight depends on. */
@@ -176,16 +178,26 @@
     const key = [...causes, ...servers].join(" ");
     const known = hypotheses.get(key);
     if (known === undefined || known.rate < rate) {
-      hypotheses.set(key, { causes, crashes, rate, score });
+      const isWaiting = crashes.every((crash) => hasOnlyWaited(crash, cause));
+      hypotheses.set(key, { causes, crashes, rate, score, isWaiting });
     }
   }
   return [...hypotheses.values()].toSorted((a, b) =>
     b.rate - a.rate || b.score - a.score ||
+    Number(a.isWaiting) - Number(b.isWaiting) ||
     Number(hasRequest(b)) - Number(hasRequest(a)) ||
     b.causes.length - a.causes.length
   );
 }
 
+/** Whether runs with the cause are less suspect than others on the server. */
+function hasOnlyWaited(crash: ServerCrash, cause: CrashCause): boolean {
+  return stageOf(crash) !== RunStage.Waiting &&
+    suspectsOf(crash).every(({ stage, causes }) =>
+      stage === RunStage.Waiting || !causes.includes(cause)
+    );
+}
+
 function hasRequest({ causes }: Hypothesis): boolean {
   return causes.some(isRequest);
 }
--- a/src/process/crash_suspects_test.ts
+++ b/src/process/crash_suspects_test.ts
@@ -73,6 +73,35 @@
   expect(account.blockedUntilMs(repeat)).toBeDefined();
 });
 
+test("a stream that crashes servers before its head is refused though others had just begun on them", () => {
+  const stream: CrashingRun = {
+    causes: (at) => createCauses(`early-${at}`, [SHARED_PART], DEADLY_REQUEST),
+    stage: RunStage.Waiting,
+  };
+  const account = crashServers([stream, begunStream], {
+    count: 8,
+    proven: [SHARED_PART, OTHER_PART],
+  });
+  const repeat = createCauses("repeat", [SHARED_PART], DEADLY_REQUEST);
+  expect(account.blockedUntilMs(repeat)).toBeDefined();
+});
+
+test("a sound request that waited in each crash beside a deadly part is not refused", () => {
+  const waiting: CrashingRun = {
+    causes: () => createCauses("sound", [SHARED_PART]),
+    stage: RunStage.Waiting,
+  };
+  const deadly: CrashingRun = {
+    causes: (at) => createCauses(`deadly-${at}`, [SHARED_PART, DEADLY_PART]),
+    stage: RunStage.Begun,
+  };
+  const account = crashServers([waiting, deadly], { count: 8 });
+  const sound = createCauses("sound", [SHARED_PART]);
+  expect(account.blockedUntilMs(sound)).toBeUndefined();
+  const later = createCauses("later", [SHARED_PART, DEADLY_PART]);
+  expect(account.blockedUntilMs(later)).toBeDefined();
+});
+
 test("streams that had just begun when a call crashed their servers are not refused", () => {
   const account = crashServers([deadlyCall, begunStream], { count: 8 });
   const sound = createCauses("sound", [SHARED_PART, OTHER_PART]);
