Measure and log delays of the event loop

All requests of an entry share one event loop. Nothing measured how long it was busy, so that calls without a response beside a server that sends without end could not be told from a slow server or a lost connection.

--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -35,6 +35,7 @@
 import { Dispatcher } from "./dispatcher.ts";
 import type { EntryContext } from "./entry_context.ts";
 import { EntryStatusWriter } from "./entry_status.ts";
+import { EventLoopMonitor } from "./event_loop_monitor.ts";
 import { LOG_EVENTS } from "./log_events.ts";
 import { ServerPool } from "./server_pool.ts";
 import { ActionStore } from "./action_store.ts";
@@ -80,6 +81,7 @@
   readonly #server: Server;
   readonly #callerConnections: CallerConnections;
   readonly #statusWriter: EntryStatusWriter;
+  readonly #eventLoopMonitor: EventLoopMonitor;
   readonly #openRequests = OpenRequests.create();
   /** Records of requests that were ended with the process. */
   readonly #lastRecords: Promise<void>[] = [];
@@ -102,6 +104,10 @@
       readChunk: (hash) => this.#context.revisionStore.chunk(hash),
     });
     this.#statusWriter = EntryStatusWriter.create(this.#context);
+    this.#eventLoopMonitor = EventLoopMonitor.create({
+      log,
+      registry: this.#context.metrics.registry,
+    });
     this.#server = createServer((request, response) =>
       this.#handleRequest(request, response)
     );
@@ -164,6 +170,7 @@
   /** Closes all connections and stops all tasks at once. */
   close(): void {
     this.#isClosed = true;
+    this.#eventLoopMonitor.close();
     this.#context.pauseDetector.close();
     this.#context.serverPool.close();
     this.#peers.close();
--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -59,6 +59,12 @@
     "log lines dropped",
     "use the metrics to see what was not logged",
   ),
+  eventLoopDelayed: createLogEvent(
+    1009,
+    Severity.Warn,
+    "event loop was delayed; all requests of this process waited",
+    "see docs/OPERATIONS.md, when all requests of an entry are slow",
+  ),
   unexpectedError: createLogEvent(
     1099,
     Severity.Error,
