Read streams that send too fast in turns

Callers of sound services got no response while one server sent valid events without end: of 60 calls with 2 s each, 60 got none beside 40 streams at that server, and the median rose from 18 to 1175 ms beside 8.

Cause: a stream was read and forwarded as fast as its server sent, 64 KB (some 2600 events) in each turn of the event loop, and all requests of the process share that loop. 40 such streams made one turn take 0.4 to 1.2 s, and a call needs several turns.

A stream now has a rate of its own, above what an engine sends. What exceeds it is read in turns of 16 KB, one each 8 ms for all streams together; the rest waits in the connection. Nothing is ended or dropped, since a run that resumes may send many events at once: alone, 1 MB takes about 0.5 s. Event 3116 names the server.

--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -215,6 +215,12 @@
     Severity.Info,
     "a blocked request, or a part of prompts, proved harmless; served again",
   ),
+  streamReadSlowly: createLogEvent(
+    3116,
+    Severity.Warn,
+    "backend server sends a stream too fast; it is read slowly",
+    "check the backend server",
+  ),
   actionOutcomeUnknown: createLogEvent(
     4001,
     Severity.Warn,
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -14,6 +14,7 @@
   type RelayDigest,
   type ServerChanges,
 } from "../connection/peer_protocol.ts";
+import { ReadTurns } from "../connection/read_turns.ts";
 import {
   ResponseBuffers,
   type ResponseLimits,
@@ -176,6 +177,7 @@
       silentServers: SilentServers.create(servers, reports),
       promptCacheIndex: PromptCacheIndex.create({ now }),
       responseBuffers: ResponseBuffers.create(CALL_RESPONSE_LIMITS),
+      readTurns: ReadTurns.create(now),
       crashCauses: this.#createCrashCauses(metrics),
       metrics,
       retryBudget: RetryBudget.create({
--- a/src/process/relay_context.ts
+++ b/src/process/relay_context.ts
@@ -1,6 +1,7 @@
 /** Dependencies that the requests of one relaying entry share. */
 
 import type { SlotRequest } from "../request/acquire_slot.ts";
+import type { ReadTurns } from "../connection/read_turns.ts";
 import type { ResponseBuffers } from "../connection/response_buffers.ts";
 import type { KvCopier, KvCopyReleaser } from "../request/kv_copy_manager.ts";
 import type { CallerWaitEstimator } from "./caller_wait_estimator.ts";
@@ -34,6 +35,8 @@
   readonly releaseKvCopy: KvCopyReleaser;
   /** Buffers of the responses to calls. */
   readonly responseBuffers: ResponseBuffers;
+  /** Turns in which streams are read that send fast. */
+  readonly readTurns: ReadTurns;
   /** Monotonic clock, in ms. */
   readonly now: () => number;
 }
--- a/src/request/stream_attempt.ts
+++ b/src/request/stream_attempt.ts
@@ -68,6 +68,8 @@
   readonly #options: StreamAttemptOptions;
   readonly #startMs: number;
   readonly #abortController = new AbortController();
+  /** Aborted when the attempt or its caller ends. */
+  signal = this.#abortController.signal;
   readonly #deadlineTimer: NodeJS.Timeout;
 
   private constructor(options: StreamAttemptOptions) {
@@ -164,13 +166,14 @@
   ): Promise<BackendResponse> {
     const { context, request } = this.#options;
     const { server, kvCopy } = this.slot;
+    this.signal = AbortSignal.any([caller.signal, this.signal]);
     const response = await open({
       server,
       timeoutMs: effectiveDeadlineMs(request) - context.now(),
       lastEventId: resumeAfter ?? request.lastEventId,
       kvCopy,
       backupServer: this.kvCopyManager.backup,
-      signal: AbortSignal.any([caller.signal, this.#abortController.signal]),
+      signal: this.signal,
       onSent: () => this.record.progress = AttemptProgress.Sent,
       onHoldOff: (ms) => context.servers.holdOff(server, ms),
     });
--- a/src/request/stream_response.ts
+++ b/src/request/stream_response.ts
@@ -5,6 +5,7 @@
 
 import type { BackendResponse } from "../connection/backend_request.ts";
 import { EventSplitter, type RawEvent } from "../connection/event_splitter.ts";
+import { splitIntoTurns } from "../connection/read_turns.ts";
 import type { ResponseWriter } from "../connection/response_writer.ts";
 import { AttemptError, FailureCause } from "../errors.ts";
 import { LOG_EVENTS } from "../process/log_events.ts";
@@ -101,27 +102,30 @@
     attempt: StreamAttempt,
   ): Promise<void> {
     const { slot, stallDetector } = attempt;
-    const { servers, now } = this.#context;
+    const { servers, now, log, readTurns } = this.#context;
     const splitter = EventSplitter.create();
     const stallTimeout = AdaptiveStallTimeout.create(now);
-    for await (const bytes of response.body()) {
+    const pace = readTurns.open(() =>
+      log(LOG_EVENTS.streamReadSlowly, {
+        request: this.#request.id,
+        server: slot.server.name,
+        after: this.lastEventId ?? "",
+      })
+    );
+    for await (const arrived of response.body()) {
       servers.recordActivity(slot.server.name);
-      const events = [...splitter.push(bytes)];
-      if (events.length === 0) continue;
-      this.#poisonGuard.recordEvents(attempt.record, events.length);
-      attempt.markEventsSeen();
-      const newEvents = this.#assembler.accept(events);
-      // Other bytes do not show that the run makes progress.
-      const hasProgress = newEvents.some(({ id }) => id !== undefined);
-      if (hasProgress) attempt.recordActivity(stallTimeout.observeEvent());
-      if (newEvents.length === 0) continue;
-      if (hasProgress) stallDetector.pause();
-      if (!this.#hasBegun) this.#begin(response);
-      this.#recordResume(newEvents);
-      await this.#caller.write(
-        Buffer.concat(newEvents.map((event) => event.bytes)),
-      );
-      if (hasProgress) stallDetector.resume();
+      for (const bytes of splitIntoTurns(arrived)) {
+        const newEvents = this.#accept([...splitter.push(bytes)], attempt);
+        // Other bytes do not show that the run makes progress.
+        const hasProgress = newEvents.some(({ id }) => id !== undefined);
+        if (hasProgress) {
+          attempt.recordActivity(stallTimeout.observeEvent());
+          stallDetector.pause();
+        }
+        if (newEvents.length > 0) await this.#write(newEvents, response);
+        await pace.pause(bytes.length, attempt.signal);
+        if (hasProgress) stallDetector.resume();
+      }
     }
     if (splitter.hasPartialEvent) {
       throw new AttemptError(
@@ -140,6 +144,26 @@
     this.#poisonGuard.recordCompletion();
   }
 
+  /** Returns the events to forward. Errors: `AttemptError`. */
+  #accept(
+    events: readonly RawEvent[],
+    attempt: StreamAttempt,
+  ): readonly RawEvent[] {
+    if (events.length === 0) return events;
+    this.#poisonGuard.recordEvents(attempt.record, events.length);
+    attempt.markEventsSeen();
+    return this.#assembler.accept(events);
+  }
+
+  async #write(
+    events: readonly RawEvent[],
+    response: BackendResponse,
+  ): Promise<void> {
+    if (!this.#hasBegun) this.#begin(response);
+    this.#recordResume(events);
+    await this.#caller.write(Buffer.concat(events.map(({ bytes }) => bytes)));
+  }
+
   /** Whether an attempt without events can't be a complete response. */
   #mustHaveEvents({ record }: StreamAttempt): boolean {
     const isAtEnd = this.#request.lastEventId !== undefined && !this.#hasBegun;
