Test the work beside endless streams, not its time

The test measured how long calls took beside 40 streams with events without end. On a machine at a load of 24 calls took 1.3 s against a bound of 1 s, and a stream that waited for a prefill was refused before it began, though the entry behaved as intended.

That a wait ends with its request is tested at the turns themselves.

--- a/src/connection/read_turns_test.ts
+++ b/src/connection/read_turns_test.ts
@@ -69,3 +69,15 @@
   expect(slices.map(({ length }) => length)).toEqual([16_384, 16_384, 7_232]);
   expect(Buffer.concat(slices).equals(bytes)).toBe(true);
 });
+
+test("a wait for a turn ends when its request ends", async () => {
+  const turns = ReadTurns.create(() => performance.now());
+  for (let other = 0; other < 1_000; other++) {
+    turns.open().recordRead(2 * TURN_BYTES);
+  }
+  const controller = new AbortController();
+  const startMs = performance.now();
+  setTimeout(() => controller.abort(), 10);
+  await turns.open().pause(1_000_000, controller.signal);
+  expect(performance.now() - startMs).toBeLessThan(4_000);
+});
--- a/tests/relay/endless_events_test.ts
+++ b/tests/relay/endless_events_test.ts
@@ -2,7 +2,6 @@
 
 import { setImmediate as immediate } from "node:timers/promises";
 import { expect, test } from "vitest";
-import { abortError } from "../../src/connection/backend_request.ts";
 import { RequestKind } from "../../src/request/proxy_request.ts";
 import {
   createRelay,
@@ -21,6 +20,9 @@
 const EVENTS_PER_TURN = 3_000;
 /** Bytes that all endless streams send, by turn. */
 const sentEvents: Buffer[] = [];
+/** Bytes that endless streams may send during the calls. */
+const SENT_MAX_BYTES = 40_000_000;
+let sentBytes = 0;
 
 function createLoadedRelay() {
   const report = { startedMs: 1, waiting: 0, prefilling: 0, runs: undefined };
@@ -39,50 +41,54 @@
 }
 
 /** A server that sends 64 KB of new events in each turn of the event loop. */
-const sendsEventsEndlessly: ServerScript = async (target) => ({
-  ...await sendsEvents(1, 1, "whole")(target),
-  body: async function* () {
-    for (let index = 0; !target.signal.aborted; index++) {
-      await immediate();
-      const from = index * EVENTS_PER_TURN + 1;
-      yield sentEvents[index] ??= formatEvents(from, EVENTS_PER_TURN);
-    }
-    throw abortError(target.signal);
-  },
-});
+function sendsEventsEndlessly(until: AbortSignal): ServerScript {
+  return async (target) => ({
+    ...await sendsEvents(1, 1, "whole")(target),
+    body: async function* () {
+      const isSending = () => !until.aborted && sentBytes <= SENT_MAX_BYTES;
+      for (let index = 0; isSending(); index++) {
+        await immediate();
+        const from = index * EVENTS_PER_TURN + 1;
+        const events = sentEvents[index] ??= formatEvents(
+          from,
+          EVENTS_PER_TURN,
+        );
+        sentBytes += events.length;
+        yield events;
+      }
+    },
+  });
+}
 
 const respondsAfterTurns: ServerScript = async (target) => {
   for (let turn = 0; turn < RESPONSE_TURNS; turn++) await immediate();
   return await responds(200)(target);
 };
 
-test("calls get responses in time beside streams with events without end", async () => {
+test("streams with events without end leave the event loop to calls", async () => {
+  sentBytes = 0;
   const relay = createLoadedRelay();
-  const deadlineMs = performance.now() + 4_000;
+  const controller = new AbortController();
   const streams = Array.from(
     { length: ENDLESS_STREAMS },
     () =>
-      serveScripts(relay, [sendsEventsEndlessly], {
+      serveScripts(relay, [sendsEventsEndlessly(controller.signal)], {
         kvCacheTokens: 100,
-        callerDeadlineMs: deadlineMs,
+        promptTokens: 0,
         maxAttempts: 1,
       }),
   );
-  const tookMs: number[] = [];
   for (let call = 0; call < CALLS; call++) {
-    const { caller, ...served } = await serveScripts(
-      relay,
-      [respondsAfterTurns],
-      { kind: RequestKind.NonIdempotent },
-    );
+    const { caller } = await serveScripts(relay, [respondsAfterTurns], {
+      kind: RequestKind.NonIdempotent,
+    });
     expect(caller.summary).toBe("200 whole: body");
-    tookMs.push(served.tookMs);
-  }
-  expect(Math.max(...tookMs)).toBeLessThan(1_000);
-  expect(performance.now()).toBeLessThan(deadlineMs);
-  for (const { caller } of await Promise.all(streams)) {
-    expect(caller.ending).toBe("broken off");
   }
+  const sentMeanwhile = sentBytes;
+  controller.abort();
+  await Promise.all(streams);
+  expect(sentMeanwhile).toBeGreaterThan(ENDLESS_STREAMS * 50_000);
+  expect(sentMeanwhile).toBeLessThan(SENT_MAX_BYTES);
 });
 
 test("a resumed stream gets many events at once without a noticeable delay", async () => {
@@ -101,19 +107,3 @@
   expect(caller.text.split(" ")).toHaveLength(count + 3);
   expect(tookMs).toBeLessThan(500);
 });
-
-test("a stream that waits for its turn ends as soon as its caller leaves", async () => {
-  const relay = createLoadedRelay();
-  const streams = Array.from(
-    { length: ENDLESS_STREAMS },
-    () =>
-      serveScripts(relay, [sendsEventsEndlessly], {
-        kvCacheTokens: 100,
-        callerDeadlineMs: performance.now() + 500,
-        maxAttempts: 1,
-      }),
-  );
-  const [first] = await Promise.all(streams);
-  expect(first?.caller.ending).toBe("broken off");
-  expect(first?.tookMs).toBeLessThan(900);
-});
