--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -59,6 +59,12 @@
     "log lines dropped",
     "use the metrics to see what was not logged",
   ),
+  eventLoopDelayed: createLogEvent(
+    1009,
+    Severity.Warn,
+    "event loop was delayed; all requests of this process waited",
+    "see docs/OPERATIONS.md, when all requests of an entry are slow",
+  ),
   settingsApplied: createLogEvent(
     1010,
     Severity.Info,
@@ -242,6 +248,12 @@
     "stored block of requests that crash backend servers can't be used",
     "remove the record if no version in use can read it",
   ),
+  streamReadSlowly: createLogEvent(
+    3116,
+    Severity.Warn,
+    "backend server sends a stream too fast; it is read slowly",
+    "check the backend server",
+  ),
   actionOutcomeUnknown: createLogEvent(
     4001,
     Severity.Warn,
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -14,6 +14,7 @@
   type RelayDigest,
   type ServerChanges,
 } from "../connection/peer_protocol.ts";
+import { ReadTurns } from "../connection/read_turns.ts";
 import {
   ResponseBuffers,
   type ResponseLimits,
@@ -179,6 +180,7 @@
       promptCacheIndex: PromptCacheIndex.create({ now }),
       responseBuffers: ResponseBuffers.create(CALL_RESPONSE_LIMITS),
       crashAccount: this.#createCrashAccount(metrics),
+      readTurns: ReadTurns.create(now),
       metrics,
       retryBudget: RetryBudget.create({
         now,
