Count small chunks in the turns of a response

Callers of sound services got no response while one server sent streams in chunks of one byte: of 60 calls with 2 s each, 60 got none beside 10 such streams, and 57 beside 10 calls with such responses.

Cause: a read of 64 KB holds 10922 chunks of one byte, and Node calls back for each; the turns counted only the 11 KB of content.

What is not content, in the bodies of calls too, now counts eightfold in the turns. Framing is counted as it is parsed, so that content that was not read yet does not count as framing.

--- a/src/connection/body_reader.ts
+++ b/src/connection/body_reader.ts
@@ -18,11 +18,17 @@
   #error: Error | undefined;
   #wake: () => void = () => undefined;
 
-  private constructor(incoming: IncomingMessage) {
+  private constructor(
+    incoming: IncomingMessage,
+    onContent: (bytes: number) => void,
+  ) {
     this.#incoming = incoming;
     // It would resume the connection.
     incoming._read = () => undefined;
-    incoming.on("data", (chunk: Buffer) => this.#append(chunk));
+    incoming.on("data", (chunk: Buffer) => {
+      onContent(chunk.length);
+      this.#append(chunk);
+    });
     incoming.on("error", (error) => this.#end(error));
     incoming.once("end", () => this.#end());
     incoming.once("close", () => this.#end());
@@ -30,9 +36,12 @@
     incoming.socket.resume();
   }
 
-  /** Starts to read a body. */
-  static create(incoming: IncomingMessage): BodyReader {
-    return new BodyReader(incoming);
+  /** Starts to read a body; `onContent` is called as its bytes arrive. */
+  static create(
+    incoming: IncomingMessage,
+    onContent: (bytes: number) => void,
+  ): BodyReader {
+    return new BodyReader(incoming, onContent);
   }
 
   /**
--- a/src/connection/read_turns.ts
+++ b/src/connection/read_turns.ts
@@ -16,6 +16,8 @@
 const OWN_BURST_BYTES = 16_384;
 /** Bytes that are read in one turn. */
 const TURN_BYTES = 16_384;
+/** Time that parsing one byte other than content takes, in bytes of content. */
+const FRAMING_WEIGHT = 8;
 /** Time between two turns, in ms; the bytes of one take about 1 ms. */
 const TURN_INTERVAL_MS = 8;
 /** Sum of a stream's delays from which on it is reported, in ms. */
@@ -51,17 +53,16 @@
   open(onSlow?: () => void): ReadPace {
     return ReadPace.create({
       now: this.#now,
-      takeTurn: (maxMs) => this.#takeTurn(maxMs),
+      takeTurns: (count, maxMs) => this.#takeTurns(count, maxMs),
       onSlow,
     });
   }
 
-  /** Returns the delay of the next turn in ms; takes it if within `maxMs`. */
-  #takeTurn(maxMs: number): number | undefined {
+  #takeTurns(count: number, maxMs: number): number | undefined {
     const nowMs = this.#now();
     const turnMs = Math.max(nowMs, this.#nextTurnMs);
     if (turnMs - nowMs >= maxMs) return undefined;
-    this.#nextTurnMs = turnMs + TURN_INTERVAL_MS;
+    this.#nextTurnMs = turnMs + count * TURN_INTERVAL_MS;
     return turnMs - nowMs;
   }
 }
@@ -69,8 +70,11 @@
 /** Dependencies of a `ReadPace`; see `ReadTurns`. */
 export interface ReadPaceOptions {
   readonly now: () => number;
-  /** Takes the next turn if its delay is below `maxMs`; returns the delay. */
-  readonly takeTurn: (maxMs: number) => number | undefined;
+  /**
+   * Takes the next `count` turns if their delay is below `maxMs`; returns the
+   * delay.
+   */
+  readonly takeTurns: (count: number, maxMs: number) => number | undefined;
   readonly onSlow: (() => void) | undefined;
 }
 
@@ -102,13 +106,19 @@
       Math.min(OWN_BURST_BYTES, this.#allowedBytes + refilled) - bytes;
     if (this.#allowedBytes >= 0) return 0;
     const ownDelayMs = -this.#allowedBytes / OWN_BYTES_PER_S * MS_PER_S;
-    const turnDelayMs = this.#options.takeTurn(ownDelayMs);
+    const turns = Math.ceil(-this.#allowedBytes / TURN_BYTES);
+    const turnDelayMs = this.#options.takeTurns(turns, ownDelayMs);
     if (turnDelayMs === undefined) return ownDelayMs;
     this.#allowedBytes = 0;
     this.#updatedMs = nowMs + turnDelayMs;
     return turnDelayMs;
   }
 
+  /** Records bytes other than content that were parsed; see `pause`. */
+  async pauseAfterFraming(bytes: number, signal: AbortSignal): Promise<void> {
+    await this.pause(FRAMING_WEIGHT * bytes, signal);
+  }
+
   /** Records bytes that were read; resolves when more may be read. */
   async pause(bytes: number, signal: AbortSignal): Promise<void> {
     const delayMs = this.recordRead(bytes);
--- a/src/connection/response_limits.ts
+++ b/src/connection/response_limits.ts
@@ -18,23 +18,24 @@
 /** Counts the bytes of one response that are not content. */
 export class FramingLimit {
   #contentBytes = 0;
+  /** Bytes that were returned by `takeBytes`. */
+  #takenBytes = 0;
+  /** Bytes of the connection that were parsed. */
+  #parsedBytes = 0;
   readonly #close: () => void;
 
   private constructor(outgoing: ClientRequest, onExceeded: () => void) {
     let socket: Socket | undefined;
-    let startBytes = 0;
-    const check = () => {
-      const framing = (socket?.bytesRead ?? 0) - startBytes -
-        this.#contentBytes;
+    const check = (data: Buffer) => {
+      this.#parsedBytes += data.length;
       const limit = FRAMING_MAX_BYTES + FRAMING_RATIO * this.#contentBytes;
-      if (framing <= limit) return;
+      if (this.#framingBytes <= limit) return;
       this.close();
       onExceeded();
     };
     this.#close = () => socket?.off("data", check);
     outgoing.once("socket", (opened) => {
       socket = opened;
-      startBytes = opened.bytesRead;
       opened.on("data", check);
     });
     outgoing.once("close", () => this.close());
@@ -53,6 +54,17 @@
     this.#contentBytes += bytes;
   }
 
+  /** Returns the bytes other than content since the last call. */
+  takeBytes(): number {
+    const bytes = Math.max(0, this.#framingBytes - this.#takenBytes);
+    this.#takenBytes += bytes;
+    return bytes;
+  }
+
+  get #framingBytes(): number {
+    return this.#parsedBytes - this.#contentBytes;
+  }
+
   /** Stops counting. */
   close(): void {
     this.#close();
