Log how long an entry knows of a configuration that it has not adopted

Neither logs nor metrics told an entry that was behind from one that had not heard of a change: 2001 named a source, but not since when a newer version had been announced. 2001 now has behind_ms, event 2010 names the peers that hold a newer version after 500 ms, and a histogram counts the times. No change of what is fetched, or when.

--- a/bench/emulator/emulated_cluster.ts
+++ b/bench/emulator/emulated_cluster.ts
@@ -232,7 +232,7 @@
     const { supportsKvBackup = true } = this.#options;
     relay.adopt(
       createRouteTable(this.#engineModel, supportsKvBackup),
-      "emulation",
+      { source: "emulation" },
     );
     relay.setRegisteredEntryCount(this.#options.entries);
     relay.replaceServerList(
--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -138,6 +138,12 @@
     "registration of a backend server is unusable; it gets no requests",
     "correct or remove the registration",
   ),
+  configurationBehind: createLogEvent(
+    2010,
+    Severity.Warn,
+    "a peer has announced a newer configuration that is not adopted yet",
+    "check the platform and the links between entries",
+  ),
   serverDraining: createLogEvent(
     3001,
     Severity.Info,
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -46,6 +46,14 @@
 import { QueueOrder, Routing } from "./settings.ts";
 import { ReaderElection } from "./reader_election.ts";
 
+/** Where a configuration came from; part of the log line of its adoption. */
+export type ConfigurationOrigin = {
+  /** `platform`, or the name of an entry. */
+  readonly source: string;
+  /** Time since a peer announced a newer version than was adopted, in ms. */
+  readonly behind_ms?: number;
+};
+
 /** Dependencies and settings of a relay. */
 export interface RelayOptions {
   readonly entry: EntryId;
@@ -243,8 +251,12 @@
     return this.#serverList.needsRelist;
   }
 
-  /** Adopts a configuration if it is newer; returns whether it did. */
-  adopt(table: RouteTable, source: string): boolean {
+  /**
+   * Adopts a configuration if it is newer; returns whether it did.
+   *
+   * @param origin where it came from, for the log
+   */
+  adopt(table: RouteTable, origin: ConfigurationOrigin): boolean {
     if (table.version <= this.configurationVersion) return false;
     this.#routes = table;
     this.#resolveConfigured();
@@ -252,7 +264,7 @@
     this.context.metrics.configurationVersion.set(table.version);
     this.#options.log(LOG_EVENTS.revisionAdopted, {
       revision: table.version,
-      source,
+      ...origin,
     });
     return true;
   }
--- a/src/process/relay_metrics.ts
+++ b/src/process/relay_metrics.ts
@@ -42,6 +42,13 @@
     help: "Version of the configuration in force",
     registers: [this.registry],
   });
+  readonly configurationBehindSeconds = new Histogram({
+    name: "gypsumridge_configuration_behind_seconds",
+    help:
+      "Time from a peer's announcement of a newer configuration to adoption",
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
   readonly unansweredRequests = new Counter({
     name: "gypsumridge_unanswered_requests_total",
     help: "Requests whose connection closed before a complete response",
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -14,6 +14,7 @@
 import { hashText } from "../hashing.ts";
 import type { ContentHash, EntryId } from "../ids.ts";
 import type { RouteTable } from "../version/route_table.ts";
+import { ConfigurationAnnouncements } from "./configuration_announcements.ts";
 import { CrashBlockArchive } from "./crash_block_archive.ts";
 import { LOG_EVENTS } from "./log_events.ts";
 import type { RegisteredServer, UnusableField } from "./registered_server.ts";
@@ -95,6 +96,12 @@
  */
 const SMALL_CONFIGURATION_MAX_CHARACTERS = 65_536;
 
+const MS_PER_S = 1_000;
+/** Time without the announced configuration after which it is logged, in ms. */
+const BEHIND_LOG_AFTER_MS = 500;
+/** Shortest time between two of these log lines, in ms. */
+const BEHIND_LOG_INTERVAL_MS = 1_000;
+
 /** Follows the store and the peers until closed. */
 export class StoreSync {
   readonly #options: StoreSyncOptions;
@@ -110,6 +117,8 @@
   #configurationJson: string | undefined;
   #hasServerList = false;
   #isFetchingConfiguration = false;
+  readonly #announcements = ConfigurationAnnouncements.create<PeerLink>();
+  #behindLoggedMs = Number.NEGATIVE_INFINITY;
   /** When the pending request for a peer's changes was sent, in ms. */
   #changesRequestedMs: number | undefined;
 
@@ -198,7 +207,10 @@
       digestIntervalMs: DIGEST_INTERVAL_MS,
       createDigest: () => relay.createDigest(),
       onDigest: (digest, link) => this.#mergeDigest(digest, link),
-      onPeerLost: (peer) => relay.removePeer(peer),
+      onPeerLost: (peer) => {
+        this.#announcements.forgetPeer(peer);
+        relay.removePeer(peer);
+      },
       readChunk: (name) => this.#readChunk(name),
       readChanges: (after) => relay.changesAfter(after),
     });
@@ -313,7 +325,13 @@
     const { configuration, relay, log, onConfiguration } = this.#options;
     try {
       const table = configuration.parse(object.spec);
-      if (!relay.adopt(table, source)) return;
+      const behindMs = Math.round(
+        this.#announcements.behindMs(performance.now()),
+      );
+      if (!relay.adopt(table, { source, behind_ms: behindMs })) return;
+      relay.context.metrics.configurationBehindSeconds
+        .observe(behindMs / MS_PER_S);
+      this.#announcements.markAdopted(table.version);
       this.#configurationObject = object;
       this.#configurationJson = undefined;
       onConfiguration(table);
@@ -334,6 +352,11 @@
       log(LOG_EVENTS.serverListMismatch, { peer: digest.entry });
     }
     const version = digest.orders?.configuration ?? -1;
+    this.#announcements.record(
+      { peer: digest.entry, version, link, heardMs: performance.now() },
+      relay.configurationVersion,
+    );
+    this.#logIfBehind();
     if (
       version <= relay.configurationVersion || this.#isFetchingConfiguration
     ) return;
@@ -350,6 +373,21 @@
     }
   }
 
+  #logIfBehind(): void {
+    const nowMs = performance.now();
+    const behindMs = this.#announcements.behindMs(nowMs);
+    const isDue = nowMs - this.#behindLoggedMs >= BEHIND_LOG_INTERVAL_MS;
+    if (behindMs < BEHIND_LOG_AFTER_MS || !isDue) return;
+    this.#behindLoggedMs = nowMs;
+    const { configurationVersion } = this.#options.relay;
+    const announcements = this.#announcements.newerThan(configurationVersion);
+    this.#options.log(LOG_EVENTS.configurationBehind, {
+      adopted: configurationVersion,
+      announced: announcements.map(({ peer, version }) => `${peer} ${version}`),
+      behind_ms: Math.round(behindMs),
+    });
+  }
+
   /** Fetches and merges changes to a peer's server list that this one lacks. */
   async #fetchChanges(digest: GossipDigest, link: PeerLink): Promise<void> {
     const { relay } = this.#options;
--- a/tests/relay/begun_stream_test.ts
+++ b/tests/relay/begun_stream_test.ts
@@ -68,7 +68,7 @@
     return {
       ...response,
       body: async function* () {
-        relay.adopt(createRouteTable(2, []), "test");
+        relay.adopt(createRouteTable(2, []), { source: "test" });
         yield* response.body();
       },
     };
--- a/tests/relay/scripted.ts
+++ b/tests/relay/scripted.ts
@@ -134,7 +134,7 @@
   options: ScriptedRelay = {},
 ): Relay {
   const relay = createEmptyRelay(options);
-  relay.adopt(createRouteTable(1), "test");
+  relay.adopt(createRouteTable(1), { source: "test" });
   relay.replaceServerList(
     servers.map((server, index) => ({
       name: server.name,
