Ask another source for a configuration when one is silent

What callers saw: requests for routes and keys that had been in force for more than 2 s refused with 404 or 401, by an entry that the store turned away beside peers that had fallen silent. Cause: an entry fetched from one source after the other, each until its timeout: the peer that it had heard of first (1,000 ms), the store (800 ms), the same peer again (1,000 ms). Announcements of other peers were ignored meanwhile. Now: askSources asks the next source as soon as one is overdue, and the first answer counts; fetchOrder decides where to ask next and takes up peers that announce the version later, the latest heard first. The fetching moves from store_sync.ts to configuration_sync.ts.

--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -10,11 +10,13 @@
 import type { PeerLink } from "../connection/peer_link.ts";
 import type { GossipDigest } from "../connection/peer_protocol.ts";
 import type { ObjectStore, StoredObject } from "../connection/object_store.ts";
-import { messageOf } from "../errors.ts";
 import { hashText } from "../hashing.ts";
-import type { ContentHash, EntryId } from "../ids.ts";
+import type { EntryId } from "../ids.ts";
 import type { RouteTable } from "../version/route_table.ts";
-import { ConfigurationAnnouncements } from "./configuration_announcements.ts";
+import {
+  type ConfigurationSource,
+  ConfigurationSync,
+} from "./configuration_sync.ts";
 import { CrashBlockArchive } from "./crash_block_archive.ts";
 import { LOG_EVENTS } from "./log_events.ts";
 import type { RegisteredServer, UnusableField } from "./registered_server.ts";
@@ -25,14 +27,6 @@
 import type { Relay, ServerChange } from "./relay.ts";
 import { UnusableRegistrations } from "./unusable_registrations.ts";
 
-/** Where the configuration is stored, and how it is parsed. */
-export interface ConfigurationSource {
-  readonly kind: string;
-  readonly name: string;
-  /** Errors: throws when the configuration is incomplete or invalid. */
-  readonly parse: (spec: unknown) => RouteTable;
-}
-
 /** Where backend servers register, and how registrations are parsed. */
 export interface ServerSource {
   readonly kind: string;
@@ -86,45 +80,27 @@
 const CHANGES_TIMEOUT_MS = 250;
 /** Longest time that the start waits for the stored blocks, in ms. */
 const RESTORE_WAIT_MAX_MS = 500;
-/** Chunk name under which peers request the configuration. */
-const CONFIGURATION_CHUNK = "configuration" as ContentHash;
-/** The same, answered only if small enough to be copied between peers. */
-const SMALL_CONFIGURATION_CHUNK = "small-configuration" as ContentHash;
-/**
- * Largest configuration answered under that name; a slow link transfers it in
- * 0.1 s. Larger ones are read from the store.
- */
-const SMALL_CONFIGURATION_MAX_CHARACTERS = 65_536;
-
-const MS_PER_S = 1_000;
-/** Time without the announced configuration after which it is logged, in ms. */
-const BEHIND_LOG_AFTER_MS = 500;
-/** Shortest time between two of these log lines, in ms. */
-const BEHIND_LOG_INTERVAL_MS = 1_000;
-
 /** Follows the store and the peers until closed. */
 export class StoreSync {
   readonly #options: StoreSyncOptions;
   readonly #peers: Peers;
+  readonly #configurationSync: ConfigurationSync;
   readonly #membership: Membership;
   readonly #blockArchive: CrashBlockArchive;
   readonly #configurationWatch: ObjectWatch;
   readonly #serverWatch: ObjectWatch;
   readonly #unusableRegistrations: UnusableRegistrations;
-  /** The object that holds the adopted configuration. */
-  #configurationObject: StoredObject | undefined;
-  /** The same as JSON or empty, cached once a peer has requested it. */
-  #configurationJson: string | undefined;
   #hasServerList = false;
-  #isFetchingConfiguration = false;
-  readonly #announcements = ConfigurationAnnouncements.create<PeerLink>();
-  #behindLoggedMs = Number.NEGATIVE_INFINITY;
   /** When the pending request for a peer's changes was sent, in ms. */
   #changesRequestedMs: number | undefined;
 
   private constructor(options: StoreSyncOptions) {
     this.#options = options;
     this.#unusableRegistrations = UnusableRegistrations.create(options.log);
+    this.#configurationSync = ConfigurationSync.create({
+      ...options,
+      broadcastDigest: () => this.#peers.broadcastDigest(),
+    });
     this.#configurationWatch = this.#createConfigurationWatch();
     this.#serverWatch = this.#createServerWatch();
     this.#peers = this.#createPeers();
@@ -208,10 +184,10 @@
       createDigest: () => relay.createDigest(),
       onDigest: (digest, link) => this.#mergeDigest(digest, link),
       onPeerLost: (peer) => {
-        this.#announcements.forgetPeer(peer);
+        this.#configurationSync.forgetPeer(peer);
         relay.removePeer(peer);
       },
-      readChunk: (name) => this.#readChunk(name),
+      readChunk: (name) => this.#configurationSync.readChunk(name),
       readChanges: (after) => relay.changesAfter(after),
     });
   }
@@ -261,7 +237,7 @@
     const { kind, name } = this.#options.configuration;
     const adoptFrom = (objects: readonly StoredObject[]) => {
       const found = objects.find((object) => object.name === name);
-      if (found !== undefined) this.#adoptConfiguration(found);
+      if (found !== undefined) this.#configurationSync.adopt(found);
     };
     return ObjectWatch.create({
       ...this.#createWatchOptions(),
@@ -321,71 +297,14 @@
     return { name, revision, server: undefined, isRemoved: true };
   }
 
-  #adoptConfiguration(object: StoredObject, source = "platform"): void {
-    const { configuration, relay, log, onConfiguration } = this.#options;
-    try {
-      const table = configuration.parse(object.spec);
-      const behindMs = Math.round(
-        this.#announcements.behindMs(performance.now()),
-      );
-      if (!relay.adopt(table, { source, behind_ms: behindMs })) return;
-      relay.context.metrics.configurationBehindSeconds
-        .observe(behindMs / MS_PER_S);
-      this.#announcements.markAdopted(table.version);
-      this.#configurationObject = object;
-      this.#configurationJson = undefined;
-      onConfiguration(table);
-      this.#peers.broadcastDigest();
-    } catch (error) {
-      log(LOG_EVENTS.revisionFailed, {
-        revision: object.revision,
-        reason: messageOf(error),
-      });
-    }
-  }
-
-  async #mergeDigest(digest: GossipDigest, link: PeerLink): Promise<void> {
+  #mergeDigest(digest: GossipDigest, link: PeerLink): void {
     const { relay, log } = this.#options;
     relay.mergeDigest(digest);
     this.#fetchChanges(digest, link);
     if (relay.needsServerRelist && this.#serverWatch.requestRelist()) {
       log(LOG_EVENTS.serverListMismatch, { peer: digest.entry });
     }
-    const version = digest.orders?.configuration ?? -1;
-    this.#announcements.record(
-      { peer: digest.entry, version, link, heardMs: performance.now() },
-      relay.configurationVersion,
-    );
-    this.#logIfBehind();
-    if (
-      version <= relay.configurationVersion || this.#isFetchingConfiguration
-    ) return;
-    this.#isFetchingConfiguration = true;
-    try {
-      await this.#fetchConfiguration(digest.entry, link);
-    } catch (error) {
-      log(LOG_EVENTS.revisionFailed, {
-        revision: version,
-        reason: messageOf(error),
-      });
-    } finally {
-      this.#isFetchingConfiguration = false;
-    }
-  }
-
-  #logIfBehind(): void {
-    const nowMs = performance.now();
-    const behindMs = this.#announcements.behindMs(nowMs);
-    const isDue = nowMs - this.#behindLoggedMs >= BEHIND_LOG_INTERVAL_MS;
-    if (behindMs < BEHIND_LOG_AFTER_MS || !isDue) return;
-    this.#behindLoggedMs = nowMs;
-    const { configurationVersion } = this.#options.relay;
-    const announcements = this.#announcements.newerThan(configurationVersion);
-    this.#options.log(LOG_EVENTS.configurationBehind, {
-      adopted: configurationVersion,
-      announced: announcements.map(({ peer, version }) => `${peer} ${version}`),
-      behind_ms: Math.round(behindMs),
-    });
+    this.#configurationSync.recordAnnouncement(digest, link);
   }
 
   /** Fetches and merges changes to a peer's server list that this one lacks. */
@@ -402,44 +321,8 @@
       this.#changesRequestedMs = undefined;
     }
   }
-
-  /** Fetches a newer configuration: from the peer if small, else the store. */
-  async #fetchConfiguration(peer: EntryId, link: PeerLink): Promise<void> {
-    const { objects, log } = this.#options;
-    const { kind, name } = this.#options.configuration;
-    const adoptFrom = (json: string | undefined) => {
-      if (json !== undefined) this.#adoptConfiguration(JSON.parse(json), peer);
-      return json !== undefined;
-    };
-    if (adoptFrom(await link.requestChunk(SMALL_CONFIGURATION_CHUNK))) return;
-    try {
-      const stored = await objects.read(kind, name);
-      if (stored !== undefined) this.#adoptConfiguration(stored);
-    } catch (error) {
-      log(LOG_EVENTS.platformUnreachable, { kind, reason: messageOf(error) });
-      adoptFrom(await link.requestChunk(CONFIGURATION_CHUNK));
-    }
-  }
-
-  #readChunk(name: ContentHash): string | undefined {
-    if (this.#configurationObject === undefined) return undefined;
-    this.#configurationJson ??= formatObject(this.#configurationObject);
-    const { length } = this.#configurationJson;
-    const isTooLarge = name === SMALL_CONFIGURATION_CHUNK &&
-      length > SMALL_CONFIGURATION_MAX_CHARACTERS;
-    return length === 0 || isTooLarge ? undefined : this.#configurationJson;
-  }
 }
 
 function outageThresholdMs(heartbeatMs: number): number {
   return OUTAGE_MIN_HEARTBEATS * heartbeatMs;
 }
-
-/** Returns the object as JSON; empty if it is nested too deeply for that. */
-function formatObject(object: StoredObject): string {
-  try {
-    return JSON.stringify(object);
-  } catch {
-    return "";
-  }
-}
--- a/src/process/store_sync_test.ts
+++ b/src/process/store_sync_test.ts
@@ -1,6 +1,9 @@
-/** Tests the responses to peers that request the configuration. */
+/** Tests how an entry requests the configuration, and answers peers that do. */
 
+import { performance } from "node:perf_hooks";
+import { setTimeout as sleep } from "node:timers/promises";
 import { expect, test } from "vitest";
+import { WebSocket } from "ws";
 import { reservePort } from "../../bench/reserve_port.ts";
 import {
   createEmptyRelay,
@@ -8,6 +11,14 @@
 } from "../../tests/relay/scripted.ts";
 import type { ObjectStore, StoredObject } from "../connection/object_store.ts";
 import { PeerLink } from "../connection/peer_link.ts";
+import {
+  type GossipDigest,
+  packMessage,
+  PEER_KEY_HEADER,
+  PEER_PATH,
+  PeerMessageKind,
+} from "../connection/peer_protocol.ts";
+import { PlatformUnavailable } from "../errors.ts";
 import { hashText } from "../hashing.ts";
 import type { ContentHash, EntryId, ObjectRevision } from "../ids.ts";
 import { StoreSync } from "./store_sync.ts";
@@ -34,7 +45,10 @@
   };
 }
 
-async function startStoreSync(spec: unknown) {
+async function startStoreSync(
+  spec: unknown,
+  read?: ObjectStore["read"],
+) {
   const relay = createEmptyRelay();
   const peerPort = await reservePort();
   const storeSync = StoreSync.create({
@@ -42,11 +56,12 @@
     host: HOST,
     peerPort,
     deployment: "deployment",
-    objects: createStore(spec),
+    objects: { ...createStore(spec), ...read !== undefined && { read } },
     configuration: {
       kind: "config",
       name: "main",
-      parse: () => createRouteTable(1),
+      parse: (parsed) =>
+        createRouteTable((parsed as { version?: number }).version ?? 1),
     },
     servers: { kind: "servers", parse: () => undefined },
     heartbeatMs: 1_200,
@@ -95,3 +110,103 @@
   await expect.poll(() => relay.entryCount).toBe(2);
   await storeSync.close();
 });
+
+/** Time in which a configuration is in force in every entry, in ms. */
+const APPLY_LIMIT_MS = 2_000;
+const DIGEST_INTERVAL_MS = 150;
+const STORE_TIMEOUT_MS = 800;
+
+function createConfiguration(version: number, size: number): StoredObject {
+  const spec = { version, filler: "x".repeat(size) };
+  return { name: "main", revision: REVISION, spec, status: null };
+}
+
+function createDigest(entry: string, configuration: number): GossipDigest {
+  return {
+    kind: PeerMessageKind.Digest,
+    entry: entry as EntryId,
+    head: null,
+    suspicions: [],
+    orders: {
+      configuration,
+      loads: [],
+      prompts: [],
+      changes: 0,
+      listed: 0,
+      readers: [],
+      dead: [],
+    },
+  };
+}
+
+/** Links a peer that announces version 2 and answers nothing. */
+async function linkSilentPeer(address: string, name: string) {
+  const socket = new WebSocket(`ws://${address}${PEER_PATH}`, {
+    headers: { [PEER_KEY_HEADER]: hashText("deployment") },
+  });
+  await new Promise((resolve) => socket.once("open", resolve));
+  socket.send(packMessage(createDigest(name, 2)));
+  return socket;
+}
+
+/** Links a peer that holds version 2 and sends digests. */
+async function linkSoundPeer(address: string, stored: StoredObject) {
+  const link = PeerLink.dial(address, {
+    key: hashText("deployment"),
+    handlers: {
+      onDigest: () => undefined,
+      readChunk: (name) => {
+        const text = JSON.stringify(stored);
+        const isSmall = name.startsWith("small-");
+        return isSmall && text.length > 65_536 ? undefined : text;
+      },
+      onOpen: () => undefined,
+      onClose: () => undefined,
+    },
+  });
+  await expect.poll(() => link.isOpen).toBe(true);
+  const sendDigest = () => link.send(createDigest("sound", 2));
+  const timer = setInterval(sendDigest, DIGEST_INTERVAL_MS);
+  return { close: () => (clearInterval(timer), link.close()) };
+}
+
+const REFUSING: ObjectStore["read"] = () =>
+  Promise.reject(new PlatformUnavailable("unexpected status 503"));
+const SILENT: ObjectStore["read"] = async () => {
+  await sleep(STORE_TIMEOUT_MS);
+  throw new PlatformUnavailable(`no response within ${STORE_TIMEOUT_MS} ms`);
+};
+
+test.for(
+  [
+    ["a small configuration", "refuses", 100, 1, REFUSING],
+    ["a small configuration", "is silent to", 100, 1, SILENT],
+    ["a large configuration", "refuses", 200_000, 2, REFUSING],
+    ["a large configuration", "is silent to", 200_000, 2, SILENT],
+  ] as const,
+)(
+  "silent peers don't keep %s that another peer holds from an entry that the store %s",
+  async ([, , size, silentPeers, read]) => {
+    const { storeSync, peerPort, relay } = await startStoreSync(
+      { version: 1 },
+      read,
+    );
+    const address = `${HOST}:${peerPort}`;
+    const startMs = performance.now();
+    const silent = await Promise.all(
+      Array.from(
+        { length: silentPeers },
+        (_, at) => linkSilentPeer(address, `silent-${at}`),
+      ),
+    );
+    const sound = await linkSoundPeer(address, createConfiguration(2, size));
+    await expect.poll(
+      () => relay.configurationVersion,
+      { timeout: 5_000, interval: 10 },
+    ).toBe(2);
+    expect(performance.now() - startMs).toBeLessThan(APPLY_LIMIT_MS);
+    for (const socket of silent) socket.terminate();
+    sound.close();
+    await storeSync.close();
+  },
+);
