Read only the newest configuration after a time without reads

What callers saw: nothing yet; read in the code. An entry that began to read the store watched from the revision at which it had stopped, so it got each version since then, whole. With configurations of up to 1 MB in quick succession such a call ends at its timeout (1.4 s), and the same call was made again until the store dropped the history. Now an entry lists the configuration when it begins to read, and after a failed call; a list holds the newest version only. It costs one more call each time. Servers are still watched from the last revision: their changes are small, and a list can't tell a removed server from one that expired.

--- a/src/process/object_watch.ts
+++ b/src/process/object_watch.ts
@@ -31,6 +31,11 @@
   readonly waitMs: number;
   /** Delay after changes, so that the next call returns a batch, in ms. */
   readonly batchDelayMs: number;
+  /**
+   * Whether only the newest version of each object counts, as with the
+   * configuration: versions in between may be large, and are not read.
+   */
+  readonly followsNewestOnly?: boolean;
   /**
    * Shortest outage of the store in which registrations may expire, in ms; what
    * is missing after a shorter one was removed on purpose.
@@ -72,7 +77,10 @@
   /** Consecutive failed calls. */
   #failures = 0;
   #isUnreachable = false;
+  /** Whether to list even while other entries read for this one. */
   #mustRelist = true;
+  /** Whether versions may have accumulated since the last read. */
+  #mustSkipVersions = false;
   #isReading = true;
   /**
    * Whether no entry reached the store for `outageThresholdMs`, and this one
@@ -138,7 +146,7 @@
     }
     const isFirst = this.#revision === undefined;
     try {
-      this.#revision = this.#mustRelist || this.#revision === undefined
+      this.#revision = this.#mustList || this.#revision === undefined
         ? await this.#list()
         : await this.#watch(this.#revision);
       this.#failures = 0;
@@ -152,6 +160,7 @@
       }
       // Unlike a list, the changes since a revision never become readable.
       if (error instanceof PlatformResponseUnreadable) this.#mustRelist = true;
+      this.#mustSkipVersions = true;
       // Keep the revision: the next watch returns the changes since then, or
       // reports that their history was dropped.
       this.#setUnreachable(true, messageOf(error));
@@ -162,10 +171,16 @@
     }
   }
 
+  get #mustList(): boolean {
+    const { followsNewestOnly = false } = this.#options;
+    return this.#mustRelist || (followsNewestOnly && this.#mustSkipVersions);
+  }
+
   #setReading(isReading: boolean): void {
     const { log, kind, readerElection } = this.#options;
     if (isReading === this.#isReading || readerElection === undefined) return;
     this.#isReading = isReading;
+    this.#mustSkipVersions = true;
     const event = isReading
       ? LOG_EVENTS.storeReadsStarted
       : LOG_EVENTS.storeReadsStopped;
@@ -186,13 +201,15 @@
 
   async #list(): Promise<ObjectRevision> {
     const { objects, kind, onList } = this.#options;
+    const wasRequested = this.#mustRelist;
     this.#mustRelist = false;
     try {
       const list = await objects.list({ kind });
+      this.#mustSkipVersions = false;
       onList(list, this.#isAfterOutage);
       return list.revision;
     } catch (error) {
-      this.#mustRelist = true;
+      this.#mustRelist ||= wasRequested;
       throw error;
     }
   }
--- a/src/process/object_watch_test.ts
+++ b/src/process/object_watch_test.ts
@@ -1,9 +1,14 @@
 /** Which entries read the store, and which changes count as after an outage. */
 
 import { afterEach, expect, test } from "vitest";
-import type { ObjectStore, WatchResult } from "../connection/object_store.ts";
+import type {
+  ObjectStore,
+  WatchOptions,
+  WatchResult,
+} from "../connection/object_store.ts";
+import { PlatformUnavailable } from "../errors.ts";
 import type { EntryId, ObjectRevision } from "../ids.ts";
-import { ObjectWatch } from "./object_watch.ts";
+import { ObjectWatch, type ObjectWatchOptions } from "./object_watch.ts";
 import { ReaderElection } from "./reader_election.ts";
 
 const SELF = "entry-self" as EntryId;
@@ -49,7 +54,7 @@
   };
 }
 
-function createWatch() {
+function createWatch(options: Partial<ObjectWatchOptions> = {}) {
   const calls: Calls = { lists: 0, watchedFrom: [] };
   const clock = { nowMs: 0 };
   const outages: boolean[] = [];
@@ -68,6 +73,7 @@
     readerElection,
     onList: () => undefined,
     onChanges: (_, isAfterOutage) => outages.push(isAfterOutage),
+    ...options,
   });
   const receiveLiveness = () => {
     const liveness = OTHER_ENTRIES.map((entry) => ({ entry, ageMs: 0 }));
@@ -114,3 +120,35 @@
   // No entry reached the store for a while; this entry's first read ends that.
   expect(outages.slice(0, 2)).toEqual([true, false]);
 });
+
+test("an entry that takes over reading isn't held up by versions since it last read", async () => {
+  const { calls, clock, receiveLiveness } = createWatch({
+    followsNewestOnly: true,
+  });
+  receiveLiveness();
+  watch.run();
+  await expect.poll(() => calls.lists).toBe(1);
+  clock.nowMs = 60_000;
+  await expect.poll(() => calls.watchedFrom.length, { timeout: 3_000 })
+    .toBeGreaterThan(0);
+  expect(calls.lists).toBe(2);
+});
+
+test("a watch that times out on too many versions is followed by a list of the newest", async () => {
+  const calls: Calls = { lists: 0, watchedFrom: [] };
+  const store = createStore(calls);
+  const watchTooMany = (options: WatchOptions) => {
+    calls.watchedFrom.push(options.sinceRevision);
+    return Promise.reject(
+      new PlatformUnavailable("no response within 1400 ms"),
+    );
+  };
+  createWatch({
+    followsNewestOnly: true,
+    objects: { ...store, watch: watchTooMany },
+    readerElection: undefined,
+  });
+  watch.run();
+  await expect.poll(() => calls.watchedFrom.length).toBeGreaterThan(1);
+  expect(calls.lists).toBe(calls.watchedFrom.length);
+});
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -243,6 +243,7 @@
       ...this.#createWatchOptions(),
       kind,
       batchDelayMs: 0,
+      followsNewestOnly: true,
       onList: ({ objects }) => adoptFrom(objects),
       onChanges: (changes) => {
         const existing = changes.filter(({ isDeleted }) => !isDeleted);
