Find a change of the configuration that a watch passes over

What callers saw: nothing yet; read in the code. An answer of a watch without changes whose revision had increased past a change hid that change until the next one, from both readers and so from all entries, without a line in the log. The test 'a change that a watch passes over is found' failed before (one list in 2 s). Now an entry lists the configuration after such an answer, once a second at most, and event 2011 names a change found so.

--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -144,6 +144,12 @@
     "a peer has announced a newer configuration that is not adopted yet",
     "check the platform and the links between entries",
   ),
+  changePassedOver: createLogEvent(
+    2011,
+    Severity.Warn,
+    "a watch of the store did not return a change; it was found by listing",
+    "report it to the operators of the store",
+  ),
   serverDraining: createLogEvent(
     3001,
     Severity.Info,
--- a/src/process/object_watch.ts
+++ b/src/process/object_watch.ts
@@ -4,6 +4,7 @@
  * change history.
  */
 
+import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import type {
   ObjectChange,
@@ -67,6 +68,12 @@
  */
 const TAKEOVER_JITTER_MAX_MS = 150;
 
+/**
+ * Shortest time between a list and a later one that only checks whether a watch
+ * passed over a change, in ms; limits the calls.
+ */
+const CHECK_INTERVAL_MS = 1_000;
+
 /** Follows one kind of objects until it is closed. */
 export class ObjectWatch {
   readonly #options: ObjectWatchOptions;
@@ -81,6 +88,13 @@
   #mustRelist = true;
   /** Whether versions may have accumulated since the last read. */
   #mustSkipVersions = false;
+  /**
+   * Revision since which watches returned no change although the store's
+   * revision increased: by a change of another kind, or by one passed over.
+   */
+  #uncheckedRevision: ObjectRevision | undefined;
+  /** When the last list was made, on the monotonic clock in ms. */
+  #listedMs = Number.NEGATIVE_INFINITY;
   #isReading = true;
   /**
    * Whether no entry reached the store for `outageThresholdMs`, and this one
@@ -173,7 +187,10 @@
 
   get #mustList(): boolean {
     const { followsNewestOnly = false } = this.#options;
-    return this.#mustRelist || (followsNewestOnly && this.#mustSkipVersions);
+    const isCheckDue = this.#uncheckedRevision !== undefined &&
+      performance.now() - this.#listedMs >= CHECK_INTERVAL_MS;
+    return this.#mustRelist ||
+      (followsNewestOnly && (this.#mustSkipVersions || isCheckDue));
   }
 
   #setReading(isReading: boolean): void {
@@ -204,8 +221,10 @@
     const wasRequested = this.#mustRelist;
     this.#mustRelist = false;
     try {
+      this.#listedMs = performance.now();
       const list = await objects.list({ kind });
       this.#mustSkipVersions = false;
+      this.#logPassedOver(list);
       onList(list, this.#isAfterOutage);
       return list.revision;
     } catch (error) {
@@ -222,12 +241,28 @@
       waitMs,
     });
     if (changes.length > 0) {
+      this.#uncheckedRevision = undefined;
       onChanges(changes, this.#isAfterOutage);
       await sleep(batchDelayMs);
+    } else if (revision > sinceRevision) {
+      this.#uncheckedRevision ??= sinceRevision;
     }
     return revision;
   }
 
+  /** Logs changes of a list that the watches before it did not return. */
+  #logPassedOver({ objects }: ObjectList): void {
+    const { kind, log } = this.#options;
+    const sinceRevision = this.#uncheckedRevision;
+    const watchedRevision = this.#revision;
+    this.#uncheckedRevision = undefined;
+    if (sinceRevision === undefined || watchedRevision === undefined) return;
+    for (const { name, revision } of objects) {
+      if (revision <= sinceRevision || revision > watchedRevision) continue;
+      log(LOG_EVENTS.changePassedOver, { kind, name, revision });
+    }
+  }
+
   /** Whether missing objects may have expired during an outage of the store. */
   get #isAfterOutage(): boolean {
     return this.#options.readerElection === undefined
--- a/src/process/object_watch_test.ts
+++ b/src/process/object_watch_test.ts
@@ -8,6 +8,7 @@
 } from "../connection/object_store.ts";
 import { PlatformUnavailable } from "../errors.ts";
 import type { EntryId, ObjectRevision } from "../ids.ts";
+import { LOG_EVENTS } from "./log_events.ts";
 import { ObjectWatch, type ObjectWatchOptions } from "./object_watch.ts";
 import { ReaderElection } from "./reader_election.ts";
 
@@ -152,3 +153,60 @@
   await expect.poll(() => calls.watchedFrom.length).toBeGreaterThan(1);
   expect(calls.lists).toBe(calls.watchedFrom.length);
 });
+
+test("a change that a watch passes over is found and logged, with one list", async () => {
+  const calls: Calls = { lists: 0, watchedFrom: [] };
+  const changed = {
+    name: "main",
+    revision: 8 as ObjectRevision,
+    spec: {},
+    status: {},
+  };
+  const events: number[] = [];
+  createWatch({
+    followsNewestOnly: true,
+    log: ({ number }) => events.push(number),
+    objects: {
+      ...createStore(calls),
+      list: () => {
+        calls.lists++;
+        const objects = calls.lists === 1 ? [] : [changed];
+        const revision = calls.lists === 1 ? 7 : 9;
+        return Promise.resolve({
+          objects,
+          revision: revision as ObjectRevision,
+        });
+      },
+      watch: async ({ sinceRevision }) => {
+        calls.watchedFrom.push(sinceRevision);
+        await new Promise((resolve) => setTimeout(resolve, 20));
+        return { changes: [], revision: 9 as ObjectRevision };
+      },
+    },
+    readerElection: undefined,
+  });
+  watch.run();
+  await expect.poll(() => calls.lists, { timeout: 2_000 }).toBe(2);
+  await new Promise((resolve) => setTimeout(resolve, 1_200));
+  expect(calls.lists).toBe(2);
+  expect(events).toEqual([LOG_EVENTS.changePassedOver.number]);
+});
+
+test("revisions of other kinds cause a list once a second at most", async () => {
+  const calls: Calls = { lists: 0, watchedFrom: [] };
+  let revision = 7;
+  createWatch({
+    followsNewestOnly: true,
+    objects: {
+      ...createStore(calls),
+      watch: async () => {
+        await new Promise((resolve) => setTimeout(resolve, 20));
+        return { changes: [], revision: ++revision as ObjectRevision };
+      },
+    },
+    readerElection: undefined,
+  });
+  watch.run();
+  await new Promise((resolve) => setTimeout(resolve, 2_500));
+  expect(calls.lists).toBe(3);
+});
