Adopt the newest revision without those that it replaced

What callers saw: nothing that was traced to it; read in the code. On our own interface an entry adopted heads in the order of their arrival, each with its chunks, also those that a newer one had replaced. The test 'heads that newer ones have replaced don't delay the newest' failed before: 20 heads in a row were all fetched and adopted. Now only the newest head waits for the one that is being adopted; the running one is finished, so that a series of changes can't put off adoption without end.

--- a/src/version/revision_store.ts
+++ b/src/version/revision_store.ts
@@ -1,6 +1,6 @@
 /**
  * Holds the adopted revision. A head is adopted only if its revision is greater
- * than the current one.
+ * than the current one. While one is being adopted, only the newest waits.
  */
 
 import { hashText } from "../hashing.ts";
@@ -17,6 +17,12 @@
 
 const FETCH_CONCURRENCY = 8;
 
+/** A head that is being adopted or waits for it, and whether it succeeds. */
+interface Adoption {
+  head: Head;
+  readonly result: Promise<boolean>;
+}
+
 /** The adopted deployment of one process, and its chunks. */
 export class RevisionStore {
   readonly #fetch: ChunkFetcher;
@@ -24,7 +30,9 @@
   #deployment = Deployment.empty();
   #head: Head | undefined;
   #chunks = new Map<ContentHash, string>();
-  #adoption: Promise<boolean> = Promise.resolve(true);
+  #running: Adoption | undefined;
+  /** Starts after the running one, with the newest head known by then. */
+  #waiting: Adoption | undefined;
 
   private constructor(fetch: ChunkFetcher) {
     this.#fetch = fetch;
@@ -57,16 +65,40 @@
 
   /**
    * Adopts a head if it is newer. Resolves with `false` if a chunk could not be
-   * fetched; the store then keeps the current revision.
+   * fetched; the store then keeps the current revision. A head that a newer one
+   * replaces before its turn resolves with the result of that.
    */
   adopt(head: Head): Promise<boolean> {
-    this.#adoption = this.#adoption
-      .then(() => this.#adoptNext(head))
-      .catch(() => false);
-    return this.#adoption;
+    const running = this.#running;
+    if (running === undefined && this.#waiting === undefined) {
+      return this.#start(head);
+    }
+    if (running !== undefined && head.revision <= running.head.revision) {
+      return running.result;
+    }
+    this.#waiting ??= {
+      head,
+      result: Promise.resolve(running?.result).then(() => this.#startWaiting()),
+    };
+    if (head.revision > this.#waiting.head.revision) this.#waiting.head = head;
+    return this.#waiting.result;
+  }
+
+  #startWaiting(): Promise<boolean> {
+    const { head } = this.#waiting ?? {};
+    this.#waiting = undefined;
+    return head === undefined ? Promise.resolve(true) : this.#start(head);
+  }
+
+  #start(head: Head): Promise<boolean> {
+    const result = this.#adoptNow(head)
+      .catch(() => false)
+      .finally(() => this.#running = undefined);
+    this.#running = { head, result };
+    return result;
   }
 
-  async #adoptNext(head: Head): Promise<boolean> {
+  async #adoptNow(head: Head): Promise<boolean> {
     if (head.revision <= this.#deployment.revision) return true;
     const texts = new Map<ContentHash, string>();
     if (!await this.#fetchInto([head.manifest], texts)) return false;
