Soak links between entries that fail while the store is away

The soak now has a proxy in front of each entry's port for links, and a pattern 'links': open links go silent for good or fail for a while, the store is away from entries for 5 to 10 s, the configuration changes. A change must be in force within 7 s also at an entry from which the store is away.

--- a/bench/soak/fault_proxy.ts
+++ b/bench/soak/fault_proxy.ts
@@ -35,17 +35,24 @@
 export class FaultProxy {
   readonly #server: Server;
   readonly #targetPort: number;
+  readonly #targetHost: string;
   readonly #connections = new Set<ProxiedConnection>();
+  /** Connections on which nothing passes any more. */
+  readonly #silenced = new WeakSet<ProxiedConnection>();
   #fault = ProxyFault.None;
 
-  private constructor(targetPort: number) {
+  private constructor(targetPort: number, targetHost: string) {
     this.#targetPort = targetPort;
+    this.#targetHost = targetHost;
     this.#server = createServer((caller) => this.#accept(caller));
   }
 
   /** Creates a proxy that listens on a free port. */
-  static async create(targetPort: number): Promise<FaultProxy> {
-    const proxy = new FaultProxy(targetPort);
+  static async create(
+    targetPort: number,
+    targetHost = HOST,
+  ): Promise<FaultProxy> {
+    const proxy = new FaultProxy(targetPort, targetHost);
     await new Promise<void>((resolve) => {
       proxy.#server.listen(0, HOST, resolve);
     });
@@ -63,6 +70,15 @@
     for (const connection of this.#connections) this.#apply(connection);
   }
 
+  /** Silences the open connections for good; later ones are not affected. */
+  silenceOpen(): void {
+    for (const connection of this.#connections) {
+      setFlowing(connection.caller, false);
+      setFlowing(connection.target, false);
+      this.#silenced.add(connection);
+    }
+  }
+
   /** Stops listening and closes all connections. */
   close(): void {
     this.#server.close();
@@ -73,7 +89,7 @@
   }
 
   #accept(caller: Socket): void {
-    const target = connect(this.#targetPort, HOST);
+    const target = connect(this.#targetPort, this.#targetHost);
     const connection: ProxiedConnection = { caller, target };
     this.#connections.add(connection);
     this.#forward(caller, target);
@@ -112,7 +128,9 @@
     }
   }
 
-  #apply({ caller, target }: ProxiedConnection): void {
+  #apply(connection: ProxiedConnection): void {
+    if (this.#silenced.has(connection)) return;
+    const { caller, target } = connection;
     const fault = this.#fault;
     if (fault === ProxyFault.Reset) {
       caller.resetAndDestroy();
--- a/bench/soak/fault_schedule.ts
+++ b/bench/soak/fault_schedule.ts
@@ -30,6 +30,10 @@
   ServerEndlessHead = "server_endless_head",
   /** Response bodies of the server don't end. */
   ServerEndlessBody = "server_endless_body",
+  /** Network fault on the links that other entries have opened to one entry. */
+  EntryLink = "entry_link",
+  /** Network fault on all links between entries. */
+  AllEntryLinks = "all_entry_links",
   EntryKill = "entry_kill",
   EntryPause = "entry_pause",
   /** Graceful shutdown and restart. */
@@ -94,6 +98,8 @@
   HoldOff = "hold_off",
   /** Planned stops, SIGHUP and configurations, beside slow request bodies. */
   SlowBodies = "slow_bodies",
+  /** Links between entries fail, and the store is away from some for long. */
+  Links = "links",
 }
 
 /** One fault of a schedule. */
@@ -124,6 +130,8 @@
   readonly kinds: readonly FaultKind[];
   readonly stepMaxMs: number;
   readonly pauseMaxMs: number;
+  /** Least and longest duration in place of those of the kinds, in ms. */
+  readonly durationRangeMs?: readonly [number, number];
 }
 
 /** Kinds that only patterns of their own play, so that seeds stay the same. */
@@ -131,11 +139,14 @@
   FaultKind.DeadlyPart,
   FaultKind.ServerHoldOff,
   FaultKind.ServerCrash,
+  FaultKind.EntryLink,
+  FaultKind.AllEntryLinks,
 ]);
 const UNDRAWN_PATTERNS = new Set([
   SchedulePattern.DeadlyPart,
   SchedulePattern.HoldOff,
   SchedulePattern.SlowBodies,
+  SchedulePattern.Links,
 ]);
 const KINDS = Object.values(FaultKind)
   .filter((kind) => !UNDRAWN_KINDS.has(kind));
@@ -157,6 +168,15 @@
 /** Long enough for five crashes, and for harmless requests after them. */
 const DEADLY_PART_MIN_MS = 10_000;
 const DEADLY_PART_MAX_MS = 12_000;
+const LINK_FAULTS = [
+  FaultKind.EntryLink,
+  FaultKind.AllEntryLinks,
+  FaultKind.EntryPause,
+];
+/** Longer than `CONTACT_MS`, so that entries are bound in between, in ms. */
+const LINKS_PAUSE_MS = 8_000;
+/** Longer than a change may take for an entry that the store turns away. */
+const STORE_AWAY_MS = [5_000, 10_000] as const;
 const SILENCE_MIN_MS = 1_000;
 const SILENCE_MAX_MS = 1_500;
 
@@ -171,13 +191,13 @@
   const drawnPattern = pick(DRAWN_PATTERNS);
   const faults: Fault[] = [];
   const series = createSeries(options.pattern ?? drawnPattern, pick);
-  for (const { kinds, stepMaxMs, pauseMaxMs } of series) {
+  for (const { kinds, stepMaxMs, pauseMaxMs, ...range } of series) {
     let atMs = draw(0, PAUSE_MAX_MS);
     while (atMs < options.durationMs) {
       const kind = pick(kinds);
       const isEntry = kind.startsWith("entry") || kind === FaultKind.StoreLink;
       const count = isEntry ? options.entries : options.servers;
-      const [minMs, maxMs] = durationRangeMs(kind);
+      const [minMs, maxMs] = range.durationRangeMs ?? durationRangeMs(kind);
       const forMs = draw(minMs, maxMs);
       const target = draw(0, count - 1);
       faults.push({ kind, atMs, forMs, target, proxy: pick(PROXY_FAULTS) });
@@ -232,5 +252,20 @@
         { kinds: [FaultKind.EntryHangup], ...slow },
         beside,
       ];
+    case SchedulePattern.Links:
+      return [
+        { kinds: LINK_FAULTS, stepMaxMs: Infinity, pauseMaxMs: LINKS_PAUSE_MS },
+        {
+          kinds: [FaultKind.StoreLink],
+          ...slow,
+          durationRangeMs: STORE_AWAY_MS,
+        },
+        {
+          kinds: [FaultKind.StoreLink],
+          ...slow,
+          durationRangeMs: STORE_AWAY_MS,
+        },
+        { kinds: CONFIGURATIONS, ...slow },
+      ];
   }
 }
--- a/bench/soak/run_soak.ts
+++ b/bench/soak/run_soak.ts
@@ -15,6 +15,7 @@
 import {
   type CallerRecord,
   checkObservations,
+  isEntryInTouch,
   isEntryUnaffected,
   RequestEnd,
   type Run,
@@ -60,6 +61,11 @@
 const WARM_UP_MS = 4_500;
 /** Bound on applying an acknowledged configuration, in ms (`configApplyMs`). */
 const CONFIG_APPLY_MAX_MS = 2_000;
+/**
+ * Bound on applying it at an entry that the store turns away, in ms
+ * (`configApplyMs` and `partitionMs`).
+ */
+const PARTITION_APPLY_MAX_MS = 7_000;
 /** Bound on full recovery after the last fault, in ms. */
 const RECOVERY_MAX_MS = 5_000;
 const RECOVERY_REQUESTS = 5;
@@ -103,7 +109,11 @@
       }
       await cluster.injectFault(fault);
       if (!PUBLISHING_KINDS.has(fault.kind)) return;
-      findings.push(...await checkVersion(cluster, callers));
+      const checks = [checkVersion(cluster, callers)];
+      if (options.pattern === SchedulePattern.Links) {
+        checks.push(checkVersionWithoutStore(cluster, callers));
+      }
+      findings.push(...(await Promise.all(checks)).flat());
     }));
     await sleep(RECOVERY_MAX_MS);
     await callers.close();
@@ -189,6 +199,38 @@
   return findings;
 }
 
+/**
+ * Checks that each entry applies the newest version by way of its peers, even if
+ * the store is away from it, unless something else acted on it or its links.
+ */
+async function checkVersionWithoutStore(
+  cluster: SoakCluster,
+  callers: SoakCallers,
+): Promise<readonly SoakFinding[]> {
+  const newestAccepted = cluster.versions.at(-1);
+  if (newestAccepted === undefined) return [];
+  const { version, acceptedMs } = newestAccepted;
+  await sleep(PARTITION_APPLY_MAX_MS + acceptedMs - Date.now());
+  const findings: SoakFinding[] = [];
+  await Promise.all(cluster.entries.map(async (entry) => {
+    const sentMs = Date.now();
+    const { status } = await callers.send({
+      kind: SoakRequestKind.Read,
+      entry,
+      key: keyOfVersion(version - 2),
+    });
+    const period = { entry: entry.index, fromMs: sentMs, toMs: Date.now() };
+    if (!isEntryInTouch(cluster.faultWindows, period) || status === 401) return;
+    findings.push({
+      rule: "config",
+      detail: `version ${version} at entry ${entry.index}, with the store ` +
+        `away or not: removed key got status ${status} ` +
+        `${sentMs - acceptedMs} ms after acknowledgement`,
+    });
+  }));
+  return findings;
+}
+
 /** Checks that every entry serves every kind of request again. */
 async function checkRecovery(
   cluster: SoakCluster,
--- a/bench/soak/soak_checks.ts
+++ b/bench/soak/soak_checks.ts
@@ -156,6 +156,8 @@
   FaultKind.EntryEarlyTerm,
 ]);
 const ENTRY_FAULTS = new Set([...ENTRY_STOPS, FaultKind.StoreLink]);
+/** Faults of links between entries, each of which concerns several entries. */
+const LINK_FAULTS = new Set([FaultKind.EntryLink, FaultKind.AllEntryLinks]);
 const DRAINS = new Set([FaultKind.ServerDrain, FaultKind.ServerLeave]);
 /** Faults of backend servers, planned or not. */
 export const SERVER_FAULTS: ReadonlySet<FaultKind> = new Set(
@@ -170,8 +172,8 @@
 }
 
 /**
- * Whether an entry had neither a fault of its own nor a store outage in a
- * period or in `CONTACT_MS` before it. Times are in ms since the Unix epoch.
+ * Whether an entry had neither a fault of its own nor a store outage, and the
+ * links between entries had none, in a period or in `CONTACT_MS` before it. Times are in ms since the Unix epoch.
  */
 export function isEntryUnaffected(
   faultWindows: readonly FaultWindow[],
@@ -183,11 +185,30 @@
 ): boolean {
   return !faultWindows.some((fault) =>
     overlaps(fault, fromMs - CONTACT_MS, toMs) &&
-    (fault.kind === FaultKind.StoreOutage ||
+    (fault.kind === FaultKind.StoreOutage || LINK_FAULTS.has(fault.kind) ||
       ENTRY_FAULTS.has(fault.kind) && fault.target === entry)
   );
 }
 
+/**
+ * Whether an entry and the links between entries had no fault in a period or in
+ * `CONTACT_MS` before it; the store may have been away from the entry.
+ */
+export function isEntryInTouch(
+  faultWindows: readonly FaultWindow[],
+  { entry, fromMs, toMs }: {
+    readonly entry: number;
+    readonly fromMs: number;
+    readonly toMs: number;
+  },
+): boolean {
+  return !faultWindows.some((fault) =>
+    overlaps(fault, fromMs - CONTACT_MS, toMs) &&
+    (LINK_FAULTS.has(fault.kind) ||
+      ENTRY_STOPS.has(fault.kind) && fault.target === entry)
+  );
+}
+
 /** Returns all violated guarantees. */
 export function checkObservations(
   observations: SoakObservations,
--- a/bench/soak/soak_cluster.ts
+++ b/bench/soak/soak_cluster.ts
@@ -26,6 +26,7 @@
   createConfiguration,
   createInvalidServers,
   formatEntrySettings,
+  PEER_PORT,
   SHUTDOWN_GRACE_MS,
   STREAM_SERVICE,
 } from "./soak_deployment.ts";
@@ -54,6 +55,8 @@
   readonly index: number;
   readonly host: string;
   readonly storeProxy: FaultProxy;
+  /** In front of the port on which it accepts links from other entries. */
+  readonly peerProxy: FaultProxy;
   /** Grace period in its settings file, in ms. */
   graceMs: number;
   child: Child;
@@ -148,6 +151,7 @@
   #store!: FaultTarget;
   #objects!: HttpObjectStore;
   #publishing = Promise.resolve();
+  readonly #entryAddresses: Record<string, string> = {};
 
   private constructor(
     folder: string,
@@ -203,7 +207,10 @@
     for (const child of this.#children) child.signal("SIGKILL");
     await Promise.all(this.#children.map(({ exited }) => exited));
     for (const { proxy } of this.#servers) proxy.close();
-    for (const { storeProxy } of this.entries) storeProxy.close();
+    for (const { storeProxy, peerProxy } of this.entries) {
+      storeProxy.close();
+      peerProxy.close();
+    }
     this.#objects?.close();
     await rm(this.#folder, { recursive: true, force: true });
   }
@@ -304,6 +311,15 @@
           ),
         );
         return true;
+      case FaultKind.EntryLink:
+        return await injectLinkFault(entry?.peerProxy, { proxy, forMs });
+      case FaultKind.AllEntryLinks:
+        await Promise.all(
+          this.entries.map(({ peerProxy }) =>
+            injectLinkFault(peerProxy, { proxy, forMs })
+          ),
+        );
+        return true;
       case FaultKind.StoreHistoryLoss: {
         const { revision } = await this.#objects.list({ kind: SERVER_KIND });
         await this.#store.child.control({ historyFrom: revision });
@@ -608,9 +624,19 @@
   }
 
   async #createEntry(index: number): Promise<SoakEntry> {
-    const storeProxy = await FaultProxy.create(this.#store.child.port);
+    const { child: store } = this.#store;
+    const storeProxy = await FaultProxy.create(store.port);
     const host = this.#entryHost(index);
-    const parts = { index, host, storeProxy, graceMs: SHUTDOWN_GRACE_MS };
+    const peerProxy = await FaultProxy.create(PEER_PORT, host);
+    this.#entryAddresses[`${host}:${PEER_PORT}`] = peerProxy.address;
+    await store.control({ entryAddresses: this.#entryAddresses });
+    const parts = {
+      index,
+      host,
+      storeProxy,
+      peerProxy,
+      graceMs: SHUTDOWN_GRACE_MS,
+    };
     return { ...parts, child: await this.#startEntry(parts) };
   }
 
@@ -669,3 +695,15 @@
   proxy.fault = ProxyFault.None;
   return true;
 }
+
+/** Like `injectProxyFault`, but what goes silent stays silent for good. */
+async function injectLinkFault(
+  proxy: FaultProxy | undefined,
+  fault: Pick<Fault, "proxy" | "forMs">,
+): Promise<boolean> {
+  if (fault.proxy !== ProxyFault.Blackhole) {
+    return await injectProxyFault(proxy, fault);
+  }
+  proxy?.silenceOpen();
+  return proxy !== undefined;
+}
--- a/bench/soak/soak_deployment.ts
+++ b/bench/soak/soak_deployment.ts
@@ -14,7 +14,8 @@
 export const SHUTDOWN_GRACE_MS = 8_000;
 /** The one to which SIGHUP changes it, and back, in ms. */
 export const CHANGED_GRACE_MS = 4_000;
-const PEER_PORT = 7_200;
+/** Port on which entries accept links from other entries. */
+export const PEER_PORT = 7_200;
 const ROUTE_TIMEOUTS_MS = [5_000, 6_000, 9_000];
 const IDLE_TIMEOUTS_MS = [1_000, 1_500, 2_000, 3_000, 4_000, 15_000];
 /**
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -66,6 +66,8 @@
    * the end of each page, and once as changes.
    */
   rawServers: string[];
+  /** Addresses under which entries are listed, by those they register. */
+  entryAddresses: Record<string, string>;
   instances: Instance[];
 }
 
@@ -87,6 +89,7 @@
   pageSize: 500,
   historyFrom: 0,
   rawServers: [],
+  entryAddresses: {},
   instances: [],
 };
 const counts: Counts = { reads: 0, writes: 0, watches: 0, refused: 0 };
@@ -187,11 +190,19 @@
       expected !== stored?.metadata.revision;
   if (conflicts) return sendJson(response, 409, stored);
   const isDeletion = request.method === "DELETE";
-  const object = store({ kind, name, spec: body.spec, isDeletion });
+  const spec = kind === ENTRY_KIND ? listedEntry(body.spec) : body.spec;
+  const object = store({ kind, name, spec, isDeletion });
   if (consumeFailure(switches.loseAnswers, key)) return void response.destroy();
   sendJson(response, 200, object);
 }
 
+/** Replaces the address of an entry by the one that is switched on for it. */
+function listedEntry(spec: { readonly address: string } | undefined) {
+  if (spec === undefined) return undefined;
+  const { address } = spec;
+  return { ...spec, address: switches.entryAddresses[address] ?? address };
+}
+
 /** Applies a write to the store and notifies its watches. */
 function store(
   { kind, name, spec, isDeletion }: {
--- a/tests/soak_test.ts
+++ b/tests/soak_test.ts
@@ -36,6 +36,8 @@
 const PLANNED_SEED = 20_261_263;
 /** Seed of the soak with parts that crash servers. */
 const DEADLY_SEED = 20_261_205;
+/** Links go silent for good, and entries stay without the store for long. */
+const LINKS_SEED = 80_200;
 /** Seed of the soak with slow bodies: stops of two entries, that overlap. */
 const SLOW_BODIES_SEED = 20_261_213;
 
@@ -542,6 +544,19 @@
   expect(statuses["stream 200"]).toBeGreaterThan(0);
 });
 
+test("a change of the configuration comes into force beside silent links and a store that turns entries away", async () => {
+  const { findings, statuses } = await runSoak({
+    seed: LINKS_SEED,
+    durationMs: 12_000,
+    entries: 3,
+    servers: 9,
+    lane: 206,
+    pattern: SchedulePattern.Links,
+  });
+  expect(findings).toEqual([]);
+  expect(statuses["stream 200"]).toBeGreaterThan(0);
+});
+
 test("a fourth late run of a part that crashes servers is a finding, and so are refused harmless streams", () => {
   const records = Array.from({ length: 40 }, (_, at) =>
     createRecord({
