--- a/bench/soak/soak_checks.ts
+++ b/bench/soak/soak_checks.ts
@@ -172,8 +172,9 @@
 }
 
 /**
- * Whether an entry had neither a fault of its own nor a store outage, and the
- * links between entries had none, in a period or in `CONTACT_MS` before it. Times are in ms since the Unix epoch.
+ * Whether neither the entry nor a link between entries had a fault, and the
+ * store no outage, in a period or in `CONTACT_MS` before it. Times are in ms
+ * since the Unix epoch.
  */
 export function isEntryUnaffected(
   faultWindows: readonly FaultWindow[],
