Give what has run well time to refute a crash before it is refused

Cause: a crash counted against a part as soon as it was seen. The proof that the part is harmless is a run that gets its first event after the crash and goes on for 250 ms, and other entries learn of it by a digest; three crashes within that time sufficed. That the same part had run well thousands of times counted nothing.

Change: against a cause of which a sound run from before the crash is known, a crash counts 1.5 s later, or never, if a sound run begins after it meanwhile. A cause that never ran well is refused as fast as before; one that did and then crashes servers 1.5 s later, within the bound (3 s after the fifth crash).

Evidence: the simulation plays single servers that crash by themselves.

--- a/bench/emulator/crash_simulation.ts
+++ b/bench/emulator/crash_simulation.ts
@@ -57,6 +57,8 @@
   readonly sharedFromMs: number;
   /** When a third of the servers crashes at once, in ms. */
   readonly zoneCrashesMs: readonly number[];
+  /** Single servers that crash without any request's doing, and when, in ms. */
+  readonly serverCrashes: readonly (readonly [server: number, atMs: number])[];
   /** When an entry restarts, if another one is up to date, in ms. */
   readonly restarts: readonly (readonly [entry: number, atMs: number])[];
   /** When an entry is cut off from the others for two seconds, in ms. */
@@ -160,7 +162,8 @@
 
   #tick(): void {
     this.#nowMs += TICK_MS;
-    const { deadlyGapMs, harmlessGapMs, zoneCrashesMs } = this.#scenario;
+    const { deadlyGapMs, harmlessGapMs, zoneCrashesMs, serverCrashes } =
+      this.#scenario;
     const isDue = (gapMs: number) => this.#nowMs % gapMs < TICK_MS;
     this.#injectFaults();
     if (isDue(DIGEST_MS)) this.#exchangeDigests();
@@ -171,6 +174,9 @@
     if (zoneCrashesMs.some((atMs) => this.#isNow(atMs))) {
       for (let at = 0; at < SERVERS; at += ZONES) this.#crash(at);
     }
+    for (const [server, atMs] of serverCrashes) {
+      if (this.#isNow(atMs)) this.#crash(server % SERVERS);
+    }
   }
 
   #isNow(atMs: number): boolean {
--- a/src/process/crash_account.ts
+++ b/src/process/crash_account.ts
@@ -16,6 +16,7 @@
 import {
   createRun,
   mergeCrash,
+  REFUTATION_MS,
   type RequestCauses,
   RUN_CAUSES_MAX,
   RunStage,
@@ -295,9 +296,10 @@
         ...createBlock(explanation),
         requests: requestCount(explanation),
       }));
-    const settling = crashes.map((crash) => crash.atMs + SETTLE_MS)
-      .filter((settledMs) => settledMs > nowMs);
-    this.#validUntilMs = Math.min(Infinity, ...settling);
+    const pending = crashes
+      .flatMap(({ atMs }) => [atMs + SETTLE_MS, atMs + REFUTATION_MS])
+      .filter((countsMs) => countsMs > nowMs);
+    this.#validUntilMs = Math.min(Infinity, ...pending);
   }
 
   #reportChanges(): void {
--- a/src/process/crash_account_test.ts
+++ b/src/process/crash_account_test.ts
@@ -36,6 +36,7 @@
   isAlwaysShared: fc.boolean(),
   lateMs: fc.constantFrom(0, 100, 250),
   zoneCrashesMs: fc.array(momentMs, { maxLength: 6 }),
+  serverCrashes: fc.constant([]),
   restarts: entryEvents,
   cuts: entryEvents,
 };
@@ -92,6 +93,44 @@
   );
 });
 
+test("servers that crash independently do not get the part refused that all requests share", () => {
+  const independentCrashes = fc.record({
+    count: fc.integer({ min: 3, max: 9 }),
+    gapMs: fc.integer({ min: 150, max: 800 }),
+    firstMs: fc.integer({ min: 5_000, max: 15_000 }),
+    entries: fc.integer({ min: 1, max: 6 }),
+    seed: fc.nat(1_000_000),
+    lateMs: fc.constantFrom(0, 100, 250),
+    eventMs: fc.constantFrom(300, 1_000),
+    harmlessGapMs: fc.integer({ min: 30, max: 100 }),
+  });
+  fc.assert(
+    fc.property(
+      independentCrashes,
+      ({ count, gapMs, firstMs, ...scenario }) => {
+        const { harmlessRefusalsMs } = CrashSimulation.run({
+          ...scenario,
+          deadlyGapMs: Infinity,
+          deadlyParts: 1,
+          crashesBeforeHead: false,
+          isAlwaysShared: true,
+          sharedFromMs: 0,
+          zoneCrashesMs: [],
+          restarts: [],
+          cuts: [],
+          serverCrashes: Array.from(
+            { length: count },
+            // Neighbours are in different zones.
+            (_, at) => [at, firstMs + at * gapMs] as const,
+          ),
+        });
+        expect(harmlessRefusalsMs).toEqual([]);
+      },
+    ),
+    { numRuns: 60 },
+  );
+});
+
 const [DEADLY_PART = "" as CrashCause] = DEADLY_PARTS;
 
 function createAccount(clock: { ms: number }, entry = "entry-1"): CrashAccount {
@@ -315,3 +354,21 @@
   const later = createRequest("later", [DEADLY_PART]);
   expect(account.blockedUntilMs(later)).toBe(clock.ms + 60_000);
 });
+
+test("a part that had run well is refused in time once it crashes servers", () => {
+  const clock = { ms: 0 };
+  const account = createAccount(clock);
+  account.recordProof([DEADLY_PART]);
+  for (let at = 0; at < 5; at++) {
+    clock.ms += 100;
+    account.recordCrash(createRequest(`${at}`, [DEADLY_PART]), {
+      server: `${at}`,
+      zone: `${at}`,
+      atMs: clock.ms,
+      stage: RunStage.Begun,
+    });
+  }
+  clock.ms += CONTACT_MS / 2;
+  const later = createRequest("later", [DEADLY_PART]);
+  expect(account.blockedUntilMs(later)).toBeGreaterThan(clock.ms);
+});
--- a/src/process/crash_evidence.ts
+++ b/src/process/crash_evidence.ts
@@ -59,6 +59,11 @@
  * server, in ms.
  */
 export const SETTLE_MS = 300;
+/**
+ * Time after a crash in which a sound run shows that its parts are harmless, in
+ * ms: a prompt of 1 s, the events after it and the digests that tell of them.
+ */
+export const REFUTATION_MS = 1_500;
 
 const REQUEST_PREFIX = "request ";
 
@@ -141,8 +146,21 @@
 }
 
 /**
- * Returns from when on a crash counts, in ms: at once if a run had just begun,
- * else once another entry could have told of such a run.
+ * Returns from when on a crash counts against a cause, in ms; `provenMs` is when
+ * the last sound run with the cause began, if there was one. What has run well
+ * before is given the time to do so again: others may have crashed the server.
+ */
+export function countsFromMs(
+  { atMs }: ServerCrash,
+  provenMs: number | undefined,
+): number {
+  const isDoubtful = provenMs !== undefined && provenMs <= atMs;
+  return isDoubtful ? atMs + REFUTATION_MS : atMs;
+}
+
+/**
+ * Returns from when on the suspects of a crash are known, in ms: at once if a
+ * run had just begun, else once another entry could have told of such a run.
  */
 export function settledMs(crash: ServerCrash): number {
   return stageOf(crash) === RunStage.Begun
--- a/src/process/crash_explanation.ts
+++ b/src/process/crash_explanation.ts
@@ -5,6 +5,7 @@
 
 import type { CrashCause } from "../ids.ts";
 import {
+  countsFromMs,
   isRequest,
   RunStage,
   type ServerCrash,
@@ -75,7 +76,9 @@
   const sorted = crashes.toSorted((a, b) => a.atMs - b.atMs);
   const zoneFailures = findZoneFailures(sorted);
   const settled = sorted.filter((crash) => settledMs(crash) <= nowMs);
-  const hypotheses = createHypotheses(settled, proofs, zoneFailures);
+  const hypotheses = createHypotheses({ crashes: settled, proofs, nowMs }, {
+    zoneFailures,
+  });
   const explained = new Set<ServerCrash>();
   const explanations: Explanation[] = [];
   for (const hypothesis of hypotheses) {
@@ -141,9 +144,8 @@
 
 /** Returns the possible explanations, the most likely first. */
 function createHypotheses(
-  crashes: readonly ServerCrash[],
-  proofs: ReadonlyMap<CrashCause, number>,
-  zoneFailures: ZoneFailures,
+  { crashes, proofs, nowMs }: CrashEvidence,
+  { zoneFailures }: { readonly zoneFailures: ZoneFailures },
 ): readonly Hypothesis[] {
   const suspected = new Map<CrashCause, ServerCrash[]>();
   for (const crash of crashes) {
@@ -154,9 +156,12 @@
       else known.push(crash);
     }
   }
-  const candidates = [...suspected].flatMap(([cause, all]) => {
-    const provenMs = proofs.get(cause) ?? -Infinity;
-    const unrefuted = all.filter(({ atMs }) => atMs > provenMs);
+  const candidates = [...suspected].flatMap(([cause, suspectedIn]) => {
+    const provenMs = proofs.get(cause);
+    const all = suspectedIn.filter((crash) =>
+      countsFromMs(crash, provenMs) <= nowMs
+    );
+    const unrefuted = all.filter(({ atMs }) => atMs > (provenMs ?? -Infinity));
     if (unrefuted.length < SCORE_MIN) return [];
     const rate = unrefuted.length / all.length;
     return [{ cause, crashes: unrefuted, all: new Set(unrefuted), rate }];
