Blame a request whose dying server resets the reattachment

Cause: a closed stream is reattached once. A dead server refuses the connection, and the request is blamed. While the process is dying its kernel may still accept the connection and then reset it. That counted as a closed connection of a live server: it was abandoned, nobody was blamed, and the request went on.

The new test has servers that reset one reattachment: before, the request ran on all four and was not blamed.

Change: a closed stream is reattached up to twice in a row, 50 ms apart. A dead server refuses the second, a live one continues the stream, and connection trouble alone still blames nobody.

--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -37,6 +37,8 @@
 /** A stream that this entry reads. */
 export interface Attempt extends StreamLocation {
   readonly source: StreamStart | StreamReattach;
+  /** Reattachments to its stream in a row; 0 for a started one. */
+  readonly reattachments: number;
   /** Aborted to end the attempt, for example on preemption. */
   readonly controller: AbortController;
   /** Ends the isolation of a suspected request on its server. */
@@ -105,6 +107,7 @@
     stream,
     streamStart: journal.position,
     source: { request: createStreamRequest(stream, options) },
+    reattachments: 0,
     controller,
     endIsolation,
     close: () => {
@@ -117,9 +120,11 @@
 /** Returns an attempt that continues to read a stream that may still run. */
 export function reattach(
   { serverPool }: EntryContext,
-  { location, from }: {
+  { location, from, reattachments }: {
     readonly location: StreamLocation;
     readonly from: number;
+    /** Reattachments in a row, this one included. */
+    readonly reattachments: number;
   },
 ): Attempt {
   const { server, address, stream, streamStart } = location;
@@ -130,6 +135,7 @@
     stream,
     streamStart,
     source: { stream, from },
+    reattachments,
     controller: new AbortController(),
     endIsolation: () => undefined,
     close: () => serverPool.end(server),
--- a/src/request/generation.ts
+++ b/src/request/generation.ts
@@ -67,6 +67,8 @@
 
 /** Time that a token is assumed to need, in ms; slow engines need less. */
 const TOKEN_DURATION_MS = 50;
+/** Delay before another reattachment, in ms; a dying process ends in less. */
+const REATTACH_DELAY_MS = 50;
 /** Delay before the next attempt after a server rejected one, in ms. */
 const REJECTED_RETRY_DELAY_MS = 50;
 
@@ -256,13 +258,22 @@
     if (resumption === undefined || this.#journal.isFull) return undefined;
     const location = findCursorStream(this.#context, resumption);
     if (location === undefined) return undefined;
-    this.#cursorAttempt = this.#reattach(location);
+    this.#cursorAttempt = this.#reattach(location, 1);
     return this.#cursorAttempt;
   }
 
-  #reattach(location: StreamLocation): Attempt {
+  #reattach(location: StreamLocation, reattachments: number): Attempt {
     const from = this.#journal.position;
-    return reattach(this.#context, { location, from });
+    return reattach(this.#context, { location, from, reattachments });
+  }
+
+  /** Continues to read the stream of an attempt whose connection closed. */
+  async #reattachAgain(attempt: Attempt): Promise<Attempt> {
+    const { reattachments } = attempt;
+    if (reattachments > 0) await sleep(REATTACH_DELAY_MS);
+    const next = this.#reattach(attempt, reattachments + 1);
+    if (attempt === this.#cursorAttempt) this.#cursorAttempt = next;
+    return next;
   }
 
   /** Waits in the dispatcher's queue for a slot; returns an attempt with it. */
@@ -340,8 +351,8 @@
         `more than ${ATTEMPT_FAILURES_MAX} attempts failed`,
       );
     }
-    const wasReattached = "stream" in attempt.source;
-    if (wasReattached && this.#journal.position < this.#deliverFrom) {
+    const { reattachments } = attempt;
+    if (reattachments > 0 && this.#journal.position < this.#deliverFrom) {
       throw createInterruptedError(
         "the cursor's stream is gone; repeat the request without Last-Event-ID",
       );
@@ -350,7 +361,7 @@
     const isFromCursor = attempt === this.#cursorAttempt;
     const step = chooseRecovery({
       lossCause: failureCause,
-      wasReattached,
+      reattachments,
       isFromCursor,
       isSilent,
     });
@@ -363,7 +374,7 @@
   ): Promise<Attempt | undefined> {
     switch (step) {
       case RecoveryStep.Reattach:
-        return this.#reattach(attempt);
+        return await this.#reattachAgain(attempt);
       case RecoveryStep.SuspectRequest:
         this.#suspectRequest(attempt);
         break;
--- a/src/request/generation_test.ts
+++ b/src/request/generation_test.ts
@@ -1,11 +1,16 @@
-/** Guards the error type of a generation whose attempts all stalled. */
+/** Guards the error type of a generation, and what it blames for lost servers. */
 
 import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import {
+  type AddressInfo,
+  createServer as createRawServer,
+  type Socket,
+} from "node:net";
 import { expect, test } from "vitest";
 import { ATTEMPT_FAILURES_MAX } from "../constants.ts";
 import { type RequestError, RequestErrorType } from "../errors.ts";
 import type { RequestId } from "../ids.ts";
+import { CrashSuspicions } from "../process/crash_suspicions.ts";
 import type { EntryContext } from "../process/entry_context.ts";
 import type { CompletionRequest } from "./completion_request.ts";
 import { Generation } from "./generation.ts";
@@ -13,7 +18,10 @@
 const HOST = "127.0.0.1";
 
 /** Returns the parts of an entry's context that a generation uses. */
-function createContext(address: string): EntryContext {
+function createContext(
+  address: string,
+  overrides: object = {},
+): EntryContext {
   const context = {
     settings: {
       cursorKey: "key",
@@ -36,6 +44,7 @@
           release: () => undefined,
         }),
     },
+    ...overrides,
   };
   return context as unknown as EntryContext;
 }
@@ -80,3 +89,78 @@
     engine.closeAllConnections();
   }
 });
+
+/**
+ * Starts a server that dies of its first request: the connections that its
+ * kernel has accepted meanwhile are reset, later ones are refused.
+ */
+async function startDyingServer(acceptedMeanwhile: number) {
+  let connections = 0;
+  const sockets = new Set<Socket>();
+  const server = createRawServer((socket) => {
+    connections++;
+    sockets.add(socket);
+    socket.on("error", () => undefined);
+    socket.once("data", () => socket.resetAndDestroy());
+    if (connections > acceptedMeanwhile) server.close();
+  });
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  const { port } = server.address() as AddressInfo;
+  return {
+    address: `${HOST}:${port}`,
+    hasRun: () => connections > 0,
+    close: () => {
+      server.close();
+      for (const socket of sockets) socket.destroy();
+    },
+  };
+}
+
+test.each([0, 1])(
+  "a request that crashes servers costs two, though a dying one resets %i reattachments",
+  async (acceptedMeanwhile) => {
+    const servers = await Promise.all(
+      Array.from({ length: 4 }, () => startDyingServer(acceptedMeanwhile)),
+    );
+    const excludedAt = (excluded: ReadonlySet<string>) =>
+      servers.findIndex((_, at) => !excluded.has(`engine-${at}`));
+    const context = createContext("", {
+      suspicions: CrashSuspicions.create({
+        now: () => performance.now(),
+        onRecord: () => undefined,
+      }),
+      serverPool: {
+        canServe: () => true,
+        eject: () => undefined,
+        begin: () => undefined,
+        end: () => undefined,
+        addSuspect: () => undefined,
+        removeSuspect: () => undefined,
+      },
+      dispatcher: {
+        reserve: ({ excluded }: { readonly excluded: ReadonlySet<string> }) => {
+          const at = excludedAt(excluded);
+          const { address } = servers[at] ?? { address: "" };
+          return Promise.resolve({
+            server: { name: `engine-${at}`, address },
+            release: () => undefined,
+          });
+        },
+      },
+    });
+    const generation = Generation.create(context, {
+      requestId: "request-1" as RequestId,
+      request: REQUEST,
+      receivedMs: performance.now(),
+      signal: new AbortController().signal,
+    });
+    try {
+      const error: RequestError = await generation.run().next()
+        .catch((error) => error);
+      expect(error.message).toContain("suspected of crashing");
+      expect(servers.filter(({ hasRun }) => hasRun()).length).toBe(2);
+    } finally {
+      for (const server of servers) server.close();
+    }
+  },
+);
--- a/src/request/recovery.ts
+++ b/src/request/recovery.ts
@@ -20,21 +20,32 @@
 /** What is known about a failed attempt. */
 export interface FailedAttempt {
   readonly lossCause: FailureCause;
-  /** Whether the attempt itself was a reattachment. */
-  readonly wasReattached: boolean;
+  /** Reattachments in a row, the attempt included; 0 if it was started. */
+  readonly reattachments: number;
   /** Whether it reattached to a cursor's stream, perhaps of another entry. */
   readonly isFromCursor: boolean;
   /** Whether its stream produced no token. */
   readonly isSilent: boolean;
 }
 
+/**
+ * Reattachments in a row. A dying server resets the first if its kernel had
+ * accepted the connection; only the next is refused and shows the loss.
+ */
+const REATTACHMENTS_MAX = 2;
+
 /** Returns how to recover from a failed attempt. */
 export function chooseRecovery(attempt: FailedAttempt): RecoveryStep {
-  return match(attempt)
+  const wasReattached = attempt.reattachments > 0;
+  return match({ ...attempt, wasReattached })
     .with({
-      lossCause: P.union(FailureCause.Closed, FailureCause.PositionGap),
-      wasReattached: false,
+      lossCause: FailureCause.Closed,
+      reattachments: P.number.lt(REATTACHMENTS_MAX),
     }, () => RecoveryStep.Reattach)
+    .with(
+      { lossCause: FailureCause.PositionGap, wasReattached: false },
+      () => RecoveryStep.Reattach,
+    )
     // The engine ended the stream because it had no reader; it did not crash.
     .with(
       { lossCause: FailureCause.Rejected, isFromCursor: true },
