--- a/src/process/object_watch.ts
+++ b/src/process/object_watch.ts
@@ -20,6 +20,7 @@
 import { LOG_EVENTS } from "./log_events.ts";
 import type { Log } from "./log.ts";
 import type { ReaderElection, ReaderLiveness } from "./reader_election.ts";
+import { chooseStoreCall, StoreCall } from "./store_call.ts";
 
 /** Dependencies and settings of a watch. */
 export interface ObjectWatchOptions {
@@ -36,10 +37,7 @@
   readonly waitMs: number;
   /** Delay after changes, so that the next call returns a batch, in ms. */
   readonly batchDelayMs: number;
-  /**
-   * Whether only the newest version of each object counts, as with the
-   * configuration: versions in between may be large, and are not read.
-   */
+  /** Whether versions in between count for nothing; `false` by default. */
   readonly followsNewestOnly?: boolean;
   /**
    * Shortest outage of the store in which registrations may expire, in ms; what
@@ -72,12 +70,6 @@
  */
 const TAKEOVER_JITTER_MAX_MS = 150;
 
-/**
- * Shortest time between a list and a later one that only checks whether a watch
- * passed over a change, in ms; limits the calls.
- */
-const CHECK_INTERVAL_MS = 1_000;
-
 /** Follows one kind of objects until it is closed. */
 export class ObjectWatch {
   readonly #options: ObjectWatchOptions;
@@ -93,7 +85,7 @@
   /** Whether to list even while other entries read for this one. */
   #mustRelist = true;
   /** Whether versions may have accumulated since the last read. */
-  #mustSkipVersions = false;
+  #mayHaveMissedVersions = false;
   /**
    * Revision since which watches returned no change although the store's
    * revision increased: by a change of another kind, or by one passed over.
@@ -153,15 +145,28 @@
   /** Lists and watches until closed; never rejects. */
   async run(): Promise<void> {
     while (!this.#isClosed) {
-      const mustRead = this.#options.readerElection?.mustRead !== false;
-      this.#setReading(mustRead);
-      if (mustRead || this.#mustRelist) await this.#read();
-      else await this.#idle();
+      const isReader = this.#options.readerElection?.mustRead !== false;
+      this.#setReading(isReader);
+      const call = this.#nextCall(isReader);
+      if (call === StoreCall.None) await this.#idle();
+      else await this.#read(call);
     }
   }
 
+  #nextCall(isReader: boolean): StoreCall {
+    return chooseStoreCall({
+      isReader,
+      mustRelist: this.#mustRelist,
+      hasRevision: this.#revision !== undefined,
+      followsNewestOnly: this.#options.followsNewestOnly ?? false,
+      mayHaveMissedVersions: this.#mayHaveMissedVersions,
+      mayHavePassedOver: this.#uncheckedRevision !== undefined,
+      listAgeMs: this.#now() - this.#listedMs,
+    });
+  }
+
   /** Makes one list or watch call. */
-  async #read(): Promise<void> {
+  async #read(call: StoreCall): Promise<void> {
     const { readerElection } = this.#options;
     if (
       (readerElection?.lastSuccessAgeMs ?? 0) > this.#outageThresholdMs
@@ -170,7 +175,7 @@
     }
     const isFirst = this.#revision === undefined;
     try {
-      this.#revision = this.#mustList || this.#revision === undefined
+      this.#revision = call === StoreCall.List || this.#revision === undefined
         ? await this.#list()
         : await this.#watch(this.#revision);
       this.#failures = 0;
@@ -186,7 +191,7 @@
       }
       // Unlike a list, the changes since a revision never become readable.
       if (error instanceof PlatformResponseUnreadable) this.#mustRelist = true;
-      this.#mustSkipVersions = true;
+      this.#mayHaveMissedVersions = true;
       // Keep the revision: the next watch returns the changes since then, or
       // reports that their history was dropped.
       this.#setUnreachable(true, messageOf(error));
@@ -197,19 +202,11 @@
     }
   }
 
-  get #mustList(): boolean {
-    const { followsNewestOnly = false } = this.#options;
-    const isCheckDue = this.#uncheckedRevision !== undefined &&
-      this.#now() - this.#listedMs >= CHECK_INTERVAL_MS;
-    return this.#mustRelist ||
-      (followsNewestOnly && (this.#mustSkipVersions || isCheckDue));
-  }
-
   #setReading(isReading: boolean): void {
     const { log, kind, readerElection } = this.#options;
     if (isReading === this.#isReading || readerElection === undefined) return;
     this.#isReading = isReading;
-    this.#mustSkipVersions = true;
+    this.#mayHaveMissedVersions = true;
     const event = isReading
       ? LOG_EVENTS.storeReadsStarted
       : LOG_EVENTS.storeReadsStopped;
@@ -235,7 +232,7 @@
     try {
       this.#listedMs = this.#now();
       const list = await objects.list({ kind });
-      this.#mustSkipVersions = false;
+      this.#mayHaveMissedVersions = false;
       this.#logPassedOver(list);
       onList(list, this.#isAfterOutage);
       return list.revision;
