Count only digests of the new link in the test of a silent one

Cause, in the test: it waits up to 3 s for a digest after the link went silent, then one second for both sides to log the silence, which they do after 1.5 s. A digest that was on its way when the link went silent ended the first wait at once.

The test now waits for a new connection, then for a digest that comes after it, and checks that both took under 3 s together; digests of the old link no longer pass for new ones.

--- a/src/process/peers_test.ts
+++ b/src/process/peers_test.ts
@@ -195,10 +195,15 @@
   const proxy = await startProxy(peerPort);
   setListedEntries(createPeers("a", { logged }), "b", proxy.port);
   await expect.poll(() => received.length).toBeGreaterThan(0);
+  const connections = proxy.connectionCount();
   proxy.silence();
+  const silentMs = performance.now();
+  await expect.poll(() => proxy.connectionCount(), { timeout: 3_000 })
+    .toBeGreaterThan(connections);
+  // Only digests on the new connection count.
   received.length = 0;
-  await expect.poll(() => received.length, { timeout: 3_000 })
-    .toBeGreaterThan(0);
+  await expect.poll(() => received.length).toBeGreaterThan(0);
+  expect(performance.now() - silentMs).toBeLessThan(3_000);
   await expect.poll(() =>
     logged.filter((event) => event === LOG_EVENTS.peerSilent).length
   ).toBe(2);
