Create the generations of a test in one function

Two tests built the same options, and one named a search that it used once. Assertions and bounds are the same; the three tests of the file pass, as do formatter, linter and type check.

--- a/src/request/generation_test.ts
+++ b/src/request/generation_test.ts
@@ -64,6 +64,15 @@
   resumption: undefined,
 } as unknown as CompletionRequest;
 
+function createGeneration(context: EntryContext): Generation {
+  return Generation.create(context, {
+    requestId: "request-1" as RequestId,
+    request: REQUEST,
+    receivedMs: performance.now(),
+    signal: new AbortController().signal,
+  });
+}
+
 test("past the limit of failed attempts the last stream is cancelled before the error reports whether it ran", async () => {
   const cancelled: string[] = [];
   // Streams never start; only the last one reports that it has run.
@@ -77,12 +86,7 @@
   const { port } = engine.address() as AddressInfo;
   const address = `${HOST}:${port}`;
   const context = createContext(address, { firstTokenStallTimeoutMs: 10 });
-  const generation = Generation.create(context, {
-    requestId: "request-1" as RequestId,
-    request: REQUEST,
-    receivedMs: performance.now(),
-    signal: new AbortController().signal,
-  });
+  const generation = createGeneration(context);
   try {
     const error: RequestError = await generation.run().next().catch((error) =>
       error
@@ -127,8 +131,6 @@
     const servers = await Promise.all(
       Array.from({ length: 4 }, () => startDyingServer(acceptedMeanwhile)),
     );
-    const excludedAt = (excluded: ReadonlySet<string>) =>
-      servers.findIndex((_, at) => !excluded.has(`engine-${at}`));
     const context = createContext("", {
       // No attempt is silent: each connection is reset or refused.
       firstTokenStallTimeoutMs: 10_000,
@@ -146,7 +148,9 @@
       },
       dispatcher: {
         reserve: ({ excluded }: { readonly excluded: ReadonlySet<string> }) => {
-          const at = excludedAt(excluded);
+          const at = servers.findIndex((_, at) =>
+            !excluded.has(`engine-${at}`)
+          );
           const { address } = servers[at] ?? { address: "" };
           return Promise.resolve({
             server: { name: `engine-${at}`, address },
@@ -155,12 +159,7 @@
         },
       },
     });
-    const generation = Generation.create(context, {
-      requestId: "request-1" as RequestId,
-      request: REQUEST,
-      receivedMs: performance.now(),
-      signal: new AbortController().signal,
-    });
+    const generation = createGeneration(context);
     try {
       const error: RequestError = await generation.run().next()
         .catch((error) => error);
