Move a service to another version as the operator orders

Cause: the orders in the store were ignored: entries sent requests to servers of any version, so a bad version got its full share at once, and no state was ever written.

Change: src/rollout. Each entry keeps its own budget for the new version and judges it by the counts of all entries, which digests pass on; the first reader of the store writes the state at the revision it read. The new version's share goes to as few of its servers as gives each a normal load. Streams on servers that will stop get copies at the new ones. Versions count only where the settings hold limits for new versions.

--- a/src/connection/object_store.ts
+++ b/src/connection/object_store.ts
@@ -7,6 +7,10 @@
   readonly name: string;
   /** Revision of the object's last change. */
   readonly revision: ObjectRevision;
+  /**
+   * Tells an object from an earlier one of its name; `undefined` if unknown.
+   */
+  readonly createdRevision?: ObjectRevision | undefined;
   readonly spec: unknown;
   readonly status: unknown;
 }
@@ -80,6 +84,20 @@
       readonly revision?: ObjectRevision;
     },
   ) => Promise<StoredObject | undefined>;
+  /**
+   * Replaces an object's status at a revision; `undefined` when the object does
+   * not exist.
+   *
+   * Errors: `VersionConflict`, `PlatformUnavailable`.
+   */
+  readonly replaceStatus: (
+    kind: string,
+    object: {
+      readonly name: string;
+      readonly status: unknown;
+      readonly revision: ObjectRevision;
+    },
+  ) => Promise<StoredObject | undefined>;
   /** Removes an object. Errors: `VersionConflict`, `PlatformUnavailable`. */
   readonly remove: (
     kind: string,
--- a/src/gossip/parse_peer_message.ts
+++ b/src/gossip/parse_peer_message.ts
@@ -8,6 +8,10 @@
   RunStage,
 } from "../process/crash_evidence.ts";
 import { isAddress } from "../connection/address.ts";
+import { BIN_COUNT } from "../rollout/latency_bins.ts";
+import { TALLIES_PER_DIGEST } from "../rollout/tally_exchange.ts";
+import { RolloutStage } from "../rollout/types.ts";
+import { ASPECTS_MAX, COUNTED_SERVERS_MAX } from "../rollout/version_counts.ts";
 import {
   type PeerMessage,
   PeerMessageKind,
@@ -19,6 +23,8 @@
 
 /** Longest list of crashes, blocks, proofs or trials in a digest. */
 const CRASH_ITEMS_MAX = 64;
+/** Most orders in a digest: one for each service. */
+const ROLLOUTS_MAX = 256;
 /** Longest name of a cause or server in a crash report, in characters. */
 const CAUSE_MAX_CHARACTERS = 128;
 
@@ -111,6 +117,37 @@
   count: isCount,
   newest: isCount,
 });
+const isResponseCounts = hasFields({
+  bins: isListOf(isCount, BIN_COUNT),
+  failures: isCount,
+  failedServers: isListOf(isCause, COUNTED_SERVERS_MAX),
+  servers: isListOf(isCause, COUNTED_SERVERS_MAX),
+});
+const isRollout = hasFields({
+  id: isCause,
+  service: isText,
+  target: isText,
+  durationMs: isAge,
+  revision: isCount,
+  stage: (value) => Object.values<unknown>(RolloutStage).includes(value),
+  ageMs: isAge,
+  stageAgeMs: isAge,
+  tallies: isListOf(
+    hasFields({
+      writer: isCause,
+      total: isCount,
+      counts: isListOf(
+        hasFields({
+          aspect: isText,
+          baseline: isResponseCounts,
+          candidate: isResponseCounts,
+        }),
+        ASPECTS_MAX,
+      ),
+    }),
+    TALLIES_PER_DIGEST,
+  ),
+});
 const isRelayDigest = hasFields({
   configuration: isNumber,
   loads: isListOf(isPairOf(isText, isLoad)),
@@ -120,6 +157,7 @@
   readers: isListOf(isReader),
   dead: isListOf(isText),
   crashAccount: isOptional(isCrashAccount),
+  rollouts: isOptional(isListOf(isRollout, ROLLOUTS_MAX)),
 });
 const isServer = hasFields({
   kind: isText,
@@ -133,6 +171,7 @@
   fencing: isText,
   isLeaving: isBoolean,
   startedMs: isNumber,
+  version: isOptional(isText),
 });
 const isServerChange = hasFields({
   name: isText,
--- a/src/gossip/peer_protocol.ts
+++ b/src/gossip/peer_protocol.ts
@@ -15,6 +15,7 @@
   RegisteredServer,
   ServerLoad,
 } from "../process/registered_server.ts";
+import type { RolloutDigest } from "../rollout/types.ts";
 import type { ReaderLiveness } from "./reader_election.ts";
 import type { Head } from "../version/types.ts";
 import type { MemberSummary } from "./member_summary.ts";
@@ -104,6 +105,8 @@
   readonly leaving?: readonly ServerIncarnation[];
   /** Absent if no crash is known, and in digests of earlier versions. */
   readonly crashAccount?: CrashAccountDigest;
+  /** Absent if the sender knows no orders yet, or versions don't count. */
+  readonly rollouts?: readonly RolloutDigest[];
 }
 
 /** Soft state of an entry, sent at a bounded rate. */
--- a/src/placement/choose_server.ts
+++ b/src/placement/choose_server.ts
@@ -11,6 +11,7 @@
 import { recentLoad } from "./load_inquiry.ts";
 import {
   addLoad,
+  type RegisteredServer,
   type RegisteredServerView,
   type ServerLoad,
 } from "../process/registered_server.ts";
@@ -37,6 +38,8 @@
   readonly avoidBacklogUntilMs?: number;
   /** Names of servers that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
+  /** Condition that the server has to meet; none if absent. */
+  readonly isAllowed?: ((server: RegisteredServer) => boolean) | undefined;
   /**
    * Whether servers whose reports count are preferred to all others, since most
    * load is unknown here; see `LoadInquiry`.
@@ -123,6 +126,7 @@
     !server.isLeaving &&
     !criteria.excluded.has(server.name) &&
     server.zone !== criteria.excludedZone &&
+    criteria.isAllowed?.(server) !== false &&
     ejectedUntilMs < Number.POSITIVE_INFINITY;
 }
 
--- a/src/placement/server_selector.ts
+++ b/src/placement/server_selector.ts
@@ -28,6 +28,8 @@
   readonly views: RegisteredServerViews;
   readonly holdOffs: ServerHoldOffs;
   readonly zoneFailures: ZoneFailureDetector;
+  /** Whether a server's version may get requests; any may if absent. */
+  readonly isInService?: ((server: RegisteredServer) => boolean) | undefined;
 }
 
 /** The registered servers by service, as candidates for requests. */
@@ -130,7 +132,7 @@
     const view = views.get(name);
     if (view === undefined || view.server.isLeaving) return false;
     const { server, ownLoad, ejectedUntilMs } = view;
-    return ejectedUntilMs <= now() &&
+    return ejectedUntilMs <= now() && this.#isInService(server) &&
       holdOffs.mayGetRequest(server, ownLoad.requests);
   }
 
@@ -155,13 +157,22 @@
     const { service, preferred = "", prompt } = request;
     const ringKey = prompt || String(this.#options.random());
     const preferredView = views.get(preferred);
-    if (preferredView !== undefined) yield preferredView;
+    if (
+      preferredView !== undefined && this.#isInService(preferredView.server)
+    ) {
+      yield preferredView;
+    }
     for (const name of this.#ringOf(service).serversFrom(ringKey)) {
       const view = views.get(name);
-      if (view !== undefined && name !== preferred) yield view;
+      if (view === undefined || name === preferred) continue;
+      if (this.#isInService(view.server)) yield view;
     }
   }
 
+  #isInService(server: RegisteredServer): boolean {
+    return this.#options.isInService?.(server) !== false;
+  }
+
   #ringOf(service: string): ServerRing {
     const ring = this.#rings.get(service) ?? ServerRing.create();
     this.#rings.set(service, ring);
--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -150,6 +150,34 @@
     "a watch of the store did not return a change; it was found by listing",
     "report it to the operators of the store",
   ),
+  rolloutOrdered: createLogEvent(
+    2101,
+    Severity.Info,
+    "order to move a service to another version; the version is observed",
+  ),
+  rolloutAdvanced: createLogEvent(
+    2102,
+    Severity.Info,
+    "roll-out of a version entered another stage",
+    "see docs/OPERATIONS.md, why a version was rolled back",
+  ),
+  rolloutStateWritten: createLogEvent(
+    2103,
+    Severity.Info,
+    "state of a roll-out written to the store",
+  ),
+  rolloutStateNotWritten: createLogEvent(
+    2104,
+    Severity.Warn,
+    "state of a roll-out could not be written; it is tried again",
+    "check the platform if this repeats",
+  ),
+  rolloutUnusable: createLogEvent(
+    2105,
+    Severity.Warn,
+    "order of a roll-out, or its status, is unusable",
+    "correct or remove the order",
+  ),
   serverDraining: createLogEvent(
     3001,
     Severity.Info,
--- a/src/process/object_watch_test.ts
+++ b/src/process/object_watch_test.ts
@@ -52,6 +52,7 @@
     create: unexpectedCall,
     replace: unexpectedCall,
     remove: unexpectedCall,
+    replaceStatus: unexpectedCall,
     close: () => undefined,
   };
 }
--- a/src/process/registered_server.ts
+++ b/src/process/registered_server.ts
@@ -16,6 +16,8 @@
    * When this incarnation started, in ms on the server's clock; 0 if unknown.
    */
   readonly startedMs: number;
+  /** Version of its software; absent if unknown. */
+  readonly version?: string;
 }
 
 /** Why a registration names no server that can be used. */
--- a/src/process/registered_servers.ts
+++ b/src/process/registered_servers.ts
@@ -54,6 +54,8 @@
    * services.
    */
   readonly kvCacheTokensOf: (service: string) => number;
+  /** Whether a server's version may get requests; any may if absent. */
+  readonly isInService?: ((server: RegisteredServer) => boolean) | undefined;
   /** Called when a server may have capacity again. */
   readonly onCapacityAvailable: () => void;
   /** Called when a server became known as draining. */
@@ -113,6 +115,13 @@
     return this.#views.latest().values();
   }
 
+  /** Yields the listed servers of a service. */
+  *serversOf(service: string): Generator<RegisteredServer> {
+    for (const { server } of this.views()) {
+      if (server.service === service) yield server;
+    }
+  }
+
   /** Returns the view of a server by name. */
   view(name: string): RegisteredServerView | undefined {
     return this.#views.latest().get(name);
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -42,7 +42,11 @@
 import { RelayMetrics } from "./relay_metrics.ts";
 import { LoadInquiry } from "../placement/load_inquiry.ts";
 import { PromptSearch } from "../placement/prompt_search.ts";
+import type { ServerCriteria } from "../placement/server_selector.ts";
 import { RetryBudget, type RetryLender } from "../placement/retry_budget.ts";
+import { chooseByVersion } from "../rollout/choose_by_version.ts";
+import type { ExposureLimits } from "../rollout/exposure_budget.ts";
+import { Rollouts } from "../rollout/rollouts.ts";
 import { ServerList } from "./server_list.ts";
 import { keepHoldOffs } from "../health/keep_hold_offs.ts";
 import { ServerReports } from "../health/server_reports.ts";
@@ -83,6 +87,8 @@
    * or became unreachable.
    */
   readonly onStoreChange?: () => void;
+  /** Limits for versions that are not known to be good; absent if none. */
+  readonly exposureLimits?: ExposureLimits | undefined;
   /** Returns the entries to borrow retries from; none if absent. */
   readonly retryLenders?: () => Iterable<RetryLender>;
 }
@@ -109,6 +115,8 @@
   responseMaxBytes: 2_097_152,
   totalMaxBytes: 8_388_608,
 };
+/** Radix of the random part of a writer's name. */
+const WRITER_RADIX = 36;
 /** Checksums are printed in hexadecimal. */
 const CHECKSUM_RADIX = 16;
 /**
@@ -121,6 +129,8 @@
 export class Relay {
   readonly context: RelayContext;
   readonly servers: RegisteredServers;
+  /** The orders to move services to other versions. */
+  readonly rollouts: Rollouts;
   readonly #options: RelayOptions;
   readonly #peerLoads: PeerLoads;
   readonly #serverList: ServerList;
@@ -147,10 +157,13 @@
     });
     this.#peerLoads = PeerLoads.create(now);
     const metrics = RelayMetrics.create();
+    this.rollouts = this.#createRollouts(metrics, () => dispatcher.pump());
+    const { rollouts } = this;
     this.servers = RegisteredServers.create({
       now,
       random,
       log,
+      isInService: (server) => rollouts.isInService(server),
       kvCacheTokensOf: (service) => this.#kvCacheTokensOf(service),
       onCapacityAvailable: () => dispatcher.pump(),
       onDraining: (source) => metrics.drainingServers.inc({ source }),
@@ -170,11 +183,13 @@
         refusesEarly: true,
       },
       pool: {
-        choose: (criteria) => servers.choose(criteria),
+        choose: (criteria) => this.#choose(criteria),
         heldOffUntilMs: (criteria) =>
           criteria.hasBegun ? undefined : servers.heldOffUntilMs(criteria),
         begin: (name, { load, onAssigned }) => {
           servers.begin(name, load);
+          const server = servers.view(name)?.server;
+          if (server !== undefined) rollouts.recordPlacement(server);
           onAssigned?.(name);
           // Announced at once, or peers that choose now pick the same server.
           if (load.tokens > 0) options.onStreamPlaced?.();
@@ -190,6 +205,7 @@
       log,
       now,
       servers,
+      rollouts,
       dispatcher,
       reports,
       silentServers: SilentServers.create(servers, reports),
@@ -198,7 +214,7 @@
       loadInquiry: LoadInquiry.create({
         now,
         isNeeded: () => this.entryCount >= PARTIAL_MESH_MIN_ENTRIES,
-        choose: (criteria) => servers.choose(criteria),
+        choose: (criteria) => this.#choose(criteria),
         reportedLoad: (server) => servers.reportedLoad(server),
         recordReportedLoad: (server, load) =>
           servers.recordReportedLoad(server, load),
@@ -351,7 +367,10 @@
     });
     if (!isNew) return false;
     if (server === undefined) this.servers.delete(name);
-    else this.servers.set(server);
+    else {
+      this.rollouts.recordServer(server);
+      this.servers.set(server);
+    }
     return true;
   }
 
@@ -391,6 +410,7 @@
     for (const incarnation of parseLeavingServers(orders.leaving)) {
       this.servers.markLeaving(incarnation, DrainingSource.Peer);
     }
+    if (orders.rollouts !== undefined) this.rollouts.merge(orders.rollouts);
     this.readerElection.merge(entry, orders.readers);
     const { crashAccount } = orders;
     if (crashAccount !== undefined) {
@@ -424,6 +444,7 @@
 
   #createOrderDigest(): RelayDigest {
     const crashAccount = this.context.crashAccount.digest();
+    const rollouts = this.rollouts.digest();
     return {
       configuration: this.configurationVersion,
       loads: this.servers.ownLoads(),
@@ -434,9 +455,40 @@
       dead: this.servers.unreachableServers(),
       leaving: this.servers.recentlyLeaving(),
       ...crashAccount !== undefined && { crashAccount },
+      ...rollouts !== undefined && { rollouts },
     };
   }
 
+  /** Returns the server for a request, if one has capacity now. */
+  #choose(criteria: ServerCriteria): RegisteredServer | undefined {
+    const filters = this.rollouts.filtersFor(criteria.service);
+    return chooseByVersion(
+      filters,
+      criteria,
+      (request) => this.servers.choose(request),
+    );
+  }
+
+  #createRollouts(metrics: RelayMetrics, onChange: () => void): Rollouts {
+    const { entry, log, now, random, exposureLimits } = this.#options;
+    return Rollouts.create({
+      limits: exposureLimits,
+      writer: `${entry}/${random().toString(WRITER_RADIX).slice(2)}`,
+      log,
+      now,
+      random,
+      entryCount: () => this.entryCount,
+      serversOf: (service) => this.servers.serversOf(service),
+      isUsable: (name) => this.servers.isUsable(name),
+      onChange,
+      onPlacement: (service, isCandidate) =>
+        metrics.rolloutPlacements.inc({
+          service,
+          version: isCandidate ? "new" : "old",
+        }),
+    });
+  }
+
   #createCrashAccount(metrics: RelayMetrics): CrashAccount {
     const { entry, log, now } = this.#options;
     return CrashAccount.create({
--- a/src/process/relay_metrics.ts
+++ b/src/process/relay_metrics.ts
@@ -99,6 +99,12 @@
     help: "Retries that other entries lent, fractions included",
     registers: [this.registry],
   });
+  readonly rolloutPlacements = new Counter({
+    name: "gypsumridge_rollout_placements_total",
+    help: "Requests placed while a service moves to a new version, by version",
+    labelNames: ["service", "version"],
+    registers: [this.registry],
+  });
   readonly droppedLogLines = new Counter({
     name: "gypsumridge_log_lines_dropped_total",
     help: "Log lines dropped because too many were written",
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -26,6 +26,9 @@
 import { ObjectWatch } from "./object_watch.ts";
 import { Peers } from "../gossip/peers.ts";
 import type { Relay, ServerChange } from "./relay.ts";
+import { RolloutSync } from "../rollout/rollout_sync.ts";
+import type { RolloutSource } from "../rollout/rollout_writer.ts";
+import type { StoredRollout, UnusableRollout } from "../rollout/types.ts";
 import { UnusableRegistrations } from "./unusable_registrations.ts";
 
 /** Where backend servers register, and how registrations are parsed. */
@@ -54,6 +57,14 @@
   readonly objects: ObjectStore;
   readonly configuration: ConfigurationSource;
   readonly servers: ServerSource;
+  /** Where orders of other versions are stored; absent if there are none. */
+  readonly rollouts?: Omit<RolloutSource, "parse"> & {
+    /** Returns `undefined` for an unusable order, and calls `onUnusable`. */
+    readonly parse: (
+      object: StoredObject,
+      onUnusable: (finding: UnusableRollout) => void,
+    ) => StoredRollout | undefined;
+  };
   /** Interval at which backend servers renew their registrations, in ms. */
   readonly heartbeatMs: number;
   readonly relay: Relay;
@@ -91,6 +102,7 @@
   readonly #blockArchive: CrashBlockArchive;
   readonly #configurationWatch: ObjectWatch;
   readonly #serverWatch: ObjectWatch;
+  readonly #rolloutSync: RolloutSync | undefined;
   readonly #unusableRegistrations: UnusableRegistrations;
   #hasServerList = false;
   /** When the pending request for a peer's changes was sent, in ms. */
@@ -105,6 +117,7 @@
     });
     this.#configurationWatch = this.#createConfigurationWatch();
     this.#serverWatch = this.#createServerWatch();
+    this.#rolloutSync = this.#createRolloutSync();
     this.#peers = this.#createPeers();
     this.#membership = this.#createMembership();
     this.#blockArchive = this.#createBlockArchive();
@@ -132,6 +145,7 @@
     this.#blockArchive.run();
     this.#configurationWatch.run();
     this.#serverWatch.run();
+    this.#rolloutSync?.run();
   }
 
   /** Sends a digest soon, to pass on changes read from the store. */
@@ -154,6 +168,7 @@
     const thresholdMs = outageThresholdMs(heartbeatMs);
     this.#configurationWatch.setOutageThreshold(thresholdMs);
     this.#serverWatch.setOutageThreshold(thresholdMs);
+    this.#rolloutSync?.setOutageThreshold(thresholdMs);
   }
 
   /** Changes the id of the deployment. */
@@ -165,6 +180,7 @@
   retryNow(): void {
     this.#configurationWatch.retryNow();
     this.#serverWatch.retryNow();
+    this.#rolloutSync?.retryNow();
   }
 
   /** Removes the registration; links stay open until `close`. */
@@ -177,6 +193,7 @@
     this.#blockArchive.close();
     this.#configurationWatch.close();
     this.#serverWatch.close();
+    this.#rolloutSync?.close();
     this.#peers.close();
     await this.#membership.close();
   }
@@ -291,6 +308,26 @@
     });
   }
 
+  #createRolloutSync(): RolloutSync | undefined {
+    const { objects, log, relay, rollouts: source } = this.#options;
+    const { rollouts } = relay;
+    if (source === undefined || !rollouts.isEnabled) return undefined;
+    return RolloutSync.create({
+      rollouts,
+      objects,
+      source,
+      log,
+      isDecider: () => relay.readerElection.isFirstReader,
+      createWatch: (handlers) =>
+        ObjectWatch.create({
+          ...this.#createWatchOptions(),
+          kind: source.kind,
+          batchDelayMs: 0,
+          ...handlers,
+        }),
+    });
+  }
+
   #createWatchOptions() {
     const { objects, log, random, relay } = this.#options;
     return {
--- a/src/process/store_sync_test.ts
+++ b/src/process/store_sync_test.ts
@@ -41,6 +41,7 @@
     create: () => Promise.resolve(object),
     replace: () => Promise.resolve(object),
     remove: () => Promise.resolve(),
+    replaceStatus: () => Promise.resolve(undefined),
     close: () => undefined,
   };
 }
--- a/src/request/attempt_reporting.ts
+++ b/src/request/attempt_reporting.ts
@@ -109,6 +109,15 @@
   });
 }
 
+/**
+ * Whether an attempt ended for want of a response in time, so that the time it
+ * took shows how slow its server is.
+ */
+export function isSlowResponse({ failureCause }: AttemptError): boolean {
+  return failureCause === FailureCause.Stalled ||
+    failureCause === FailureCause.DeadlineExceeded;
+}
+
 /** Returns the server failure behind a failed attempt; `undefined` for none. */
 function serverFailureOf(
   { failureCause }: AttemptError,
--- a/src/request/choose_backup_server.ts
+++ b/src/request/choose_backup_server.ts
@@ -4,12 +4,12 @@
  */
 
 import type { RegisteredServer } from "../process/registered_server.ts";
-import type { RegisteredServers } from "../process/registered_servers.ts";
+import type { RelayContext } from "../process/relay_context.ts";
 import type { ProxyRequest } from "./proxy_request.ts";
 
 /** Returns the least loaded server of another zone with capacity for a copy. */
 export function chooseBackupServer(
-  servers: RegisteredServers,
+  { servers, rollouts }: Pick<RelayContext, "servers" | "rollouts">,
   { request, server, excluded }: {
     readonly request: ProxyRequest;
     /** The server that will run the request. */
@@ -23,5 +23,6 @@
     tokens: request.kvCacheTokens,
     excluded: new Set([...excluded, server.name]),
     excludedZone: server.zone,
+    isAllowed: rollouts.copyFilter(server),
   });
 }
--- a/src/request/kv_copy_manager.ts
+++ b/src/request/kv_copy_manager.ts
@@ -114,7 +114,7 @@
     const { context, request, server, excluded } = this.#options;
     const { isResumable, service } = request;
     if (!isResumable || !context.supportsKvBackup(service)) return undefined;
-    return chooseBackupServer(context.servers, {
+    return chooseBackupServer(context, {
       request,
       server,
       excluded,
@@ -137,6 +137,7 @@
     if (context.servers.isHeldOff(server)) return;
     const copy = this.#copy;
     const isHeld = copy !== undefined &&
+      !context.rollouts.isRetiring(copy.server) &&
       context.servers.mayHoldBackup(copy.server.name);
     const isFresh = copy?.snapshot === undefined ||
       context.now() - this.#snapshotMs < REFRESH_INTERVAL_MS;
--- a/src/request/relay_call.ts
+++ b/src/request/relay_call.ts
@@ -23,7 +23,11 @@
   type ResponseTimeout,
   responseTimeout,
 } from "./call_timeouts.ts";
-import { logAttempt, recordAttemptFailure } from "./attempt_reporting.ts";
+import {
+  isSlowResponse,
+  logAttempt,
+  recordAttemptFailure,
+} from "./attempt_reporting.ts";
 import {
   effectiveDeadlineMs,
   isRetryable,
@@ -264,6 +268,11 @@
         this.#context.servers.markLeaving(server, DrainingSource.Answer);
       }
       const complete = await this.#receive(response, { record, server });
+      if (complete !== undefined) {
+        const latencyMs = this.#context.now() - sentMs;
+        const isFailure = complete.head.status >= SERVER_ERROR;
+        this.#recordLatency(server, isFailure ? undefined : latencyMs);
+      }
       if (complete !== undefined && complete.head.status < SERVER_ERROR) {
         this.#crashGuard.recordCompletion(sentMs);
       }
@@ -274,6 +283,9 @@
       this.#failureReason = error.message;
       this.#isDeadlineExceeded =
         error.failureCause === FailureCause.DeadlineExceeded;
+      if (isSlowResponse(error)) {
+        this.#recordLatency(server, this.#context.now() - sentMs);
+      }
       if (!caller.signal.aborted) {
         recordAttemptFailure(this.#context, {
           request,
@@ -289,6 +301,15 @@
     }
   }
 
+  /** Counts a response for its server's version; see `ServerResponse`. */
+  #recordLatency(
+    server: RegisteredServer,
+    latencyMs: number | undefined,
+  ): void {
+    const { route: aspect } = this.#request;
+    this.#context.rollouts.recordResponse({ server, aspect, latencyMs });
+  }
+
   /**
    * Aborts an attempt through `abortController` at the response timeout, but
    * before the deadline only once another server can take the call. Returns a
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -290,6 +290,7 @@
   ): Promise<void> {
     const { slot, kvCopyManager } = attempt;
     const { server } = slot;
+    attempt.recordFailure(error);
     this.#kvCopy = kvCopyManager.copy;
     this.#failureReason = error.message;
     this.#isDeadlineExceeded =
@@ -330,10 +331,12 @@
     const isSuccess = status >= SUCCESS_MIN && status <= SUCCESS_MAX;
     if (isSuccess) {
       await this.#response.forwardEvents(response, attempt);
+      attempt.markComplete();
       return AttemptOutcome.Complete;
     }
     const body = await collectBody(response, this.#context.responseBuffers);
     const isServerError = status >= SERVER_ERROR;
+    if (isServerError) attempt.recordLatency(undefined);
     const isRetried = isServerError && this.#canRetry &&
       this.#rejection() === undefined;
     // Another server would reject a new request as well.
--- a/src/request/stream_attempt.ts
+++ b/src/request/stream_attempt.ts
@@ -18,7 +18,7 @@
 import type { AttemptRecord } from "./attempt_history.ts";
 import { AttemptProgress } from "./attempt_progress.ts";
 import { ReplacementSearch, takeKvCopy } from "./attempt_replacement.ts";
-import { logAttempt } from "./attempt_reporting.ts";
+import { isSlowResponse, logAttempt } from "./attempt_reporting.ts";
 import { KvCopyManager } from "./kv_copy_manager.ts";
 import type { ProxyExchange } from "./serve_request.ts";
 import { firstEventStallMs, firstEventTimeoutMs } from "./stall_policy.ts";
@@ -29,6 +29,9 @@
   type StreamSlotOptions,
 } from "./stream_slot.ts";
 
+/** Events without which a response shows no pace. */
+const PACE_EVENTS_MIN = 10;
+
 /** Options of a `StreamAttempt`. */
 export interface StreamAttemptOptions {
   readonly context: RelayContext;
@@ -63,6 +66,7 @@
   readonly kvCopyManager: KvCopyManager;
   readonly #options: StreamAttemptOptions;
   readonly #startMs: number;
+  #firstEventMs: number | undefined;
   readonly #abortController = new AbortController();
   /** Aborted when the attempt or its caller ends. */
   signal = this.#abortController.signal;
@@ -218,10 +222,50 @@
 
   /** Records that the server produced events, so the prefill is complete. */
   markEventsSeen(): void {
+    if (this.#firstEventMs === undefined) {
+      this.#firstEventMs = this.#options.context.now();
+      this.recordLatency(this.#firstEventMs - this.#startMs);
+    }
     this.slot.endPrefill();
     this.kvCopyManager.markEventsSeen();
   }
 
+  /** Records that the response is complete. */
+  markComplete(): void {
+    const { context, request } = this.#options;
+    const { eventCount } = this.record;
+    if (this.#firstEventMs === undefined || eventCount < PACE_EVENTS_MIN) {
+      return;
+    }
+    context.rollouts.recordResponse({
+      server: this.slot.server,
+      aspect: `${request.route}, time per event`,
+      latencyMs: (context.now() - this.#firstEventMs) / (eventCount - 1),
+    });
+  }
+
+  /**
+   * Counts the response for its server's version.
+   *
+   * @param latencyMs until its first event; `undefined` if it is a failure
+   */
+  recordLatency(latencyMs: number | undefined): void {
+    const { context, request } = this.#options;
+    // A copy saves the time that is compared.
+    if (this.slot.kvCopy !== undefined) return;
+    context.rollouts.recordResponse({
+      server: this.slot.server,
+      aspect: request.route,
+      latencyMs,
+    });
+  }
+
+  /** Counts an attempt that has failed, if it shows how slow its server is. */
+  recordFailure(error: AttemptError): void {
+    if (this.#firstEventMs !== undefined || !isSlowResponse(error)) return;
+    this.recordLatency(this.#options.context.now() - this.#startMs);
+  }
+
   /**
    * Stops the timers and releases the slot.
    *
--- a/src/request/stream_slot.ts
+++ b/src/request/stream_slot.ts
@@ -53,6 +53,7 @@
   const { server } = kvCopy;
   if (!context.servers.isUsable(server.name)) return undefined;
   const load = requestLoad(request);
+  context.rollouts.recordPlacement(server);
   const release = reserveLoad(context, { name: server.name, load });
   return { server, kvCopy, release, endPrefill: () => undefined };
 }
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -107,8 +107,8 @@
   response: ServerResponse,
 ): Promise<void> {
   const url = new URL(request.url ?? "/", "http://platform");
-  const [, root = "", group = "", kind = "", encoded = ""] = url.pathname
-    .split("/");
+  const [, root = "", group = "", kind = "", encoded = "", part = ""] = url
+    .pathname.split("/");
   if (root === "standin") return await handleStandin(group, request, response);
   openResponses.add(response);
   response.once("close", () => openResponses.delete(response));
@@ -120,7 +120,10 @@
   if (switches.delayMs > 0) await sleep(switches.delayMs);
   if (switches.outage) return void response.destroy();
   const name = decodeURIComponent(encoded);
-  if (isWrite) return await write({ kind, name, url }, request, response);
+  const isStatus = part === "status";
+  if (isWrite) {
+    return await write({ kind, name, url, isStatus }, request, response);
+  }
   if (url.searchParams.has("watch")) return watch(kind, url, response);
   counts.reads++;
   if (name === "") return list(kind, url, response);
@@ -164,10 +167,12 @@
   /** Empty if the body names the object. */
   readonly name: string;
   readonly url: URL;
+  /** Whether the write replaces the object's status, not its spec. */
+  readonly isStatus: boolean;
 }
 
 async function write(
-  { kind, name: pathName, url }: WriteTarget,
+  { kind, name: pathName, url, isStatus }: WriteTarget,
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
@@ -191,7 +196,9 @@
   if (conflicts) return sendJson(response, 409, stored);
   const isDeletion = request.method === "DELETE";
   const spec = kind === ENTRY_KIND ? listedEntry(body.spec) : body.spec;
-  const object = store({ kind, name, spec, isDeletion });
+  const object = isStatus
+    ? store({ kind, name, spec: stored?.spec, status: body.status, isDeletion })
+    : store({ kind, name, spec, status: stored?.status, isDeletion });
   if (consumeFailure(switches.loseAnswers, key)) return void response.destroy();
   sendJson(response, 200, object);
 }
@@ -205,17 +212,19 @@
 
 /** Applies a write to the store and notifies its watches. */
 function store(
-  { kind, name, spec, isDeletion }: {
+  { kind, name, spec, status = null, isDeletion }: {
     readonly kind: string;
     readonly name: string;
     readonly spec: unknown;
+    readonly status?: unknown;
     readonly isDeletion: boolean;
   },
 ): StoredObject | undefined {
   const objects = kinds.get(kind) ?? new Map<string, StoredObject>();
   kinds.set(kind, objects);
   const stored = objects.get(name);
-  const isSame = JSON.stringify(stored?.spec) === JSON.stringify(spec);
+  const isSame = JSON.stringify(stored?.spec) === JSON.stringify(spec) &&
+    JSON.stringify(stored?.status) === JSON.stringify(status);
   if (!isDeletion && stored !== undefined && isSame) return stored;
   if (isDeletion && stored === undefined) return undefined;
   revision++;
@@ -228,7 +237,7 @@
       deleting: false,
     },
     spec: isDeletion ? stored?.spec : spec,
-    status: null,
+    status,
   };
   if (isDeletion) objects.delete(name);
   else objects.set(name, object);
--- a/tests/held_store.ts
+++ b/tests/held_store.ts
@@ -42,6 +42,7 @@
         const stored = this.#requireRevision(name, revision);
         return stored === undefined ? undefined : this.put(name, spec);
       }),
+    replaceStatus: () => Promise.resolve(undefined),
     remove: (_, { name, revision }) =>
       this.#write("remove", () => {
         this.#requireRevision(name, revision);
--- a/tests/local_platform_entry.ts
+++ b/tests/local_platform_entry.ts
@@ -4,6 +4,7 @@
 import { PlatformEntry } from "../platform/entry.ts";
 import type { PlatformSettings } from "../platform/settings.ts";
 import type { EntryId } from "../src/ids.ts";
+import type { ExposureLimits } from "../src/rollout/exposure_budget.ts";
 import type { Log } from "../src/process/log.ts";
 
 /** Loopback IP on which entries and test servers listen. */
@@ -24,7 +25,11 @@
 export async function startLocalEntry(
   name: string,
   storeAddress: string,
-  { log = () => undefined }: { readonly log?: Log } = {},
+  { log = () => undefined, exposureLimits }: {
+    readonly log?: Log;
+    /** See `PlatformSettings`. */
+    readonly exposureLimits?: ExposureLimits;
+  } = {},
 ): Promise<LocalEntry> {
   const address = `${HOST}:${await reservePort()}`;
   const settings: PlatformSettings = {
@@ -42,6 +47,7 @@
     retryRatio: 1,
     retryAllowance: 100,
     retryWindowMs: 10_000,
+    exposureLimits,
   };
   const entry = PlatformEntry.create(settings, log);
   await entry.start();
