Place waiting requests over all servers of a list, and by their speed

Cause: a list of servers was applied server by server, and each one was offered to all that waited, so that after the loss of all entries most streams met at the first name listed. A server with a recent report hid all idle ones without a report. No server's speed was known.

Change: changes of the list that come together are applied together before the queue is served. A server without a report counts as having as many unseen requests as those that were asked. Entries learn how fast servers prefill and tell each other; only where servers differ does placing regard it. A server that holds the prompt is left when the wait there is longer than the prefill elsewhere and as much again.

--- a/src/placement/choose_server.ts
+++ b/src/placement/choose_server.ts
@@ -74,6 +74,18 @@
   readonly nowMs: number;
   /** Returns a number in [0, 1). */
   readonly random: () => number;
+  /**
+   * Returns a server's speed relative to the others; absent if servers are
+   * alike.
+   */
+  readonly relativeSpeedOf?:
+    | ((server: RegisteredServer) => number)
+    | undefined;
+}
+
+/** What a choice follows from. */
+interface ChoiceInput extends SelectionContext {
+  readonly criteria: SelectionCriteria;
 }
 
 /**
@@ -114,6 +126,8 @@
  * a KV cache backup adds about one step, a generation delayed by prefill three.
  */
 const COST_STEP = 0.04;
+/** The same where servers differ in speed, which shows in smaller steps. */
+const UNEVEN_COST_STEP = 0.01;
 
 /**
  * Whether a server could serve the request once it is healthy and has capacity.
@@ -135,10 +149,7 @@
  */
 function exceedsBacklogLimit(
   view: RegisteredServerView,
-  { criteria, nowMs }: {
-    readonly criteria: SelectionCriteria;
-    readonly nowMs: number;
-  },
+  { criteria, nowMs, relativeSpeedOf }: ChoiceInput,
 ): boolean {
   const { unreadTokens = 0, avoidBacklogUntilMs } = criteria;
   if (avoidBacklogUntilMs === undefined) return false;
@@ -148,7 +159,9 @@
   const prefilledTokens = Math.max(0, nowMs - avoidBacklogUntilMs) *
     PREFILL_TOKENS_PER_MS;
   return backlogTokens > 0 &&
-    backlogTokens + unreadTokens > BACKLOG_MAX_TOKENS + prefilledTokens;
+    backlogTokens + unreadTokens >
+      (BACKLOG_MAX_TOKENS + prefilledTokens) *
+        (relativeSpeedOf?.(view.server) ?? 1);
 }
 
 /** Whether a server has slots and KV cache left for the request. */
@@ -167,38 +180,97 @@
 }
 
 /**
- * Returns the preferred server if it can take the request, else the one of lowest
- * cost among the first `CANDIDATES_MAX` of `views` that can take the request,
- * if there is one. If all eligible servers are ejected, they are tried anyway:
- * failures on the way to a service must not make it unavailable.
+ * Returns the preferred server if what it saves outweighs the wait there, else
+ * the one of lowest cost among the first `CANDIDATES_MAX` of `views` that can take
+ * the request, if there is one. If all eligible servers are ejected, they are
+ * tried anyway: failures on the way to a service must not make it unavailable.
  */
 export function chooseServer(
   views: Iterable<RegisteredServerView>,
   criteria: SelectionCriteria,
-  { nowMs, random }: SelectionContext,
+  context: SelectionContext,
 ): RegisteredServerView | undefined {
-  const candidates = findCandidates(views, { criteria, nowMs });
-  // It has the prompt cached, so its prefill backlog does not matter.
+  const input: ChoiceInput = { ...context, criteria };
+  const candidates = findCandidates(views, input);
   const preferred = candidates.find(({ view }) =>
     view.server.name === criteria.preferred
-  );
-  if (preferred !== undefined) return preferred.view;
-  const ready = candidates.filter(({ isBacklogged }) => !isBacklogged);
-  const reported = criteria.prefersReported === true
-    ? ready.filter(({ view }) => hasReport(view, nowMs))
-    : [];
-  const ranked = (reported.length > 0 ? reported : ready)
-    .map(({ view }) => ({
-      view,
-      cost: Math.round(costOf(view, { criteria, nowMs }) / COST_STEP),
-      tieBreak: criteria.prompt
-        ? rendezvousHash(view.server.name, criteria.prompt)
-        : random(),
-    }))
-    .sort((a, b) => a.cost - b.cost || a.tieBreak - b.tieBreak);
+  )?.view;
+  const ready = candidates.filter(({ isBacklogged }) => !isBacklogged)
+    .map(({ view }) => view);
+  const isHolderBest = preferred !== undefined &&
+    outweighsWait(preferred, ready, input);
+  if (isHolderBest) return preferred;
+  const unseenCount = criteria.prefersReported === true
+    ? meanUnseenCount(ready, input)
+    : undefined;
+  const costStep = input.relativeSpeedOf === undefined
+    ? COST_STEP
+    : UNEVEN_COST_STEP;
+  const ranked = ready
+    .map((view) => {
+      const isReported = hasReport(view, input.nowMs);
+      const guessedCount = isReported ? 0 : unseenCount ?? 0;
+      return {
+        view,
+        cost: Math.round(costOf(view, input, guessedCount) / costStep),
+        isGuessed: unseenCount !== undefined && !isReported,
+        tieBreak: criteria.prompt
+          ? rendezvousHash(view.server.name, criteria.prompt)
+          : input.random(),
+      };
+    })
+    .sort((a, b) =>
+      a.cost - b.cost || Number(a.isGuessed) - Number(b.isGuessed) ||
+      a.tieBreak - b.tieBreak
+    );
   return ranked[0]?.view;
 }
 
+/**
+ * Whether the server that holds the prompt is the better choice: its wait is
+ * weighed against that of the best other one, the prefill there, and as much
+ * again for the streams that the prefill would delay.
+ */
+function outweighsWait(
+  holder: RegisteredServerView,
+  others: readonly RegisteredServerView[],
+  input: ChoiceInput,
+): boolean {
+  const promptTokens = input.criteria.unreadTokens ?? 0;
+  const waits = others.filter((view) => view !== holder)
+    .map((view) => prefillWaitMs(view, promptTokens, input));
+  const savedMs = promptTokens / PREFILL_TOKENS_PER_MS;
+  return prefillWaitMs(holder, 0, input) <= Math.min(...waits) + savedMs;
+}
+
+/** Returns the time until a server has prefilled all prompts, in ms. */
+function prefillWaitMs(
+  view: RegisteredServerView,
+  ownTokens: number,
+  input: ChoiceInput,
+): number {
+  const { unreadTokens } = likelyLoadOf(view, input);
+  const speed = input.relativeSpeedOf?.(view.server) ?? 1;
+  return (unreadTokens + ownTokens) / (PREFILL_TOKENS_PER_MS * speed);
+}
+
+/**
+ * Returns how many requests that are unknown here a server has, on average over
+ * those that were lately asked; `undefined` if none were.
+ */
+function meanUnseenCount(
+  views: readonly RegisteredServerView[],
+  input: ChoiceInput,
+): number | undefined {
+  const counts = views.filter((view) => hasReport(view, input.nowMs))
+    .map((view) => {
+      const known = addLoad(view.ownLoad, view.peerLoad).requests;
+      return likelyLoadOf(view, input).requests - known;
+    });
+  if (counts.length === 0) return undefined;
+  return counts.reduce((sum, count) => sum + count, 0) / counts.length;
+}
+
 /** A server with capacity for the request. */
 interface Candidate {
   readonly view: RegisteredServerView;
@@ -209,11 +281,9 @@
 /** Returns the healthy servers, or the ejected ones if no server is healthy. */
 function findCandidates(
   views: Iterable<RegisteredServerView>,
-  { criteria, nowMs }: {
-    readonly criteria: SelectionCriteria;
-    readonly nowMs: number;
-  },
+  input: ChoiceInput,
 ): readonly Candidate[] {
+  const { criteria, nowMs } = input;
   const healthy: Candidate[] = [];
   const ejected: Candidate[] = [];
   let hasHealthy = false;
@@ -223,7 +293,7 @@
     const isHealthy = view.ejectedUntilMs <= nowMs;
     hasHealthy ||= isHealthy;
     if (view.fullUntilMs > nowMs || !canFit(view, criteria.tokens)) continue;
-    const isBacklogged = exceedsBacklogLimit(view, { criteria, nowMs });
+    const isBacklogged = exceedsBacklogLimit(view, input);
     (isHealthy ? healthy : ejected).push({ view, isBacklogged });
     if (isHealthy && !isBacklogged && ++readyCount === CANDIDATES_MAX) break;
   }
@@ -263,10 +333,7 @@
  */
 function likelyLoadOf(
   view: RegisteredServerView,
-  { criteria, nowMs }: {
-    readonly criteria: SelectionCriteria;
-    readonly nowMs: number;
-  },
+  { criteria, nowMs }: ChoiceInput,
 ): ServerLoad {
   const known = addLoad(view.ownLoad, view.peerLoad);
   const { requests = 0, unread = 0 } = recentLoad(view.reportedLoad, nowMs) ??
@@ -283,25 +350,47 @@
 
 /**
  * Returns the cost of choosing a server, from 0; a full server costs about 1.
+ *
+ * @param guessedCount requests that the server is taken to have beyond those
+ * known, each like the one that is placed
  */
 function costOf(
   view: RegisteredServerView,
-  { criteria, nowMs }: {
-    readonly criteria: SelectionCriteria;
-    readonly nowMs: number;
-  },
+  input: ChoiceInput,
+  guessedCount: number,
 ): number {
-  const load = likelyLoadOf(view, { criteria, nowMs });
+  const { criteria, nowMs } = input;
+  const likely = likelyLoadOf(view, input);
+  const load = {
+    ...likely,
+    requests: likely.requests + guessedCount,
+    tokens: likely.tokens + guessedCount * criteria.tokens,
+  };
   const slotUse = load.requests / view.server.slots;
   const loadTokens = criteria.unreadTokens === undefined
     ? load.tokens + PREFILL_WEIGHT * load.unreadTokens
     : prefillDelayOf(load, criteria.unreadTokens);
   const kvCacheUse = loadTokens / view.kvCacheTokens;
-  return Math.max(slotUse, kvCacheUse) +
+  return costBySpeed(view, Math.max(slotUse, kvCacheUse), input) +
     (lacksReport(view, nowMs) ? NO_REPORT_PENALTY : 0) +
     (isZoneSuspect(view, criteria) ? SUSPECT_ZONE_PENALTY : 0);
 }
 
+/**
+ * Returns the cost of a load that a server works off at its speed. The request
+ * itself is part of it: it takes longer on an idle slow server than on a fast
+ * one.
+ */
+function costBySpeed(
+  { server, kvCacheTokens }: RegisteredServerView,
+  loadCost: number,
+  { criteria, relativeSpeedOf }: ChoiceInput,
+): number {
+  if (relativeSpeedOf === undefined) return loadCost;
+  const ownCost = (criteria.unreadTokens ?? 0) / kvCacheTokens;
+  return (loadCost + ownCost) / relativeSpeedOf(server);
+}
+
 /** Whether a server may have failed together with others of its zone. */
 function isZoneSuspect(
   { server, lastActivityMs }: RegisteredServerView,
--- a/src/process/registered_servers.ts
+++ b/src/process/registered_servers.ts
@@ -40,6 +40,7 @@
   type ServerCriteria,
   ServerSelector,
 } from "../placement/server_selector.ts";
+import type { ServerSpeeds } from "../placement/server_speeds.ts";
 import { ZoneFailureDetector } from "./zone_failure_detector.ts";
 
 /** Dependencies of the server set. */
@@ -56,6 +57,8 @@
   readonly kvCacheTokensOf: (service: string) => number;
   /** Whether a server's version may get requests; any may if absent. */
   readonly isInService?: ((server: RegisteredServer) => boolean) | undefined;
+  /** What is known of the servers' speeds; they are alike if absent. */
+  readonly speeds?: ServerSpeeds | undefined;
   /** Called when a server may have capacity again. */
   readonly onCapacityAvailable: () => void;
   /** Called when a server became known as draining. */
@@ -80,11 +83,15 @@
   readonly #holdOffTimers: HoldOffTimers;
   readonly #backoff: CapacityBackoff;
   readonly #outages: ServerOutages;
+  /** Whether changes are applied that belong together. */
+  #isChanging = false;
+  #hasCapacityToReport = false;
   /** Servers that said that they leave. */
   #leaving: LeavingServers = NO_LEAVING_SERVERS;
 
   private constructor(options: RegisteredServersOptions) {
-    const { now, onCapacityAvailable } = options;
+    const { now } = options;
+    const onCapacityAvailable = () => this.#reportCapacity();
     const views = this.#views;
     this.#options = options;
     this.#addresses = ServerAddresses.create({ views, onCapacityAvailable });
@@ -95,7 +102,11 @@
       holdOffs: this.#holdOffs,
       onEnd: onCapacityAvailable,
     });
-    this.#backoff = CapacityBackoff.create({ ...options, views });
+    this.#backoff = CapacityBackoff.create({
+      ...options,
+      views,
+      onCapacityAvailable,
+    });
     this.#outages = ServerOutages.create(now);
     this.#selector = ServerSelector.create({
       ...options,
@@ -127,6 +138,25 @@
     return this.#views.latest().get(name);
   }
 
+  /**
+   * Applies several changes of the list as one: requests that wait are placed
+   * once all servers are known. Else all would get the first server listed.
+   */
+  applyTogether(changes: () => void): void {
+    this.#isChanging = true;
+    try {
+      changes();
+    } finally {
+      this.#isChanging = false;
+      if (this.#hasCapacityToReport) this.#reportCapacity();
+    }
+  }
+
+  #reportCapacity(): void {
+    this.#hasCapacityToReport = this.#isChanging;
+    if (!this.#isChanging) this.#options.onCapacityAvailable();
+  }
+
   /** Adds or updates a server from the platform's list. */
   set(listed: RegisteredServer): void {
     const server = this.#applyLeaving(listed);
@@ -146,7 +176,7 @@
     if (!isSame) this.#outages.endSilence(server.name);
     const view = isSame ? previous : createView(server, this.#options.now());
     this.#views.set({ ...view, server, kvCacheTokens });
-    this.#options.onCapacityAvailable();
+    this.#reportCapacity();
     if (server.isLeaving) this.#reportFewerServers();
   }
 
@@ -310,7 +340,7 @@
   /** Removes load from a server. */
   end(name: string, load: ServerLoad): void {
     this.#views.removeLoad(name, load);
-    this.#options.onCapacityAvailable();
+    this.#reportCapacity();
   }
 
   /** Returns what a server last reported of its load, if it was asked. */
@@ -335,7 +365,7 @@
    */
   setPeerLoads(loads: () => ReadonlyMap<string, ServerLoad>): void {
     this.#views.setPeerLoads(loads);
-    this.#options.onCapacityAvailable();
+    this.#reportCapacity();
   }
 
   /** Returns the load that this entry puts on servers, by server name. */
@@ -387,7 +417,7 @@
       ejectedUntilMs: 0,
       lastActivityMs: this.#options.now(),
     }));
-    this.#options.onCapacityAvailable();
+    this.#reportCapacity();
   }
 
   /** Whether a server was ejected as silent and sent nothing since. */
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -43,6 +43,7 @@
 import { LoadInquiry } from "../placement/load_inquiry.ts";
 import { PromptSearch } from "../placement/prompt_search.ts";
 import type { ServerCriteria } from "../placement/server_selector.ts";
+import { ServerSpeeds } from "../placement/server_speeds.ts";
 import { RetryBudget, type RetryLender } from "../placement/retry_budget.ts";
 import { chooseByVersion } from "../rollout/choose_by_version.ts";
 import type { ExposureLimits } from "../rollout/exposure_budget.ts";
@@ -133,6 +134,7 @@
   readonly rollouts: Rollouts;
   readonly #options: RelayOptions;
   readonly #peerLoads: PeerLoads;
+  readonly #speeds: ServerSpeeds;
   readonly #serverList: ServerList;
   /** Decides whether this entry reads the store for all entries. */
   readonly readerElection: ReaderElection;
@@ -157,12 +159,17 @@
     });
     this.#peerLoads = PeerLoads.create(now);
     const metrics = RelayMetrics.create();
+    this.#speeds = ServerSpeeds.create({
+      now,
+      serversOf: (service) => this.servers.serversOf(service),
+    });
     this.rollouts = this.#createRollouts(metrics, () => dispatcher.pump());
     const { rollouts } = this;
     this.servers = RegisteredServers.create({
       now,
       random,
       log,
+      speeds: this.#speeds,
       isInService: (server) => rollouts.isInService(server),
       kvCacheTokensOf: (service) => this.#kvCacheTokensOf(service),
       onCapacityAvailable: () => dispatcher.pump(),
@@ -206,6 +213,7 @@
       now,
       servers,
       rollouts,
+      speeds: this.#speeds,
       dispatcher,
       reports,
       silentServers: SilentServers.create(servers, reports),
@@ -320,11 +328,13 @@
       readonly isAfterOutage: boolean;
     },
   ): void {
-    for (const change of servers) this.#applyStoreChange(change);
     const listedNames = new Set(servers.map(({ name }) => name));
-    for (const missing of this.#serverList.missing(listedNames, revision)) {
-      this.#remove(missing, isAfterOutage);
-    }
+    this.servers.applyTogether(() => {
+      for (const change of servers) this.#applyStoreChange(change);
+      for (const missing of this.#serverList.missing(listedNames, revision)) {
+        this.#remove(missing, isAfterOutage);
+      }
+    });
     this.#serverList.markLoaded();
   }
 
@@ -333,10 +343,12 @@
     changes: readonly ServerChange[],
     isAfterOutage: boolean,
   ): void {
-    for (const change of changes) {
-      if (change.isRemoved) this.#remove(change, isAfterOutage);
-      else this.#applyStoreChange(change);
-    }
+    this.servers.applyTogether(() => {
+      for (const change of changes) {
+        if (change.isRemoved) this.#remove(change, isAfterOutage);
+        else this.#applyStoreChange(change);
+      }
+    });
   }
 
   #remove(
@@ -366,8 +378,10 @@
       server: server ?? null,
     });
     if (!isNew) return false;
-    if (server === undefined) this.servers.delete(name);
-    else {
+    if (server === undefined) {
+      this.servers.delete(name);
+      this.#speeds.forget(name);
+    } else {
       this.rollouts.recordServer(server);
       this.servers.set(server);
     }
@@ -410,6 +424,7 @@
     for (const incarnation of parseLeavingServers(orders.leaving)) {
       this.servers.markLeaving(incarnation, DrainingSource.Peer);
     }
+    this.#speeds.merge(orders.speeds ?? []);
     if (orders.rollouts !== undefined) this.rollouts.merge(orders.rollouts);
     this.readerElection.merge(entry, orders.readers);
     const { crashAccount } = orders;
@@ -436,15 +451,18 @@
 
   /** Merges changes to a peer's server list. */
   mergeServerChanges(entry: EntryId, { upTo, news }: ServerChanges): void {
-    for (const { server, ...change } of news) {
-      this.#applyChange({ ...change, server: server ?? undefined });
-    }
+    this.servers.applyTogether(() => {
+      for (const { server, ...change } of news) {
+        this.#applyChange({ ...change, server: server ?? undefined });
+      }
+    });
     this.#serverList.recordSynced(entry, upTo);
   }
 
   #createOrderDigest(): RelayDigest {
     const crashAccount = this.context.crashAccount.digest();
     const rollouts = this.rollouts.digest();
+    const speeds = this.#speeds.digest();
     return {
       configuration: this.configurationVersion,
       loads: this.servers.ownLoads(),
@@ -456,6 +474,7 @@
       leaving: this.servers.recentlyLeaving(),
       ...crashAccount !== undefined && { crashAccount },
       ...rollouts !== undefined && { rollouts },
+      ...speeds.length > 0 && { speeds },
     };
   }
 
