Put the era of the store into its revisions

Cause: the store may come back from a copy some seconds old and give its revisions out again. Watches went on from revisions that named another state, conditional writes could replace one, lists kept servers that were gone, and a server that was draining was used again when the copy listed it as ready.

Entries, blocks and roll-outs that the copy lacks are written again. The stand-in store learns it.

--- a/src/gossip/membership.ts
+++ b/src/gossip/membership.ts
@@ -15,6 +15,7 @@
   StoredObject,
 } from "../connection/object_store.ts";
 import { messageOf, VersionConflict } from "../errors.ts";
+import { eraOf } from "../connection/store_era.ts";
 import type { EntryId, ObjectRevision } from "../ids.ts";
 import { LOG_EVENTS } from "../process/log_events.ts";
 import type { Log } from "../process/log.ts";
@@ -108,6 +109,12 @@
     }
   }
 
+  /** Lists soon: the store may have lost this entry's registration. */
+  refresh(): void {
+    this.#startupChecks = STARTUP_CHECKS;
+    this.#listed = undefined;
+  }
+
   /** The latest list that this entry knows of, for its peers. */
   get latest(): MemberSummary | undefined {
     return this.#latest;
@@ -115,6 +122,8 @@
 
   /** Takes in the latest list that a peer knows of. */
   merge(summary: MemberSummary): void {
+    const era = eraOf(this.#latest?.revision ?? summary.revision);
+    if (eraOf(summary.revision) > era) this.refresh();
     this.#latest = laterOf(this.#latest, summary);
   }
 
--- a/src/process/crash_block_archive.ts
+++ b/src/process/crash_block_archive.ts
@@ -64,6 +64,11 @@
     return new CrashBlockArchive(options);
   }
 
+  /** Lists the records before the next write: the store may have lost some. */
+  refresh(): void {
+    this.#isCurrent = false;
+  }
+
   /** Stops the updates. */
   close(): void {
     this.#isClosed = true;
--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -150,6 +150,12 @@
     "a watch of the store did not return a change; it was found by listing",
     "report it to the operators of the store",
   ),
+  storeRestored: createLogEvent(
+    2012,
+    Severity.Warn,
+    "the store has come back from an older copy; its objects were listed again",
+    "check that what operators wrote last is there, else write it again",
+  ),
   rolloutOrdered: createLogEvent(
     2101,
     Severity.Info,
--- a/src/process/object_watch.ts
+++ b/src/process/object_watch.ts
@@ -16,6 +16,7 @@
   PlatformHistoryGone,
   PlatformResponseUnreadable,
 } from "../errors.ts";
+import { eraOf } from "../connection/store_era.ts";
 import type { ObjectRevision } from "../ids.ts";
 import { LOG_EVENTS } from "./log_events.ts";
 import type { Log } from "./log.ts";
@@ -263,8 +264,10 @@
       this.#listedMs = this.#now();
       const list = await objects.list({ kind });
       this.#mayHaveMissedVersions = false;
+      const isRestored = this.#isRestored(list);
+      if (isRestored) this.#uncheckedRevision = undefined;
       this.#logPassedOver(list);
-      onList(list, this.#isAfterOutage);
+      onList(list, this.#isAfterOutage || isRestored);
       return list.revision;
     } catch (error) {
       this.#mustRelist ||= wasRequested;
@@ -289,6 +292,20 @@
     return revision;
   }
 
+  /**
+   * Whether the store has come back from an older copy since the last read; what
+   * is missing then is written again, as after an outage.
+   */
+  #isRestored({ revision }: ObjectList): boolean {
+    const { kind, log } = this.#options;
+    const isRestored = this.#revision !== undefined &&
+      eraOf(revision) > eraOf(this.#revision);
+    if (isRestored) {
+      log(LOG_EVENTS.storeRestored, { kind, era: eraOf(revision) });
+    }
+    return isRestored;
+  }
+
   /** Logs changes of a list that the watches before it did not return. */
   #logPassedOver({ objects }: ObjectList): void {
     const { kind, log } = this.#options;
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -31,6 +31,7 @@
 import { Dispatcher } from "./dispatcher.ts";
 import { type EntryView, groupServersByState } from "./entry_view.ts";
 import { DrainingSource, parseLeavingServers } from "./leaving_servers.ts";
+import { LeftServers } from "./left_servers.ts";
 import { LOG_EVENTS } from "./log_events.ts";
 import type { RegisteredServer } from "./registered_server.ts";
 import { RegisteredServers } from "./registered_servers.ts";
@@ -136,6 +137,7 @@
   readonly #peerLoads: PeerLoads;
   readonly #speeds: ServerSpeeds;
   readonly #serverList: ServerList;
+  readonly #leftServers: LeftServers;
   /** Decides whether this entry reads the store for all entries. */
   readonly readerElection: ReaderElection;
   /** Resolves once the first configuration has been adopted. */
@@ -151,6 +153,7 @@
     );
     const { entry, log, now, random } = options;
     this.#serverList = ServerList.create({ now });
+    this.#leftServers = LeftServers.create(now);
     this.readerElection = ReaderElection.create({
       entry,
       now,
@@ -356,7 +359,11 @@
     isAfterOutage: boolean,
   ): void {
     const removal: ServerChange = { name, revision, server: undefined };
-    if (!isAfterOutage) return this.#applyStoreChange(removal);
+    if (!isAfterOutage) {
+      const listed = this.#serverList.find(name);
+      if (listed?.server) this.#leftServers.record(listed.server, revision);
+      return this.#applyStoreChange(removal);
+    }
     const knownRevision = this.#serverList.find(name)?.revision;
     setTimeout(() => {
       const hasReregistered =
@@ -372,12 +379,19 @@
 
   /** Applies a change unless a newer one is known; returns whether it did. */
   #applyChange({ name, revision, server }: ServerChange): boolean {
+    const known = this.#serverList.find(name);
     const isNew = this.#serverList.apply({
       name,
       revision,
       server: server ?? null,
     });
     if (!isNew) return false;
+    if (known?.server?.isLeaving) {
+      this.#leftServers.record(known.server, known.revision);
+    }
+    if (server !== undefined && this.#leftServers.hasLeft(server, revision)) {
+      this.servers.markLeaving(server, DrainingSource.List);
+    }
     if (server === undefined) {
       this.servers.delete(name);
       this.#speeds.forget(name);
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -183,6 +183,12 @@
     this.#rolloutSync?.retryNow();
   }
 
+  /** Reads again what the store may have lost: it came back from a copy. */
+  handleRestoredStore(): void {
+    this.#blockArchive.refresh();
+    this.#membership.refresh();
+  }
+
   /** Removes the registration; links stay open until `close`. */
   deregister(): Promise<void> {
     return this.#membership.close();
--- a/src/rollout/rollout.ts
+++ b/src/rollout/rollout.ts
@@ -39,7 +39,8 @@
 
 /** An order that an entry knows. */
 export class Rollout {
-  readonly order: RolloutOrder;
+  /** Its id and revision change when a restored store gets it again. */
+  order: RolloutOrder;
   readonly #options: RolloutOptions;
   readonly #tallies: TallyExchange;
   #stage = RolloutStage.Observing;
--- a/src/rollout/rollout_sync.ts
+++ b/src/rollout/rollout_sync.ts
@@ -45,9 +45,10 @@
     const { rollouts, source } = options;
     const parse = (object: StoredObject) => this.#parse(object);
     this.#watch = options.createWatch({
-      onList: ({ objects }) =>
+      onList: ({ objects }, isAfterOutage) =>
         rollouts.replaceStored(
           objects.flatMap((object) => parse(object) ?? []),
+          isAfterOutage,
         ),
       onChanges: (changes) => {
         for (const { object, isDeleted } of changes) {
--- a/src/rollout/rollouts.ts
+++ b/src/rollout/rollouts.ts
@@ -3,6 +3,7 @@
  * Without limits for new versions in the settings, versions don't count.
  */
 
+import { eraOf } from "../connection/store_era.ts";
 import { LOG_EVENTS } from "../process/log_events.ts";
 import type { Log } from "../process/log.ts";
 import type { RegisteredServer } from "../process/registered_server.ts";
@@ -64,6 +65,8 @@
 const CACHE_MS = 50;
 /** How long a withdrawn order is remembered, in ms; digests repeat it. */
 const WITHDRAWN_RETENTION_MS = 60_000;
+/** Time for operators to write an order again, in ms. */
+const REWRITE_GRACE_MS = 10_000;
 /** Digits of a share in logs. */
 const SHARE_DIGITS = 3;
 
@@ -78,6 +81,8 @@
   readonly #versions = new Map<string, ServiceVersions>();
   /** State that the store shows, as far as this entry has read it. */
   readonly #storedStates = new Map<RolloutId, RolloutState | undefined>();
+  /** Services whose orders a restored store lacks, on the monotonic clock. */
+  readonly #missingSinceMs = new Map<string, number>();
   readonly #servers = new Map<string, CachedServers>();
   /** Whether the orders were read, from the store or from a peer. */
   #isKnown = false;
@@ -181,11 +186,18 @@
       versionOf(server).version !== rollout.order.target;
   }
 
-  /** Replaces the orders by all those in the store. */
-  replaceStored(stored: readonly StoredRollout[]): void {
+  /**
+   * Replaces the orders by all those in the store.
+   *
+   * @param isRestored whether orders may be missing because the store came back
+   * from an older copy; operators write them again
+   */
+  replaceStored(stored: readonly StoredRollout[], isRestored = false): void {
     const services = new Set(stored.map(({ order }) => order.service));
     for (const service of this.#rollouts.keys()) {
-      if (!services.has(service)) this.withdraw(service);
+      if (services.has(service)) continue;
+      if (isRestored) this.#missingSinceMs.set(service, this.#options.now());
+      else this.withdraw(service);
     }
     for (const rollout of stored) this.applyStored(rollout);
     this.#markKnown();
@@ -195,6 +207,7 @@
   applyStored({ order, state }: StoredRollout): void {
     const rollout = this.#adopt(order);
     if (rollout === undefined) return;
+    this.#missingSinceMs.delete(order.service);
     this.#storedStates.set(order.id, state);
     if (state === RolloutState.Completed) {
       this.#advance(rollout, RolloutStage.Completed, "status in the store");
@@ -239,6 +252,7 @@
    */
   update(isDecider: boolean): readonly RolloutWrite[] {
     this.#forgetWithdrawn();
+    this.#withdrawMissing();
     return [...this.#rollouts.values()].flatMap((rollout) => {
       const state = this.#updateOne(rollout, isDecider);
       if (!isDecider || state === undefined) return [];
@@ -278,6 +292,13 @@
     if (known !== undefined && known.order.revision > revision) {
       return undefined;
     }
+    const isSame = known !== undefined &&
+      known.stage !== RolloutStage.Withdrawn && isRewritten(known.order, order);
+    if (isSame) {
+      this.#storedStates.set(id, undefined);
+      known.order = { ...known.order, id, revision };
+      return known;
+    }
     const versions = this.#versionsOf(service);
     if (known?.isOpen && known.order.target !== target) {
       versions.retire(known.order.target);
@@ -336,6 +357,15 @@
     this.#options.onChange();
   }
 
+  #withdrawMissing(): void {
+    const sinceMs = this.#options.now() - REWRITE_GRACE_MS;
+    for (const [service, missingMs] of this.#missingSinceMs) {
+      if (missingMs > sinceMs) continue;
+      this.#missingSinceMs.delete(service);
+      this.withdraw(service);
+    }
+  }
+
   #forgetWithdrawn(): void {
     for (const [service, rollout] of this.#rollouts) {
       const isForgotten = rollout.stage === RolloutStage.Withdrawn &&
@@ -387,6 +417,12 @@
   }
 }
 
+/** Whether an order is one that the store had lost, written again. */
+function isRewritten(known: RolloutOrder, order: RolloutOrder): boolean {
+  return eraOf(order.revision) > eraOf(known.revision) &&
+    order.target === known.target && order.durationMs === known.durationMs;
+}
+
 /** Returns a server's version and start; an unknown version is empty. */
 function versionOf(
   { version = "", startedMs }: RegisteredServer,
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -61,6 +61,13 @@
   pageSize: number;
   /** Watches from before this revision fail, as with an expired history. */
   historyFrom: number;
+  /** Era of the store, sent with all its answers; 0 sends none. */
+  era: number;
+  /**
+   * Brings back the objects of this revision, with the next era; set once. The
+   * revisions after it are given out again.
+   */
+  restoreRevision: number | null;
   /**
    * Items of the servers' lists as text, which may be no valid JSON; sent at
    * the end of each page, and once as changes.
@@ -88,6 +95,8 @@
   writesPerSecond: 400,
   pageSize: 500,
   historyFrom: 0,
+  era: 0,
+  restoreRevision: null,
   rawServers: [],
   entryAddresses: {},
   instances: [],
@@ -111,6 +120,7 @@
     .pathname.split("/");
   if (root === "standin") return await handleStandin(group, request, response);
   openResponses.add(response);
+  if (switches.era > 0) response.setHeader("store-era", switches.era);
   response.once("close", () => openResponses.delete(response));
   const isWrite = request.method !== "GET";
   if (!admit(isWrite)) {
@@ -273,7 +283,7 @@
   counts.watches++;
   const from = Number(url.searchParams.get("watch"));
   const waitMs = Number(url.searchParams.get("waitMs"));
-  if (from < switches.historyFrom) {
+  if (from < switches.historyFrom || from > revision) {
     return sendJson(response, 410, {
       error: "changes since this revision are no longer kept",
     });
@@ -312,12 +322,31 @@
   if (newSwitches.instances !== undefined) {
     updateInstances(newSwitches.instances);
   }
+  if (switches.restoreRevision !== null) restore(switches.restoreRevision);
   if (switches.outage) {
     for (const pending of openResponses) pending.destroy();
   }
   sendJson(response, 200, switches);
 }
 
+/** Brings back the objects of an earlier revision, and cuts all calls. */
+function restore(restored: number): void {
+  switches.restoreRevision = null;
+  switches.era++;
+  const kept = history.filter((change) => change.revision <= restored);
+  history.splice(0, history.length, ...kept);
+  kinds.clear();
+  for (const { kind, objectText, deleted } of kept) {
+    const object = JSON.parse(objectText) as StoredObject;
+    const objects = kinds.get(kind) ?? new Map<string, StoredObject>();
+    kinds.set(kind, objects);
+    if (deleted) objects.delete(object.metadata.name);
+    else objects.set(object.metadata.name, object);
+  }
+  revision = restored;
+  for (const pending of openResponses) pending.destroy();
+}
+
 function updateInstances(instances: Instance[]): void {
   if (switches.listLagMs === 0) return storeInstances(instances);
   setTimeout(() => storeInstances(instances), switches.listLagMs);
