--- /dev/null
+++ b/tests/crowd/crowd_entry.ts
@@ -0,0 +1,222 @@
+/**
+ * An entry as a process of its own, with the memory of a small machine, for
+ * tests of crowds of callers that don't behave.
+ */
+
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtemp, readdir, readFile, rm, writeFile } from "node:fs/promises";
+import { createServer, type Server } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+import { expect } from "vitest";
+import { LocalCluster } from "../../bench/local_cluster.ts";
+import { reservePort } from "../../bench/reserve_port.ts";
+import { HttpObjectStore } from "../../platform/http_object_store.ts";
+import { callHttp } from "../../src/connection/http_call.ts";
+
+/** An IP of its own, since all entries have the same metrics port. */
+const HOST = `127.8.${(process.pid >> 7) % 250}.${process.pid % 125 + 1}`;
+const PROGRAM = fileURLToPath(
+  new URL("../../dist/platform/main.js", import.meta.url),
+);
+/** The heap with which the deploy file starts an entry, in MB. */
+const HEAP_MB = 96;
+const KB_PER_MB = 1_024;
+
+/** Limits of the machine that the settings state. */
+export const MACHINE = { memoryMb: 210, maxFds: 256 };
+export const LIMITS = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+/** Where a crowd connects. */
+export enum Door {
+  Callers = "callers",
+  Readiness = "readiness",
+  Peers = "peers",
+}
+
+/** A running entry with its store, one backend server and a crowd. */
+export class CrowdEntry {
+  readonly #cluster: LocalCluster;
+  readonly #store: HttpObjectStore;
+  readonly #server: Server;
+  readonly #folder: string;
+  readonly #ports: Readonly<Record<Door, number>>;
+  readonly #crowd: Socket[] = [];
+  #process: ChildProcess | undefined;
+
+  private constructor(
+    cluster: LocalCluster,
+    { server, folder, ports }: {
+      readonly server: Server;
+      readonly folder: string;
+      readonly ports: Readonly<Record<Door, number>>;
+    },
+  ) {
+    this.#cluster = cluster;
+    this.#server = server;
+    this.#folder = folder;
+    this.#ports = ports;
+    this.#store = HttpObjectStore.create({
+      address: cluster.platform.address,
+      timeoutMs: 1_000,
+    });
+  }
+
+  /** Starts all parts; resolves once an ordinary request is answered. */
+  static async create(): Promise<CrowdEntry> {
+    const server = createServer((request, response) => {
+      request.resume();
+      request.once("end", () => {
+        const id = String(request.headers["x-request-id"]);
+        response.writeHead(200, { "x-request-id": id, "x-server-stamp": "s" });
+        response.end("done");
+      });
+    });
+    await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+    const entry = new CrowdEntry(
+      await LocalCluster.create({ engines: 0, entries: 0 }),
+      {
+        server,
+        folder: await mkdtemp(join(tmpdir(), "gypsumridge-crowd-")),
+        ports: {
+          [Door.Callers]: await reservePort(),
+          [Door.Readiness]: await reservePort(),
+          [Door.Peers]: await reservePort(),
+        },
+      },
+    );
+    await entry.#start();
+    return entry;
+  }
+
+  async #start(): Promise<void> {
+    const { port } = this.#server.address() as AddressInfo;
+    const route = { host: "a", service: "s", timeoutMs: 20_000 };
+    await this.#store.create("config", {
+      name: "main",
+      spec: {
+        version: 1,
+        routes: [{ ...route, pathPrefix: "/x/", routeKind: "idempotent" }],
+        services: [{ name: "s" }],
+        limits: LIMITS,
+      },
+    });
+    await this.#store.create("servers", {
+      name: "i-1",
+      spec: {
+        service: "s",
+        address: `${HOST}:${port}`,
+        zone: "zone-a",
+        slots: 64,
+        state: "ready",
+      },
+    });
+    const path = join(this.#folder, "settings");
+    await writeFile(
+      path,
+      [
+        "nodeName=entry-1",
+        "zone=zone-a",
+        `ip=${HOST}`,
+        `listen.frontend=${HOST}:${this.#ports.callers}`,
+        `listen.ready=${HOST}:${this.#ports.readiness}`,
+        `portRange=${this.#ports.peers},0`,
+        `platform.address=${this.#cluster.platform.address}`,
+        `limits.memoryMb=${MACHINE.memoryMb}`,
+        `limits.maxFds=${MACHINE.maxFds}`,
+        "",
+      ].join("\n"),
+    );
+    this.#process = spawn(
+      process.execPath,
+      [`--max-old-space-size=${HEAP_MB}`, PROGRAM],
+      {
+        env: { ...process.env, GYPSUMRIDGE_CONFIG: path },
+        stdio: ["ignore", "ignore", "inherit"],
+      },
+    );
+    await expect.poll(() => this.isServing(), { timeout: 15_000 }).toBe(true);
+  }
+
+  /** Opens connections of a crowd; each sends what `send` writes. */
+  async open(
+    door: Door,
+    count: number,
+    send: (socket: Socket) => void | Promise<void>,
+  ): Promise<void> {
+    await Promise.all(Array.from({ length: count }, async () => {
+      const socket = connect(this.#ports[door], HOST);
+      this.#crowd.push(socket);
+      // Refused and closed connections are part of what is tested.
+      socket.on("error", () => socket.destroy());
+      await new Promise<void>((resolve) => {
+        socket.once("connect", resolve);
+        socket.once("close", () => resolve());
+      });
+      await send(socket);
+    }));
+  }
+
+  /** Largest memory of the process while `action` runs, in MB. */
+  async peakMemoryMb(action: () => Promise<void>): Promise<number> {
+    let peak = await this.#memoryMb();
+    const timer = setInterval(async () => {
+      peak = Math.max(peak, await this.#memoryMb());
+    }, 20);
+    await action();
+    clearInterval(timer);
+    return Math.max(peak, await this.#memoryMb());
+  }
+
+  async #memoryMb(): Promise<number> {
+    const path = `/proc/${this.#process?.pid}/status`;
+    const status = await readFile(path, "utf8").catch(() => "");
+    return Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) / KB_PER_MB;
+  }
+
+  /** Number of open descriptors of the process. */
+  async descriptorCount(): Promise<number> {
+    return (await readdir(`/proc/${this.#process?.pid}/fd`)).length;
+  }
+
+  /** Whether the process runs. */
+  get isAlive(): boolean {
+    return this.#process?.exitCode === null &&
+      this.#process.signalCode === null;
+  }
+
+  /** Whether an ordinary request is answered. */
+  async isServing(): Promise<boolean> {
+    const response = await callHttp({
+      address: `${HOST}:${this.#ports.callers}`,
+      method: "POST",
+      path: "/x/ordinary",
+      headers: {
+        host: "a",
+        "x-request-id": crypto.randomUUID(),
+        "x-deadline-ms": "10000",
+      },
+      body: "ordinary",
+      timeoutMs: 12_000,
+    }).catch(() => undefined);
+    return response?.status === 200;
+  }
+
+  /** Ends the process, the crowd and all other parts. */
+  async close(): Promise<void> {
+    for (const socket of this.#crowd) socket.destroy();
+    this.#process?.kill("SIGKILL");
+    this.#server.close();
+    this.#server.closeAllConnections();
+    this.#store.close();
+    await this.#cluster.close();
+    await rm(this.#folder, { recursive: true, force: true });
+  }
+}
