Learn a server's speed from its fastest prompts, and count responses since an order

Cause: the speed of a server was the mean over prompts that had the server to themselves as far as one entry knew.

Change: the speed is the second highest rate that any entry saw. Responses count if their requests were sent since the order is known.

--- a/src/gossip/parse_peer_message.ts
+++ b/src/gossip/parse_peer_message.ts
@@ -121,8 +121,8 @@
 const isSpeed = hasFields({
   server: isCause,
   startedMs: isNumber,
-  rate: (value) => isAge(value) && Number(value) > 0,
-  count: isCount,
+  highestRate: isAge,
+  rate: isAge,
 });
 const isResponseCounts = hasFields({
   bins: isListOf(isCount, BIN_COUNT),
--- a/src/placement/choose_server.ts
+++ b/src/placement/choose_server.ts
@@ -200,29 +200,21 @@
   const isHolderBest = preferred !== undefined &&
     outweighsWait(preferred, ready, input);
   if (isHolderBest) return preferred;
-  const unseenCount = criteria.prefersReported === true
-    ? meanUnseenCount(ready, input)
-    : undefined;
+  const reported = criteria.prefersReported === true
+    ? ready.filter((view) => hasReport(view, input.nowMs))
+    : [];
   const costStep = input.relativeSpeedOf === undefined
     ? COST_STEP
     : UNEVEN_COST_STEP;
-  const ranked = ready
-    .map((view) => {
-      const isReported = hasReport(view, input.nowMs);
-      const guessedCount = isReported ? 0 : unseenCount ?? 0;
-      return {
-        view,
-        cost: Math.round(costOf(view, input, guessedCount) / costStep),
-        isGuessed: unseenCount !== undefined && !isReported,
-        tieBreak: criteria.prompt
-          ? rendezvousHash(view.server.name, criteria.prompt)
-          : input.random(),
-      };
-    })
-    .sort((a, b) =>
-      a.cost - b.cost || Number(a.isGuessed) - Number(b.isGuessed) ||
-      a.tieBreak - b.tieBreak
-    );
+  const ranked = (reported.length > 0 ? reported : ready)
+    .map((view) => ({
+      view,
+      cost: Math.round(costOf(view, input) / costStep),
+      tieBreak: criteria.prompt
+        ? rendezvousHash(view.server.name, criteria.prompt)
+        : input.random(),
+    }))
+    .sort((a, b) => a.cost - b.cost || a.tieBreak - b.tieBreak);
   return ranked[0]?.view;
 }
 
@@ -254,23 +246,6 @@
   return (unreadTokens + ownTokens) / (PREFILL_TOKENS_PER_MS * speed);
 }
 
-/**
- * Returns how many requests that are unknown here a server has, on average over
- * those that were lately asked; `undefined` if none were.
- */
-function meanUnseenCount(
-  views: readonly RegisteredServerView[],
-  input: ChoiceInput,
-): number | undefined {
-  const counts = views.filter((view) => hasReport(view, input.nowMs))
-    .map((view) => {
-      const known = addLoad(view.ownLoad, view.peerLoad).requests;
-      return likelyLoadOf(view, input).requests - known;
-    });
-  if (counts.length === 0) return undefined;
-  return counts.reduce((sum, count) => sum + count, 0) / counts.length;
-}
-
 /** A server with capacity for the request. */
 interface Candidate {
   readonly view: RegisteredServerView;
@@ -350,22 +325,10 @@
 
 /**
  * Returns the cost of choosing a server, from 0; a full server costs about 1.
- *
- * @param guessedCount requests that the server is taken to have beyond those
- * known, each like the one that is placed
  */
-function costOf(
-  view: RegisteredServerView,
-  input: ChoiceInput,
-  guessedCount: number,
-): number {
+function costOf(view: RegisteredServerView, input: ChoiceInput): number {
   const { criteria, nowMs } = input;
-  const likely = likelyLoadOf(view, input);
-  const load = {
-    ...likely,
-    requests: likely.requests + guessedCount,
-    tokens: likely.tokens + guessedCount * criteria.tokens,
-  };
+  const load = likelyLoadOf(view, input);
   const slotUse = load.requests / view.server.slots;
   const loadTokens = criteria.unreadTokens === undefined
     ? load.tokens + PREFILL_WEIGHT * load.unreadTokens
--- a/src/placement/server_speeds.ts
+++ b/src/placement/server_speeds.ts
@@ -8,15 +8,18 @@
 
 import type { RegisteredServer } from "../process/registered_server.ts";
 
-/** What is known of a server's speed, as entries exchange it. */
+/**
+ * What is known of a server's speed, as entries exchange it. Prompts that waited
+ * for others show too low a rate, and never too high a one.
+ */
 export interface ServerSpeed {
   readonly server: string;
   /** Start of the incarnation, in ms on the server's clock. */
   readonly startedMs: number;
-  /** Mean prefill rate, in prompt tokens per ms. */
+  /** Highest prefill rate of a prompt, in tokens per ms. */
+  readonly highestRate: number;
+  /** Highest rate of another prompt; 0 if there is none. */
   readonly rate: number;
-  /** Number of prompts that the mean rests on. */
-  readonly count: number;
 }
 
 /** Dependencies of the speeds. */
@@ -27,10 +30,8 @@
   readonly now: () => number;
 }
 
-/** Prompts that count for a mean; a server's speed may change. */
-const COUNT_MAX = 8;
-/** Prompts without which a server's speed is not compared. */
-const COUNT_MIN = 2;
+/** Rate above which a prompt was cached, in tokens per ms. */
+const RATE_MAX = 20;
 /** Servers of known speed without which those of a service are alike. */
 const SERVERS_MIN = 6;
 /** Ratio of fast servers' rate to that of slow ones from which they differ. */
@@ -78,29 +79,36 @@
       readonly durationMs: number;
     },
   ): void {
-    const known = this.#speeds.get(name);
-    const same = known?.startedMs === startedMs ? known : undefined;
-    const count = Math.min(COUNT_MAX, (same?.count ?? 0) + 1);
-    // The mean of durations per token: a rate that is far too high, of a prompt
-    // that was cached, changes it little.
-    const msPerToken = durationMs / tokens;
-    const mean = same === undefined
-      ? msPerToken
-      : 1 / same.rate + (msPerToken - 1 / same.rate) / count;
-    this.#set({ server: name, startedMs, rate: 1 / mean, count });
+    const highestRate = tokens / durationMs;
+    if (highestRate > RATE_MAX) return;
+    this.merge([{ server: name, startedMs, highestRate, rate: 0 }]);
   }
 
-  /** Takes in what a peer knows: the mean of more prompts counts. */
+  /** Takes in what a peer knows. */
   merge(speeds: readonly ServerSpeed[]): void {
     for (const speed of speeds) {
       const known = this.#speeds.get(speed.server);
       const isNewer = known === undefined || speed.startedMs > known.startedMs;
-      const isBetter = speed.startedMs === known?.startedMs &&
-        speed.count > known.count;
-      if (isNewer || isBetter) this.#set(speed);
+      if (isNewer) this.#set(speed);
+      else if (speed.startedMs === known.startedMs) {
+        this.#setIfHigher(known, speed);
+      }
     }
   }
 
+  #setIfHigher(known: ServerSpeed, added: ServerSpeed): void {
+    const highestRate = Math.max(known.highestRate, added.highestRate);
+    // The same rate is that of the same prompt.
+    const isSame = known.highestRate === added.highestRate;
+    const rate = Math.max(
+      known.rate,
+      added.rate,
+      isSame ? 0 : Math.min(known.highestRate, added.highestRate),
+    );
+    const isChanged = highestRate > known.highestRate || rate > known.rate;
+    if (isChanged) this.#set({ ...known, highestRate, rate });
+  }
+
   /** Returns the speeds for the next digest. */
   digest(): readonly ServerSpeed[] {
     const sinceMs = this.#options.now() - ANNOUNCED_MS;
@@ -124,8 +132,7 @@
     fallback: number,
   ): number {
     const own = this.#speeds.get(name);
-    const isOwnKnown = own !== undefined && own.startedMs === startedMs &&
-      own.count >= COUNT_MIN;
+    const isOwnKnown = own?.startedMs === startedMs && own.rate > 0;
     const { median, isUneven } = this.#ratesOf(service);
     return (isOwnKnown && isUneven ? own.rate : median) ?? fallback;
   }
@@ -159,8 +166,7 @@
     }
     const rates = [...serversOf(service)].flatMap(({ name, startedMs }) => {
       const speed = this.#speeds.get(name);
-      const isKnown = speed?.startedMs === startedMs &&
-        speed.count >= COUNT_MIN;
+      const isKnown = speed?.startedMs === startedMs && speed.rate > 0;
       return isKnown ? [speed.rate] : [];
     }).toSorted((a, b) => a - b);
     const compared = compareRates(rates, now());
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -3,6 +3,7 @@
  * queue, the retry budget and what it exchanges with other entries.
  */
 
+import { randomUUID } from "node:crypto";
 import {
   isListedLeaving,
   type ReportFetcher,
@@ -117,8 +118,6 @@
   responseMaxBytes: 2_097_152,
   totalMaxBytes: 8_388_608,
 };
-/** Radix of the random part of a writer's name. */
-const WRITER_RADIX = 36;
 /** Checksums are printed in hexadecimal. */
 const CHECKSUM_RADIX = 16;
 /**
@@ -506,7 +505,7 @@
     const { entry, log, now, random, exposureLimits } = this.#options;
     return Rollouts.create({
       limits: exposureLimits,
-      writer: `${entry}/${random().toString(WRITER_RADIX).slice(2)}`,
+      writer: `${entry}/${randomUUID()}`,
       log,
       now,
       random,
--- a/src/request/relay_call.ts
+++ b/src/request/relay_call.ts
@@ -269,9 +269,8 @@
       }
       const complete = await this.#receive(response, { record, server });
       if (complete !== undefined) {
-        const latencyMs = this.#context.now() - sentMs;
         const isFailure = complete.head.status >= SERVER_ERROR;
-        this.#recordLatency(server, isFailure ? undefined : latencyMs);
+        this.#recordResponse(server, { sentMs, isFailure });
       }
       if (complete !== undefined && complete.head.status < SERVER_ERROR) {
         this.#crashGuard.recordCompletion(sentMs);
@@ -284,7 +283,7 @@
       this.#isDeadlineExceeded =
         error.failureCause === FailureCause.DeadlineExceeded;
       if (isSlowResponse(error)) {
-        this.#recordLatency(server, this.#context.now() - sentMs);
+        this.#recordResponse(server, { sentMs, isFailure: false });
       }
       if (!caller.signal.aborted) {
         recordAttemptFailure(this.#context, {
@@ -301,13 +300,20 @@
     }
   }
 
-  /** Counts a response for its server's version; see `ServerResponse`. */
-  #recordLatency(
+  /** Counts a response, or that none came in time, for its server's version. */
+  #recordResponse(
     server: RegisteredServer,
-    latencyMs: number | undefined,
+    { sentMs, isFailure }: {
+      readonly sentMs: number;
+      readonly isFailure: boolean;
+    },
   ): void {
-    const { route: aspect } = this.#request;
-    this.#context.rollouts.recordResponse({ server, aspect, latencyMs });
+    this.#context.rollouts.recordResponse({
+      server,
+      aspect: this.#request.route,
+      sentMs,
+      latencyMs: isFailure ? undefined : this.#context.now() - sentMs,
+    });
   }
 
   /**
--- a/src/request/stall_policy.ts
+++ b/src/request/stall_policy.ts
@@ -40,15 +40,6 @@
 const PREFILL_TIMEOUT_FACTOR = 3;
 /** Time allowed for a first event in addition to the prefill, in ms. */
 const FIRST_EVENT_MARGIN_MS = 1_000;
-/**
- * Multiple of the expected prefill time, and the time in addition in ms, after
- * which a server is later than expected.
- */
-const LATE_FACTOR = 1.5;
-const LATE_MARGIN_MS = 500;
-/** Time that another server needs, as a multiple of the prompt's prefill. */
-const REPLACEMENT_FACTOR = 1.5;
-
 /**
  * Returns the time without a first event after which the server's report is
  * fetched, in ms.
@@ -72,37 +63,18 @@
   );
 }
 
-/** When a run's first event is due. */
-export interface FirstEventTerms {
-  /**
-   * Prompt tokens that the server has still to prefill, including those of this
-   * run.
-   */
-  readonly unreadTokens: number;
-  /** Prompt tokens of this run. */
-  readonly promptTokens: number;
-  /** Rate at which the server prefills, in tokens per ms. */
-  readonly rate: number;
-  /** Time left of the request's target, in ms. */
-  readonly leftMs: number;
-}
-
 /**
- * Returns how long a healthy server may take to a run's first event, in ms. A
- * server that is later than expected is given up in time for another one to
- * meet the target; one that can't be replaced in time gets longer.
+ * Returns how long a healthy server may take to a run's first event, in ms.
+ *
+ * @param unreadTokens prompt tokens that the server has still to prefill,
+ * including those of this run
+ * @param rate at which the server prefills, in tokens per ms
  */
 export function firstEventTimeoutMs(
-  { unreadTokens, promptTokens, rate, leftMs }: FirstEventTerms,
+  unreadTokens: number,
+  rate: number,
 ): number {
-  const expectedMs = unreadTokens / rate;
-  const patientMs = FIRST_EVENT_MARGIN_MS + PREFILL_TIMEOUT_FACTOR * expectedMs;
-  const lateMs = LATE_MARGIN_MS + LATE_FACTOR * expectedMs;
-  const replaceableMs = leftMs -
-    REPLACEMENT_FACTOR * promptTokens / rate;
-  return replaceableMs < lateMs
-    ? patientMs
-    : Math.min(patientMs, replaceableMs);
+  return FIRST_EVENT_MARGIN_MS + PREFILL_TIMEOUT_FACTOR * unreadTokens / rate;
 }
 
 /** What is known of a stalled run. */
--- a/src/request/stream_attempt.ts
+++ b/src/request/stream_attempt.ts
@@ -113,12 +113,10 @@
         targetMs: request.rank.targetMs,
         hasKvCopy: kvCopy !== undefined,
       }),
-      firstEventTimeoutMs: firstEventTimeoutMs({
-        unreadTokens: unreadTokensAt(context, server),
-        promptTokens: request.promptTokens,
-        rate: context.speeds.rateOf(server, PREFILL_TOKENS_PER_MS),
-        leftMs: request.receivedMs + request.rank.targetMs - context.now(),
-      }),
+      firstEventTimeoutMs: firstEventTimeoutMs(
+        unreadTokensAt(context, server),
+        context.speeds.rateOf(server, PREFILL_TOKENS_PER_MS),
+      ),
       eventCount,
       now: context.now,
       onLost: (cause, detail) => this.#fail(cause, detail),
@@ -256,6 +254,7 @@
     context.rollouts.recordResponse({
       server: this.slot.server,
       aspect: `${request.route}, time per event`,
+      sentMs: this.#startMs,
       latencyMs: (context.now() - this.#firstEventMs) / (eventCount - 1),
     });
   }
@@ -272,6 +271,7 @@
     context.rollouts.recordResponse({
       server: this.slot.server,
       aspect: request.route,
+      sentMs: this.#startMs,
       latencyMs,
     });
   }
--- a/src/rollout/rollout.ts
+++ b/src/rollout/rollout.ts
@@ -41,6 +41,8 @@
 export class Rollout {
   /** Its id and revision change when a restored store gets it again. */
   order: RolloutOrder;
+  /** When this entry learnt of the order, on the monotonic clock in ms. */
+  readonly knownSinceMs: number;
   readonly #options: RolloutOptions;
   readonly #tallies: TallyExchange;
   #stage = RolloutStage.Observing;
@@ -53,7 +55,8 @@
     this.#options = options;
     this.order = options.order;
     this.#tallies = TallyExchange.create(options.writer);
-    this.#startedMs = options.now();
+    this.knownSinceMs = options.now();
+    this.#startedMs = this.knownSinceMs;
     this.#stageSinceMs = this.#startedMs;
     this.#budget = createExposureBudget(options.limits, options);
   }
--- a/src/rollout/rollouts.ts
+++ b/src/rollout/rollouts.ts
@@ -51,6 +51,8 @@
   readonly server: RegisteredServer;
   /** The route, or the route and a measure. */
   readonly aspect: string;
+  /** When its request was sent, on the monotonic clock in ms. */
+  readonly sentMs: number;
   /** In ms; `undefined` if the response reports a failure. */
   readonly latencyMs: number | undefined;
 }
@@ -157,10 +159,12 @@
     this.#options.onPlacement?.(server.service, isCandidate);
   }
 
-  /** Counts a response. */
-  recordResponse({ server, aspect, latencyMs }: ServerResponse): void {
+  /** Counts a response to a request that was sent since the order was known. */
+  recordResponse(response: ServerResponse): void {
+    const { server, aspect, sentMs, latencyMs } = response;
     const rollout = this.#openRollout(server.service);
-    rollout?.recordResponse({
+    if (rollout === undefined || sentMs < rollout.knownSinceMs) return;
+    rollout.recordResponse({
       aspect,
       isCandidate: versionOf(server).version === rollout.order.target,
       server: server.name,
--- a/src/rollout/rollouts_test.ts
+++ b/src/rollout/rollouts_test.ts
@@ -155,6 +155,7 @@
     };
     const server = chooseByVersion(entry.filtersFor(SERVICE), {}, choose);
     if (server === undefined) return;
+    const sentMs = nowMs;
     entry.recordPlacement(server);
     requests++;
     const count = (running.get(server.name) ?? 0) + 1;
@@ -175,6 +176,7 @@
         entry.recordResponse({
           server,
           aspect: route,
+          sentMs,
           latencyMs: isFailure ? undefined : latencyMs,
         });
       },
