Bound what callers can hold of memory and descriptors

Cause: bodies of all callers were kept without a common limit, each chunk of one as an object of its own; connections had no limit, and requests sent ahead on one were all taken in. A crowd of 64 to 400 connections ended the process or exceeded memory and descriptors of a small machine.

Change: one account of all request bodies, by which the one that has held most for longest is refused as not run; a limit of connections for each door, of which the oldest without a request gives way; 64 requests ahead on a connection.

--- a/src/connection/caller_connections.ts
+++ b/src/connection/caller_connections.ts
@@ -33,6 +33,12 @@
   ["ERR_HTTP_REQUEST_TIMEOUT", HTTP_REQUEST_TIMEOUT],
 ]);
 
+/**
+ * Requests on one connection that may wait for their responses. Callers send few
+ * ahead; the connection of one that sends more is closed.
+ */
+const PIPELINED_MAX = 64;
+
 /** Dependencies of `CallerConnections`. */
 export interface CallerConnectionsOptions {
   readonly server: Server;
@@ -144,13 +150,21 @@
    * The request can't get a response, so it must not be served.
    */
   isClosing({ socket }: IncomingMessage): boolean {
-    return socket.writableEnded ||
+    return socket.destroyed || socket.writableEnded ||
       this.#states.get(socket)?.isClosing === true;
   }
 
+  /** Whether a request was read completely on a connection and is open. */
+  isServing(socket: Socket): boolean {
+    const state = this.#states.get(socket);
+    return state !== undefined && state.open.size > 0 && state.request.complete;
+  }
+
   #track(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
     const state = this.#states.get(socket) ?? this.#open(request, response);
+    if (state.open.size >= PIPELINED_MAX) socket.destroy();
+    if (socket.destroyed) return;
     state.request = request;
     state.response = response;
     state.open.add(response);
--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -7,42 +7,97 @@
   type Server as ConnectionServer,
 } from "node:net";
 import { setImmediate } from "node:timers/promises";
+import { BodyPieces } from "./body_pieces.ts";
+import type { RequestBody } from "./request_bodies.ts";
 import { RequestError, RequestErrorType } from "../errors.ts";
 
+/** Suggested delay before a request that was dropped is repeated, in s. */
+const EVICTED_RETRY_AFTER_S = 1;
+
 /**
  * Collects a request's body.
  *
- * Errors: throws a `RequestError` when it exceeds `limitBytes` or ends early.
+ * Errors: rejects with a `RequestError` when it exceeds `limitBytes`, ends
+ * early, or has to be dropped to stay within the limit of all bodies.
+ *
+ * @param account counts the bytes for that limit; none if absent
  */
 export async function readBody(
   request: IncomingMessage,
   limitBytes: number,
+  account?: RequestBody,
 ): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  try {
-    // The connection stays, so that the response to a large body arrives.
-    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-      length += (chunk as Buffer).length;
-      if (length > limitBytes) break;
-      chunks.push(chunk as Buffer);
-    }
-  } catch {
-    throw new RequestError(
-      RequestErrorType.InvalidRequest,
-      "request body ended early",
-    );
-  }
-  if (length > limitBytes) {
-    request.resume();
-    // The HTTP parser may be in the middle of what has arrived.
-    await setImmediate();
-    throw new RequestError(
-      RequestErrorType.TooLarge,
-      `request body exceeds ${limitBytes} bytes`,
-    );
+  const statedBytes = Number(request.headers["content-length"] ?? 0);
+  const body = statedBytes > limitBytes
+    ? undefined
+    : await collectBody(request, limitBytes, account);
+  if (body !== undefined) {
+    account?.markComplete();
+    return body;
   }
-  return Buffer.concat(chunks);
+  account?.close();
+  request.resume();
+  // The HTTP parser may be in the middle of what has arrived.
+  await setImmediate();
+  throw new RequestError(
+    RequestErrorType.TooLarge,
+    `request body exceeds ${limitBytes} bytes`,
+  );
+}
+
+/**
+ * Resolves with the body, or with `undefined` once it is too large; the
+ * connection stays, so that a response to it arrives.
+ */
+function collectBody(
+  request: IncomingMessage,
+  limitBytes: number,
+  account: RequestBody | undefined,
+): Promise<Buffer | undefined> {
+  return new Promise((resolve, reject) => {
+    const bytes = BodyPieces.create();
+    const settle = (end: () => void) => {
+      request.off("data", collect);
+      end();
+    };
+    const collect = (chunk: Buffer) => {
+      if (bytes.length + chunk.length > limitBytes) {
+        return settle(() => resolve(undefined));
+      }
+      bytes.append(chunk);
+      account?.add(chunk.length);
+    };
+    const endEarly = () =>
+      settle(() =>
+        reject(
+          new RequestError(
+            RequestErrorType.InvalidRequest,
+            "request body ended early",
+          ),
+        )
+      );
+    if (account !== undefined) {
+      account.onEvicted = () => {
+        bytes.take();
+        request.resume();
+        settle(() =>
+          reject(
+            new RequestError(
+              RequestErrorType.NotRun,
+              "this entry holds too many bytes of requests",
+              EVICTED_RETRY_AFTER_S,
+            ),
+          )
+        );
+      };
+    }
+    request.on("data", collect);
+    request.once("end", () => settle(() => resolve(bytes.take())));
+    request.once("error", endEarly);
+    request.once("close", endEarly);
+    if (request.readableEnded) settle(() => resolve(bytes.take()));
+    else if (request.destroyed) endEarly();
+  });
 }
 
 /** Sends a JSON response. */
--- a/src/gossip/peers.ts
+++ b/src/gossip/peers.ts
@@ -6,6 +6,7 @@
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import type { Duplex } from "node:stream";
 import { WebSocketServer } from "ws";
+import { limitConnections } from "../connection/connection_limit.ts";
 import { listen } from "../connection/http_server.ts";
 import {
   type KeepAliveLimits,
@@ -46,6 +47,8 @@
   readonly readChanges?: (after: number) => ServerChanges;
   /** Lends part of the retry budget; nothing if absent. */
   readonly lendRetries?: (service: string, wanted: number) => number;
+  /** Connections that peers and others may open; those of peers stay. */
+  readonly connectionsMax?: number;
   /** Interval between digests, in ms. */
   readonly digestIntervalMs?: number;
   /** Time without a link after which an entry counts as gone, in ms. */
@@ -95,6 +98,12 @@
   readonly delayMs: number;
 }
 
+/** Connections that the port for peers may have if no limit is set. */
+const CONNECTIONS_MAX = 1_024;
+/** Time in which a connection has to ask for a link, in ms. */
+const HEAD_TIMEOUT_MS = 5_000;
+const HTTP_NOT_FOUND = 404;
+
 /** Links to other entries, and the digests sent over them. */
 export class Peers {
   readonly #options: PeersOptions;
@@ -108,6 +117,8 @@
   });
   readonly #outboundLinks = new Map<string, PeerLink>();
   readonly #inboundLinks = new Set<PeerLink>();
+  /** Connections whose other end has shown the key. */
+  readonly #linkedSockets = new WeakSet<Duplex>();
   /** Unreachable entries, by address. */
   readonly #redials = new Map<string, Redial>();
   /** Entries at the far end: as dialled, or from their first digest. */
@@ -133,6 +144,17 @@
     this.#server.on("upgrade", (request, socket, head) => {
       this.#acceptLink(request, socket, head);
     });
+    // Nothing but links of peers is served here.
+    this.#server.on("request", (request, response) => {
+      request.resume();
+      response.writeHead(HTTP_NOT_FOUND, { connection: "close" }).end();
+    });
+    this.#server.headersTimeout = HEAD_TIMEOUT_MS;
+    this.#server.requestTimeout = HEAD_TIMEOUT_MS;
+    limitConnections(this.#server, {
+      max: options.connectionsMax ?? CONNECTIONS_MAX,
+      isServing: (socket) => this.#linkedSockets.has(socket),
+    });
     const { digestIntervalMs = DIGEST_INTERVAL_MS } = options;
     this.#digestIntervalMs = digestIntervalMs;
     this.#keepAliveLimits = {
@@ -299,6 +321,7 @@
       socket.destroy();
       return;
     }
+    this.#linkedSockets.add(socket);
     this.#webSocketServer.handleUpgrade(request, socket, head, (webSocket) => {
       const link = PeerLink.create(webSocket, {
         ...this.#handlers(),
--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -311,6 +311,12 @@
     "backend server sends a stream too fast; it is read slowly",
     "check the backend server",
   ),
+  callersShed: createLogEvent(
+    3123,
+    Severity.Warn,
+    "request body refused, or connection closed, to stay within a limit",
+    "see docs/OPERATIONS.md, callers that don't behave",
+  ),
   actionOutcomeUnknown: createLogEvent(
     4001,
     Severity.Warn,
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -52,6 +52,8 @@
   readonly host: string;
   /** Port for traffic between entries. */
   readonly peerPort: number;
+  /** Connections that the port for peers may have; see `PeersOptions`. */
+  readonly peerConnectionsMax?: number;
   /** Identifies the deployment; its hash is the peers' shared key. */
   readonly deployment: string;
   readonly objects: ObjectStore;
@@ -205,8 +207,11 @@
   }
 
   #createPeers(): Peers {
-    const { entry, zone, deployment, log, relay } = this.#options;
+    const { entry, zone, deployment, log, relay, peerConnectionsMax } =
+      this.#options;
     return Peers.create({
+      ...peerConnectionsMax !== undefined &&
+        { connectionsMax: peerConnectionsMax },
       entry,
       zone,
       key: hashText(deployment),
