--- a/src/placement/choose_server.ts
+++ b/src/placement/choose_server.ts
@@ -8,12 +8,11 @@
 
 import { PREFILL_TOKENS_PER_MS } from "../constants.ts";
 import { rendezvousHash } from "../hashing.ts";
-import { recentLoad } from "./load_inquiry.ts";
+import { costOf, hasReport, prefillWaitMs } from "./server_cost.ts";
 import {
   addLoad,
   type RegisteredServer,
   type RegisteredServerView,
-  type ServerLoad,
 } from "../process/registered_server.ts";
 
 /** Failure of a server that was handling the request. */
@@ -84,7 +83,7 @@
 }
 
 /** What a choice follows from. */
-interface ChoiceInput extends SelectionContext {
+export interface ChoiceInput extends SelectionContext {
   readonly criteria: SelectionCriteria;
 }
 
@@ -99,28 +98,11 @@
  * entries is known 150 ms late, and with an empty queue the server would idle.
  */
 const CALLS_PER_SLOT = 2;
-/**
- * Weight of unread prompt tokens relative to tokens that only take KV cache.
- */
-const PREFILL_WEIGHT = 3;
-/**
- * Fraction of a prompt's prefill time that each running request loses: an
- * engine prefills for 25 ms between decode steps of 4 ms.
- */
-const PREFILL_DELAY_FRACTION = 0.85;
-/**
- * Weight of tokens that only take KV cache when a prompt is to be prefilled.
- */
-const MEMORY_WEIGHT = 0.3;
 /**
  * Servers compared per choice: the best of them is hardly worse than the best
  * of all, and a choice costs the same with 80 servers and with 6,800.
  */
 export const CANDIDATES_MAX = 48;
-/** Added to the cost of a server that lately gave no report when asked. */
-const NO_REPORT_PENALTY = 10;
-/** Added to the cost of a server whose zone recently lost others. */
-const SUSPECT_ZONE_PENALTY = 10;
 /**
  * Servers whose costs differ by less count as equal, as a fraction of a server:
  * a KV cache backup adds about one step, a generation delayed by prefill three.
@@ -235,17 +217,6 @@
   return prefillWaitMs(holder, 0, input) <= Math.min(...waits) + savedMs;
 }
 
-/** Returns the time until a server has prefilled all prompts, in ms. */
-function prefillWaitMs(
-  view: RegisteredServerView,
-  ownTokens: number,
-  input: ChoiceInput,
-): number {
-  const { unreadTokens } = likelyLoadOf(view, input);
-  const speed = input.relativeSpeedOf?.(view.server) ?? 1;
-  return (unreadTokens + ownTokens) / (PREFILL_TOKENS_PER_MS * speed);
-}
-
 /** A server with capacity for the request. */
 interface Candidate {
   readonly view: RegisteredServerView;
@@ -274,94 +245,3 @@
   }
   return hasHealthy ? healthy : ejected;
 }
-
-/**
- * Returns the total delay from prefilling a prompt beside a load, in prompt
- * tokens. KV cache backups only take memory: no request waits for them.
- */
-function prefillDelayOf(
-  { requests, tokens, unreadTokens }: ServerLoad,
-  promptTokens: number,
-): number {
-  return MEMORY_WEIGHT * tokens +
-    PREFILL_WEIGHT * unreadTokens +
-    PREFILL_DELAY_FRACTION * requests * promptTokens;
-}
-
-/** Whether a server has lately reported its load. */
-function hasReport(
-  { reportedLoad }: RegisteredServerView,
-  nowMs: number,
-): boolean {
-  return recentLoad(reportedLoad, nowMs)?.requests !== undefined;
-}
-
-/** Whether a server that was lately asked for its load gave no report. */
-function lacksReport(view: RegisteredServerView, nowMs: number): boolean {
-  return recentLoad(view.reportedLoad, nowMs) !== undefined &&
-    !hasReport(view, nowMs);
-}
-
-/**
- * Returns a server's load with the requests that only its report shows, which
- * are taken to be like the one that is placed.
- */
-function likelyLoadOf(
-  view: RegisteredServerView,
-  { criteria, nowMs }: ChoiceInput,
-): ServerLoad {
-  const known = addLoad(view.ownLoad, view.peerLoad);
-  const { requests = 0, unread = 0 } = recentLoad(view.reportedLoad, nowMs) ??
-    {};
-  const otherCount = requests - known.requests;
-  if (otherCount <= 0) return known;
-  const unreadTokens = unread * (criteria.unreadTokens ?? 0);
-  return {
-    requests,
-    tokens: known.tokens + otherCount * criteria.tokens,
-    unreadTokens: Math.max(known.unreadTokens, unreadTokens),
-  };
-}
-
-/**
- * Returns the cost of choosing a server, from 0; a full server costs about 1.
- */
-function costOf(view: RegisteredServerView, input: ChoiceInput): number {
-  const { criteria, nowMs } = input;
-  const load = likelyLoadOf(view, input);
-  const slotUse = load.requests / view.server.slots;
-  const loadTokens = criteria.unreadTokens === undefined
-    ? load.tokens + PREFILL_WEIGHT * load.unreadTokens
-    : prefillDelayOf(load, criteria.unreadTokens);
-  const kvCacheUse = loadTokens / view.kvCacheTokens;
-  return costBySpeed(view, Math.max(slotUse, kvCacheUse), input) +
-    (lacksReport(view, nowMs) ? NO_REPORT_PENALTY : 0) +
-    (isZoneSuspect(view, criteria) ? SUSPECT_ZONE_PENALTY : 0);
-}
-
-/**
- * Returns the cost of a load that a server works off at its speed. The request
- * itself is part of it: it takes longer on an idle slow server than on a fast
- * one.
- */
-function costBySpeed(
-  { server, kvCacheTokens }: RegisteredServerView,
-  loadCost: number,
-  { criteria, relativeSpeedOf }: ChoiceInput,
-): number {
-  if (relativeSpeedOf === undefined) return loadCost;
-  const ownCost = (criteria.unreadTokens ?? 0) / kvCacheTokens;
-  return (loadCost + ownCost) / relativeSpeedOf(server);
-}
-
-/** Whether a server may have failed together with others of its zone. */
-function isZoneSuspect(
-  { server, lastActivityMs }: RegisteredServerView,
-  { suspectZones, recentFailure }: SelectionCriteria,
-): boolean {
-  const suspectedMs = suspectZones.get(server.zone) ?? Number.NEGATIVE_INFINITY;
-  const failedMs = recentFailure?.zone === server.zone
-    ? recentFailure.atMs
-    : Number.NEGATIVE_INFINITY;
-  return lastActivityMs < Math.max(suspectedMs, failedMs);
-}
