Take the speeds of servers back out of placing

Change: speeds are no longer learnt, sent or regarded.

Measured: 382 tests of placing, requests, gossip, relay and the emulator pass.

--- a/src/gossip/parse_peer_message.ts
+++ b/src/gossip/parse_peer_message.ts
@@ -8,7 +8,6 @@
   RunStage,
 } from "../process/crash_evidence.ts";
 import { isAddress } from "../connection/address.ts";
-import { SPEEDS_PER_DIGEST } from "../placement/server_speeds.ts";
 import { BIN_COUNT } from "../rollout/latency_bins.ts";
 import { TALLIES_PER_DIGEST } from "../rollout/tally_exchange.ts";
 import { RolloutStage } from "../rollout/types.ts";
@@ -118,12 +117,6 @@
   count: isCount,
   newest: isCount,
 });
-const isSpeed = hasFields({
-  server: isCause,
-  startedMs: isNumber,
-  highestRate: isAge,
-  rate: isAge,
-});
 const isResponseCounts = hasFields({
   bins: isListOf(isCount, BIN_COUNT),
   failures: isCount,
@@ -164,7 +157,6 @@
   readers: isListOf(isReader),
   dead: isListOf(isText),
   crashAccount: isOptional(isCrashAccount),
-  speeds: isOptional(isListOf(isSpeed, SPEEDS_PER_DIGEST)),
   rollouts: isOptional(isListOf(isRollout, ROLLOUTS_MAX)),
 });
 const isServer = hasFields({
--- a/src/gossip/peer_protocol.ts
+++ b/src/gossip/peer_protocol.ts
@@ -15,7 +15,6 @@
   RegisteredServer,
   ServerLoad,
 } from "../process/registered_server.ts";
-import type { ServerSpeed } from "../placement/server_speeds.ts";
 import type { RolloutDigest } from "../rollout/types.ts";
 import type { ReaderLiveness } from "./reader_election.ts";
 import type { Head } from "../version/types.ts";
@@ -106,8 +105,6 @@
   readonly leaving?: readonly ServerIncarnation[];
   /** Absent if no crash is known, and in digests of earlier versions. */
   readonly crashAccount?: CrashAccountDigest;
-  /** Speeds of servers that changed lately; absent if none did. */
-  readonly speeds?: readonly ServerSpeed[];
   /** Absent if the sender knows no orders yet, or versions don't count. */
   readonly rollouts?: readonly RolloutDigest[];
 }
--- a/src/placement/choose_server.ts
+++ b/src/placement/choose_server.ts
@@ -73,13 +73,6 @@
   readonly nowMs: number;
   /** Returns a number in [0, 1). */
   readonly random: () => number;
-  /**
-   * Returns a server's speed relative to the others; absent if servers are
-   * alike.
-   */
-  readonly relativeSpeedOf?:
-    | ((server: RegisteredServer) => number)
-    | undefined;
 }
 
 /** What a choice follows from. */
@@ -108,8 +101,6 @@
  * a KV cache backup adds about one step, a generation delayed by prefill three.
  */
 const COST_STEP = 0.04;
-/** The same where servers differ in speed, which shows in smaller steps. */
-const UNEVEN_COST_STEP = 0.01;
 
 /**
  * Whether a server could serve the request once it is healthy and has capacity.
@@ -131,7 +122,7 @@
  */
 function exceedsBacklogLimit(
   view: RegisteredServerView,
-  { criteria, nowMs, relativeSpeedOf }: ChoiceInput,
+  { criteria, nowMs }: ChoiceInput,
 ): boolean {
   const { unreadTokens = 0, avoidBacklogUntilMs } = criteria;
   if (avoidBacklogUntilMs === undefined) return false;
@@ -141,9 +132,7 @@
   const prefilledTokens = Math.max(0, nowMs - avoidBacklogUntilMs) *
     PREFILL_TOKENS_PER_MS;
   return backlogTokens > 0 &&
-    backlogTokens + unreadTokens >
-      (BACKLOG_MAX_TOKENS + prefilledTokens) *
-        (relativeSpeedOf?.(view.server) ?? 1);
+    backlogTokens + unreadTokens > BACKLOG_MAX_TOKENS + prefilledTokens;
 }
 
 /** Whether a server has slots and KV cache left for the request. */
@@ -185,13 +174,10 @@
   const reported = criteria.prefersReported === true
     ? ready.filter((view) => hasReport(view, input.nowMs))
     : [];
-  const costStep = input.relativeSpeedOf === undefined
-    ? COST_STEP
-    : UNEVEN_COST_STEP;
   const ranked = (reported.length > 0 ? reported : ready)
     .map((view) => ({
       view,
-      cost: Math.round(costOf(view, input) / costStep),
+      cost: Math.round(costOf(view, input) / COST_STEP),
       tieBreak: criteria.prompt
         ? rendezvousHash(view.server.name, criteria.prompt)
         : input.random(),
--- a/src/placement/server_cost.ts
+++ b/src/placement/server_cost.ts
@@ -33,8 +33,7 @@
   input: ChoiceInput,
 ): number {
   const { unreadTokens } = likelyLoadOf(view, input);
-  const speed = input.relativeSpeedOf?.(view.server) ?? 1;
-  return (unreadTokens + ownTokens) / (PREFILL_TOKENS_PER_MS * speed);
+  return (unreadTokens + ownTokens) / PREFILL_TOKENS_PER_MS;
 }
 
 /**
@@ -96,26 +95,11 @@
     ? load.tokens + PREFILL_WEIGHT * load.unreadTokens
     : prefillDelayOf(load, criteria.unreadTokens);
   const kvCacheUse = loadTokens / view.kvCacheTokens;
-  return costBySpeed(view, Math.max(slotUse, kvCacheUse), input) +
+  return Math.max(slotUse, kvCacheUse) +
     (lacksReport(view, nowMs) ? NO_REPORT_PENALTY : 0) +
     (isZoneSuspect(view, criteria) ? SUSPECT_ZONE_PENALTY : 0);
 }
 
-/**
- * Returns the cost of a load that a server works off at its speed. The request
- * itself is part of it: it takes longer on an idle slow server than on a fast
- * one.
- */
-function costBySpeed(
-  { server, kvCacheTokens }: RegisteredServerView,
-  loadCost: number,
-  { criteria, relativeSpeedOf }: ChoiceInput,
-): number {
-  if (relativeSpeedOf === undefined) return loadCost;
-  const ownCost = (criteria.unreadTokens ?? 0) / kvCacheTokens;
-  return (loadCost + ownCost) / relativeSpeedOf(server);
-}
-
 /** Whether a server may have failed together with others of its zone. */
 function isZoneSuspect(
   { server, lastActivityMs }: RegisteredServerView,
--- a/src/placement/server_selector.ts
+++ b/src/placement/server_selector.ts
@@ -13,7 +13,6 @@
 } from "../process/registered_server.ts";
 import type { RegisteredServerViews } from "../process/registered_server_views.ts";
 import type { ServerHoldOffs } from "../health/server_hold_off.ts";
-import type { ServerSpeeds } from "./server_speeds.ts";
 import { ServerRing } from "./server_ring.ts";
 import type { ZoneFailureDetector } from "../process/zone_failure_detector.ts";
 
@@ -29,8 +28,6 @@
   readonly views: RegisteredServerViews;
   readonly holdOffs: ServerHoldOffs;
   readonly zoneFailures: ZoneFailureDetector;
-  /** What is known of the servers' speeds; they are alike if absent. */
-  readonly speeds?: ServerSpeeds | undefined;
   /** Whether a server's version may get requests; any may if absent. */
   readonly isInService?: ((server: RegisteredServer) => boolean) | undefined;
 }
@@ -65,12 +62,9 @@
 
   /** Returns the server for a request, if one has capacity now. */
   choose(request: ServerCriteria): RegisteredServer | undefined {
-    const { now, random, zoneFailures, speeds } = this.#options;
+    const { now, random, zoneFailures } = this.#options;
     const criteria = { ...request, suspectZones: zoneFailures.suspectZones() };
-    const relativeSpeedOf = speeds?.isUneven(request.service)
-      ? (server: RegisteredServer) => speeds.relativeSpeedOf(server)
-      : undefined;
-    const context = { nowMs: now(), random, relativeSpeedOf };
+    const context = { nowMs: now(), random };
     return chooseServer(this.#freeViews(request), criteria, context)?.server;
   }
 
--- a/src/process/registered_servers.ts
+++ b/src/process/registered_servers.ts
@@ -40,7 +40,6 @@
   type ServerCriteria,
   ServerSelector,
 } from "../placement/server_selector.ts";
-import type { ServerSpeeds } from "../placement/server_speeds.ts";
 import { ZoneFailureDetector } from "./zone_failure_detector.ts";
 
 /** Dependencies of the server set. */
@@ -57,8 +56,6 @@
   readonly kvCacheTokensOf: (service: string) => number;
   /** Whether a server's version may get requests; any may if absent. */
   readonly isInService?: ((server: RegisteredServer) => boolean) | undefined;
-  /** What is known of the servers' speeds; they are alike if absent. */
-  readonly speeds?: ServerSpeeds | undefined;
   /** Called when a server may have capacity again. */
   readonly onCapacityAvailable: () => void;
   /** Called when a server became known as draining. */
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -45,7 +45,6 @@
 import { LoadInquiry } from "../placement/load_inquiry.ts";
 import { PromptSearch } from "../placement/prompt_search.ts";
 import type { ServerCriteria } from "../placement/server_selector.ts";
-import { ServerSpeeds } from "../placement/server_speeds.ts";
 import { RetryBudget, type RetryLender } from "../placement/retry_budget.ts";
 import { chooseByVersion } from "../rollout/choose_by_version.ts";
 import type { ExposureLimits } from "../rollout/exposure_budget.ts";
@@ -134,7 +133,6 @@
   readonly rollouts: Rollouts;
   readonly #options: RelayOptions;
   readonly #peerLoads: PeerLoads;
-  readonly #speeds: ServerSpeeds;
   readonly #serverList: ServerList;
   readonly #leftServers: LeftServers;
   /** Decides whether this entry reads the store for all entries. */
@@ -161,17 +159,12 @@
     });
     this.#peerLoads = PeerLoads.create(now);
     const metrics = RelayMetrics.create();
-    this.#speeds = ServerSpeeds.create({
-      now,
-      serversOf: (service) => this.servers.serversOf(service),
-    });
     this.rollouts = this.#createRollouts(metrics, () => dispatcher.pump());
     const { rollouts } = this;
     this.servers = RegisteredServers.create({
       now,
       random,
       log,
-      speeds: this.#speeds,
       isInService: (server) => rollouts.isInService(server),
       kvCacheTokensOf: (service) => this.#kvCacheTokensOf(service),
       onCapacityAvailable: () => dispatcher.pump(),
@@ -215,7 +208,6 @@
       now,
       servers,
       rollouts,
-      speeds: this.#speeds,
       dispatcher,
       reports,
       silentServers: SilentServers.create(servers, reports),
@@ -393,7 +385,6 @@
     }
     if (server === undefined) {
       this.servers.delete(name);
-      this.#speeds.forget(name);
     } else {
       this.rollouts.recordServer(server);
       this.servers.set(server);
@@ -437,7 +428,6 @@
     for (const incarnation of parseLeavingServers(orders.leaving)) {
       this.servers.markLeaving(incarnation, DrainingSource.Peer);
     }
-    this.#speeds.merge(orders.speeds ?? []);
     if (orders.rollouts !== undefined) this.rollouts.merge(orders.rollouts);
     this.readerElection.merge(entry, orders.readers);
     const { crashAccount } = orders;
@@ -475,7 +465,6 @@
   #createOrderDigest(): RelayDigest {
     const crashAccount = this.context.crashAccount.digest();
     const rollouts = this.rollouts.digest();
-    const speeds = this.#speeds.digest();
     return {
       configuration: this.configurationVersion,
       loads: this.servers.ownLoads(),
@@ -487,7 +476,6 @@
       leaving: this.servers.recentlyLeaving(),
       ...crashAccount !== undefined && { crashAccount },
       ...rollouts !== undefined && { rollouts },
-      ...speeds.length > 0 && { speeds },
     };
   }
 
--- a/src/process/relay_context.ts
+++ b/src/process/relay_context.ts
@@ -13,7 +13,6 @@
 import type { LoadInquiry } from "../placement/load_inquiry.ts";
 import type { PromptSearch } from "../placement/prompt_search.ts";
 import type { Rollouts } from "../rollout/rollouts.ts";
-import type { ServerSpeeds } from "../placement/server_speeds.ts";
 import type { RetryBudget } from "../placement/retry_budget.ts";
 import type { ServerReports } from "../health/server_reports.ts";
 import type { SilentServers } from "./silent_servers.ts";
@@ -26,7 +25,6 @@
   readonly metrics: RelayMetrics;
   readonly servers: RegisteredServers;
   readonly rollouts: Rollouts;
-  readonly speeds: ServerSpeeds;
   readonly reports: ServerReports;
   readonly silentServers: SilentServers;
   readonly promptCacheIndex: PromptCacheIndex;
--- a/src/request/stall_policy.ts
+++ b/src/request/stall_policy.ts
@@ -1,5 +1,6 @@
 /** When a stream counts as stalled, and what a report shows of a stalled run. */
 
+import { PREFILL_TOKENS_PER_MS } from "../constants.ts";
 import {
   isRestarted,
   type ServerReport,
@@ -40,6 +41,7 @@
 const PREFILL_TIMEOUT_FACTOR = 3;
 /** Time allowed for a first event in addition to the prefill, in ms. */
 const FIRST_EVENT_MARGIN_MS = 1_000;
+
 /**
  * Returns the time without a first event after which the server's report is
  * fetched, in ms.
@@ -68,13 +70,10 @@
  *
  * @param unreadTokens prompt tokens that the server has still to prefill,
  * including those of this run
- * @param rate at which the server prefills, in tokens per ms
  */
-export function firstEventTimeoutMs(
-  unreadTokens: number,
-  rate: number,
-): number {
-  return FIRST_EVENT_MARGIN_MS + PREFILL_TIMEOUT_FACTOR * unreadTokens / rate;
+export function firstEventTimeoutMs(unreadTokens: number): number {
+  return FIRST_EVENT_MARGIN_MS +
+    PREFILL_TIMEOUT_FACTOR * unreadTokens / PREFILL_TOKENS_PER_MS;
 }
 
 /** What is known of a stalled run. */
--- a/src/request/stream_attempt.ts
+++ b/src/request/stream_attempt.ts
@@ -7,7 +7,6 @@
 import { PREFILL_TOKENS_PER_MS } from "../constants.ts";
 import { AttemptError, FailureCause } from "../errors.ts";
 import type { RecentFailure } from "../placement/choose_server.ts";
-import { recentLoad } from "../placement/load_inquiry.ts";
 import { DrainingSource } from "../process/leaving_servers.ts";
 import {
   addLoad,
@@ -30,10 +29,6 @@
   type StreamSlotOptions,
 } from "./stream_slot.ts";
 
-/** Prompt tokens without which a prefill shows no speed. */
-const PROMPT_TOKENS_MIN = 1_000;
-/** Requests, this one included, beside which a prefill shows the speed. */
-const RUNNING_MAX = 3;
 /** Events without which a response shows no pace. */
 const PACE_EVENTS_MIN = 10;
 
@@ -71,8 +66,6 @@
   readonly kvCopyManager: KvCopyManager;
   readonly #options: StreamAttemptOptions;
   readonly #startMs: number;
-  /** Whether the server has no other prompt to prefill, as far as known. */
-  readonly #isAlone: boolean;
   #firstEventMs: number | undefined;
   readonly #abortController = new AbortController();
   /** Aborted when the attempt or its caller ends. */
@@ -91,7 +84,6 @@
     const { server, kvCopy } = slot;
     this.#options = options;
     this.#startMs = context.now();
-    this.#isAlone = isPrefillAlone(context, request, server);
     this.slot = slot;
     this.record = record;
     this.kvCopyManager = KvCopyManager.create({
@@ -113,10 +105,7 @@
         targetMs: request.rank.targetMs,
         hasKvCopy: kvCopy !== undefined,
       }),
-      firstEventTimeoutMs: firstEventTimeoutMs(
-        unreadTokensAt(context, server),
-        context.speeds.rateOf(server, PREFILL_TOKENS_PER_MS),
-      ),
+      firstEventTimeoutMs: firstEventTimeoutMs(unreadTokensAt(context, server)),
       eventCount,
       now: context.now,
       onLost: (cause, detail) => this.#fail(cause, detail),
@@ -222,9 +211,7 @@
   get mayHavePrefilled(): boolean {
     const { context, request } = this.#options;
     const elapsedMs = context.now() - this.#startMs;
-    const { server } = this.slot;
-    const rate = context.speeds.rateOf(server, PREFILL_TOKENS_PER_MS);
-    return elapsedMs >= request.promptTokens / rate;
+    return elapsedMs >= request.promptTokens / PREFILL_TOKENS_PER_MS;
   }
 
   /** Records progress of the run; the next stall timeout is `timeoutMs`. */
@@ -238,7 +225,6 @@
     if (this.#firstEventMs === undefined) {
       this.#firstEventMs = this.#options.context.now();
       this.recordLatency(this.#firstEventMs - this.#startMs);
-      this.#recordSpeed(this.#firstEventMs - this.#startMs);
     }
     this.slot.endPrefill();
     this.kvCopyManager.markEventsSeen();
@@ -276,17 +262,6 @@
     });
   }
 
-  /** Records the server's speed if it prefilled this prompt alone. */
-  #recordSpeed(durationMs: number): void {
-    const { context, request } = this.#options;
-    const { server, kvCopy } = this.slot;
-    if (!this.#isAlone || kvCopy !== undefined) return;
-    context.speeds.record(server, {
-      tokens: request.promptTokens,
-      durationMs,
-    });
-  }
-
   /** Counts an attempt that has failed, if it shows how slow its server is. */
   recordFailure(error: AttemptError): void {
     if (this.#firstEventMs !== undefined || !isSlowResponse(error)) return;
@@ -343,22 +318,6 @@
   }
 }
 
-/** Whether a server prefills the whole prompt of a request and no other one. */
-function isPrefillAlone(
-  { servers, promptCacheIndex, now }: RelayContext,
-  { promptKey, promptTokens, lastEventId }: ProxyRequest,
-  { name }: RegisteredServer,
-): boolean {
-  const view = servers.view(name);
-  const isCached = promptCacheIndex.findServer(promptKey) !== undefined;
-  if (view === undefined || isCached || lastEventId !== undefined) return false;
-  const { requests, unreadTokens } = addLoad(view.ownLoad, view.peerLoad);
-  const reported = recentLoad(view.reportedLoad, now());
-  return promptTokens >= PROMPT_TOKENS_MIN && unreadTokens <= promptTokens &&
-    requests <= RUNNING_MAX && (reported?.requests ?? 0) < RUNNING_MAX &&
-    (reported?.unread ?? 0) === 0;
-}
-
 /** Returns the prompt tokens a server has still to prefill; 0 if unknown. */
 function unreadTokensAt(
   { servers }: RelayContext,
