--- a/src/rollout/rollouts.ts
+++ b/src/rollout/rollouts.ts
@@ -10,7 +10,7 @@
 import type { ExposureLimits } from "./exposure_budget.ts";
 import { type Judgement, Verdict } from "./judge_version.ts";
 import { planRollout } from "./plan_rollout.ts";
-import { Rollout, type ServersByVersion } from "./rollout.ts";
+import { Rollout } from "./rollout.ts";
 import { ServiceVersions } from "./service_versions.ts";
 import {
   type RolloutDigest,
@@ -20,26 +20,25 @@
   RolloutState,
   type StoredRollout,
 } from "./types.ts";
+import {
+  VersionedServers,
+  type VersionedServersOptions,
+  versionOf,
+} from "./versioned_servers.ts";
 
 /** A condition on servers. */
 export type ServerFilter = (server: RegisteredServer) => boolean;
 
 /** Dependencies of the orders. */
-export interface RolloutsOptions {
+export interface RolloutsOptions extends VersionedServersOptions {
   /** `undefined` if versions don't count. */
   readonly limits: ExposureLimits | undefined;
   /** Identifies this process. */
   readonly writer: string;
   readonly log: Log;
-  /** Monotonic clock, in ms. */
-  readonly now: () => number;
   /** Returns a number in [0, 1). */
   readonly random: () => number;
   readonly entryCount: () => number;
-  /** Returns the listed servers of a service. */
-  readonly serversOf: (service: string) => Iterable<RegisteredServer>;
-  /** Whether a server can get requests now. */
-  readonly isUsable: (name: string) => boolean;
   /** Called when servers may get requests that could not get them before. */
   readonly onChange: () => void;
   /** Called for each request that is placed while an order is open. */
@@ -63,8 +62,6 @@
   readonly state: RolloutState;
 }
 
-/** How long the versions of a service's servers are cached, in ms. */
-const CACHE_MS = 50;
 /** How long a withdrawn order is remembered, in ms; digests repeat it. */
 const WITHDRAWN_RETENTION_MS = 60_000;
 /** Time for operators to write an order again, in ms. */
@@ -72,10 +69,6 @@
 /** Digits of a share in logs. */
 const SHARE_DIGITS = 3;
 
-interface CachedServers extends ServersByVersion {
-  readonly atMs: number;
-}
-
 /** All orders that an entry knows. */
 export class Rollouts {
   readonly #options: RolloutsOptions;
@@ -85,12 +78,13 @@
   readonly #storedStates = new Map<RolloutId, RolloutState | undefined>();
   /** Services whose orders a restored store lacks, on the monotonic clock. */
   readonly #missingSinceMs = new Map<string, number>();
-  readonly #servers = new Map<string, CachedServers>();
+  readonly #servers: VersionedServers;
   /** Whether the orders were read, from the store or from a peer. */
   #isKnown = false;
 
   private constructor(options: RolloutsOptions) {
     this.#options = options;
+    this.#servers = VersionedServers.create(options);
   }
 
   /** Starts without orders. */
@@ -108,20 +102,23 @@
     if (!this.isEnabled) return;
     const { now } = this.#options;
     const seenMs = this.#isKnown ? now() : Number.NEGATIVE_INFINITY;
-    this.#versionsOf(server.service).record(versionOf(server), seenMs);
+    this.#versionsOf(server.service).record(
+      { version: versionOf(server), startedMs: server.startedMs },
+      seenMs,
+    );
   }
 
   /** Whether the version of a server may get requests. */
   isInService(server: RegisteredServer): boolean {
     if (!this.isEnabled) return true;
     const { service } = server;
-    const { version } = versionOf(server);
+    const version = versionOf(server);
     const versions = this.#versionsOf(service);
     if (!this.#isKnown) return version === (versions.oldest ?? version);
     if (this.#openRollout(service) !== undefined) return true;
     return versions.isAllowed(version, {
       nowMs: this.#options.now(),
-      isListed: (other) => this.#isListed(service, other),
+      isListed: (other) => this.#servers.isListed(service, other),
     });
   }
 
@@ -134,13 +131,12 @@
     if (rollout === undefined) return undefined;
     const { target } = rollout.order;
     if (!this.#versionsOf(service).hasOther(target)) return undefined;
-    const isBaseline: ServerFilter = (server) =>
-      versionOf(server).version !== target;
+    const isBaseline: ServerFilter = (server) => versionOf(server) !== target;
     if (rollout.stage === RolloutStage.Promoting) {
       return [(server) => !isBaseline(server), isBaseline];
     }
     const { servers, probability } = rollout.canaries(
-      this.#serversByVersion(service, target),
+      this.#servers.byVersion(service, target),
     );
     const isCandidate = this.#options.random() < probability &&
       rollout.hasExposureLeft;
@@ -153,7 +149,7 @@
   recordPlacement(server: RegisteredServer): void {
     const rollout = this.#openRollout(server.service);
     if (rollout === undefined) return;
-    const { version } = versionOf(server);
+    const version = versionOf(server);
     rollout.recordPlacement(version);
     const isCandidate = version === rollout.order.target;
     this.#options.onPlacement?.(server.service, isCandidate);
@@ -166,7 +162,7 @@
     if (rollout === undefined || sentMs < rollout.knownSinceMs) return;
     rollout.recordResponse({
       aspect,
-      isCandidate: versionOf(server).version === rollout.order.target,
+      isCandidate: versionOf(server) === rollout.order.target,
       server: server.name,
       latencyMs,
     });
@@ -177,8 +173,7 @@
     const rollout = this.#openRollout(source.service);
     if (rollout === undefined) return undefined;
     const { target } = rollout.order;
-    const isTarget: ServerFilter = (server) =>
-      versionOf(server).version === target;
+    const isTarget: ServerFilter = (server) => versionOf(server) === target;
     if (rollout.stage === RolloutStage.Promoting) return isTarget;
     return (server) => isTarget(server) === isTarget(source);
   }
@@ -187,7 +182,7 @@
   isRetiring(server: RegisteredServer): boolean {
     const rollout = this.#openRollout(server.service);
     return rollout?.stage === RolloutStage.Promoting &&
-      versionOf(server).version !== rollout.order.target;
+      versionOf(server) !== rollout.order.target;
   }
 
   /**
@@ -395,30 +390,6 @@
     this.#versions.set(service, versions);
     return versions;
   }
-
-  #isListed(service: string, version: string): boolean {
-    for (const server of this.#options.serversOf(service)) {
-      if (versionOf(server).version === version) return true;
-    }
-    return false;
-  }
-
-  #serversByVersion(service: string, target: string): ServersByVersion {
-    const { now, serversOf, isUsable } = this.#options;
-    const cached = this.#servers.get(service);
-    if (cached !== undefined && now() - cached.atMs < CACHE_MS) return cached;
-    const usable = [...serversOf(service)].filter(({ name }) => isUsable(name));
-    const candidates = usable.filter((server) =>
-      versionOf(server).version === target
-    ).map(({ name }) => name);
-    const servers: CachedServers = {
-      candidates,
-      baselineCount: usable.length - candidates.length,
-      atMs: now(),
-    };
-    this.#servers.set(service, servers);
-    return servers;
-  }
 }
 
 /** Whether an order is one that the store had lost, written again. */
@@ -427,13 +398,6 @@
     order.target === known.target && order.durationMs === known.durationMs;
 }
 
-/** Returns a server's version and start; an unknown version is empty. */
-function versionOf(
-  { version = "", startedMs }: RegisteredServer,
-): { readonly version: string; readonly startedMs: number } {
-  return { version, startedMs };
-}
-
 function stateOf(stage: RolloutStage): RolloutState | undefined {
   switch (stage) {
     case RolloutStage.Observing:
