Keep a version that was rolled back out of the next order, and leave removals to the watch

Cause: while an order was open, all versions of its service counted as old ones, also one that an earlier order had rolled back and whose servers still drained. An order that the store lacked for a moment was taken for withdrawn by the writer.

Change: versions that an order has left stay out of use until another order names them. Only the watch and the list of the orders withdraw one.

--- a/src/rollout/rollout_writer.ts
+++ b/src/rollout/rollout_writer.ts
@@ -86,9 +86,9 @@
     const { rollouts, objects, source, log } = this.#options;
     const { service, target, id } = order;
     const object = await objects.read(source.kind, service);
-    if (object === undefined) return rollouts.withdraw(service);
-    const stored = source.parse(object);
-    if (stored === undefined) return;
+    const stored = object && source.parse(object);
+    // The watch tells whether the operator has removed the order.
+    if (object === undefined || stored === undefined) return;
     rollouts.applyStored(stored);
     const isOutdated = stored.order.id !== id ||
       !mayFollow(stored.state, state);
@@ -98,7 +98,7 @@
       status: source.createStatus(state, target),
       revision: object.revision,
     });
-    if (written === undefined) return rollouts.withdraw(service);
+    if (written === undefined) return;
     rollouts.applyStored({ ...stored, state });
     log(LOG_EVENTS.rolloutStateWritten, { service, target, state, order: id });
   }
--- a/src/rollout/rollouts.ts
+++ b/src/rollout/rollouts.ts
@@ -115,7 +115,8 @@
     const version = versionOf(server);
     const versions = this.#versionsOf(service);
     if (!this.#isKnown) return version === (versions.oldest ?? version);
-    if (this.#openRollout(service) !== undefined) return true;
+    const isOpen = this.#openRollout(service) !== undefined;
+    if (isOpen) return !versions.isBlocked(version);
     return versions.isAllowed(version, {
       nowMs: this.#options.now(),
       isListed: (other) => this.#servers.isListed(service, other),
--- a/src/rollout/rollouts_test.ts
+++ b/src/rollout/rollouts_test.ts
@@ -281,3 +281,39 @@
   const fault = BAD_VERSIONS["fails on one route"] ?? GOOD;
   expectRolledBack(play({ fault, seed: 8, lossShare: 0.5 }));
 });
+
+test("a version that was rolled back stays out of use during the next order", () => {
+  const servers = ["1", "2", "3"].map((version) => createServer(version, 0));
+  const rollouts = Rollouts.create({
+    limits: LIMITS,
+    writer: "entry-1",
+    log: () => undefined,
+    now: () => 0,
+    random: () => 0,
+    entryCount: () => 1,
+    serversOf: () => servers,
+    isUsable: () => true,
+    onChange: () => undefined,
+  });
+  for (const server of servers) rollouts.recordServer(server);
+  rollouts.replaceStored([]);
+  const order = (target: string, revision: number): RolloutOrder => ({
+    id: `order-${revision}` as RolloutId,
+    service: SERVICE,
+    target,
+    durationMs: DURATION_MS,
+    revision: revision as ObjectRevision,
+  });
+  const inService = () =>
+    servers.filter((server) => rollouts.isInService(server))
+      .map(({ version }) => version);
+  rollouts.applyStored({
+    order: order("2", 1),
+    state: RolloutState.RolledBack,
+  });
+  expect(inService()).toEqual(["1", "3"]);
+  rollouts.applyStored({ order: order("3", 2), state: undefined });
+  expect(inService()).toEqual(["1", "3"]);
+  rollouts.applyStored({ order: order("2", 3), state: undefined });
+  expect(inService()).toEqual(["1", "2"]);
+});
--- a/src/rollout/service_versions.ts
+++ b/src/rollout/service_versions.ts
@@ -75,6 +75,11 @@
     }
   }
 
+  /** Whether an earlier order has ended with leaving a version. */
+  isBlocked(version: string): boolean {
+    return this.#blocks.has(version);
+  }
+
   /** Allows a version that a new order names. */
   unblock(version: string): void {
     this.#blocks.delete(version);
