--- a/src/rollout/rollouts_test.ts
+++ b/src/rollout/rollouts_test.ts
@@ -15,6 +15,7 @@
   type RolloutDigest,
   type RolloutId,
   type RolloutOrder,
+  RolloutStage,
   RolloutState,
 } from "./types.ts";
 
@@ -282,8 +283,8 @@
   expectRolledBack(play({ fault, seed: 8, lossShare: 0.5 }));
 });
 
-test("a version that was rolled back stays out of use during the next order", () => {
-  const servers = ["1", "2", "3"].map((version) => createServer(version, 0));
+/** Returns the orders of one entry that knows `servers`. */
+function createRollouts(servers: readonly RegisteredServer[]): Rollouts {
   const rollouts = Rollouts.create({
     limits: LIMITS,
     writer: "entry-1",
@@ -297,23 +298,60 @@
   });
   for (const server of servers) rollouts.recordServer(server);
   rollouts.replaceStored([]);
-  const order = (target: string, revision: number): RolloutOrder => ({
+  return rollouts;
+}
+
+function createOrder(target: string, revision: number): RolloutOrder {
+  return {
     id: `order-${revision}` as RolloutId,
     service: SERVICE,
     target,
     durationMs: DURATION_MS,
     revision: revision as ObjectRevision,
-  });
+  };
+}
+
+test("a version that was rolled back stays out of use during the next order", () => {
+  const servers = ["1", "2", "3"].map((version) => createServer(version, 0));
+  const rollouts = createRollouts(servers);
   const inService = () =>
     servers.filter((server) => rollouts.isInService(server))
       .map(({ version }) => version);
   rollouts.applyStored({
-    order: order("2", 1),
+    order: createOrder("2", 1),
     state: RolloutState.RolledBack,
   });
   expect(inService()).toEqual(["1", "3"]);
-  rollouts.applyStored({ order: order("3", 2), state: undefined });
+  rollouts.applyStored({ order: createOrder("3", 2), state: undefined });
   expect(inService()).toEqual(["1", "3"]);
-  rollouts.applyStored({ order: order("2", 3), state: undefined });
+  rollouts.applyStored({ order: createOrder("2", 3), state: undefined });
   expect(inService()).toEqual(["1", "2"]);
 });
+
+test("copies stay within a version, and move to the new one while it is promoted", () => {
+  const [old, other, target] = [
+    createServer("1", 0),
+    createServer("1", 1),
+    createServer("2", 0),
+  ] as const;
+  const rollouts = createRollouts([old, other, target]);
+  const holders = (source: RegisteredServer) =>
+    [old, other, target].filter((server) =>
+      rollouts.copyFilter(source)?.(server) !== false
+    ).map(({ name }) => name);
+  const order = createOrder("2", 1);
+  rollouts.applyStored({ order, state: undefined });
+  expect(holders(old)).toEqual(["1-0", "1-1"]);
+  expect(holders(target)).toEqual(["2-0"]);
+  expect(rollouts.isRetiring(old)).toBe(false);
+  rollouts.merge([{
+    ...order,
+    stage: RolloutStage.Promoting,
+    ageMs: 14_000,
+    stageAgeMs: 0,
+    tallies: [],
+  }]);
+  expect(holders(old)).toEqual(["2-0"]);
+  expect([old, target].map((server) => rollouts.isRetiring(server)))
+    .toEqual([true, false]);
+});
