--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -26,9 +26,7 @@
 import { ObjectWatch } from "./object_watch.ts";
 import { Peers } from "../gossip/peers.ts";
 import type { Relay, ServerChange } from "./relay.ts";
-import { RolloutSync } from "../rollout/rollout_sync.ts";
-import type { RolloutSource } from "../rollout/rollout_writer.ts";
-import type { StoredRollout, UnusableRollout } from "../rollout/types.ts";
+import { type RolloutFormat, RolloutSync } from "../rollout/rollout_sync.ts";
 import { UnusableRegistrations } from "./unusable_registrations.ts";
 
 /** Where backend servers register, and how registrations are parsed. */
@@ -60,13 +58,7 @@
   readonly configuration: ConfigurationSource;
   readonly servers: ServerSource;
   /** Where orders of other versions are stored; absent if there are none. */
-  readonly rollouts?: Omit<RolloutSource, "parse"> & {
-    /** Returns `undefined` for an unusable order, and calls `onUnusable`. */
-    readonly parse: (
-      object: StoredObject,
-      onUnusable: (finding: UnusableRollout) => void,
-    ) => StoredRollout | undefined;
-  };
+  readonly rollouts?: RolloutFormat;
   /** Interval at which backend servers renew their registrations, in ms. */
   readonly heartbeatMs: number;
   readonly relay: Relay;
--- a/src/rollout/rollout_sync.ts
+++ b/src/rollout/rollout_sync.ts
@@ -15,17 +15,20 @@
 /** What a watch of the orders calls. */
 type WatchHandlers = Pick<ObjectWatchOptions, "onList" | "onChanges">;
 
+/** Where orders are stored, and how another program's are read. */
+export interface RolloutFormat extends Omit<RolloutSource, "parse"> {
+  /** Returns `undefined` for an unusable order, and calls `onUnusable`. */
+  readonly parse: (
+    object: StoredObject,
+    onUnusable: (finding: UnusableRollout) => void,
+  ) => StoredRollout | undefined;
+}
+
 /** Dependencies of the sync. */
 export interface RolloutSyncOptions {
   readonly rollouts: Rollouts;
   readonly objects: Pick<ObjectStore, "read" | "replaceStatus">;
-  readonly source: Omit<RolloutSource, "parse"> & {
-    /** Returns `undefined` for an unusable order, and calls `onUnusable`. */
-    readonly parse: (
-      object: StoredObject,
-      onUnusable: (finding: UnusableRollout) => void,
-    ) => StoredRollout | undefined;
-  };
+  readonly source: RolloutFormat;
   readonly log: Log;
   /** See `RolloutWriterOptions`. */
   readonly isDecider: () => boolean;
