--- a/src/placement/choose_server.ts
+++ b/src/placement/choose_server.ts
@@ -8,7 +8,7 @@
 
 import { PREFILL_TOKENS_PER_MS } from "../constants.ts";
 import { rendezvousHash } from "../hashing.ts";
-import { costOf, hasReport, prefillWaitMs } from "./server_cost.ts";
+import { costOf, hasReport } from "./server_cost.ts";
 import {
   addLoad,
   type RegisteredServer,
@@ -151,10 +151,10 @@
 }
 
 /**
- * Returns the preferred server if what it saves outweighs the wait there, else
- * the one of lowest cost among the first `CANDIDATES_MAX` of `views` that can take
- * the request, if there is one. If all eligible servers are ejected, they are
- * tried anyway: failures on the way to a service must not make it unavailable.
+ * Returns the preferred server if it can take the request, else the one of lowest
+ * cost among the first `CANDIDATES_MAX` of `views` that can take the request,
+ * if there is one. If all eligible servers are ejected, they are tried anyway:
+ * failures on the way to a service must not make it unavailable.
  */
 export function chooseServer(
   views: Iterable<RegisteredServerView>,
@@ -163,14 +163,13 @@
 ): RegisteredServerView | undefined {
   const input: ChoiceInput = { ...context, criteria };
   const candidates = findCandidates(views, input);
+  // It has the prompt cached, so its prefill backlog does not matter.
   const preferred = candidates.find(({ view }) =>
     view.server.name === criteria.preferred
-  )?.view;
+  );
+  if (preferred !== undefined) return preferred.view;
   const ready = candidates.filter(({ isBacklogged }) => !isBacklogged)
     .map(({ view }) => view);
-  const isHolderBest = preferred !== undefined &&
-    outweighsWait(preferred, ready, input);
-  if (isHolderBest) return preferred;
   const reported = criteria.prefersReported === true
     ? ready.filter((view) => hasReport(view, input.nowMs))
     : [];
@@ -186,23 +185,6 @@
   return ranked[0]?.view;
 }
 
-/**
- * Whether the server that holds the prompt is the better choice: its wait is
- * weighed against that of the best other one, the prefill there, and as much
- * again for the streams that the prefill would delay.
- */
-function outweighsWait(
-  holder: RegisteredServerView,
-  others: readonly RegisteredServerView[],
-  input: ChoiceInput,
-): boolean {
-  const promptTokens = input.criteria.unreadTokens ?? 0;
-  const waits = others.filter((view) => view !== holder)
-    .map((view) => prefillWaitMs(view, promptTokens, input));
-  const savedMs = promptTokens / PREFILL_TOKENS_PER_MS;
-  return prefillWaitMs(holder, 0, input) <= Math.min(...waits) + savedMs;
-}
-
 /** A server with capacity for the request. */
 interface Candidate {
   readonly view: RegisteredServerView;
--- a/src/placement/server_cost.ts
+++ b/src/placement/server_cost.ts
@@ -1,6 +1,5 @@
 /** What it costs to place a request on a server. */
 
-import { PREFILL_TOKENS_PER_MS } from "../constants.ts";
 import {
   addLoad,
   type RegisteredServerView,
@@ -26,16 +25,6 @@
 const NO_REPORT_PENALTY = 10;
 /** Added to the cost of a server whose zone recently lost others. */
 const SUSPECT_ZONE_PENALTY = 10;
-/** Returns the time until a server has prefilled all prompts, in ms. */
-export function prefillWaitMs(
-  view: RegisteredServerView,
-  ownTokens: number,
-  input: ChoiceInput,
-): number {
-  const { unreadTokens } = likelyLoadOf(view, input);
-  return (unreadTokens + ownTokens) / PREFILL_TOKENS_PER_MS;
-}
-
 /**
  * Returns the total delay from prefilling a prompt beside a load, in prompt
  * tokens. KV cache backups only take memory: no request waits for them.
