--- a/tests/rollout_test.ts
+++ b/tests/rollout_test.ts
@@ -154,8 +154,11 @@
   "a good version gets a share of the requests, then all, and is completed",
   async () => {
     await order();
+    // Until an entry knows the order, versions count for nothing.
+    await expect.poll(() => logged.get(LOG_EVENTS.rolloutOrdered.number))
+      .toBe(entries.length);
     await sendFor(2_000);
-    expect(await stateInStore()).toBe("active");
+    await expect.poll(stateInStore).toBe("active");
     expect(runsOf("2")).toBeGreaterThan(0);
     expect(runsOf("2")).toBeLessThanOrEqual(
       EXPOSURE_LIMITS.share * (runsOf("1") + runsOf("2")) +
