--- a/src/rollout/choose_canaries.ts
+++ b/src/rollout/choose_canaries.ts
@@ -11,14 +11,12 @@
 
 /** Input of `chooseCanaries`. */
 export interface CanaryOptions {
-  /** Names of the new version's servers that can be used. */
+  /** The new version's servers that can be used, as by `orderCandidates`. */
   readonly candidates: readonly string[];
   /** Number of the old version's servers that can be used. */
   readonly baselineCount: number;
   /** Share of the requests for the new version, on average. */
   readonly share: number;
-  /** Decides the order of the servers; the same at all entries. */
-  readonly key: string;
   /** Time since the order, in ms. */
   readonly elapsedMs: number;
 }
@@ -38,25 +36,30 @@
  */
 const ROTATION_INTERVAL_MS = 4_000;
 
+/** Returns servers in an order that depends on `key`, the same at all entries. */
+export function orderCandidates(
+  candidates: readonly string[],
+  key: string,
+): readonly string[] {
+  return candidates
+    .map((name) => ({ name, hash: hashParts([key, name]) }))
+    .sort((a, b) => (a.hash < b.hash ? -1 : 1))
+    .map(({ name }) => name);
+}
+
 /** Returns the servers of the new version that get requests now. */
 export function chooseCanaries(
-  { candidates, baselineCount, share, key, elapsedMs }: CanaryOptions,
+  { candidates, baselineCount, share, elapsedMs }: CanaryOptions,
 ): Canaries {
   if (candidates.length === 0) return { servers: new Set(), probability: 0 };
   const count = Math.max(
     1,
     Math.min(candidates.length, Math.ceil(share * baselineCount)),
   );
-  const hashes = new Map(
-    candidates.map((name) => [name, hashParts([key, name])]),
-  );
-  const ordered = candidates.toSorted((a, b) =>
-    (hashes.get(a) ?? "") < (hashes.get(b) ?? "") ? -1 : 1
-  );
   const first = Math.floor(elapsedMs / ROTATION_INTERVAL_MS) * count;
   const servers = Array.from(
     { length: count },
-    (_, at) => ordered[(first + at) % ordered.length] ?? "",
+    (_, at) => candidates[(first + at) % candidates.length] ?? "",
   );
   const probability = count / (count + baselineCount);
   const openMs = PULSE_INTERVAL_MS * Math.min(1, share / probability);
--- a/src/rollout/rollout.ts
+++ b/src/rollout/rollout.ts
@@ -8,7 +8,11 @@
   spendExposure,
   targetShare,
 } from "./exposure_budget.ts";
-import { type Canaries, chooseCanaries } from "./choose_canaries.ts";
+import {
+  type Canaries,
+  chooseCanaries,
+  orderCandidates,
+} from "./choose_canaries.ts";
 import { type Judgement, judgeVersion } from "./judge_version.ts";
 import { TallyExchange } from "./tally_exchange.ts";
 import {
@@ -50,6 +54,11 @@
   #startedMs: number;
   #stageSinceMs: number;
   #budget: ExposureBudget;
+  /** The last candidates, ordered once for many requests. */
+  #ordered: {
+    readonly candidates: readonly string[];
+    readonly ordered: readonly string[];
+  } = { candidates: [], ordered: [] };
 
   private constructor(options: RolloutOptions) {
     this.#options = options;
@@ -101,11 +110,14 @@
 
   /** Returns the servers of the new version for the next request. */
   canaries({ candidates, baselineCount }: ServersByVersion): Canaries {
+    if (candidates !== this.#ordered.candidates) {
+      const ordered = orderCandidates(candidates, this.order.id);
+      this.#ordered = { candidates, ordered };
+    }
     return chooseCanaries({
-      candidates,
+      candidates: this.#ordered.ordered,
       baselineCount,
       share: targetShare(this.#options.limits),
-      key: this.order.id,
       elapsedMs: this.elapsedMs,
     });
   }
