--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,137 +1,123 @@
-/** Bodies in small chunks, many at once: are ordinary callers still answered? */
+/** A part that crashes runners, late in a long prompt: is it ever refused? */
 
-import { spawn } from "node:child_process";
 import { randomUUID } from "node:crypto";
-import { once } from "node:events";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
-import { fileURLToPath } from "node:url";
+import { startCrashingRunner } from "../lib-2/crashing_runner.mjs";
 import {
   configuration,
   finish,
   HAS_TROUBLE,
   HOST_NAME,
   KEY,
-  LIMITS,
   openRecord,
   runCase,
 } from "../lib-2/deployment.mjs";
-import { call, memoryMb, ownHost, startEntry } from "../lib-2/entry.mjs";
-import { startRunner } from "../lib-2/runner.mjs";
+import { call, ownHost, startEntry } from "../lib-2/entry.mjs";
 import { startStore } from "../lib-2/store.mjs";
 
-/** Connections of the crowd; the entry's machine has 4,100 descriptors. */
-const CROWD = 100;
-const CHUNK_BYTES = 16;
-/** What one of them sends a second; the machine's link has 1,000 Mbit/s. */
-const BYTES_PER_S = 150_000;
-const TIMEOUT_MS = 1_000;
-const OVERDUE_MS = 500;
-/** Requests after their timeout that the rule allows to be unanswered. */
-const OVERDUE_ALLOWED = 7;
-const LEAD_MS = 3_000;
-const CROWD_MS = 15_000;
+const DEADLY = "dead0f16";
+const ZONES = ["morava-a", "morava-b", "morava-c"];
+const RUNNERS = 9;
+/** Parts of a prompt, without the last one. */
+const PARTS = 18;
+/** Where the deadly part stands among them, from 1. */
+const POSITION = Number(process.env.POSITION ?? 17);
+const DEADLY_EVERY_MS = 1_500;
+const SOUND_EVERY_MS = 300;
+const PLAY_MS = 45_000;
+const CONTACT_MS = 3_000;
+const LATE_ALLOWED = 3;
+
+/** Returns a prompt whose last part is its own. */
+function prompt(id, { isDeadly }) {
+  const shared = Array.from(
+    { length: PARTS },
+    (_, at) => isDeadly && at + 1 === POSITION ? DEADLY : `5c1e07${10 + at}`,
+  );
+  return [...shared, id.slice(0, 8)].map((part) => `${part}:40`).join(",");
+}
 
 runCase(async () => {
   const record = await openRecord(import.meta.url);
   const host = ownHost();
   const store = await startStore(host);
+  const log = { arrivals: [], crashes: [] };
   const runners = [];
-  for (const id of ["i-7f3a91c2", "i-20c4d1aa", "i-9b02e7d4"]) {
-    const runner = await startRunner({
-      id,
-      host,
-      service: "sluzby-clenu",
-      slots: 6,
-      workMs: 40,
-    });
-    runners.push(runner);
-    store.write("servers", id, runner.spec);
+  for (let at = 0; at < RUNNERS; at++) {
+    runners.push(
+      await startCrashingRunner({
+        store,
+        host,
+        name: `i-7f3a91c${at}`,
+        zone: ZONES[at % ZONES.length],
+        deadly: HAS_TROUBLE ? DEADLY : undefined,
+        backAfterMs: 3_000,
+        log,
+      }),
+    );
   }
   store.write("config", "main", configuration());
   const entry = await startEntry({ name: "edge-morava-a-1", host, store });
-  const { callers: port } = entry.ports;
+  await sleep(4_000);
 
-  const requests = [];
   const startMs = performance.now();
-  const send = async () => {
+  const answers = { sound: {}, deadly: {} };
+  const deadlyIds = new Set();
+  const send = async (isDeadly) => {
     const id = randomUUID();
-    const request = { id, sentMs: performance.now() };
-    requests.push(request);
+    if (isDeadly) deadlyIds.add(id);
+    const atMs = performance.now() - startMs;
     const { status } = await call({
       host,
-      port,
-      path: "/cist/ordinary",
+      port: entry.ports.callers,
+      method: "POST",
+      path: "/souhrn/2f",
       headers: {
         host: HOST_NAME,
         "x-request-id": id,
-        "x-deadline-ms": "8000",
+        "x-deadline-ms": "25000",
         authorization: `Bearer ${KEY}`,
+        "x-model": "m",
+        "x-token-count": `${(PARTS + 1) * 40},900`,
+        "x-prompt-prefix": prompt(id, { isDeadly }),
       },
+      body: "hi",
     });
-    request.status = status;
-    request.tookMs = performance.now() - request.sentMs;
+    const counts = isDeadly ? answers.deadly : answers.sound;
+    counts[status] = (counts[status] ?? 0) + 1;
+    const kind = isDeadly ? "deadly" : "sound";
+    await record(`sent ${kind} ${id} at ${atMs.toFixed(0)} ms: ${status}`);
   };
-  // A request every 100 ms, whether or not the earlier ones were answered.
-  const timer = setInterval(send, 100);
-  await sleep(LEAD_MS);
-  let crowd;
-  const crowdMs = performance.now();
-  if (HAS_TROUBLE) {
-    const words = [host, port, HOST_NAME, KEY, LIMITS.maxBodyBytes, CROWD];
-    const path = fileURLToPath(new URL("crowd.mjs", import.meta.url));
-    crowd = spawn(
-      process.execPath,
-      [path, ...words, CHUNK_BYTES, BYTES_PER_S].map(String),
-      { stdio: ["ignore", "pipe", "inherit"] },
-    );
-  }
-  let peakMb = 0;
-  for (let at = 0; at < CROWD_MS / 100; at++) {
-    peakMb = Math.max(peakMb, await memoryMb(entry.pid));
-    await sleep(100);
-  }
-  clearInterval(timer);
-  const endMs = performance.now();
-  if (crowd !== undefined) {
-    const output = once(crowd.stdout, "data");
-    crowd.kill("SIGTERM");
-    const { sentBytes, closed } = JSON.parse((await output)[0]);
-    const mbitPerS = sentBytes * 8 / (endMs - crowdMs) / 1_000;
-    await record(
-      `crowd: ${CROWD} connections, chunks of ${CHUNK_BYTES} bytes, ` +
-        `${mbitPerS.toFixed(0)} Mbit/s, ${closed} closed by the entry`,
-    );
-  }
-  await sleep(9_000);
+  const sent = [];
+  const timers = [
+    setInterval(() => sent.push(send(false)), SOUND_EVERY_MS),
+    setInterval(() => sent.push(send(true)), DEADLY_EVERY_MS),
+  ];
+  await sleep(PLAY_MS);
+  for (const timer of timers) clearInterval(timer);
+  await Promise.race([Promise.all(sent), sleep(12_000)]);
 
-  // Those that were sent so late that their time did not pass don't count.
-  const judged = requests.filter(({ sentMs }) =>
-    sentMs <= endMs - TIMEOUT_MS - OVERDUE_MS
-  );
-  const took = ({ status, tookMs }) => status === 0 ? Infinity : tookMs;
-  const late = judged.filter((request) => took(request) > TIMEOUT_MS);
-  const overdue = late.filter((request) =>
-    took(request) > TIMEOUT_MS + OVERDUE_MS
+  const fifthMs = log.crashes[4]?.atMs ?? Infinity;
+  const ofPart = log.arrivals.filter(({ requestId }) =>
+    deadlyIds.has(requestId)
   );
-  for (const request of requests) {
-    const atMs = request.sentMs - startMs;
-    await record(
-      `sent ${request.id} at ${atMs.toFixed(0)} ms, ` +
-        `answered ${request.status} after ${request.tookMs?.toFixed(0)} ms`,
-    );
+  const late = ofPart.filter(({ atMs }) => atMs > fifthMs + CONTACT_MS);
+  for (const { atMs, own } of log.crashes) {
+    await record(`${own} crashed at ${(atMs - startMs).toFixed(0)} ms`);
   }
-  const served = judged.filter(({ status }) => status === 200).length;
-  if (judged.length < 50 || (served === 0 && !HAS_TROUBLE)) {
-    throw new Error("too few requests were sent or served");
+  for (const { atMs, requestId, own } of ofPart) {
+    const at = (atMs - startMs).toFixed(0);
+    await record(`deadly ${requestId} reached ${own} at ${at} ms`);
   }
-  const isBroken = overdue.length > OVERDUE_ALLOWED &&
-    overdue.length * 2 > late.length;
+  if (Object.keys(answers.sound).length === 0) throw new Error("no answer");
   await finish(record, {
-    isBroken,
-    line: `CONFIG: ${late.length} of ${judged.length} requests unanswered ` +
-      `at ${TIMEOUT_MS} ms, ${overdue.length} of these ${OVERDUE_MS} ms ` +
-      `later; ${served} served; memory ${peakMb.toFixed(0)} MB`,
+    isBroken: HAS_TROUBLE && late.length > LATE_ALLOWED,
+    line: `BUDGET: ${late.length} requests with the part reached runners ` +
+      `later than ${CONTACT_MS} ms after the fifth crash; ` +
+      `${log.crashes.length} crashes, ${ofPart.length} arrivals; answers ` +
+      `sound ${JSON.stringify(answers.sound)}, ` +
+      `deadly ${JSON.stringify(answers.deadly)}`,
     closing: [entry.close, ...runners.map(({ close }) => close), store.close],
   });
 });
