review: processes of a case end with it

Cause: a case that was ended by a signal left its entry running. Measured: no process is left after SIGTERM to a running case.

--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -90,6 +90,10 @@
     process.exit(2);
   }, 110_000);
   timer.unref();
+  // The processes that were started end with this one.
+  for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.once(signal, () => process.exit(2));
+  }
   main().catch((error) => {
     process.stdout.write(`the case could not run: ${error.stack}\n`);
     process.exit(2);
--- a/review/lib-2/entry.mjs
+++ b/review/lib-2/entry.mjs
@@ -121,6 +121,7 @@
     env: { PATH, HOME, LANG, GYPSUMRIDGE_CONFIG: path },
     stdio: ["ignore", "pipe", "pipe"],
   });
+  process.once("exit", () => child.kill("SIGKILL"));
   const log = [];
   for (const stream of [child.stdout, child.stderr]) {
     stream.on("data", (bytes) => log.push(bytes));
