--- a/src/hashing.ts
+++ b/src/hashing.ts
@@ -14,6 +14,19 @@
   return hashText(JSON.stringify(parts));
 }
 
+/**
+ * Returns the SHA-256 of several parts and a body, encoded so that they stay
+ * distinct. The body is hashed as it is, since text of it takes several times
+ * its memory.
+ */
+export function hashPartsAndBody(
+  parts: readonly string[],
+  body: Buffer,
+): ContentHash {
+  return createHash("sha256").update(JSON.stringify(parts)).update(body)
+    .digest("hex") as ContentHash;
+}
+
 /**
  * Returns a 32-bit hash of a key for rendezvous hashing: the item of lowest hash
  * is chosen, each equally often over many keys.
