callers: one account of what they hold, and who yields first

Callers saw: processes of 178 to 350 MB grew to 193 to 534 MB or ended beside crowds, and answered nobody beside bodies in tiny chunks. Causes: only bodies were counted, and only until they were complete. Heads with their fields, requests sent ahead, the fields that an idle connection kept, and responses that nobody read counted for nothing. A body that was too large stayed in closures until its connection closed, up to 2 s later, and one whose caller left after its refusal stayed for good: Node reports no close of a request that was answered. Pieces that were evicted waited for a collection. Bodies waited chunk by chunk in Node's streams while there was no configuration. Parsing tiny chunks was bounded by nothing. Reports are bounded (3123).

--- a/src/connection/caller_connections.ts
+++ b/src/connection/caller_connections.ts
@@ -48,9 +48,12 @@
 
 /** What is known of one connection. */
 interface ConnectionState {
-  /** The latest request and its response. */
-  request: IncomingMessage;
-  response: ServerResponse;
+  /**
+   * The latest request and its response; `undefined` once it was answered, so
+   * that an idle connection does not hold its fields.
+   */
+  request: IncomingMessage | undefined;
+  response: ServerResponse | undefined;
   /** Why the bytes after the latest request are none. */
   refusal?: Error;
   /** Whether a response has announced the end of the connection. */
@@ -157,7 +160,8 @@
   /** Whether a request was read completely on a connection and is open. */
   isServing(socket: Socket): boolean {
     const state = this.#states.get(socket);
-    return state !== undefined && state.open.size > 0 && state.request.complete;
+    return state !== undefined && state.open.size > 0 &&
+      state.request?.complete === true;
   }
 
   #track(request: IncomingMessage, response: ServerResponse): void {
@@ -172,6 +176,10 @@
     response.once("close", () => {
       state.open.delete(response);
       state.idleSinceMs = this.#now();
+      if (state.request === request && request.complete) {
+        state.request = undefined;
+        state.response = undefined;
+      }
       const { refusal } = state;
       if (refusal !== undefined && state.open.size === 0) {
         this.#refuse(refusal, socket);
@@ -207,10 +215,11 @@
     });
     // Node calls this after a response that closes the connection.
     socket.destroySoon = () => {
-      if (state.request.complete) return closeWhenSent(socket);
+      const { request: latest } = state;
+      if (latest === undefined || latest.complete) return closeWhenSent(socket);
       lingeringClose(socket);
-      state.request.once("end", () => socket.destroy());
-      state.request.resume();
+      latest.once("end", () => socket.destroy());
+      latest.resume();
     };
     return state;
   }
@@ -245,7 +254,7 @@
       return lingeringClose(socket);
     }
     const { request, response } = state;
-    if (request.complete) {
+    if (request === undefined || response === undefined || request.complete) {
       // These bytes came after a request, which is answered first.
       state.refusal = error;
     } else if (response.headersSent) {
--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -7,12 +7,13 @@
   type Server as ConnectionServer,
 } from "node:net";
 import { setImmediate } from "node:timers/promises";
-import { BodyPieces } from "./body_pieces.ts";
-import type { RequestBody } from "./request_bodies.ts";
+import { BodyBuffer, freeBody } from "./body_buffer.ts";
+import type { HeldRequest } from "./caller_load.ts";
 import { RequestError, RequestErrorType } from "../errors.ts";
+import { HOLDS_TOO_MUCH } from "./response_writer.ts";
 
 /** Suggested delay before a request that was dropped is repeated, in s. */
-const EVICTED_RETRY_AFTER_S = 1;
+const HELD_RETRY_AFTER_S = 1;
 
 /**
  * Collects a request's body.
@@ -20,26 +21,36 @@
  * Errors: rejects with a `RequestError` when it exceeds `limitBytes`, ends
  * early, or has to be dropped to stay within the limit of all bodies.
  *
- * @param account counts the bytes for that limit; none if absent
+ * @param held counts the bytes for that limit; none if absent
  */
 export async function readBody(
   request: IncomingMessage,
   limitBytes: number,
-  account?: RequestBody,
+  held?: HeldRequest,
 ): Promise<Buffer> {
   const statedBytes = Number(request.headers["content-length"] ?? 0);
   const body = statedBytes > limitBytes
     ? undefined
-    : await collectBody(request, limitBytes, account);
-  if (body !== undefined) {
-    account?.markComplete();
-    return body;
-  }
-  account?.close();
+    : await collectBody(request, limitBytes, held);
+  if (body !== undefined) return body;
   request.resume();
   // The HTTP parser may be in the middle of what has arrived.
   await setImmediate();
-  throw new RequestError(
+  throw createTooLarge(limitBytes);
+}
+
+/** Errors: `RequestError` if a body was collected that exceeds its limit. */
+export function checkBodyLength(
+  body: Buffer,
+  limitBytes = Number.POSITIVE_INFINITY,
+): void {
+  if (body.length <= limitBytes) return;
+  freeBody(body);
+  throw createTooLarge(limitBytes);
+}
+
+function createTooLarge(limitBytes: number): RequestError {
+  return new RequestError(
     RequestErrorType.TooLarge,
     `request body exceeds ${limitBytes} bytes`,
   );
@@ -52,22 +63,37 @@
 function collectBody(
   request: IncomingMessage,
   limitBytes: number,
-  account: RequestBody | undefined,
+  held: HeldRequest | undefined,
 ): Promise<Buffer | undefined> {
   return new Promise((resolve, reject) => {
-    const bytes = BodyPieces.create();
+    const bytes = BodyBuffer.create(limitBytes);
     const settle = (end: () => void) => {
+      // They would keep the body for as long as the request.
       request.off("data", collect);
+      request.off("end", finish);
+      request.off("error", endEarly);
+      request.off("close", endEarly);
+      if (held !== undefined) {
+        held.onYield = undefined;
+        held.onClosed = undefined;
+      }
       end();
     };
+    const drop = () => {
+      bytes.drop();
+      held?.drop();
+    };
     const collect = (chunk: Buffer) => {
       if (bytes.length + chunk.length > limitBytes) {
+        drop();
         return settle(() => resolve(undefined));
       }
       bytes.append(chunk);
-      account?.add(chunk.length);
+      held?.add(chunk.length);
     };
-    const endEarly = () =>
+    const finish = () => settle(() => resolve(bytes.take()));
+    const endEarly = () => {
+      drop();
       settle(() =>
         reject(
           new RequestError(
@@ -76,30 +102,34 @@
           ),
         )
       );
-    if (account !== undefined) {
-      account.onEvicted = () => {
-        bytes.take();
+    };
+    if (held !== undefined) {
+      // Node reports no close of a request that was answered before its end.
+      held.onClosed = endEarly;
+      held.onYield = () => {
+        drop();
         request.resume();
-        settle(() =>
-          reject(
-            new RequestError(
-              RequestErrorType.NotRun,
-              "this entry holds too many bytes of requests",
-              EVICTED_RETRY_AFTER_S,
-            ),
-          )
-        );
+        settle(() => reject(createHeldRefusal()));
       };
     }
     request.on("data", collect);
-    request.once("end", () => settle(() => resolve(bytes.take())));
+    request.once("end", finish);
     request.once("error", endEarly);
     request.once("close", endEarly);
-    if (request.readableEnded) settle(() => resolve(bytes.take()));
+    if (request.readableEnded) finish();
     else if (request.destroyed) endEarly();
   });
 }
 
+/** Returns the refusal of a request that is dropped to stay within a limit. */
+export function createHeldRefusal(): RequestError {
+  return new RequestError(
+    RequestErrorType.NotRun,
+    HOLDS_TOO_MUCH.message,
+    HELD_RETRY_AFTER_S,
+  );
+}
+
 /** Sends a JSON response. */
 export function sendJson(
   response: ServerResponse,
--- a/src/connection/response_writer.ts
+++ b/src/connection/response_writer.ts
@@ -12,11 +12,23 @@
   "no response soon after the caller had ended its sending direction",
 );
 
+/** Why a request is aborted that is refused to stay within a limit. */
+export const HOLDS_TOO_MUCH = new AttemptError(
+  FailureCause.NoResources,
+  "this entry holds too many bytes of requests",
+);
+
+/** Reasons for which a request is aborted whose caller may still read. */
+const REFUSED_REASONS: ReadonlySet<unknown> = new Set([
+  HALF_CLOSED,
+  HOLDS_TOO_MUCH,
+]);
+
 /** Writer of the response to one request. */
 export interface ResponseWriter {
   /**
    * Aborted when the caller disconnects, or with `HALF_CLOSED` when it may have
-   * left; it then still gets a refusal.
+   * left, or with `HOLDS_TOO_MUCH`; it then still gets a refusal.
    */
   readonly signal: AbortSignal;
   /** Sends a complete response. */
@@ -35,5 +47,5 @@
 
 /** Whether the caller has disconnected. */
 export function isDisconnected({ signal }: ResponseWriter): boolean {
-  return signal.aborted && signal.reason !== HALF_CLOSED;
+  return signal.aborted && !REFUSED_REASONS.has(signal.reason);
 }
--- a/src/gossip/peers.ts
+++ b/src/gossip/peers.ts
@@ -6,7 +6,11 @@
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import type { Duplex } from "node:stream";
 import { WebSocketServer } from "ws";
-import { limitConnections } from "../connection/connection_limit.ts";
+import {
+  type Door,
+  DOOR_OPTIONS,
+  guardDoor,
+} from "../connection/guarded_door.ts";
 import { listen } from "../connection/http_server.ts";
 import {
   type KeepAliveLimits,
@@ -47,8 +51,8 @@
   readonly readChanges?: (after: number) => ServerChanges;
   /** Lends part of the retry budget; nothing if absent. */
   readonly lendRetries?: (service: string, wanted: number) => number;
-  /** Connections that peers and others may open; those of peers stay. */
-  readonly connectionsMax?: number;
+  /** Limits of the port; connections of peers stay. */
+  readonly door?: Door;
   /** Interval between digests, in ms. */
   readonly digestIntervalMs?: number;
   /** Time without a link after which an entry counts as gone, in ms. */
@@ -98,10 +102,8 @@
   readonly delayMs: number;
 }
 
-/** Connections that the port for peers may have if no limit is set. */
-const CONNECTIONS_MAX = 1_024;
-/** Time in which a connection has to ask for a link, in ms. */
-const HEAD_TIMEOUT_MS = 5_000;
+/** Limits of the port for peers if none are set. */
+const DEFAULT_DOOR: Door = { connectionsMax: 1_024 };
 const HTTP_NOT_FOUND = 404;
 
 /** Links to other entries, and the digests sent over them. */
@@ -109,7 +111,7 @@
   readonly #options: PeersOptions;
   #key: string;
   #previousKey: string;
-  readonly #server: Server = createServer();
+  readonly #server: Server = createServer(DOOR_OPTIONS);
   readonly #webSocketServer = new WebSocketServer({
     noServer: true,
     maxPayload: PEER_MESSAGE_MAX_BYTES,
@@ -145,14 +147,12 @@
       this.#acceptLink(request, socket, head);
     });
     // Nothing but links of peers is served here.
-    this.#server.on("request", (request, response) => {
-      request.resume();
+    this.#server.on("request", (_request, response) => {
       response.writeHead(HTTP_NOT_FOUND, { connection: "close" }).end();
     });
-    this.#server.headersTimeout = HEAD_TIMEOUT_MS;
-    this.#server.requestTimeout = HEAD_TIMEOUT_MS;
-    limitConnections(this.#server, {
-      max: options.connectionsMax ?? CONNECTIONS_MAX,
+    guardDoor(this.#server, {
+      ...DEFAULT_DOOR,
+      ...options.door,
       isServing: (socket) => this.#linkedSockets.has(socket),
     });
     const { digestIntervalMs = DIGEST_INTERVAL_MS } = options;
@@ -322,6 +322,7 @@
       return;
     }
     this.#linkedSockets.add(socket);
+    this.#options.door?.load?.release(request.socket);
     this.#webSocketServer.handleUpgrade(request, socket, head, (webSocket) => {
       const link = PeerLink.create(webSocket, {
         ...this.#handlers(),
--- a/src/process/log_events.ts
+++ b/src/process/log_events.ts
@@ -314,7 +314,7 @@
   callersShed: createLogEvent(
     3123,
     Severity.Warn,
-    "request body refused, or connection closed, to stay within a limit",
+    "requests refused, or connections closed, to stay within a limit",
     "see docs/OPERATIONS.md, callers that don't behave",
   ),
   actionOutcomeUnknown: createLogEvent(
--- a/src/process/relay_metrics.ts
+++ b/src/process/relay_metrics.ts
@@ -99,12 +99,6 @@
     help: "Retries that other entries lent, fractions included",
     registers: [this.registry],
   });
-  readonly shedCallers = new Counter({
-    name: "gypsumridge_shed_callers_total",
-    help: "Request bodies refused and connections closed to stay within limits",
-    labelNames: ["what"],
-    registers: [this.registry],
-  });
   readonly rolloutPlacements = new Counter({
     name: "gypsumridge_rollout_placements_total",
     help: "Requests placed while a service moves to a new version, by version",
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -7,6 +7,7 @@
 import { randomUUID } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Instance, InstanceState } from "../connection/instance.ts";
+import type { Door } from "../connection/guarded_door.ts";
 import type { PeerLink } from "../gossip/peer_link.ts";
 import type { GossipDigest } from "../gossip/peer_protocol.ts";
 import type { ObjectStore, StoredObject } from "../connection/object_store.ts";
@@ -50,8 +51,8 @@
   readonly host: string;
   /** Port for traffic between entries. */
   readonly peerPort: number;
-  /** Connections that the port for peers may have; see `PeersOptions`. */
-  readonly peerConnectionsMax?: number;
+  /** Limits of the port for peers; see `PeersOptions`. */
+  readonly peerDoor?: Door;
   /** Identifies the deployment; its hash is the peers' shared key. */
   readonly deployment: string;
   readonly objects: ObjectStore;
@@ -199,11 +200,9 @@
   }
 
   #createPeers(): Peers {
-    const { entry, zone, deployment, log, relay, peerConnectionsMax } =
-      this.#options;
+    const { entry, zone, deployment, log, relay, peerDoor } = this.#options;
     return Peers.create({
-      ...peerConnectionsMax !== undefined &&
-        { connectionsMax: peerConnectionsMax },
+      ...peerDoor !== undefined && { door: peerDoor },
       entry,
       zone,
       key: hashText(deployment),
