entry, steward: limit what callers hold and open

Callers saw: our own entry grew to 673 to 681 MB beside 150 bodies of 4 MB that lack their last byte, at any path that reads them, where its machine had 350. It answered nobody beside bodies in chunks of 16 bytes, and a steward nobody beside heads of very many fields. Cause: they had no account of bodies and no limit of connections. Change: both have the account and the limits of the platform's entry, by new settings memory_mb and descriptors, or what the system states.

--- a/bench/local_cluster.ts
+++ b/bench/local_cluster.ts
@@ -302,13 +302,24 @@
   }
 
   /** Starts a steward with the given lines in its `[steward]` section. */
-  async startSteward(id: string, lines: readonly string[]): Promise<Child> {
+  async startSteward(
+    id: string,
+    lines: readonly string[],
+    { limits = [], nodeOptions }: {
+      /** Lines of its `[limits]` section. */
+      readonly limits?: readonly string[];
+      readonly nodeOptions?: readonly string[];
+    } = {},
+  ): Promise<Child> {
     const settings = await this.writeFile(
       `${id}.ini`,
       `[steward]
 id = ${id}
 ${lines.join("\n")}
 
+[limits]
+${limits.join("\n")}
+
 [platform]
 address = ${this.platform.address}
 `,
@@ -316,7 +327,7 @@
     return await this.#start("src/bin/gypsumridge_steward.js", [
       "--settings",
       settings,
-    ]);
+    ], nodeOptions);
   }
 
   /** Starts an engine on the port of the one that it replaces. */
--- a/src/bin/steward_program.ts
+++ b/src/bin/steward_program.ts
@@ -1,15 +1,19 @@
 /** Loads the settings of a steward daemon and runs the steward. */
 
 import { createServer } from "node:http";
+import { performance } from "node:perf_hooks";
 import process from "node:process";
 import { collectDefaultMetrics, Gauge, Registry } from "prom-client";
 import { HttpObjectStore } from "../../platform/http_object_store.ts";
 import { openKeyValueStore } from "../../platform/open_key_value_store.ts";
+import { DOOR_OPTIONS, guardDoor } from "../connection/guarded_door.ts";
 import { listen, sendJson } from "../connection/http_server.ts";
+import { CallerGuard, Shed } from "../process/caller_guard.ts";
 import { ExitCode, PROGRAM_VERSION } from "../process/exit_code.ts";
 import { LOG_EVENTS } from "../process/log_events.ts";
 import { createLog } from "../process/log.ts";
 import { type Daemon, fileSource, loadSettings } from "../process/program.ts";
+import { machineSize } from "../process/machine_size.ts";
 import {
   FIXED_STEWARD_SETTINGS,
   parseStewardSettings,
@@ -46,7 +50,13 @@
     help: "Whether this steward holds the lease",
     registers: [registry],
   });
-  const server = createServer(async (request, response) => {
+  const guard = CallerGuard.create({
+    machine: machineSize(settings.machine),
+    registry,
+    log,
+    now: () => performance.now(),
+  });
+  const server = createServer(DOOR_OPTIONS, async (request, response) => {
     if (request.url !== "/metrics") {
       return sendJson(response, 200, { status: "ok" });
     }
@@ -54,6 +64,11 @@
     response.writeHead(200, { "content-type": registry.contentType });
     response.end(await registry.metrics());
   });
+  guardDoor(server, {
+    connectionsMax: guard.limits.probes,
+    load: guard.load,
+    onClosed: () => guard.record(Shed.Probe),
+  });
   return {
     start: async () => {
       const port = await listen(server, settings.host, settings.port);
--- a/src/connection/response_buffers.ts
+++ b/src/connection/response_buffers.ts
@@ -3,8 +3,6 @@
  * share a limit, so that many large responses together can't end the process.
  */
 
-import { totalmem } from "node:os";
-import process from "node:process";
 import { GrowableBuffer } from "./growable_buffer.ts";
 
 /** Limits of the responses that are collected at one time. */
@@ -29,14 +27,9 @@
 
 /**
  * Returns limits for responses of any size: a part of the memory that the
- * process may use.
+ * process may use, in bytes.
  */
-export function memoryShareLimits(): ResponseLimits {
-  const constrainedBytes = process.constrainedMemory() ?? 0;
-  const memoryBytes = Math.min(
-    totalmem(),
-    constrainedBytes > 0 ? constrainedBytes : Number.POSITIVE_INFINITY,
-  );
+export function memoryShareLimits(memoryBytes: number): ResponseLimits {
   const bytes = Math.floor(memoryBytes * MEMORY_SHARE);
   return { responseMaxBytes: bytes, totalMaxBytes: bytes };
 }
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -9,6 +9,7 @@
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import { CallerConnections } from "../connection/caller_connections.ts";
+import { limitConnections } from "../connection/connection_limit.ts";
 import { listen } from "../connection/http_server.ts";
 import type { KeyValueStore } from "../connection/key_value_store.ts";
 import { type GossipDigest, PeerMessageKind } from "../gossip/peer_protocol.ts";
@@ -32,10 +33,12 @@
 import type { Head } from "../version/types.ts";
 import { askSources, type Source } from "./ask_sources.ts";
 import { Dispatcher } from "./dispatcher.ts";
+import { CallerGuard, Shed } from "./caller_guard.ts";
 import type { EntryContext } from "./entry_context.ts";
 import { EntryStatusWriter } from "./entry_status.ts";
 import { EventLoopMonitor } from "./event_loop_monitor.ts";
 import { LOG_EVENTS } from "./log_events.ts";
+import { machineSize } from "./machine_size.ts";
 import { ServerPool } from "./server_pool.ts";
 import { ActionStore } from "./action_store.ts";
 import type { Log } from "./log.ts";
@@ -96,6 +99,7 @@
     this.#log = log;
     this.#platform = platform;
     this.#context = this.#createContext();
+    const { callerGuard } = this.#context;
     this.#peers = Peers.create({
       entry: settings.id,
       key: settings.peerKey,
@@ -103,6 +107,11 @@
       createDigest: () => this.#createDigest(),
       onDigest: (digest) => this.#mergeDigest(digest),
       readChunk: (hash) => this.#context.revisionStore.chunk(hash),
+      door: {
+        connectionsMax: callerGuard.limits.peers,
+        load: callerGuard.load,
+        onClosed: () => callerGuard.record(Shed.Peer),
+      },
     });
     this.#statusWriter = EntryStatusWriter.create(this.#context);
     this.#eventLoopMonitor = EventLoopMonitor.create({
@@ -117,6 +126,12 @@
       now: () => performance.now(),
     });
     this.#callerConnections.setIdleLimit(IDLE_LIMIT_MS);
+    callerGuard.load.watch(this.#server);
+    limitConnections(this.#server, {
+      max: callerGuard.limits.callers,
+      isServing: (socket) => this.#callerConnections.isServing(socket),
+      onClosed: () => callerGuard.record(Shed.Connection),
+    });
   }
 
   /** Creates an entry; `start` makes it listen. */
@@ -187,6 +202,7 @@
     this.#isClosed = true;
     this.#eventLoopMonitor.close();
     this.#context.pauseDetector.close();
+    this.#context.callerGuard.close();
     this.#context.serverPool.close();
     this.#peers.close();
     this.#statusWriter.close();
@@ -262,6 +278,7 @@
       serverPool.setDeployment(deployment);
       this.#statusWriter.scheduleWrite();
     });
+    const machine = machineSize(this.#settings.machine);
     const settings = () => this.#settings;
     return {
       get settings() {
@@ -274,7 +291,15 @@
       serverPool,
       dispatcher,
       actionStore: ActionStore.create({ platform: this.#platform, log, now }),
-      responseBuffers: ResponseBuffers.create(memoryShareLimits()),
+      callerGuard: CallerGuard.create({
+        machine: { ...machine, bodyMaxBytes: this.#settings.bodyMaxBytes },
+        registry: metrics.registry,
+        log,
+        now,
+      }),
+      responseBuffers: ResponseBuffers.create(
+        memoryShareLimits(machine.memoryBytes),
+      ),
       suspicions: CrashSuspicions.create({
         now,
         onRecord: () => {
--- a/src/process/entry_context.ts
+++ b/src/process/entry_context.ts
@@ -10,6 +10,7 @@
 import type { EntryPosition, ServerPool } from "./server_pool.ts";
 import type { ActionStore } from "./action_store.ts";
 import type { Log } from "./log.ts";
+import type { CallerGuard } from "./caller_guard.ts";
 import type { Metrics } from "./metrics.ts";
 import type { PauseDetector } from "./pause_detector.ts";
 import type { EntrySettings } from "./settings.ts";
@@ -28,6 +29,8 @@
   readonly suspicions: CrashSuspicions;
   readonly actionStore: ActionStore;
   readonly pauseDetector: PauseDetector;
+  /** Limits what callers hold. */
+  readonly callerGuard: CallerGuard;
   /** Buffers of the responses of plain services. */
   readonly responseBuffers: ResponseBuffers;
   /** Monotonic clock, in ms. */
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -8,6 +8,7 @@
   FieldValues,
   parseFields,
 } from "../version/fields.ts";
+import type { MachineSettings } from "./machine_size.ts";
 import type { Finding } from "../version/finding.ts";
 import {
   parseIniDocument,
@@ -57,6 +58,7 @@
   readonly platformAddress: string;
   readonly platformTimeoutMs: number;
   readonly bodyMaxBytes: number;
+  readonly machine: MachineSettings;
   /** Maximum number of queued requests per service and rank. */
   readonly queueMaxLength: number;
   /** Time without data before the first token until an attempt fails, in ms. */
@@ -90,6 +92,7 @@
   readonly retainedRevisions: number;
   /** Time since the last write at which unused chunks are removed, in ms. */
   readonly chunkRetentionMs: number;
+  readonly machine: MachineSettings;
   readonly logLevel: string;
 }
 
@@ -168,6 +171,12 @@
   },
 ];
 
+/** Size of the machine; 0 stands for what the system states. */
+const MACHINE_FIELDS: readonly Field[] = [
+  integer("memory_mb", "0", { min: 0, max: 1_048_576 }),
+  integer("descriptors", "0", { min: 0, max: 1_048_576 }),
+];
+
 /** Sections and keys of an entry's settings file. */
 export const ENTRY_FIELDS: Readonly<Record<string, readonly Field[]>> = {
   entry: [
@@ -188,6 +197,7 @@
     integer("first_token_limit_ms", "10000", { min: 100, max: HOUR_MS }),
     integer("token_stall_ms", "1500", { min: 100, max: HOUR_MS }),
     integer("resume_limit_ms", "10000", { min: 100, max: HOUR_MS }),
+    ...MACHINE_FIELDS,
   ],
   stop: [
     integer("notice_ms", "3000", { min: 0, max: HOUR_MS }),
@@ -209,6 +219,7 @@
   ],
   listen: LISTEN_FIELDS,
   platform: PLATFORM_FIELDS,
+  limits: MACHINE_FIELDS,
   log: LOG_FIELDS,
 };
 
@@ -229,6 +240,7 @@
     platformAddress: values.platform.text("address"),
     platformTimeoutMs: values.platform.integer("timeout_ms"),
     bodyMaxBytes: values.limits.integer("body_bytes"),
+    machine: machineSettings(values.limits),
     queueMaxLength: values.limits.integer("queue_length"),
     firstTokenStallTimeoutMs: values.limits.integer("first_token_stall_ms"),
     firstTokenTimeoutMs: values.limits.integer("first_token_limit_ms"),
@@ -263,10 +275,18 @@
     actionRetentionMs: values.steward.integer("action_keep_ms"),
     retainedRevisions: values.steward.integer("revisions_kept"),
     chunkRetentionMs: values.steward.integer("chunk_keep_ms"),
+    machine: machineSettings(values.limits),
     logLevel: values.log.text("level"),
   };
 }
 
+function machineSettings(limits: FieldValues): MachineSettings {
+  return {
+    memoryMb: limits.integer("memory_mb"),
+    descriptors: limits.integer("descriptors"),
+  };
+}
+
 /** Settings that a running entry does not take over. */
 export const FIXED_ENTRY_SETTINGS: readonly (keyof EntrySettings)[] = [
   "id",
@@ -276,6 +296,7 @@
   "peerPort",
   "cursorKey",
   "platformTimeoutMs",
+  "machine",
   "logLevel",
 ];
 
@@ -292,6 +313,7 @@
   "port",
   "platformTimeoutMs",
   "leaseMs",
+  "machine",
   "logLevel",
 ];
 
--- a/src/request/call_service_test.ts
+++ b/src/request/call_service_test.ts
@@ -40,6 +40,7 @@
       rejection: () => undefined,
       whileAccepted: (_: RequestTimes, work: Promise<unknown>) => work,
     },
+    callerGuard: { load: { request: () => undefined } },
     pauseDetector: { ready: () => Promise.resolve() },
     revisionStore: {
       deployment: {
--- a/src/request/entry_admission.ts
+++ b/src/request/entry_admission.ts
@@ -4,7 +4,7 @@
  * before the deadline; any other, never.
  */
 
-import { readBody } from "../connection/http_server.ts";
+import { createHeldRefusal, readBody } from "../connection/http_server.ts";
 import { RequestError, RequestErrorType } from "../errors.ts";
 import type { DispatchRequest, Reservation } from "../process/dispatcher.ts";
 import type { EntryContext } from "../process/entry_context.ts";
@@ -48,14 +48,16 @@
  * idempotency key, when the entry shuts down first.
  */
 export async function receiveBody(
-  { settings, shutdownAdmission, now }: EntryContext,
+  { settings, shutdownAdmission, callerGuard, now }: EntryContext,
   { request }: Exchange,
 ): Promise<ReceivedBody> {
+  const held = callerGuard.load.request(request);
   try {
     const body = await shutdownAdmission.whileAccepted(
       INCOMPLETE,
-      readBody(request, settings.bodyMaxBytes),
+      readBody(request, settings.bodyMaxBytes, held),
     );
+    if (held?.markSent() === false) throw createHeldRefusal();
     return { body, receivedMs: now() };
   } catch (error) {
     const hasKey = request.headers[IDEMPOTENCY_KEY_HEADER] !== undefined;
