deploy: a young generation of 2 MB

Cause: short-lived objects of a crowd's heads let V8's young generation grow to its 16 MB semi-spaces, beside a heap of 96 MB on machines of 178.

--- a/tests/crowd/crowd_entry.ts
+++ b/tests/crowd/crowd_entry.ts
@@ -26,8 +26,8 @@
 const PROGRAM = fileURLToPath(
   new URL("../../dist/platform/main.js", import.meta.url),
 );
-/** The heap with which the deploy file starts an entry, in MB. */
-const HEAP_MB = 96;
+/** The flags with which the deploy file starts an entry. */
+const NODE_FLAGS = ["--max-old-space-size=96", "--max-semi-space-size=2"];
 /** As in the deploy file. */
 const METRICS_PORT = 9_464;
 /** Size of the response to a path that ends with `/large`. */
@@ -182,7 +182,7 @@
     );
     this.#process = spawn(
       process.execPath,
-      [`--max-old-space-size=${HEAP_MB}`, PROGRAM],
+      [...NODE_FLAGS, PROGRAM],
       {
         env: { ...process.env, GYPSUMRIDGE_CONFIG: path },
         stdio: ["ignore", "ignore", "inherit"],
