server_addresses: registrations under a service that isn't configured replace no server

Cause: ejectOlder ejected all servers at the address of a newly listed one, for good, by start time alone; the writer states address and start time. Only a removal or a 421 brought them back, and no request is ever sent to a service without a route. Change: a server replaces others only if its service is configured, which is looked at again with each configuration; for 5 s at most, since the registration of an ended server lapses sooner and one that lives answers for itself; and once by each name and address, however often its registration is rewritten. A server of another configured service that reuses an address still replaces the former. The test 'a server is used again once a later registration at its address is gone' listed a server of a service that wasn't configured, and so asserted the fault. The service is configured there now; its assertions are the same.

--- a/src/process/registered_servers.ts
+++ b/src/process/registered_servers.ts
@@ -54,6 +54,8 @@
    * services.
    */
   readonly kvCacheTokensOf: (service: string) => number;
+  /** Whether the configuration names a service; all are known if absent. */
+  readonly isKnownService?: (service: string) => boolean;
   /** Whether a server's version may get requests; any may if absent. */
   readonly isInService?: ((server: RegisteredServer) => boolean) | undefined;
   /** Called when a server may have capacity again. */
@@ -91,7 +93,11 @@
     const onCapacityAvailable = () => this.#reportCapacity();
     const views = this.#views;
     this.#options = options;
-    this.#addresses = ServerAddresses.create({ views, onCapacityAvailable });
+    this.#addresses = ServerAddresses.create({
+      views,
+      isKnownService: options.isKnownService ?? (() => true),
+      onCapacityAvailable,
+    });
     this.#zoneFailures = ZoneFailureDetector.create(now);
     this.#holdOffs = ServerHoldOffs.create(now);
     this.#holdOffTimers = HoldOffTimers.create({
@@ -238,14 +244,13 @@
     this.#reportFewerServers();
   }
 
-  /**
-   * Updates the KV cache capacity of all servers after a configuration change.
-   */
-  refreshMemoryLimits(): void {
+  /** Updates what follows from the services after a configuration change. */
+  refreshServices(): void {
     const { kvCacheTokensOf } = this.#options;
     this.#views.updateAll(({ server }) => ({
       kvCacheTokens: kvCacheTokensOf(server.service),
     }));
+    this.#addresses.refreshServices();
   }
 
   /** Returns the server for a request, if one has capacity now. */
--- a/src/process/registered_servers_test.ts
+++ b/src/process/registered_servers_test.ts
@@ -1,12 +1,21 @@
 /** Which of the servers that are registered at one address are used. */
 
-import { expect, test } from "vitest";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { Fencing, ObjectKind } from "../version/types.ts";
 import type { RegisteredServer } from "./registered_server.ts";
-import { RegisteredServers } from "./registered_servers.ts";
+import {
+  RegisteredServers,
+  type RegisteredServersOptions,
+} from "./registered_servers.ts";
+import { REPLACED_MS } from "./server_addresses.ts";
 import { ServerFailure } from "./server_ejection.ts";
 
-function createServers(): RegisteredServers {
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+function createServers(
+  changes: Partial<RegisteredServersOptions> = {},
+): RegisteredServers {
   return RegisteredServers.create({
     now: () => 1_000,
     random: () => 0,
@@ -15,6 +24,7 @@
     onCapacityAvailable: () => undefined,
     onHoldOff: () => undefined,
     onFewerServers: () => undefined,
+    ...changes,
   });
 }
 
@@ -73,3 +83,53 @@
   servers.eject("first", ServerFailure.Broken);
   expect(usableNames(servers)).toEqual([]);
 });
+
+test("a copy of a registration under a service that isn't configured takes no server away", () => {
+  const services = new Set(["s"]);
+  const servers = createServers({
+    isKnownService: (service) => services.has(service),
+  });
+  const listCopy = (startedMs: number) =>
+    servers.set(createServer("copy", startedMs, { service: "inventory" }));
+  servers.set(createServer("runner", 1));
+  listCopy(1);
+  listCopy(9e15);
+  expect(usableNames(servers)).toContain("runner");
+  services.add("inventory");
+  servers.refreshServices();
+  expect(usableNames(servers)).toContain("runner");
+  listCopy(9e15 + 1);
+  expect(usableNames(servers)).toEqual(["copy"]);
+  services.delete("inventory");
+  servers.refreshServices();
+  expect(usableNames(servers)).toContain("runner");
+});
+
+test("servers that were listed before the configuration are used once it names no service of the later ones", () => {
+  let isConfigured = false;
+  const servers = createServers({
+    isKnownService: (service) => !isConfigured || service === "s",
+  });
+  servers.set(createServer("runner", 1));
+  servers.set(createServer("copy", 1, { service: "inventory" }));
+  isConfigured = true;
+  servers.refreshServices();
+  expect(usableNames(servers)).toContain("runner");
+});
+
+test("a registration that is rewritten all the time takes a server away for seconds at most", () => {
+  const servers = createServers();
+  servers.set(createServer("runner", 1));
+  for (let startedMs = 2; startedMs < 100; startedMs++) {
+    servers.set(createServer("copy", startedMs, { service: "other" }));
+    vi.advanceTimersByTime(REPLACED_MS / 10);
+  }
+  expect(usableNames(servers)).toEqual(["runner", "copy"]);
+});
+
+test("a server of another service that reuses an address replaces the former one", () => {
+  const servers = createServers();
+  servers.set(createServer("former", 1));
+  servers.set(createServer("present", 2, { service: "other" }));
+  expect(usableNames(servers)).toEqual(["present"]);
+});
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -167,6 +167,7 @@
       log,
       isInService: (server) => rollouts.isInService(server),
       kvCacheTokensOf: (service) => this.#kvCacheTokensOf(service),
+      isKnownService: (service) => this.#routes?.hasService(service) ?? true,
       onCapacityAvailable: () => dispatcher.pump(),
       onDraining: (source) => metrics.drainingServers.inc({ source }),
       onHoldOff: () => this.context.metrics.holdOffs.inc(),
@@ -299,7 +300,7 @@
     if (table.version <= this.configurationVersion) return false;
     this.#routes = table;
     this.#resolveConfigured();
-    this.servers.refreshMemoryLimits();
+    this.servers.refreshServices();
     this.context.metrics.configurationVersion.set(table.version);
     this.#options.log(LOG_EVENTS.revisionAdopted, {
       revision: table.version,
--- a/src/version/route_table.ts
+++ b/src/version/route_table.ts
@@ -81,6 +81,8 @@
   /** Routes of a host, the longest path prefix first. */
   readonly #routes = new Map<string, RoutePolicy[]>();
   readonly #services = new Map<string, RoutedService>();
+  /** Names of the services, and of those that only a route names. */
+  readonly #serviceNames = new Set<string>();
   readonly #customers = new Map<string, KeyedCustomer>();
 
   private constructor(parts: RouteTableParts) {
@@ -90,6 +92,7 @@
     for (const route of parts.routes) this.#addRoute(route);
     for (const service of parts.services) {
       this.#services.set(service.name, service);
+      this.#serviceNames.add(service.name);
     }
     for (const customer of parts.customers ?? []) {
       for (const key of customer.keySha256) this.#customers.set(key, customer);
@@ -115,6 +118,11 @@
     return this.#services.get(name);
   }
 
+  /** Whether the configuration names a service. */
+  hasService(name: string): boolean {
+    return this.#serviceNames.has(name);
+  }
+
   /** Returns the customer with this bearer key. */
   customerByKey(bearerKey: string): KeyedCustomer | undefined {
     return this.#customers.get(hashText(bearerKey));
@@ -125,6 +133,7 @@
     const routes = this.#routes.get(host) ?? [];
     routes.push(route);
     this.#routes.set(host, routes);
+    for (const { service } of route.targets) this.#serviceNames.add(service);
   }
 }
 
--- a/tests/odd_registration_test.ts
+++ b/tests/odd_registration_test.ts
@@ -25,7 +25,10 @@
     priority: 1,
     maxAttempts: 2,
   })),
-  services: [{ name: "engines", healthPath: "/healthz" }],
+  services: ["engines", "other"].map((name) => ({
+    name,
+    healthPath: "/healthz",
+  })),
   limits: LIMITS,
 };
 
@@ -263,6 +266,23 @@
     .toBe("200 i-1");
 });
 
+test("copies of registrations under a service that isn't configured leave all servers in use", async () => {
+  await addServer("i-2");
+  await expect.poll(() => callRepeatedlyFor(200), { timeout: 5_000 })
+    .toEqual(new Set(["200 i-1", "200 i-2"]));
+  for (const name of ["i-1", "i-2"]) {
+    const { spec } = await platform.store.read("servers", name) ?? {};
+    for (const changes of [{}, { born: 9e15 }, { version: "9" }]) {
+      await platform.store.create("servers", {
+        name: `${name}-copy-${Object.keys(changes)}`,
+        spec: { ...spec as object, ...changes, service: "inventory" },
+      });
+    }
+  }
+  expect(await callRepeatedlyFor(600))
+    .toEqual(new Set(["200 i-1", "200 i-2"]));
+});
+
 test("a list that could not be read at all is followed once it can be read", async () => {
   await callRepeatedlyFor(800);
   await injectRegistration('{"metadata":{"name":"i-invalid"},"spec":[');
