crash_explanation: the repeats of a caller's request count with the request

Cause: crashes within 300 ms count once, but for those of one request id, which runs on one server at a time. A caller's repeat has another id, so the three crashes of a round counted as two, and three suffice. The two tests that expect a refusal failed before. Change: each run on a crashed server is reported with how long it had run, so that crashes of equal requests count one by one if each run began after the former crash. What a common failure ends at once began before it and counts once as before; in a zone that fails only one id's crashes count, as callers repeat what the zone has ended.

--- a/bench/emulator/crash_simulation.ts
+++ b/bench/emulator/crash_simulation.ts
@@ -326,6 +326,7 @@
         zone: `zone-${at % ZONES}`,
         atMs: this.#nowMs,
         stage: this.#stageOf(run),
+        ranMs: Math.max(0, this.#nowMs - run.startMs),
       });
       const attempt = run.attempt + 1;
       if (attempt > ATTEMPTS_MAX) continue;
--- a/src/gossip/parse_peer_message.ts
+++ b/src/gossip/parse_peer_message.ts
@@ -81,6 +81,7 @@
       ageMs: isAge,
       stage: isStage,
       request: isCause,
+      ranMs: isOptional(isAge),
     }),
     BLOCK_CRASHES_MAX,
   ),
@@ -92,7 +93,12 @@
       zone: isCause,
       ageMs: isAge,
       runs: isListOf(
-        hasFields({ request: isCause, stage: isStage, causes: isCauses }),
+        hasFields({
+          request: isCause,
+          stage: isStage,
+          causes: isCauses,
+          ranMs: isOptional(isAge),
+        }),
         CRASH_RUNS_MAX,
       ),
     }),
--- a/src/process/crash_account.ts
+++ b/src/process/crash_account.ts
@@ -36,6 +36,8 @@
   /** When the crash was seen, on the monotonic clock in ms. */
   readonly atMs: number;
   readonly stage: RunStage;
+  /** How long the request had run by then, in ms; absent if unknown. */
+  readonly ranMs?: number;
 }
 
 /** A block with what it was decided on, for the log. */
@@ -132,9 +134,9 @@
 
   /** Records the crash of a server that ran a request. */
   recordCrash(causes: RequestCauses, crash: RequestCrash): void {
-    const { stage, ...server } = crash;
+    const { stage, ranMs, ...server } = crash;
     this.recordEnd(causes.id);
-    this.#addCrash({ ...server, runs: [createRun(causes, stage)] });
+    this.#addCrash({ ...server, runs: [createRun(causes, stage, ranMs)] });
   }
 
   /** Records that a request was answered well by a run that began at `begunMs`. */
--- a/src/process/crash_account_test.ts
+++ b/src/process/crash_account_test.ts
@@ -292,6 +292,94 @@
   expect(account.blockedUntilMs(request)).toBeDefined();
 });
 
+/** Gives each account the digests of the others. */
+function exchangeDigests(accounts: readonly CrashAccount[]): void {
+  const digests = accounts.map((account) => account.digest());
+  for (const [at, account] of accounts.entries()) {
+    for (const [from, digest] of digests.entries()) {
+      if (from !== at && digest !== undefined) account.merge(digest);
+    }
+  }
+}
+
+/** A crash of a call's server, at an entry, with how long the call had run. */
+interface CallCrash {
+  readonly id: string;
+  readonly entry: number;
+  readonly atMs: number;
+  readonly ranMs: number;
+  readonly zone: string;
+}
+
+/**
+ * Returns whether each of three entries refuses the call after its crashes, and
+ * one that starts then and takes in the blocks.
+ */
+function refusalsAfter(crashes: readonly CallCrash[]): readonly boolean[] {
+  const clock = { ms: 0 };
+  const accounts = ["entry-1", "entry-2", "entry-3"].map((entry) =>
+    createAccount(clock, entry)
+  );
+  const request = "request read" as CrashCause;
+  for (const { id, entry, ...crash } of crashes) {
+    clock.ms = crash.atMs;
+    const causes = { id: id as RequestId, request, parts: [] };
+    const server = `server at ${crash.zone} ${crash.atMs}`;
+    accounts[entry]?.recordCrash(causes, {
+      ...crash,
+      server,
+      stage: RunStage.Calling,
+    });
+    exchangeDigests(accounts);
+  }
+  clock.ms += 500;
+  const started = createAccount(clock, "entry-4");
+  for (const block of accounts[0]?.blocks() ?? []) {
+    started.adopt(structuredClone(block));
+  }
+  return [...accounts, started].map((account) =>
+    account.blockedUntilMs({ id: "later" as RequestId, request, parts: [] }) !==
+      undefined
+  );
+}
+
+test("a call that its caller repeats at another entry within milliseconds is refused everywhere after three crashes", () => {
+  const refusals = refusalsAfter([
+    { id: "1", entry: 0, atMs: 10, ranMs: 4, zone: "a" },
+    { id: "1", entry: 0, atMs: 20, ranMs: 4, zone: "b" },
+    { id: "2", entry: 1, atMs: 30, ranMs: 4, zone: "c" },
+  ]);
+  expect(refusals).toEqual([true, true, true, true]);
+});
+
+test("a call that each attempt of its caller repeats once is refused after three crashes", () => {
+  const refusals = refusalsAfter([
+    { id: "1", entry: 0, atMs: 10, ranMs: 4, zone: "a" },
+    { id: "2", entry: 1, atMs: 20, ranMs: 4, zone: "b" },
+    { id: "3", entry: 2, atMs: 30, ranMs: 4, zone: "c" },
+  ]);
+  expect(refusals).toEqual([true, true, true, true]);
+});
+
+test("equal calls that a common failure of servers ends at once are not refused", () => {
+  const refusals = refusalsAfter([
+    { id: "1", entry: 0, atMs: 100, ranMs: 20, zone: "a" },
+    { id: "2", entry: 1, atMs: 101, ranMs: 40, zone: "b" },
+    { id: "3", entry: 2, atMs: 104, ranMs: 30, zone: "c" },
+    { id: "4", entry: 2, atMs: 104, ranMs: 30, zone: "d" },
+  ]);
+  expect(refusals).toEqual([false, false, false, false]);
+});
+
+test("equal calls that callers repeat while a zone fails are not refused", () => {
+  const refusals = refusalsAfter([
+    { id: "1", entry: 0, atMs: 100, ranMs: 20, zone: "a" },
+    { id: "2", entry: 1, atMs: 130, ranMs: 10, zone: "a" },
+    { id: "3", entry: 2, atMs: 160, ranMs: 10, zone: "a" },
+  ]);
+  expect(refusals).toEqual([false, false, false, false]);
+});
+
 test("of all entries one lets one request through for one attempt, 10 s after the last crash", () => {
   const clock = { ms: 0 };
   const accounts = ["entry-1", "entry-2", "entry-3"].map((entry) =>
--- a/src/process/crash_block.ts
+++ b/src/process/crash_block.ts
@@ -6,6 +6,7 @@
 import { hashParts } from "../hashing.ts";
 import type { CrashCause } from "../ids.ts";
 import {
+  type CrashedRun,
   RunStage,
   type ServerCrash,
   stageOf,
@@ -24,6 +25,8 @@
   readonly stage: RunStage;
   /** Stands for the id of the request that ran. */
   readonly request: string;
+  /** How long it had run, in ms; absent if unknown. */
+  readonly ranMs?: number;
 }
 
 /** Requests with all of the causes are refused. */
@@ -72,13 +75,17 @@
     causes,
     score,
     rate,
-    crashes: crashes.slice(-BLOCK_CRASHES_MAX).map((crash) => ({
-      server: crash.server,
-      zone: crash.zone,
-      atMs: crash.atMs,
-      stage: stageOf(crash),
-      request: mostFrequent(requestsOf(crash, causes), requests),
-    })),
+    crashes: crashes.slice(-BLOCK_CRASHES_MAX).map((crash) => {
+      const run = mostFrequent(holdersOf(crash, causes), requests);
+      return {
+        server: crash.server,
+        zone: crash.zone,
+        atMs: crash.atMs,
+        stage: stageOf(crash),
+        request: run?.request ?? "",
+        ...run?.ranMs !== undefined && { ranMs: run.ranMs },
+      };
+    }),
     sinceMs,
     trialMs: lastMs + blockMs(failedTrials) * TRIAL_RATIO,
     untilMs: lastMs + blockMs(failedTrials),
@@ -89,11 +96,11 @@
 export function crashesOf(
   { causes, crashes }: Pick<CrashBlock, "causes" | "crashes">,
 ): readonly ServerCrash[] {
-  return crashes.map(({ server, zone, atMs, stage, request }) => ({
+  return crashes.map(({ server, zone, atMs, ...run }) => ({
     server,
     zone,
     atMs,
-    runs: [{ request, stage, causes }],
+    runs: [{ ...run, causes }],
   }));
 }
 
@@ -110,29 +117,29 @@
   { causes, crashes }: Explanation,
 ): ReadonlyMap<string, number> {
   const counts = new Map<string, number>();
-  for (const request of crashes.flatMap((crash) => requestsOf(crash, causes))) {
+  const runs = crashes.flatMap((crash) => holdersOf(crash, causes));
+  for (const { request } of runs) {
     counts.set(request, (counts.get(request) ?? 0) + 1);
   }
   return counts;
 }
 
-/** Returns the requests with the causes, or else with any, that are suspects. */
-function requestsOf(
+/** Returns the suspected runs with the causes, or else all of them. */
+function holdersOf(
   crash: ServerCrash,
   causes: readonly CrashCause[],
-): readonly string[] {
+): readonly CrashedRun[] {
   const suspects = suspectsOf(crash);
   const holders = suspects.filter((run) =>
     causes.every((cause) => run.causes.includes(cause))
   );
-  return (holders.length > 0 ? holders : suspects)
-    .map(({ request }) => request);
+  return holders.length > 0 ? holders : suspects;
 }
 
 function mostFrequent(
-  names: readonly string[],
+  runs: readonly CrashedRun[],
   counts: ReadonlyMap<string, number>,
-): string {
-  const count = (name: string) => counts.get(name) ?? 0;
-  return names.toSorted((a, b) => count(b) - count(a))[0] ?? "";
+): CrashedRun | undefined {
+  const count = ({ request }: CrashedRun) => counts.get(request) ?? 0;
+  return runs.toSorted((a, b) => count(b) - count(a))[0];
 }
--- a/src/process/crash_evidence.ts
+++ b/src/process/crash_evidence.ts
@@ -35,6 +35,11 @@
   readonly request: string;
   readonly stage: RunStage;
   readonly causes: readonly CrashCause[];
+  /**
+   * How long it had run when the crash was seen, in ms; absent in reports of
+   * earlier versions.
+   */
+  readonly ranMs?: number;
 }
 
 /** The crash of one server. */
@@ -80,16 +85,18 @@
 /** Cached suspects; an explanation asks for those of each crash many times. */
 const SUSPECTS = new WeakMap<ServerCrash, readonly CrashedRun[]>();
 
-/** Returns the run of a request that ended at `stage`. */
+/** Returns the run of a request that ended at `stage`, after `ranMs` if known. */
 export function createRun(
   { id, request, parts }: RequestCauses,
   stage: RunStage,
+  ranMs?: number,
 ): CrashedRun {
   const causes = stage === RunStage.Proven ? [request] : [request, ...parts];
   return {
     request: hashParts([id]).slice(0, REQUEST_CHARACTERS),
     stage,
     causes: causes.slice(0, RUN_CAUSES_MAX),
+    ...ranMs !== undefined && { ranMs: Math.floor(ranMs) },
   };
 }
 
--- a/src/process/crash_explanation.ts
+++ b/src/process/crash_explanation.ts
@@ -6,6 +6,7 @@
 import type { CrashCause } from "../ids.ts";
 import {
   countsFromMs,
+  type CrashedRun,
   isRequest,
   RunStage,
   type ServerCrash,
@@ -48,6 +49,8 @@
 const SIMULTANEOUS_MS = 50;
 /** Servers of a zone that crash within `SETTLE_MS` if the zone itself fails. */
 const ZONE_FAILURES_MIN = 3;
+/** Time by which another entry's crash may seem to be later than it was, in ms. */
+const REPORT_DELAY_MS = 10;
 /** Weight of crashes that the cause is unlikely to explain. */
 const WEAK_WEIGHT = 0.5;
 
@@ -217,8 +220,8 @@
 
 /**
  * Returns the weight of crashes. Those at about the same time count once, since
- * a failure that servers have in common crashes them at once; but one request
- * runs on one server at a time, so its crashes all count.
+ * a failure that servers have in common crashes them at once; but the crashes
+ * of runs of one request that follow each other all count.
  */
 function scoreOf(
   crashes: readonly ServerCrash[],
@@ -247,18 +250,58 @@
   causes: readonly CrashCause[],
 ): number {
   if (group.length === 0) return 0;
-  const counts = new Map<string, number>();
+  const inSequence = longestSequence(group, causes);
+  if (inSequence > 1) return inSequence;
+  return group.every(isWeak) ? WEAK_WEIGHT : 1;
+}
+
+/** A run that may have crashed its server, and the runs before it. */
+interface SequenceItem extends WeighedCrash {
+  readonly run: CrashedRun;
+  /** Number of crashes up to this one. */
+  readonly length: number;
+}
+
+/** Returns the most crashes that one request can have caused in sequence. */
+function longestSequence(
+  group: readonly WeighedCrash[],
+  causes: readonly CrashCause[],
+): number {
+  const request = causes.find(isRequest);
+  const items: SequenceItem[] = [];
   for (const { crash, isZoneFailure } of group) {
     // A retry may run on another server of the zone before that fails too.
-    if (isZoneFailure && !causes.some(isRequest)) continue;
-    for (const run of suspectsOf(crash)) {
-      if (!causes.some((cause) => run.causes.includes(cause))) continue;
-      counts.set(run.request, (counts.get(run.request) ?? 0) + 1);
-    }
+    if (isZoneFailure && request === undefined) continue;
+    const added = suspectsOf(crash)
+      .filter((run) => causes.some((cause) => run.causes.includes(cause)))
+      .map((run) => {
+        const lengths = items
+          .filter((item) => isSuccessor({ crash, isZoneFailure, run }, item))
+          .map(({ length }) => length);
+        const length = 1 + Math.max(0, ...lengths);
+        return { crash, isZoneFailure, run, length };
+      });
+    items.push(...added);
   }
-  const inSequence = Math.max(0, ...counts.values());
-  if (inSequence > 1) return inSequence;
-  return group.every(isWeak) ? WEAK_WEIGHT : 1;
+  return Math.max(0, ...items.map(({ length }) => length));
+}
+
+/**
+ * Whether a run is of the same request as one that ended with an earlier crash,
+ * and began after it. A request runs on one server at a time; a repeat has
+ * another id, and is equal to others that a failing zone has ended.
+ */
+function isSuccessor(
+  { crash, isZoneFailure, run }: Omit<SequenceItem, "length">,
+  former: SequenceItem,
+): boolean {
+  if (run.request === former.run.request) return true;
+  if (isZoneFailure || former.isZoneFailure || run.ranMs === undefined) {
+    return false;
+  }
+  return run.causes.some((cause) =>
+    isRequest(cause) && former.run.causes.includes(cause)
+  ) && crash.atMs - run.ranMs >= former.crash.atMs - REPORT_DELAY_MS;
 }
 
 function isWeak({ crash, isZoneFailure }: WeighedCrash): boolean {
--- a/src/request/attempt_history.ts
+++ b/src/request/attempt_history.ts
@@ -11,6 +11,8 @@
 /** One attempt; its progress only advances. */
 export interface AttemptRecord {
   readonly server: string;
+  /** When it began, on the monotonic clock in ms. */
+  readonly startedMs: number;
   progress: AttemptProgress;
   /** When the response's head arrived, on the monotonic clock in ms. */
   respondedMs?: number;
@@ -48,10 +50,11 @@
     return new AttemptHistory(request);
   }
 
-  /** Adds an attempt that has not been sent yet. */
-  add(server: string): AttemptRecord {
+  /** Adds an attempt that begins at `startedMs` and has not been sent yet. */
+  add(server: string, startedMs: number): AttemptRecord {
     const record: AttemptRecord = {
       server,
+      startedMs,
       progress: AttemptProgress.NotSent,
       eventCount: 0,
     };
--- a/src/request/attempt_history_test.ts
+++ b/src/request/attempt_history_test.ts
@@ -26,7 +26,7 @@
     createRequest({ maxAttempts: MAX_ATTEMPTS, ...changes }),
   );
   progresses.forEach((progress, index) => {
-    history.add(`server-${index}`).progress = progress;
+    history.add(`server-${index}`, 0).progress = progress;
   });
   return history;
 }
@@ -79,7 +79,7 @@
         const history = createHistory(changes, []);
         for (const next of progresses) {
           if (history.count > 0 && !history.canRetry) break;
-          history.add("server").progress = next;
+          history.add("server", 0).progress = next;
         }
         expect(history.mayHaveRunCount).toBeLessThanOrEqual(MAX_ATTEMPTS);
         expect(history.count).toBeLessThanOrEqual(
@@ -115,7 +115,7 @@
     maxAttempts: MAX_ATTEMPTS,
   }));
   const addCrashed = () => {
-    const record = history.add("server");
+    const record = history.add("server", 0);
     record.progress = AttemptProgress.Sent;
     record.hasCrashed = true;
     return record;
--- a/src/request/crash_guard.ts
+++ b/src/request/crash_guard.ts
@@ -121,7 +121,8 @@
     stage,
   });
   const zone = server.zone.slice(0, PART_MAX_CHARACTERS);
-  crashAccount.recordCrash(causes, { server: name, zone, atMs, stage });
+  const ranMs = Math.max(0, atMs - record.startedMs);
+  crashAccount.recordCrash(causes, { server: name, zone, atMs, stage, ranMs });
 }
 
 function crashRejection(
--- a/src/request/relay_call.ts
+++ b/src/request/relay_call.ts
@@ -246,10 +246,10 @@
     const { caller, open } = this.#exchange;
     const server = reservation.server as RegisteredServer;
     const request = this.#request;
-    const record = this.#attempts.add(server.name);
+    const sentMs = this.#context.now();
+    const record = this.#attempts.add(server.name, sentMs);
     this.#triedServers.add(server.name);
     logAttempt(this.#context, { request, server, details: {} });
-    const sentMs = this.#context.now();
     this.#crashGuard.recordAttempt();
     const abortController = new AbortController();
     const stopResponseTimer = this.#startResponseTimer(server, abortController);
--- a/src/request/relay_stream.ts
+++ b/src/request/relay_stream.ts
@@ -255,7 +255,7 @@
       context: this.#context,
       request: this.#request,
       slot,
-      record: this.#attempts.add(slot.server.name),
+      record: this.#attempts.add(slot.server.name, this.#context.now()),
       excluded: this.#failedServers.names,
       canRetry: () => this.#canRetry && this.#rejection() === undefined,
       acquireReplacement: (criteria) =>
