crash_account: find a part that crashes servers at any place of a prompt

Each request with it crashed several servers, one after the other, and sound requests lost their streams with them. Cause: a run on a crashed server was kept with the request and the first 15 parts in the order of the prompt, so later ones were no possible cause. The two new tests of crashing_part_test failed before, behind 17 parts and behind 600. Change: the parts that are kept are chosen by what is known of them: those that crashed runs of other requests had too, then those whose last sound run is the longest ago, and at random among equals; of those that ran well within 5 s four at most. If others are left out that did not, peers get all parts as a Bloom filter of 512 bytes. 16,000 sound runs are remembered in place of 2,000. Three sets of parts and more that explain a few crashes each and have a part in common count as explained by it, as long prompts have parts in common by chance.

--- a/bench/emulator/crash_simulation.ts
+++ b/bench/emulator/crash_simulation.ts
@@ -26,6 +26,8 @@
 export const DIGEST_MS = 150;
 /** End of a simulation, in ms. */
 export const SIMULATION_MS = 30_000;
+/** Time for which an entry is cut off, in ms. */
+const CUT_MS = 2_000;
 const CRASHES_MIN = 5;
 const PREFILL_MS = 600;
 const CRASH_MS = 60;
@@ -53,6 +55,10 @@
   readonly harmlessGapMs: number;
   /** Whether each request with the deadly part has the shared one as well. */
   readonly isAlwaysShared: boolean;
+  /** Further parts of each request, before the deadly one; none if absent. */
+  readonly otherParts?: number;
+  /** Number of parts that these are drawn from. */
+  readonly partsInUse?: number;
   /** Start of the harmless requests with the shared part, in ms. */
   readonly sharedFromMs: number;
   /** When a third of the servers crashes at once, in ms. */
@@ -149,6 +155,7 @@
     return CrashAccount.create({
       entry: `entry-${at}`,
       now: () => this.#nowMs,
+      random: () => this.#random(),
       onBlocked: () => undefined,
       onCleared: () => undefined,
     });
@@ -201,14 +208,14 @@
     for (const [entry, atMs] of cuts) {
       if (!this.#isNow(atMs)) continue;
       const at = entry % entries;
-      this.#upToDateMs[at] = this.#nowMs + 2_000 + CONTACT_MS;
+      this.#upToDateMs[at] = this.#nowMs + CUT_MS + CONTACT_MS;
     }
   }
 
   #isCut(at: number): boolean {
     return this.#scenario.cuts.some(([entry, atMs]) =>
       entry % this.#scenario.entries === at && atMs <= this.#nowMs &&
-      this.#nowMs < atMs + 2_000
+      this.#nowMs < atMs + CUT_MS
     );
   }
 
@@ -246,6 +253,7 @@
       : this.#nowMs >= sharedFromMs && this.#random() < 0.7;
     const parts = [
       ...(hasShared ? [SHARED_PART] : [`part other ${id}` as CrashCause]),
+      ...this.#drawParts(),
       ...(deadlyPart === undefined ? [] : [deadlyPart]),
     ];
     const causes = {
@@ -257,6 +265,16 @@
     this.#start({ causes, entry, deadlyPart, attempt: 1 });
   }
 
+  #drawParts(): readonly CrashCause[] {
+    const { otherParts = 0, partsInUse = otherParts } = this.#scenario;
+    return Array.from({ length: otherParts }, (_, at) => {
+      const part = partsInUse === otherParts
+        ? at
+        : Math.floor(this.#random() * partsInUse);
+      return `part in use ${part}` as CrashCause;
+    });
+  }
+
   #start(
     request: Pick<Run, "causes" | "entry" | "deadlyPart" | "attempt">,
   ): void {
--- a/src/gossip/parse_peer_message.ts
+++ b/src/gossip/parse_peer_message.ts
@@ -7,6 +7,7 @@
   RUN_CAUSES_MAX,
   RunStage,
 } from "../process/crash_evidence.ts";
+import { FILTER_BYTES } from "../process/parts_filter.ts";
 import { isAddress } from "../connection/address.ts";
 import { BIN_COUNT } from "../rollout/latency_bins.ts";
 import { TALLIES_PER_DIGEST } from "../rollout/tally_exchange.ts";
@@ -66,6 +67,8 @@
 const isCause: Check = (value) =>
   typeof value === "string" && value.length <= CAUSE_MAX_CHARACTERS;
 const isAge: Check = (value) => Number.isFinite(value) && Number(value) >= 0;
+const isFilter: Check = (value) =>
+  value instanceof Uint8Array && value.length === FILTER_BYTES;
 /** Loans make up what one retry lacks. */
 const isRetryCount: Check = (value) => isAge(value) && Number(value) <= 1;
 const isStage: Check = (value) =>
@@ -115,6 +118,12 @@
     }),
     CRASH_ITEMS_MAX,
   ),
+  longHeads: isOptional(
+    isListOf(
+      hasFields({ request: isCause, ageMs: isAge, filter: isFilter }),
+      CRASH_ITEMS_MAX,
+    ),
+  ),
 });
 const isCount: Check = (value) =>
   Number.isSafeInteger(value) && Number(value) >= 0;
--- a/src/gossip/peer_protocol.ts
+++ b/src/gossip/peer_protocol.ts
@@ -10,6 +10,7 @@
 } from "../ids.ts";
 import type { BlockCrash } from "../process/crash_block.ts";
 import type { ServerCrash } from "../process/crash_evidence.ts";
+import type { FilteredParts } from "../process/crashed_parts.ts";
 import type { ServerIncarnation } from "../process/leaving_servers.ts";
 import type {
   RegisteredServer,
@@ -67,6 +68,12 @@
   readonly startAgeMs: number | null;
 }
 
+/** All parts of a prompt that ran on a crashed server; see `FilteredParts`. */
+export interface LongHeadReport extends Omit<FilteredParts, "atMs"> {
+  /** Time since the crash, in ms. */
+  readonly ageMs: number;
+}
+
 /** What an entry has learned of crashes lately, and some of what it refuses. */
 export interface CrashAccountDigest {
   readonly crashes: readonly CrashReport[];
@@ -74,6 +81,8 @@
   /** Causes with the time since a run with them began and crashed nothing. */
   readonly proofs: readonly (readonly [CrashCause, ageMs: number])[];
   readonly trials: readonly CrashTrialReport[];
+  /** Absent without long prompts, and in digests of earlier versions. */
+  readonly longHeads?: readonly LongHeadReport[];
 }
 
 /** One change to the list of servers, for entries that can't read the store. */
--- a/src/process/crash_account.ts
+++ b/src/process/crash_account.ts
@@ -26,6 +26,7 @@
 } from "./crash_evidence.ts";
 import { explainCrashes } from "./crash_explanation.ts";
 import { CrashTrials } from "./crash_trials.ts";
+import { CrashedParts } from "./crashed_parts.ts";
 import { Rotation } from "./rotation.ts";
 
 /** A crash of a server that ran a request. */
@@ -52,6 +53,8 @@
   readonly entry: string;
   /** Monotonic clock, in ms. */
   readonly now: () => number;
+  /** Returns a number in [0, 1); the process's own if absent. */
+  readonly random?: () => number;
   /** Called when requests with a set of causes are refused from now on. */
   readonly onBlocked: (block: DecidedBlock) => void;
   /** Called when a cause is no longer among those refused. */
@@ -60,8 +63,11 @@
 
 /** Crashes kept in memory; the oldest that block nothing are dropped first. */
 const CRASHES_MAX = 128;
-/** Causes whose last sound run is kept in memory. */
-const PROOFS_MAX = 2_000;
+/**
+ * Causes whose last sound run is kept in memory: those of sixteen of the longest
+ * heads.
+ */
+const PROOFS_MAX = 16_000;
 /** Causes whose last crash is kept in memory. */
 const SUSPECTED_MAX = 4_000;
 /** How long crashes are remembered, in ms. */
@@ -74,6 +80,8 @@
 const DIGEST_CRASHES_MAX = 4;
 /** Blocks per digest, in turn, for entries that missed them. */
 const DIGEST_BLOCKS_MAX = 1;
+/** Heads of more parts than a run is kept with, per digest. */
+const DIGEST_LONG_HEADS_MAX = 1;
 /** Sound runs per digest. */
 const DIGEST_PROOFS_MAX = 16;
 /** Difference of times that transmission explains, in ms. */
@@ -91,6 +99,7 @@
   readonly #changedMs = new Map<string, number>();
   /** When each proof last became news to peers, in ms. */
   readonly #provenNewsMs = new Map<CrashCause, number>();
+  readonly #crashedParts: CrashedParts;
   /** Last crash of each suspected cause, in ms. */
   readonly #lastCrashMs = new Map<CrashCause, number>();
   #blocks: readonly DecidedBlock[] = [];
@@ -102,6 +111,12 @@
   private constructor(options: CrashAccountOptions) {
     this.#options = options;
     this.#trials = CrashTrials.create(options);
+    const { random = Math.random } = options;
+    this.#crashedParts = CrashedParts.create({
+      now: options.now,
+      random,
+      provenMs: (part) => this.#proofs.get(part),
+    });
   }
 
   /** Creates an account without crashes. */
@@ -135,8 +150,19 @@
   /** Records the crash of a server that ran a request. */
   recordCrash(causes: RequestCauses, crash: RequestCrash): void {
     const { stage, ranMs, ...server } = crash;
-    this.recordEnd(causes.id);
-    this.#addCrash({ ...server, runs: [createRun(causes, stage, ranMs)] });
+    const { id, request } = causes;
+    this.recordEnd(id);
+    const run = { request, parts: causes.parts, atMs: crash.atMs };
+    const { parts, isComplete } = this.#crashedParts.select(
+      run,
+      RUN_CAUSES_MAX - 1,
+    );
+    if (stage !== RunStage.Proven) {
+      const hasWaited = stage === RunStage.Waiting;
+      this.#crashedParts.record(run, { isNews: !isComplete, hasWaited });
+    }
+    const kept = createRun({ id, request, parts }, stage, ranMs);
+    this.#addCrash({ ...server, runs: [kept] });
   }
 
   /** Records that a request was answered well by a run that began at `begunMs`. */
@@ -164,7 +190,11 @@
   /** Merges what a peer knows. */
   merge(digest: CrashAccountDigest): void {
     const nowMs = this.#options.now();
-    const { crashes, blocks, proofs, trials } = readCrashDigest(digest, nowMs);
+    const { crashes, blocks, proofs, trials, longHeads } = readCrashDigest(
+      digest,
+      nowMs,
+    );
+    for (const head of longHeads) this.#crashedParts.merge(head);
     for (const [cause, begunMs] of proofs) {
       this.#addProof(cause, begunMs - TRANSMISSION_MS);
     }
@@ -208,6 +238,7 @@
       blocks: settled.filter(({ key }) => keys.includes(key)),
       proofs: this.#proofsFor(crashes),
       trials: this.#trials.current(),
+      longHeads: this.#crashedParts.takeNews(DIGEST_LONG_HEADS_MAX),
     }, nowMs);
   }
 
--- a/src/process/crash_account_test.ts
+++ b/src/process/crash_account_test.ts
@@ -82,6 +82,44 @@
   },
 );
 
+test.each([
+  ["of which all requests have the others", { otherParts: 400 }],
+  ["of which many requests have some others", {
+    otherParts: 300,
+    partsInUse: 3_000,
+  }],
+  ["of which hardly any request has the others", {
+    otherParts: 300,
+    partsInUse: 1_000_000,
+  }],
+])(
+  "the last of hundreds of parts, %s, is refused when it crashes servers",
+  (_name, others) => {
+    const longPrompts = fc.record({
+      ...entriesAndFaults,
+      deadlyGapMs: fc.integer({ min: 300, max: 2_000 }),
+      isAlwaysShared: fc.constant(true),
+      deadlyParts: fc.constant(1),
+      crashesBeforeHead: fc.constant(false),
+      eventMs: fc.constant(30),
+      sharedFromMs: fc.constant(0),
+    });
+    fc.assert(
+      fc.property(longPrompts, (scenario) => {
+        const simulation = CrashSimulation.run({ ...scenario, ...others });
+        const { fifthCrashMs, lateArrivals, harmlessRefusalsMs } = simulation;
+        expect(lateArrivals).toBeLessThanOrEqual(LATE_ARRIVALS_MAX);
+        const isLate = (atMs: number) => atMs > fifthCrashMs + 2 * CONTACT_MS;
+        const refused = harmlessRefusalsMs.filter(isLate).length;
+        const served = simulation.harmlessStartsMs.filter(isLate).length;
+        const refusedMax = scenario.restarts.length === 0 ? 0 : served;
+        expect(refused).toBeLessThanOrEqual(refusedMax);
+      }),
+      { numRuns: 10, endOnFailure: true },
+    );
+  },
+);
+
 test("crashes that have no part in common refuse no request", () => {
   fc.assert(
     fc.property(scenarios, (scenario) => {
--- a/src/process/crash_digest.ts
+++ b/src/process/crash_digest.ts
@@ -11,6 +11,7 @@
 import type { CrashBlock } from "./crash_block.ts";
 import type { ServerCrash } from "./crash_evidence.ts";
 import type { CrashTrial } from "./crash_trials.ts";
+import type { FilteredParts } from "./crashed_parts.ts";
 
 /** The parts of a digest; times on this entry's monotonic clock, in ms. */
 export interface CrashNews {
@@ -19,11 +20,13 @@
   /** When a run with each cause began that crashed no server. */
   readonly proofs: readonly (readonly [CrashCause, number])[];
   readonly trials: readonly CrashTrial[];
+  /** The parts of requests of which runs name only some. */
+  readonly longHeads: readonly FilteredParts[];
 }
 
 /** Returns the digest of news. */
 export function createCrashDigest(
-  { crashes, blocks, proofs, trials }: CrashNews,
+  { crashes, blocks, proofs, trials, longHeads }: CrashNews,
   nowMs: number,
 ): CrashAccountDigest {
   const ageOf = (ms: number) => ageAt(nowMs, ms);
@@ -42,12 +45,19 @@
       claimAgeMs: ageOf(claimedMs),
       startAgeMs: startedMs === undefined ? null : ageOf(startedMs),
     })),
+    ...longHeads.length > 0 && {
+      longHeads: longHeads.map(({ request, atMs, filter }) => ({
+        request,
+        ageMs: ageOf(atMs),
+        filter,
+      })),
+    },
   };
 }
 
 /** Returns the news of a peer's digest. */
 export function readCrashDigest(
-  { crashes, blocks, proofs, trials }: CrashAccountDigest,
+  { crashes, blocks, proofs, trials, longHeads = [] }: CrashAccountDigest,
   nowMs: number,
 ): CrashNews {
   return {
@@ -65,6 +75,11 @@
       claimedMs: nowMs - claimAgeMs,
       startedMs: startAgeMs === null ? undefined : nowMs - startAgeMs,
     })),
+    longHeads: longHeads.map(({ request, ageMs, filter }) => ({
+      request,
+      atMs: nowMs - ageMs,
+      filter,
+    })),
   };
 }
 
--- a/src/process/crash_explanation.ts
+++ b/src/process/crash_explanation.ts
@@ -51,6 +51,8 @@
 const ZONE_FAILURES_MIN = 3;
 /** Time by which another entry's crash may seem to be later than it was, in ms. */
 const REPORT_DELAY_MS = 10;
+/** Independent hypotheses that rather share a cause. */
+const SHARING_MIN = 3;
 /** Weight of crashes that the cause is unlikely to explain. */
 const WEAK_WEIGHT = 0.5;
 
@@ -133,9 +135,12 @@
   );
   // Several requests that crash servers rather share the cause.
   const requests = moreSpecific.filter(hasRequest);
-  const explaining = requests.length > 1
-    ? moreSpecific.filter((other) => !requests.includes(other))
-    : moreSpecific;
+  const parts = moreSpecific.filter((other) => !requests.includes(other));
+  const sharing = new Set([
+    ...(requests.length > 1 ? requests : []),
+    ...sharingHypotheses(parts.filter((other) => other.rate === rate)),
+  ]);
+  const explaining = moreSpecific.filter((other) => !sharing.has(other));
   const covered = new Set(explaining.flatMap((other) => other.crashes));
   return {
     isGeneral: explaining.length > 0,
@@ -145,6 +150,22 @@
   };
 }
 
+/**
+ * Returns hypotheses that rather have a cause in common, as they are many: in
+ * long prompts some crashes have further parts in common by chance.
+ */
+function sharingHypotheses(
+  hypotheses: readonly Hypothesis[],
+): readonly Hypothesis[] {
+  const independent = hypotheses.filter(({ causes }) =>
+    !hypotheses.some((other) =>
+      other.causes.length < causes.length &&
+      other.causes.every((cause) => causes.includes(cause))
+    )
+  );
+  return independent.length >= SHARING_MIN ? hypotheses : [];
+}
+
 /** Returns the possible explanations, the most likely first. */
 function createHypotheses(
   { crashes, proofs, nowMs }: CrashEvidence,
--- a/src/process/relay.ts
+++ b/src/process/relay.ts
@@ -511,10 +511,11 @@
   }
 
   #createCrashAccount(metrics: RelayMetrics): CrashAccount {
-    const { entry, log, now } = this.#options;
+    const { entry, log, now, random } = this.#options;
     return CrashAccount.create({
       entry,
       now,
+      random,
       onBlocked: ({ causes, score, rate, crashes, requests, untilMs }) => {
         metrics.crashCausesBlocked.inc();
         log(LOG_EVENTS.crashCauseBlocked, {
--- a/tests/relay/crashing_part_test.ts
+++ b/tests/relay/crashing_part_test.ts
@@ -39,6 +39,7 @@
 async function sendMixed(
   fleet: CrashingFleet,
   injectFault: (step: number) => void = () => undefined,
+  common: readonly string[] = ["shared"],
 ): Promise<{
   readonly deadly: readonly ServedRequest[];
   readonly harmless: readonly ServedRequest[];
@@ -48,10 +49,11 @@
   for (let step = 0; step < REQUESTS; step++) {
     injectFault(step);
     if (step % DEADLY_STEPS === 0) {
-      const parts = ["shared", "deadly", `own ${step}`];
+      const parts = [...common, "deadly", `own ${step}`];
       deadly.push(fleet.send(step % RELAYS, parts));
     }
-    harmless.push(fleet.send((step + 1) % RELAYS, ["shared", `other ${step}`]));
+    const parts = [...common, `other ${step}`];
+    harmless.push(fleet.send((step + 1) % RELAYS, parts));
     await sleep(INTERVAL_MS);
   }
   return {
@@ -89,6 +91,17 @@
   }
 });
 
+test.each([17, 600])(
+  "a part behind %i others that all requests share is refused, and the harmless requests are served",
+  async (count) => {
+    const fleet = createFleet();
+    const common = Array.from({ length: count }, (_, at) => `shared ${at}`);
+    const { harmless } = await sendMixed(fleet, () => undefined, common);
+    expect(lateArrivals(fleet)).toBeLessThanOrEqual(LATE_ARRIVALS_MAX);
+    expect(harmless.filter(({ ending }) => ending !== "whole")).toEqual([]);
+  },
+);
+
 test("crashes of whole zones hide no part that crashes servers", async () => {
   const fleet = createFleet();
   const { harmless } = await sendMixed(fleet, (step) => {
