peers: tell of the last crashes again when a link opens

Callers could have seen: a request that crashes servers crashes more of them at an entry whose links were down when the earlier crashes became known, though all links are up again. Cause: digests carry a crash for one second. A link that goes silent is closed after 1.5 s and dialled again up to 1.2 s later, so all copies can be lost; only what is refused already is repeated. Evidence: 'a peer whose link was down learns of a crash when it opens' failed before: no digest on the new link named the crash. Change: when a link opens, the last four crashes of a minute are news once more, with what refutes them and the parts of the last four long prompts.

--- a/bench/emulator/crash_simulation.ts
+++ b/bench/emulator/crash_simulation.ts
@@ -200,18 +200,24 @@
       );
       if (!isKnownElsewhere) continue;
       this.#entries[at] = this.#createEntry(at);
+      this.#openLinks();
       this.#upToDateMs[at] = Math.max(
         this.#upToDateMs[at] ?? 0,
         this.#nowMs + CONTACT_MS,
       );
     }
     for (const [entry, atMs] of cuts) {
+      if (this.#isNow(atMs + CUT_MS)) this.#openLinks();
       if (!this.#isNow(atMs)) continue;
       const at = entry % entries;
       this.#upToDateMs[at] = this.#nowMs + CUT_MS + CONTACT_MS;
     }
   }
 
+  #openLinks(): void {
+    for (const entry of this.#entries) entry.repeatNews();
+  }
+
   #isCut(at: number): boolean {
     return this.#scenario.cuts.some(([entry, atMs]) =>
       entry % this.#scenario.entries === at && atMs <= this.#nowMs &&
--- a/src/gossip/peers.ts
+++ b/src/gossip/peers.ts
@@ -44,6 +44,8 @@
   readonly log: Log;
   readonly createDigest: () => GossipDigest;
   readonly onDigest: (digest: GossipDigest, link: PeerLink) => void;
+  /** Called when a link to an entry opened. */
+  readonly onPeerLinked?: () => void;
   /** Called when a link to an entry closed. */
   readonly onPeerLost?: (entry: EntryId) => void;
   readonly readChunk: (hash: ContentHash) => string | undefined;
@@ -336,6 +338,7 @@
         },
       });
       this.#inboundLinks.add(link);
+      this.#options.onPeerLinked?.();
     });
   }
 
@@ -422,6 +425,7 @@
         onOpen: () => {
           this.#redials.delete(address);
           this.#options.log(LOG_EVENTS.peerConnected, { peer: name });
+          this.#options.onPeerLinked?.();
         },
         onClose: (_, wasOpen) => {
           this.#outboundLinks.delete(address);
--- a/src/process/crash_account.ts
+++ b/src/process/crash_account.ts
@@ -76,6 +76,8 @@
 const BLOCK_RETENTION_FACTOR = 2;
 /** How long a change is sent to peers in each digest, in ms. */
 const FRESH_MS = 1_000;
+/** Age up to which a crash is sent again to a peer that was cut off, in ms. */
+const REPEATED_MS = 60_000;
 /** Changed crashes per digest; the most telling and latest come first. */
 const DIGEST_CRASHES_MAX = 4;
 /** Blocks per digest, in turn, for entries that missed them. */
@@ -242,6 +244,23 @@
     }, nowMs);
   }
 
+  /**
+   * Has the last crashes sent again, as a link to a peer has opened: while it
+   * was down, the peer may have missed them.
+   */
+  repeatNews(): void {
+    const nowMs = this.#options.now();
+    const latest = [...this.#crashes.values()]
+      .filter(({ atMs }) => nowMs - atMs <= REPEATED_MS)
+      .toSorted((a, b) => b.atMs - a.atMs)
+      .slice(0, DIGEST_CRASHES_MAX);
+    for (const crash of latest) {
+      this.#changedMs.set(crash.server, nowMs);
+      this.#repeatProofs(crash);
+    }
+    this.#crashedParts.repeatNews();
+  }
+
   /** Number of crashes that are remembered. */
   get size(): number {
     return this.#crashes.size;
--- a/src/process/crashed_parts.ts
+++ b/src/process/crashed_parts.ts
@@ -59,6 +59,8 @@
 
 /** Requests whose parts are remembered. */
 const REQUESTS_MAX = 16;
+/** Requests whose parts are sent again to a peer that was cut off. */
+const REPEATED_MAX = 4;
 /** Age up to which a sound run shows that a part is hardly a cause, in ms. */
 const RECENT_MS = 5_000;
 /** Such parts that are kept of a run with many parts. */
@@ -158,6 +160,13 @@
     });
   }
 
+  /** Has peers told again of the parts of the last requests. */
+  repeatNews(): void {
+    const nowMs = this.#options.now();
+    const latest = [...this.#known.keys()].slice(-REPEATED_MAX);
+    for (const request of latest) this.#newsMs.set(request, nowMs);
+  }
+
   /** Returns the parts of at most `count` requests for peers, in turn. */
   takeNews(count: number): readonly FilteredParts[] {
     const nowMs = this.#options.now();
--- a/src/process/store_sync.ts
+++ b/src/process/store_sync.ts
@@ -210,6 +210,7 @@
       digestIntervalMs: DIGEST_INTERVAL_MS,
       createDigest: () => this.#createDigest(),
       onDigest: (digest, link) => this.#mergeDigest(digest, link),
+      onPeerLinked: () => relay.context.crashAccount.repeatNews(),
       onPeerLost: (peer) => {
         this.#configurationSync.forgetPeer(peer);
         relay.removePeer(peer);
--- a/src/process/store_sync_test.ts
+++ b/src/process/store_sync_test.ts
@@ -20,7 +20,14 @@
 } from "../gossip/peer_protocol.ts";
 import { PlatformUnavailable } from "../errors.ts";
 import { hashText } from "../hashing.ts";
-import type { ContentHash, EntryId, ObjectRevision } from "../ids.ts";
+import type {
+  ContentHash,
+  CrashCause,
+  EntryId,
+  ObjectRevision,
+  RequestId,
+} from "../ids.ts";
+import { RunStage } from "./crash_evidence.ts";
 import { StoreSync } from "./store_sync.ts";
 
 const HOST = "127.0.0.1";
@@ -105,6 +112,41 @@
   await storeSync.close();
 });
 
+test("a peer whose link was down learns of a crash when it opens", async () => {
+  const { storeSync, peerPort, relay } = await startStoreSync({});
+  const { crashAccount, now } = relay.context;
+  const causes = {
+    id: "1" as RequestId,
+    request: "request 1" as CrashCause,
+    parts: [],
+  };
+  crashAccount.recordCrash(causes, {
+    server: "server",
+    zone: "zone",
+    atMs: now(),
+    stage: RunStage.Calling,
+  });
+  // Digests no longer tell of it.
+  await sleep(1_500);
+  const known = new Set<string>();
+  const link = PeerLink.dial(`${HOST}:${peerPort}`, {
+    key: hashText("deployment"),
+    handlers: {
+      onDigest: ({ orders }) => {
+        for (const { server } of orders?.crashAccount?.crashes ?? []) {
+          known.add(server);
+        }
+      },
+      readChunk: () => undefined,
+      onOpen: () => undefined,
+      onClose: () => undefined,
+    },
+  });
+  await expect.poll(() => [...known]).toEqual(["server"]);
+  link.close();
+  await storeSync.close();
+});
+
 test("an entry whose registration is gone still counts itself beside the registered ones", async () => {
   const { storeSync, relay } = await startStoreSync({
     address: `${HOST}:1`,
