server_reports: a report from before a failure does not show the server alive

Callers could have seen: a crash that counts against no request, and a crashed server that is used again at once, if a report of it had arrived up to 60 ms before the crash. Cause: reports are shared for 60 ms by their age alone, also to see whether a server lives whose connection has just broken. Evidence: 'a server that gave a report just before it crashed is not taken for alive' recorded no crash before. Change: whoever asks because of a failure states its time; a report that arrived before it is fetched again. One that is still awaited is shared as before.

--- a/src/health/server_reports.ts
+++ b/src/health/server_reports.ts
@@ -14,6 +14,8 @@
 interface CachedReport {
   readonly requestedMs: number;
   readonly report: Promise<ServerReport | undefined>;
+  /** When the server responded; absent while it hasn't. */
+  respondedMs?: number;
 }
 
 /** The latest reports by server. */
@@ -32,16 +34,30 @@
     return new ServerReports(now, fetchReport);
   }
 
-  /** Returns a recent report; see `ReportFetcher`. */
-  fetch(server: RegisteredServer): Promise<ServerReport | undefined> {
+  /**
+   * Returns a recent report; see `ReportFetcher`.
+   *
+   * @param failedMs when the server failed, on the monotonic clock in ms; a
+   * response from before does not show that it lives
+   */
+  fetch(
+    server: RegisteredServer,
+    failedMs = -Infinity,
+  ): Promise<ServerReport | undefined> {
     const nowMs = this.#now();
     for (const [name, { requestedMs }] of this.#cache) {
       if (nowMs - requestedMs > REUSE_MS) this.#cache.delete(name);
     }
     const cached = this.#cache.get(server.name);
-    if (cached !== undefined) return cached.report;
+    const { respondedMs = Infinity } = cached ?? {};
+    if (cached !== undefined && respondedMs >= failedMs) return cached.report;
     const report = this.#fetchReport(server);
-    this.#cache.set(server.name, { requestedMs: nowMs, report });
+    const fetched: CachedReport = { requestedMs: nowMs, report };
+    this.#cache.set(server.name, fetched);
+    report.then(
+      () => fetched.respondedMs = this.#now(),
+      () => undefined,
+    );
     return report;
   }
 }
--- a/src/request/attempt_reporting.ts
+++ b/src/request/attempt_reporting.ts
@@ -82,7 +82,7 @@
     record.progress !== AttemptProgress.NotSent;
   if (!mayHaveCrashed) return false;
   const atMs = now();
-  const health = await checkServer(context, server);
+  const health = await checkServer(context, server, atMs);
   if (health === ServerHealth.Crashed) {
     record.hasCrashed = true;
     recordCrash(context, { request, record, server, atMs });
@@ -140,13 +140,14 @@
   }
 }
 
-/** Checks whether a server that closed a connection is up. */
+/** Checks whether a server that closed a connection at `closedMs` is up. */
 async function checkServer(
   { servers, reports }: RelayContext,
   server: RegisteredServer,
+  closedMs: number,
 ): Promise<ServerHealth> {
   try {
-    const report = await reports.fetch(server);
+    const report = await reports.fetch(server, closedMs);
     // The server responded without a report; it may have been replaced.
     if (report === undefined) return ServerHealth.Unknown;
     if (isRestarted(report, server)) {
--- a/tests/relay/poison_request_test.ts
+++ b/tests/relay/poison_request_test.ts
@@ -91,6 +91,22 @@
   expect(await send(relay, responds(200), "unlucky")).toBe("whole");
 });
 
+test("a server that gave a report just before it crashed is not taken for alive", async () => {
+  let isUp = true;
+  const relay = createZonedRelay(["a"], {
+    fetchReport: () =>
+      isUp ? Promise.resolve(undefined) : Promise.reject(new Error("refused")),
+  });
+  const [view] = relay.servers.views();
+  if (view === undefined) throw new Error("no server");
+  await relay.context.reports.fetch(view.server);
+  await sleep(10);
+  isUp = false;
+  await send(relay, failsWith(FailureCause.Closed), "bad");
+  await sleep(ATTRIBUTION_WAIT_MS);
+  expect(relay.context.crashAccount.size).toBe(1);
+});
+
 test("a live server is ejected longer for each call that it leaves unanswered", async () => {
   let nowMs = performance.now();
   const relay = createZonedRelay(["a"], {
