server_addresses: a server that has just responded is not replaced

Cause: the first rewritten copy of a service that is configured took the address, although the server there had just answered under its own name. Change: a server that has responded within the last second is not replaced, since it takes longer to start another one at its address. 'a server that has just responded is not replaced at its address' failed before. The test 'a server is used again once a later registration at its address is gone' polled from the start, so that the server had just responded; it waits 1.5 s now and asserts the same.

--- a/src/process/registered_server.ts
+++ b/src/process/registered_server.ts
@@ -61,6 +61,8 @@
   readonly unansweredCalls: UnansweredCalls;
   /** When data was last received from it, on the monotonic clock in ms. */
   readonly lastActivityMs: number;
+  /** When it last responded under its name, on the same clock, if it did. */
+  readonly respondedMs?: number;
 }
 
 /**
--- a/src/process/registered_servers.ts
+++ b/src/process/registered_servers.ts
@@ -95,6 +95,7 @@
     this.#options = options;
     this.#addresses = ServerAddresses.create({
       views,
+      now,
       isKnownService: options.isKnownService ?? (() => true),
       onCapacityAvailable,
     });
@@ -358,7 +359,11 @@
   /** Records that data was received from a server; it is silent no longer. */
   recordActivity(name: string): void {
     if (this.isSilent(name)) return this.reinstate(name);
-    this.#views.update(name, () => ({ lastActivityMs: this.#options.now() }));
+    const nowMs = this.#options.now();
+    this.#views.update(
+      name,
+      () => ({ lastActivityMs: nowMs, respondedMs: nowMs }),
+    );
   }
 
   /**
--- a/src/process/registered_servers_test.ts
+++ b/src/process/registered_servers_test.ts
@@ -117,6 +117,14 @@
   expect(usableNames(servers)).toContain("runner");
 });
 
+test("a server that has just responded is not replaced at its address", () => {
+  const servers = createServers();
+  servers.set(createServer("runner", 1));
+  servers.recordActivity("runner");
+  servers.set(createServer("copy", 9e15, { service: "other" }));
+  expect(usableNames(servers)).toContain("runner");
+});
+
 test("a registration that is rewritten all the time takes a server away for seconds at most", () => {
   const servers = createServers();
   servers.set(createServer("runner", 1));
--- a/src/process/server_addresses.ts
+++ b/src/process/server_addresses.ts
@@ -11,6 +11,8 @@
 /** Dependencies of the addresses. */
 export interface ServerAddressesOptions {
   readonly views: RegisteredServerViews;
+  /** Monotonic clock, in ms. */
+  readonly now: () => number;
   /** Whether the configuration names a service; its servers may get requests. */
   readonly isKnownService: (service: string) => boolean;
   /** Called when a server is used again. */
@@ -22,6 +24,11 @@
  * lapsed by then, and a server that still lacks its address says so.
  */
 export const REPLACED_MS = 5_000;
+/**
+ * Age up to which a response shows that a server has its address, in ms: it takes
+ * longer to start another one there.
+ */
+const RESPONSE_PROOF_MS = 1_000;
 
 /** Which servers are listed at each address, and which of them are replaced. */
 export class ServerAddresses {
@@ -47,16 +54,18 @@
 
   /**
    * Ejects other servers at the address of a new incarnation that did not start
-   * later: the address most likely belongs to this one. A name does so once, as
-   * its registration may be rewritten all the time.
+   * later and have not just responded: the address most likely belongs to this
+   * one. A name does so once, as its registration may be rewritten all the time.
    */
   ejectOlder({ name, address, startedMs, service }: RegisteredServer): void {
-    const { views, isKnownService } = this.#options;
+    const { views, now, isKnownService } = this.#options;
+    const provenMs = now() - RESPONSE_PROOF_MS;
     if (!isKnownService(service) || this.#claims.get(name) === address) return;
     for (const other of this.#names.get(address) ?? []) {
       const view = views.get(other);
       const isOlder = other !== name && view !== undefined &&
-        view.server.startedMs <= startedMs;
+        view.server.startedMs <= startedMs &&
+        (view.respondedMs ?? -Infinity) < provenMs;
       if (!isOlder) continue;
       this.#claims.set(name, address);
       this.#markReplaced(other);
--- a/tests/odd_registration_test.ts
+++ b/tests/odd_registration_test.ts
@@ -255,6 +255,8 @@
   for (const name of ["i-later", "i-latest"]) {
     await platform.store.create("servers", { name, spec: later });
   }
+  // A server that has just responded isn't replaced.
+  await sleep(1_500);
   await expect.poll(() => call("/idempotent/c"), { timeout: 8_000 })
     .toMatch(/^503/);
   await platform.store.remove("servers", { name: "i-later" });
