crash_weight: move the weights of crashes out of crash_explanation

Change: only moved, and exported where the explanation needs it. Measured: the tests of the account of crashes pass as before.

--- a/src/process/crash_explanation.ts
+++ b/src/process/crash_explanation.ts
@@ -6,15 +6,19 @@
 import type { CrashCause } from "../ids.ts";
 import {
   countsFromMs,
-  type CrashedRun,
   isRequest,
   RunStage,
   type ServerCrash,
-  SETTLE_MS,
   settledMs,
   stageOf,
   suspectsOf,
 } from "./crash_evidence.ts";
+import {
+  findZoneFailures,
+  hasBegun,
+  scoreOf,
+  type ZoneFailures,
+} from "./crash_weight.ts";
 
 /** What an explanation is derived from. */
 export interface CrashEvidence {
@@ -45,16 +49,8 @@
  * server and no zone failed.
  */
 const UNEXPLAINED_MIN = 2;
-/** Crashes this close count once if their requests differ, in ms. */
-const SIMULTANEOUS_MS = 50;
-/** Servers of a zone that crash within `SETTLE_MS` if the zone itself fails. */
-const ZONE_FAILURES_MIN = 3;
-/** Time by which another entry's crash may seem to be later than it was, in ms. */
-const REPORT_DELAY_MS = 10;
 /** Independent hypotheses that rather share a cause. */
 const SHARING_MIN = 3;
-/** Weight of crashes that the cause is unlikely to explain. */
-const WEAK_WEIGHT = 0.5;
 
 /** Crashes with one cause, as far as no sound run has refuted them. */
 interface Hypothesis {
@@ -66,14 +62,6 @@
   readonly isWaiting: boolean;
 }
 
-/** A server crash with what its weight depends on. */
-interface WeighedCrash {
-  readonly crash: ServerCrash;
-  readonly isZoneFailure: boolean;
-}
-
-type ZoneFailures = ReadonlySet<ServerCrash>;
-
 /** Returns the explanations of the crashes that have settled. */
 export function explainCrashes(
   { crashes, proofs, nowMs }: CrashEvidence,
@@ -103,18 +91,6 @@
   return explanations;
 }
 
-/** Returns the weight of the crashes with a cause that may have caused them. */
-export function scoreCause(
-  crashes: readonly ServerCrash[],
-  cause: CrashCause,
-): number {
-  const sorted = crashes.toSorted((a, b) => a.atMs - b.atMs);
-  const suspected = sorted.filter((crash) =>
-    suspectsOf(crash).some(({ causes }) => causes.includes(cause))
-  );
-  return scoreOf(suspected, [cause], findZoneFailures(sorted));
-}
-
 /**
  * Returns the crashes that neither an accepted explanation nor a more specific
  * hypothesis covers.
@@ -238,128 +214,3 @@
     causes.every((cause) => run.causes.includes(cause))
   );
 }
-
-/**
- * Returns the weight of crashes. Those at about the same time count once, since
- * a failure that servers have in common crashes them at once; but the crashes
- * of runs of one request that follow each other all count.
- */
-function scoreOf(
-  crashes: readonly ServerCrash[],
-  causes: readonly CrashCause[],
-  zoneFailures: ZoneFailures,
-): number {
-  let score = 0;
-  let group: WeighedCrash[] = [];
-  for (const crash of crashes) {
-    const isZoneFailure = zoneFailures.has(crash);
-    const startMs = group[0]?.crash.atMs ?? -Infinity;
-    const windowMs = isZoneFailure || !hasBegun(crash)
-      ? SETTLE_MS
-      : SIMULTANEOUS_MS;
-    if (crash.atMs - startMs >= windowMs) {
-      score += weightOf(group, causes);
-      group = [];
-    }
-    group.push({ crash, isZoneFailure });
-  }
-  return score + weightOf(group, causes);
-}
-
-function weightOf(
-  group: readonly WeighedCrash[],
-  causes: readonly CrashCause[],
-): number {
-  if (group.length === 0) return 0;
-  const inSequence = longestSequence(group, causes);
-  if (inSequence > 1) return inSequence;
-  return group.every(isWeak) ? WEAK_WEIGHT : 1;
-}
-
-/** A run that may have crashed its server, and the runs before it. */
-interface SequenceItem extends WeighedCrash {
-  readonly run: CrashedRun;
-  /** Number of crashes up to this one. */
-  readonly length: number;
-}
-
-/** Returns the most crashes that one request can have caused in sequence. */
-function longestSequence(
-  group: readonly WeighedCrash[],
-  causes: readonly CrashCause[],
-): number {
-  const request = causes.find(isRequest);
-  const items: SequenceItem[] = [];
-  for (const { crash, isZoneFailure } of group) {
-    // A retry may run on another server of the zone before that fails too.
-    if (isZoneFailure && request === undefined) continue;
-    const added = suspectsOf(crash)
-      .filter((run) => causes.some((cause) => run.causes.includes(cause)))
-      .map((run) => {
-        const lengths = items
-          .filter((item) => isSuccessor({ crash, isZoneFailure, run }, item))
-          .map(({ length }) => length);
-        const length = 1 + Math.max(0, ...lengths);
-        return { crash, isZoneFailure, run, length };
-      });
-    items.push(...added);
-  }
-  return Math.max(0, ...items.map(({ length }) => length));
-}
-
-/**
- * Whether a run is of the same request as one that ended with an earlier crash,
- * and began after it. A request runs on one server at a time; a repeat has
- * another id, and is equal to others that a failing zone has ended.
- */
-function isSuccessor(
-  { crash, isZoneFailure, run }: Omit<SequenceItem, "length">,
-  former: SequenceItem,
-): boolean {
-  if (run.request === former.run.request) return true;
-  if (isZoneFailure || former.isZoneFailure || run.ranMs === undefined) {
-    return false;
-  }
-  return run.causes.some((cause) =>
-    isRequest(cause) && former.run.causes.includes(cause)
-  ) && crash.atMs - run.ranMs >= former.crash.atMs - REPORT_DELAY_MS;
-}
-
-function isWeak({ crash, isZoneFailure }: WeighedCrash): boolean {
-  return stageOf(crash) === RunStage.Proven ||
-    (isZoneFailure && !hasBegun(crash));
-}
-
-function hasBegun(crash: ServerCrash): boolean {
-  return stageOf(crash) === RunStage.Begun;
-}
-
-/** Returns the crashes of zones in which several servers crashed at once. */
-function findZoneFailures(sorted: readonly ServerCrash[]): ZoneFailures {
-  const failures = new Set<ServerCrash>();
-  for (const crashes of groupBy(sorted, ({ zone }) => zone).values()) {
-    for (const [at, first] of crashes.entries()) {
-      const last = crashes[at + ZONE_FAILURES_MIN - 1];
-      if (last === undefined) break;
-      if (last.atMs - first.atMs >= SETTLE_MS) continue;
-      for (const crash of crashes.slice(at, at + ZONE_FAILURES_MIN)) {
-        failures.add(crash);
-      }
-    }
-  }
-  return failures;
-}
-
-function groupBy<Item>(
-  items: readonly Item[],
-  keyOf: (item: Item) => string,
-): ReadonlyMap<string, readonly Item[]> {
-  const groups = new Map<string, Item[]>();
-  for (const item of items) {
-    const key = keyOf(item);
-    const group = groups.get(key);
-    if (group === undefined) groups.set(key, [item]);
-    else group.push(item);
-  }
-  return groups;
-}
--- a/tests/relay/poison_request_test.ts
+++ b/tests/relay/poison_request_test.ts
@@ -4,7 +4,7 @@
 import { expect, test } from "vitest";
 import { FailureCause } from "../../src/errors.ts";
 import type { Fingerprint, RequestId } from "../../src/ids.ts";
-import { scoreCause } from "../../src/process/crash_explanation.ts";
+import { scoreCause } from "../../src/process/crash_weight.ts";
 import { RequestKind } from "../../src/request/proxy_request.ts";
 import { serveRequest } from "../../src/request/serve_request.ts";
 import {
