sound_runs: move the sound runs of causes out of crash_account

Change: moved into a class of its own; what it records and tells is the same. Measured: the tests of the account, of its archive and of the gossip pass as before.

--- a/src/process/crash_account.ts
+++ b/src/process/crash_account.ts
@@ -28,6 +28,7 @@
 import { CrashTrials } from "./crash_trials.ts";
 import { CrashedParts } from "./crashed_parts.ts";
 import { Rotation } from "./rotation.ts";
+import { FRESH_MS, SoundRuns } from "./sound_runs.ts";
 
 /** A crash of a server that ran a request. */
 export interface RequestCrash {
@@ -63,19 +64,10 @@
 
 /** Crashes kept in memory; the oldest that block nothing are dropped first. */
 const CRASHES_MAX = 128;
-/**
- * Causes whose last sound run is kept in memory: those of sixteen of the longest
- * heads.
- */
-const PROOFS_MAX = 16_000;
-/** Causes whose last crash is kept in memory. */
-const SUSPECTED_MAX = 4_000;
 /** How long crashes are remembered, in ms. */
 const RETENTION_MS = 600_000;
 /** How long a block is remembered, as a multiple of its duration. */
 const BLOCK_RETENTION_FACTOR = 2;
-/** How long a change is sent to peers in each digest, in ms. */
-const FRESH_MS = 1_000;
 /** Age up to which a crash is sent again to a peer that was cut off, in ms. */
 const REPEATED_MS = 60_000;
 /** Changed crashes per digest; the most telling and latest come first. */
@@ -95,15 +87,10 @@
   readonly #trials: CrashTrials;
   /** By server. */
   readonly #crashes = new Map<string, ServerCrash>();
-  /** When a run with each cause last began that crashed no server, in ms. */
-  readonly #proofs = new Map<CrashCause, number>();
+  readonly #soundRuns: SoundRuns;
   /** When each crash last changed, by server, in ms. */
   readonly #changedMs = new Map<string, number>();
-  /** When each proof last became news to peers, in ms. */
-  readonly #provenNewsMs = new Map<CrashCause, number>();
   readonly #crashedParts: CrashedParts;
-  /** Last crash of each suspected cause, in ms. */
-  readonly #lastCrashMs = new Map<CrashCause, number>();
   #blocks: readonly DecidedBlock[] = [];
   /** Until when the blocks follow from the evidence, in ms. */
   #validUntilMs = Infinity;
@@ -113,11 +100,12 @@
   private constructor(options: CrashAccountOptions) {
     this.#options = options;
     this.#trials = CrashTrials.create(options);
+    this.#soundRuns = SoundRuns.create(options.now);
     const { random = Math.random } = options;
     this.#crashedParts = CrashedParts.create({
       now: options.now,
       random,
-      provenMs: (part) => this.#proofs.get(part),
+      provenMs: (part) => this.#soundRuns.provenMs(part),
     });
   }
 
@@ -180,8 +168,7 @@
     causes: readonly CrashCause[],
     begunMs = this.#options.now(),
   ): void {
-    for (const cause of causes) this.#addProof(cause, begunMs);
-    dropOldest(this.#proofs, PROOFS_MAX);
+    if (this.#soundRuns.record(causes, begunMs)) this.#validUntilMs = -Infinity;
   }
 
   /** Takes in a block that was decided elsewhere, with its evidence. */
@@ -198,17 +185,16 @@
     );
     for (const head of longHeads) this.#crashedParts.merge(head);
     for (const [cause, begunMs] of proofs) {
-      this.#addProof(cause, begunMs - TRANSMISSION_MS);
+      this.recordProof([cause], begunMs - TRANSMISSION_MS);
     }
     for (const crash of [...crashes, ...blocks.flatMap(crashesOf)]) {
       if (nowMs - crash.atMs > RETENTION_MS && !isPartOf(blocks, crash)) {
         continue;
       }
       this.#addCrash(crash);
-      this.#repeatProofs(crash);
+      this.#soundRuns.repeat(crash);
     }
     this.#trials.merge(trials);
-    dropOldest(this.#proofs, PROOFS_MAX);
   }
 
   /**
@@ -238,7 +224,7 @@
     return createCrashDigest({
       crashes,
       blocks: settled.filter(({ key }) => keys.includes(key)),
-      proofs: this.#proofsFor(crashes),
+      proofs: this.#soundRuns.news(crashes, DIGEST_PROOFS_MAX),
       trials: this.#trials.current(),
       longHeads: this.#crashedParts.takeNews(DIGEST_LONG_HEADS_MAX),
     }, nowMs);
@@ -256,7 +242,7 @@
       .slice(0, DIGEST_CRASHES_MAX);
     for (const crash of latest) {
       this.#changedMs.set(crash.server, nowMs);
-      this.#repeatProofs(crash);
+      this.#soundRuns.repeat(crash);
     }
     this.#crashedParts.repeatNews();
   }
@@ -292,57 +278,17 @@
       merged.runs.length !== known.runs.length ||
       known.atMs - merged.atMs > TRANSMISSION_MS;
     if (isNews) this.#changedMs.set(crash.server, this.#options.now());
-    for (const cause of merged.runs.flatMap(({ causes }) => causes)) {
-      const lastMs = this.#lastCrashMs.get(cause) ?? -Infinity;
-      this.#lastCrashMs.delete(cause);
-      this.#lastCrashMs.set(cause, Math.max(lastMs, merged.atMs));
-    }
-    dropOldest(this.#lastCrashMs, SUSPECTED_MAX);
+    this.#soundRuns.suspect(merged);
     this.#validUntilMs = -Infinity;
     if (this.#crashes.size > CRASHES_MAX) this.#dropLeastImportant();
   }
 
-  #addProof(cause: CrashCause, begunMs: number): void {
-    const previousMs = this.#proofs.get(cause) ?? -Infinity;
-    if (begunMs <= previousMs) return;
-    this.#proofs.delete(cause);
-    this.#proofs.set(cause, begunMs);
-    const lastCrashMs = this.#lastCrashMs.get(cause);
-    if (lastCrashMs === undefined || lastCrashMs <= previousMs) return;
-    this.#provenNewsMs.set(cause, this.#options.now());
-    this.#validUntilMs = -Infinity;
-  }
-
-  /** Has proofs sent again that the sender of a crash lacks. */
-  #repeatProofs({ atMs, runs }: ServerCrash): void {
-    for (const cause of runs.flatMap(({ causes }) => causes)) {
-      if ((this.#proofs.get(cause) ?? -Infinity) <= atMs) continue;
-      if (!this.#provenNewsMs.has(cause)) {
-        this.#provenNewsMs.set(cause, this.#options.now());
-      }
-    }
-  }
-
-  /** Returns the proofs that are news, and those that refute `crashes`. */
-  #proofsFor(
-    crashes: readonly ServerCrash[],
-  ): readonly (readonly [CrashCause, number])[] {
-    const refuted = crashes.flatMap(({ atMs, runs }) =>
-      runs.flatMap(({ causes }) => causes)
-        .filter((cause) => (this.#proofs.get(cause) ?? -Infinity) > atMs)
-    );
-    return [...new Set([...this.#provenNewsMs.keys(), ...refuted])]
-      .slice(0, DIGEST_PROOFS_MAX)
-      .map((cause) => [cause, this.#proofs.get(cause) ?? -Infinity] as const)
-      .filter(([, begunMs]) => begunMs !== -Infinity);
-  }
-
   /** Derives the blocks again if the evidence has changed or settled. */
   #derive(): void {
     const nowMs = this.#options.now();
     if (nowMs < this.#validUntilMs) return;
     const crashes = [...this.#crashes.values()];
-    const proofs = this.#proofs;
+    const { proofs } = this.#soundRuns;
     this.#blocks = explainCrashes({ crashes, proofs, nowMs })
       .map((explanation) => ({
         ...createBlock(explanation),
@@ -391,9 +337,7 @@
     for (const [server, changedMs] of this.#changedMs) {
       if (nowMs - changedMs > FRESH_MS) this.#changedMs.delete(server);
     }
-    for (const [cause, newsMs] of this.#provenNewsMs) {
-      if (nowMs - newsMs > FRESH_MS) this.#provenNewsMs.delete(cause);
-    }
+    this.#soundRuns.dropOldNews();
   }
 
   #isEvidence(server: string): boolean {
@@ -424,10 +368,3 @@
     Number(stageOf(crash) === RunStage.Begun);
   return isBegun(b) - isBegun(a) || b.atMs - a.atMs;
 }
-
-function dropOldest<Key, Value>(map: Map<Key, Value>, size: number): void {
-  for (const key of map.keys()) {
-    if (map.size <= size) return;
-    map.delete(key);
-  }
-}
