crash_weight: a request that crashes three servers of a zone is no failed zone

Cause: three crashes of a zone within 300 ms count as a failure of the zone, in which only the crashes of one request id count one by one. 'a call that crashes three servers of a zone in sequence is no failure of the zone' failed before. Change: repeats count there too if all servers of the zone that crashed had run the request. A zone that fails ends others as well, and then one id's crashes count as before; the test of such a zone has a server with another call now.

--- a/src/process/crash_account_test.ts
+++ b/src/process/crash_account_test.ts
@@ -347,6 +347,8 @@
   readonly atMs: number;
   readonly ranMs: number;
   readonly zone: string;
+  /** Whether it is another call. */
+  readonly isOther?: boolean;
 }
 
 /**
@@ -359,9 +361,14 @@
     createAccount(clock, entry)
   );
   const request = "request read" as CrashCause;
-  for (const { id, entry, ...crash } of crashes) {
+  for (const { id, entry, isOther, ...crash } of crashes) {
     clock.ms = crash.atMs;
-    const causes = { id: id as RequestId, request, parts: [] };
+    const other = "request other" as CrashCause;
+    const causes = {
+      id: id as RequestId,
+      request: isOther === true ? other : request,
+      parts: [],
+    };
     const server = `server at ${crash.zone} ${crash.atMs}`;
     accounts[entry]?.recordCrash(causes, {
       ...crash,
@@ -399,6 +406,15 @@
   expect(refusals).toEqual([true, true, true, true]);
 });
 
+test("a call that crashes three servers of a zone in sequence is no failure of the zone", () => {
+  const refusals = refusalsAfter([
+    { id: "1", entry: 0, atMs: 10, ranMs: 4, zone: "a" },
+    { id: "2", entry: 1, atMs: 20, ranMs: 4, zone: "a" },
+    { id: "3", entry: 2, atMs: 30, ranMs: 4, zone: "a" },
+  ]);
+  expect(refusals).toEqual([true, true, true, true]);
+});
+
 test("equal calls that a common failure of servers ends at once are not refused", () => {
   const refusals = refusalsAfter([
     { id: "1", entry: 0, atMs: 100, ranMs: 20, zone: "a" },
@@ -414,6 +430,7 @@
     { id: "1", entry: 0, atMs: 100, ranMs: 20, zone: "a" },
     { id: "2", entry: 1, atMs: 130, ranMs: 10, zone: "a" },
     { id: "3", entry: 2, atMs: 160, ranMs: 10, zone: "a" },
+    { id: "4", entry: 2, atMs: 165, ranMs: 40, zone: "a", isOther: true },
   ]);
   expect(refusals).toEqual([false, false, false, false]);
 });
--- a/src/process/crash_weight.ts
+++ b/src/process/crash_weight.ts
@@ -27,10 +27,15 @@
 interface WeighedCrash {
   readonly crash: ServerCrash;
   readonly isZoneFailure: boolean;
+  /** Whether its zone lost servers at that time that ran no such request. */
+  readonly hasOthers: boolean;
 }
 
-/** Crashes of zones in which several servers crashed at once. */
-export type ZoneFailures = ReadonlySet<ServerCrash>;
+/**
+ * Crashes of zones in which several servers crashed at once, each with all
+ * crashes of its zone at about that time.
+ */
+export type ZoneFailures = ReadonlyMap<ServerCrash, ReadonlySet<ServerCrash>>;
 
 /** Returns the weight of the crashes with a cause that may have caused them. */
 export function scoreCause(
@@ -57,7 +62,9 @@
   let score = 0;
   let group: WeighedCrash[] = [];
   for (const crash of crashes) {
-    const isZoneFailure = zoneFailures.has(crash);
+    const zoneFailure = zoneFailures.get(crash);
+    const isZoneFailure = zoneFailure !== undefined;
+    const hasOthers = isZoneFailure && !haveRequest(zoneFailure, causes);
     const startMs = group[0]?.crash.atMs ?? -Infinity;
     const windowMs = isZoneFailure || !hasBegun(crash)
       ? SETTLE_MS
@@ -66,7 +73,7 @@
       score += weightOf(group, causes);
       group = [];
     }
-    group.push({ crash, isZoneFailure });
+    group.push({ crash, isZoneFailure, hasOthers });
   }
   return score + weightOf(group, causes);
 }
@@ -95,17 +102,16 @@
 ): number {
   const request = causes.find(isRequest);
   const items: SequenceItem[] = [];
-  for (const { crash, isZoneFailure } of group) {
+  for (const weighed of group) {
     // A retry may run on another server of the zone before that fails too.
-    if (isZoneFailure && request === undefined) continue;
-    const added = suspectsOf(crash)
+    if (weighed.isZoneFailure && request === undefined) continue;
+    const added = suspectsOf(weighed.crash)
       .filter((run) => causes.some((cause) => run.causes.includes(cause)))
       .map((run) => {
         const lengths = items
-          .filter((item) => isSuccessor({ crash, isZoneFailure, run }, item))
+          .filter((item) => isSuccessor({ ...weighed, run }, item))
           .map(({ length }) => length);
-        const length = 1 + Math.max(0, ...lengths);
-        return { crash, isZoneFailure, run, length };
+        return { ...weighed, run, length: 1 + Math.max(0, ...lengths) };
       });
     items.push(...added);
   }
@@ -118,18 +124,28 @@
  * another id, and is equal to others that a failing zone has ended.
  */
 function isSuccessor(
-  { crash, isZoneFailure, run }: Omit<SequenceItem, "length">,
+  { crash, hasOthers, run }: Omit<SequenceItem, "length">,
   former: SequenceItem,
 ): boolean {
   if (run.request === former.run.request) return true;
-  if (isZoneFailure || former.isZoneFailure || run.ranMs === undefined) {
-    return false;
-  }
+  if (hasOthers || former.hasOthers || run.ranMs === undefined) return false;
   return run.causes.some((cause) =>
     isRequest(cause) && former.run.causes.includes(cause)
   ) && crash.atMs - run.ranMs >= former.crash.atMs - REPORT_DELAY_MS;
 }
 
+/** Whether a request that is a cause ran on all of the servers. */
+function haveRequest(
+  crashes: ReadonlySet<ServerCrash>,
+  causes: readonly CrashCause[],
+): boolean {
+  const request = causes.find(isRequest);
+  if (request === undefined) return false;
+  return [...crashes].every((crash) =>
+    suspectsOf(crash).some((run) => run.causes.includes(request))
+  );
+}
+
 function isWeak({ crash, isZoneFailure }: WeighedCrash): boolean {
   return stageOf(crash) === RunStage.Proven ||
     (isZoneFailure && !hasBegun(crash));
@@ -142,14 +158,16 @@
 
 /** Returns the crashes of zones in which several servers crashed at once. */
 export function findZoneFailures(sorted: readonly ServerCrash[]): ZoneFailures {
-  const failures = new Set<ServerCrash>();
+  const failures = new Map<ServerCrash, Set<ServerCrash>>();
   for (const crashes of groupBy(sorted, ({ zone }) => zone).values()) {
     for (const [at, first] of crashes.entries()) {
       const last = crashes[at + ZONE_FAILURES_MIN - 1];
       if (last === undefined) break;
       if (last.atMs - first.atMs >= SETTLE_MS) continue;
-      for (const crash of crashes.slice(at, at + ZONE_FAILURES_MIN)) {
-        failures.add(crash);
+      const failed = crashes.slice(at, at + ZONE_FAILURES_MIN);
+      for (const crash of failed) {
+        const known = failures.get(crash) ?? [];
+        failures.set(crash, new Set([...known, ...failed]));
       }
     }
   }
