server_addresses: a server that proved absent is not tried again after 5 s

Callers could have seen: a request that first goes to a server which has answered 421 before, each time another one is listed at that address. Cause: since a server counts as replaced for 5 s only, one that had proved not to have its address was marked as replaced as well, and was used again after that. Evidence: 'a server that proved not to have its address is not used again' looks after 5 s too now, and failed there before. Change: a server that proved absent is not marked.

--- a/src/process/crashed_parts.ts
+++ b/src/process/crashed_parts.ts
@@ -73,9 +73,8 @@
   readonly #options: CrashedPartsOptions;
   /** By request, the latest last. */
   readonly #known = new Map<string, KnownParts>();
-  /** When peers were first to be told of a request's parts, in ms. */
+  /** When a request's parts became news to peers, in ms. */
   readonly #newsMs = new Map<string, number>();
-
   readonly #turns = Rotation.create<string>();
 
   private constructor(options: CrashedPartsOptions) {
--- a/src/process/registered_servers_test.ts
+++ b/src/process/registered_servers_test.ts
@@ -79,6 +79,8 @@
   servers.set(createServer("first", 1));
   servers.eject("first", ServerFailure.Replaced);
   servers.set(createServer("second", 2));
+  vi.advanceTimersByTime(REPLACED_MS);
+  expect(usableNames(servers)).toEqual(["second"]);
   servers.delete("second");
   servers.eject("first", ServerFailure.Broken);
   expect(usableNames(servers)).toEqual([]);
--- a/src/process/server_addresses.ts
+++ b/src/process/server_addresses.ts
@@ -5,7 +5,10 @@
  * servers have lapsed: any writer may list a server at any address.
  */
 
-import type { RegisteredServer } from "./registered_server.ts";
+import type {
+  RegisteredServer,
+  RegisteredServerView,
+} from "./registered_server.ts";
 import type { RegisteredServerViews } from "./registered_server_views.ts";
 
 /** Dependencies of the addresses. */
@@ -66,13 +69,18 @@
       const isOlder = other !== name && view !== undefined &&
         view.server.startedMs <= startedMs &&
         (view.respondedMs ?? -Infinity) < provenMs;
-      if (!isOlder) continue;
+      if (!isOlder || this.#isKnownAbsent(view)) continue;
       this.#claims.set(name, address);
       this.#markReplaced(other);
       views.update(other, () => ({ ejectedUntilMs: Infinity }));
     }
   }
 
+  /** Whether a server proved not to have its address. */
+  #isKnownAbsent({ server, ejectedUntilMs }: RegisteredServerView): boolean {
+    return ejectedUntilMs === Infinity && !this.#replaced.has(server.name);
+  }
+
   #markReplaced(name: string): void {
     this.#unmarkReplaced(name);
     const timer = setTimeout(() => this.#reinstate(name), REPLACED_MS);
