lingering_close, guarded_door: discard what refused callers send at a pace

Cause: callers that send on after their refusal were read at full speed, so that buffers were allocated faster than V8 collected them, and the C library keeps most of that memory.

--- a/src/connection/caller_connections.ts
+++ b/src/connection/caller_connections.ts
@@ -8,6 +8,7 @@
   STATUS_CODES,
 } from "node:http";
 import { Socket } from "node:net";
+import { DiscardPace } from "./discard_pace.ts";
 import {
   IdleVerdict,
   judgeIdleConnection,
@@ -70,6 +71,7 @@
 export class CallerConnections {
   readonly #server: Server;
   readonly #now: () => number;
+  readonly #pace: DiscardPace;
   readonly #states = new WeakMap<Socket, ConnectionState>();
   #hasHeaderLimit = false;
   #headerLimitTimer: NodeJS.Timeout | undefined;
@@ -77,6 +79,7 @@
   private constructor({ server, now }: CallerConnectionsOptions) {
     this.#server = server;
     this.#now = now;
+    this.#pace = DiscardPace.create(now);
   }
 
   /** Takes over the idle timeouts of a server that does not listen yet. */
@@ -97,7 +100,10 @@
       (error, socket) => connections.#handleError(error, socket as Socket),
     );
     // Without a listener, Node closes the connection of a CONNECT request.
-    server.on("connect", (_, socket) => refuseTunnel(socket as Socket));
+    server.on(
+      "connect",
+      (_, socket) => refuseTunnel(socket as Socket, connections.#pace),
+    );
     return connections;
   }
 
@@ -217,7 +223,7 @@
     socket.destroySoon = () => {
       const { request: latest } = state;
       if (latest === undefined || latest.complete) return closeWhenSent(socket);
-      lingeringClose(socket);
+      lingeringClose(socket, this.#pace);
       latest.once("end", () => socket.destroy());
       latest.resume();
     };
@@ -251,7 +257,7 @@
     const state = this.#states.get(socket);
     if (state === undefined || state.open.size === 0) {
       socket.write(formatRefusal(error));
-      return lingeringClose(socket);
+      return lingeringClose(socket, this.#pace);
     }
     const { request, response } = state;
     if (request === undefined || response === undefined || request.complete) {
@@ -304,11 +310,11 @@
 }
 
 /** Refuses CONNECT; Node has handed over the whole connection. */
-function refuseTunnel(socket: Socket): void {
+function refuseTunnel(socket: Socket, pace: DiscardPace): void {
   socket.on("error", () => socket.destroy());
   socket.resume();
   socket.write(formatResponse(HTTP_METHOD_NOT_ALLOWED));
-  lingeringClose(socket);
+  lingeringClose(socket, pace);
 }
 
 /** Returns the response to bytes from which Node could read no request. */
--- a/src/connection/guarded_door.ts
+++ b/src/connection/guarded_door.ts
@@ -51,6 +51,9 @@
   // Closed at once, it would be reset, and the response might not arrive.
   socket.destroySoon = () => {
     socket.end();
+    // Node resumes the connection to drop the body.
+    socket.on("resume", () => socket.pause());
+    socket.pause();
     const timer = setTimeout(() => socket.destroy(), CLOSE_DELAY_MS);
     socket.once("close", () => clearTimeout(timer));
   };
--- a/src/connection/lingering_close.ts
+++ b/src/connection/lingering_close.ts
@@ -4,6 +4,7 @@
  */
 
 import { Socket } from "node:net";
+import type { DiscardPace } from "./discard_pace.ts";
 
 /** Longest time to discard what a caller still sends, in ms. */
 const LINGER_MAX_MS = 2_000;
@@ -15,10 +16,11 @@
  * Ends the sending direction and keeps reading until the caller closes too, or
  * a limit is reached. The owner of the connection must continue reading.
  */
-export function lingeringClose(socket: Socket): void {
+export function lingeringClose(socket: Socket, pace: DiscardPace): void {
   if (socket.destroyed) return;
   if (socket.readableEnded) return closeWhenSent(socket);
   socket.end();
+  pace.limit(socket);
   const limitBytes = socket.bytesRead + LINGER_MAX_BYTES;
   let checksLeft = LINGER_MAX_MS / CHECK_INTERVAL_MS;
   const timer = setInterval(() => {
