--- a/src/connection/lingering_close.ts
+++ b/src/connection/lingering_close.ts
@@ -15,6 +15,8 @@
 /**
  * Ends the sending direction and keeps reading until the caller closes too, or
  * a limit is reached. The owner of the connection must continue reading.
+ *
+ * @param pace shared with all connections of the server that linger
  */
 export function lingeringClose(socket: Socket, pace: DiscardPace): void {
   if (socket.destroyed) return;
